Lay the crates, their boundaries and the types they share

Ruled out: one crate (no order of dependencies), an adapter crate per protocol (too many for what they hold today).

--- /dev/null
+++ b/crates/figscale-core/src/catalogue/mod.rs
@@ -0,0 +1,1 @@
+//! Which catalogue is accepted and in force.
--- /dev/null
+++ b/crates/figscale-core/src/claims/mod.rs
@@ -0,0 +1,1 @@
+//! Who holds which shard, and until when.
--- /dev/null
+++ b/crates/figscale-core/src/job/mod.rs
@@ -0,0 +1,1 @@
+//! Placement of tasks and the life of jobs.
--- /dev/null
+++ b/crates/figscale-standin/src/cell/mod.rs
@@ -0,0 +1,1 @@
+//! A whole cell in one process, for a newcomer.
--- /dev/null
+++ b/crates/figscale-standin/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Open-loop load with histograms.
--- /dev/null
+++ b/crates/figscale-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `figscale-standin` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/figscale-standin/src/proxy/mod.rs
@@ -0,0 +1,1 @@
+//! A TCP proxy that cuts, delays, freezes and drops.
--- /dev/null
+++ b/crates/figscale-standin/src/runner/mod.rs
@@ -0,0 +1,1 @@
+//! A runner: slots, connections, answers with checksums, faults on request.
--- /dev/null
+++ b/crates/figscale-types/src/jobs.rs
@@ -0,0 +1,141 @@
+//! Jobs and their tasks, as submitted, as kept in the store and as reported.
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids;
+use crate::sizes;
+use crate::verdict;
+
+/// A job as its owner submits it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSpec {
+    /// Catalogue entry that it runs under.
+    pub entry: ids::EntryName,
+    /// Owner charged for it.
+    pub owner: ids::OwnerName,
+    /// Number of tasks. Default 1.
+    #[serde(default = "one")]
+    pub tasks: u32,
+    /// Size of each task.
+    pub task: sizes::Resources,
+    /// Declared run time of a task. Default 60,000.
+    #[serde(default = "default_run_ms")]
+    pub run_ms: u64,
+    /// Time from acceptance by which it must be done. Default: none.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+    /// Whether a task may run again after an unknown end. Default false.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Whether a task can save its state and go on elsewhere. Default false.
+    #[serde(default)]
+    pub checkpointable: bool,
+    /// What the worker is to run; opaque here.
+    #[serde(default)]
+    pub command: String,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn default_run_ms() -> u64 {
+    60_000
+}
+
+/// State of a job or of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobState {
+    /// Accepted and waiting.
+    Queued,
+    /// At least one task runs.
+    Running,
+    /// Ended well.
+    Done,
+    /// Ended badly; the reason tells.
+    Failed,
+    /// Ended by its owner's wish.
+    Cancelled,
+    /// A task started and its end is unknown; it is not run again.
+    MayHaveRun,
+}
+
+impl JobState {
+    /// Whether the state is final.
+    pub fn is_final(self) -> bool {
+        !matches!(self, Self::Queued | Self::Running)
+    }
+}
+
+/// What the store keeps of a task; absent while nothing needs keeping.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// Attempts known to have begun.
+    pub attempts: u32,
+    /// A start mark: a non-idempotent task may have begun.
+    pub started: bool,
+    /// The final state.
+    pub ended: Option<JobState>,
+}
+
+/// What the store keeps of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// As submitted.
+    pub spec: JobSpec,
+    /// Wall-clock time of acceptance, milliseconds since 1970.
+    pub accepted_unix_ms: u64,
+    /// Whether the owner asked to cancel it.
+    pub cancelled: bool,
+    /// Reason of a failure.
+    pub reason: Option<String>,
+    /// The final state.
+    pub ended: Option<JobState>,
+    /// Tasks of which something must be kept.
+    pub tasks: IndexMap<u32, TaskRecord>,
+}
+
+/// The document of a job shard.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobDocument {
+    /// Epoch of the holder that wrote it.
+    pub epoch: ids::Epoch,
+    /// Jobs by id.
+    pub jobs: IndexMap<ids::JobId, JobRecord>,
+}
+
+/// A task as `job status` shows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskStatus {
+    /// Position within the job.
+    pub index: u32,
+    /// State.
+    pub state: JobState,
+    /// Where it runs or ran last.
+    pub worker: Option<ids::InstanceId>,
+    /// Attempts begun.
+    pub attempts: u32,
+}
+
+/// A job as `job status` shows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// Id.
+    pub id: ids::JobId,
+    /// Owner.
+    pub owner: ids::OwnerName,
+    /// Catalogue entry.
+    pub entry: ids::EntryName,
+    /// State.
+    pub state: JobState,
+    /// Whether it ran.
+    pub verdict: verdict::Verdict,
+    /// Why it failed or still waits.
+    pub reason: Option<String>,
+    /// Tasks; empty in a listing.
+    pub tasks: Vec<TaskStatus>,
+}
--- /dev/null
+++ b/crates/figscale-types/src/platform.rs
@@ -0,0 +1,62 @@
+//! The platform's protocol: key-value service and instance list over HTTP.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `GET /v1/kv/KEY` | 200, value, `x-revision`; 404 when absent |
+//! | `PUT /v1/kv/KEY` with `x-if-revision` (0: must be absent), perhaps `x-lease` | 200, `x-revision`; 412 with the current `x-revision`; 410 when the lease is gone; 413 over [`MAX_VALUE_BYTES`] |
+//! | `DELETE /v1/kv/KEY` with `x-if-revision` | 200; 412 as above |
+//! | `GET /v1/watch/KEY?after=REV&wait_ms=MS` | as `GET` once the revision is above `REV`; 204 when `MS` have passed |
+//! | `GET /v1/keys?prefix=P` | 200, [`KeyList`] |
+//! | `POST /v1/leases` with [`LeaseRequest`] | 200, [`LeaseAnswer`] |
+//! | `PUT /v1/leases/ID` | 200 when renewed; 410 when gone |
+//! | `DELETE /v1/leases/ID` | 200; keys under it are deleted |
+//! | `GET /v1/instances` | 200, [`crate::instances::InstanceList`] |
+//!
+//! Revisions come from one counter of the whole service, so that a key that
+//! was deleted and made again never shows an old one. Any call may be answered
+//! 429 (over the rate) or 503 (outage), may be late, or may lose its answer
+//! after it has taken effect. A waiting watch counts as one call.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids;
+
+/// Largest value, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Header with a key's revision.
+pub const REVISION: &str = "x-revision";
+/// Header with the revision that a write expects.
+pub const IF_REVISION: &str = "x-if-revision";
+/// Header with the lease that a key goes with.
+pub const LEASE: &str = "x-lease";
+
+/// Asks for a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Time that it lasts after each renewal.
+    pub ttl_ms: u64,
+}
+
+/// A lease that was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseAnswer {
+    /// Its id.
+    pub lease: ids::LeaseId,
+}
+
+/// A key without its value.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyLine {
+    /// The key.
+    pub key: String,
+    /// Its revision.
+    pub revision: ids::Revision,
+}
+
+/// Keys under a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyList {
+    /// The keys, in order.
+    pub keys: Vec<KeyLine>,
+}
--- /dev/null
+++ b/crates/figscale/src/kernel.rs
@@ -0,0 +1,182 @@
+//! The micro-kernel: services that find each other by name.
+//!
+//! A service registers a mailbox under its name and gets the receiving end.
+//! Whoever wants something of it looks the name up and posts a typed message,
+//! with a [`Reply`] where an answer is wanted. The kernel also keeps what every
+//! service offers to the outside: a dump of its state, a handler of peers'
+//! calls, and a way to give up a shard in order.
+//!
+//! Mailboxes are bounded. A full one refuses at once, so that an overloaded
+//! service shows as an error at its callers rather than as growing memory.
+
+use std::any;
+use std::error;
+use std::fmt;
+use std::future;
+use std::pin;
+use std::sync;
+
+use figscale_types::ids;
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Messages that a mailbox holds before it refuses.
+pub const MAILBOX_LEN: usize = 4_096;
+
+/// A boxed future that may cross threads.
+pub type BoxFuture<T> = pin::Pin<Box<dyn future::Future<Output = T> + Send>>;
+type DumpFn = sync::Arc<dyn Fn() -> BoxFuture<serde_json::Value> + Send + Sync>;
+type DrainFn = sync::Arc<dyn Fn(ids::ShardId) -> BoxFuture<Drained> + Send + Sync>;
+
+/// How a shard was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Drained {
+    /// Nothing of it is in progress any more.
+    Clean,
+    /// Something may still be in progress.
+    Unclean,
+}
+
+/// Why a service could not be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unavailable {
+    /// Nothing is registered under the name.
+    Unknown(&'static str),
+    /// Its mailbox is full.
+    Full(&'static str),
+    /// It ended before it answered.
+    Gone(&'static str),
+}
+
+impl fmt::Display for Unavailable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown(name) => write!(f, "service {name} is not registered"),
+            Self::Full(name) => write!(f, "service {name} is overloaded"),
+            Self::Gone(name) => write!(f, "service {name} has ended"),
+        }
+    }
+}
+
+impl error::Error for Unavailable {}
+
+/// Where an answer goes. Dropping it tells the asker that none will come.
+#[derive(Debug)]
+pub struct Reply<T>(oneshot::Sender<T>);
+
+impl<T> Reply<T> {
+    /// Answers; an asker that has gone away is no error.
+    pub fn send(self, answer: T) {
+        let _ = self.0.send(answer);
+    }
+}
+
+/// The sending end of a service's mailbox.
+#[derive(Debug)]
+pub struct Address<M> {
+    name: &'static str,
+    sender: mpsc::Sender<M>,
+}
+
+impl<M> Clone for Address<M> {
+    fn clone(&self) -> Self {
+        Self {
+            name: self.name,
+            sender: self.sender.clone(),
+        }
+    }
+}
+
+impl<M> Address<M> {
+    /// Posts a message, without waiting.
+    pub fn post(&self, message: M) -> Result<(), Unavailable> {
+        self.sender.try_send(message).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => Unavailable::Full(self.name),
+            mpsc::error::TrySendError::Closed(_) => Unavailable::Gone(self.name),
+        })
+    }
+
+    /// Posts the message that `make` builds around a reply, and waits for it.
+    pub async fn call<R>(&self, make: impl FnOnce(Reply<R>) -> M) -> Result<R, Unavailable> {
+        let (sender, receiver) = oneshot::channel();
+        self.post(make(Reply(sender)))?;
+        receiver.await.map_err(|_| Unavailable::Gone(self.name))
+    }
+}
+
+/// The receiving end of a service's mailbox.
+pub type Inbox<M> = mpsc::Receiver<M>;
+
+/// The registry of a process.
+#[derive(Default)]
+pub struct Kernel {
+    addresses: sync::Mutex<IndexMap<&'static str, Box<dyn any::Any + Send>>>,
+    dumps: sync::Mutex<IndexMap<&'static str, DumpFn>>,
+    drains: sync::Mutex<IndexMap<&'static str, DrainFn>>,
+}
+
+impl Kernel {
+    /// Registers a service and returns the receiving end of its mailbox.
+    pub fn register<M: Send + 'static>(&self, name: &'static str) -> Inbox<M> {
+        let (sender, receiver) = mpsc::channel(MAILBOX_LEN);
+        let address = Address { name, sender };
+        lock(&self.addresses).insert(name, Box::new(address));
+        receiver
+    }
+
+    /// Finds a service by its name and the type of its messages.
+    pub fn find<M: Send + 'static>(&self, name: &'static str) -> Result<Address<M>, Unavailable> {
+        lock(&self.addresses)
+            .get(name)
+            .and_then(|address| address.downcast_ref::<Address<M>>())
+            .cloned()
+            .ok_or(Unavailable::Unknown(name))
+    }
+
+    /// Offers a dump of a service's state under its name.
+    pub fn offer_dump(
+        &self,
+        name: &'static str,
+        dump: impl Fn() -> BoxFuture<serde_json::Value> + Send + Sync + 'static,
+    ) {
+        lock(&self.dumps).insert(name, sync::Arc::new(dump));
+    }
+
+    /// Dumps every service that offers it.
+    pub async fn dump(&self) -> serde_json::Value {
+        let dumps = lock(&self.dumps).clone();
+        let mut all = serde_json::Map::new();
+        for (name, dump) in dumps {
+            all.insert(name.to_owned(), dump().await);
+        }
+        serde_json::Value::Object(all)
+    }
+
+    /// Offers to give up shards whose id begins with `prefix`.
+    pub fn offer_drain(
+        &self,
+        prefix: &'static str,
+        drain: impl Fn(ids::ShardId) -> BoxFuture<Drained> + Send + Sync + 'static,
+    ) {
+        lock(&self.drains).insert(prefix, sync::Arc::new(drain));
+    }
+
+    /// Stops the use of a shard and waits until nothing of it is in progress.
+    ///
+    /// A shard that nobody uses is clean.
+    pub async fn drain(&self, shard: ids::ShardId) -> Drained {
+        let drain = lock(&self.drains)
+            .iter()
+            .find(|(prefix, _)| shard.as_str().starts_with(**prefix))
+            .map(|(_, drain)| drain.clone());
+        match drain {
+            Some(drain) => drain(shard).await,
+            None => Drained::Clean,
+        }
+    }
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/figscale/src/peer/client.rs
@@ -0,0 +1,244 @@
+//! The calling side of links to other entry instances.
+
+use std::error;
+use std::fmt;
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use figscale_types::ids;
+use figscale_types::verdict::Verdict;
+use h2::client;
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde::de;
+use tokio::net::TcpStream;
+
+use super::codec;
+
+/// Time to connect to a peer.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// Which connection of a link to use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lane {
+    /// Calls between services.
+    Calls,
+    /// Forwarded requests.
+    Streams,
+}
+
+/// A call to a peer that got no answer.
+#[derive(Debug)]
+pub struct PeerError {
+    /// Whether the peer may have acted on the call.
+    pub verdict: Verdict,
+    /// What happened.
+    pub cause: eyre::Report,
+}
+
+impl PeerError {
+    fn new(verdict: Verdict, cause: impl Into<eyre::Report>) -> Self {
+        Self {
+            verdict,
+            cause: cause.into(),
+        }
+    }
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "peer call ({}): {:#}", self.verdict, self.cause)
+    }
+}
+
+impl error::Error for PeerError {}
+
+type Link = client::SendRequest<Bytes>;
+
+/// Links to other entry instances, made when first needed.
+pub struct Peers {
+    me: ids::MemberKey,
+    token: String,
+    runtime: tokio::runtime::Handle,
+    links: sync::Mutex<IndexMap<(net::SocketAddr, Lane), Link>>,
+}
+
+impl Peers {
+    /// Links that present `token`; connections run on `runtime`.
+    pub fn new(me: ids::MemberKey, token: String, runtime: tokio::runtime::Handle) -> Self {
+        Self {
+            me,
+            token,
+            runtime,
+            links: sync::Mutex::default(),
+        }
+    }
+
+    /// Calls a service of a peer and waits at most `timeout` for the answer.
+    pub async fn call<Q: Serialize, A: de::DeserializeOwned>(
+        &self,
+        peer: net::SocketAddr,
+        service: &str,
+        question: &Q,
+        timeout: time::Duration,
+    ) -> Result<A, PeerError> {
+        let body = codec::encode(question).map_err(|e| PeerError::new(Verdict::NotRun, e))?;
+        // Once the stream is open the peer may act, whatever happens next.
+        let mut opened = false;
+        let result = tokio::time::timeout(
+            timeout,
+            self.call_bytes(peer, service, body.into(), &mut opened),
+        )
+        .await;
+        let verdict = match opened {
+            true => Verdict::MayHaveRun,
+            false => Verdict::NotRun,
+        };
+        let bytes = match result {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(error)) => return Err(error),
+            Err(_) => {
+                return Err(PeerError::new(
+                    verdict,
+                    eyre::eyre!("no answer in {timeout:?}"),
+                ));
+            }
+        };
+        codec::decode(&bytes).map_err(|e| PeerError::new(Verdict::MayHaveRun, e))
+    }
+
+    async fn call_bytes(
+        &self,
+        peer: net::SocketAddr,
+        service: &str,
+        body: Bytes,
+        opened: &mut bool,
+    ) -> Result<Bytes, PeerError> {
+        let path = format!("{}{service}", super::CALL_PATH);
+        let (answer, mut sender) = self.open(peer, Lane::Calls, &path).await?;
+        *opened = true;
+        let maybe = |e: h2::Error| PeerError::new(Verdict::MayHaveRun, e);
+        send_all(&mut sender, body).await.map_err(maybe)?;
+        let answer = answer.await.map_err(maybe)?;
+        let status = answer.status();
+        let bytes = read_all(answer.into_body()).await.map_err(maybe)?;
+        match status {
+            http::StatusCode::OK => Ok(bytes),
+            http::StatusCode::FORBIDDEN | http::StatusCode::NOT_FOUND => Err(PeerError::new(
+                Verdict::NotRun,
+                eyre::eyre!("peer refused: {status}"),
+            )),
+            _ => Err(PeerError::new(
+                Verdict::MayHaveRun,
+                eyre::eyre!("peer failed: {status}: {}", String::from_utf8_lossy(&bytes)),
+            )),
+        }
+    }
+
+    /// Opens a stream at `path` of a peer.
+    ///
+    /// An error means that the peer never saw the stream.
+    pub async fn open(
+        &self,
+        peer: net::SocketAddr,
+        lane: Lane,
+        path: &str,
+    ) -> Result<(client::ResponseFuture, h2::SendStream<Bytes>), PeerError> {
+        let not_run = |e: eyre::Report| PeerError::new(Verdict::NotRun, e);
+        let request = http::Request::post(format!("http://{peer}{path}"))
+            .header(super::TOKEN, &self.token)
+            .header(super::FROM, self.me.to_string())
+            .body(())
+            .map_err(|e| not_run(e.into()))?;
+        let link = self.link(peer, lane).await.map_err(not_run)?;
+        let opened = match link.ready().await {
+            Ok(mut link) => link.send_request(request, false),
+            Err(error) => Err(error),
+        };
+        opened.map_err(|error| {
+            self.links().swap_remove(&(peer, lane));
+            not_run(error.into())
+        })
+    }
+
+    /// Opens a stream to the handler `name` of a peer.
+    pub async fn open_stream(
+        &self,
+        peer: net::SocketAddr,
+        name: &str,
+    ) -> Result<(client::ResponseFuture, h2::SendStream<Bytes>), PeerError> {
+        let path = format!("{}{name}", super::STREAM_PATH);
+        self.open(peer, Lane::Streams, &path).await
+    }
+
+    async fn link(&self, peer: net::SocketAddr, lane: Lane) -> eyre::Result<Link> {
+        let known = self.links().get(&(peer, lane)).cloned();
+        if let Some(link) = known {
+            return Ok(link);
+        }
+        let connect = TcpStream::connect(peer);
+        let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let socket = tokio::time::timeout(timeout, connect).await??;
+        socket.set_nodelay(true)?;
+        let (link, connection) = client::Builder::new()
+            .initial_window_size(1 << 20)
+            .initial_connection_window_size(8 << 20)
+            .handshake(socket)
+            .await?;
+        self.runtime.spawn(async move {
+            if let Err(error) = connection.await {
+                crate::event!(
+                    crate::events::process::PEER_LINK_BROKEN,
+                    peer = peer,
+                    error = error
+                );
+            }
+        });
+        self.links().insert((peer, lane), link.clone());
+        Ok(link)
+    }
+
+    /// Drops the links to a peer, so that the next call connects afresh.
+    pub fn forget(&self, peer: net::SocketAddr) {
+        self.links().retain(|(address, _), _| *address != peer);
+    }
+
+    fn links(&self) -> sync::MutexGuard<'_, IndexMap<(net::SocketAddr, Lane), Link>> {
+        self.links
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Sends a whole body within the peer's flow control and ends the stream.
+pub(super) async fn send_all(
+    sender: &mut h2::SendStream<Bytes>,
+    mut body: Bytes,
+) -> Result<(), h2::Error> {
+    while !body.is_empty() {
+        sender.reserve_capacity(body.len());
+        let room = match std::future::poll_fn(|cx| sender.poll_capacity(cx)).await {
+            Some(room) => room?,
+            None => return Err(h2::Reason::CANCEL.into()),
+        };
+        let part = body.split_to(room.min(body.len()));
+        sender.send_data(part, false)?;
+    }
+    sender.send_data(Bytes::new(), true)
+}
+
+/// Reads a whole body, at most [`codec::MAX_MESSAGE_BYTES`].
+pub(super) async fn read_all(mut body: h2::RecvStream) -> Result<Bytes, h2::Error> {
+    let mut all = bytes::BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part?;
+        let _ = body.flow_control().release_capacity(part.len());
+        if all.len() + part.len() > codec::MAX_MESSAGE_BYTES {
+            return Err(h2::Reason::ENHANCE_YOUR_CALM.into());
+        }
+        all.extend_from_slice(&part);
+    }
+    Ok(all.freeze())
+}
--- /dev/null
+++ b/crates/figscale/src/peer/server.rs
@@ -0,0 +1,187 @@
+//! The answering side of links to other entry instances.
+
+use std::future;
+use std::str::FromStr;
+use std::sync;
+
+use bytes::Bytes;
+use figscale_types::ids;
+use h2::server;
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde::de;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use super::client;
+use super::codec;
+use crate::kernel;
+
+/// Why a call is not answered; told to the peer in words.
+pub type CallError = eyre::Report;
+
+/// A stream that a peer opened.
+pub struct IncomingStream {
+    /// Who opened it.
+    pub from: ids::MemberKey,
+    /// What it sends.
+    pub body: h2::RecvStream,
+    /// Where the answer goes.
+    pub respond: server::SendResponse<Bytes>,
+}
+
+type CallFn = sync::Arc<
+    dyn Fn(ids::MemberKey, Bytes) -> kernel::BoxFuture<Result<Vec<u8>, CallError>> + Send + Sync,
+>;
+type StreamFn = sync::Arc<dyn Fn(IncomingStream) -> kernel::BoxFuture<()> + Send + Sync>;
+
+/// Who answers the calls and streams of peers, by name.
+#[derive(Clone, Default)]
+pub struct Handlers {
+    calls: IndexMap<&'static str, CallFn>,
+    streams: IndexMap<&'static str, StreamFn>,
+}
+
+impl Handlers {
+    /// Answers calls to the service `name`.
+    pub fn on_call<Q, A, F>(
+        &mut self,
+        name: &'static str,
+        handler: impl Fn(ids::MemberKey, Q) -> F + Send + Sync + 'static,
+    ) where
+        Q: de::DeserializeOwned + Send + 'static,
+        A: Serialize,
+        F: future::Future<Output = Result<A, CallError>> + Send + 'static,
+    {
+        let handler = sync::Arc::new(handler);
+        let call = move |from, body: Bytes| -> kernel::BoxFuture<Result<Vec<u8>, CallError>> {
+            let question = codec::decode(&body);
+            let handler = handler.clone();
+            Box::pin(async move {
+                let answer = handler(from, question?).await?;
+                codec::encode(&answer)
+            })
+        };
+        self.calls.insert(name, sync::Arc::new(call));
+    }
+
+    /// Takes over the streams opened to `name`.
+    pub fn on_stream<F>(
+        &mut self,
+        name: &'static str,
+        handler: impl Fn(IncomingStream) -> F + Send + Sync + 'static,
+    ) where
+        F: future::Future<Output = ()> + Send + 'static,
+    {
+        let stream = move |stream| -> kernel::BoxFuture<()> { Box::pin(handler(stream)) };
+        self.streams.insert(name, sync::Arc::new(stream));
+    }
+}
+
+/// Answers peers on `listener` until the process ends.
+pub async fn listen(listener: TcpListener, token: String, handlers: Handlers) {
+    let handlers = sync::Arc::new(handlers);
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            // Out of descriptors, most likely: let some be closed.
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            continue;
+        };
+        let handlers = handlers.clone();
+        let token = token.clone();
+        tokio::spawn(async move {
+            let _ = serve_connection(socket, token, handlers).await;
+        });
+    }
+}
+
+async fn serve_connection(
+    socket: TcpStream,
+    token: String,
+    handlers: sync::Arc<Handlers>,
+) -> Result<(), h2::Error> {
+    let peer = socket.peer_addr();
+    let _ = socket.set_nodelay(true);
+    let mut connection = server::Builder::new()
+        .initial_window_size(1 << 20)
+        .initial_connection_window_size(8 << 20)
+        .max_concurrent_streams(4_096)
+        .handshake(socket)
+        .await?;
+    while let Some(stream) = connection.accept().await {
+        let (request, respond) = stream?;
+        let Some(from) = authenticate(&request, &token) else {
+            if let Ok(peer) = peer {
+                crate::event!(crate::events::process::PEER_REFUSED, address = peer);
+            }
+            refuse(respond, http::StatusCode::FORBIDDEN);
+            continue;
+        };
+        tokio::spawn(dispatch(request, respond, from, handlers.clone()));
+    }
+    Ok(())
+}
+
+fn authenticate(request: &http::Request<h2::RecvStream>, token: &str) -> Option<ids::MemberKey> {
+    let header = |name| request.headers().get(name)?.to_str().ok();
+    if header(super::TOKEN)? != token {
+        return None;
+    }
+    let (id, incarnation) = header(super::FROM)?.rsplit_once('#')?;
+    Some(ids::MemberKey {
+        id: id.parse().ok()?,
+        incarnation: ids::Incarnation::from_str(incarnation).ok()?,
+    })
+}
+
+fn refuse(mut respond: server::SendResponse<Bytes>, status: http::StatusCode) {
+    let mut answer = http::Response::new(());
+    *answer.status_mut() = status;
+    let _ = respond.send_response(answer, true);
+}
+
+async fn dispatch(
+    request: http::Request<h2::RecvStream>,
+    respond: server::SendResponse<Bytes>,
+    from: ids::MemberKey,
+    handlers: sync::Arc<Handlers>,
+) {
+    let path = request.uri().path().to_owned();
+    let body = request.into_body();
+    if let Some(name) = path.strip_prefix(super::CALL_PATH)
+        && let Some(call) = handlers.calls.get(name)
+    {
+        answer_call(call(from, read_or_empty(body).await).await, respond).await;
+    } else if let Some(name) = path.strip_prefix(super::STREAM_PATH)
+        && let Some(stream) = handlers.streams.get(name)
+    {
+        let incoming = IncomingStream {
+            from,
+            body,
+            respond,
+        };
+        stream(incoming).await;
+    } else {
+        refuse(respond, http::StatusCode::NOT_FOUND);
+    }
+}
+
+/// A body that broke off decodes to an error, which the peer is told.
+async fn read_or_empty(body: h2::RecvStream) -> Bytes {
+    client::read_all(body).await.unwrap_or_default()
+}
+
+async fn answer_call(result: Result<Vec<u8>, CallError>, mut respond: server::SendResponse<Bytes>) {
+    let (status, bytes) = match result {
+        Ok(bytes) => (http::StatusCode::OK, bytes),
+        Err(error) => (
+            http::StatusCode::INTERNAL_SERVER_ERROR,
+            format!("{error:#}").into_bytes(),
+        ),
+    };
+    let mut head = http::Response::new(());
+    *head.status_mut() = status;
+    if let Ok(mut sender) = respond.send_response(head, false) {
+        let _ = client::send_all(&mut sender, bytes.into()).await;
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/serve.rs
@@ -0,0 +1,168 @@
+//! Starts the services of one entry instance and ends them in order.
+//!
+//! The control thread is an ordinary thread with a single-threaded runtime, on
+//! which services spawn themselves as local tasks. Listeners are bound before
+//! anything else, so that a wrong address fails the start and not the first
+//! request.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use eyre::WrapErr as _;
+use figscale_types::clock;
+use figscale_types::ids;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::catalogue;
+use crate::claims;
+use crate::events;
+use crate::jobs;
+use crate::kernel;
+use crate::metrics;
+use crate::operator;
+use crate::peer;
+use crate::settings;
+use crate::state;
+use crate::store;
+use crate::traffic;
+
+/// A running entry instance.
+pub struct EntryInstance {
+    stop: watch::Sender<bool>,
+    control: Option<thread::JoinHandle<eyre::Result<()>>>,
+}
+
+struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    operator: TcpListener,
+}
+
+impl EntryInstance {
+    /// Starts an entry instance; returns once it listens on all its addresses.
+    pub fn start(settings: settings::Settings, clock: clock::SharedClock) -> eyre::Result<Self> {
+        let traffic = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.traffic_threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        let listeners = traffic.block_on(bind(&settings))?;
+        let (stop, stopped) = watch::channel(false);
+        let control = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || control_thread(settings, clock, traffic, listeners, stopped))?;
+        Ok(Self {
+            stop,
+            control: Some(control),
+        })
+    }
+
+    /// Begins a planned stop; a repeat changes nothing.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Waits for the end.
+    pub fn join(mut self) -> eyre::Result<()> {
+        match self.control.take().map(thread::JoinHandle::join) {
+            Some(Ok(result)) => result,
+            Some(Err(_)) => Err(eyre::eyre!("the control thread panicked")),
+            None => Ok(()),
+        }
+    }
+}
+
+async fn bind(settings: &settings::Settings) -> eyre::Result<Listeners> {
+    async fn one(field: &str, address: net::SocketAddr) -> eyre::Result<TcpListener> {
+        TcpListener::bind(address)
+            .await
+            .wrap_err_with(|| format!("{field}: cannot listen on {address}"))
+    }
+    Ok(Listeners {
+        caller: one("caller_address", settings.caller_address).await?,
+        peer: one("peer_address", settings.peer_address).await?,
+        operator: one("operator_address", settings.operator_address).await?,
+    })
+}
+
+fn control_thread(
+    settings: settings::Settings,
+    clock: clock::SharedClock,
+    traffic: tokio::runtime::Runtime,
+    listeners: Listeners,
+    stopped: watch::Receiver<bool>,
+) -> eyre::Result<()> {
+    let control = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let context = context(settings, clock, traffic.handle().clone());
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&control, run(context, listeners, stopped));
+    traffic.shutdown_timeout(time::Duration::from_secs(1));
+    Ok(())
+}
+
+/// A number for this life: later starts get larger ones, unless the wall clock
+/// went back, which the claims service notices.
+fn new_incarnation(clock: &clock::SharedClock) -> ids::Incarnation {
+    let since_epoch = clock.wall().duration_since(time::UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or_default().as_micros();
+    ids::Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
+
+fn context(
+    settings: settings::Settings,
+    clock: clock::SharedClock,
+    traffic: tokio::runtime::Handle,
+) -> state::Context {
+    let me = ids::MemberKey {
+        id: settings.member.clone(),
+        incarnation: new_incarnation(&clock),
+    };
+    let store = store::Store::new(settings.platform_address, &settings.store, clock.clone());
+    let peers = peer::Peers::new(me.clone(), settings.peer_token.clone(), traffic.clone());
+    state::Context {
+        kernel: sync::Arc::new(kernel::Kernel::default()),
+        shared: sync::Arc::new(state::Shared::new(me, clock.now())),
+        settings: sync::Arc::new(settings),
+        clock,
+        peers: sync::Arc::new(peers),
+        store: sync::Arc::new(store),
+        metrics: sync::Arc::new(metrics::Metrics::default()),
+        traffic,
+    }
+}
+
+async fn run(context: state::Context, listeners: Listeners, mut stopped: watch::Receiver<bool>) {
+    let mut handlers = peer::Handlers::default();
+    catalogue::start(&context, &mut handlers);
+    claims::start(&context, &mut handlers);
+    jobs::start(&context, &mut handlers);
+    traffic::start(&context, &mut handlers, listeners.caller);
+    operator::start(&context, listeners.operator);
+    let token = context.settings.peer_token.clone();
+    context
+        .traffic
+        .spawn(peer::listen(listeners.peer, token, handlers));
+    crate::event!(events::process::PROCESS_STARTED, member = context.me());
+
+    // A dropped handle is a stop as well.
+    let _ = stopped.wait_for(|stop| *stop).await;
+    leave(&context).await;
+    crate::event!(events::process::PROCESS_ENDED, member = context.me());
+}
+
+/// Not ready, no new work, requests in progress finish, claims handed over.
+async fn leave(context: &state::Context) {
+    crate::event!(events::process::PROCESS_LEAVING, member = context.me());
+    context.shared.leaving.send_replace(true);
+    let limit = time::Duration::from_millis(context.settings.shutdown_ms);
+    let in_order = async {
+        traffic::drain(context).await;
+        claims::leave(context).await;
+    };
+    let _ = tokio::time::timeout(limit, in_order).await;
+}
--- /dev/null
+++ b/crates/figscale/src/state.rs
@@ -0,0 +1,176 @@
+//! Snapshots that control services publish and traffic threads read.
+//!
+//! A snapshot is immutable and replaced whole, so a reader never sees half of
+//! a change and never waits. What must be true at the very moment of a
+//! dispatch, the [`Authority`], is not part of a snapshot but an atomic that
+//! is read immediately before and after each dispatch.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use figscale_types::catalogue;
+use figscale_types::claims;
+use figscale_types::ids;
+use figscale_types::instances;
+use indexmap::IndexMap;
+use tokio::sync::watch;
+
+/// Until when this process may use the shards that it holds.
+///
+/// Written by the claims service, read before and after every dispatch. Time
+/// is counted in nanoseconds from an instant fixed at the start; zero stands
+/// for no authority.
+#[derive(Debug)]
+pub struct Authority {
+    base: time::Instant,
+    valid_until_ns: atomic::AtomicU64,
+}
+
+impl Authority {
+    /// No authority yet; `base` is the process's start.
+    pub fn new(base: time::Instant) -> Self {
+        Self {
+            base,
+            valid_until_ns: atomic::AtomicU64::new(0),
+        }
+    }
+
+    /// Extends or shortens the authority.
+    pub fn set_valid_until(&self, until: time::Instant) {
+        let nanos = until.saturating_duration_since(self.base).as_nanos();
+        let nanos = u64::try_from(nanos).unwrap_or(u64::MAX);
+        self.valid_until_ns.store(nanos, atomic::Ordering::SeqCst);
+    }
+
+    /// Ends the authority at once.
+    pub fn revoke(&self) {
+        self.valid_until_ns.store(0, atomic::Ordering::SeqCst);
+    }
+
+    /// When the authority ends.
+    pub fn valid_until(&self) -> time::Instant {
+        let nanos = self.valid_until_ns.load(atomic::Ordering::SeqCst);
+        self.base + time::Duration::from_nanos(nanos)
+    }
+
+    /// Whether a dispatch may be written at `now`.
+    pub fn is_valid(&self, now: time::Instant) -> bool {
+        now < self.valid_until()
+    }
+}
+
+/// A shard that this process holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Epoch under which it is held.
+    pub epoch: ids::Epoch,
+    /// When this process came to hold it.
+    pub taken_at: time::Instant,
+    /// Latest moment at which an earlier holder can have dispatched.
+    pub last_foreign_dispatch: time::Instant,
+    /// Whether the earlier holder left nothing in progress.
+    pub clean: bool,
+}
+
+/// What the claims service knows.
+#[derive(Clone, Debug)]
+pub struct ClaimsView {
+    /// This process.
+    pub me: ids::MemberKey,
+    /// Revision of the document in the store.
+    pub revision: ids::Revision,
+    /// The document: members, shards and their holders.
+    pub claims: claims::Claims,
+    /// Shards that this process holds and may use while it has authority.
+    pub held: IndexMap<ids::ShardId, Held>,
+    /// The platform's list, as last read.
+    pub instances: sync::Arc<instances::InstanceList>,
+    /// Runners and workers by shard, leaving ones included.
+    pub by_shard: IndexMap<ids::ShardId, Vec<instances::Instance>>,
+}
+
+impl ClaimsView {
+    /// What is known before anything was read.
+    pub fn empty(me: ids::MemberKey) -> Self {
+        Self {
+            me,
+            revision: ids::Revision(0),
+            claims: claims::Claims::default(),
+            held: IndexMap::new(),
+            instances: sync::Arc::default(),
+            by_shard: IndexMap::new(),
+        }
+    }
+
+    /// The holder of a shard with the address of its peer link.
+    pub fn holder(&self, shard: &ids::ShardId) -> Option<(&ids::MemberKey, &claims::Member)> {
+        let key = self.claims.shards.get(shard)?.holder.as_ref()?;
+        let member = self.claims.members.get(&key.id)?;
+        (member.incarnation == key.incarnation).then_some((key, member))
+    }
+}
+
+/// All that traffic threads read.
+#[derive(Debug)]
+pub struct Shared {
+    /// Right to use held shards.
+    pub authority: Authority,
+    /// Members, shards and instances.
+    pub claims: watch::Sender<sync::Arc<ClaimsView>>,
+    /// The catalogue in force.
+    pub catalogue: watch::Sender<sync::Arc<catalogue::Accepted>>,
+    /// Set once the process is about to end: not ready, no new work.
+    pub leaving: watch::Sender<bool>,
+}
+
+impl Shared {
+    /// Nothing is known yet.
+    pub fn new(me: ids::MemberKey, now: time::Instant) -> Self {
+        let view = sync::Arc::new(ClaimsView::empty(me));
+        Self {
+            authority: Authority::new(now),
+            claims: watch::Sender::new(view),
+            catalogue: watch::Sender::new(sync::Arc::default()),
+            leaving: watch::Sender::new(false),
+        }
+    }
+
+    /// The claims as last published.
+    pub fn claims_now(&self) -> sync::Arc<ClaimsView> {
+        self.claims.borrow().clone()
+    }
+
+    /// The catalogue in force.
+    pub fn catalogue_now(&self) -> sync::Arc<catalogue::Accepted> {
+        self.catalogue.borrow().clone()
+    }
+}
+
+/// What every service of a process is given at its start.
+#[derive(Clone)]
+pub struct Context {
+    /// The registry of services.
+    pub kernel: sync::Arc<crate::kernel::Kernel>,
+    /// Snapshots and authority.
+    pub shared: sync::Arc<Shared>,
+    /// The checked settings.
+    pub settings: sync::Arc<crate::settings::Settings>,
+    /// The clock.
+    pub clock: figscale_types::clock::SharedClock,
+    /// Links to other entry instances.
+    pub peers: sync::Arc<crate::peer::Peers>,
+    /// The client of the platform's key-value service and instance list.
+    pub store: sync::Arc<crate::store::Store>,
+    /// Counters, gauges and histograms.
+    pub metrics: sync::Arc<crate::metrics::Metrics>,
+    /// Where connections and request work run.
+    pub traffic: tokio::runtime::Handle,
+}
+
+impl Context {
+    /// This process's name and incarnation.
+    pub fn me(&self) -> ids::MemberKey {
+        self.shared.claims.borrow().me.clone()
+    }
+}
