Place tasks on workers by best fit, never over what they hold

Change: a Cluster with reserve, release, sync from reports, and a scored choice (best fit on the dominant resource, spread of services, accelerators kept). Resources::max on a value is the lexicographic one of Ord, which the first build showed by a type error; Resources::larger cannot be mistaken. Tests: room conserved and never overbooked over random steps (256 cases, fixed seed); over-use, takeover, leaving, spread, accelerators. Not measured yet.

--- a/crates/figscale-core/src/job/mod.rs
+++ b/crates/figscale-core/src/job/mod.rs
@@ -1,1 +1,3 @@
 //! Placement of tasks and the life of jobs.
+
+pub mod placement;
--- /dev/null
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -0,0 +1,349 @@
+//! The workers of the shards that an entry instance holds, and their room.
+//!
+//! Every change of a worker's room goes through [`Cluster::reserve`],
+//! [`Cluster::release`] and [`Cluster::sync`], which keep one sum per worker:
+//! over its tasks, the larger of what was reserved and what was last seen in
+//! use. Lagging reports can thus only shrink the room that is left, never
+//! stretch it beyond what was not reserved.
+
+use std::error;
+use std::fmt;
+use std::time;
+
+use figscale_types::claims;
+use figscale_types::ids;
+use figscale_types::instances;
+use figscale_types::sizes;
+use figscale_types::worker as protocol;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use super::place;
+use super::work;
+use super::worker;
+
+/// Why room was not given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReserveError {
+    /// The worker is not of a shard held here.
+    UnknownWorker,
+    /// The task has room already.
+    Known,
+    /// The worker gets no new work.
+    Closed,
+    /// The worker has too little room.
+    Full,
+}
+
+impl fmt::Display for ReserveError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::UnknownWorker => "the worker is not held here",
+            Self::Known => "the task has room already",
+            Self::Closed => "the worker gets no new work",
+            Self::Full => "the worker has too little room",
+        })
+    }
+}
+
+impl error::Error for ReserveError {}
+
+/// What a report changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SyncOutcome {
+    /// Tasks that ended, with the room that was released.
+    pub ended: Vec<(protocol::TaskPhase, work::Holding)>,
+    /// Running tasks that were not known here and now have room.
+    pub adopted: Vec<ids::TaskId>,
+    /// Running tasks that have room on another worker.
+    pub elsewhere: Vec<ids::TaskId>,
+    /// Tasks with room here, given before the report was asked for, that the
+    /// worker does not know. Their room is kept until it is released.
+    pub missing: Vec<ids::TaskId>,
+    /// What to do so that neighbours do not suffer, when use exceeds capacity.
+    pub relief: Vec<(ids::TaskId, protocol::TaskAction)>,
+}
+
+/// How a job's tasks are spread.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Spread {
+    pub(super) by_domain: Vec<u32>,
+    pub(super) by_rack: Vec<u32>,
+    total: u32,
+}
+
+/// The workers held here, with their room.
+#[derive(Clone, Debug, Default)]
+pub struct Cluster {
+    pub(super) config: place::Config,
+    pub(super) workers: IndexMap<ids::InstanceId, worker::Worker>,
+    pub(super) holdings: IndexMap<ids::TaskId, work::Holding>,
+    pub(super) spreads: IndexMap<ids::JobId, Spread>,
+    domains: IndexSet<ids::FailureDomain>,
+    racks: IndexSet<(ids::FailureDomain, ids::RackName)>,
+    pub(super) capacity: sizes::Resources,
+    pub(super) counted: sizes::Resources,
+    pub(super) examined: u64,
+}
+
+impl Cluster {
+    /// A cluster without workers.
+    pub fn new(config: place::Config) -> Self {
+        Self {
+            config,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces what placement weighs; the catalogue may change at any time.
+    pub fn set_config(&mut self, config: place::Config) {
+        self.config = config;
+    }
+
+    /// Adds a worker, or takes over its new state if it is known.
+    ///
+    /// An instance that is no worker changes nothing.
+    pub fn add_worker(&mut self, instance: &instances::Instance, readiness: worker::Readiness) {
+        let leaving = instance.life == instances::Life::Leaving;
+        if let Some(known) = self.workers.get_mut(&instance.id) {
+            known.leaving = leaving;
+            return;
+        }
+        let Some(shard) = claims::shard_of(instance) else {
+            return;
+        };
+        let domain = &instance.failure_domain;
+        let rack = (domain.clone(), instance.rack.clone());
+        let added = worker::Worker {
+            id: instance.id.clone(),
+            shard,
+            domain: self.domains.insert_full(domain.clone()).0,
+            rack: self.racks.insert_full(rack).0,
+            capacity: instance.capacity,
+            counted: sizes::Resources::default(),
+            readiness,
+            leaving,
+            set_aside: false,
+            tasks: IndexSet::new(),
+        };
+        self.capacity = self.capacity.plus(&added.capacity);
+        self.workers.insert(added.id.clone(), added);
+    }
+
+    /// Forgets a worker; returns the room that its tasks had.
+    pub fn remove_worker(&mut self, id: &ids::InstanceId) -> Vec<work::Holding> {
+        let Some(worker) = self.workers.get(id) else {
+            return Vec::new();
+        };
+        let tasks: Vec<_> = worker.tasks.iter().cloned().collect();
+        let lost = tasks.iter().filter_map(|task| self.release(task)).collect();
+        if let Some(worker) = self.workers.swap_remove(id) {
+            self.capacity = self.capacity.minus(&worker.capacity);
+        }
+        lost
+    }
+
+    /// Forgets the workers of a shard; returns the room that their tasks had.
+    pub fn remove_shard(&mut self, shard: &ids::ShardId) -> Vec<work::Holding> {
+        let of_shard = |worker: &&worker::Worker| worker.shard == *shard;
+        let ids: Vec<_> = self.workers.values().filter(of_shard).collect();
+        let ids: Vec<_> = ids.into_iter().map(|worker| worker.id.clone()).collect();
+        ids.iter().flat_map(|id| self.remove_worker(id)).collect()
+    }
+
+    /// Marks a worker whose old tasks are all known or have lapsed.
+    pub fn set_ready(&mut self, id: &ids::InstanceId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.readiness = worker::Readiness::Ready;
+        }
+    }
+
+    /// Marks a worker as leaving or not.
+    pub fn set_leaving(&mut self, id: &ids::InstanceId, leaving: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.leaving = leaving;
+        }
+    }
+
+    /// Sets a worker aside, or takes it back into use.
+    pub fn set_aside(&mut self, id: &ids::InstanceId, aside: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.set_aside = aside;
+        }
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> impl ExactSizeIterator<Item = &worker::Worker> {
+        self.workers.values()
+    }
+
+    /// A worker.
+    pub fn worker(&self, id: &ids::InstanceId) -> Option<&worker::Worker> {
+        self.workers.get(id)
+    }
+
+    /// The room of a task.
+    pub fn holding(&self, task: &ids::TaskId) -> Option<&work::Holding> {
+        self.holdings.get(task)
+    }
+
+    /// The room of all tasks.
+    pub fn holdings(&self) -> impl ExactSizeIterator<Item = &work::Holding> {
+        self.holdings.values()
+    }
+
+    /// What all workers hold together.
+    pub fn capacity(&self) -> sizes::Resources {
+        self.capacity
+    }
+
+    /// What all tasks count for together.
+    pub fn counted(&self) -> sizes::Resources {
+        self.counted
+    }
+
+    /// Workers examined by all decisions so far.
+    pub fn examined(&self) -> u64 {
+        self.examined
+    }
+
+    /// Gives a task room on a worker.
+    ///
+    /// With `expires`, the room is taken back by [`Cluster::expire`] unless it
+    /// is confirmed before.
+    ///
+    /// # Errors
+    ///
+    /// Nothing changes if the room cannot be given.
+    pub fn reserve(
+        &mut self,
+        ask: work::Ask,
+        id: &ids::InstanceId,
+        now: time::Instant,
+        expires: Option<time::Instant>,
+    ) -> Result<(), ReserveError> {
+        if self.holdings.contains_key(&ask.task) {
+            return Err(ReserveError::Known);
+        }
+        let worker = self.workers.get(id).ok_or(ReserveError::UnknownWorker)?;
+        if !worker.takes_work() {
+            return Err(ReserveError::Closed);
+        }
+        if !worker.free().holds(&ask.size) {
+            return Err(ReserveError::Full);
+        }
+        self.insert(work::Holding {
+            ask,
+            worker: id.clone(),
+            used: sizes::Resources::default(),
+            peak: sizes::Resources::default(),
+            since: now,
+            expires,
+            ran_ms: 0,
+        });
+        Ok(())
+    }
+
+    /// Takes a task's room back.
+    pub fn release(&mut self, task: &ids::TaskId) -> Option<work::Holding> {
+        let holding = self.holdings.swap_remove(task)?;
+        let counted = holding.counted();
+        self.counted = self.counted.minus(&counted);
+        if let Some(worker) = self.workers.get_mut(&holding.worker) {
+            worker.counted = worker.counted.minus(&counted);
+            worker.tasks.swap_remove(task);
+            let (domain, rack) = (worker.domain, worker.rack);
+            self.count_spread(&task.job, domain, rack, false);
+        }
+        Some(holding)
+    }
+
+    /// Confirms a task: its room no longer expires.
+    pub fn confirm(&mut self, task: &ids::TaskId) -> bool {
+        match self.holdings.get_mut(task) {
+            Some(holding) => {
+                holding.expires = None;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Puts off the expiry of a task's room.
+    pub fn extend(&mut self, task: &ids::TaskId, expires: time::Instant) -> bool {
+        match self.holdings.get_mut(task) {
+            Some(holding) if holding.expires.is_some() => {
+                holding.expires = Some(expires);
+                true
+            }
+            Some(_) => true,
+            None => false,
+        }
+    }
+
+    /// Takes back the room that expired.
+    pub fn expire(&mut self, now: time::Instant) -> Vec<work::Holding> {
+        let late = |holding: &work::Holding| holding.expires.is_some_and(|at| at <= now);
+        let tasks: Vec<_> = self
+            .holdings
+            .iter()
+            .filter(|(_, holding)| late(holding))
+            .map(|(task, _)| task.clone())
+            .collect();
+        tasks.iter().filter_map(|task| self.release(task)).collect()
+    }
+
+    pub(super) fn insert(&mut self, holding: work::Holding) {
+        let counted = holding.counted();
+        let task = holding.ask.task.clone();
+        if let Some(worker) = self.workers.get_mut(&holding.worker) {
+            worker.counted = worker.counted.plus(&counted);
+            worker.tasks.insert(task.clone());
+            let (domain, rack) = (worker.domain, worker.rack);
+            self.count_spread(&task.job, domain, rack, true);
+        }
+        self.counted = self.counted.plus(&counted);
+        self.holdings.insert(task, holding);
+    }
+
+    /// Replaces what a task was seen to use.
+    pub(super) fn set_used(&mut self, task: &ids::TaskId, used: sizes::Resources, ran_ms: u64) {
+        let Some(holding) = self.holdings.get_mut(task) else {
+            return;
+        };
+        let before = holding.counted();
+        holding.used = used;
+        holding.peak = holding.peak.larger(&used);
+        holding.ran_ms = ran_ms;
+        let after = holding.counted();
+        self.counted = self.counted.minus(&before).plus(&after);
+        if let Some(worker) = self.workers.get_mut(&holding.worker) {
+            worker.counted = worker.counted.minus(&before).plus(&after);
+        }
+    }
+
+    fn count_spread(&mut self, job: &ids::JobId, domain: usize, rack: usize, more: bool) {
+        let domains = self.domains.len();
+        let racks = self.racks.len();
+        if !self.spreads.contains_key(job) {
+            self.spreads.insert(job.clone(), Spread::default());
+        }
+        let Some(spread) = self.spreads.get_mut(job) else {
+            return;
+        };
+        spread.by_domain.resize(domains, 0);
+        spread.by_rack.resize(racks, 0);
+        if more {
+            spread.by_domain[domain] += 1;
+            spread.by_rack[rack] += 1;
+            spread.total += 1;
+            return;
+        }
+        spread.by_domain[domain] -= 1;
+        spread.by_rack[rack] -= 1;
+        spread.total -= 1;
+        if spread.total == 0 {
+            self.spreads.swap_remove(job);
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/src/job/placement/mod.rs
@@ -0,0 +1,33 @@
+//! Where tasks run: the decisions of placement.
+//!
+//! A [`Cluster`] is what one entry instance knows of the workers whose shards
+//! it holds. It is the only place where their room is given away, so the sum
+//! of what was given never exceeds what a worker holds: that is decided in one
+//! memory, without a store write per placement. [`Cluster::place`] filters the
+//! workers, scores those that fit and commits the best.
+//!
+//! The other modules are independent of each other and of how their inputs
+//! travel: everything is a plain struct, time is passed in, and chance comes
+//! from a seeded generator that the caller owns.
+//!
+//! What this trades away: the part of the cell that other entry instances hold
+//! is seen only through summaries about a second old, so a quota of the whole
+//! cell may be passed by what is placed within that second.
+
+mod cluster;
+mod place;
+mod sync;
+mod work;
+mod worker;
+
+pub use cluster::Cluster;
+pub use cluster::ReserveError;
+pub use cluster::SyncOutcome;
+pub use place::Config;
+pub use place::NoPlace;
+pub use place::Strategy;
+pub use work::Ask;
+pub use work::Guard;
+pub use work::Holding;
+pub use worker::Readiness;
+pub use worker::Worker;
--- /dev/null
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -0,0 +1,192 @@
+//! Filter, score, commit.
+//!
+//! Workers that cannot take a task are filtered out; of the others the one
+//! with the lowest cost gets it. The cost is a sum of shares, so that a
+//! newcomer can read off why a worker won:
+//!
+//! - best fit: the share of the task's dominant resource left over afterwards;
+//! - spread, for services: tasks of the same job in the failure domain, in the
+//!   rack and on the worker;
+//! - waste: a worker with accelerators for a task that needs none.
+//!
+//! All workers are scanned: at the largest size aimed for the scan takes tens
+//! of microseconds, and an index would have to be kept right at every change.
+
+use std::error;
+use std::fmt;
+use std::time;
+
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::sizes;
+
+use super::cluster;
+use super::work;
+use super::worker;
+
+/// Cost of each task of the same service in the same failure domain.
+const DOMAIN_COST: f64 = 16.0;
+/// Cost of each task of the same service in the same rack.
+const RACK_COST: f64 = 4.0;
+/// Cost of putting work that needs no accelerator beside one.
+const WASTE_COST: f64 = 2.0;
+/// Largest share of the capacity kept from work that may wait.
+const MAX_KEPT_SHARE: f64 = 0.2;
+
+/// How a worker is chosen among those that fit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Strategy {
+    /// The lowest cost.
+    #[default]
+    Scored,
+    /// The first in the list; a baseline for measurements.
+    FirstFit,
+}
+
+/// What placement weighs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Config {
+    /// Waiting against packing, from the catalogue.
+    pub weights: catalogue::Weights,
+    /// How a worker is chosen. Default: by cost.
+    pub strategy: Strategy,
+}
+
+impl Config {
+    /// Share of the capacity that work which may wait leaves free.
+    pub fn kept_share(&self) -> f64 {
+        let sum = self.weights.waiting + self.weights.packing;
+        if sum <= 0.0 {
+            return 0.0;
+        }
+        MAX_KEPT_SHARE * (self.weights.waiting / sum)
+    }
+}
+
+/// Why a task got no place for now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlace {
+    /// The task has a place already.
+    Known,
+    /// No worker has room for it.
+    NoRoom,
+    /// The room that is left is kept for more urgent work.
+    Kept,
+}
+
+impl fmt::Display for NoPlace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Known => "the task has a place already",
+            Self::NoRoom => "no worker has room for the task",
+            Self::Kept => "the room that is left is kept for more urgent work",
+        })
+    }
+}
+
+impl error::Error for NoPlace {}
+
+impl cluster::Cluster {
+    /// Places a task: filter, score, commit.
+    ///
+    /// # Errors
+    ///
+    /// Nothing changes if no worker can take it for now.
+    pub fn place(
+        &mut self,
+        ask: &work::Ask,
+        now: time::Instant,
+        expires: Option<time::Instant>,
+    ) -> Result<ids::InstanceId, NoPlace> {
+        if self.holdings.contains_key(&ask.task) {
+            return Err(NoPlace::Known);
+        }
+        if self.is_kept(ask) {
+            return Err(NoPlace::Kept);
+        }
+        let id = self.choose(ask).ok_or(NoPlace::NoRoom)?;
+        self.reserve(ask.clone(), &id, now, expires)
+            .map_err(|_| NoPlace::NoRoom)?;
+        Ok(id)
+    }
+
+    /// Whether the room left is kept from this task.
+    fn is_kept(&self, ask: &work::Ask) -> bool {
+        if ask.urgency != catalogue::Urgency::Patient {
+            return false;
+        }
+        let after = self.counted.plus(&ask.size);
+        after.dominant_share(&self.capacity) > 1.0 - self.config.kept_share()
+    }
+
+    fn choose(&mut self, ask: &work::Ask) -> Option<ids::InstanceId> {
+        let mut best: Option<(f64, &worker::Worker)> = None;
+        let spread = match ask.class {
+            catalogue::JobClass::Service => self.spreads.get(&ask.task.job),
+            _ => None,
+        };
+        let mut examined = 0;
+        for worker in self.workers.values() {
+            examined += 1;
+            if !fits(worker, ask) {
+                continue;
+            }
+            if self.config.strategy == Strategy::FirstFit {
+                best = Some((0.0, worker));
+                break;
+            }
+            let cost = cost(worker, ask, spread);
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, worker));
+            }
+        }
+        let chosen = best.map(|(_, worker)| worker.id.clone());
+        self.examined += examined;
+        chosen
+    }
+}
+
+fn fits(worker: &worker::Worker, ask: &work::Ask) -> bool {
+    worker.takes_work() && worker.free().holds(&ask.size) && !ask.avoid.contains(&worker.id)
+}
+
+fn cost(worker: &worker::Worker, ask: &work::Ask, spread: Option<&cluster::Spread>) -> f64 {
+    let mut cost = leftover(worker, &ask.size);
+    if ask.size.accelerators == 0 && worker.capacity.accelerators > 0 {
+        cost += WASTE_COST;
+    }
+    if let Some(spread) = spread {
+        let count = |counts: &[u32], at: usize| f64::from(counts.get(at).copied().unwrap_or(0));
+        cost += DOMAIN_COST * count(&spread.by_domain, worker.domain);
+        cost += RACK_COST * count(&spread.by_rack, worker.rack);
+    }
+    cost
+}
+
+/// Share of the dominant resource of `size` left over on `worker`.
+fn leftover(worker: &worker::Worker, size: &sizes::Resources) -> f64 {
+    let left = worker.free().minus(size);
+    let capacity = &worker.capacity;
+    let share = |part: u64, all: u64| part as f64 / all.max(1) as f64;
+    let dimensions = [
+        (size.cpu_millis.0, left.cpu_millis.0, capacity.cpu_millis.0),
+        (
+            size.memory_bytes.0,
+            left.memory_bytes.0,
+            capacity.memory_bytes.0,
+        ),
+        (
+            u64::from(size.accelerators),
+            u64::from(left.accelerators),
+            u64::from(capacity.accelerators),
+        ),
+    ];
+    let mut dominant = (0.0, 0.0);
+    for (asked, left, whole) in dimensions {
+        let asked = share(asked, whole);
+        if asked > dominant.0 {
+            dominant = (asked, share(left, whole));
+        }
+    }
+    dominant.1
+}
--- /dev/null
+++ b/crates/figscale-core/src/job/placement/sync.rs
@@ -0,0 +1,166 @@
+//! Takes a worker's report over into the cluster.
+
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::sizes;
+use figscale_types::worker as protocol;
+
+use super::cluster;
+use super::work;
+use super::worker;
+
+impl cluster::Cluster {
+    /// Takes over what a worker reports; `asked_at` is when it was asked.
+    ///
+    /// Tasks that run there but are not known here get room, even beyond the
+    /// worker's capacity, since they run already; until it is clear what they
+    /// are they are protected. The room of ended tasks is released.
+    pub fn sync(
+        &mut self,
+        report: &protocol::WorkerReport,
+        asked_at: time::Instant,
+        now: time::Instant,
+    ) -> cluster::SyncOutcome {
+        let mut outcome = cluster::SyncOutcome::default();
+        if !self.take_state(report) {
+            return outcome;
+        }
+        for task in &report.tasks {
+            self.take_task(&report.worker, task, now, &mut outcome);
+        }
+        self.find_missing(report, asked_at, &mut outcome);
+        self.find_relief(&report.worker, &mut outcome);
+        outcome
+    }
+
+    /// Tells what an adopted task is; its room stays what it was.
+    pub fn describe(&mut self, ask: work::Ask) -> bool {
+        match self.holdings.get_mut(&ask.task) {
+            Some(holding) => {
+                let size = holding.ask.size;
+                holding.ask = work::Ask { size, ..ask };
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn take_state(&mut self, report: &protocol::WorkerReport) -> bool {
+        let Some(worker) = self.workers.get_mut(&report.worker) else {
+            return false;
+        };
+        self.capacity = self.capacity.minus(&worker.capacity).plus(&report.capacity);
+        worker.capacity = report.capacity;
+        worker.leaving |= report.leaving;
+        worker.readiness = worker::Readiness::Ready;
+        true
+    }
+
+    fn take_task(
+        &mut self,
+        id: &ids::InstanceId,
+        task: &protocol::TaskReport,
+        now: time::Instant,
+        outcome: &mut cluster::SyncOutcome,
+    ) {
+        let running = task.phase == protocol::TaskPhase::Running;
+        match self.holdings.get(&task.task) {
+            None if running => {
+                self.insert(adopted(id, task, now));
+                outcome.adopted.push(task.task.clone());
+            }
+            Some(holding) if running && holding.worker != *id => {
+                outcome.elsewhere.push(task.task.clone());
+            }
+            Some(_) if running => self.set_used(&task.task, task.used, task.ran_ms),
+            Some(holding) if holding.worker == *id && holding.ask.attempt <= task.attempt => {
+                self.set_used(&task.task, task.used, task.ran_ms);
+                let ended = self.release(&task.task);
+                outcome
+                    .ended
+                    .extend(ended.map(|holding| (task.phase, holding)));
+            }
+            _ => {}
+        }
+    }
+
+    fn find_missing(
+        &self,
+        report: &protocol::WorkerReport,
+        asked_at: time::Instant,
+        outcome: &mut cluster::SyncOutcome,
+    ) {
+        let Some(worker) = self.workers.get(&report.worker) else {
+            return;
+        };
+        let reported: indexmap::IndexSet<_> = report.tasks.iter().map(|t| &t.task).collect();
+        let unknown = |task: &&ids::TaskId| {
+            let older = self.holdings.get(*task).is_some_and(|h| h.since < asked_at);
+            older && !reported.contains(task)
+        };
+        outcome
+            .missing
+            .extend(worker.tasks.iter().filter(unknown).cloned());
+    }
+
+    /// Picks what to do to tasks that use more than was reserved for them, as
+    /// long as the worker is asked for more than it holds.
+    fn find_relief(&self, id: &ids::InstanceId, outcome: &mut cluster::SyncOutcome) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let mut used = sizes::Resources::default();
+        let mut over: Vec<&work::Holding> = Vec::new();
+        for holding in worker.tasks.iter().filter_map(|t| self.holdings.get(t)) {
+            used = used.plus(&holding.used);
+            if !holding.ask.size.holds(&holding.used) {
+                over.push(holding);
+            }
+        }
+        // The worst first: the fewest tasks are touched.
+        over.sort_by(|a, b| excess(b, worker).total_cmp(&excess(a, worker)));
+        for holding in over {
+            if worker.capacity.holds(&used) {
+                return;
+            }
+            let action = relief(holding);
+            let kept = match action {
+                protocol::TaskAction::Throttle => sizes::Resources {
+                    cpu_millis: holding.ask.size.cpu_millis.min(holding.used.cpu_millis),
+                    ..holding.used
+                },
+                _ => sizes::Resources::default(),
+            };
+            used = used.minus(&holding.used).plus(&kept);
+            outcome.relief.push((holding.ask.task.clone(), action));
+        }
+    }
+}
+
+fn adopted(id: &ids::InstanceId, task: &protocol::TaskReport, now: time::Instant) -> work::Holding {
+    work::Holding {
+        ask: work::Ask::unknown(task.task.clone(), task.attempt, task.reserved),
+        worker: id.clone(),
+        used: task.used,
+        peak: task.used,
+        since: now,
+        expires: None,
+        ran_ms: task.ran_ms,
+    }
+}
+
+fn excess(holding: &work::Holding, worker: &worker::Worker) -> f64 {
+    let over = holding.used.minus(&holding.ask.size);
+    over.dominant_share(&worker.capacity)
+}
+
+/// Memory cannot be taken back from a running task; processor time can.
+fn relief(holding: &work::Holding) -> protocol::TaskAction {
+    let over_memory = holding.used.memory_bytes > holding.ask.size.memory_bytes;
+    match (over_memory, holding.ask.guard.checkpointable) {
+        (false, _) => protocol::TaskAction::Throttle,
+        (true, true) => protocol::TaskAction::Checkpoint,
+        (true, false) => protocol::TaskAction::Stop,
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/src/job/placement/worker.rs
@@ -0,0 +1,79 @@
+//! A worker as its holder sees it.
+
+use figscale_types::ids;
+use figscale_types::sizes;
+use indexmap::IndexSet;
+
+/// Whether the tasks that a worker runs are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// It may run tasks of an earlier holder; it gets nothing until it reports.
+    Unreported,
+    /// Everything that it runs is known.
+    Ready,
+}
+
+/// A worker of a shard that this entry instance holds.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub(super) id: ids::InstanceId,
+    pub(super) shard: ids::ShardId,
+    /// Position among the cluster's failure domains.
+    pub(super) domain: usize,
+    /// Position among the cluster's racks.
+    pub(super) rack: usize,
+    pub(super) capacity: sizes::Resources,
+    /// Sum of what its holdings count for.
+    pub(super) counted: sizes::Resources,
+    pub(super) readiness: Readiness,
+    pub(super) leaving: bool,
+    pub(super) set_aside: bool,
+    pub(super) tasks: IndexSet<ids::TaskId>,
+}
+
+impl Worker {
+    /// Name.
+    pub fn id(&self) -> &ids::InstanceId {
+        &self.id
+    }
+
+    /// Shard that it belongs to.
+    pub fn shard(&self) -> &ids::ShardId {
+        &self.shard
+    }
+
+    /// What it holds.
+    pub fn capacity(&self) -> sizes::Resources {
+        self.capacity
+    }
+
+    /// Sum over its tasks of the larger of reserved and used.
+    pub fn counted(&self) -> sizes::Resources {
+        self.counted
+    }
+
+    /// What may still be given away, whether or not it gets new work.
+    pub fn free(&self) -> sizes::Resources {
+        self.capacity.minus(&self.counted)
+    }
+
+    /// Tasks that have room on it.
+    pub fn tasks(&self) -> impl Iterator<Item = &ids::TaskId> {
+        self.tasks.iter()
+    }
+
+    /// Whether it gets new work.
+    pub fn takes_work(&self) -> bool {
+        self.readiness == Readiness::Ready && !self.leaving && !self.set_aside
+    }
+
+    /// Whether it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether it was set aside because it fails what it starts.
+    pub fn is_set_aside(&self) -> bool {
+        self.set_aside
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/tests/placement/kit.rs
@@ -0,0 +1,131 @@
+//! Small builders shared by the tests of placement.
+
+use figscale_core::job::placement;
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::instances;
+use figscale_types::sizes;
+use figscale_types::worker as protocol;
+
+/// Every fourth worker has accelerators.
+const ACCELERATED: u32 = 4;
+const DOMAINS: u32 = 4;
+const RACKS: u32 = 2;
+
+pub(crate) fn size(cpu: u64, gib: u64, accelerators: u32) -> sizes::Resources {
+    sizes::Resources {
+        cpu_millis: sizes::CpuMillis(cpu),
+        memory_bytes: sizes::Bytes(gib << 30),
+        accelerators,
+    }
+}
+
+pub(crate) fn worker_id(number: u32) -> ids::InstanceId {
+    format!("w-{number:03}").parse().expect("legal")
+}
+
+pub(crate) fn worker_number(id: &ids::InstanceId) -> u32 {
+    id.as_str()[2..].parse().expect("made by worker_id")
+}
+
+/// A worker of 64 cores and 128 GiB; domains take turns, then racks.
+pub(crate) fn instance(number: u32) -> instances::Instance {
+    let accelerators = if number % ACCELERATED == ACCELERATED - 1 {
+        4
+    } else {
+        0
+    };
+    instances::Instance {
+        id: worker_id(number),
+        role: instances::Role::Worker,
+        address: "127.0.0.1:1".parse().expect("legal"),
+        failure_domain: format!("fd-{}", (number / ACCELERATED) % DOMAINS)
+            .parse()
+            .expect("legal"),
+        rack: format!("r-{}", number % RACKS).parse().expect("legal"),
+        service: None,
+        capacity: size(64_000, 128, accelerators),
+        slots: 0,
+        connections: 0,
+        life: instances::Life::Live,
+    }
+}
+
+pub(crate) fn cluster(workers: u32) -> placement::Cluster {
+    let mut cluster = placement::Cluster::new(placement::Config::default());
+    for number in 0..workers {
+        cluster.add_worker(&instance(number), placement::Readiness::Ready);
+    }
+    cluster
+}
+
+pub(crate) fn task(job: &str, index: u32) -> ids::TaskId {
+    ids::TaskId {
+        job: job.parse().expect("legal"),
+        index,
+    }
+}
+
+pub(crate) fn owner(name: &str) -> ids::OwnerName {
+    name.parse().expect("legal")
+}
+
+pub(crate) fn ask(
+    job: &str,
+    index: u32,
+    size: sizes::Resources,
+    urgency: catalogue::Urgency,
+) -> placement::Ask {
+    placement::Ask {
+        task: task(job, index),
+        attempt: 1,
+        owner: Some(owner("owner-a")),
+        class: catalogue::JobClass::Batch,
+        urgency,
+        size,
+        declared: size,
+        guard: placement::Guard {
+            idempotent: true,
+            checkpointable: false,
+            preemptible: true,
+        },
+        avoid: Vec::new(),
+    }
+}
+
+pub(crate) fn running_task(task: ids::TaskId, size: sizes::Resources) -> protocol::TaskReport {
+    protocol::TaskReport {
+        task,
+        attempt: 1,
+        phase: protocol::TaskPhase::Running,
+        reserved: size,
+        used: size,
+        ran_ms: 1_000,
+        home_epoch: ids::Epoch(1),
+    }
+}
+
+pub(crate) fn running(
+    holding: &placement::Holding,
+    used: sizes::Resources,
+) -> protocol::TaskReport {
+    protocol::TaskReport {
+        used,
+        attempt: holding.ask.attempt,
+        ..running_task(holding.ask.task.clone(), holding.ask.size)
+    }
+}
+
+pub(crate) fn report(
+    worker: &placement::Worker,
+    tasks: Vec<protocol::TaskReport>,
+) -> protocol::WorkerReport {
+    protocol::WorkerReport {
+        worker: worker.id().clone(),
+        epoch: ids::Epoch(1),
+        stale: false,
+        capacity: worker.capacity(),
+        leaving: false,
+        tasks,
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/tests/placement/main.rs
@@ -0,0 +1,4 @@
+//! Placement: where tasks run.
+
+mod kit;
+mod room;
--- /dev/null
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -0,0 +1,292 @@
+//! Room on workers: never over capacity, nothing lost between the sums.
+
+use std::time;
+
+use figscale_core::job::placement;
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::instances;
+use figscale_types::sizes;
+use figscale_types::worker as protocol;
+use proptest::prelude::*;
+
+use crate::kit;
+
+const WORKERS: u32 = 5;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Place(u32, sizes::Resources, catalogue::Urgency),
+    Release(u32),
+    Report(u32, sizes::Resources),
+    Leave(u32, bool),
+    Remove(u32),
+    Add(u32),
+    Expire(u64),
+}
+
+fn size() -> impl Strategy<Value = sizes::Resources> {
+    (0_u64..40_000, 0_u64..80, 0_u32..4)
+        .prop_map(|(cpu, gib, accelerators)| kit::size(cpu, gib, accelerators))
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let urgency = prop_oneof![
+        Just(catalogue::Urgency::Interactive),
+        Just(catalogue::Urgency::Patient)
+    ];
+    prop_oneof![
+        6 => (0_u32..60, size(), urgency).prop_map(|(t, s, u)| Step::Place(t, s, u)),
+        2 => (0_u32..60).prop_map(Step::Release),
+        2 => (0_u32..60, size()).prop_map(|(t, s)| Step::Report(t, s)),
+        1 => (0..WORKERS, any::<bool>()).prop_map(|(w, l)| Step::Leave(w, l)),
+        1 => (0..WORKERS).prop_map(Step::Remove),
+        1 => (0..WORKERS).prop_map(Step::Add),
+        1 => (0_u64..100).prop_map(Step::Expire),
+    ]
+}
+
+/// Every sum is the sum of its parts.
+fn check_sums(cluster: &placement::Cluster) {
+    let mut total = sizes::Resources::default();
+    let mut capacity = sizes::Resources::default();
+    let mut tasks = 0;
+    for worker in cluster.workers() {
+        let mut sum = sizes::Resources::default();
+        for task in worker.tasks() {
+            let holding = cluster.holding(task).expect("a task of a worker has room");
+            assert_eq!(&holding.worker, worker.id());
+            sum = sum.plus(&holding.counted());
+            tasks += 1;
+        }
+        assert_eq!(sum, worker.counted());
+        total = total.plus(&sum);
+        capacity = capacity.plus(&worker.capacity());
+    }
+    assert_eq!(total, cluster.counted());
+    assert_eq!(capacity, cluster.capacity());
+    assert_eq!(tasks, cluster.holdings().len());
+}
+
+/// What was reserved, apart from what reports added, fits.
+fn check_reserved(cluster: &placement::Cluster) {
+    for worker in cluster.workers() {
+        let mut sum = sizes::Resources::default();
+        for task in worker.tasks() {
+            let holding = cluster.holding(task).expect("a task of a worker has room");
+            sum = sum.plus(&holding.ask.size);
+        }
+        assert!(
+            worker.capacity().holds(&sum),
+            "{} over capacity",
+            worker.id()
+        );
+    }
+}
+
+fn run(cluster: &mut placement::Cluster, step: Step, start: time::Instant) {
+    match step {
+        Step::Place(task, size, urgency) => {
+            let ask = kit::ask("job", task, size, urgency);
+            let expires = start + time::Duration::from_secs(u64::from(task));
+            let free: Vec<_> = cluster
+                .workers()
+                .map(|w| (w.id().clone(), w.free()))
+                .collect();
+            if let Ok(id) = cluster.place(&ask, start, Some(expires)) {
+                let (_, free) = free.iter().find(|(w, _)| *w == id).expect("known");
+                assert!(free.holds(&size), "placed beyond what was free by use");
+                let worker = cluster.worker(&id).expect("known");
+                assert!(worker.takes_work());
+            }
+        }
+        Step::Release(task) => {
+            cluster.release(&kit::task("job", task));
+        }
+        Step::Report(task, used) => {
+            let id = kit::task("job", task);
+            let Some(holding) = cluster.holding(&id).cloned() else {
+                return;
+            };
+            let worker = cluster.worker(&holding.worker).expect("known");
+            let report = kit::report(worker, vec![kit::running(&holding, used)]);
+            cluster.sync(&report, start, start);
+        }
+        Step::Leave(worker, leaving) => cluster.set_leaving(&kit::worker_id(worker), leaving),
+        Step::Remove(worker) => {
+            cluster.remove_worker(&kit::worker_id(worker));
+        }
+        Step::Add(worker) => {
+            cluster.add_worker(&kit::instance(worker), placement::Readiness::Ready);
+        }
+        Step::Expire(after) => {
+            cluster.expire(start + time::Duration::from_secs(after));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(6), ..ProptestConfig::default() })]
+
+    #[test]
+    fn room_is_conserved_and_never_overbooked(steps in prop::collection::vec(step(), 1..120)) {
+        let start = time::Instant::now();
+        let mut cluster = kit::cluster(WORKERS);
+        for step in steps {
+            run(&mut cluster, step, start);
+            check_sums(&cluster);
+            check_reserved(&cluster);
+        }
+    }
+}
+
+#[test]
+fn over_use_by_ten_times_closes_the_worker_and_names_the_task() {
+    let now = time::Instant::now();
+    let mut cluster = kit::cluster(1);
+    let big = kit::ask(
+        "big",
+        0,
+        kit::size(8_000, 12, 0),
+        catalogue::Urgency::Deadline,
+    );
+    let small = kit::ask(
+        "small",
+        0,
+        kit::size(4_000, 10, 0),
+        catalogue::Urgency::Deadline,
+    );
+    cluster.place(&big, now, None).expect("room");
+    cluster.place(&small, now, None).expect("room");
+    let holding = cluster.holding(&big.task).expect("placed").clone();
+    let neighbour = cluster.holding(&small.task).expect("placed").clone();
+    let worker = cluster.worker(&holding.worker).expect("known");
+    let report = kit::report(
+        worker,
+        vec![
+            kit::running(&holding, kit::size(64_000, 125, 0)),
+            kit::running(&neighbour, kit::size(4_000, 10, 0)),
+        ],
+    );
+    let outcome = cluster.sync(&report, now, now);
+    assert_eq!(
+        outcome.relief,
+        [(big.task.clone(), protocol::TaskAction::Stop)]
+    );
+    let next = kit::ask(
+        "next",
+        0,
+        kit::size(1, 0, 0),
+        catalogue::Urgency::Interactive,
+    );
+    assert_eq!(
+        cluster.place(&next, now, None),
+        Err(placement::NoPlace::NoRoom)
+    );
+}
+
+#[test]
+fn a_worker_taken_over_gets_nothing_before_it_reports() {
+    let now = time::Instant::now();
+    let mut cluster = placement::Cluster::new(placement::Config::default());
+    cluster.add_worker(&kit::instance(0), placement::Readiness::Unreported);
+    let ask = kit::ask(
+        "job",
+        0,
+        kit::size(1_000, 1, 0),
+        catalogue::Urgency::Interactive,
+    );
+    assert_eq!(
+        cluster.place(&ask, now, None),
+        Err(placement::NoPlace::NoRoom)
+    );
+    let old = kit::running_task(kit::task("old", 3), kit::size(63_500, 1, 0));
+    let worker = cluster.worker(&kit::worker_id(0)).expect("known");
+    let report = kit::report(worker, vec![old]);
+    let outcome = cluster.sync(&report, now, now);
+    assert_eq!(outcome.adopted, [kit::task("old", 3)]);
+    assert_eq!(
+        cluster.place(&ask, now, None),
+        Err(placement::NoPlace::NoRoom)
+    );
+    let small = kit::ask(
+        "job",
+        1,
+        kit::size(500, 1, 0),
+        catalogue::Urgency::Interactive,
+    );
+    assert!(cluster.place(&small, now, None).is_ok());
+}
+
+#[test]
+fn a_service_is_spread_over_failure_domains_then_racks() {
+    let now = time::Instant::now();
+    let mut cluster = kit::cluster(16);
+    let mut domains: indexmap::IndexMap<ids::FailureDomain, u32> = indexmap::IndexMap::new();
+    let mut racks: indexmap::IndexMap<ids::ShardId, u32> = indexmap::IndexMap::new();
+    for index in 0..8 {
+        let mut ask = kit::ask(
+            "web",
+            index,
+            kit::size(2_000, 4, 0),
+            catalogue::Urgency::Interactive,
+        );
+        ask.class = catalogue::JobClass::Service;
+        let id = cluster.place(&ask, now, None).expect("room");
+        let shard = cluster.worker(&id).expect("known").shard().clone();
+        let instance = kit::instance(kit::worker_number(&id));
+        *domains.entry(instance.failure_domain).or_default() += 1;
+        *racks.entry(shard).or_default() += 1;
+    }
+    assert!(
+        domains.len() == 4 && domains.values().all(|count| *count == 2),
+        "{domains:?}"
+    );
+    assert!(racks.len() == 8, "{racks:?}");
+}
+
+#[test]
+fn accelerators_are_kept_from_work_that_needs_none() {
+    let now = time::Instant::now();
+    let mut cluster = kit::cluster(16);
+    for index in 0..12 {
+        let ask = kit::ask(
+            "plain",
+            index,
+            kit::size(60_000, 8, 0),
+            catalogue::Urgency::Deadline,
+        );
+        let id = cluster.place(&ask, now, None).expect("room");
+        let worker = cluster.worker(&id).expect("known");
+        assert_eq!(worker.capacity().accelerators, 0, "task {index}");
+    }
+    let ask = kit::ask(
+        "plain",
+        12,
+        kit::size(60_000, 8, 0),
+        catalogue::Urgency::Deadline,
+    );
+    assert!(
+        cluster.place(&ask, now, None).is_ok(),
+        "used rather than left idle"
+    );
+}
+
+#[test]
+fn leaving_worker_gets_nothing() {
+    let now = time::Instant::now();
+    let mut cluster = kit::cluster(1);
+    let mut leaving = kit::instance(0);
+    leaving.life = instances::Life::Leaving;
+    cluster.add_worker(&leaving, placement::Readiness::Ready);
+    let ask = kit::ask(
+        "job",
+        0,
+        kit::size(1_000, 1, 0),
+        catalogue::Urgency::Interactive,
+    );
+    assert_eq!(
+        cluster.place(&ask, now, None),
+        Err(placement::NoPlace::NoRoom)
+    );
+}
--- a/crates/figscale-types/src/sizes.rs
+++ b/crates/figscale-types/src/sizes.rs
@@ -143,6 +143,14 @@
         }
     }
 
+    /// The larger of the two in every dimension.
+    ///
+    /// On a value, `max` means the lexicographic one of `Ord`; this one cannot
+    /// be mistaken.
+    pub fn larger(&self, other: &Self) -> Self {
+        Self::max(self, other)
+    }
+
     /// Largest share of `whole` that this takes in any dimension.
     pub fn dominant_share(&self, whole: &Self) -> f64 {
         let share = |part: u64, all: u64| match (part, all) {
