Bound workers' messages by their own clock

Cause: a start or a renewal that waits in a frozen worker's socket, or that a paused holder writes late, takes effect long after its holder counted the lease as lapsed; the receipt alone does not bound it. Ruled out: wall clocks (may jump), closing the connection (received bytes are still read). Change: a report carries the worker's life and monotonic clock, a start and a renewal carry the reading after which they are refused. The job document gets a write number, by which its writer knows its own write after a lost answer; jobs get their shard by FNV-1a. All additive with defaults.

--- a/crates/figscale-types/src/jobs.rs
+++ b/crates/figscale-types/src/jobs.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::claims;
 use crate::ids;
 use crate::sizes;
 use crate::verdict;
@@ -104,10 +105,32 @@
 pub struct JobDocument {
     /// Epoch of the holder that wrote it.
     pub epoch: ids::Epoch,
+    /// Number of the write, by which its writer knows it again after a lost answer.
+    #[serde(default)]
+    pub sequence: u64,
     /// Jobs by id.
     pub jobs: IndexMap<ids::JobId, JobRecord>,
 }
 
+/// Offset basis and prime of the 64-bit FNV-1a hash.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// The job shard that keeps a job.
+pub fn shard_of(job: &ids::JobId) -> Option<ids::ShardId> {
+    let hash = job.as_str().bytes().fold(FNV_OFFSET, |hash, b| {
+        (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME)
+    });
+    // The low bits of short names differ little; the high ones are mixed in.
+    let number = (hash ^ (hash >> 32)) % u64::from(claims::JOB_SHARDS);
+    claims::job_shard(u32::try_from(number).unwrap_or(0))
+}
+
+/// Key of the store that holds the document of a job shard.
+pub fn document_key(shard: &ids::ShardId) -> String {
+    shard.as_str().replacen("job/", "jobs/", 1)
+}
+
 /// A task as `job status` shows it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TaskStatus {
--- a/crates/figscale-types/src/worker.rs
+++ b/crates/figscale-types/src/worker.rs
@@ -6,6 +6,7 @@
 //! ([`WorkerReport`]). A worker remembers the highest epoch that it has seen
 //! and refuses every lower one, and it stops a task whose lease has lapsed by
 //! its own monotonic clock, counted from the receipt of the last renewal.
+//! A renewal never revives a task whose lease has lapsed.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -13,6 +14,27 @@
 use crate::ids;
 use crate::sizes;
 
+/// A reading of a worker's own monotonic clock.
+///
+/// A holder turns the moment until which it may dispatch into a reading of the
+/// worker's clock, so that a message that was delayed on its way, or was
+/// written by a holder that had been paused, is refused on receipt. The clock
+/// must go on while the worker is stopped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerClock {
+    /// Number drawn at the worker's start; tasks of an earlier life are gone.
+    pub life: u64,
+    /// Time since that start.
+    pub elapsed_ms: u64,
+}
+
+impl WorkerClock {
+    /// Whether a message bounded by `not_after` may still be obeyed at `self`.
+    pub fn is_within(&self, not_after: &Self) -> bool {
+        self.life == not_after.life && self.elapsed_ms <= not_after.elapsed_ms
+    }
+}
+
 /// Asks a worker to start a task.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StartTask {
@@ -36,6 +58,9 @@
     pub command: String,
     /// Whether to go on from the last checkpoint.
     pub resume: bool,
+    /// Received later than this it is refused as [`StartRefusal::Late`]; `None`: never late.
+    #[serde(default)]
+    pub not_after: Option<WorkerClock>,
 }
 
 /// A worker's answer to [`StartTask`].
@@ -62,6 +87,8 @@
     Full,
     /// It is leaving.
     Leaving,
+    /// It was received after its `not_after`, or in another life of the worker.
+    Late,
 }
 
 /// Renews the leases of all tasks that the holder knows on a worker.
@@ -75,6 +102,9 @@
     pub tasks: Vec<ids::TaskId>,
     /// Ended tasks whose reports have been dealt with and may be forgotten.
     pub forget: Vec<ids::TaskId>,
+    /// Received later than this it renews nothing, but is answered; `None`: never late.
+    #[serde(default)]
+    pub not_after: Option<WorkerClock>,
 }
 
 /// What to do with a running task.
@@ -152,4 +182,7 @@
     pub leaving: bool,
     /// Tasks running, and ended ones not yet forgotten.
     pub tasks: Vec<TaskReport>,
+    /// The worker's clock when it made the report.
+    #[serde(default)]
+    pub clock: WorkerClock,
 }
