Name the lowest urgency by the field's word

Cause: 'patient' is the users' wording; the field says best-effort. Ruled out: keeping it in the file format only (two words for one thing). Change: Urgency::BestEffort, 'best-effort' in catalogues.

--- a/crates/figscale-types/src/catalogue.rs
+++ b/crates/figscale-types/src/catalogue.rs
@@ -74,8 +74,8 @@
     Interactive,
     /// Bound by a deadline.
     Deadline,
-    /// May wait.
-    Patient,
+    /// Runs when nothing more urgent needs the room.
+    BestEffort,
 }
 
 /// Limits of an entry for requests.
