--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -30,7 +30,7 @@
 const RACK_COST: f64 = 4.0;
 /// Cost of putting work that needs no accelerator beside one.
 const WASTE_COST: f64 = 2.0;
-/// Largest share of the capacity kept from work that may wait.
+/// Largest share of the capacity kept from best-effort work.
 const MAX_KEPT_SHARE: f64 = 0.2;
 
 /// How a worker is chosen among those that fit.
@@ -53,7 +53,7 @@
 }
 
 impl Config {
-    /// Share of the capacity that work which may wait leaves free.
+    /// Share of the capacity that best-effort work leaves free.
     pub fn kept_share(&self) -> f64 {
         let sum = self.weights.waiting + self.weights.packing;
         if sum <= 0.0 {
@@ -112,7 +112,7 @@
 
     /// Whether the room left is kept from this task.
     fn is_kept(&self, ask: &work::Ask) -> bool {
-        if ask.urgency != catalogue::Urgency::Patient {
+        if ask.urgency != catalogue::Urgency::BestEffort {
             return false;
         }
         let after = self.counted.plus(&ask.size);
--- a/crates/figscale-core/tests/placement/kit.rs
+++ b/crates/figscale-core/tests/placement/kit.rs
@@ -127,5 +127,6 @@
         capacity: worker.capacity(),
         leaving: false,
         tasks,
+        clock: protocol::WorkerClock::default(),
     }
 }
--- a/crates/figscale-core/tests/placement/room.rs
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -33,7 +33,7 @@
 fn step() -> impl Strategy<Value = Step> {
     let urgency = prop_oneof![
         Just(catalogue::Urgency::Interactive),
-        Just(catalogue::Urgency::Patient)
+        Just(catalogue::Urgency::BestEffort)
     ];
     prop_oneof![
         6 => (0_u32..60, size(), urgency).prop_map(|(t, s, u)| Step::Place(t, s, u)),
