Add gangs over holders, preemption plans, learning, faults and summaries

Each is a module of its own that no other needs. Change: tries are numbered and a holder ignores what belongs to an earlier one. Not measured: bytes of a summary, decision times.

--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -48,22 +48,6 @@
 
 impl error::Error for ReserveError {}
 
-/// What a report changed.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct SyncOutcome {
-    /// Tasks that ended, with the room that was released.
-    pub ended: Vec<(protocol::TaskPhase, work::Holding)>,
-    /// Running tasks that were not known here and now have room.
-    pub adopted: Vec<ids::TaskId>,
-    /// Running tasks that have room on another worker.
-    pub elsewhere: Vec<ids::TaskId>,
-    /// Tasks with room here, given before the report was asked for, that the
-    /// worker does not know. Their room is kept until it is released.
-    pub missing: Vec<ids::TaskId>,
-    /// What to do so that neighbours do not suffer, when use exceeds capacity.
-    pub relief: Vec<(ids::TaskId, protocol::TaskAction)>,
-}
-
 /// How a job's tasks are spread.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Spread {
@@ -124,7 +108,7 @@
             counted: sizes::Resources::default(),
             readiness,
             leaving,
-            set_aside: false,
+            standing: worker::Standing::InUse,
             held: false,
             tasks: IndexSet::new(),
         };
@@ -167,10 +151,10 @@
         }
     }
 
-    /// Sets a worker aside, or takes it back into use.
-    pub fn set_aside(&mut self, id: &ids::InstanceId, aside: bool) {
+    /// Sets a worker aside, probes it, or takes it back into use.
+    pub fn set_standing(&mut self, id: &ids::InstanceId, standing: worker::Standing) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.set_aside = aside;
+            worker.standing = standing;
         }
     }
 
@@ -238,7 +222,7 @@
             return Err(ReserveError::Known);
         }
         let worker = self.workers.get(id).ok_or(ReserveError::UnknownWorker)?;
-        if !worker.takes_work() {
+        if !worker.admits(&ask) {
             return Err(ReserveError::Closed);
         }
         if !worker.free().holds(&ask.size) {
@@ -252,6 +236,8 @@
             since: now,
             expires,
             ran_ms: 0,
+            ending: false,
+            gang_try: None,
         });
         Ok(())
     }
@@ -294,6 +280,22 @@
         }
     }
 
+    /// Takes over that a task was asked to end, or to slow down.
+    pub(super) fn mark_ending(&mut self, task: &ids::TaskId, action: protocol::TaskAction) {
+        let Some(holding) = self.holdings.get_mut(task) else {
+            return;
+        };
+        if action == protocol::TaskAction::Throttle {
+            let before = holding.counted();
+            let declared = holding.ask.declared.cpu_millis;
+            holding.ask.size.cpu_millis = holding.ask.size.cpu_millis.min(declared);
+            let after = holding.counted();
+            self.recount(task, &before, &after);
+        } else {
+            holding.ending = true;
+        }
+    }
+
     /// Takes back the room that expired.
     pub fn expire(&mut self, now: time::Instant) -> Vec<work::Holding> {
         let late = |holding: &work::Holding| holding.expires.is_some_and(|at| at <= now);
@@ -330,12 +332,20 @@
         holding.peak = holding.peak.larger(&used);
         holding.ran_ms = ran_ms;
         let after = holding.counted();
-        self.counted = self.counted.minus(&before).plus(&after);
+        self.recount(task, &before, &after);
+    }
+
+    /// Counts a task for `after` in place of `before`.
+    fn recount(&mut self, task: &ids::TaskId, before: &sizes::Resources, after: &sizes::Resources) {
+        let Some(holding) = self.holdings.get(task) else {
+            return;
+        };
+        self.counted = self.counted.minus(before).plus(after);
         if let Some(worker) = self.workers.get_mut(&holding.worker) {
-            worker.counted = worker.counted.minus(&before).plus(&after);
+            worker.counted = worker.counted.minus(before).plus(after);
         }
         let owner = holding.ask.owner.clone();
-        self.charge(&owner, &before, &after);
+        self.charge(&owner, before, after);
     }
 
     /// Charges an owner `after` in place of `before`.
--- a/crates/figscale-core/src/job/placement/mod.rs
+++ b/crates/figscale-core/src/job/placement/mod.rs
@@ -17,19 +17,23 @@
 //! cell may be passed by what is placed within that second.
 
 mod cluster;
+pub mod fault;
 pub mod feasibility;
+pub mod gang;
+pub mod learn;
 mod line;
 mod pass;
 mod place;
+pub mod preempt;
 mod queue;
 mod shares;
+pub mod summary;
 mod sync;
 mod work;
 mod worker;
 
 pub use cluster::Cluster;
 pub use cluster::ReserveError;
-pub use cluster::SyncOutcome;
 pub use pass::PassInput;
 pub use pass::PassOutcome;
 pub use pass::Placement;
@@ -43,8 +47,10 @@
 pub use queue::Work;
 pub use shares::Shares;
 pub use shares::UsageByOwner;
+pub use sync::SyncOutcome;
 pub use work::Ask;
 pub use work::Guard;
 pub use work::Holding;
 pub use worker::Readiness;
+pub use worker::Standing;
 pub use worker::Worker;
--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -205,10 +205,8 @@
 }
 
 fn fits(worker: &worker::Worker, ask: &work::Ask) -> bool {
-    worker.takes_work()
-        && !worker.held
-        && worker.free().holds(&ask.size)
-        && !ask.avoid.contains(&worker.id)
+    let open = worker.admits(ask) && !worker.held;
+    open && worker.free().holds(&ask.size) && !ask.avoid.contains(&worker.id)
 }
 
 fn cost(worker: &worker::Worker, ask: &work::Ask, spread: Option<&cluster::Spread>) -> f64 {
--- a/crates/figscale-core/src/job/placement/sync.rs
+++ b/crates/figscale-core/src/job/placement/sync.rs
@@ -10,6 +10,22 @@
 use super::work;
 use super::worker;
 
+/// What a report changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SyncOutcome {
+    /// Tasks that ended, with the room that was released.
+    pub ended: Vec<(protocol::TaskPhase, work::Holding)>,
+    /// Running tasks that were not known here and now have room.
+    pub adopted: Vec<ids::TaskId>,
+    /// Running tasks that have room on another worker.
+    pub elsewhere: Vec<ids::TaskId>,
+    /// Tasks with room here, given before the report was asked for, that the
+    /// worker does not know. Their room is kept until it is released.
+    pub missing: Vec<ids::TaskId>,
+    /// What to do so that neighbours do not suffer, when use exceeds capacity.
+    pub relief: Vec<(ids::TaskId, protocol::TaskAction)>,
+}
+
 impl cluster::Cluster {
     /// Takes over what a worker reports; `asked_at` is when it was asked.
     ///
@@ -21,8 +37,8 @@
         report: &protocol::WorkerReport,
         asked_at: time::Instant,
         now: time::Instant,
-    ) -> cluster::SyncOutcome {
-        let mut outcome = cluster::SyncOutcome::default();
+    ) -> SyncOutcome {
+        let mut outcome = SyncOutcome::default();
         if !self.take_state(report) {
             return outcome;
         }
@@ -65,7 +81,7 @@
         id: &ids::InstanceId,
         task: &protocol::TaskReport,
         now: time::Instant,
-        outcome: &mut cluster::SyncOutcome,
+        outcome: &mut SyncOutcome,
     ) {
         let running = task.phase == protocol::TaskPhase::Running;
         match self.holdings.get(&task.task) {
@@ -92,7 +108,7 @@
         &self,
         report: &protocol::WorkerReport,
         asked_at: time::Instant,
-        outcome: &mut cluster::SyncOutcome,
+        outcome: &mut SyncOutcome,
     ) {
         let Some(worker) = self.workers.get(&report.worker) else {
             return;
@@ -109,7 +125,7 @@
 
     /// Picks what to do to tasks that use more than was reserved for them, as
     /// long as the worker is asked for more than it holds.
-    fn find_relief(&self, id: &ids::InstanceId, outcome: &mut cluster::SyncOutcome) {
+    fn find_relief(&self, id: &ids::InstanceId, outcome: &mut SyncOutcome) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -150,6 +166,8 @@
         since: now,
         expires: None,
         ran_ms: task.ran_ms,
+        ending: false,
+        gang_try: None,
     }
 }
 
--- a/crates/figscale-core/src/job/placement/work.rs
+++ b/crates/figscale-core/src/job/placement/work.rs
@@ -6,6 +6,8 @@
 use figscale_types::ids;
 use figscale_types::sizes;
 
+use super::gang;
+
 /// What may be done to a task while it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Guard {
@@ -91,6 +93,10 @@
     pub expires: Option<time::Instant>,
     /// Time since the task's start, as last reported.
     pub ran_ms: u64,
+    /// Whether it was asked to end.
+    pub ending: bool,
+    /// The try of its gang that the room belongs to.
+    pub gang_try: Option<gang::TryNumber>,
 }
 
 impl Holding {
--- a/crates/figscale-core/src/job/placement/worker.rs
+++ b/crates/figscale-core/src/job/placement/worker.rs
@@ -1,9 +1,12 @@
 //! A worker as its holder sees it.
 
+use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::sizes;
 use indexmap::IndexSet;
 
+use super::work;
+
 /// Whether the tasks that a worker runs are known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Readiness {
@@ -13,6 +16,18 @@
     Ready,
 }
 
+/// Whether a worker is trusted with work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// It gets work.
+    #[default]
+    InUse,
+    /// It failed what it started; it gets one task that may run again.
+    Probing,
+    /// It failed what it started and gets nothing.
+    SetAside,
+}
+
 /// A worker of a shard that this entry instance holds.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -27,7 +42,7 @@
     pub(super) counted: sizes::Resources,
     pub(super) readiness: Readiness,
     pub(super) leaving: bool,
-    pub(super) set_aside: bool,
+    pub(super) standing: Standing,
     /// Whether its room is kept, within one pass, for work that did not fit.
     pub(super) held: bool,
     pub(super) tasks: IndexSet<ids::TaskId>,
@@ -64,9 +79,22 @@
         self.tasks.iter()
     }
 
-    /// Whether it gets new work.
+    /// Whether it gets new work, of whatever kind.
     pub fn takes_work(&self) -> bool {
-        self.readiness == Readiness::Ready && !self.leaving && !self.set_aside
+        self.readiness == Readiness::Ready && !self.leaving && !self.is_set_aside()
+    }
+
+    /// Whether it gets this task, if it has room for it.
+    ///
+    /// While it is probed it gets one task at a time, of a kind that may fail.
+    pub fn admits(&self, ask: &work::Ask) -> bool {
+        let harmless = ask.guard.idempotent && ask.class == catalogue::JobClass::Batch;
+        let trusted = match self.standing {
+            Standing::InUse => true,
+            Standing::Probing => harmless && self.tasks.is_empty(),
+            Standing::SetAside => false,
+        };
+        trusted && self.takes_work()
     }
 
     /// Whether it is leaving.
@@ -76,6 +104,6 @@
 
     /// Whether it was set aside because it fails what it starts.
     pub fn is_set_aside(&self) -> bool {
-        self.set_aside
+        self.standing == Standing::SetAside
     }
 }
--- /dev/null
+++ b/crates/figscale-core/tests/placement/faults.rs
@@ -0,0 +1,86 @@
+//! The worker's fault is told from the job's fault.
+
+use std::time;
+
+use figscale_core::job::placement;
+use figscale_core::job::placement::fault;
+use figscale_types::catalogue;
+
+use crate::kit;
+
+#[derive(serde::Deserialize)]
+struct Case {
+    name: String,
+    /// What happens, and what follows from it.
+    steps: Vec<(String, String)>,
+}
+
+fn told(blame: &fault::Blame) -> String {
+    let word = |standing: &placement::Standing| match standing {
+        placement::Standing::InUse => "use",
+        placement::Standing::Probing => "probe",
+        placement::Standing::SetAside => "aside",
+    };
+    let workers = blame.workers.iter();
+    let mut words: Vec<_> = workers.map(|(id, s)| format!("{id} {}", word(s))).collect();
+    if blame.job {
+        words.push("job".to_owned());
+    }
+    words.join(", ")
+}
+
+fn run(
+    faults: &mut fault::Faults,
+    step: &str,
+    start: time::Instant,
+    now: &mut time::Instant,
+) -> String {
+    let words: Vec<_> = step.split(' ').collect();
+    if let ["probe", second] = words[..] {
+        *now = start + time::Duration::from_secs(second.parse().expect("a number"));
+        let due = faults.probes(*now);
+        let due: Vec<_> = due.iter().map(|id| format!("{id} probe")).collect();
+        return due.join(", ");
+    }
+    let task = words[1].parse().expect("a task");
+    let worker = words[2].parse().expect("a worker");
+    told(&match words[0] {
+        "fail" => faults.failed(&task, &worker, *now),
+        _ => faults.succeeded(&task, &worker, *now),
+    })
+}
+
+#[test]
+fn cases() {
+    let text = include_str!("../data/placement/faults.json");
+    let cases: Vec<Case> = serde_json::from_str(text).expect("legal cases");
+    let start = time::Instant::now();
+    for case in cases {
+        let mut faults = fault::Faults::new(fault::FaultConfig::default());
+        faults.set_total_workers(9);
+        let mut now = start;
+        for (number, (step, expected)) in case.steps.iter().enumerate() {
+            let told = run(&mut faults, step, start, &mut now);
+            assert_eq!(&told, expected, "{}: step {number}: {step}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_probed_worker_gets_one_harmless_task() {
+    let now = time::Instant::now();
+    let mut cluster = kit::cluster(1);
+    let id = kit::worker_id(0);
+    let size = kit::size(1_000, 1, 0);
+    let ask = |index| kit::ask("job", index, size, catalogue::Urgency::Interactive);
+    cluster.set_standing(&id, placement::Standing::SetAside);
+    assert!(cluster.place(&ask(0), now, None).is_err());
+    cluster.set_standing(&id, placement::Standing::Probing);
+    let mut once = ask(1);
+    once.guard.idempotent = false;
+    assert!(cluster.place(&once, now, None).is_err());
+    assert!(cluster.place(&ask(2), now, None).is_ok());
+    assert!(cluster.place(&ask(3), now, None).is_err());
+    cluster.set_standing(&id, placement::Standing::InUse);
+    assert!(cluster.place(&ask(3), now, None).is_ok());
+}
--- /dev/null
+++ b/crates/figscale-core/tests/placement/preemption.rs
@@ -0,0 +1,216 @@
+//! Room for urgent work, never from what may not run twice.
+
+use std::time;
+
+use figscale_core::job::placement;
+use figscale_core::job::placement::preempt;
+use figscale_types::catalogue;
+use figscale_types::worker as protocol;
+use proptest::prelude::*;
+
+use crate::kit;
+
+/// What fills a worker before the urgent task comes.
+#[derive(Clone, Debug)]
+struct Filler {
+    cpu: u64,
+    urgency: catalogue::Urgency,
+    guard: placement::Guard,
+    ran_s: u64,
+}
+
+fn guard(idempotent: bool, checkpointable: bool, preemptible: bool) -> placement::Guard {
+    placement::Guard {
+        idempotent,
+        checkpointable,
+        preemptible,
+    }
+}
+
+fn filler(cpu: u64, guard: placement::Guard, ran_s: u64) -> Filler {
+    Filler {
+        cpu,
+        urgency: catalogue::Urgency::BestEffort,
+        guard,
+        ran_s,
+    }
+}
+
+/// A cluster filled task by task; they all run as declared.
+fn filled(workers: u32, fillers: &[Filler]) -> placement::Cluster {
+    let now = time::Instant::now();
+    let mut cluster = kit::cluster(workers);
+    let weights = catalogue::Weights {
+        waiting: 1.0,
+        packing: 1.0,
+    };
+    for (index, filler) in fillers.iter().enumerate() {
+        let size = kit::size(filler.cpu, 1, 0);
+        let index = u32::try_from(index).expect("few");
+        let mut ask = kit::ask("fill", index, size, catalogue::Urgency::Interactive);
+        ask.guard = filler.guard;
+        let placed = cluster.place(&ask, now, None);
+        ask.urgency = filler.urgency;
+        cluster.describe(ask.clone());
+        if placed.is_err() {
+            continue;
+        }
+        let holding = cluster.holding(&ask.task).expect("placed").clone();
+        let mut task = kit::running(&holding, size);
+        task.ran_ms = filler.ran_s * 1_000;
+        let worker = cluster.worker(&holding.worker).expect("known");
+        let report = kit::report(worker, vec![task]);
+        cluster.sync(&report, now, now);
+    }
+    cluster.set_config(placement::Config {
+        weights,
+        ..placement::Config::default()
+    });
+    cluster
+}
+
+fn plan(cluster: &mut placement::Cluster, cpu: u64) -> Option<Vec<(u32, protocol::TaskAction)>> {
+    let ask = kit::ask(
+        "urgent",
+        0,
+        kit::size(cpu, 1, 0),
+        catalogue::Urgency::Interactive,
+    );
+    let plan = preempt::Planner::default().plan(cluster, &ask)?;
+    let steps = plan.steps.iter();
+    Some(steps.map(|step| (step.task.index, step.action)).collect())
+}
+
+#[test]
+fn a_checkpoint_goes_before_a_stop() {
+    let fillers = [
+        filler(32_000, guard(true, false, true), 1),
+        filler(32_000, guard(false, true, true), 9_000),
+    ];
+    let mut cluster = filled(1, &fillers);
+    assert_eq!(
+        plan(&mut cluster, 20_000),
+        Some(vec![(1, protocol::TaskAction::Checkpoint)])
+    );
+}
+
+#[test]
+fn over_use_is_throttled_before_anything_is_stopped() {
+    let now = time::Instant::now();
+    let mut cluster = filled(1, &[filler(30_000, guard(true, false, true), 10)]);
+    let holding = cluster
+        .holding(&kit::task("fill", 0))
+        .expect("placed")
+        .clone();
+    let worker = cluster.worker(&holding.worker).expect("known");
+    let report = kit::report(
+        worker,
+        vec![kit::running(&holding, kit::size(60_000, 1, 0))],
+    );
+    cluster.sync(&report, now, now);
+    assert_eq!(
+        plan(&mut cluster, 20_000),
+        Some(vec![(0, protocol::TaskAction::Throttle)])
+    );
+}
+
+#[test]
+fn the_task_with_least_to_lose_is_stopped() {
+    let fillers = [
+        filler(32_000, guard(true, false, true), 500),
+        filler(32_000, guard(true, false, true), 5),
+    ];
+    let mut cluster = filled(1, &fillers);
+    assert_eq!(
+        plan(&mut cluster, 32_000),
+        Some(vec![(1, protocol::TaskAction::Stop)])
+    );
+}
+
+#[test]
+fn stops_cost_no_more_than_the_weights_allow() {
+    let fillers = [filler(64_000, guard(true, false, true), 1_000)];
+    assert_eq!(plan(&mut filled(1, &fillers), 8_000), None);
+    let mut waiting = filled(1, &fillers);
+    waiting.set_config(placement::Config {
+        weights: catalogue::Weights {
+            waiting: 0.9,
+            packing: 0.1,
+        },
+        ..placement::Config::default()
+    });
+    assert_eq!(
+        plan(&mut waiting, 8_000),
+        Some(vec![(0, protocol::TaskAction::Stop)])
+    );
+}
+
+#[test]
+fn room_on_its_way_is_counted_once() {
+    let fillers = [filler(64_000, guard(false, true, true), 10)];
+    let mut cluster = filled(1, &fillers);
+    let ask = |index| {
+        kit::ask(
+            "urgent",
+            index,
+            kit::size(40_000, 1, 0),
+            catalogue::Urgency::Interactive,
+        )
+    };
+    let first = preempt::Planner::default()
+        .plan(&mut cluster, &ask(0))
+        .expect("a plan");
+    assert_eq!(first.steps.len(), 1);
+    let mut planner = preempt::Planner::default();
+    let again = planner.plan(&mut cluster, &ask(0)).expect("on its way");
+    assert_eq!(again.steps.len(), 0);
+    assert_eq!(planner.plan(&mut cluster, &ask(1)), None);
+}
+
+proptest! {
+    #![proptest_config(kit::proptest_config(256))]
+
+    /// Victims are less urgent and may be ended; the room suffices; no step is
+    /// more than needed.
+    #[test]
+    fn protected_work_is_never_touched(
+        fillers in prop::collection::vec(
+            (1_000_u64..40_000, 0_u8..3, any::<[bool; 3]>(), 0_u64..100),
+            1..20,
+        ),
+        cpu in 1_000_u64..64_000,
+        urgency in 0_u8..3,
+    ) {
+        let urgency_of = |number: u8| [
+            catalogue::Urgency::Interactive,
+            catalogue::Urgency::Deadline,
+            catalogue::Urgency::BestEffort,
+        ][usize::from(number)];
+        let fillers: Vec<_> = fillers
+            .into_iter()
+            .map(|(cpu, urgency, [a, b, c], ran_s)| Filler {
+                cpu,
+                urgency: urgency_of(urgency),
+                guard: guard(a, b, c),
+                ran_s,
+            })
+            .collect();
+        let mut cluster = filled(3, &fillers);
+        let ask = kit::ask("urgent", 0, kit::size(cpu, 1, 0), urgency_of(urgency));
+        let before = cluster.clone();
+        if let Some(plan) = preempt::Planner::default().plan(&mut cluster, &ask) {
+            let worker = before.worker(&plan.worker).expect("known");
+            let mut freed = worker.free();
+            for step in &plan.steps {
+                let victim = before.holding(&step.task).expect("has room");
+                prop_assert_eq!(&victim.worker, &plan.worker);
+                prop_assert!(victim.ask.urgency > ask.urgency);
+                prop_assert!(victim.ask.guard.preemptible);
+                let may_end = victim.ask.guard.idempotent || victim.ask.guard.checkpointable;
+                prop_assert!(may_end, "protected work touched");
+                freed = freed.plus(&victim.counted());
+            }
+            prop_assert!(freed.holds(&ask.size));
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/tests/placement/summaries.rs
@@ -0,0 +1,95 @@
+//! What entry instances tell each other.
+
+use std::time;
+
+use figscale_core::job::placement;
+use figscale_core::job::placement::summary;
+use figscale_types::catalogue;
+use figscale_types::ids;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use crate::kit;
+
+fn member(number: u32) -> ids::MemberId {
+    format!("entry-{number}").parse().expect("legal")
+}
+
+/// Owners, as many as the size aimed for has, each with a task.
+fn busy(owners: u32) -> placement::Cluster {
+    let mut cluster = kit::cluster(58);
+    for number in 0..owners {
+        let size = kit::size(2_000, 1, 0);
+        let mut ask = kit::ask("job", number, size, catalogue::Urgency::Deadline);
+        ask.owner = Some(kit::owner(&format!("team-{number}")));
+        cluster
+            .place(&ask, time::Instant::now(), None)
+            .expect("room");
+    }
+    cluster
+}
+
+#[test]
+fn only_changes_are_sent_between_whole_summaries() {
+    let mut cluster = busy(92);
+    let mut summarizer = summary::Summarizer::default();
+    let mut lengths = Vec::new();
+    for number in 0..11 {
+        cluster.release(&kit::task("job", number));
+        lengths.push(summarizer.next(&cluster, 0).usage.len());
+    }
+    assert_eq!(lengths, [91, 1, 1, 1, 1, 1, 1, 1, 1, 1, 81]);
+}
+
+#[test]
+fn shares_follow_the_summaries_of_peers() {
+    let mut cluster = busy(3);
+    let here = kit::cluster(0);
+    let mut summarizer = summary::Summarizer::default();
+    let mut views = summary::PeerViews::default();
+    let mut shares = placement::Shares::default();
+    let now = time::Instant::now();
+    for released in 0..4 {
+        let summary = summarizer.next(&cluster, 7);
+        views.apply(&member(2), summary, &mut shares, now);
+        for number in 0..3 {
+            let owner = kit::owner(&format!("team-{number}"));
+            assert_eq!(
+                shares.usage(&owner, &here),
+                cluster.usage(&owner),
+                "{released}"
+            );
+        }
+        cluster.release(&kit::task("job", released));
+    }
+    views.remove(&member(2), &mut shares);
+    assert_eq!(
+        shares.usage(&kit::owner("team-2"), &here),
+        kit::size(0, 0, 0)
+    );
+}
+
+#[test]
+fn a_task_goes_to_a_peer_with_a_hole_and_a_fresh_view() {
+    let now = time::Instant::now();
+    let mut views = summary::PeerViews::default();
+    let mut shares = placement::Shares::default();
+    let mut full = kit::cluster(1);
+    let size = kit::size(60_000, 100, 0);
+    let ask = kit::ask("job", 0, size, catalogue::Urgency::Deadline);
+    full.place(&ask, now, None).expect("room");
+    let mut rng = StdRng::seed_from_u64(6);
+    for (number, cluster) in [(0, &full), (1, &kit::cluster(2))] {
+        let summary = summary::Summarizer::default().next(cluster, 0);
+        views.apply(&member(number), summary, &mut shares, now);
+    }
+    for _ in 0..20 {
+        assert_eq!(views.pick(&size, now, &mut rng), Some(&member(1)));
+    }
+    views.charge(&member(1), &size);
+    assert_eq!(views.pick(&size, now, &mut rng), None, "its hole is taken");
+    let small = kit::size(1_000, 1, 0);
+    assert!(views.pick(&small, now, &mut rng).is_some());
+    let later = now + time::Duration::from_secs(6);
+    assert_eq!(views.pick(&small, later, &mut rng), None, "too old");
+}
