--- /dev/null
+++ b/crates/figscale-standin/src/http_server.rs
@@ -0,0 +1,110 @@
+//! The HTTP/1.1 server under every stand-in.
+//!
+//! Unlike the usual helper it ends all its connections when it is dropped, as
+//! a process does that dies, and a handler may close a connection without an
+//! answer, which is how a lost answer looks from outside.
+
+use std::io;
+use std::net;
+
+use axum::Router;
+use axum::body::Body;
+use axum::response::IntoResponse as _;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper::service::Service as _;
+use hyper_util::rt;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task;
+
+/// Marks a response that is never sent: the connection is closed instead.
+#[derive(Clone, Copy, Debug)]
+struct Unanswered;
+
+/// A response that closes the connection without an answer.
+pub(crate) fn unanswered() -> Response<Body> {
+    let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
+    response.extensions_mut().insert(Unanswered);
+    response
+}
+
+/// A running server; dropping it ends it and its connections.
+#[derive(Debug)]
+pub(crate) struct Server {
+    address: net::SocketAddr,
+    task: task::JoinHandle<()>,
+}
+
+impl Server {
+    /// Serves `app`; `connected` makes a guard that lives as long as a connection.
+    pub(crate) async fn start<G: Send + 'static>(
+        listen: net::SocketAddr,
+        app: Router,
+        connected: impl Fn() -> G + Send + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, app, connected));
+        Ok(Self { address, task })
+    }
+
+    /// Where it listens.
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept<G: Send + 'static>(
+    listener: TcpListener,
+    app: Router,
+    connected: impl Fn() -> G + Send + 'static,
+) {
+    let mut connections = task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let guard = connected();
+                let app = app.clone();
+                connections.spawn(async move {
+                    serve(stream, app).await;
+                    drop(guard);
+                });
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, app: Router) {
+    let _ = stream.set_nodelay(true);
+    let app = TowerToHyperService::new(app);
+    let service = service::service_fn(move |request: Request<Incoming>| {
+        let answer = app.call(request);
+        async move {
+            let response = answer.await.unwrap_or_else(|never| match never {});
+            match response.extensions().get::<Unanswered>() {
+                Some(_) => Err(io::Error::other("closed without an answer")),
+                None => Ok(response),
+            }
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.half_close(true);
+    // A broken connection is the client's to notice.
+    let _ = builder
+        .serve_connection(rt::TokioIo::new(stream), service)
+        .await;
+}
--- a/crates/figscale-standin/src/lib.rs
+++ b/crates/figscale-standin/src/lib.rs
@@ -7,7 +7,9 @@
 //! record, not the word of an entry instance, decides whether a promise held.
 
 pub mod cell;
+mod http_server;
 pub mod load;
+mod lock;
 pub mod platform;
 pub mod proxy;
 pub mod runner;
--- /dev/null
+++ b/crates/figscale-standin/src/lock.rs
@@ -0,0 +1,7 @@
+//! Locks a mutex; a panic elsewhere is no reason for a second one.
+
+use std::sync;
+
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/figscale-standin/src/platform/control.rs
@@ -0,0 +1,50 @@
+//! Faults, instances and counts of a stand-in platform, over HTTP.
+
+use std::sync;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::routing;
+use figscale_types::instances::Instance;
+use figscale_types::instances::InstanceList;
+
+use super::Faults;
+use super::Shared;
+use super::counts;
+use crate::lock::lock;
+
+type SharedState = State<sync::Arc<Shared>>;
+
+pub(super) fn router(shared: sync::Arc<Shared>) -> Router {
+    Router::new()
+        .route("/control/faults", routing::get(faults).put(set_faults))
+        .route(
+            "/control/instances",
+            routing::get(instances).put(set_instances),
+        )
+        .route("/control/counts", routing::get(read_counts))
+        .with_state(shared)
+}
+
+async fn faults(State(shared): SharedState) -> Json<Faults> {
+    Json(shared.faults.borrow().clone())
+}
+
+async fn set_faults(State(shared): SharedState, Json(faults): Json<Faults>) {
+    shared.faults.send_replace(faults);
+}
+
+async fn instances(State(shared): SharedState) -> Json<InstanceList> {
+    let now = shared.clock.now();
+    Json(lock(&shared.instances).shown(now))
+}
+
+async fn set_instances(State(shared): SharedState, Json(lines): Json<Vec<Instance>>) {
+    let now = shared.clock.now();
+    lock(&shared.instances).change(now, |instances| *instances = lines);
+}
+
+async fn read_counts(State(shared): SharedState) -> Json<counts::CountsByClient> {
+    Json(lock(&shared.counts).clone())
+}
--- /dev/null
+++ b/crates/figscale-standin/src/platform/instances.rs
@@ -0,0 +1,75 @@
+//! The instance list with its lag.
+
+use std::collections;
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::instances::Instance;
+use figscale_types::instances::InstanceList;
+
+#[derive(Clone, Debug)]
+struct Version {
+    revision: ids::Revision,
+    visible_at: time::Instant,
+    instances: Vec<Instance>,
+}
+
+#[derive(Debug)]
+pub(crate) struct LaggingList {
+    lag: time::Duration,
+    /// What readers see.
+    shown: InstanceList,
+    /// What they will see, oldest first.
+    pending: collections::VecDeque<Version>,
+}
+
+impl LaggingList {
+    pub(crate) fn new(instances: Vec<Instance>, lag: time::Duration) -> Self {
+        let shown = InstanceList {
+            revision: ids::Revision(1),
+            lag_ms: millis(lag),
+            instances,
+        };
+        Self {
+            lag,
+            shown,
+            pending: collections::VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn set_lag(&mut self, lag: time::Duration) {
+        self.lag = lag;
+        self.shown.lag_ms = millis(lag);
+    }
+
+    pub(crate) fn change(&mut self, now: time::Instant, change: impl FnOnce(&mut Vec<Instance>)) {
+        let (revision, instances) = self.latest();
+        let mut instances = instances.to_vec();
+        let revision = revision.next();
+        change(&mut instances);
+        self.pending.push_back(Version {
+            revision,
+            visible_at: now + self.lag,
+            instances,
+        });
+    }
+
+    pub(crate) fn shown(&mut self, now: time::Instant) -> InstanceList {
+        while let Some(version) = self.pending.pop_front_if(|v| v.visible_at <= now) {
+            self.shown.revision = version.revision;
+            self.shown.instances = version.instances;
+        }
+        self.shown.clone()
+    }
+
+    fn latest(&self) -> (ids::Revision, &[Instance]) {
+        match self.pending.back() {
+            Some(version) => (version.revision, &version.instances),
+            None => (self.shown.revision, &self.shown.instances),
+        }
+    }
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/figscale-standin/src/platform/mod.rs
+++ b/crates/figscale-standin/src/platform/mod.rs
@@ -1,1 +1,266 @@
-//! The platform: key-value service and instance list, with faults on request.
+//! Stand-in of the platform: key-value service and instance list.
+//!
+//! It speaks the protocol in `figscale_types::platform`. [`start`] returns a
+//! [`Handle`] through which a test switches faults on and off, edits the
+//! instance list, and reads or writes keys behind the back of the system.
+//! Over HTTP the same is at `/control/` for a stand-in in its own process:
+//!
+//! | call | does |
+//! | --- | --- |
+//! | `GET`, `PUT /control/faults` | reads or sets [`Faults`] |
+//! | `GET`, `PUT /control/instances` | reads or sets the lines of the list |
+//! | `GET /control/counts` | calls and bytes by client and kind |
+//!
+//! Leases lapse by the stand-in's clock, in an outage too, which is the
+//! harsher of the two things that a real service may do.
+
+mod api;
+mod control;
+mod counts;
+mod instances;
+mod limits;
+mod store;
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use figscale_types::clock;
+use figscale_types::ids;
+use figscale_types::instances::Instance;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::http_server;
+use crate::lock::lock;
+
+pub use counts::CallKind;
+pub use counts::Counts;
+
+/// Time between looks for lapsed leases.
+const TICK: time::Duration = time::Duration::from_millis(10);
+
+/// How a stand-in platform starts.
+#[derive(Clone)]
+pub struct Config {
+    /// Where to listen. Default: any free port of 127.0.0.1.
+    pub listen: net::SocketAddr,
+    /// Writes taken a second, renewals of leases included. Default 300.
+    pub writes_per_s: f64,
+    /// Reads taken a second. Default 2,000.
+    pub reads_per_s: f64,
+    /// Time by which the instance list lags. Default 0.
+    pub instance_lag: time::Duration,
+    /// The list at the start, in force at once. Default: empty.
+    pub instances: Vec<Instance>,
+    /// Seed of the chance by which answers are lost. Default 1.
+    pub seed: u64,
+    /// The clock by which leases lapse. Default: the system's.
+    pub clock: clock::SharedClock,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)),
+            writes_per_s: 300.0,
+            reads_per_s: 2_000.0,
+            instance_lag: time::Duration::ZERO,
+            instances: Vec::new(),
+            seed: 1,
+            clock: sync::Arc::new(clock::SystemClock),
+        }
+    }
+}
+
+/// Faults that can be switched while it runs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call is answered 503, waiting watches included.
+    pub outage: bool,
+    /// No call is answered, until this is switched off; none takes effect.
+    pub hang: bool,
+    /// Time added before a call takes effect.
+    pub delay_ms: u64,
+    /// Time added after a call took effect and before its answer.
+    pub answer_delay_ms: u64,
+    /// Writes to come whose answers are lost after they took effect.
+    pub lose_next_answers: u32,
+    /// Chance that the answer to a write is lost after it took effect.
+    pub lose_answer_probability: f64,
+}
+
+/// A value with its revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Value {
+    /// Revision.
+    pub revision: ids::Revision,
+    /// Bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// A running stand-in; dropping it ends it.
+pub struct Handle {
+    server: http_server::Server,
+    shared: sync::Arc<Shared>,
+    ticker: task::JoinHandle<()>,
+}
+
+/// What the parts of a stand-in share.
+pub(crate) struct Shared {
+    clock: clock::SharedClock,
+    seed: u64,
+    store: sync::Mutex<store::Store>,
+    instances: sync::Mutex<instances::LaggingList>,
+    limits: sync::Mutex<limits::Limits>,
+    counts: sync::Mutex<counts::CountsByClient>,
+    faults: watch::Sender<Faults>,
+    /// Revision of the store as last announced to watches.
+    revision: watch::Sender<u64>,
+}
+
+impl Shared {
+    fn new(config: &Config) -> Self {
+        let now = config.clock.now();
+        Self {
+            clock: config.clock.clone(),
+            seed: config.seed,
+            store: sync::Mutex::new(store::Store::default()),
+            instances: sync::Mutex::new(instances::LaggingList::new(
+                config.instances.clone(),
+                config.instance_lag,
+            )),
+            limits: sync::Mutex::new(limits::Limits::new(config, now)),
+            counts: sync::Mutex::new(IndexMap::new()),
+            faults: watch::Sender::new(Faults::default()),
+            revision: watch::Sender::new(0),
+        }
+    }
+
+    /// Works on the store with lapsed leases removed, then wakes watches.
+    fn with_store<R>(&self, work: impl FnOnce(&mut store::Store, time::Instant) -> R) -> R {
+        let now = self.clock.now();
+        let mut store = lock(&self.store);
+        store.expire(now);
+        let result = work(&mut store, now);
+        let revision = store.revision();
+        self.revision
+            .send_if_modified(|announced| std::mem::replace(announced, revision) != revision);
+        result
+    }
+}
+
+/// Starts a stand-in; returns once it listens.
+pub async fn start(config: Config) -> io::Result<Handle> {
+    let shared = sync::Arc::new(Shared::new(&config));
+    let app = api::router(shared.clone()).merge(control::router(shared.clone()));
+    let server = http_server::Server::start(config.listen, app, || ()).await?;
+    let ticker = tokio::spawn(tick(shared.clone()));
+    Ok(Handle {
+        server,
+        shared,
+        ticker,
+    })
+}
+
+async fn tick(shared: sync::Arc<Shared>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        shared.with_store(|_, _| ());
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.ticker.abort();
+    }
+}
+
+impl Handle {
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.server.address()
+    }
+
+    /// Switches faults.
+    pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
+        self.shared.faults.send_modify(change);
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> Faults {
+        self.shared.faults.borrow().clone()
+    }
+
+    /// Changes the rates that it takes.
+    pub fn set_rates(&self, writes_per_s: f64, reads_per_s: f64) {
+        lock(&self.shared.limits).set_rates(writes_per_s, reads_per_s);
+    }
+
+    /// Edits the list of instances; readers see it once the lag has passed.
+    pub fn change_instances(&self, change: impl FnOnce(&mut Vec<Instance>)) {
+        let now = self.shared.clock.now();
+        lock(&self.shared.instances).change(now, change);
+    }
+
+    /// Sets the time by which later edits of the list lag.
+    pub fn set_instance_lag(&self, lag: time::Duration) {
+        lock(&self.shared.instances).set_lag(lag);
+    }
+
+    /// Reads a key, at any time.
+    pub fn read(&self, key: &str) -> Option<Value> {
+        self.shared.with_store(|store, _| {
+            store.get(key).map(|stored| Value {
+                revision: stored.revision,
+                bytes: stored.value.to_vec(),
+            })
+        })
+    }
+
+    /// Writes a key, whatever its revision, at any time.
+    pub fn write(&self, key: &str, value: Vec<u8>) -> ids::Revision {
+        self.shared
+            .with_store(|store, _| store.write(key, value.into()))
+    }
+
+    /// Deletes a key, at any time.
+    pub fn delete(&self, key: &str) {
+        self.shared.with_store(|store, _| store.remove(key));
+    }
+
+    /// The keys under a prefix, in order, at any time.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let list = self.shared.with_store(|store, _| store.keys(prefix));
+        list.keys.into_iter().map(|line| line.key).collect()
+    }
+
+    /// Ends every lease at once, as a long outage of a real service may.
+    pub fn expire_all_leases(&self) {
+        self.shared.with_store(|store, _| store.expire_all());
+    }
+
+    /// Calls and bytes by client and kind.
+    pub fn counts(&self) -> IndexMap<String, IndexMap<CallKind, Counts>> {
+        lock(&self.shared.counts).clone()
+    }
+
+    /// Calls and bytes of all clients and kinds.
+    pub fn total(&self) -> Counts {
+        let counts = lock(&self.shared.counts);
+        let all = counts.values().flat_map(IndexMap::values);
+        all.fold(Counts::default(), |sum, one| sum.plus(one))
+    }
+
+    /// Forgets the counts, to measure from here on.
+    pub fn reset_counts(&self) {
+        lock(&self.shared.counts).clear();
+    }
+}
--- a/crates/figscale-standin/src/worker/mod.rs
+++ b/crates/figscale-standin/src/worker/mod.rs
@@ -1,1 +1,201 @@
-//! A worker: tasks under leases, lagging usage reports, faults on request.
+//! Stand-in of a worker: runs tasks under leases and reports with a lag.
+//!
+//! It speaks the protocol in `figscale_types::worker`. A task does nothing but
+//! last as long as it declares; its command, words of the form `NAME=VALUE`,
+//! may make it behave worse than it declared (see [`Behaviour`]). Where tasks
+//! run is written into a [`TaskLedger`] that all workers of a test share and
+//! that judges whether a task ever ran in two places at once; what a holder
+//! asked of this worker is judged in [`Record`].
+//!
+//! Over HTTP, for a stand-in in its own process, `/control/faults` reads or
+//! sets [`Faults`], and `GET /control/record` and `GET /control/violations`
+//! tell what it saw.
+
+mod api;
+mod behaviour;
+mod ledger;
+mod tasks;
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use figscale_types::clock;
+use figscale_types::ids;
+use figscale_types::sizes;
+use figscale_types::worker::WorkerReport;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::http_server;
+use crate::lock::lock;
+
+pub use behaviour::Behaviour;
+pub use ledger::Run;
+pub use ledger::TaskLedger;
+pub use ledger::Violation;
+pub use tasks::Record;
+
+/// Time between looks for tasks that ended or whose lease lapsed.
+const TICK: time::Duration = time::Duration::from_millis(5);
+
+/// How a stand-in worker starts.
+#[derive(Clone)]
+pub struct Config {
+    /// Where to listen. Default: any free port of 127.0.0.1.
+    pub listen: net::SocketAddr,
+    /// Its name. Default: `worker-1`.
+    pub id: ids::InstanceId,
+    /// What it holds. Default: 64 cores, 128 GiB, no accelerators.
+    pub capacity: sizes::Resources,
+    /// Time by which its reports of use lag. Default 500 ms.
+    pub usage_lag: time::Duration,
+    /// Its clock. Default: the system's.
+    pub clock: clock::SharedClock,
+    /// Where it writes which tasks run. Default: a ledger of its own.
+    pub ledger: TaskLedger,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)),
+            id: "worker-1".parse().expect("a legal name"),
+            capacity: sizes::Resources {
+                cpu_millis: sizes::CpuMillis(64_000),
+                memory_bytes: sizes::Bytes(128 * 1024 * sizes::MIB),
+                accelerators: 0,
+            },
+            usage_lag: time::Duration::from_millis(500),
+            clock: sync::Arc::new(clock::SystemClock),
+            ledger: TaskLedger::default(),
+        }
+    }
+}
+
+/// Faults that can be switched while it runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every task that starts fails at once.
+    pub fail_everything: bool,
+    /// Every call is dropped before it takes effect; tasks run on.
+    pub cut_off: bool,
+    /// Nothing happens: calls wait and tasks stand still, while the clock goes on.
+    pub freeze: bool,
+    /// Tasks use their declared size times this, until throttled. Default 1.
+    pub use_factor: f64,
+    /// Answers to starts to come that are lost after they took effect.
+    pub lose_next_starts: u32,
+    /// It starts nothing and reports that it is leaving.
+    pub leaving: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            fail_everything: false,
+            cut_off: false,
+            freeze: false,
+            use_factor: 1.0,
+            lose_next_starts: 0,
+            leaving: false,
+        }
+    }
+}
+
+/// What the parts of a stand-in share.
+pub(crate) struct Shared {
+    clock: clock::SharedClock,
+    tasks: sync::Mutex<tasks::Tasks>,
+    faults: watch::Sender<Faults>,
+}
+
+impl Shared {
+    /// Works on the tasks, brought up to date first.
+    fn with_tasks<R>(&self, work: impl FnOnce(&mut tasks::Tasks, time::Instant) -> R) -> R {
+        let now = self.clock.now();
+        let mut tasks = lock(&self.tasks);
+        tasks.advance(now);
+        work(&mut tasks, now)
+    }
+
+    fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
+        let now = self.clock.now();
+        let mut tasks = lock(&self.tasks);
+        tasks.advance(now);
+        self.faults.send_modify(change);
+        tasks.set_faults(self.faults.borrow().clone(), now);
+    }
+}
+
+/// A running stand-in; dropping it ends it and its tasks, as a crash does.
+pub struct Handle {
+    server: http_server::Server,
+    shared: sync::Arc<Shared>,
+    ticker: task::JoinHandle<()>,
+}
+
+/// Starts a stand-in; returns once it listens.
+pub async fn start(config: Config) -> io::Result<Handle> {
+    let tasks = tasks::Tasks::new(
+        config.id,
+        config.capacity,
+        config.usage_lag,
+        config.ledger.clone(),
+    );
+    let shared = sync::Arc::new(Shared {
+        clock: config.clock,
+        tasks: sync::Mutex::new(tasks),
+        faults: watch::Sender::new(Faults::default()),
+    });
+    let app = api::router(shared.clone(), config.ledger);
+    let server = http_server::Server::start(config.listen, app, || ()).await?;
+    let ticker = tokio::spawn(tick(shared.clone()));
+    Ok(Handle {
+        server,
+        shared,
+        ticker,
+    })
+}
+
+async fn tick(shared: sync::Arc<Shared>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        shared.with_tasks(|_, _| ());
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.ticker.abort();
+        self.shared.with_tasks(|tasks, now| tasks.crash(now));
+    }
+}
+
+impl Handle {
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.server.address()
+    }
+
+    /// Switches faults.
+    pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
+        self.shared.change_faults(change);
+    }
+
+    /// What it would report now.
+    pub fn report(&self) -> WorkerReport {
+        self.shared.with_tasks(|tasks, now| tasks.report(now, false))
+    }
+
+    /// What holders asked of it.
+    pub fn record(&self) -> Record {
+        self.shared.with_tasks(|tasks, _| tasks.record())
+    }
+}
--- /dev/null
+++ b/crates/figscale-standin/src/worker/tasks.rs
@@ -0,0 +1,396 @@
+//! The tasks of a stand-in worker: a state machine that is given the time.
+//!
+//! [`Tasks::advance`] brings it up to date: a task ends at the earliest of its
+//! lease, its longest run and its own end. While the worker is frozen nothing
+//! ends; afterwards, leases that lapsed in the meantime are dealt with before
+//! anything else, as a worker's own watchdog would.
+
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::sizes;
+use figscale_types::worker;
+use figscale_types::worker::TaskPhase;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Behaviour;
+use super::Faults;
+use super::ledger;
+
+/// What holders asked of a worker, and how full it was.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Tasks started.
+    pub starts: u64,
+    /// Starts that it was asked for while leaving.
+    pub starts_while_leaving: u64,
+    /// Starts refused since it would have held more than it can.
+    pub over_capacity: u64,
+    /// Moments at which the tasks came to use more than it holds.
+    pub overused: u64,
+    /// Calls with an epoch lower than one seen before.
+    pub stale_calls: u64,
+    /// Most room that was reserved at once.
+    pub most_reserved: sizes::Resources,
+}
+
+#[derive(Debug)]
+struct Task {
+    attempt: u32,
+    home_epoch: ids::Epoch,
+    phase: TaskPhase,
+    reserved: sizes::Resources,
+    use_factor: f64,
+    fail: bool,
+    started: time::Instant,
+    lease_until: time::Instant,
+    ends: time::Instant,
+    longest: time::Instant,
+    /// Run time saved by earlier attempts.
+    saved: time::Duration,
+    /// When it stopped running.
+    stopped: Option<time::Instant>,
+}
+
+impl Task {
+    fn is_running(&self) -> bool {
+        self.phase == TaskPhase::Running
+    }
+
+    fn used(&self) -> sizes::Resources {
+        scaled(&self.reserved, self.use_factor)
+    }
+
+    /// What a report shows, which is from `lag` before `now`.
+    fn reported_use(&self, now: time::Instant, lag: time::Duration) -> sizes::Resources {
+        let seen_at = now.checked_sub(lag).unwrap_or(now);
+        let runs_then = self.started <= seen_at && self.stopped.is_none_or(|at| seen_at < at);
+        if runs_then {
+            self.used()
+        } else {
+            sizes::Resources::default()
+        }
+    }
+
+    /// How and when it ends next.
+    fn next_end(&self) -> (time::Instant, TaskPhase) {
+        let end = if self.fail {
+            TaskPhase::Failed
+        } else {
+            TaskPhase::Done
+        };
+        let ends = [
+            (self.lease_until, TaskPhase::Lapsed),
+            (self.longest, TaskPhase::Failed),
+            (self.ends, end),
+        ];
+        let first = ends.into_iter().min_by_key(|(at, _)| *at);
+        first.unwrap_or((self.ends, end))
+    }
+}
+
+fn scaled(size: &sizes::Resources, factor: f64) -> sizes::Resources {
+    sizes::Resources {
+        cpu_millis: sizes::CpuMillis((size.cpu_millis.0 as f64 * factor) as u64),
+        memory_bytes: sizes::Bytes((size.memory_bytes.0 as f64 * factor) as u64),
+        accelerators: size.accelerators,
+    }
+}
+
+pub(super) struct Tasks {
+    id: ids::InstanceId,
+    capacity: sizes::Resources,
+    usage_lag: time::Duration,
+    ledger: ledger::TaskLedger,
+    epoch: ids::Epoch,
+    tasks: IndexMap<ids::TaskId, Task>,
+    faults: Faults,
+    frozen_at: Option<time::Instant>,
+    overused: bool,
+    record: Record,
+}
+
+impl Tasks {
+    pub(super) fn new(
+        id: ids::InstanceId,
+        capacity: sizes::Resources,
+        usage_lag: time::Duration,
+        ledger: ledger::TaskLedger,
+    ) -> Self {
+        Self {
+            id,
+            capacity,
+            usage_lag,
+            ledger,
+            epoch: ids::Epoch(0),
+            tasks: IndexMap::new(),
+            faults: Faults::default(),
+            frozen_at: None,
+            overused: false,
+            record: Record::default(),
+        }
+    }
+
+    pub(super) fn record(&self) -> Record {
+        self.record.clone()
+    }
+
+    /// Ends what has ended by `now`.
+    pub(super) fn advance(&mut self, now: time::Instant) {
+        if self.frozen_at.is_some() {
+            return;
+        }
+        for (id, task) in &mut self.tasks {
+            let (at, phase) = task.next_end();
+            if task.is_running() && at <= now {
+                task.phase = phase;
+                task.stopped = Some(at);
+                self.ledger.ended(id, &self.id, at);
+            }
+        }
+        self.judge_use();
+    }
+
+    pub(super) fn set_faults(&mut self, faults: Faults, now: time::Instant) {
+        match (self.frozen_at, faults.freeze) {
+            (None, true) => self.freeze(now),
+            (Some(since), false) => self.thaw(since, now),
+            _ => {}
+        }
+        self.faults = faults;
+    }
+
+    fn freeze(&mut self, now: time::Instant) {
+        self.frozen_at = Some(now);
+        for (id, task) in &self.tasks {
+            if task.is_running() {
+                self.ledger.ended(id, &self.id, now);
+            }
+        }
+    }
+
+    fn thaw(&mut self, since: time::Instant, now: time::Instant) {
+        self.frozen_at = None;
+        let stood = now.saturating_duration_since(since);
+        for (id, task) in &mut self.tasks {
+            if !task.is_running() {
+                continue;
+            }
+            task.ends += stood;
+            if task.lease_until <= now {
+                task.phase = TaskPhase::Lapsed;
+                task.stopped = Some(since);
+            } else {
+                self.ledger.began(run(id, task, &self.id, now));
+            }
+        }
+        self.advance(now);
+    }
+
+    /// Ends everything, as a crash does.
+    pub(super) fn crash(&mut self, now: time::Instant) {
+        for (id, task) in &self.tasks {
+            if task.is_running() {
+                self.ledger.ended(id, &self.id, now);
+            }
+        }
+        self.tasks.clear();
+    }
+
+    /// Whether an epoch may be obeyed; remembers the highest.
+    fn obeys(&mut self, epoch: ids::Epoch) -> bool {
+        let current = epoch >= self.epoch;
+        if current {
+            self.epoch = epoch;
+        } else {
+            self.record.stale_calls += 1;
+        }
+        current
+    }
+
+    pub(super) fn start(
+        &mut self,
+        request: &worker::StartTask,
+        now: time::Instant,
+    ) -> worker::StartAnswer {
+        if let Some(refusal) = self.refusal(request) {
+            return worker::StartAnswer::Refused(refusal);
+        }
+        let known = self.tasks.get(&request.task);
+        if known.is_some_and(|task| task.attempt == request.attempt) {
+            return worker::StartAnswer::Known;
+        }
+        self.run(request, now);
+        worker::StartAnswer::Started
+    }
+
+    fn refusal(&mut self, request: &worker::StartTask) -> Option<worker::StartRefusal> {
+        if !self.obeys(request.epoch) {
+            return Some(worker::StartRefusal::StaleEpoch);
+        }
+        if let Some(task) = self.tasks.get(&request.task) {
+            let other = task.attempt != request.attempt;
+            let refused = other && task.is_running();
+            return refused.then_some(worker::StartRefusal::RunsAlready);
+        }
+        if self.faults.leaving {
+            self.record.starts_while_leaving += 1;
+            return Some(worker::StartRefusal::Leaving);
+        }
+        let wanted = self.reserved().plus(&request.resources);
+        if !self.capacity.holds(&wanted) {
+            self.record.over_capacity += 1;
+            return Some(worker::StartRefusal::Full);
+        }
+        None
+    }
+
+    fn run(&mut self, request: &worker::StartTask, now: time::Instant) {
+        let behaviour: Behaviour = request.command.parse().unwrap_or_default();
+        let saved = if request.resume {
+            self.ledger.saved(&request.task)
+        } else {
+            time::Duration::ZERO
+        };
+        let declared = time::Duration::from_millis(request.run_ms);
+        let whole = declared.mul_f64(behaviour.run_factor);
+        let left = if self.faults.fail_everything {
+            time::Duration::ZERO
+        } else {
+            whole.saturating_sub(saved)
+        };
+        let task = Task {
+            attempt: request.attempt,
+            home_epoch: request.home_epoch,
+            phase: TaskPhase::Running,
+            reserved: request.resources,
+            use_factor: behaviour.use_factor * self.faults.use_factor,
+            fail: behaviour.fail || self.faults.fail_everything,
+            started: now,
+            lease_until: now + time::Duration::from_millis(request.lease_ms),
+            ends: now + left,
+            longest: now + time::Duration::from_millis(request.max_run_ms),
+            saved,
+            stopped: None,
+        };
+        self.ledger.started(&request.task);
+        self.ledger.began(run(&request.task, &task, &self.id, now));
+        self.tasks.insert(request.task.clone(), task);
+        self.record.starts += 1;
+        let reserved = self.reserved();
+        self.record.most_reserved = self.record.most_reserved.max(&reserved);
+        self.judge_use();
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        request: &worker::Renew,
+        now: time::Instant,
+    ) -> worker::WorkerReport {
+        if !self.obeys(request.epoch) {
+            return self.report(now, true);
+        }
+        let until = now + time::Duration::from_millis(request.lease_ms);
+        for id in &request.tasks {
+            if let Some(task) = self.tasks.get_mut(id).filter(|task| task.is_running()) {
+                task.lease_until = until;
+                self.ledger.renewed(id, &self.id, until);
+            }
+        }
+        for id in &request.forget {
+            if self.tasks.get(id).is_some_and(|task| !task.is_running()) {
+                self.tasks.shift_remove(id);
+            }
+        }
+        self.report(now, false)
+    }
+
+    pub(super) fn act(
+        &mut self,
+        request: &worker::ActOnTask,
+        now: time::Instant,
+    ) -> worker::WorkerReport {
+        if !self.obeys(request.epoch) {
+            return self.report(now, true);
+        }
+        let running = self.tasks.get_mut(&request.task);
+        if let Some(task) = running.filter(|task| task.is_running()) {
+            match request.action {
+                worker::TaskAction::Throttle => task.use_factor = task.use_factor.min(1.0),
+                worker::TaskAction::Stop => task.phase = TaskPhase::Stopped,
+                worker::TaskAction::Checkpoint => {
+                    let ran = task.saved + now.saturating_duration_since(task.started);
+                    self.ledger.save(&request.task, ran);
+                    task.phase = TaskPhase::Checkpointed;
+                }
+            }
+            if !task.is_running() {
+                task.stopped = Some(now);
+                self.ledger.ended(&request.task, &self.id, now);
+            }
+        }
+        self.judge_use();
+        self.report(now, false)
+    }
+
+    pub(super) fn report(&self, now: time::Instant, stale: bool) -> worker::WorkerReport {
+        let tasks = self.tasks.iter().map(|(id, task)| worker::TaskReport {
+            task: id.clone(),
+            attempt: task.attempt,
+            phase: task.phase,
+            reserved: task.reserved,
+            used: task.reported_use(now, self.usage_lag),
+            ran_ms: millis(
+                task.stopped
+                    .unwrap_or(now)
+                    .saturating_duration_since(task.started),
+            ),
+            home_epoch: task.home_epoch,
+        });
+        worker::WorkerReport {
+            worker: self.id.clone(),
+            epoch: self.epoch,
+            stale,
+            capacity: self.capacity,
+            leaving: self.faults.leaving,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn reserved(&self) -> sizes::Resources {
+        let running = self.tasks.values().filter(|task| task.is_running());
+        running.fold(sizes::Resources::default(), |sum, task| {
+            sum.plus(&task.reserved)
+        })
+    }
+
+    /// Notes the moment at which use grows beyond what the worker holds.
+    fn judge_use(&mut self) {
+        let running = self.tasks.values().filter(|task| task.is_running());
+        let used = running.fold(sizes::Resources::default(), |sum, task| {
+            sum.plus(&task.used())
+        });
+        let overused = !self.capacity.holds(&used);
+        if overused && !self.overused {
+            self.record.overused += 1;
+        }
+        self.overused = overused;
+    }
+}
+
+fn run(id: &ids::TaskId, task: &Task, worker: &ids::InstanceId, now: time::Instant) -> ledger::Run {
+    ledger::Run {
+        task: id.clone(),
+        attempt: task.attempt,
+        worker: worker.clone(),
+        began: now,
+        lease_until: task.lease_until,
+        ended: None,
+    }
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/figscale-types/src/headers.rs
+++ b/crates/figscale-types/src/headers.rs
@@ -26,3 +26,9 @@
 pub const HOLDER: &str = "x-figscale-holder";
 /// Set by a runner on every answer once it is leaving.
 pub const LEAVING: &str = "x-leaving";
+/// Time that a stand-in runner works on a request, in milliseconds.
+pub const RUN_MS: &str = "x-run-ms";
+/// Bytes of filling in a stand-in runner's answer.
+pub const ANSWER_BYTES: &str = "x-answer-bytes";
+/// SHA-256 of an answer's body in lower-case hexadecimal, set by the runner.
+pub const CHECKSUM: &str = "x-checksum";
--- a/crates/figscale-types/src/instances.rs
+++ b/crates/figscale-types/src/instances.rs
@@ -68,3 +68,19 @@
     /// The lines.
     pub instances: Vec<Instance>,
 }
+
+/// Path at which a runner tells [`RunnerUsage`], as JSON.
+pub const RUNNER_USAGE_PATH: &str = "/usage";
+
+/// How busy a runner was at some moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerUsage {
+    /// Slots in use, by whoever.
+    pub busy: u32,
+    /// Slots in all.
+    pub slots: u32,
+    /// Time since the moment that this tells of, in milliseconds.
+    pub age_ms: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
--- a/crates/figscale-types/src/platform.rs
+++ b/crates/figscale-types/src/platform.rs
@@ -2,10 +2,10 @@
 //!
 //! | call | answer |
 //! | --- | --- |
-//! | `GET /v1/kv/KEY` | 200, value, `x-revision`; 404 when absent |
+//! | `GET /v1/kv/KEY` | 200, value, `x-revision`; 404 when absent, with the revision of the deletion if there was one |
 //! | `PUT /v1/kv/KEY` with `x-if-revision` (0: must be absent), perhaps `x-lease` | 200, `x-revision`; 412 with the current `x-revision`; 410 when the lease is gone; 413 over [`MAX_VALUE_BYTES`] |
 //! | `DELETE /v1/kv/KEY` with `x-if-revision` | 200; 412 as above |
-//! | `GET /v1/watch/KEY?after=REV&wait_ms=MS` | as `GET` once the revision is above `REV`; 204 when `MS` have passed |
+//! | `GET /v1/watch/KEY?after=REV&wait_ms=MS` | as `GET` once the revision, or that of the deletion, is above `REV`; 204 when `MS` have passed |
 //! | `GET /v1/keys?prefix=P` | 200, [`KeyList`] |
 //! | `POST /v1/leases` with [`LeaseRequest`] | 200, [`LeaseAnswer`] |
 //! | `PUT /v1/leases/ID` | 200 when renewed; 410 when gone |
@@ -31,6 +31,9 @@
 /// Header with the lease that a key goes with.
 pub const LEASE: &str = "x-lease";
 
+/// Header with the name of the caller, by which a stand-in counts; optional.
+pub const CLIENT: &str = "x-client";
+
 /// Asks for a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRequest {
