Stand-ins of platform, runner, worker and the proxy, each judge shown to catch its violation

Cause: the other areas need something to talk to and a judge that is not the system's own word. Found while testing: an ended attempt let a new one pass by capacity and leaving (worker); HTTP half-close hid a client that had gone from the runner's count of connections.

--- a/crates/figscale-standin/src/http_server.rs
+++ b/crates/figscale-standin/src/http_server.rs
@@ -101,10 +101,8 @@
             }
         }
     });
-    let mut builder = http1::Builder::new();
-    builder.half_close(true);
     // A broken connection is the client's to notice.
-    let _ = builder
+    let _ = http1::Builder::new()
         .serve_connection(rt::TokioIo::new(stream), service)
         .await;
 }
--- a/crates/figscale-standin/src/lib.rs
+++ b/crates/figscale-standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! record, not the word of an entry instance, decides whether a promise held.
 
 pub mod cell;
+pub mod client;
 mod http_server;
 pub mod load;
 mod lock;
--- a/crates/figscale-standin/src/platform/api.rs
+++ b/crates/figscale-standin/src/platform/api.rs
@@ -207,7 +207,9 @@
     value: Bytes,
 ) -> Result<Response, Response> {
     let expected = expected_revision(&headers).map_err(bad_request)?;
-    let lease = number(&headers, platform::LEASE).map_err(bad_request)?.map(ids::LeaseId);
+    let lease = number(&headers, platform::LEASE)
+        .map_err(bad_request)?
+        .map(ids::LeaseId);
     let put = shared.with_store(|store, _| store.put(&key, expected, value, lease));
     let revision = put.map_err(refused)?;
     Ok(with_revision(StatusCode::OK, revision, Body::empty()))
--- a/crates/figscale-standin/src/proxy/mod.rs
+++ b/crates/figscale-standin/src/proxy/mod.rs
@@ -1,1 +1,251 @@
-//! A TCP proxy that cuts, delays, freezes and drops.
+//! A TCP proxy that injects faults between two processes.
+//!
+//! One proxy stands for the path from one client to one target, so that a path
+//! can be broken in one direction, or between two particular processes only.
+//! Faults are switched through the [`Handle`], or over HTTP at its control
+//! address (`/control/faults`, `/control/break`), and hold for open and new
+//! connections alike.
+//!
+//! A cut path swallows what is sent along it, as a broken link does. A
+//! connection that lost bytes in a cut is reset when the cut ends, since TCP
+//! would not deliver a stream with a hole either. While a path is cut in any
+//! direction a new connection is accepted and gets no further; a real one
+//! would wait for its handshake.
+
+mod control;
+mod pump;
+
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::http_server;
+
+/// Faults of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Direction {
+    /// Bytes are swallowed.
+    pub cut: bool,
+    /// Bytes are kept until this is off again.
+    pub freeze: bool,
+    /// Time added to the way of every byte.
+    pub delay_ms: u64,
+    /// A connection is reset after this many bytes in this direction.
+    pub drop_after_bytes: Option<u64>,
+    /// The stream ends in order, while the other direction goes on.
+    pub half_close: bool,
+}
+
+/// Faults that can be switched while it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// From the client to the target.
+    pub to_target: Direction,
+    /// From the target to the client.
+    pub to_client: Direction,
+    /// New connections are reset.
+    pub refuse_new: bool,
+}
+
+impl Faults {
+    /// Cuts both directions, or ends the cut.
+    pub fn cut_both(&mut self, cut: bool) {
+        self.to_target.cut = cut;
+        self.to_client.cut = cut;
+    }
+
+    /// Adds this time to every byte in both directions.
+    pub fn delay_both(&mut self, delay: time::Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.to_target.delay_ms = delay_ms;
+        self.to_client.delay_ms = delay_ms;
+    }
+
+    fn any_cut(&self) -> bool {
+        self.to_target.cut || self.to_client.cut
+    }
+}
+
+/// How a proxy starts.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where to listen.
+    pub listen: net::SocketAddr,
+    /// Where to connect to.
+    pub target: net::SocketAddr,
+    /// Where to take control calls; `None` for a proxy inside a test.
+    pub control: Option<net::SocketAddr>,
+}
+
+impl Config {
+    /// A proxy to `target` on any free port of 127.0.0.1.
+    pub fn to(target: net::SocketAddr) -> Self {
+        Self {
+            listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)),
+            target,
+            control: None,
+        }
+    }
+}
+
+/// What the connections of a proxy share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    target: watch::Sender<net::SocketAddr>,
+    faults: watch::Sender<Faults>,
+    /// Grows with every order to break all connections.
+    breaks: watch::Sender<u64>,
+    connections: atomic::AtomicU64,
+    to_target_bytes: atomic::AtomicU64,
+    to_client_bytes: atomic::AtomicU64,
+}
+
+/// What passed through a proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// Connections accepted since the start.
+    pub connections: u64,
+    /// Bytes delivered to the target.
+    pub to_target_bytes: u64,
+    /// Bytes delivered to the client.
+    pub to_client_bytes: u64,
+}
+
+/// A running proxy; dropping it ends it and its connections.
+#[derive(Debug)]
+pub struct Handle {
+    address: net::SocketAddr,
+    shared: sync::Arc<Shared>,
+    task: task::JoinHandle<()>,
+    control: Option<http_server::Server>,
+}
+
+/// Starts a proxy; returns once it listens.
+pub async fn start(config: Config) -> io::Result<Handle> {
+    let listener = TcpListener::bind(config.listen).await?;
+    let address = listener.local_addr()?;
+    let shared = sync::Arc::new(Shared {
+        target: watch::Sender::new(config.target),
+        faults: watch::Sender::new(Faults::default()),
+        breaks: watch::Sender::new(0),
+        connections: atomic::AtomicU64::new(0),
+        to_target_bytes: atomic::AtomicU64::new(0),
+        to_client_bytes: atomic::AtomicU64::new(0),
+    });
+    let control = match config.control {
+        Some(listen) => {
+            let app = control::router(shared.clone());
+            Some(http_server::Server::start(listen, app, || ()).await?)
+        }
+        None => None,
+    };
+    let task = tokio::spawn(accept(listener, shared.clone()));
+    Ok(Handle {
+        address,
+        shared,
+        task,
+        control,
+    })
+}
+
+async fn accept(listener: TcpListener, shared: sync::Arc<Shared>) {
+    let mut connections = task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((client, _)) = accepted else { continue };
+                let _ = client.set_nodelay(true);
+                shared.connections.fetch_add(1, atomic::Ordering::Relaxed);
+                connections.spawn(connect(client, shared.clone()));
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn connect(client: TcpStream, shared: sync::Arc<Shared>) {
+    let mut breaks = shared.breaks.subscribe();
+    let mut faults = shared.faults.subscribe();
+    if faults.borrow().refuse_new {
+        reset(&client);
+        return;
+    }
+    let target = async {
+        // The sender lives as long as the proxy.
+        let _ = faults.wait_for(|faults| !faults.any_cut()).await;
+        let target = *shared.target.borrow();
+        TcpStream::connect(target).await
+    };
+    tokio::select! {
+        target = target => match target {
+            Ok(target) => pump::both_ways(client, target, &shared, breaks).await,
+            Err(_) => reset(&client),
+        },
+        _ = breaks.changed() => reset(&client),
+    }
+}
+
+/// Makes the end of a connection a reset.
+fn reset(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Handle {
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Where it takes control calls.
+    pub fn control_address(&self) -> Option<net::SocketAddr> {
+        self.control.as_ref().map(http_server::Server::address)
+    }
+
+    /// Switches faults.
+    pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
+        self.shared.faults.send_modify(change);
+    }
+
+    /// Connects new connections elsewhere, as when a process comes back.
+    pub fn set_target(&self, target: net::SocketAddr) {
+        self.shared.target.send_replace(target);
+    }
+
+    /// Resets every open connection.
+    pub fn break_connections(&self) {
+        self.shared.breaks.send_modify(|breaks| *breaks += 1);
+    }
+
+    /// What passed through it.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.traffic()
+    }
+}
+
+impl Shared {
+    fn traffic(&self) -> Traffic {
+        let read = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
+        Traffic {
+            connections: read(&self.connections),
+            to_target_bytes: read(&self.to_target_bytes),
+            to_client_bytes: read(&self.to_client_bytes),
+        }
+    }
+}
--- a/crates/figscale-standin/src/worker/api.rs
+++ b/crates/figscale-standin/src/worker/api.rs
@@ -35,11 +35,7 @@
 }
 
 /// Lets the faults in force have their way with a call.
-async fn around(
-    State(shared): SharedState,
-    request: Request,
-    next: middleware::Next,
-) -> Response {
+async fn around(State(shared): SharedState, request: Request, next: middleware::Next) -> Response {
     let mut faults = shared.faults.subscribe();
     // The sender lives as long as the server.
     let _ = faults.wait_for(|faults| !faults.freeze).await;
--- a/crates/figscale-standin/src/worker/mod.rs
+++ b/crates/figscale-standin/src/worker/mod.rs
@@ -191,7 +191,8 @@
 
     /// What it would report now.
     pub fn report(&self) -> WorkerReport {
-        self.shared.with_tasks(|tasks, now| tasks.report(now, false))
+        self.shared
+            .with_tasks(|tasks, now| tasks.report(now, false))
     }
 
     /// What holders asked of it.
--- a/crates/figscale-standin/src/worker/tasks.rs
+++ b/crates/figscale-standin/src/worker/tasks.rs
@@ -215,25 +215,24 @@
         request: &worker::StartTask,
         now: time::Instant,
     ) -> worker::StartAnswer {
-        if let Some(refusal) = self.refusal(request) {
-            return worker::StartAnswer::Refused(refusal);
+        if !self.obeys(request.epoch) {
+            return worker::StartAnswer::Refused(worker::StartRefusal::StaleEpoch);
         }
         let known = self.tasks.get(&request.task);
         if known.is_some_and(|task| task.attempt == request.attempt) {
             return worker::StartAnswer::Known;
         }
+        if let Some(refusal) = self.refusal(request) {
+            return worker::StartAnswer::Refused(refusal);
+        }
         self.run(request, now);
         worker::StartAnswer::Started
     }
 
     fn refusal(&mut self, request: &worker::StartTask) -> Option<worker::StartRefusal> {
-        if !self.obeys(request.epoch) {
-            return Some(worker::StartRefusal::StaleEpoch);
-        }
-        if let Some(task) = self.tasks.get(&request.task) {
-            let other = task.attempt != request.attempt;
-            let refused = other && task.is_running();
-            return refused.then_some(worker::StartRefusal::RunsAlready);
+        let other_attempt = self.tasks.get(&request.task);
+        if other_attempt.is_some_and(Task::is_running) {
+            return Some(worker::StartRefusal::RunsAlready);
         }
         if self.faults.leaving {
             self.record.starts_while_leaving += 1;
@@ -280,7 +279,8 @@
         self.tasks.insert(request.task.clone(), task);
         self.record.starts += 1;
         let reserved = self.reserved();
-        self.record.most_reserved = self.record.most_reserved.max(&reserved);
+        let most = &mut self.record.most_reserved;
+        *most = sizes::Resources::max(most, &reserved);
         self.judge_use();
     }
 
