Add the client of the platform's store

Cause: the store module was a stub. Change: a hyper-util client of the protocol in figscale_types::platform.

--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -1,49 +1,37 @@
 //! Client of the platform's key-value service and instance list.
 //!
-//! The protocol is in `figscale_types::platform`. An error tells by its
-//! verdict whether a write may have taken effect.
+//! The protocol is in `figscale_types::platform`. Every call is counted by
+//! kind, waits for its share of a budget that all entry instances have
+//! together, and is bounded in time. The client never repeats a call: an error
+//! tells by its verdict whether a write may have taken effect, and the caller
+//! knows how to find out. [`Backoff`] spaces the repeats.
+//!
+//! Renewals of leases and their first grant do not wait for the budget, since a
+//! lease that lapses costs more calls than it saved; they are charged to it
+//! all the same.
+
+mod backoff;
+mod budget;
+mod count;
+mod error;
+mod http;
 
-use std::error;
-use std::fmt;
 use std::net;
+use std::sync;
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::instances;
 use figscale_types::platform;
-use figscale_types::verdict::Verdict;
-
-/// What is wrong with a call to the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StoreErrorKind {
-    /// The key has another revision; for a missing key 0.
-    Conflict(ids::Revision),
-    /// The lease is gone.
-    LeaseGone,
-    /// The value is too large.
-    TooLarge,
-    /// Over the rate; come back later.
-    Busy,
-    /// No answer, or an answer that says so.
-    Away(String),
-}
-
-/// A call to the store that failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreError {
-    /// What is wrong.
-    pub kind: StoreErrorKind,
-    /// Whether a write may have taken effect.
-    pub verdict: Verdict,
-}
-
-impl fmt::Display for StoreError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "store: {:?} ({})", self.kind, self.verdict)
-    }
-}
 
-impl error::Error for StoreError {}
+pub use backoff::Backoff;
+pub use budget::Budget;
+pub use count::Call;
+pub use count::Counts;
+pub use count::Usage;
+pub use error::StoreError;
+pub use error::StoreErrorKind;
 
 /// A value with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,69 +43,166 @@
 }
 
 /// The client.
-#[derive(Debug)]
 pub struct Store {
-    _address: net::SocketAddr,
+    http: http::HttpClient,
+    clock: clock::SharedClock,
+    timeout: time::Duration,
+    budget: sync::Mutex<Budget>,
+    counts: sync::Mutex<Counts>,
 }
 
 impl Store {
     /// A client of the platform at `address`.
     pub fn new(
         address: net::SocketAddr,
-        _settings: &crate::settings::StoreSettings,
-        _clock: figscale_types::clock::SharedClock,
+        settings: &crate::settings::StoreSettings,
+        clock: clock::SharedClock,
     ) -> Self {
-        Self { _address: address }
+        let budget = Budget::new(settings.budget_calls_per_s, clock.now());
+        Self {
+            http: http::HttpClient::new(address),
+            clock,
+            timeout: time::Duration::from_millis(settings.timeout_ms),
+            budget: sync::Mutex::new(budget),
+            counts: sync::Mutex::default(),
+        }
+    }
+
+    /// Tells how many entry instances share the budget.
+    pub fn share_among(&self, members: usize) {
+        lock(&self.budget).share_among(members, self.clock.now());
+    }
+
+    /// Calls and bytes so far, by kind.
+    pub fn counts(&self) -> Counts {
+        lock(&self.counts).clone()
     }
 
     /// Reads a key; `None` when absent.
-    pub async fn get(&self, _key: &str) -> Result<Option<Versioned>, StoreError> {
-        todo!("stub of the first commit")
+    pub async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let request = http::Request::read(format!("/v1/kv/{key}"));
+        let answer = self.call(Call::Get, request, self.timeout).await?;
+        answer.versioned()
     }
 
     /// Writes a key if it has the revision `expected` (0: is absent).
     pub async fn put(
         &self,
-        _key: &str,
-        _expected: ids::Revision,
-        _value: Vec<u8>,
-        _lease: Option<ids::LeaseId>,
+        key: &str,
+        expected: ids::Revision,
+        value: Vec<u8>,
+        lease: Option<ids::LeaseId>,
     ) -> Result<ids::Revision, StoreError> {
-        todo!("stub of the first commit")
+        if value.len() > platform::MAX_VALUE_BYTES {
+            return Err(StoreError::not_run(StoreErrorKind::TooLarge));
+        }
+        let mut request = http::Request::write(hyper::Method::PUT, format!("/v1/kv/{key}"))
+            .header(platform::IF_REVISION, expected.0)
+            .body(value);
+        if let Some(lease) = lease {
+            request = request.header(platform::LEASE, lease.0);
+        }
+        let answer = self.call(Call::Put, request, self.timeout).await?;
+        answer.written()
+    }
+
+    /// Deletes a key if it has the revision `expected`.
+    pub async fn delete(&self, key: &str, expected: ids::Revision) -> Result<(), StoreError> {
+        let request = http::Request::write(hyper::Method::DELETE, format!("/v1/kv/{key}"))
+            .header(platform::IF_REVISION, expected.0);
+        let answer = self.call(Call::Delete, request, self.timeout).await?;
+        answer.done()
     }
 
     /// Waits until a key's revision is above `after`; `None` when `wait` has passed.
     pub async fn watch(
         &self,
-        _key: &str,
-        _after: ids::Revision,
-        _wait: time::Duration,
+        key: &str,
+        after: ids::Revision,
+        wait: time::Duration,
     ) -> Result<Option<Versioned>, StoreError> {
-        todo!("stub of the first commit")
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/watch/{key}?after={after}&wait_ms={wait_ms}");
+        let timeout = wait + self.timeout;
+        let request = http::Request::read(path);
+        let answer = self.call(Call::Watch, request, timeout).await?;
+        answer.versioned()
     }
 
     /// Lists the keys under a prefix.
-    pub async fn keys(&self, _prefix: &str) -> Result<platform::KeyList, StoreError> {
-        todo!("stub of the first commit")
+    pub async fn keys(&self, prefix: &str) -> Result<platform::KeyList, StoreError> {
+        let request = http::Request::read(format!("/v1/keys?prefix={prefix}"));
+        let answer = self.call(Call::Keys, request, self.timeout).await?;
+        answer.json()
     }
 
     /// Makes a lease.
-    pub async fn grant(&self, _ttl: time::Duration) -> Result<ids::LeaseId, StoreError> {
-        todo!("stub of the first commit")
+    pub async fn grant(&self, ttl: time::Duration) -> Result<ids::LeaseId, StoreError> {
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let body = serde_json::to_vec(&platform::LeaseRequest { ttl_ms })
+            .map_err(|e| StoreError::away(e.to_string()))?;
+        let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned()).body(body);
+        let answer = self.call(Call::Grant, request, self.timeout).await?;
+        let granted: platform::LeaseAnswer = answer.json()?;
+        Ok(granted.lease)
     }
 
     /// Renews a lease.
-    pub async fn renew(&self, _lease: ids::LeaseId) -> Result<(), StoreError> {
-        todo!("stub of the first commit")
+    pub async fn renew(&self, lease: ids::LeaseId) -> Result<(), StoreError> {
+        let request = http::Request::write(hyper::Method::PUT, format!("/v1/leases/{lease}"));
+        let answer = self.call(Call::Renew, request, self.timeout).await?;
+        answer.done()
     }
 
     /// Ends a lease and deletes its keys.
-    pub async fn revoke(&self, _lease: ids::LeaseId) -> Result<(), StoreError> {
-        todo!("stub of the first commit")
+    pub async fn revoke(&self, lease: ids::LeaseId) -> Result<(), StoreError> {
+        let request = http::Request::write(hyper::Method::DELETE, format!("/v1/leases/{lease}"));
+        let answer = self.call(Call::Revoke, request, self.timeout).await?;
+        answer.done()
     }
 
     /// Reads the instance list.
     pub async fn instances(&self) -> Result<instances::InstanceList, StoreError> {
-        todo!("stub of the first commit")
+        let request = http::Request::read("/v1/instances".to_owned());
+        let answer = self.call(Call::Instances, request, self.timeout).await?;
+        answer.json()
+    }
+
+    async fn call(
+        &self,
+        kind: Call,
+        request: http::Request,
+        timeout: time::Duration,
+    ) -> Result<http::Answer, StoreError> {
+        self.wait_for_budget(kind).await?;
+        let sent_bytes = request.len();
+        let result = self.http.send(request, timeout).await;
+        let received_bytes = result.as_ref().map_or(0, http::Answer::len);
+        let failed = result.is_err();
+        lock(&self.counts).add(kind, sent_bytes, received_bytes, failed);
+        result
+    }
+
+    async fn wait_for_budget(&self, kind: Call) -> Result<(), StoreError> {
+        let now = self.clock.now();
+        let wait = match kind {
+            Call::Grant | Call::Renew | Call::Revoke => {
+                lock(&self.budget).charge(now);
+                return Ok(());
+            }
+            _ => lock(&self.budget).reserve(now, self.timeout),
+        };
+        match wait {
+            Some(wait) if wait.is_zero() => Ok(()),
+            Some(wait) => {
+                tokio::time::sleep(wait).await;
+                Ok(())
+            }
+            None => Err(StoreError::not_run(StoreErrorKind::Busy)),
+        }
     }
 }
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
