Add command line, operator address, settings loader and log

Change: argh commands with exit codes, axum routes on the operator address that ask the services by name, one loader for JSON with comments that places every refusal at line and column, JSON log lines by flexi_logger, and a planned stop on SIGTERM and SIGINT that answers operators to the last. By hand: serve, dump, readyz 503, a refused setting with its place, exit 0 after SIGTERM.

--- /dev/null
+++ b/crates/figscale/src/cli/args.rs
@@ -0,0 +1,228 @@
+//! The commands and their arguments, by `argh`.
+
+use std::path;
+
+use argh::FromArgs;
+use figscale_types::ids;
+
+/// Cluster scheduler: entry instance and operators' commands.
+#[derive(FromArgs)]
+pub(crate) struct Args {
+    /// operator addresses of entry instances, IP:PORT, several with commas;
+    /// the environment variable FIGSCALE_ENTRY when absent
+    #[argh(option)]
+    pub(crate) entry: Option<String>,
+    /// print JSON for a script
+    #[argh(switch)]
+    pub(crate) json: bool,
+    /// longest time for the whole command in milliseconds, default 15000
+    #[argh(option, default = "15_000")]
+    pub(crate) timeout_ms: u64,
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Serve(Serve),
+    Settings(Settings),
+    Catalogue(Catalogue),
+    Job(Job),
+    Dump(Dump),
+    Events(Events),
+}
+
+/// Run an entry instance until SIGTERM or SIGINT, then stop in order.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub(crate) struct Serve {
+    /// settings file, JSON with comments
+    #[argh(option)]
+    pub(crate) settings: path::PathBuf,
+}
+
+/// Work on settings files.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub(crate) struct Settings {
+    #[argh(subcommand)]
+    pub(crate) command: SettingsCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum SettingsCommand {
+    Check(SettingsCheck),
+}
+
+/// Check a settings file as `serve` does.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct SettingsCheck {
+    /// the file
+    #[argh(positional)]
+    pub(crate) file: path::PathBuf,
+}
+
+/// Read and change the catalogue.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "catalogue")]
+pub(crate) struct Catalogue {
+    #[argh(subcommand)]
+    pub(crate) command: CatalogueCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum CatalogueCommand {
+    Check(CatalogueCheck),
+    Show(CatalogueShow),
+    Diff(CatalogueDiff),
+    Apply(CatalogueApply),
+    History(CatalogueHistory),
+    Rollback(CatalogueRollback),
+    Status(CatalogueStatus),
+}
+
+/// Check a catalogue file, without asking anybody.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct CatalogueCheck {
+    /// the file, JSON with comments
+    #[argh(positional)]
+    pub(crate) file: path::PathBuf,
+}
+
+/// Print the catalogue in force, or an earlier one.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct CatalogueShow {
+    /// revision; the one in force when absent
+    #[argh(option)]
+    pub(crate) at: Option<ids::Revision>,
+}
+
+/// Print what a file would change, and the revision to give to apply.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub(crate) struct CatalogueDiff {
+    /// the file
+    #[argh(positional)]
+    pub(crate) file: path::PathBuf,
+}
+
+/// Bring a file into force in the whole cell.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub(crate) struct CatalogueApply {
+    /// the file
+    #[argh(positional)]
+    pub(crate) file: path::PathBuf,
+    /// revision that the change was made against, as diff prints it; 0 for the first
+    #[argh(option)]
+    pub(crate) base: ids::Revision,
+    /// who makes the change; the environment variable USER when absent
+    #[argh(option)]
+    pub(crate) author: Option<String>,
+    /// why
+    #[argh(option, default = "String::new()")]
+    pub(crate) note: String,
+    /// id of the change, to repeat one whose result is not known
+    #[argh(option)]
+    pub(crate) change: Option<ids::ChangeId>,
+}
+
+/// Print the changes, newest first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+pub(crate) struct CatalogueHistory {}
+
+/// Bring an earlier catalogue into force again, as a new revision.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rollback")]
+pub(crate) struct CatalogueRollback {
+    /// revision whose catalogue is wanted
+    #[argh(positional)]
+    pub(crate) to: ids::Revision,
+    /// revision in force when the decision was made; 0 for none
+    #[argh(option)]
+    pub(crate) base: ids::Revision,
+    /// who makes the change; the environment variable USER when absent
+    #[argh(option)]
+    pub(crate) author: Option<String>,
+    /// id of the change, to repeat one whose result is not known
+    #[argh(option)]
+    pub(crate) change: Option<ids::ChangeId>,
+}
+
+/// Print the revision in force at each entry instance.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct CatalogueStatus {}
+
+/// Submit jobs and see how they stand.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "job")]
+pub(crate) struct Job {
+    #[argh(subcommand)]
+    pub(crate) command: JobCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum JobCommand {
+    Submit(JobSubmit),
+    Status(JobStatus),
+    Cancel(JobCancel),
+    List(JobList),
+}
+
+/// Submit a job and print its id.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub(crate) struct JobSubmit {
+    /// the job, JSON with comments
+    #[argh(positional)]
+    pub(crate) file: path::PathBuf,
+    /// id, to repeat a submission whose result is not known; made when absent
+    #[argh(option)]
+    pub(crate) id: Option<ids::JobId>,
+}
+
+/// Print how a job and its tasks stand.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct JobStatus {
+    /// the job
+    #[argh(positional)]
+    pub(crate) id: ids::JobId,
+}
+
+/// Cancel a job.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cancel")]
+pub(crate) struct JobCancel {
+    /// the job
+    #[argh(positional)]
+    pub(crate) id: ids::JobId,
+}
+
+/// List jobs, newest first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub(crate) struct JobList {
+    /// only those of this owner
+    #[argh(option)]
+    pub(crate) owner: Option<ids::OwnerName>,
+}
+
+/// Print the state of one process as JSON.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub(crate) struct Dump {}
+
+/// List the events that a process logs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "events")]
+pub(crate) struct Events {}
--- a/crates/figscale/src/cli/mod.rs
+++ b/crates/figscale/src/cli/mod.rs
@@ -1,6 +1,123 @@
 //! The command line.
+//!
+//! `serve` runs an entry instance; the other commands work on local files or
+//! ask an entry instance by its operator address. A command returns its text
+//! for standard output or a [`Failure`], which is one sentence for standard
+//! error and an exit code that scripts may rely on (docs/API.md).
+
+mod args;
+mod catalogue;
+mod client;
+mod diff;
+mod jobs;
+mod local;
+mod serve;
+
+use std::env;
+use std::fmt;
+
+use argh::FromArgs as _;
+
+/// Done.
+pub const EXIT_OK: i32 = 0;
+/// Refused or failed.
+pub const EXIT_FAILED: i32 = 1;
+/// Wrong usage or bad input.
+pub const EXIT_USAGE: i32 = 2;
+/// Another change came first.
+pub const EXIT_CONFLICT: i32 = 3;
+/// Not now; nothing took effect.
+pub const EXIT_UNAVAILABLE: i32 = 4;
+/// It may have taken effect.
+pub const EXIT_UNKNOWN: i32 = 5;
+
+/// A command that did not succeed.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    code: i32,
+    message: String,
+}
+
+impl Failure {
+    pub(crate) fn new(code: i32, message: impl fmt::Display) -> Self {
+        Self {
+            code,
+            message: message.to_string(),
+        }
+    }
+
+    pub(crate) fn usage(message: impl fmt::Display) -> Self {
+        Self::new(EXIT_USAGE, message)
+    }
+}
+
+/// What a command prints, or why it failed.
+pub(crate) type Outcome = Result<String, Failure>;
 
 /// Runs the command line and returns the exit code.
 pub fn run() -> i32 {
-    0
+    let words: Vec<String> = env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let arguments = words.get(1..).unwrap_or_default();
+    match args::Args::from_args(&["figscale"], arguments) {
+        Ok(args) => finish(dispatch(args)),
+        Err(early) => stop_early(&early),
+    }
+}
+
+/// Help that was asked for, or usage that is wrong.
+fn stop_early(early: &argh::EarlyExit) -> i32 {
+    if early.status.is_ok() {
+        println!("{}", early.output.trim_end());
+        return EXIT_OK;
+    }
+    eprintln!("{}", early.output.trim_end());
+    if early.output.contains("--entry") || early.output.contains("--json") {
+        eprintln!("--entry, --json and --timeout-ms stand before the command.");
+    }
+    EXIT_USAGE
+}
+
+fn finish(outcome: Outcome) -> i32 {
+    match outcome {
+        Ok(text) if text.is_empty() => EXIT_OK,
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            EXIT_OK
+        }
+        Err(failure) => {
+            eprintln!("{}", failure.message);
+            failure.code
+        }
+    }
+}
+
+fn dispatch(args: args::Args) -> Outcome {
+    let args::Args {
+        entry,
+        json,
+        timeout_ms,
+        command,
+    } = args;
+    let client = || client::Client::new(entry.as_deref(), timeout_ms);
+    match command {
+        args::Command::Serve(args) => serve::run(&args.settings),
+        args::Command::Settings(args) => match args.command {
+            args::SettingsCommand::Check(args) => local::check_settings(&args.file),
+        },
+        args::Command::Events(_) => local::list_events(json),
+        args::Command::Catalogue(args) => catalogue::run(args.command, client, json),
+        args::Command::Job(args) => jobs::run(args.command, &client()?, json),
+        args::Command::Dump(_) => dump(&client()?),
+    }
+}
+
+/// The state of one process, pretty in every case: it is JSON and nothing else.
+fn dump(client: &client::Client) -> Outcome {
+    let dump: serde_json::Value = client.get("/v1/dump")?;
+    Ok(pretty(&dump))
+}
+
+pub(crate) fn pretty(value: &impl serde::Serialize) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_else(|error| error.to_string())
 }
--- a/crates/figscale/src/lib.rs
+++ b/crates/figscale/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod jobs;
 pub mod kernel;
+pub mod logs;
 pub mod metrics;
 pub mod operator;
 pub mod peer;
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -5,3 +5,10 @@
 /// The meters of a process.
 #[derive(Debug, Default)]
 pub struct Metrics {}
+
+impl Metrics {
+    /// All instruments in the Prometheus text form.
+    pub fn render(&self) -> String {
+        String::new()
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/operator/answer.rs
@@ -0,0 +1,130 @@
+//! Bodies, statuses and `Retry-After` of operators' answers.
+
+use axum::Json;
+use axum::extract::rejection;
+use axum::response;
+use axum::response::IntoResponse as _;
+use bytes::Bytes;
+use figscale_types::operator;
+use serde::Serialize;
+use serde::de;
+
+use crate::kernel;
+use crate::settings::document;
+
+/// Time after which to come back when a service names none.
+pub const RETRY_AFTER_MS: u64 = 1_000;
+
+/// What a handler gives back.
+pub(super) type Answer<T> = Result<Json<T>, Refusal>;
+
+/// An error as an HTTP answer.
+pub(super) struct Refusal(operator::OperatorError);
+
+impl From<operator::OperatorError> for Refusal {
+    fn from(error: operator::OperatorError) -> Self {
+        Self(error)
+    }
+}
+
+impl From<kernel::Unavailable> for Refusal {
+    fn from(error: kernel::Unavailable) -> Self {
+        // A service that ended with the message may have acted on it.
+        let kind = match error {
+            kernel::Unavailable::Unknown(_) | kernel::Unavailable::Full(_) => {
+                operator::ErrorKind::Unavailable
+            }
+            kernel::Unavailable::Gone(_) => operator::ErrorKind::Unknown,
+        };
+        Self(operator::OperatorError {
+            kind,
+            message: error.to_string(),
+            retry_after_ms: Some(RETRY_AFTER_MS),
+        })
+    }
+}
+
+impl response::IntoResponse for Refusal {
+    fn into_response(self) -> response::Response {
+        refuse(self.0)
+    }
+}
+
+/// The answer of a service as the answer over HTTP.
+pub(super) fn settle<T: Serialize>(
+    asked: Result<Result<T, operator::OperatorError>, kernel::Unavailable>,
+) -> Answer<T> {
+    Ok(Json(asked??))
+}
+
+/// An error of kind "not now", with the time to come back.
+pub(super) fn unavailable(text: &str) -> operator::OperatorError {
+    operator::OperatorError {
+        kind: operator::ErrorKind::Unavailable,
+        message: text.to_owned(),
+        retry_after_ms: Some(RETRY_AFTER_MS),
+    }
+}
+
+/// An error of wrong input.
+pub(super) fn invalid(text: impl Into<String>) -> operator::OperatorError {
+    operator::OperatorError::new(operator::ErrorKind::Invalid, text)
+}
+
+fn status(kind: operator::ErrorKind) -> http::StatusCode {
+    match kind {
+        operator::ErrorKind::Invalid => http::StatusCode::BAD_REQUEST,
+        operator::ErrorKind::Conflict => http::StatusCode::CONFLICT,
+        operator::ErrorKind::NotFound => http::StatusCode::NOT_FOUND,
+        operator::ErrorKind::Unavailable | operator::ErrorKind::Unknown => {
+            http::StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+}
+
+/// An error as an HTTP answer, with `Retry-After` in whole seconds, rounded up.
+pub(super) fn refuse(error: operator::OperatorError) -> response::Response {
+    let status = status(error.kind);
+    let retry_after_s = error.retry_after_ms.map(|wait| wait.div_ceil(1_000));
+    let mut answer = (status, Json(error)).into_response();
+    if let Some(seconds) = retry_after_s {
+        answer
+            .headers_mut()
+            .insert(http::header::RETRY_AFTER, seconds.into());
+    }
+    answer
+}
+
+/// Takes a body; one that is too large or broke off is refused.
+pub(super) fn body(body: Result<Bytes, rejection::BytesRejection>) -> Result<Bytes, BodyRefusal> {
+    body.map_err(|rejection| BodyRefusal {
+        status: rejection.status(),
+        error: match rejection.status() {
+            http::StatusCode::PAYLOAD_TOO_LARGE => invalid(format!(
+                "the body is larger than {} bytes; nothing was done",
+                super::MAX_BODY_BYTES
+            )),
+            _ => invalid(format!("the body broke off: {rejection}")),
+        },
+    })
+}
+
+/// Parses a body; an error names line, column and field.
+pub(super) fn parse<T: de::DeserializeOwned>(body: &[u8]) -> Result<T, operator::OperatorError> {
+    let text = std::str::from_utf8(body).map_err(|_| invalid("body: expected UTF-8"))?;
+    document::Document::from_text("body", text)
+        .and_then(|document| document.parse())
+        .map_err(|error| invalid(error.to_string()))
+}
+
+/// A body that could not be read, with the status of its own.
+pub(super) struct BodyRefusal {
+    status: http::StatusCode,
+    error: operator::OperatorError,
+}
+
+impl response::IntoResponse for BodyRefusal {
+    fn into_response(self) -> response::Response {
+        (self.status, Json(self.error)).into_response()
+    }
+}
--- a/crates/figscale/src/operator/mod.rs
+++ b/crates/figscale/src/operator/mod.rs
@@ -1,8 +1,108 @@
 //! The operators' address: catalogue, jobs, dump, metrics and readiness.
+//!
+//! Runs on the traffic threads and asks the services on the control thread by
+//! name. A service that is away, or a process that is leaving, answers 503
+//! with the time to come back; a change that is in progress when a planned
+//! stop begins still gets its answer.
 
+mod answer;
+mod catalogue;
+mod jobs;
+mod process;
+
+use std::future::IntoFuture as _;
+
+use axum::Router;
+use axum::extract;
+use axum::middleware;
+use axum::response;
+use axum::response::IntoResponse as _;
+use figscale_types::operator;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task;
 
 use crate::state;
 
+pub use answer::RETRY_AFTER_MS;
+
+/// Largest body, in bytes.
+pub const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// The operators' address of a running process.
+pub struct Server {
+    stop: watch::Sender<bool>,
+    served: task::JoinHandle<()>,
+}
+
+impl Server {
+    /// Takes no more connections and waits for the answers in progress.
+    pub async fn end(self) {
+        self.stop.send_replace(true);
+        let _ = self.served.await;
+    }
+}
+
 /// Serves operators on the traffic threads.
-pub fn start(_context: &state::Context, _listener: TcpListener) {}
+pub fn start(context: &state::Context, listener: TcpListener) -> Server {
+    process::offer_dump(context);
+    let app = router(context);
+    let (stop, mut stopped) = watch::channel(false);
+    let until = async move {
+        let _ = stopped.wait_for(|stop| *stop).await;
+    };
+    let served = context.traffic.spawn(async move {
+        let _ = axum::serve(listener, app)
+            .with_graceful_shutdown(until)
+            .into_future()
+            .await;
+    });
+    Server { stop, served }
+}
+
+fn router(context: &state::Context) -> Router {
+    Router::new()
+        .merge(catalogue::routes())
+        .merge(jobs::routes())
+        .merge(process::routes())
+        .fallback(no_such_path)
+        .method_not_allowed_fallback(no_such_method)
+        .layer(middleware::from_fn_with_state(
+            context.clone(),
+            refuse_changes_when_leaving,
+        ))
+        .layer(extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(context.clone())
+}
+
+async fn no_such_path(uri: http::Uri) -> response::Response {
+    let text = format!("there is no {}; docs/API.md lists the paths", uri.path());
+    answer::refuse(operator::OperatorError::new(
+        operator::ErrorKind::NotFound,
+        text,
+    ))
+}
+
+async fn no_such_method(method: http::Method, uri: http::Uri) -> response::Response {
+    let text = format!(
+        "{} does not take {method}; docs/API.md lists both",
+        uri.path()
+    );
+    let error = operator::OperatorError::new(operator::ErrorKind::Invalid, text);
+    let status = http::StatusCode::METHOD_NOT_ALLOWED;
+    (status, axum::Json(error)).into_response()
+}
+
+/// Reads go on while the process is leaving; changes are for the others.
+async fn refuse_changes_when_leaving(
+    extract::State(context): extract::State<state::Context>,
+    request: extract::Request,
+    next: middleware::Next,
+) -> response::Response {
+    let changes = request.method() != http::Method::GET;
+    if changes && *context.shared.leaving.borrow() {
+        let text = "this entry instance is leaving and did nothing; ask another one";
+        return answer::refuse(answer::unavailable(text));
+    }
+    next.run(request).await
+}
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -32,6 +32,7 @@
 /// A running entry instance.
 pub struct EntryInstance {
     stop: watch::Sender<bool>,
+    ended: watch::Receiver<()>,
     control: Option<thread::JoinHandle<eyre::Result<()>>>,
 }
 
@@ -51,11 +52,17 @@
             .build()?;
         let listeners = traffic.block_on(bind(&settings))?;
         let (stop, stopped) = watch::channel(false);
+        let (running, ended) = watch::channel(());
         let control = thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || control_thread(settings, clock, traffic, listeners, stopped))?;
+            .spawn(move || {
+                // Dropped at the end of the thread, also by a panic.
+                let _running = running;
+                control_thread(settings, clock, traffic, listeners, stopped)
+            })?;
         Ok(Self {
             stop,
+            ended,
             control: Some(control),
         })
     }
@@ -65,6 +72,11 @@
         self.stop.send_replace(true);
     }
 
+    /// Completes once the control thread has ended, in order or not.
+    pub async fn ended(&mut self) {
+        while self.ended.changed().await.is_ok() {}
+    }
+
     /// Waits for the end.
     pub fn join(mut self) -> eyre::Result<()> {
         match self.control.take().map(thread::JoinHandle::join) {
@@ -142,7 +154,7 @@
     claims::start(&context, &mut handlers);
     jobs::start(&context, &mut handlers);
     traffic::start(&context, &mut handlers, listeners.caller);
-    operator::start(&context, listeners.operator);
+    let operators = operator::start(&context, listeners.operator);
     let token = context.settings.peer_token.clone();
     context
         .traffic
@@ -151,18 +163,21 @@
 
     // A dropped handle is a stop as well.
     let _ = stopped.wait_for(|stop| *stop).await;
-    leave(&context).await;
+    leave(&context, operators).await;
     crate::event!(events::process::PROCESS_ENDED, member = context.me());
 }
 
 /// Not ready, no new work, requests in progress finish, claims handed over.
-async fn leave(context: &state::Context) {
+///
+/// Operators are answered to the last, so that the stop itself can be watched.
+async fn leave(context: &state::Context, operators: operator::Server) {
     crate::event!(events::process::PROCESS_LEAVING, member = context.me());
     context.shared.leaving.send_replace(true);
     let limit = time::Duration::from_millis(context.settings.shutdown_ms);
     let in_order = async {
         traffic::drain(context).await;
         claims::leave(context).await;
+        operators.end().await;
     };
     let _ = tokio::time::timeout(limit, in_order).await;
 }
--- /dev/null
+++ b/crates/figscale/src/settings/document.rs
@@ -0,0 +1,192 @@
+//! Reading of JSON documents with comments.
+//!
+//! Settings, catalogues and jobs are read the same way, so that every refusal
+//! has one form: `FILE:LINE:COLUMN: FIELD: what was expected`. Comments are
+//! blanked out by a library before parsing, which keeps lines and columns. A
+//! document is parsed a second time when a place within it is asked for; that
+//! happens only on the way to an error.
+
+use std::error;
+use std::fmt;
+use std::fs;
+use std::io::Read as _;
+use std::path;
+
+use indexmap::IndexMap;
+use json_comments::StripComments;
+use serde::de;
+use serde_json::value;
+
+/// Largest document that is read, in bytes.
+pub const MAX_DOCUMENT_BYTES: u64 = 1 << 20;
+
+/// A place in a document, both counted from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Line.
+    pub line: usize,
+    /// Column.
+    pub column: usize,
+}
+
+impl Place {
+    const START: Self = Self { line: 1, column: 1 };
+
+    fn at_offset(text: &str, offset: usize) -> Self {
+        let before = text.get(..offset).unwrap_or(text);
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        Self {
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+        }
+    }
+}
+
+/// Why a document is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentError {
+    name: String,
+    faults: Vec<Fault>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Fault {
+    place: Option<Place>,
+    text: String,
+}
+
+impl DocumentError {
+    /// A document that cannot be read at all.
+    fn unreadable(name: &str, text: String) -> Self {
+        let fault = Fault { place: None, text };
+        Self {
+            name: name.to_owned(),
+            faults: vec![fault],
+        }
+    }
+}
+
+impl fmt::Display for DocumentError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, fault) in self.faults.iter().enumerate() {
+            if number > 0 {
+                writeln!(f)?;
+            }
+            f.write_str(&self.name)?;
+            if let Some(place) = fault.place {
+                write!(f, ":{}:{}", place.line, place.column)?;
+            }
+            write!(f, ": {}", fault.text)?;
+        }
+        Ok(())
+    }
+}
+
+impl error::Error for DocumentError {}
+
+/// A document whose comments are blanked out.
+#[derive(Clone, Debug)]
+pub struct Document {
+    name: String,
+    text: String,
+}
+
+impl Document {
+    /// Reads a file.
+    pub fn read(file: &path::Path) -> Result<Self, DocumentError> {
+        let name = file.display().to_string();
+        let unreadable = |error| DocumentError::unreadable(&name, format!("cannot read: {error}"));
+        let length = fs::metadata(file).map_err(unreadable)?.len();
+        if length > MAX_DOCUMENT_BYTES {
+            let text = format!("has {length} bytes: expected {MAX_DOCUMENT_BYTES} at most");
+            return Err(DocumentError::unreadable(&name, text));
+        }
+        let text = fs::read_to_string(file).map_err(unreadable)?;
+        Self::from_text(&name, &text)
+    }
+
+    /// Takes a text, with the name that errors give it.
+    pub fn from_text(name: &str, text: &str) -> Result<Self, DocumentError> {
+        let mut blanked = String::with_capacity(text.len());
+        StripComments::new(text.as_bytes())
+            .read_to_string(&mut blanked)
+            .map_err(|error| DocumentError::unreadable(name, format!("bad comment: {error}")))?;
+        Ok(Self {
+            name: name.to_owned(),
+            text: blanked,
+        })
+    }
+
+    /// Parses the document.
+    pub fn parse<T: de::DeserializeOwned>(&self) -> Result<T, DocumentError> {
+        let mut json = serde_json::Deserializer::from_str(&self.text);
+        let parsed = serde_path_to_error::deserialize(&mut json).map_err(|error| {
+            let path = error.path().to_string();
+            self.malformed(Some(&path), error.inner())
+        })?;
+        json.end().map_err(|error| self.malformed(None, &error))?;
+        Ok(parsed)
+    }
+
+    fn malformed(&self, path: Option<&str>, error: &serde_json::Error) -> DocumentError {
+        let place = Place {
+            line: error.line().max(1),
+            column: error.column().max(1),
+        };
+        let message = without_place(error);
+        let text = match path {
+            Some(path) if path != "." => format!("{path}: {message}"),
+            _ => message,
+        };
+        DocumentError {
+            name: self.name.clone(),
+            faults: vec![Fault {
+                place: Some(place),
+                text,
+            }],
+        }
+    }
+
+    /// Refuses a document that was parsed but is wrong in itself.
+    ///
+    /// Each line is placed at the first field that it names, by its path with
+    /// dots, and that stands in the document.
+    pub fn refuse(&self, lines: &[String]) -> DocumentError {
+        let fault = |line: &String| Fault {
+            place: Some(self.place_of_first_field(line)),
+            text: line.clone(),
+        };
+        DocumentError {
+            name: self.name.clone(),
+            faults: lines.iter().map(fault).collect(),
+        }
+    }
+
+    fn place_of_first_field(&self, line: &str) -> Place {
+        line.split_whitespace()
+            .map(|word| word.trim_matches([':', ',', ';', '`', '"', '(', ')']))
+            .find_map(|word| self.place_of(word))
+            .unwrap_or(Place::START)
+    }
+
+    /// The place of a field's value; `None` when the field is not there.
+    pub fn place_of(&self, path: &str) -> Option<Place> {
+        let mut part = self.text.as_str();
+        for name in path.split('.') {
+            let fields: IndexMap<String, &value::RawValue> = serde_json::from_str(part).ok()?;
+            part = fields.get(name)?.get();
+        }
+        let offset = (part.as_ptr() as usize).checked_sub(self.text.as_ptr() as usize)?;
+        Some(Place::at_offset(&self.text, offset))
+    }
+}
+
+/// The message of a JSON error without the place, which is shown in front.
+fn without_place(error: &serde_json::Error) -> String {
+    let message = error.to_string();
+    let place = format!(" at line {} column {}", error.line(), error.column());
+    match message.strip_suffix(&place) {
+        Some(message) => message.to_owned(),
+        None => message,
+    }
+}
--- a/crates/figscale/src/settings/mod.rs
+++ b/crates/figscale/src/settings/mod.rs
@@ -5,10 +5,13 @@
 //! check` and `serve` give the same verdict and name every problem at once.
 
 mod claims;
+pub mod document;
 mod jobs;
+mod log;
 mod traffic;
 
 use std::net;
+use std::path;
 
 use figscale_types::ids;
 use serde::Deserialize;
@@ -18,6 +21,9 @@
 pub use claims::ClaimsSettings;
 pub use claims::StoreSettings;
 pub use jobs::JobSettings;
+pub use log::LogLevel;
+pub use log::LogSettings;
+pub use log::LogTarget;
 pub use traffic::TrafficSettings;
 
 /// Settings of an entry instance.
@@ -59,8 +65,14 @@
     /// Jobs and tasks.
     #[serde(default)]
     pub jobs: JobSettings,
+    /// The log.
+    #[serde(default)]
+    pub log: LogSettings,
 }
 
+/// Shortest peer token, in bytes.
+const MIN_PEER_TOKEN_LEN: usize = 16;
+
 fn default_traffic_threads() -> usize {
     2
 }
@@ -98,11 +110,28 @@
 }
 
 impl Settings {
+    /// Reads and checks a file; `settings check` and `serve` both do just this.
+    pub fn load(file: &path::Path) -> Result<Self, document::DocumentError> {
+        Self::from_document(&document::Document::read(file)?)
+    }
+
+    /// Parses and checks a document.
+    pub fn from_document(document: &document::Document) -> Result<Self, document::DocumentError> {
+        let settings: Self = document.parse()?;
+        let problems = settings.check();
+        if problems.lines().is_empty() {
+            return Ok(settings);
+        }
+        Err(document.refuse(problems.lines()))
+    }
+
     /// Every problem beyond what parsing finds.
     pub fn check(&self) -> Problems {
         let mut problems = Problems::default();
         problems.bound("traffic_threads", self.traffic_threads, 1, 64);
         problems.bound("shutdown_ms", self.shutdown_ms, 100, 600_000);
+        self.check_token(&mut problems);
+        self.check_addresses(&mut problems);
         self.store.check(&mut problems);
         self.claims.check(&mut problems);
         self.catalogue.check(&mut problems);
@@ -110,4 +139,53 @@
         self.jobs.check(&mut problems);
         problems
     }
+
+    /// The token goes into a header; the message never repeats it.
+    fn check_token(&self, problems: &mut Problems) {
+        let length = self.peer_token.len();
+        if length < MIN_PEER_TOKEN_LEN {
+            problems.add(format!(
+                "peer_token has {length} bytes: expected {MIN_PEER_TOKEN_LEN} or more"
+            ));
+        }
+        if !self.peer_token.bytes().all(|b| b.is_ascii_graphic()) {
+            problems.add("peer_token: expected visible ASCII characters only".to_owned());
+        }
+    }
+
+    fn check_addresses(&self, problems: &mut Problems) {
+        let own = [
+            ("caller_address", self.caller_address),
+            ("peer_address", self.peer_address),
+            ("operator_address", self.operator_address),
+        ];
+        for (position, (field, address)) in own.iter().enumerate() {
+            if address.port() == 0 {
+                problems.add(format!(
+                    "{field} is {address}: expected a port of 1 to 65535"
+                ));
+            }
+            let same = own[..position].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = same {
+                problems.add(format!(
+                    "{field} is {address}: expected another address than {other}"
+                ));
+            }
+        }
+        // Peers connect to this very address, so it cannot stand for any.
+        if self.peer_address.ip().is_unspecified() {
+            problems.add(format!(
+                "peer_address is {}: expected the address that peers connect to",
+                self.peer_address
+            ));
+        }
+    }
+
+    /// The settings as a dump shows them, without the secret.
+    pub fn without_secrets(&self) -> Self {
+        Self {
+            peer_token: "(not shown)".to_owned(),
+            ..self.clone()
+        }
+    }
 }
