Measure placement against first fit, random and one queue

Change: examples/placement_bench, times of decisions and a loop in virtual time over a mix of each user. Strategy leaves the product's Config: baselines choose for themselves and go through reserve.

--- /dev/null
+++ b/crates/figscale-core/examples/placement_bench/speed.rs
@@ -0,0 +1,187 @@
+//! Times of single decisions and of whole passes.
+
+use std::time;
+
+use figscale_core::job::placement;
+use figscale_types::catalogue;
+use figscale_types::ids;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use crate::baseline::Choice;
+use crate::mix;
+use crate::stats;
+
+const DECISIONS: usize = 20_000;
+/// Share of the processors in use while decisions are timed.
+const FILL: f64 = 0.85;
+const WAITING: u32 = 10_000;
+const PASSES: usize = 200;
+
+pub(crate) fn run(seed: u64) {
+    println!("single decisions at {FILL} of the processors in use, seed {seed}");
+    println!("workers  choice     median_us  p99_us  placements_per_s  examined_per_decision");
+    for workers in [50, 200, 930] {
+        for choice in [Choice::Scored, Choice::FirstFit, Choice::Random] {
+            decisions(workers, choice, seed);
+        }
+    }
+    println!("passes with {WAITING} jobs waiting on a full cell, one task ending before each");
+    println!("workers  median_us  p99_us  scans_per_pass  placed_per_pass");
+    for workers in [50, 200, 930] {
+        passes(workers, seed);
+    }
+    println!("cancelling {WAITING} jobs");
+    cancellations(seed);
+}
+
+fn cluster(workers: u32) -> placement::Cluster {
+    let mut cluster = placement::Cluster::new(placement::Config::default());
+    for number in 0..workers {
+        let instance = mix::User::Fraser.worker(number);
+        cluster.add_worker(&instance, placement::Readiness::Ready);
+    }
+    cluster
+}
+
+fn ask(index: u32, rng: &mut StdRng) -> placement::Ask {
+    let size = mix::size(rng.random_range(1..=8), rng.random_range(1..=16), 0);
+    let service = rng.random_range(0..5) == 0;
+    placement::Ask {
+        task: ids::TaskId {
+            job: format!("job-{}", index / 20).parse().expect("legal"),
+            index,
+        },
+        attempt: 1,
+        owner: Some(format!("team-{}", index % 92).parse().expect("legal")),
+        class: match service {
+            true => catalogue::JobClass::Service,
+            false => catalogue::JobClass::Batch,
+        },
+        urgency: catalogue::Urgency::Deadline,
+        size,
+        declared: size,
+        guard: placement::Guard::PROTECTED,
+        avoid: Vec::new(),
+    }
+}
+
+fn decisions(workers: u32, choice: Choice, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut cluster = cluster(workers);
+    let now = time::Instant::now();
+    let mut tasks: Vec<ids::TaskId> = Vec::new();
+    let mut times = stats::Sample::default();
+    let mut examined = 0;
+    let mut placed = 0_u32;
+    let mut index = 0;
+    while times.len() < DECISIONS {
+        let cpu = cluster.counted().cpu_millis.0 as f64;
+        let full = cpu > FILL * cluster.capacity().cpu_millis.0 as f64;
+        if full {
+            let at = rng.random_range(0..tasks.len());
+            cluster.release(&tasks.swap_remove(at));
+            continue;
+        }
+        let ask = ask(index, &mut rng);
+        index += 1;
+        let before = (time::Instant::now(), cluster.examined());
+        let chosen = choice.place(&mut cluster, &ask, now, &mut rng);
+        let took = before.0.elapsed();
+        // The cluster is being filled at first; that is not timed.
+        if index > workers * 20 {
+            times.add(took.as_secs_f64() * 1e6);
+            examined += cluster.examined() - before.1;
+            placed += u32::from(chosen.is_some());
+        }
+        if chosen.is_some() {
+            tasks.push(ask.task);
+        }
+    }
+    let per_s = f64::from(placed) / (times.mean() * times.len() as f64 / 1e6);
+    let per_decision = examined as f64 / times.len() as f64;
+    println!(
+        "{workers:7}  {:9}  {:9.1}  {:6.1}  {per_s:16.0}  {per_decision:21.0}",
+        format!("{choice:?}"),
+        times.quantile(0.5),
+        times.quantile(0.99),
+    );
+}
+
+fn waiting(queue: &mut placement::Queue, now: time::Instant, rng: &mut StdRng) {
+    for number in 0..WAITING {
+        let ask = ask(number * 20, rng);
+        let work = placement::Work {
+            job: ask.task.job,
+            owner: ask.owner.expect("given"),
+            class: catalogue::JobClass::Batch,
+            urgency: match number % 3 {
+                0 => catalogue::Urgency::Deadline,
+                _ => catalogue::Urgency::BestEffort,
+            },
+            size: ask.size,
+            declared: ask.size,
+            guard: ask.guard,
+            queued_at: now,
+            deadline: None,
+            run: time::Duration::from_secs(60),
+        };
+        queue.push(work, [placement::Pending::first(0)]);
+    }
+}
+
+fn passes(workers: u32, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut cluster = cluster(workers);
+    let now = time::Instant::now();
+    let mut shares = placement::Shares::default();
+    shares.set_total(cluster.capacity());
+    let mut running: Vec<ids::TaskId> = Vec::new();
+    // Fill it up, so that what waits has to wait.
+    for index in 0..workers * 40 {
+        let ask = ask(WAITING * 20 + index, &mut rng);
+        if cluster.place(&ask, now, None).is_ok() {
+            running.push(ask.task);
+        }
+    }
+    let mut queue = placement::Queue::new(placement::QueueConfig::default());
+    waiting(&mut queue, now, &mut rng);
+    let mut times = stats::Sample::default();
+    let (mut scans, mut placed) = (0, 0);
+    for _ in 0..PASSES {
+        let at = rng.random_range(0..running.len());
+        cluster.release(&running.swap_remove(at));
+        let start = time::Instant::now();
+        let outcome = queue.pass(placement::PassInput {
+            cluster: &mut cluster,
+            shares: &shares,
+            now,
+            expires: None,
+            max_scans: usize::MAX,
+        });
+        times.add(start.elapsed().as_secs_f64() * 1e6);
+        scans += outcome.scans;
+        placed += outcome.placed.len();
+        running.extend(outcome.placed.into_iter().map(|p| p.task));
+    }
+    println!(
+        "{workers:7}  {:9.0}  {:6.0}  {:14.1}  {:15.1}",
+        times.quantile(0.5),
+        times.quantile(0.99),
+        scans as f64 / PASSES as f64,
+        placed as f64 / PASSES as f64,
+    );
+}
+
+fn cancellations(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut queue = placement::Queue::new(placement::QueueConfig::default());
+    waiting(&mut queue, time::Instant::now(), &mut rng);
+    let jobs: Vec<_> = queue.jobs().map(|(work, _)| work.job.clone()).collect();
+    let start = time::Instant::now();
+    for job in &jobs {
+        queue.cancel(job);
+    }
+    println!("took {:.0} us", start.elapsed().as_secs_f64() * 1e6);
+}
--- a/crates/figscale-core/src/job/placement/mod.rs
+++ b/crates/figscale-core/src/job/placement/mod.rs
@@ -39,7 +39,6 @@
 pub use pass::Placement;
 pub use place::Config;
 pub use place::NoPlace;
-pub use place::Strategy;
 pub use queue::Level;
 pub use queue::Pending;
 pub use queue::Queue;
--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -33,23 +33,11 @@
 /// Largest share of the capacity kept from best-effort work.
 const MAX_KEPT_SHARE: f64 = 0.2;
 
-/// How a worker is chosen among those that fit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Strategy {
-    /// The lowest cost.
-    #[default]
-    Scored,
-    /// The first in the list; a baseline for measurements.
-    FirstFit,
-}
-
 /// What placement weighs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Config {
     /// Waiting against packing, from the catalogue.
     pub weights: catalogue::Weights,
-    /// How a worker is chosen. Default: by cost.
-    pub strategy: Strategy,
 }
 
 impl Config {
@@ -189,10 +177,6 @@
             if !fits(worker, ask) {
                 continue;
             }
-            if self.config.strategy == Strategy::FirstFit {
-                best = Some((0.0, worker));
-                break;
-            }
             let cost = cost(worker, ask, spread);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, worker));
--- a/crates/figscale-core/tests/placement/order.rs
+++ b/crates/figscale-core/tests/placement/order.rs
@@ -261,10 +261,7 @@
     let kept = |waiting: f64, packing: f64| {
         let mut bench = Bench::new(10);
         let weights = catalogue::Weights { waiting, packing };
-        let config = placement::Config {
-            weights,
-            ..placement::Config::default()
-        };
+        let config = placement::Config { weights };
         bench.cluster.set_config(config);
         let now = bench.now;
         let size = kit::size(1_000, 1, 0);
--- a/crates/figscale-core/tests/placement/preemption.rs
+++ b/crates/figscale-core/tests/placement/preemption.rs
@@ -62,10 +62,7 @@
         let report = kit::report(worker, vec![task]);
         cluster.sync(&report, now, now);
     }
-    cluster.set_config(placement::Config {
-        weights,
-        ..placement::Config::default()
-    });
+    cluster.set_config(placement::Config { weights });
     cluster
 }
 
@@ -137,7 +134,6 @@
             waiting: 0.9,
             packing: 0.1,
         },
-        ..placement::Config::default()
     });
     assert_eq!(
         plan(&mut waiting, 8_000),
