Keep room for urgent work by the resources that a task needs

Cause: the share kept free was judged by the dominant resource of the whole cell. With all accelerators in use, plain best-effort work got nothing. Ruled out: the workers held for aged work (unchanged here). Test room_is_kept_by_the_resources_that_a_task_needs failed before.

--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -162,7 +162,8 @@
             return false;
         }
         let after = self.counted.plus(&ask.size);
-        after.dominant_share(&self.capacity) > 1.0 - self.config.kept_share()
+        let share = share_of_asked(&ask.size, &after, &self.capacity);
+        share > 1.0 - self.config.kept_share()
     }
 
     fn choose(&mut self, ask: &work::Ask) -> Option<ids::InstanceId> {
@@ -188,6 +189,28 @@
     }
 }
 
+/// Largest share of `whole` that `part` takes of a resource in `asked`.
+///
+/// A resource that a task does not need, such as accelerators that are all in
+/// use, keeps nothing from it.
+fn share_of_asked(
+    asked: &sizes::Resources,
+    part: &sizes::Resources,
+    whole: &sizes::Resources,
+) -> f64 {
+    let mut part = *part;
+    if asked.cpu_millis.0 == 0 {
+        part.cpu_millis.0 = 0;
+    }
+    if asked.memory_bytes.0 == 0 {
+        part.memory_bytes.0 = 0;
+    }
+    if asked.accelerators == 0 {
+        part.accelerators = 0;
+    }
+    part.dominant_share(whole)
+}
+
 fn fits(worker: &worker::Worker, ask: &work::Ask) -> bool {
     let open = worker.admits(ask) && !worker.held;
     open && worker.free().holds(&ask.size) && !ask.avoid.contains(&worker.id)
--- a/crates/figscale-core/tests/placement/room.rs
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -290,3 +290,34 @@
         Err(placement::NoPlace::NoRoom)
     );
 }
+
+/// Accelerators that are all in use say nothing of plain work.
+#[test]
+fn room_is_kept_by_the_resources_that_a_task_needs() {
+    let now = time::Instant::now();
+    let mut cluster = kit::cluster(4);
+    let all = kit::ask(
+        "gang",
+        0,
+        kit::size(1_000, 1, 4),
+        catalogue::Urgency::Deadline,
+    );
+    cluster.place(&all, now, None).expect("room");
+    let plain = kit::ask(
+        "plain",
+        0,
+        kit::size(1_000, 1, 0),
+        catalogue::Urgency::BestEffort,
+    );
+    assert!(cluster.place(&plain, now, None).is_ok());
+    let more = kit::ask(
+        "more",
+        0,
+        kit::size(1_000, 1, 1),
+        catalogue::Urgency::BestEffort,
+    );
+    assert_eq!(
+        cluster.place(&more, now, None),
+        Err(placement::NoPlace::Kept)
+    );
+}
