--- a/crates/figscale-core/examples/placement_bench/drive.rs
+++ b/crates/figscale-core/examples/placement_bench/drive.rs
@@ -57,9 +57,11 @@
     heavy: stats::Sample,
     light: stats::Sample,
     late: u32,
+    late_gangs: u32,
     with_deadline: u32,
     cpu: f64,
     memory: f64,
+    accelerators: f64,
     lost_core_s: f64,
     preempted: u32,
     scans: u64,
@@ -156,6 +158,7 @@
         let full_s = SPAN_S - FULL_FROM_S;
         self.report.cpu /= full_s;
         self.report.memory /= full_s;
+        self.report.accelerators /= full_s;
         self.report
     }
 
@@ -164,6 +167,8 @@
         let share = |part: u64, all: u64| part as f64 / all as f64;
         self.report.cpu += span_s * share(used.cpu_millis.0, whole.cpu_millis.0);
         self.report.memory += span_s * share(used.memory_bytes.0, whole.memory_bytes.0);
+        let (used, whole) = (used.accelerators.into(), whole.accelerators.into());
+        self.report.accelerators += span_s * share(used, whole);
     }
 
     fn now(&self) -> time::Instant {
@@ -229,6 +234,8 @@
             self.report.with_deadline += 1;
             let late = self.now_s > self.jobs[job].at_s + deadline_s;
             self.report.late += u32::from(late);
+            let gang = self.jobs[job].class == catalogue::JobClass::Gang;
+            self.report.late_gangs += u32::from(late && gang);
         }
     }
 
@@ -462,14 +469,18 @@
     }
     let Report {
         late,
+        late_gangs,
         with_deadline,
         cpu,
         memory,
+        accelerators,
         lost_core_s,
         preempted,
         ..
     } = report;
-    line += &format!(" | late {late}/{with_deadline} | cpu {cpu:.3} mem {memory:.3}");
+    line += &format!(
+        " | late {late}/{with_deadline} ({late_gangs} gangs) | cpu {cpu:.3} mem {memory:.3} acc {accelerators:.3}"
+    );
     let (heavy, light) = (report.heavy.mean(), report.light.mean());
     line += &format!(" | heavy/light mean wait {heavy:.0}/{light:.0}");
     let scans = report.scans as f64 / report.placed.max(1) as f64;
--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -69,6 +69,8 @@
     pub(super) capacity: sizes::Resources,
     pub(super) counted: sizes::Resources,
     pub(super) examined: u64,
+    /// Whether work that needs accelerators waits.
+    pub(super) accelerators_wanted: bool,
 }
 
 impl Cluster {
--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -175,7 +175,7 @@
         let mut examined = 0;
         for worker in self.workers.values() {
             examined += 1;
-            if !fits(worker, ask) {
+            if !fits(worker, ask, self.accelerators_wanted) {
                 continue;
             }
             let cost = cost(worker, ask, spread);
@@ -211,9 +211,26 @@
     part.dominant_share(whole)
 }
 
-fn fits(worker: &worker::Worker, ask: &work::Ask) -> bool {
+fn fits(worker: &worker::Worker, ask: &work::Ask, wanted: bool) -> bool {
     let open = worker.admits(ask) && !worker.held;
-    open && worker.free().holds(&ask.size) && !ask.avoid.contains(&worker.id)
+    let roomy =
+        worker.free().holds(&ask.size) && (!wanted || leaves_accelerators_usable(worker, ask));
+    open && roomy && !ask.avoid.contains(&worker.id)
+}
+
+/// Whether work that needs no accelerator and may wait leaves each free
+/// accelerator its part of the worker's processors and memory.
+fn leaves_accelerators_usable(worker: &worker::Worker, ask: &work::Ask) -> bool {
+    let whole = &worker.capacity;
+    let free = worker.free();
+    let plain = ask.size.accelerators == 0 && ask.urgency == catalogue::Urgency::BestEffort;
+    if !plain || free.accelerators == 0 || whole.accelerators == 0 {
+        return true;
+    }
+    let left = free.minus(&ask.size);
+    let part = |all: u64| all / u64::from(whole.accelerators) * u64::from(free.accelerators);
+    left.cpu_millis.0 >= part(whole.cpu_millis.0)
+        && left.memory_bytes.0 >= part(whole.memory_bytes.0)
 }
 
 fn cost(worker: &worker::Worker, ask: &work::Ask, spread: Option<&cluster::Spread>) -> f64 {
