Leave room beside accelerators for work that is as urgent

Cause: gangs with a deadline missed it while plain work with a deadline filled the processors beside the accelerators that they wait for (late: all gangs). Change: plain work, but for interactive, yields if waiting accelerator work is as urgent.

--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -10,6 +10,7 @@
 use std::fmt;
 use std::time;
 
+use figscale_types::catalogue;
 use figscale_types::claims;
 use figscale_types::ids;
 use figscale_types::instances;
@@ -69,8 +70,8 @@
     pub(super) capacity: sizes::Resources,
     pub(super) counted: sizes::Resources,
     pub(super) examined: u64,
-    /// Whether work that needs accelerators waits.
-    pub(super) accelerators_wanted: bool,
+    /// The most urgent work that waits for accelerators.
+    pub(super) accelerators_wanted: Option<catalogue::Urgency>,
 }
 
 impl Cluster {
--- a/crates/figscale-core/src/job/placement/pass.rs
+++ b/crates/figscale-core/src/job/placement/pass.rs
@@ -69,8 +69,9 @@
     /// Places what fits, in order; placed tasks leave the queue.
     pub fn pass(&mut self, input: PassInput<'_>) -> PassOutcome {
         let line = line::Line::new(self, input.cluster, input.shares, input.now);
-        let mut waiting = self.groups.values();
-        input.cluster.accelerators_wanted = waiting.any(|g| g.work.size.accelerators > 0);
+        let waiting = self.groups.values().map(|group| &group.work);
+        let accelerated = waiting.filter(|work| work.size.accelerators > 0);
+        input.cluster.accelerators_wanted = accelerated.map(|work| work.urgency).min();
         let mut holds_left = (input.cluster.workers().len() / HELD_ONE_IN).max(1);
         if input.cluster.workers().len() == 1 {
             holds_left = 0;
--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -166,16 +166,26 @@
         share > 1.0 - self.config.kept_share()
     }
 
+    /// Whether a task must leave room beside free accelerators: it needs none,
+    /// and work that does waits and is as urgent.
+    fn keeps_accelerators(&self, ask: &work::Ask) -> bool {
+        let wanted = self.accelerators_wanted;
+        let yields = wanted.is_some_and(|urgency| urgency <= ask.urgency);
+        let may_wait = ask.urgency != catalogue::Urgency::Interactive;
+        yields && may_wait && ask.size.accelerators == 0
+    }
+
     fn choose(&mut self, ask: &work::Ask) -> Option<ids::InstanceId> {
         let mut best: Option<(f64, &worker::Worker)> = None;
         let spread = match ask.class {
             catalogue::JobClass::Service => self.spreads.get(&ask.task.job),
             _ => None,
         };
+        let keeps_accelerators = self.keeps_accelerators(ask);
         let mut examined = 0;
         for worker in self.workers.values() {
             examined += 1;
-            if !fits(worker, ask, self.accelerators_wanted) {
+            if !fits(worker, ask, keeps_accelerators) {
                 continue;
             }
             let cost = cost(worker, ask, spread);
@@ -211,20 +221,19 @@
     part.dominant_share(whole)
 }
 
-fn fits(worker: &worker::Worker, ask: &work::Ask, wanted: bool) -> bool {
+fn fits(worker: &worker::Worker, ask: &work::Ask, keeps_accelerators: bool) -> bool {
     let open = worker.admits(ask) && !worker.held;
-    let roomy =
-        worker.free().holds(&ask.size) && (!wanted || leaves_accelerators_usable(worker, ask));
+    let roomy = worker.free().holds(&ask.size)
+        && (!keeps_accelerators || leaves_accelerators_usable(worker, ask));
     open && roomy && !ask.avoid.contains(&worker.id)
 }
 
-/// Whether work that needs no accelerator and may wait leaves each free
-/// accelerator its part of the worker's processors and memory.
+/// Whether each free accelerator is left its part of the worker's processors
+/// and memory.
 fn leaves_accelerators_usable(worker: &worker::Worker, ask: &work::Ask) -> bool {
     let whole = &worker.capacity;
     let free = worker.free();
-    let plain = ask.size.accelerators == 0 && ask.urgency == catalogue::Urgency::BestEffort;
-    if !plain || free.accelerators == 0 || whole.accelerators == 0 {
+    if free.accelerators == 0 || whole.accelerators == 0 {
         return true;
     }
     let left = free.minus(&ask.size);
