Let no room for one task say nothing of a freer one

Cause: a pass remembered sizes without room, though work that leaves room beside accelerators, or may not probe a worker, finds less room than other work of its size; and it kept a worker for work that would have fitted it, which shut out interactive work behind an aged task. Test no_room_for_one_says_nothing_of_what_is_freer_to_choose failed before ([] against [check]). Change: what is remembered carries how free the choice was; only full workers are kept; interactive work passes over what is kept for other work.

--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -112,7 +112,7 @@
             readiness,
             leaving,
             standing: worker::Standing::InUse,
-            held: false,
+            held: None,
             tasks: IndexSet::new(),
         };
         self.capacity = self.capacity.plus(&added.capacity);
--- a/crates/figscale-core/src/job/placement/pass.rs
+++ b/crates/figscale-core/src/job/placement/pass.rs
@@ -101,12 +101,29 @@
     Quota,
 }
 
+/// What found no room, and how free it was to choose a worker.
+#[derive(Clone, Copy, Debug)]
+struct NoRoom {
+    size: sizes::Resources,
+    keeps_accelerators: bool,
+    may_probe: bool,
+}
+
+impl NoRoom {
+    /// Whether `other` cannot find room either: it is as large and no freer.
+    fn rules_out(&self, other: &Self) -> bool {
+        let keeps = !self.keeps_accelerators || other.keeps_accelerators;
+        let probes = self.may_probe || !other.may_probe;
+        keeps && probes && other.size.holds(&self.size)
+    }
+}
+
 struct Pass<'a> {
     queue: &'a mut queue::Queue,
     input: PassInput<'a>,
     line: line::Line,
-    /// Sizes that found no room; none holds another.
-    no_room: Vec<sizes::Resources>,
+    /// What found no room; none rules out another.
+    no_room: Vec<NoRoom>,
     holds_left: usize,
     outcome: PassOutcome,
 }
@@ -162,7 +179,8 @@
         if !first.owner.as_ref().is_none_or(admits) {
             return Tried::Quota;
         }
-        if self.no_room.iter().any(|size| first.size.holds(size)) {
+        let tried = self.no_room_of(first);
+        if self.no_room.iter().any(|known| known.rules_out(&tried)) {
             return Tried::NoRoom(place::NoPlace::NoRoom);
         }
         self.outcome.scans += asks.len();
@@ -200,7 +218,7 @@
         };
         // A gang or a task that avoids workers says nothing of others.
         if asks.len() == 1 && first.avoid.is_empty() {
-            self.remember(first.size);
+            self.remember(self.no_room_of(first));
         }
         let urgent = matches!(head.level, queue::Level::Interactive | queue::Level::Due);
         if urgent && self.outcome.blocked.len() < MAX_BLOCKED {
@@ -211,9 +229,17 @@
         }
     }
 
-    fn remember(&mut self, size: sizes::Resources) {
-        self.no_room.retain(|known| !known.holds(&size));
-        self.no_room.push(size);
+    fn no_room_of(&self, ask: &work::Ask) -> NoRoom {
+        NoRoom {
+            size: ask.size,
+            keeps_accelerators: self.input.cluster.keeps_accelerators(ask),
+            may_probe: ask.may_probe(),
+        }
+    }
+
+    fn remember(&mut self, new: NoRoom) {
+        self.no_room.retain(|known| !new.rules_out(known));
+        self.no_room.push(new);
     }
 
     /// Keeps workers for tasks that found no room, as far as any are left.
--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -128,8 +128,11 @@
     /// room will fit soonest; returns whether there is one.
     pub(super) fn hold_for(&mut self, ask: &work::Ask) -> bool {
         let open = |worker: &&mut worker::Worker| {
-            let usable = worker.takes_work() && !worker.held;
-            usable && worker.capacity.holds(&ask.size) && !ask.avoid.contains(&worker.id)
+            let usable = worker.takes_work() && worker.held.is_none();
+            // A worker with room for it is closed to it for another reason.
+            let full = !worker.free().holds(&ask.size);
+            let fits_empty = worker.capacity.holds(&ask.size);
+            usable && full && fits_empty && !ask.avoid.contains(&worker.id)
         };
         let missing = |worker: &worker::Worker| {
             let missing = ask.size.minus(&worker.free());
@@ -142,7 +145,7 @@
             .min_by(|a, b| missing(a).total_cmp(&missing(b)));
         match soonest {
             Some(worker) => {
-                worker.held = true;
+                worker.held = Some(ask.urgency);
                 true
             }
             None => false,
@@ -152,7 +155,7 @@
     /// Gives all held workers free again.
     pub(super) fn clear_holds(&mut self) {
         for worker in self.workers.values_mut() {
-            worker.held = false;
+            worker.held = None;
         }
     }
 
@@ -168,7 +171,7 @@
 
     /// Whether a task must leave room beside free accelerators: it needs none,
     /// and work that does waits and is as urgent.
-    fn keeps_accelerators(&self, ask: &work::Ask) -> bool {
+    pub(super) fn keeps_accelerators(&self, ask: &work::Ask) -> bool {
         let wanted = self.accelerators_wanted;
         let yields = wanted.is_some_and(|urgency| urgency <= ask.urgency);
         let may_wait = ask.urgency != catalogue::Urgency::Interactive;
@@ -222,7 +225,7 @@
 }
 
 fn fits(worker: &worker::Worker, ask: &work::Ask, keeps_accelerators: bool) -> bool {
-    let open = worker.admits(ask) && !worker.held;
+    let open = worker.admits(ask) && !worker.is_held_from(ask);
     let roomy = worker.free().holds(&ask.size)
         && (!keeps_accelerators || leaves_accelerators_usable(worker, ask));
     open && roomy && !ask.avoid.contains(&worker.id)
--- a/crates/figscale-core/src/job/placement/work.rs
+++ b/crates/figscale-core/src/job/placement/work.rs
@@ -60,6 +60,11 @@
 }
 
 impl Ask {
+    /// Whether a worker may be probed with it: it may fail and run again.
+    pub fn may_probe(&self) -> bool {
+        self.guard.idempotent && self.class == catalogue::JobClass::Batch
+    }
+
     /// A task found running of which only its room is known.
     pub fn unknown(task: ids::TaskId, attempt: u32, reserved: sizes::Resources) -> Self {
         Self {
--- a/crates/figscale-core/src/job/placement/worker.rs
+++ b/crates/figscale-core/src/job/placement/worker.rs
@@ -43,8 +43,8 @@
     pub(super) readiness: Readiness,
     pub(super) leaving: bool,
     pub(super) standing: Standing,
-    /// Whether its room is kept, within one pass, for work that did not fit.
-    pub(super) held: bool,
+    /// Urgency of the work that its room is kept for within one pass.
+    pub(super) held: Option<catalogue::Urgency>,
     pub(super) tasks: IndexSet<ids::TaskId>,
 }
 
@@ -88,15 +88,22 @@
     ///
     /// While it is probed it gets one task at a time, of a kind that may fail.
     pub fn admits(&self, ask: &work::Ask) -> bool {
-        let harmless = ask.guard.idempotent && ask.class == catalogue::JobClass::Batch;
         let trusted = match self.standing {
             Standing::InUse => true,
-            Standing::Probing => harmless && self.tasks.is_empty(),
+            Standing::Probing => ask.may_probe() && self.tasks.is_empty(),
             Standing::SetAside => false,
         };
         trusted && self.takes_work()
     }
 
+    /// Whether its room is kept from this task. Interactive work passes over
+    /// what is kept for other work.
+    pub(super) fn is_held_from(&self, ask: &work::Ask) -> bool {
+        let interactive = catalogue::Urgency::Interactive;
+        self.held
+            .is_some_and(|held| held == interactive || ask.urgency != interactive)
+    }
+
     /// Whether it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving
--- a/crates/figscale-core/tests/placement/order.rs
+++ b/crates/figscale-core/tests/placement/order.rs
@@ -93,6 +93,55 @@
     assert_eq!(first.iter().filter(|job| *job == "old").count(), 2);
 }
 
+/// What aged work leaves to others, and a worker kept for it, must not shut
+/// out interactive work behind it, nor the probe of a worker.
+#[test]
+fn no_room_for_one_says_nothing_of_what_is_freer_to_choose() {
+    let mut bench = Bench::new(4);
+    bench.queue = placement::Queue::new(placement::QueueConfig {
+        aged_every: 1,
+        ..placement::QueueConfig::default()
+    });
+    let now = bench.now;
+    for index in 0..3 {
+        let fill = kit::ask(
+            "fill",
+            index,
+            kit::size(64_000, 1, 0),
+            catalogue::Urgency::Deadline,
+        );
+        bench.cluster.place(&fill, now, None).expect("room");
+    }
+    let mut add = |job: &str, size, urgency, idempotent| {
+        let mut work = kit::work(job, "a", size, urgency, now);
+        work.guard.idempotent = idempotent;
+        work.queued_at = now - time::Duration::from_secs(700);
+        bench.push(work, 1);
+    };
+    let best_effort = catalogue::Urgency::BestEffort;
+    add("accelerated", kit::size(64_000, 1, 5), best_effort, true);
+    add("aged", kit::size(1_000, 1, 0), best_effort, true);
+    add(
+        "check",
+        kit::size(1_000, 1, 0),
+        catalogue::Urgency::Interactive,
+        true,
+    );
+    assert_eq!(bench.placed_jobs(UNLIMITED), ["check"]);
+
+    let mut bench = Bench::new(1);
+    bench
+        .cluster
+        .set_standing(&kit::worker_id(0), placement::Standing::Probing);
+    for (job, idempotent) in [("once", false), ("again", true)] {
+        let size = kit::size(1_000, 1, 0);
+        let mut work = kit::work(job, "a", size, best_effort, now);
+        work.guard.idempotent = idempotent;
+        bench.push(work, 1);
+    }
+    assert_eq!(bench.placed_jobs(UNLIMITED), ["again"]);
+}
+
 #[test]
 fn owners_share_by_dominant_resource_and_weight() {
     let mut bench = Bench::new(4);
