--- /dev/null
+++ b/crates/figscale-core/src/request/once.rs
@@ -0,0 +1,191 @@
+//! Memory of the ids of non-idempotent requests, at their home.
+//!
+//! A home remembers every id that it let through until the id is too old to be
+//! accepted at all. Ids are UUIDv7, so their own time stamp orders them, and one
+//! number, the *floor*, stands for everything that was forgotten: an id stamped
+//! at or before the floor is refused as [`Verdict::MayHaveRun`]. A new home
+//! begins with a floor at its taking over plus the clock tolerance, since it
+//! cannot know what the earlier home let through. Ids stamped later than the
+//! home's clock plus the tolerance are refused as [`Verdict::NotRun`], as they
+//! would outlive the floor.
+//!
+//! This trades a short time after each take-over, in which fresh ids are
+//! refused, for no store write on any request.
+//!
+//! [`Verdict::MayHaveRun`]: figscale_types::verdict::Verdict::MayHaveRun
+//! [`Verdict::NotRun`]: figscale_types::verdict::Verdict::NotRun
+
+use std::collections::BTreeMap;
+use std::time;
+
+use figscale_types::claims;
+use figscale_types::ids;
+use figscale_types::verdict::Verdict;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of the memory.
+#[derive(Clone, Copy, Debug)]
+pub struct OnceConfig {
+    /// Difference of two clocks that is tolerated. Default 1,000 ms.
+    pub tolerance: time::Duration,
+    /// Most ids remembered by one home. Default 200,000.
+    pub capacity: usize,
+    /// Time for which an id is remembered. Default 600 s.
+    pub keep: time::Duration,
+}
+
+impl Default for OnceConfig {
+    fn default() -> Self {
+        Self {
+            tolerance: time::Duration::from_millis(1_000),
+            capacity: 200_000,
+            keep: time::Duration::from_secs(600),
+        }
+    }
+}
+
+/// Names one attempt to begin a request, so that a repeated message counts once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptId(pub u64);
+
+/// The answer to a request to begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Begin {
+    /// It never began before and may run now.
+    Fresh,
+    /// It began before; the verdict is what is known of it.
+    Repeat(Verdict),
+    /// It is older than the memory.
+    Forgotten,
+    /// It is stamped in the future.
+    FromFuture,
+    /// This is not its home, or not any more.
+    NotHome,
+}
+
+impl Begin {
+    /// What may be said of a request that is refused with this answer.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Self::Fresh | Self::FromFuture | Self::NotHome => Verdict::NotRun,
+            Self::Repeat(verdict) => verdict,
+            Self::Forgotten => Verdict::MayHaveRun,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Line {
+    attempt: AttemptId,
+    verdict: Verdict,
+}
+
+/// The memory of one home.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    config: OnceConfig,
+    floor_ms: u64,
+    ids: BTreeMap<uuid::Uuid, Line>,
+}
+
+impl Memory {
+    /// The memory of a home that took over at `taken_unix_ms`.
+    ///
+    /// The floor leaves room for both clocks: the earlier home's may have been
+    /// ahead by the tolerance when it let an id through that was itself ahead.
+    pub fn new(config: OnceConfig, taken_unix_ms: u64) -> Self {
+        let tolerance_ms = millis(config.tolerance);
+        Self {
+            config,
+            floor_ms: taken_unix_ms.saturating_add(2 * tolerance_ms),
+            ids: BTreeMap::new(),
+        }
+    }
+
+    /// Lets an id through once.
+    pub fn begin(&mut self, id: ids::RequestId, attempt: AttemptId, now_unix_ms: u64) -> Begin {
+        let Some(stamp_ms) = stamp_ms(id) else {
+            return Begin::FromFuture;
+        };
+        if let Some(line) = self.ids.get(&id.0) {
+            return match line.attempt == attempt {
+                true => Begin::Fresh,
+                false => Begin::Repeat(line.verdict),
+            };
+        }
+        if stamp_ms > now_unix_ms.saturating_add(millis(self.config.tolerance)) {
+            return Begin::FromFuture;
+        }
+        self.forget_old(now_unix_ms);
+        if stamp_ms <= self.floor_ms {
+            return Begin::Forgotten;
+        }
+        let verdict = Verdict::MayHaveRun;
+        self.ids.insert(id.0, Line { attempt, verdict });
+        Begin::Fresh
+    }
+
+    /// Notes how an attempt ended; one that did not run may begin again.
+    pub fn end(&mut self, id: ids::RequestId, attempt: AttemptId, verdict: Verdict) {
+        let Some(line) = self.ids.get_mut(&id.0) else {
+            return;
+        };
+        if line.attempt != attempt {
+            return;
+        }
+        match verdict {
+            Verdict::NotRun => {
+                self.ids.remove(&id.0);
+            }
+            verdict => line.verdict = verdict,
+        }
+    }
+
+    /// Ids remembered.
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    /// Whether no id is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+
+    /// Time stamp up to which every id is refused, in milliseconds since 1970.
+    pub fn floor_ms(&self) -> u64 {
+        self.floor_ms
+    }
+
+    fn forget_old(&mut self, now_unix_ms: u64) {
+        let oldest_ms = now_unix_ms.saturating_sub(millis(self.config.keep));
+        while let Some(entry) = self.ids.first_entry() {
+            let stamp_ms = stamp_ms(ids::RequestId(*entry.key())).unwrap_or(0);
+            let full = self.ids.len() >= self.config.capacity.max(1);
+            if stamp_ms >= oldest_ms && !full {
+                break;
+            }
+            self.ids.pop_first();
+            self.floor_ms = self.floor_ms.max(stamp_ms);
+        }
+    }
+}
+
+/// Time stamp of a UUIDv7, in milliseconds since 1970; `None` for another kind.
+pub fn stamp_ms(id: ids::RequestId) -> Option<u64> {
+    if id.0.get_version_num() != 7 {
+        return None;
+    }
+    let bytes = id.0.as_u128();
+    u64::try_from(bytes >> 80).ok()
+}
+
+/// The shard that is the home of an id: the low, random bits decide.
+pub fn home_of(id: ids::RequestId) -> Option<ids::ShardId> {
+    let number = id.0.as_u128() % u128::from(claims::ID_SHARDS);
+    claims::id_shard(u32::try_from(number).ok()?)
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/figscale/src/settings/traffic.rs
+++ b/crates/figscale/src/settings/traffic.rs
@@ -6,10 +6,109 @@
 use super::Problems;
 
 /// Requests.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct TrafficSettings {}
+pub struct TrafficSettings {
+    /// Longest head of a caller's request. Default 32,768 bytes, 8,192 to 1,048,576.
+    pub max_head_bytes: usize,
+    /// Most headers of a caller's request. Default 64, 16 to 1,000.
+    pub max_headers: usize,
+    /// Time for the head of a request to arrive. Default 5,000, 50 to 60,000.
+    pub head_timeout_ms: u64,
+    /// Time for the body of a request to arrive. Default 15,000, 50 to 600,000.
+    pub body_timeout_ms: u64,
+    /// Request bodies held at once. Default 134,217,728 bytes, 1 MiB to 16 GiB.
+    pub body_memory_bytes: u64,
+    /// Connections of callers at once. Default 4,096, 1 to 1,000,000.
+    pub max_connections: usize,
+    /// Answers up to this size are held until they are whole. Default 262,144
+    /// bytes, 0 to 16,777,216.
+    pub hold_bytes: usize,
+    /// Time to connect to a runner. Default 1,000, 10 to 60,000.
+    pub connect_timeout_ms: u64,
+    /// Time that a request waits for a shard to get a holder. Default 3,000, 0 to 60,000.
+    pub holder_wait_ms: u64,
+    /// Shortest time between two pushes of slot counts. Default 20, 1 to 1,000.
+    pub push_ms: u64,
+    /// Longest time between two pushes of slot counts. Default 500, 10 to 10,000.
+    pub refresh_ms: u64,
+    /// Time between reports asked of a runner. Default 500, 10 to 60,000.
+    pub report_ms: u64,
+    /// Time after which what was sent has arrived or never will. Default 1,000, 10 to 60,000.
+    pub settle_ms: u64,
+    /// Tolerated difference of clocks in request ids. Default 1,000, 1 to 60,000.
+    pub clock_tolerance_ms: u64,
+    /// Request ids remembered by each home. Default 200,000, 100 to 10,000,000.
+    pub ids_per_home: usize,
+    /// Share of slots that patient work leaves free while interactive requests
+    /// are about. Default 0.1, 0 to 0.9.
+    pub reserve_share: f64,
+    /// Retries earned by each first attempt. Default 0.1, 0 to 1.
+    pub retry_ratio: f64,
+}
+
+impl Default for TrafficSettings {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 32_768,
+            max_headers: 64,
+            head_timeout_ms: 5_000,
+            body_timeout_ms: 15_000,
+            body_memory_bytes: 128 << 20,
+            max_connections: 4_096,
+            hold_bytes: 262_144,
+            connect_timeout_ms: 1_000,
+            holder_wait_ms: 3_000,
+            push_ms: 20,
+            refresh_ms: 500,
+            report_ms: 500,
+            settle_ms: 1_000,
+            clock_tolerance_ms: 1_000,
+            ids_per_home: 200_000,
+            reserve_share: 0.1,
+            retry_ratio: 0.1,
+        }
+    }
+}
 
 impl TrafficSettings {
-    pub(super) fn check(&self, _problems: &mut Problems) {}
+    pub(super) fn check(&self, problems: &mut Problems) {
+        self.check_front(problems);
+        self.check_holder(problems);
+        if self.push_ms > self.refresh_ms {
+            problems.add(format!(
+                "traffic.push_ms is {}: expected traffic.refresh_ms ({}) at most",
+                self.push_ms, self.refresh_ms
+            ));
+        }
+    }
+
+    fn check_front(&self, problems: &mut Problems) {
+        let head = self.max_head_bytes;
+        problems.bound("traffic.max_head_bytes", head, 8_192, 1 << 20);
+        problems.bound("traffic.max_headers", self.max_headers, 16, 1_000);
+        problems.bound("traffic.head_timeout_ms", self.head_timeout_ms, 50, 60_000);
+        problems.bound("traffic.body_timeout_ms", self.body_timeout_ms, 50, 600_000);
+        let memory = self.body_memory_bytes;
+        problems.bound("traffic.body_memory_bytes", memory, 1 << 20, 16 << 30);
+        let connections = self.max_connections;
+        problems.bound("traffic.max_connections", connections, 1, 1_000_000);
+        problems.bound("traffic.hold_bytes", self.hold_bytes, 0, 16 << 20);
+        let tolerance = self.clock_tolerance_ms;
+        problems.bound("traffic.clock_tolerance_ms", tolerance, 1, 60_000);
+    }
+
+    fn check_holder(&self, problems: &mut Problems) {
+        let connect = self.connect_timeout_ms;
+        problems.bound("traffic.connect_timeout_ms", connect, 10, 60_000);
+        problems.bound("traffic.holder_wait_ms", self.holder_wait_ms, 0, 60_000);
+        problems.bound("traffic.push_ms", self.push_ms, 1, 1_000);
+        problems.bound("traffic.refresh_ms", self.refresh_ms, 10, 10_000);
+        problems.bound("traffic.report_ms", self.report_ms, 10, 60_000);
+        problems.bound("traffic.settle_ms", self.settle_ms, 10, 60_000);
+        let ids = self.ids_per_home;
+        problems.bound("traffic.ids_per_home", ids, 100, 10_000_000);
+        problems.bound("traffic.reserve_share", self.reserve_share, 0.0, 0.9);
+        problems.bound("traffic.retry_ratio", self.retry_ratio, 0.0, 1.0);
+    }
 }
--- /dev/null
+++ b/crates/figscale/src/traffic/answer.rs
@@ -0,0 +1,356 @@
+//! Answers: a runner's, and our own when there is none.
+
+use std::time;
+
+use bytes::Bytes;
+use figscale_core::request::admission;
+use figscale_core::request::once;
+use figscale_types::headers;
+use figscale_types::ids;
+use figscale_types::verdict::Verdict;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+/// A part of a streamed body.
+///
+/// A stream that closes without [`Part::End`] has broken, so that whatever
+/// ends a task in the middle never makes a cut answer look whole.
+#[derive(Debug)]
+pub(super) enum Part {
+    /// The next bytes.
+    Data(Bytes),
+    /// All bytes have been sent.
+    End,
+}
+
+/// A body that ended before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Broken;
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// The body of a runner's answer.
+#[derive(Debug)]
+pub(super) enum AnswerBody {
+    /// All of it, known to be whole.
+    Whole(Bytes),
+    /// Too large to be held: the beginning, and the rest as it comes.
+    Streamed {
+        /// What was read so far.
+        first: Bytes,
+        /// Its length, where the runner told it.
+        length: Option<u64>,
+        /// The rest.
+        rest: mpsc::Receiver<Part>,
+    },
+}
+
+/// A runner's answer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    /// Status.
+    pub(super) status: StatusCode,
+    /// Headers that may be passed on.
+    pub(super) headers: HeaderMap,
+    /// Body.
+    pub(super) body: AnswerBody,
+    /// Who ran it.
+    pub(super) runner: ids::InstanceId,
+}
+
+/// Why an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Fault {
+    /// The runner could not be reached.
+    Connect,
+    /// The connection broke, or the answer was not whole.
+    Broken,
+    /// The runner refused it without running it.
+    RefusedByRunner,
+    /// The right to the shard ended first.
+    Fenced,
+    /// The runner did not answer in time.
+    TooSlow,
+    /// The link to the holder broke.
+    PeerLink,
+    /// The holder was not heard of any more.
+    PeerSilent,
+}
+
+impl Fault {
+    /// The word for it in answers and logs.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Connect => "runner-unreachable",
+            Self::Broken => "answer-broken",
+            Self::RefusedByRunner => "refused-by-runner",
+            Self::Fenced => "shard-lost",
+            Self::TooSlow => "runner-too-slow",
+            Self::PeerLink => "peer-link-broken",
+            Self::PeerSilent => "peer-silent",
+        }
+    }
+}
+
+/// An attempt that failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Failure {
+    /// Whether it may have run.
+    pub(super) verdict: Verdict,
+    /// Why.
+    pub(super) fault: Fault,
+    /// The runner, where one was chosen.
+    pub(super) runner: Option<ids::InstanceId>,
+}
+
+/// Something wrong with a caller's request itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum BadRequest {
+    /// No such path.
+    NotFound,
+    /// Only `POST` runs a request.
+    Method,
+    /// A header is missing or malformed; the text says which.
+    Header(String),
+    /// The body is larger than the entry allows.
+    TooLarge(u64),
+    /// The body came too slowly.
+    TooSlow,
+    /// The body broke off or was malformed.
+    Body,
+}
+
+/// What a request came to when there is no answer of a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum NoAnswer {
+    /// The request itself is wrong.
+    Bad(BadRequest),
+    /// It was refused before it had a slot.
+    Refused {
+        /// Why.
+        reason: admission::Reason,
+        /// When to come back.
+        come_back: time::Duration,
+    },
+    /// It is a repeat, or too old to tell.
+    Repeat(once::Begin),
+    /// Its last attempt failed.
+    Failed {
+        /// Whether any attempt may have run.
+        verdict: Verdict,
+        /// Why the last one failed.
+        fault: Fault,
+        /// When to come back.
+        come_back: time::Duration,
+    },
+    /// Its deadline came.
+    Expired {
+        /// Whether any attempt may have run.
+        verdict: Verdict,
+        /// When to come back.
+        come_back: time::Duration,
+    },
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+    message: String,
+    verdict: Verdict,
+    retry_after_ms: Option<u64>,
+}
+
+impl NoAnswer {
+    /// Whether the request may have run.
+    pub(super) fn verdict(&self) -> Verdict {
+        match self {
+            Self::Bad(_) | Self::Refused { .. } => Verdict::NotRun,
+            Self::Repeat(begin) => begin.verdict(),
+            Self::Failed { verdict, .. } | Self::Expired { verdict, .. } => *verdict,
+        }
+    }
+
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Bad(bad) => bad.status(),
+            Self::Refused { reason, .. } => refused_status(*reason),
+            Self::Repeat(once::Begin::FromFuture) => StatusCode::BAD_REQUEST,
+            Self::Repeat(once::Begin::NotHome) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Repeat(_) => StatusCode::CONFLICT,
+            Self::Failed {
+                verdict: Verdict::NotRun,
+                ..
+            } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Failed { .. } => StatusCode::BAD_GATEWAY,
+            Self::Expired { .. } => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The word for it in answers, logs and metrics.
+    pub(super) fn word(&self) -> &'static str {
+        match self {
+            Self::Bad(bad) => bad.word(),
+            Self::Refused { reason, .. } => reason.as_str(),
+            Self::Repeat(once::Begin::FromFuture) => "id-from-future",
+            Self::Repeat(once::Begin::NotHome) => "no-id-home",
+            Self::Repeat(once::Begin::Forgotten) => "id-too-old",
+            Self::Repeat(_) => "repeat",
+            Self::Failed { fault, .. } => fault.as_str(),
+            Self::Expired { .. } => "deadline-passed",
+        }
+    }
+
+    fn message(&self) -> String {
+        match self {
+            Self::Bad(bad) => bad.message(),
+            Self::Refused { reason, .. } => format!("refused: {}", reason.as_str()),
+            Self::Repeat(once::Begin::FromFuture) => {
+                "the request id is not a UUIDv7, or is stamped in the future".to_owned()
+            }
+            Self::Repeat(once::Begin::NotHome) => {
+                "nobody remembers request ids like this one just now".to_owned()
+            }
+            Self::Repeat(once::Begin::Forgotten) => {
+                "the request id is older than the memory of request ids".to_owned()
+            }
+            Self::Repeat(_) => "a request with this id was begun before".to_owned(),
+            Self::Failed { fault, .. } => format!("the last attempt failed: {}", fault.as_str()),
+            Self::Expired { .. } => "the deadline came before an answer".to_owned(),
+        }
+    }
+
+    /// When to come back, where that helps.
+    pub(super) fn come_back(&self) -> Option<time::Duration> {
+        match self {
+            Self::Bad(_) => None,
+            Self::Refused { reason, come_back } => reason.is_transient().then_some(*come_back),
+            Self::Repeat(once::Begin::NotHome) => Some(time::Duration::from_secs(1)),
+            Self::Repeat(_) => None,
+            Self::Failed { come_back, .. } | Self::Expired { come_back, .. } => Some(*come_back),
+        }
+    }
+
+    /// Status, headers and JSON body.
+    pub(super) fn parts(&self) -> (StatusCode, HeaderMap, Bytes) {
+        let come_back = self.come_back();
+        let millis = come_back.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+        let body = ErrorBody {
+            error: self.word(),
+            message: self.message(),
+            verdict: self.verdict(),
+            retry_after_ms: millis,
+        };
+        let bytes = serde_json::to_vec(&body).unwrap_or_default();
+        let mut map = HeaderMap::new();
+        let json = HeaderValue::from_static("application/json");
+        map.insert(header::CONTENT_TYPE, json);
+        if let Some(millis) = millis {
+            map.insert(
+                header::RETRY_AFTER,
+                HeaderValue::from(millis.div_ceil(1_000)),
+            );
+        }
+        (self.status(), map, bytes.into())
+    }
+}
+
+fn refused_status(reason: admission::Reason) -> StatusCode {
+    match reason {
+        admission::Reason::UnknownEntry => StatusCode::NOT_FOUND,
+        admission::Reason::NotForRequests => StatusCode::BAD_REQUEST,
+        admission::Reason::UnknownOwner | admission::Reason::OwnerNotAllowed => {
+            StatusCode::FORBIDDEN
+        }
+        admission::Reason::OverRate | admission::Reason::OverConcurrency => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        admission::Reason::Expired => StatusCode::GATEWAY_TIMEOUT,
+        admission::Reason::QueueFull
+        | admission::Reason::Unreachable
+        | admission::Reason::NoHolder
+        | admission::Reason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+impl BadRequest {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Header(_) | Self::Body => StatusCode::BAD_REQUEST,
+            Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+
+    fn word(&self) -> &'static str {
+        match self {
+            Self::NotFound => "not-found",
+            Self::Method => "method",
+            Self::Header(_) => "header",
+            Self::TooLarge(_) => "body-too-large",
+            Self::TooSlow => "body-too-slow",
+            Self::Body => "body-broken",
+        }
+    }
+
+    fn message(&self) -> String {
+        match self {
+            Self::NotFound => "no such path: expected POST /v1/run/ENTRY".to_owned(),
+            Self::Method => "expected POST".to_owned(),
+            Self::Header(text) => text.clone(),
+            Self::TooLarge(limit) => format!("the body is larger than {limit} bytes"),
+            Self::TooSlow => "the body did not arrive in time".to_owned(),
+            Self::Body => "the body broke off or is malformed".to_owned(),
+        }
+    }
+}
+
+/// Whether a header belongs to one connection or to this system only.
+pub(super) fn is_private(name: &HeaderName) -> bool {
+    const HOP: [&str; 10] = [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    ];
+    const OWN: [&str; 2] = [headers::REFUSED, headers::LEAVING];
+    let name = name.as_str();
+    HOP.contains(&name)
+        || OWN.contains(&name)
+        || name.starts_with("x-figscale-")
+        || name.starts_with("x-peer-")
+}
+
+/// The headers that may be passed on: none of a single connection, none that
+/// `Connection` names, none of ours.
+pub(super) fn passed_on(map: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = (map.get_all(header::CONNECTION).iter())
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let keep = |name: &HeaderName| !is_private(name) && !named.iter().any(|n| n == name.as_str());
+    map.iter()
+        .filter(|(name, _)| keep(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/figscale/src/traffic/dump.rs
@@ -0,0 +1,66 @@
+//! The dump of slots, queues and budgets.
+
+use std::sync;
+
+use serde_json::json;
+
+use super::Traffic;
+
+/// Offers the dump under the service's name.
+pub(super) fn offer(traffic: &sync::Arc<Traffic>) {
+    let kernel = traffic.context.kernel.clone();
+    let traffic = traffic.clone();
+    kernel.offer_dump(super::NAME, move || {
+        let dump = traffic.dump();
+        Box::pin(async move { dump })
+    });
+}
+
+impl Traffic {
+    fn dump(&self) -> serde_json::Value {
+        let now = self.now();
+        let decisions = self.decide();
+        let dispatcher = &decisions.dispatcher;
+        let runners: Vec<_> = (dispatcher.table().runners())
+            .map(|runner| {
+                json!({
+                    "runner": runner.instance.id,
+                    "shard": runner.shard,
+                    "epoch": runner.epoch,
+                    "slots": runner.instance.slots,
+                    "busy": runner.busy,
+                    "kept_back": runner.kept_back(now),
+                    "leaving": runner.is_leaving(),
+                    "ejected": dispatcher.is_ejected(runner, now),
+                })
+            })
+            .collect();
+        let others: Vec<_> = (decisions.board.lines())
+            .map(|(service, member, counts)| {
+                json!({ "service": service, "member": member, "counts": counts })
+            })
+            .collect();
+        let budgets: serde_json::Map<_, _> = (decisions.budgets.iter())
+            .map(|(service, budget)| (service.to_string(), json!(budget.saved())))
+            .collect();
+        let owners: serde_json::Map<_, _> = (decisions.admission.in_progress())
+            .map(|(owner, count)| (owner.to_string(), json!(count)))
+            .collect();
+        let homes: Vec<_> = (self.homes.sizes().into_iter())
+            .map(
+                |(shard, ids, floor)| json!({ "shard": shard, "ids": ids, "floor_unix_ms": floor }),
+            )
+            .collect();
+        json!({
+            "authority": self.context.shared.authority.is_valid(now),
+            "in_progress": *self.in_progress.borrow(),
+            "waiting": dispatcher.waiting(),
+            "counts": dispatcher.counts(now),
+            "runners": runners,
+            "others": others,
+            "retries_saved": budgets,
+            "owners": owners,
+            "homes": homes,
+        })
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/traffic/forward.rs
@@ -0,0 +1,236 @@
+//! The one hop to another holder, at the entry instance that received the
+//! request.
+//!
+//! Dropping the future resets the stream, which is how the holder learns that
+//! the caller has gone. A holder that was not heard of for some time is given
+//! up: before the body has gone out the request is known not to have run, and
+//! after that an idempotent one may be tried elsewhere.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use figscale_core::request::admission;
+use figscale_core::request::dispatcher;
+use figscale_types::ids;
+use figscale_types::verdict::Verdict;
+use h2::client;
+use tokio::sync::mpsc;
+
+use super::Traffic;
+use super::answer::Answer;
+use super::answer::AnswerBody;
+use super::answer::Failure;
+use super::answer::Fault;
+use super::answer::Part;
+use super::call::Call;
+use super::wire;
+
+/// Parts of a streamed answer that wait for a slow reader.
+const PARTS_AHEAD: usize = 4;
+/// Time between looks at whether the holder was heard of.
+const LOOK: time::Duration = time::Duration::from_millis(100);
+
+/// How an attempt at a holder ended, other than by an answer.
+#[derive(Debug)]
+pub(super) enum NoAnswerYet {
+    /// It was refused a slot.
+    Refused(dispatcher::Refusal),
+    /// It failed.
+    Failed(Failure),
+}
+
+/// A holder among the peers.
+#[derive(Clone, Debug)]
+pub(super) struct Holder {
+    pub(super) member: ids::MemberKey,
+    pub(super) address: net::SocketAddr,
+}
+
+/// An attempt at another holder.
+pub(super) struct Attempt<'a> {
+    pub(super) traffic: &'a sync::Arc<Traffic>,
+    pub(super) holder: &'a Holder,
+    pub(super) call: &'a Call,
+    pub(super) avoid: Option<ids::InstanceId>,
+}
+
+impl Attempt<'_> {
+    /// Forwards the request; `sent` is called before the body goes out.
+    pub(super) async fn run(self, sent: impl Fn()) -> Result<Answer, NoAnswerYet> {
+        let link_broke = |verdict| failed(verdict, Fault::PeerLink);
+        let eager = wire::is_eager(self.call.idempotent, self.call.body.len() as u64);
+        let hold_bytes = self.traffic.settings().hold_bytes;
+        let (reply, mut sender) = self.open().await?;
+        if eager {
+            sent();
+            let body = self.call.body.clone();
+            let gone = send_body(&mut sender, body).await;
+            gone.map_err(|_| link_broke(Verdict::MayHaveRun))?;
+        }
+        let before = match eager {
+            true => Verdict::MayHaveRun,
+            false => Verdict::NotRun,
+        };
+        let answer = self.heard(reply, before).await?;
+        let answer = answer.map_err(|_| link_broke(before))?;
+        if answer.status() != http::StatusCode::OK {
+            return Err(link_broke(Verdict::NotRun));
+        }
+        let mut reader = wire::Reader::new(answer.into_body());
+        let first = self.heard(reader.frame::<wire::Reply>(), before).await?;
+        match first.map_err(|_| link_broke(before))? {
+            wire::Reply::Granted => {}
+            other => return ended(other, reader, hold_bytes).await,
+        }
+        if !eager {
+            sent();
+            let body = self.call.body.clone();
+            let gone = send_body(&mut sender, body).await;
+            gone.map_err(|_| link_broke(Verdict::MayHaveRun))?;
+        }
+        let maybe = Verdict::MayHaveRun;
+        let last = self.heard(reader.frame::<wire::Reply>(), maybe).await?;
+        let last = last.map_err(|_| link_broke(maybe))?;
+        self.heard(ended(last, reader, hold_bytes), maybe).await?
+    }
+
+    async fn open(&self) -> Result<(client::ResponseFuture, h2::SendStream<Bytes>), NoAnswerYet> {
+        let link_broke = || failed(Verdict::NotRun, Fault::PeerLink);
+        let peers = &self.traffic.context.peers;
+        let opening = peers.open_stream(self.holder.address, wire::STREAM);
+        let (reply, mut sender) = opening.await.map_err(|_| link_broke())?;
+        let head = wire::frame(&self.head()).map_err(|_| link_broke())?;
+        let sent = wire::send(&mut sender, head).await;
+        sent.map_err(|_| link_broke())?;
+        Ok((reply, sender))
+    }
+
+    fn head(&self) -> wire::Head {
+        let call = self.call;
+        let left = call.deadline.saturating_duration_since(self.traffic.now());
+        wire::Head {
+            entry: call.entry.clone(),
+            owner: call.owner.clone(),
+            id: call.id,
+            idempotent: call.idempotent,
+            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            avoid: self.avoid.clone(),
+            headers: wire::from_map(&call.headers),
+            body_bytes: call.body.len() as u64,
+        }
+    }
+
+    /// Waits as long as the holder is heard of.
+    async fn heard<T>(
+        &self,
+        waited: impl Future<Output = T>,
+        verdict: Verdict,
+    ) -> Result<T, NoAnswerYet> {
+        let mut waited = std::pin::pin!(waited);
+        loop {
+            if let Ok(value) = tokio::time::timeout(LOOK, &mut waited).await {
+                return Ok(value);
+            }
+            let now = self.traffic.now();
+            let silent = self
+                .traffic
+                .decide()
+                .board
+                .is_silent(&self.holder.member, now);
+            if silent && (verdict == Verdict::NotRun || self.call.idempotent) {
+                return Err(failed(verdict, Fault::PeerSilent));
+            }
+        }
+    }
+}
+
+fn failed(verdict: Verdict, fault: Fault) -> NoAnswerYet {
+    NoAnswerYet::Failed(Failure {
+        verdict,
+        fault,
+        runner: None,
+    })
+}
+
+async fn send_body(sender: &mut h2::SendStream<Bytes>, body: Bytes) -> Result<(), h2::Error> {
+    wire::send(sender, body).await?;
+    sender.send_data(Bytes::new(), true)
+}
+
+async fn ended(
+    reply: wire::Reply,
+    reader: wire::Reader,
+    hold_bytes: usize,
+) -> Result<Answer, NoAnswerYet> {
+    match reply {
+        wire::Reply::Granted => Err(failed(Verdict::MayHaveRun, Fault::PeerLink)),
+        wire::Reply::Refused {
+            refused,
+            backlog_ms,
+        } => Err(NoAnswerYet::Refused(dispatcher::Refusal {
+            reason: admission::Reason::from(refused),
+            backlog: time::Duration::from_millis(backlog_ms),
+        })),
+        wire::Reply::Failed(failure) => Err(NoAnswerYet::Failed(failure)),
+        wire::Reply::Answer {
+            status,
+            headers,
+            length,
+            runner,
+        } => {
+            let status = http::StatusCode::from_u16(status);
+            let status = status.map_err(|_| failed(Verdict::MayHaveRun, Fault::Broken))?;
+            let body = receive(reader, length, hold_bytes).await?;
+            Ok(Answer {
+                status,
+                headers: wire::to_map(&headers),
+                body,
+                runner,
+            })
+        }
+    }
+}
+
+/// A body that may be held is waited for, a larger one streams.
+async fn receive(
+    mut reader: wire::Reader,
+    length: Option<u64>,
+    hold_bytes: usize,
+) -> Result<AnswerBody, NoAnswerYet> {
+    if let Some(length) = length
+        && length <= hold_bytes as u64
+    {
+        let bytes = reader.whole(length).await;
+        let broke = |_| failed(Verdict::MayHaveRun, Fault::PeerLink);
+        return Ok(AnswerBody::Whole(bytes.map_err(broke)?));
+    }
+    let (sender, rest) = mpsc::channel(PARTS_AHEAD);
+    tokio::spawn(copy(reader, length, sender));
+    Ok(AnswerBody::Streamed {
+        first: Bytes::new(),
+        length,
+        rest,
+    })
+}
+
+/// Copies a body; only one that is whole gets its end.
+async fn copy(mut reader: wire::Reader, length: Option<u64>, sender: mpsc::Sender<Part>) {
+    let mut copied = 0_u64;
+    loop {
+        match reader.raw().await {
+            Ok(Some(part)) => {
+                copied += part.len() as u64;
+                if sender.send(Part::Data(part)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => break,
+            Err(_) => return,
+        }
+    }
+    if length.is_none_or(|length| length == copied) {
+        let _ = sender.send(Part::End).await;
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/traffic/front.rs
@@ -0,0 +1,286 @@
+//! Where callers connect: HTTP/1.1 with bounds on everything.
+//!
+//! Heads, headers, bodies, connections and the time for each are limited. A
+//! request is read whole before anything is done with it and written anew
+//! towards the runner, so no framing of a caller's reaches anybody else.
+
+use std::pin;
+use std::sync;
+use std::task;
+use std::time;
+
+use bytes::Bytes;
+use figscale_types::headers;
+use figscale_types::verdict::Verdict;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+use super::InProgress;
+use super::Message;
+use super::Traffic;
+use super::answer::Answer;
+use super::answer::AnswerBody;
+use super::answer::Broken;
+use super::answer::NoAnswer;
+use super::answer::Part;
+use super::call;
+use super::route;
+use crate::kernel;
+
+/// Path that tells the balancer whether to send callers here.
+const READY_PATH: &str = "/v1/ready";
+/// Time to wait after an accept that failed, most likely for want of descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// An answer's body on its way to the caller, with what it keeps counted.
+struct Outgoing {
+    first: Option<Bytes>,
+    rest: Option<mpsc::Receiver<Part>>,
+    left: Option<u64>,
+    _admitted: Option<route::Admitted>,
+    _counted: InProgress,
+}
+
+impl body::Body for Outgoing {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, Broken>>> {
+        if let Some(first) = self.first.take()
+            && !first.is_empty()
+        {
+            return task::Poll::Ready(Some(Ok(self.count(first))));
+        }
+        let Some(rest) = &mut self.rest else {
+            return task::Poll::Ready(None);
+        };
+        match task::ready!(rest.poll_recv(cx)) {
+            Some(Part::Data(part)) => task::Poll::Ready(Some(Ok(self.count(part)))),
+            Some(Part::End) => {
+                self.rest = None;
+                task::Poll::Ready(None)
+            }
+            // Cut: the connection is aborted rather than ended.
+            None => task::Poll::Ready(Some(Err(Broken))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_none() && self.first.as_ref().is_none_or(Bytes::is_empty)
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        match self.left {
+            Some(left) => body::SizeHint::with_exact(left),
+            None => body::SizeHint::default(),
+        }
+    }
+}
+
+impl Outgoing {
+    fn count(&mut self, part: Bytes) -> body::Frame<Bytes> {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(part.len() as u64);
+        }
+        body::Frame::data(part)
+    }
+}
+
+/// Serves callers until a drain has ended.
+pub(super) async fn serve(
+    traffic: sync::Arc<Traffic>,
+    listener: TcpListener,
+    mut inbox: kernel::Inbox<Message>,
+) {
+    let shutdown = graceful::GracefulShutdown::new();
+    let permits = sync::Arc::new(Semaphore::new(traffic.settings().max_connections));
+    let reply = loop {
+        tokio::select! {
+            accepted = accept(&listener, &permits) => {
+                let Some((socket, permit)) = accepted else {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
+                let connection = shutdown.watch(connection(&traffic, socket));
+                tokio::spawn(async move {
+                    let _ = connection.await;
+                    drop(permit);
+                });
+            }
+            message = inbox.recv() => match message {
+                Some(Message::Drain(reply)) => break reply,
+                None => return,
+            },
+        }
+    };
+    drop(listener);
+    shutdown.shutdown().await;
+    let mut in_progress = traffic.in_progress.subscribe();
+    let _ = in_progress.wait_for(|count| *count == 0).await;
+    reply.send(());
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &sync::Arc<Semaphore>,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = permits.clone().acquire_owned().await.ok()?;
+    let (socket, _) = listener.accept().await.ok()?;
+    let _ = socket.set_nodelay(true);
+    Some((socket, permit))
+}
+
+fn connection(
+    traffic: &sync::Arc<Traffic>,
+    socket: TcpStream,
+) -> impl graceful::GracefulConnection<Error = hyper::Error> + Send + use<> {
+    let settings = traffic.settings();
+    let head_timeout = time::Duration::from_millis(settings.head_timeout_ms);
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .max_buf_size(settings.max_head_bytes)
+        .max_headers(settings.max_headers)
+        .auto_date_header(false);
+    let traffic = traffic.clone();
+    let service = hyper::service::service_fn(move |request| {
+        let traffic = traffic.clone();
+        async move { Ok::<_, std::convert::Infallible>(answer(traffic, request).await) }
+    });
+    builder.serve_connection(TokioIo::new(socket), service)
+}
+
+async fn answer(
+    traffic: sync::Arc<Traffic>,
+    request: Request<body::Incoming>,
+) -> Response<Outgoing> {
+    let counted = traffic.begin();
+    if request.uri().path() == READY_PATH {
+        return ready(&traffic, counted);
+    }
+    let (parts, body) = request.into_parts();
+    let head = match call::Head::read(&parts) {
+        Ok(head) => head,
+        Err(bad) => return no_answer(&traffic, &NoAnswer::Bad(bad), counted),
+    };
+    let id = head.id;
+    let admitted = match traffic.admit(&head) {
+        Ok(admitted) => admitted,
+        Err(refused) => return identified(no_answer(&traffic, &refused, counted), id),
+    };
+    let result = traffic.run(head, &admitted, body).await;
+    let response = match result {
+        Ok(answer) => whole_answer(&traffic, answer, admitted, counted),
+        Err(none) => no_answer(&traffic, &none, counted),
+    };
+    identified(response, id)
+}
+
+fn identified(
+    mut response: Response<Outgoing>,
+    id: figscale_types::ids::RequestId,
+) -> Response<Outgoing> {
+    insert(response.headers_mut(), headers::REQUEST_ID, &id.to_string());
+    response
+}
+
+fn ready(traffic: &Traffic, counted: InProgress) -> Response<Outgoing> {
+    let status = match traffic.is_leaving() {
+        true => StatusCode::SERVICE_UNAVAILABLE,
+        false => StatusCode::OK,
+    };
+    own_response(traffic, status, HeaderMap::new(), Bytes::new(), counted)
+}
+
+fn no_answer(traffic: &Traffic, none: &NoAnswer, counted: InProgress) -> Response<Outgoing> {
+    let (status, map, bytes) = none.parts();
+    let mut response = own_response(traffic, status, map, bytes, counted);
+    let verdict = none.verdict().as_str();
+    insert(response.headers_mut(), headers::VERDICT, verdict);
+    response
+}
+
+fn own_response(
+    traffic: &Traffic,
+    status: StatusCode,
+    map: HeaderMap,
+    bytes: Bytes,
+    counted: InProgress,
+) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing {
+        left: Some(bytes.len() as u64),
+        first: Some(bytes),
+        rest: None,
+        _admitted: None,
+        _counted: counted,
+    });
+    *response.status_mut() = status;
+    *response.headers_mut() = map;
+    finish_head(traffic, &mut response);
+    response
+}
+
+fn whole_answer(
+    traffic: &Traffic,
+    answer: Answer,
+    admitted: route::Admitted,
+    counted: InProgress,
+) -> Response<Outgoing> {
+    let (first, left, rest) = match answer.body {
+        AnswerBody::Whole(bytes) => {
+            let length = bytes.len() as u64;
+            (bytes, Some(length), None)
+        }
+        AnswerBody::Streamed {
+            first,
+            length,
+            rest,
+        } => (first, length, Some(rest)),
+    };
+    let mut response = Response::new(Outgoing {
+        first: Some(first),
+        rest,
+        left,
+        _admitted: Some(admitted),
+        _counted: counted,
+    });
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    let map = response.headers_mut();
+    insert(map, headers::RUNNER, answer.runner.as_str());
+    insert(map, headers::VERDICT, Verdict::Ran.as_str());
+    finish_head(traffic, &mut response);
+    response
+}
+
+fn finish_head(traffic: &Traffic, response: &mut Response<Outgoing>) {
+    let me = traffic.context.me();
+    let map = response.headers_mut();
+    insert(map, headers::SERVED_BY, me.id.as_str());
+    if traffic.is_leaving() {
+        map.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
+fn insert(map: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        map.insert(name, value);
+    }
+}
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -1,15 +1,200 @@
 //! Callers' requests: admission, queue, slot choice, dispatch and answer.
+//!
+//! The decisions are in [`figscale_core::request`]; here are the sockets around
+//! them. A request comes in at the [`front`], finds its way in [`route`], gets a
+//! slot in [`local`] or at another holder through [`forward`] and [`peer_side`],
+//! and is run in [`exchange`]. One mutex guards the decision state of a process;
+//! it is never held across an await, and what is done under it is arithmetic
+//! over at most a few hundred runners.
 
+mod answer;
+mod call;
+mod dump;
+mod exchange;
+mod fence;
+mod forward;
+mod front;
+mod homes;
+mod local;
+mod peer_side;
+mod pool;
+mod push;
+mod route;
+mod shards;
+mod wire;
+
+use std::sync;
+use std::time;
+
+use figscale_core::request::admission;
+use figscale_core::request::board;
+use figscale_core::request::dispatcher;
+use figscale_core::request::queue;
+use figscale_core::request::retry;
+use figscale_types::ids;
+use figscale_types::verdict::Verdict;
+use indexmap::IndexMap;
+use rand::SeedableRng as _;
+use rand::rngs;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::watch;
 
+use crate::kernel;
 use crate::peer;
+use crate::settings;
 use crate::state;
 
 /// Name of the service.
 pub const NAME: &str = "traffic";
 
+/// What the service is asked.
+enum Message {
+    /// Stop taking requests; answered when all have their answers.
+    Drain(kernel::Reply<()>),
+}
+
+/// The decision state, behind one mutex.
+struct Decisions {
+    dispatcher: dispatcher::Dispatcher,
+    board: board::Board,
+    admission: admission::Admission,
+    budgets: IndexMap<ids::ServiceName, retry::RetryBudget>,
+    retry: retry::RetryConfig,
+    waiters: IndexMap<queue::Ticket, local::Waiter>,
+    last_ticket: u64,
+    rng: rngs::StdRng,
+}
+
+impl Decisions {
+    fn new(settings: &settings::TrafficSettings, seed: u64) -> Self {
+        let mut config = dispatcher::DispatcherConfig {
+            reserve_share: settings.reserve_share,
+            ..dispatcher::DispatcherConfig::default()
+        };
+        config.slots.settle = time::Duration::from_millis(settings.settle_ms);
+        Self {
+            dispatcher: dispatcher::Dispatcher::new(config),
+            board: board::Board::new(board::BoardConfig::default()),
+            admission: admission::Admission::new(admission::AdmissionConfig::default()),
+            budgets: IndexMap::new(),
+            retry: retry::RetryConfig {
+                ratio: settings.retry_ratio,
+                ..retry::RetryConfig::default()
+            },
+            waiters: IndexMap::new(),
+            last_ticket: 0,
+            rng: rngs::StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn budget(&mut self, service: &ids::ServiceName) -> &mut retry::RetryBudget {
+        let config = self.retry;
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| retry::RetryBudget::new(config))
+    }
+
+    fn come_back(&mut self, backlog: time::Duration) -> time::Duration {
+        self.admission.come_back(backlog, &mut self.rng)
+    }
+}
+
+/// What the tasks of this service share.
+struct Traffic {
+    context: state::Context,
+    decisions: sync::Mutex<Decisions>,
+    pool: pool::Pool,
+    homes: homes::Homes,
+    /// Slots, queues or shards changed: poll timers and counts are out of date.
+    changed: Notify,
+    /// Requests of callers and peers being answered.
+    in_progress: watch::Sender<usize>,
+    bodies: sync::Arc<tokio::sync::Semaphore>,
+}
+
+impl Traffic {
+    fn new(context: &state::Context) -> Self {
+        let settings = &context.settings.traffic;
+        let seed = context.me().incarnation.0;
+        let units = settings.body_memory_bytes / call::BODY_UNIT_BYTES;
+        Self {
+            context: context.clone(),
+            decisions: sync::Mutex::new(Decisions::new(settings, seed)),
+            pool: pool::Pool::default(),
+            homes: homes::Homes::new(settings),
+            changed: Notify::new(),
+            in_progress: watch::Sender::new(0),
+            bodies: sync::Arc::new(tokio::sync::Semaphore::new(units as usize)),
+        }
+    }
+
+    fn now(&self) -> time::Instant {
+        self.context.clock.now()
+    }
+
+    fn settings(&self) -> &settings::TrafficSettings {
+        &self.context.settings.traffic
+    }
+
+    fn decide(&self) -> sync::MutexGuard<'_, Decisions> {
+        self.decisions
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn has_authority(&self) -> bool {
+        self.context.shared.authority.is_valid(self.now())
+    }
+
+    fn is_leaving(&self) -> bool {
+        *self.context.shared.leaving.borrow()
+    }
+
+    /// Counts a request until the guard is dropped.
+    fn begin(self: &sync::Arc<Self>) -> InProgress {
+        self.in_progress.send_modify(|count| *count += 1);
+        InProgress(self.clone())
+    }
+}
+
+struct InProgress(sync::Arc<Traffic>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.send_modify(|count| *count -= 1);
+    }
+}
+
+/// Logs an attempt that failed.
+fn log_failure(request: ids::RequestId, verdict: Verdict, word: &str) {
+    crate::event!(
+        crate::events::requests::REQUEST_FAILED,
+        request = request,
+        verdict = verdict,
+        fault = word
+    );
+}
+
 /// Registers what it answers to peers, then serves callers on the traffic threads.
-pub fn start(_context: &state::Context, _handlers: &mut peer::Handlers, _listener: TcpListener) {}
+pub fn start(context: &state::Context, handlers: &mut peer::Handlers, listener: TcpListener) {
+    let traffic = sync::Arc::new(Traffic::new(context));
+    let runtime = context.traffic.clone();
+    peer_side::register(&traffic, handlers);
+    push::register(&traffic, handlers);
+    homes::register(&traffic, handlers);
+    dump::offer(&traffic);
+    shards::offer_drains(&traffic);
+    runtime.spawn(shards::follow(traffic.clone()));
+    runtime.spawn(shards::ask_reports(traffic.clone()));
+    runtime.spawn(local::keep_polling(traffic.clone()));
+    runtime.spawn(push::keep_pushing(traffic.clone()));
+    let inbox = context.kernel.register::<Message>(NAME);
+    runtime.spawn(front::serve(traffic, listener, inbox));
+}
 
 /// Stops taking requests and waits until those in progress have their answers.
-pub async fn drain(_context: &state::Context) {}
+pub async fn drain(context: &state::Context) {
+    if let Ok(address) = context.kernel.find::<Message>(NAME) {
+        let _ = address.call(Message::Drain).await;
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/traffic/wire.rs
@@ -0,0 +1,221 @@
+//! The stream between the entry instance that received a request and the
+//! holder that runs it.
+//!
+//! Messages go as frames: a length of four bytes, then `bincode`. The sender
+//! begins with a [`Head`]. The holder answers [`Reply::Granted`] once the request
+//! has a slot; only then does the sender send the body, except for a
+//! small idempotent request, whose body goes along with its head. The last reply is
+//! [`Reply::Refused`], [`Reply::Failed`] or [`Reply::Answer`]; after an answer
+//! the rest of the stream is its body. A body that breaks resets the stream.
+
+use bytes::Buf as _;
+use bytes::Bytes;
+use bytes::BytesMut;
+use figscale_core::request::admission;
+use figscale_types::ids;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de;
+
+use super::answer;
+use crate::peer;
+
+/// Name of the handler of streams.
+pub(super) const STREAM: &str = "run";
+/// Largest frame, in bytes.
+const MAX_FRAME_BYTES: usize = 1 << 20;
+/// Bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+
+/// A header of HTTP.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Header {
+    name: String,
+    value: Vec<u8>,
+}
+
+/// Takes headers apart.
+pub(super) fn from_map(map: &HeaderMap) -> Vec<Header> {
+    map.iter()
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+/// Puts headers together; what is no header is left out.
+pub(super) fn to_map(list: &[Header]) -> HeaderMap {
+    let pairs = list.iter().filter_map(|header| {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&header.value).ok()?;
+        Some((name, value))
+    });
+    pairs.collect()
+}
+
+/// What a holder needs to know of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Head {
+    pub(super) entry: ids::EntryName,
+    pub(super) owner: ids::OwnerName,
+    pub(super) id: ids::RequestId,
+    pub(super) idempotent: bool,
+    /// Time left, in milliseconds.
+    pub(super) left_ms: u64,
+    pub(super) avoid: Option<ids::InstanceId>,
+    pub(super) headers: Vec<Header>,
+    pub(super) body_bytes: u64,
+}
+
+/// Why a holder does not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Refused {
+    /// Its queue is full.
+    QueueFull,
+    /// The deadline cannot be met here.
+    Unreachable,
+    /// The deadline came while it waited.
+    Expired,
+    /// It holds no runner of the service, or does not know the entry.
+    NoHolder,
+}
+
+impl From<admission::Reason> for Refused {
+    fn from(reason: admission::Reason) -> Self {
+        match reason {
+            admission::Reason::QueueFull => Self::QueueFull,
+            admission::Reason::Unreachable => Self::Unreachable,
+            admission::Reason::Expired => Self::Expired,
+            _ => Self::NoHolder,
+        }
+    }
+}
+
+impl From<Refused> for admission::Reason {
+    fn from(refused: Refused) -> Self {
+        match refused {
+            Refused::QueueFull => Self::QueueFull,
+            Refused::Unreachable => Self::Unreachable,
+            Refused::Expired => Self::Expired,
+            Refused::NoHolder => Self::NoHolder,
+        }
+    }
+}
+
+/// What a holder answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum Reply {
+    /// The request has a slot.
+    Granted,
+    /// It has none and did not run.
+    Refused { refused: Refused, backlog_ms: u64 },
+    /// Its attempt failed.
+    Failed(answer::Failure),
+    /// The runner answered; the body follows.
+    Answer {
+        status: u16,
+        headers: Vec<Header>,
+        length: Option<u64>,
+        runner: ids::InstanceId,
+    },
+}
+
+/// Largest body that goes along with its head.
+const MAX_EAGER_BYTES: u64 = 256 << 10;
+
+/// Whether a body goes along with its head, before a slot is granted.
+pub(super) fn is_eager(idempotent: bool, body_bytes: u64) -> bool {
+    idempotent && body_bytes <= MAX_EAGER_BYTES
+}
+
+/// Encodes a frame.
+pub(super) fn frame<T: Serialize>(message: &T) -> eyre::Result<Bytes> {
+    let body = peer::encode(message)?;
+    let length = u32::try_from(body.len())?;
+    let mut all = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    all.extend_from_slice(&length.to_be_bytes());
+    all.extend_from_slice(&body);
+    Ok(all.freeze())
+}
+
+/// Sends bytes within the peer's flow control.
+pub(super) async fn send(
+    sender: &mut h2::SendStream<Bytes>,
+    mut bytes: Bytes,
+) -> Result<(), h2::Error> {
+    while !bytes.is_empty() {
+        sender.reserve_capacity(bytes.len());
+        let room = match std::future::poll_fn(|cx| sender.poll_capacity(cx)).await {
+            Some(room) => room?,
+            None => return Err(h2::Reason::CANCEL.into()),
+        };
+        let part = bytes.split_to(room.min(bytes.len()));
+        sender.send_data(part, false)?;
+    }
+    Ok(())
+}
+
+/// Reads frames, then raw bytes, from a stream.
+pub(super) struct Reader {
+    stream: h2::RecvStream,
+    buffer: BytesMut,
+}
+
+impl Reader {
+    pub(super) fn new(stream: h2::RecvStream) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// The next frame; a stream that ends first is an error.
+    pub(super) async fn frame<T: de::DeserializeOwned>(&mut self) -> eyre::Result<T> {
+        let length = self.take(LENGTH_BYTES).await?.get_u32() as usize;
+        eyre::ensure!(length <= MAX_FRAME_BYTES, "a frame of {length} bytes");
+        let body = self.take(length).await?;
+        peer::decode(&body)
+    }
+
+    async fn take(&mut self, length: usize) -> eyre::Result<Bytes> {
+        while self.buffer.len() < length {
+            match self.part().await? {
+                Some(part) => self.buffer.extend_from_slice(&part),
+                None => eyre::bail!("the stream ended early"),
+            }
+        }
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    async fn part(&mut self) -> Result<Option<Bytes>, h2::Error> {
+        let Some(part) = self.stream.data().await else {
+            return Ok(None);
+        };
+        let part = part?;
+        let _ = self.stream.flow_control().release_capacity(part.len());
+        Ok(Some(part))
+    }
+
+    /// The next raw bytes; `None` at the end of the stream.
+    pub(super) async fn raw(&mut self) -> Result<Option<Bytes>, h2::Error> {
+        if !self.buffer.is_empty() {
+            return Ok(Some(self.buffer.split().freeze()));
+        }
+        self.part().await
+    }
+
+    /// All raw bytes up to the end of the stream, which must be `length`.
+    pub(super) async fn whole(&mut self, length: u64) -> eyre::Result<Bytes> {
+        let mut all = BytesMut::new();
+        while let Some(part) = self.raw().await? {
+            all.extend_from_slice(&part);
+            eyre::ensure!(all.len() as u64 <= length, "more bytes than announced");
+        }
+        eyre::ensure!(all.len() as u64 == length, "fewer bytes than announced");
+        Ok(all.freeze())
+    }
+}
