--- a/crates/figscale-core/src/request/dispatcher.rs
+++ b/crates/figscale-core/src/request/dispatcher.rs
@@ -7,7 +7,7 @@
 //! followed by [`Dispatcher::poll`], which answers with the waiting requests
 //! that got a slot or have to go.
 //!
-//! Part of the slots is kept free of patient work while interactive requests
+//! Part of the slots is kept free of best-effort work while interactive requests
 //! are about, so that an interactive one finds a slot without waiting for a
 //! long run to end; a service that nobody asks interactively loses nothing by
 //! it.
@@ -35,7 +35,7 @@
     pub outlier: outlier::OutlierConfig,
     /// Settings of the slot table.
     pub slots: slots::SlotConfig,
-    /// Share of the slots that patient work leaves free. Default 0.1.
+    /// Share of the slots that best-effort work leaves free. Default 0.1.
     pub reserve_share: f64,
     /// Time after an interactive request for which the share is kept. Default 30 s.
     pub reserve_for: time::Duration,
@@ -341,15 +341,15 @@
         ejected.then_some(used.runner)
     }
 
-    /// Takes in a runner's report that was asked for at `asked`.
+    /// Takes in a runner's report that tells of the moment `taken`, or a later one.
     pub fn report(
         &mut self,
         runner: &ids::InstanceId,
         busy: u32,
-        asked: time::Instant,
+        taken: time::Instant,
         now: time::Instant,
     ) {
-        self.table.report(runner, busy, asked, now);
+        self.table.report(runner, busy, taken, now);
     }
 
     /// Notes that a runner said itself that it is leaving.
@@ -410,8 +410,8 @@
         if self.usable(name, now) == 0 {
             return None;
         }
-        let patient = self.may_use(name, catalogue::Urgency::Patient, now);
-        let allowed = |urgency| urgency != catalogue::Urgency::Patient || patient;
+        let best_effort = self.may_use(name, catalogue::Urgency::BestEffort, now);
+        let allowed = |urgency| urgency != catalogue::Urgency::BestEffort || best_effort;
         self.service_mut(name).queue.pop(allowed)
     }
 
@@ -546,7 +546,7 @@
         let last = service.and_then(|service| service.last_interactive);
         let kept =
             last.is_some_and(|last| now.saturating_duration_since(last) < self.config.reserve_for);
-        if urgency != catalogue::Urgency::Patient || !kept {
+        if urgency != catalogue::Urgency::BestEffort || !kept {
             return true;
         }
         let slots: u32 = self.table.of_service(name).map(|r| r.instance.slots).sum();
--- a/crates/figscale-core/src/request/queue.rs
+++ b/crates/figscale-core/src/request/queue.rs
@@ -1,8 +1,8 @@
 //! The queue of one service at a holder.
 //!
 //! Three levels. Between urgencies, the more urgent one goes first, except that
-//! every [`QueueConfig::lesser_every`]th grant goes to the most patient one that
-//! waits, so that patient work is slowed and never stopped. Inside an urgency, owners take turns by
+//! every [`QueueConfig::lesser_every`]th grant goes to the least urgent one that
+//! waits, so that best-effort work is slowed and never stopped. Inside an urgency, owners take turns by
 //! deficit round robin, weighted by the catalogue. Inside an owner, the earliest
 //! deadline goes first. All requests cost the same in the round robin: a slot
 //! for a time that nobody knows beforehand.
@@ -24,7 +24,7 @@
 /// Settings of a queue.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueConfig {
-    /// Every how manyth grant goes to the most patient urgency. Default 8.
+    /// Every how manyth grant goes to the least urgent that waits. Default 8.
     pub lesser_every: u32,
 }
 
@@ -139,14 +139,14 @@
     match urgency {
         catalogue::Urgency::Interactive => 0,
         catalogue::Urgency::Deadline => 1,
-        catalogue::Urgency::Patient => 2,
+        catalogue::Urgency::BestEffort => 2,
     }
 }
 
 const URGENCIES: [catalogue::Urgency; 3] = [
     catalogue::Urgency::Interactive,
     catalogue::Urgency::Deadline,
-    catalogue::Urgency::Patient,
+    catalogue::Urgency::BestEffort,
 ];
 
 impl FairQueue {
--- a/crates/figscale-core/src/request/slots.rs
+++ b/crates/figscale-core/src/request/slots.rs
@@ -256,19 +256,19 @@
         }
     }
 
-    /// Takes in a runner's report that was asked for at `asked`.
+    /// Takes in a runner's report that tells of the moment `taken`, or a later one.
     pub fn report(
         &mut self,
         id: &ids::InstanceId,
         busy: u32,
-        asked: time::Instant,
+        taken: time::Instant,
         now: time::Instant,
     ) {
         let Some(runner) = self.runners.get_mut(id) else {
             return;
         };
         runner.quarantines.retain(|q| now < q.until);
-        let late_enough = |q: &Quarantine| q.report_after < asked;
+        let late_enough = |q: &Quarantine| q.report_after < taken;
         let counted: u32 = (runner.quarantines.iter())
             .filter(|q| late_enough(q))
             .map(|q| q.count)
--- a/crates/figscale-types/src/lib.rs
+++ b/crates/figscale-types/src/lib.rs
@@ -20,7 +20,6 @@
 pub mod jobs;
 pub mod operator;
 pub mod platform;
-pub mod runner;
 pub mod sizes;
 pub mod verdict;
 pub mod worker;
--- a/crates/figscale/src/settings/traffic.rs
+++ b/crates/figscale/src/settings/traffic.rs
@@ -40,7 +40,7 @@
     pub clock_tolerance_ms: u64,
     /// Request ids remembered by each home. Default 200,000, 100 to 10,000,000.
     pub ids_per_home: usize,
-    /// Share of slots that patient work leaves free while interactive requests
+    /// Share of slots that best-effort work leaves free while interactive requests
     /// are about. Default 0.1, 0 to 0.9.
     pub reserve_share: f64,
     /// Retries earned by each first attempt. Default 0.1, 0 to 1.
--- a/crates/figscale/src/traffic/exchange.rs
+++ b/crates/figscale/src/traffic/exchange.rs
@@ -14,6 +14,7 @@
 use figscale_core::request::dispatcher;
 use figscale_types::headers;
 use figscale_types::ids;
+use figscale_types::instances;
 use figscale_types::verdict::Verdict;
 use http::HeaderValue;
 use http::Response;
@@ -273,7 +274,7 @@
         set(map, headers::ENTRY, call.entry.as_str());
         set(map, headers::OWNER, call.owner.as_str());
         set(map, headers::IDEMPOTENT, &call.idempotent.to_string());
-        let holder = format!("{} {}", grant.shard, grant.epoch);
+        let holder = format!("{}@{}", grant.shard, grant.epoch);
         set(map, headers::HOLDER, &holder);
         let left = call.deadline.saturating_duration_since(self.traffic.now());
         set(map, headers::BUDGET_MS, &left.as_millis().to_string());
@@ -394,14 +395,14 @@
     runner: &ids::InstanceId,
     address: std::net::SocketAddr,
     connections: u32,
-) -> Option<figscale_types::runner::RunnerReport> {
+) -> Option<instances::RunnerUsage> {
     let timeout = time::Duration::from_millis(traffic.settings().connect_timeout_ms);
     let asking = async {
         let pool = &traffic.pool;
         let connection = pool.get(runner, address, connections, timeout).await;
         let mut connection = connection.ok()?;
         connection.gate.arm(sync::Arc::new(|| true));
-        let request = http::Request::get(figscale_types::runner::REPORT_PATH)
+        let request = http::Request::get(instances::RUNNER_USAGE_PATH)
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .ok()?;
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -255,13 +255,13 @@
     async fn make(mut self) -> Result<Answer, NoAnswer> {
         self.traffic.decide().budget(&self.policy.service).earn();
         let wait = time::Duration::from_millis(self.traffic.settings().holder_wait_ms);
-        let mut patience = self.traffic.now() + wait;
+        let mut give_up_at = self.traffic.now() + wait;
         loop {
             let place = self.choose();
             let result = match &place {
                 Place::Here => self.here().await,
                 Place::There(holder) => self.there(holder).await,
-                Place::Nowhere if self.traffic.now() < patience => {
+                Place::Nowhere if self.traffic.now() < give_up_at => {
                     self.excluded.clear();
                     tokio::time::sleep(LOOK).await;
                     continue;
@@ -279,7 +279,7 @@
                 }
                 Err(NoAnswerYet::Failed(failure)) => {
                     self.failed(&place, failure)?;
-                    patience = self.traffic.now() + wait;
+                    give_up_at = self.traffic.now() + wait;
                 }
             }
         }
--- a/crates/figscale/src/traffic/shards.rs
+++ b/crates/figscale/src/traffic/shards.rs
@@ -138,8 +138,11 @@
         let report = exchange::ask_report(traffic, id, address, runner.connections()).await;
         if let Some(report) = report {
             let now = traffic.now();
+            // The moment that the report tells of.
+            let age = time::Duration::from_millis(report.age_ms);
+            let taken = asked.checked_sub(age).unwrap_or(asked);
             let mut decisions = traffic.decide();
-            decisions.dispatcher.report(id, report.busy, asked, now);
+            decisions.dispatcher.report(id, report.busy, taken, now);
             if report.leaving {
                 decisions.dispatcher.says_leaving(id);
             }
