Give the stand-in worker the clock that bounds messages

Ruled out: a default clock in the report (every bounded start would pass). Change: the stand-in counts its clock from its start, draws a new life after a crash, refuses late starts and ignores late renewals; a test of both.

--- a/crates/figscale-standin/src/worker/tasks.rs
+++ b/crates/figscale-standin/src/worker/tasks.rs
@@ -110,6 +110,8 @@
     frozen_at: Option<time::Instant>,
     overused: bool,
     record: Record,
+    life: u64,
+    born: time::Instant,
 }
 
 impl Tasks {
@@ -118,6 +120,7 @@
         capacity: sizes::Resources,
         usage_lag: time::Duration,
         ledger: ledger::TaskLedger,
+        now: time::Instant,
     ) -> Self {
         Self {
             id,
@@ -130,9 +133,22 @@
             frozen_at: None,
             overused: false,
             record: Record::default(),
+            life: rand::random(),
+            born: now,
+        }
+    }
+
+    fn clock(&self, now: time::Instant) -> worker::WorkerClock {
+        worker::WorkerClock {
+            life: self.life,
+            elapsed_ms: millis(now.saturating_duration_since(self.born)),
         }
     }
 
+    fn is_late(&self, not_after: Option<worker::WorkerClock>, now: time::Instant) -> bool {
+        not_after.is_some_and(|limit| !self.clock(now).is_within(&limit))
+    }
+
     pub(super) fn record(&self) -> Record {
         self.record.clone()
     }
@@ -197,6 +213,8 @@
             }
         }
         self.tasks.clear();
+        self.life = rand::random();
+        self.born = now;
     }
 
     /// Whether an epoch may be obeyed; remembers the highest.
@@ -218,6 +236,9 @@
         if !self.obeys(request.epoch) {
             return worker::StartAnswer::Refused(worker::StartRefusal::StaleEpoch);
         }
+        if self.is_late(request.not_after, now) {
+            return worker::StartAnswer::Refused(worker::StartRefusal::Late);
+        }
         let known = self.tasks.get(&request.task);
         if known.is_some_and(|task| task.attempt == request.attempt) {
             return worker::StartAnswer::Known;
@@ -292,6 +313,9 @@
         if !self.obeys(request.epoch) {
             return self.report(now, true);
         }
+        if self.is_late(request.not_after, now) {
+            return self.report(now, false);
+        }
         let until = now + time::Duration::from_millis(request.lease_ms);
         for id in &request.tasks {
             if let Some(task) = self.tasks.get_mut(id).filter(|task| task.is_running()) {
@@ -356,6 +380,7 @@
             capacity: self.capacity,
             leaving: self.faults.leaving,
             tasks: tasks.collect(),
+            clock: self.clock(now),
         }
     }
 
--- a/crates/figscale-standin/tests/worker.rs
+++ b/crates/figscale-standin/tests/worker.rs
@@ -72,6 +72,7 @@
         run_ms: 10_000,
         command: String::new(),
         resume: false,
+        not_after: None,
     }
 }
 
@@ -99,6 +100,7 @@
             lease_ms: 1_000,
             tasks: vec![task(index)],
             forget: Vec::new(),
+            not_after: None,
         };
         let answer = self.call(worker, "/v1/renew", &request).await;
         answer.json().expect("a report")
@@ -347,6 +349,7 @@
         lease_ms: 1_000,
         tasks: Vec::new(),
         forget: vec![task(0)],
+        not_after: None,
     };
     assert_eq!(bench.workers[0].report().tasks.len(), 1);
     let answer = bench.call(0, "/v1/renew", &request).await;
@@ -358,3 +361,30 @@
             .is_empty()
     );
 }
+
+#[tokio::test]
+async fn a_late_start_is_refused_and_a_late_renewal_renews_nothing() {
+    let bench = bench().await;
+    let limit = bench.workers[0].report().clock;
+    let request = protocol::StartTask {
+        not_after: Some(limit),
+        ..start(0, 1, 1, 4)
+    };
+    bench.pass_ms(1);
+    let late = StartAnswer::Refused(protocol::StartRefusal::Late);
+    assert_eq!(bench.start(0, &request).await, late);
+
+    let in_time = start(0, 1, 1, 4);
+    assert_eq!(bench.start(0, &in_time).await, StartAnswer::Started);
+    bench.pass_ms(900);
+    let renewal = protocol::Renew {
+        epoch: ids::Epoch(1),
+        lease_ms: 1_000,
+        tasks: vec![task(0)],
+        forget: Vec::new(),
+        not_after: Some(limit),
+    };
+    bench.call(0, "/v1/renew", &renewal).await;
+    bench.pass_ms(200);
+    assert_eq!(bench.phase(0), TaskPhase::Lapsed);
+}
