--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -125,7 +125,8 @@
     ids::Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
 }
 
-fn context(
+/// What the services of a process are given; starts none of them.
+pub fn context(
     settings: settings::Settings,
     clock: clock::SharedClock,
     traffic: tokio::runtime::Handle,
--- a/crates/figscale/src/settings/document.rs
+++ b/crates/figscale/src/settings/document.rs
@@ -17,10 +17,12 @@
 use serde::de;
 use serde_json::value;
 
+use super::duplicates;
+
 /// Largest document that is read, in bytes.
 pub const MAX_DOCUMENT_BYTES: u64 = 1 << 20;
 
-/// A place in a document, both counted from 1.
+/// A place in a document, both counted from 1, columns in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
     /// Line.
@@ -37,7 +39,7 @@
         let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
         Self {
             line: before.matches('\n').count() + 1,
-            column: before[line_start..].chars().count() + 1,
+            column: before.len() - line_start + 1,
         }
     }
 }
@@ -108,9 +110,17 @@
     /// Takes a text, with the name that errors give it.
     pub fn from_text(name: &str, text: &str) -> Result<Self, DocumentError> {
         let mut blanked = String::with_capacity(text.len());
-        StripComments::new(text.as_bytes())
-            .read_to_string(&mut blanked)
-            .map_err(|error| DocumentError::unreadable(name, format!("bad comment: {error}")))?;
+        let stripped = StripComments::new(text.as_bytes()).read_to_string(&mut blanked);
+        if stripped.is_err() {
+            let fault = Fault {
+                place: Some(place_of_bad_comment(text)),
+                text: "expected a comment, `// ...` or `/* ... */`, that is closed".to_owned(),
+            };
+            return Err(DocumentError {
+                name: name.to_owned(),
+                faults: vec![fault],
+            });
+        }
         Ok(Self {
             name: name.to_owned(),
             text: blanked,
@@ -125,9 +135,21 @@
             self.malformed(Some(&path), error.inner())
         })?;
         json.end().map_err(|error| self.malformed(None, &error))?;
+        self.refuse_duplicates()?;
         Ok(parsed)
     }
 
+    /// Refuses a name that stands twice in one object, of which a map would
+    /// quietly keep the last.
+    fn refuse_duplicates(&self) -> Result<(), DocumentError> {
+        let mut json = serde_json::Deserializer::from_str(&self.text);
+        let walked: Result<duplicates::Unique, _> = serde_path_to_error::deserialize(&mut json);
+        walked.map(|_| ()).map_err(|error| {
+            let path = error.path().to_string();
+            self.malformed(Some(&path), error.inner())
+        })
+    }
+
     fn malformed(&self, path: Option<&str>, error: &serde_json::Error) -> DocumentError {
         let place = Place {
             line: error.line().max(1),
@@ -135,7 +157,7 @@
         };
         let message = without_place(error);
         let text = match path {
-            Some(path) if path != "." => format!("{path}: {message}"),
+            Some(path) if path != "." && path != "?" => format!("{path}: {message}"),
             _ => message,
         };
         DocumentError {
@@ -181,11 +203,30 @@
     }
 }
 
+/// Where the library gave up: after the last good byte, or, when it read to
+/// the end for the end of a comment, where that comment begins.
+fn place_of_bad_comment(text: &str) -> Place {
+    let good = StripComments::new(text.as_bytes())
+        .bytes()
+        .take_while(Result::is_ok)
+        .count();
+    let offset = if good == text.len() {
+        text.rfind("/*").unwrap_or(good)
+    } else {
+        good
+    };
+    Place::at_offset(text, offset)
+}
+
+/// What the standard library says of an address, which names no form.
+const BAD_ADDRESS: &str = "invalid socket address syntax";
+
 /// The message of a JSON error without the place, which is shown in front.
 fn without_place(error: &serde_json::Error) -> String {
     let message = error.to_string();
     let place = format!(" at line {} column {}", error.line(), error.column());
     match message.strip_suffix(&place) {
+        Some(BAD_ADDRESS) => format!("{BAD_ADDRESS}, expected IP:PORT like 127.0.0.1:7101"),
         Some(message) => message.to_owned(),
         None => message,
     }
--- a/crates/figscale/src/settings/mod.rs
+++ b/crates/figscale/src/settings/mod.rs
@@ -6,6 +6,7 @@
 
 mod claims;
 pub mod document;
+mod duplicates;
 mod jobs;
 mod log;
 mod traffic;
