--- /dev/null
+++ b/crates/figscale/tests/cli_exit.rs
@@ -0,0 +1,284 @@
+//! Exit codes of the operators' commands, and what a lost answer leads to.
+//!
+//! The entry instance is a script: it answers each connection as told and
+//! keeps what it was sent.
+
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::path;
+use std::process;
+use std::sync::mpsc;
+use std::thread;
+
+use rstest::rstest;
+
+/// What the script does with one connection.
+#[derive(Clone, Copy)]
+enum Step {
+    /// Answers with this status and body.
+    Answer(u16, &'static str),
+    /// Reads the request, then closes without an answer.
+    Lose,
+}
+
+struct Script {
+    address: net::SocketAddr,
+    requests: mpsc::Receiver<String>,
+}
+
+/// Plays the steps, one for each request, then takes no more connections.
+fn play(steps: Vec<Step>) -> Script {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, requests) = mpsc::channel();
+    thread::spawn(move || {
+        for step in steps {
+            let (mut socket, _) = listener.accept().unwrap();
+            sender.send(read_request(&mut socket)).unwrap();
+            if let Step::Answer(status, body) = step {
+                answer(&mut socket, status, body);
+            }
+        }
+    });
+    Script { address, requests }
+}
+
+fn read_request(socket: &mut net::TcpStream) -> String {
+    let mut text = String::new();
+    let mut chunk = [0; 4_096];
+    loop {
+        let length = socket.read(&mut chunk).unwrap();
+        text.push_str(std::str::from_utf8(&chunk[..length]).unwrap());
+        if length == 0 || is_whole(&text) {
+            return text;
+        }
+    }
+}
+
+fn is_whole(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |length| length.parse().unwrap());
+    body.len() >= length
+}
+
+fn answer(socket: &mut net::TcpStream, status: u16, body: &str) {
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} Scripted\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    );
+    socket.write_all(text.as_bytes()).unwrap();
+}
+
+fn figscale(entry: &str, arguments: &[&str]) -> process::Output {
+    process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+        .env_remove("FIGSCALE_ENTRY")
+        .args(["--entry", entry])
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn data(name: &str) -> String {
+    let file = path::Path::new("tests/data").join(name);
+    file.to_string_lossy().into_owned()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+const ACCEPTED: Step = Step::Answer(200, r#"{"revision":2,"repeated":false}"#);
+const REPEATED: Step = Step::Answer(200, r#"{"revision":2,"repeated":true}"#);
+const INVALID: Step = Step::Answer(
+    400,
+    r#"{"kind":"invalid","message":"no","retry_after_ms":null}"#,
+);
+const CONFLICT: Step = Step::Answer(
+    409,
+    r#"{"kind":"conflict","message":"revision 3 came first","retry_after_ms":null}"#,
+);
+const AWAY: Step = Step::Answer(
+    503,
+    r#"{"kind":"unavailable","message":"the store is away","retry_after_ms":700}"#,
+);
+const UNKNOWN: Step = Step::Answer(
+    503,
+    r#"{"kind":"unknown","message":"the store did not answer","retry_after_ms":100}"#,
+);
+const BROKEN: Step = Step::Answer(500, "oops");
+
+#[rstest]
+#[case::accepted(vec![ACCEPTED], 0, "accepted as revision 2\n", "")]
+#[case::invalid(vec![INVALID], 2, "", "no\n")]
+#[case::conflict(vec![CONFLICT], 3, "", "revision 3 came first\n")]
+#[case::away(vec![AWAY], 4, "", "the store is away (ask again after 700 ms)\n")]
+#[case::broken(vec![BROKEN], 1, "", "500 Internal Server Error: oops\n")]
+#[case::unknown_then_known(vec![UNKNOWN, REPEATED], 0, "accepted before as revision 2\n", "")]
+#[case::lost_then_known(vec![Step::Lose, REPEATED], 0, "accepted before as revision 2\n", "")]
+#[case::lost_then_conflict(vec![Step::Lose, CONFLICT], 3, "", "revision 3 came first\n")]
+fn apply(#[case] steps: Vec<Step>, #[case] code: i32, #[case] stdout: &str, #[case] stderr: &str) {
+    let script = play(steps);
+    let file = data("catalogue/good.json");
+    let arguments = ["catalogue", "apply", &file, "--base", "1"];
+    let output = figscale(&script.address.to_string(), &arguments);
+    assert_eq!(text(&output.stderr), stderr);
+    assert_eq!(text(&output.stdout), stdout);
+    assert_eq!(output.status.code(), Some(code));
+}
+
+/// Repeats carry the same change id, or a change could count twice.
+#[test]
+fn repeats_are_the_same_change() {
+    let script = play(vec![Step::Lose, UNKNOWN, REPEATED]);
+    let file = data("catalogue/good.json");
+    let arguments = ["catalogue", "apply", &file, "--base", "1"];
+    let output = figscale(&script.address.to_string(), &arguments);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+
+    let bodies: Vec<String> = script.requests.iter().map(|r| body(&r)).collect();
+    assert_eq!(bodies.len(), 3);
+    assert!(bodies[0].contains("\"change\":\""), "{}", bodies[0]);
+    assert_eq!(bodies[0], bodies[1]);
+    assert_eq!(bodies[0], bodies[2]);
+}
+
+fn body(request: &str) -> String {
+    request.split_once("\r\n\r\n").unwrap().1.to_owned()
+}
+
+/// Repeats of a submission carry the same job id.
+#[test]
+fn repeats_are_the_same_job() {
+    let status = r#"{"id":"j","owner":"o","entry":"e","state":"queued",
+        "verdict":"not-run","reason":null,"tasks":[]}"#;
+    let script = play(vec![Step::Lose, Step::Answer(200, status)]);
+    let output = figscale(
+        &script.address.to_string(),
+        &["job", "submit", &data("job.json")],
+    );
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+
+    let lines: Vec<String> = script
+        .requests
+        .iter()
+        .map(|r| r.lines().next().unwrap().to_owned())
+        .collect();
+    assert!(
+        lines[0].starts_with("POST /v1/jobs?id=job-"),
+        "{}",
+        lines[0]
+    );
+    assert_eq!(lines[0], lines[1]);
+}
+
+/// A change that was sent and never answered is code 5, with the id to repeat.
+#[test]
+fn lost_change_may_have_taken_effect() {
+    let script = play(vec![Step::Lose]);
+    let file = data("catalogue/good.json");
+    let arguments = ["catalogue", "apply", &file, "--base", "1"];
+    let output = figscale(&script.address.to_string(), &arguments);
+    let stderr = text(&output.stderr);
+    assert_eq!(output.status.code(), Some(5), "{stderr}");
+    assert!(stderr.starts_with("it may have taken effect"), "{stderr}");
+
+    let sent: serde_json::Value =
+        serde_json::from_str(&body(&script.requests.recv().unwrap())).unwrap();
+    let repeat = format!("repeat with --change {}", sent["change"].as_str().unwrap());
+    assert!(stderr.contains(&repeat), "{stderr}");
+}
+
+/// Nothing was sent, so nothing can have taken effect.
+#[test]
+fn nobody_there_is_unavailable() {
+    let script = play(Vec::new());
+    let file = data("catalogue/good.json");
+    let arguments = ["catalogue", "apply", &file, "--base", "1"];
+    let output = figscale(&script.address.to_string(), &arguments);
+    assert_eq!(output.status.code(), Some(4), "{}", text(&output.stderr));
+}
+
+/// The next address is asked when the first takes no connection.
+#[test]
+fn second_address_is_asked() {
+    let gone = play(Vec::new());
+    let script = play(vec![ACCEPTED]);
+    let entries = format!("{},{}", gone.address, script.address);
+    let file = data("catalogue/good.json");
+    let output = figscale(&entries, &["catalogue", "apply", &file, "--base", "1"]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+}
+
+#[rstest]
+#[case::lost(vec![Step::Lose])]
+#[case::unknown(vec![UNKNOWN])]
+fn lost_read_is_unavailable(#[case] steps: Vec<Step>) {
+    let script = play(steps);
+    let output = figscale(&script.address.to_string(), &["job", "list"]);
+    assert_eq!(output.status.code(), Some(4), "{}", text(&output.stderr));
+}
+
+#[rstest]
+#[case::no_command(&[], "One of the following subcommands must be present")]
+#[case::no_subcommand(&["job"], "One of the following subcommands must be present")]
+#[case::unknown_command(&["jobs"], "Unrecognized argument: jobs")]
+#[case::flag_after(&["job", "list", "--json"], "stand before the command")]
+#[case::no_base(&["catalogue", "apply", "x.json"], "--base")]
+#[case::bad_revision(&["catalogue", "rollback", "one", "--base", "2"], "a whole number")]
+#[case::bad_job(&["job", "status", "No Job"], "invalid job id")]
+#[case::no_file(&["catalogue", "check", "none.json"], "none.json: cannot read")]
+#[case::bad_file(&["catalogue", "check", "tests/data/catalogue/bad-unit.json"], ":4:49: owners.fraser-reach.rate_per_min: unknown field")]
+fn wrong_usage(#[case] arguments: &[&str], #[case] expected: &str) {
+    let output = figscale("127.0.0.1:1", arguments);
+    let stderr = text(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{stderr}");
+    assert!(stderr.contains(expected), "{stderr}");
+}
+
+#[test]
+fn no_address_is_wrong_usage() {
+    let output = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+        .env_remove("FIGSCALE_ENTRY")
+        .arg("dump")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("FIGSCALE_ENTRY"));
+}
+
+#[test]
+fn address_from_the_environment() {
+    let script = play(vec![Step::Answer(200, "[]")]);
+    let output = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+        .env("FIGSCALE_ENTRY", script.address.to_string())
+        .args(["--json", "job", "list"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    assert_eq!(text(&output.stdout), "[]\n");
+}
+
+#[test]
+fn help_and_local_commands_succeed() {
+    for arguments in [
+        &["--help"] as &[&str],
+        &["catalogue", "apply", "--help"],
+        &["events"],
+        &["catalogue", "check", "tests/data/catalogue/good.json"],
+        &[
+            "settings",
+            "check",
+            "tests/data/settings/good-smallest.json",
+        ],
+    ] {
+        let output = figscale("127.0.0.1:1", arguments);
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+        assert!(!output.stdout.is_empty());
+    }
+}
