--- a/crates/figscale/src/cli/jobs.rs
+++ b/crates/figscale/src/cli/jobs.rs
@@ -45,13 +45,18 @@
         .map_err(Failure::usage)
 }
 
+/// A slash is the one character of an id that a path would split at.
+fn path_of(id: &ids::JobId) -> String {
+    format!("/v1/jobs/{}", id.as_str().replace('/', "%2F"))
+}
+
 fn status(id: &ids::JobId, client: &client::Client, json: bool) -> Outcome {
-    let status = client.get(&format!("/v1/jobs/{id}"))?;
+    let status = client.get(&path_of(id))?;
     Ok(show(&status, json))
 }
 
 fn cancel(id: &ids::JobId, client: &client::Client, json: bool) -> Outcome {
-    let status = client.post(&format!("/v1/jobs/{id}/cancel"), &())?;
+    let status = client.post(&format!("{}/cancel", path_of(id)), &())?;
     Ok(show(&status, json))
 }
 
--- a/crates/figscale/src/settings/document.rs
+++ b/crates/figscale/src/settings/document.rs
@@ -206,10 +206,13 @@
 /// Where the library gave up: after the last good byte, or, when it read to
 /// the end for the end of a comment, where that comment begins.
 fn place_of_bad_comment(text: &str) -> Place {
-    let good = StripComments::new(text.as_bytes())
-        .bytes()
-        .take_while(Result::is_ok)
-        .count();
+    let mut stripper = StripComments::new(text.as_bytes());
+    let mut byte = [0];
+    let mut good = 0;
+    // One byte at a time, since a longer read fails as a whole.
+    while stripper.read(&mut byte).is_ok_and(|length| length > 0) {
+        good += 1;
+    }
     let offset = if good == text.len() {
         text.rfind("/*").unwrap_or(good)
     } else {
--- a/crates/figscale/tests/cli_exit.rs
+++ b/crates/figscale/tests/cli_exit.rs
@@ -3,6 +3,8 @@
 //! The entry instance is a script: it answers each connection as told and
 //! keeps what it was sent.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net;
@@ -282,3 +284,15 @@
         assert!(!output.stdout.is_empty());
     }
 }
+
+/// A job id may hold a slash, which is not one of the path.
+#[rstest]
+#[case("status", "GET /v1/jobs/firth%2Fjob-1 ")]
+#[case("cancel", "POST /v1/jobs/firth%2Fjob-1/cancel ")]
+fn slash_in_a_job_id(#[case] command: &str, #[case] expected: &str) {
+    let script = play(vec![INVALID]);
+    let arguments = ["job", command, "firth/job-1"];
+    figscale(&script.address.to_string(), &arguments);
+    let request = script.requests.recv().unwrap();
+    assert!(request.starts_with(expected), "{request}");
+}
--- a/crates/figscale/tests/settings_load.rs
+++ b/crates/figscale/tests/settings_load.rs
@@ -3,6 +3,8 @@
 //! Each file under `data` is a case; the golden file beside holds the whole
 //! verdict. Names begin with `good` or `bad`.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use std::path;
 use std::process;
 
