--- a/crates/figscale-core/src/request/board.rs
+++ b/crates/figscale-core/src/request/board.rs
@@ -169,6 +169,11 @@
         })
     }
 
+    /// Members that said anything, if only that they hold nothing.
+    pub fn heard(&self) -> impl Iterator<Item = &ids::MemberKey> {
+        self.heard.keys()
+    }
+
     /// Lines for a dump: service, holder, counts.
     pub fn lines(&self) -> impl Iterator<Item = (&ids::ServiceName, &ids::MemberKey, Counts)> {
         self.lines.iter().flat_map(|(service, lines)| {
--- a/crates/figscale/src/traffic/dump.rs
+++ b/crates/figscale/src/traffic/dump.rs
@@ -57,6 +57,7 @@
             "waiting": dispatcher.waiting(),
             "counts": dispatcher.counts(now),
             "runners": runners,
+            "heard": decisions.board.heard().collect::<Vec<_>>(),
             "others": others,
             "retries_saved": budgets,
             "owners": owners,
--- a/crates/figscale/tests/requests_cell/mod.rs
+++ b/crates/figscale/tests/requests_cell/mod.rs
@@ -178,10 +178,10 @@
     /// Waits until every entry instance knows the counts of every other.
     pub async fn settle(&self) {
         for entry in &self.entries {
-            let shards = self.entries.len() - 1;
+            let others = self.entries.len() - 1;
             wait_for("the counts of the others", || async {
                 let dump = entry.context.kernel.dump().await;
-                dump["traffic"]["others"].as_array().map_or(0, Vec::len) >= shards
+                dump["traffic"]["heard"].as_array().map_or(0, Vec::len) >= others
             })
             .await;
         }
