--- /dev/null
+++ b/crates/figscale-core/src/claims/hash.rs
@@ -0,0 +1,24 @@
+//! A hash that is the same in every process and version.
+
+/// Offset basis of 64-bit FNV-1a.
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+/// Prime of 64-bit FNV-1a.
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hashes the parts in order; well mixed in all bits.
+pub(super) fn hash(parts: &[&str]) -> u64 {
+    let mut state = OFFSET;
+    for part in parts {
+        for byte in part.bytes().chain([0]) {
+            state = (state ^ u64::from(byte)).wrapping_mul(PRIME);
+        }
+    }
+    mix(state)
+}
+
+/// Finalizer of splitmix64, since FNV-1a mixes the high bits badly.
+fn mix(mut state: u64) -> u64 {
+    state = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    state = (state ^ (state >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    state ^ (state >> 31)
+}
--- a/crates/figscale-core/src/lib.rs
+++ b/crates/figscale-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! draws a number from an unseeded source, so every promise can be tested with
 //! time held still, and again with real processes.
 
+pub mod backoff;
 pub mod catalogue;
 pub mod claims;
 pub mod job;
--- a/crates/figscale-types/src/claims.rs
+++ b/crates/figscale-types/src/claims.rs
@@ -56,6 +56,74 @@
     pub members: IndexMap<ids::MemberId, Member>,
     /// Shards by name.
     pub shards: IndexMap<ids::ShardId, Shard>,
+    /// Who answers for a member while the store is away, by the member's
+    /// name; written by nobody but the member itself.
+    #[serde(default)]
+    pub witnesses: IndexMap<ids::MemberId, Vec<ids::MemberKey>>,
+}
+
+impl Claims {
+    /// The key of a member in its current life.
+    pub fn key_of(&self, id: &ids::MemberId) -> Option<ids::MemberKey> {
+        let member = self.members.get(id)?;
+        Some(ids::MemberKey {
+            id: id.clone(),
+            incarnation: member.incarnation,
+        })
+    }
+
+    /// The keys of all members in their current lives.
+    pub fn keys(&self) -> Vec<ids::MemberKey> {
+        self.members
+            .keys()
+            .filter_map(|id| self.key_of(id))
+            .collect()
+    }
+
+    /// The shards of a holder.
+    pub fn shards_of<'a>(
+        &'a self,
+        holder: &'a ids::MemberKey,
+    ) -> impl Iterator<Item = (&'a ids::ShardId, &'a Shard)> {
+        self.shards
+            .iter()
+            .filter(|(_, shard)| shard.holder.as_ref() == Some(holder))
+    }
+}
+
+/// What an entry instance asks another about claims.
+///
+/// `witness` names the life that is asked, so that a restarted process does
+/// not answer for the one before it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerQuestion {
+    /// Do not help to evict `holder`, who asks, for the life of a lease.
+    Promise {
+        /// Who is asked.
+        witness: ids::MemberKey,
+        /// Who asks.
+        holder: ids::MemberKey,
+        /// Leases under which the document may name the holder.
+        leases: Vec<ids::LeaseId>,
+    },
+    /// Help to evict `holder`, whose lease has lapsed in the store.
+    Release {
+        /// Who is asked.
+        witness: ids::MemberKey,
+        /// Who is to be evicted.
+        holder: ids::MemberKey,
+        /// The lease that lapsed.
+        lease: ids::LeaseId,
+    },
+}
+
+/// Answer to a [`PeerQuestion`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// As asked.
+    Yes,
+    /// No; asking later may help.
+    No,
 }
 
 /// The shard of an instance; `None` for entry instances.
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -10,7 +10,6 @@
 //! lease that lapses costs more calls than it saved; they are charged to it
 //! all the same.
 
-mod backoff;
 mod budget;
 mod count;
 mod error;
@@ -25,13 +24,13 @@
 use figscale_types::instances;
 use figscale_types::platform;
 
-pub use backoff::Backoff;
 pub use budget::Budget;
 pub use count::Call;
 pub use count::Counts;
 pub use count::Usage;
 pub use error::StoreError;
 pub use error::StoreErrorKind;
+pub use figscale_core::backoff::Backoff;
 
 /// A value with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
