--- a/crates/figscale-core/src/claims/machine.rs
+++ b/crates/figscale-core/src/claims/machine.rs
@@ -312,7 +312,7 @@
         let mut held = IndexMap::new();
         for (id, shard) in claims.shards_of(&self.me) {
             let same = self.held.get(id).filter(|held| held.epoch == shard.epoch);
-            let entry = same.cloned().unwrap_or_else(|| Held {
+            let entry = same.cloned().unwrap_or(Held {
                 epoch: shard.epoch,
                 taken_at: now,
                 last_foreign_dispatch: now,
--- /dev/null
+++ b/crates/figscale/src/claims/publish.rs
@@ -0,0 +1,160 @@
+//! Publishes what the claims machine knows, and logs what changed.
+
+use std::sync;
+use std::time;
+
+use figscale_core::claims as core;
+use figscale_types::ids;
+use figscale_types::instances;
+use indexmap::IndexMap;
+
+use crate::events::claims as events;
+use crate::state;
+
+/// The last thing published.
+pub(super) struct Publisher {
+    context: state::Context,
+    instances: sync::Arc<instances::InstanceList>,
+    by_shard: IndexMap<ids::ShardId, Vec<instances::Instance>>,
+    /// Whether the list is newer than the view.
+    listed: bool,
+    was_member: bool,
+    had_authority: bool,
+    by_promises: bool,
+    evicting: Vec<ids::MemberKey>,
+}
+
+impl Publisher {
+    pub(super) fn new(context: state::Context) -> Self {
+        Self {
+            context,
+            instances: sync::Arc::default(),
+            by_shard: IndexMap::new(),
+            listed: false,
+            was_member: false,
+            had_authority: false,
+            by_promises: false,
+            evicting: Vec::new(),
+        }
+    }
+
+    /// Takes in the instance list.
+    pub(super) fn instances(&mut self, list: sync::Arc<instances::InstanceList>) {
+        if *list != *self.instances {
+            self.by_shard = core::by_shard(&list);
+            self.instances = list;
+            self.listed = true;
+        }
+    }
+
+    /// Publishes the view if it changed, and the authority.
+    ///
+    /// A lost authority goes before the view and a gained one after it, so
+    /// that no reader pairs new shards with an old right to use them.
+    pub(super) fn publish(&mut self, machine: &core::Machine, now: time::Instant) {
+        let until = machine.authority_until();
+        if until.is_none() {
+            self.context.shared.authority.revoke();
+        }
+        self.publish_view(machine);
+        if let Some(until) = until {
+            self.context.shared.authority.set_valid_until(until);
+        }
+        self.log(machine, now);
+    }
+
+    fn publish_view(&mut self, machine: &core::Machine) {
+        let old = self.context.shared.claims_now();
+        let held = machine.held();
+        let revision = machine.document().map_or(old.revision, |(rev, _)| rev);
+        let same_held = held.len() == old.held.len()
+            && held
+                .iter()
+                .all(|(id, held)| old.held.get(id).is_some_and(|old| old.epoch == held.epoch));
+        if same_held && revision == old.revision && !self.listed {
+            return;
+        }
+        self.listed = false;
+        let claims = match machine.document() {
+            Some((_, claims)) if revision != old.revision => claims.clone(),
+            _ => old.claims.clone(),
+        };
+        self.context.store.share_among(claims.members.len());
+        log_moves(&old, &held);
+        let view = state::ClaimsView {
+            me: old.me.clone(),
+            revision,
+            claims,
+            held: held
+                .into_iter()
+                .map(|(id, held)| (id, shown(held)))
+                .collect(),
+            instances: self.instances.clone(),
+            by_shard: self.by_shard.clone(),
+        };
+        self.context
+            .shared
+            .claims
+            .send_replace(sync::Arc::new(view));
+    }
+
+    fn log(&mut self, machine: &core::Machine, now: time::Instant) {
+        let status = machine.status();
+        if status.is_member != self.was_member && !status.left {
+            match status.is_member {
+                true => crate::event!(events::CLAIMS_JOINED, member = self.context.me()),
+                false => crate::event!(events::CLAIMS_DROPPED, member = self.context.me()),
+            }
+        }
+        self.was_member = status.is_member;
+        let by_lease = status.lease_until.is_some_and(|until| now < until);
+        let has_authority = machine.authority_until().is_some_and(|until| now < until);
+        if has_authority != self.had_authority {
+            match has_authority {
+                true => crate::event!(events::AUTHORITY_GAINED, shards = machine.held().len()),
+                false => crate::event!(events::AUTHORITY_LOST, shards = machine.held().len()),
+            }
+        }
+        self.had_authority = has_authority;
+        let by_promises = has_authority && !by_lease;
+        if by_promises != self.by_promises && has_authority {
+            match by_promises {
+                true => crate::event!(events::HELD_BY_PROMISES, shards = machine.held().len()),
+                false => crate::event!(events::HELD_BY_LEASE, shards = machine.held().len()),
+            }
+        }
+        self.by_promises = by_promises;
+        self.log_evictions(machine, status.evicting);
+    }
+
+    fn log_evictions(&mut self, machine: &core::Machine, evicting: Vec<ids::MemberKey>) {
+        for holder in &self.evicting {
+            let document = machine.document();
+            let named = document.and_then(|(_, claims)| claims.key_of(&holder.id));
+            if named.as_ref() != Some(holder) {
+                crate::event!(events::MEMBER_EVICTED, member = holder);
+            }
+        }
+        self.evicting = evicting;
+    }
+}
+
+fn log_moves(old: &state::ClaimsView, held: &IndexMap<ids::ShardId, core::Held>) {
+    let taken = held.keys().filter(|id| !old.held.contains_key(*id)).count();
+    let given = old.held.keys().filter(|id| !held.contains_key(*id)).count();
+    if taken > 0 {
+        crate::event!(events::SHARDS_TAKEN, shards = taken, held = held.len());
+    }
+    if given > 0 {
+        crate::event!(events::SHARDS_GIVEN, shards = given, held = held.len());
+    }
+}
+
+fn shown(held: core::Held) -> state::Held {
+    state::Held {
+        epoch: held.epoch,
+        taken_at: held.taken_at,
+        last_foreign_dispatch: held.last_foreign_dispatch,
+        clean: held.clean,
+    }
+}
