--- a/crates/figscale/src/claims/calls.rs
+++ b/crates/figscale/src/claims/calls.rs
@@ -185,12 +185,16 @@
                 let after = calls.context.shared.claims_now().revision;
                 let wait = time::Duration::from_millis(WATCH_MS);
                 let store = &calls.context.store;
+                let began = calls.context.clock.now();
                 match store.watch(super::DOCUMENT_KEY, after, wait).await {
                     Ok(Some(found)) => {
                         delays.reset();
                         calls.seen(&found).await;
                     }
-                    Ok(None) => delays.reset(),
+                    // Nothing new in all that time.
+                    Ok(None) if calls.context.clock.now() >= began + wait => delays.reset(),
+                    // Too early: the key is gone.
+                    Ok(None) => delays.pause().await,
                     Err(error) => delays.wait(&error).await,
                 }
             }
@@ -259,6 +263,10 @@
             crate::event!(events::STORE_AWAY, error = error);
         }
         self.failed = true;
+        self.pause().await;
+    }
+
+    async fn pause(&mut self) {
         tokio::time::sleep(self.backoff.next_delay(&mut self.rng)).await;
     }
 }
--- a/crates/figscale/src/peer/client.rs
+++ b/crates/figscale/src/peer/client.rs
@@ -62,6 +62,7 @@
     me: ids::MemberKey,
     token: String,
     runtime: tokio::runtime::Handle,
+    routes: IndexMap<net::SocketAddr, net::SocketAddr>,
     links: sync::Mutex<IndexMap<(net::SocketAddr, Lane), Link>>,
 }
 
@@ -72,10 +73,17 @@
             me,
             token,
             runtime,
+            routes: IndexMap::new(),
             links: sync::Mutex::default(),
         }
     }
 
+    /// Connects elsewhere than to some published addresses.
+    pub fn with_routes(mut self, routes: IndexMap<net::SocketAddr, net::SocketAddr>) -> Self {
+        self.routes = routes;
+        self
+    }
+
     /// Calls a service of a peer and waits at most `timeout` for the answer.
     pub async fn call<Q: Serialize, A: de::DeserializeOwned>(
         &self,
@@ -178,7 +186,8 @@
         if let Some(link) = known {
             return Ok(link);
         }
-        let connect = TcpStream::connect(peer);
+        let address = self.routes.get(&peer).copied().unwrap_or(peer);
+        let connect = TcpStream::connect(address);
         let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS);
         let socket = tokio::time::timeout(timeout, connect).await??;
         socket.set_nodelay(true)?;
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -134,8 +134,10 @@
         id: settings.member.clone(),
         incarnation: new_incarnation(&clock),
     };
-    let store = store::Store::new(settings.platform_address, &settings.store, clock.clone());
-    let peers = peer::Peers::new(me.clone(), settings.peer_token.clone(), traffic.clone());
+    let store = store::Store::new(settings.platform_address, &settings.store, clock.clone())
+        .named(&settings.member);
+    let peers = peer::Peers::new(me.clone(), settings.peer_token.clone(), traffic.clone())
+        .with_routes(settings.claims.peer_routes.clone());
     state::Context {
         kernel: sync::Arc::new(kernel::Kernel::default()),
         shared: sync::Arc::new(state::Shared::new(me, clock.now())),
--- a/crates/figscale/src/settings/claims.rs
+++ b/crates/figscale/src/settings/claims.rs
@@ -1,5 +1,8 @@
 //! Settings of the store client, the claims and the catalogue.
 
+use std::net;
+
+use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -48,6 +51,9 @@
     pub instances_ms: u64,
     /// Part of each lease left unused, for clock rates and scheduling. Default 500, 10 to 5,000.
     pub margin_ms: u64,
+    /// Where to connect instead, by published peer address, in a network that
+    /// maps addresses. Default: nowhere else.
+    pub peer_routes: IndexMap<net::SocketAddr, net::SocketAddr>,
 }
 
 impl Default for ClaimsSettings {
@@ -57,6 +63,7 @@
             heartbeat_ms: 1_500,
             instances_ms: 1_000,
             margin_ms: 500,
+            peer_routes: IndexMap::new(),
         }
     }
 }
@@ -67,6 +74,12 @@
         problems.bound("claims.heartbeat_ms", self.heartbeat_ms, 100, 20_000);
         problems.bound("claims.instances_ms", self.instances_ms, 100, 10_000);
         problems.bound("claims.margin_ms", self.margin_ms, 10, 5_000);
+        if self.margin_ms * 4 > self.lease_ms {
+            problems.add(format!(
+                "claims.margin_ms is {}: expected a quarter of claims.lease_ms ({}) at most",
+                self.margin_ms, self.lease_ms
+            ));
+        }
         if self.heartbeat_ms * 3 > self.lease_ms {
             problems.add(format!(
                 "claims.heartbeat_ms is {}: expected a third of claims.lease_ms ({}) at most",
--- a/crates/figscale/src/store/http.rs
+++ b/crates/figscale/src/store/http.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    pub(super) fn header(mut self, name: &'static str, value: u64) -> Self {
+    pub(super) fn header(mut self, name: &'static str, value: impl fmt::Display) -> Self {
         self.headers.push((name, value.to_string()));
         self
     }
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -44,6 +44,7 @@
 /// The client.
 pub struct Store {
     http: http::HttpClient,
+    name: String,
     clock: clock::SharedClock,
     timeout: time::Duration,
     budget: sync::Mutex<Budget>,
@@ -60,6 +61,7 @@
         let budget = Budget::new(settings.budget_calls_per_s, clock.now());
         Self {
             http: http::HttpClient::new(address),
+            name: "-".to_owned(),
             clock,
             timeout: time::Duration::from_millis(settings.timeout_ms),
             budget: sync::Mutex::new(budget),
@@ -67,6 +69,12 @@
         }
     }
 
+    /// Gives the client's name with every call, for the platform's accounts.
+    pub fn named(mut self, member: &ids::MemberId) -> Self {
+        self.name = member.to_string();
+        self
+    }
+
     /// Tells how many entry instances share the budget.
     pub fn share_among(&self, members: usize) {
         lock(&self.budget).share_among(members, self.clock.now());
@@ -174,6 +182,7 @@
         timeout: time::Duration,
     ) -> Result<http::Answer, StoreError> {
         self.wait_for_budget(kind).await?;
+        let request = request.header(platform::CLIENT, &self.name);
         let sent_bytes = request.len();
         let result = self.http.send(request, timeout).await;
         let received_bytes = result.as_ref().map_or(0, http::Answer::len);
