--- a/crates/figscale/src/claims/calls.rs
+++ b/crates/figscale/src/claims/calls.rs
@@ -272,6 +272,7 @@
 }
 
 fn failure(error: &StoreError) -> StoreFailure {
+    crate::event!(events::STORE_CALL_FAILED, error = error);
     match (&error.kind, error.verdict) {
         (StoreErrorKind::Conflict(_), _) => StoreFailure::Conflict,
         (StoreErrorKind::LeaseGone, _) => StoreFailure::LeaseGone,
--- a/crates/figscale/src/claims/publish.rs
+++ b/crates/figscale/src/claims/publish.rs
@@ -109,7 +109,7 @@
         self.was_member = status.is_member;
         let by_lease = status.lease_until.is_some_and(|until| now < until);
         let has_authority = machine.authority_until().is_some_and(|until| now < until);
-        if has_authority != self.had_authority {
+        if has_authority != self.had_authority && !status.left {
             match has_authority {
                 true => crate::event!(events::AUTHORITY_GAINED, shards = machine.held().len()),
                 false => crate::event!(events::AUTHORITY_LOST, shards = machine.held().len()),
--- a/crates/figscale/src/events/claims.rs
+++ b/crates/figscale/src/events/claims.rs
@@ -15,5 +15,6 @@
     2010 CLOCK_JUMPED Warn "The wall clock ran ahead of the monotonic clock: the machine was suspended, or somebody set the clock. Held shards wait for the next renewal.";
     2011 PROCESS_PAUSED Warn "The control thread did not run for a while; the process was stopped or starved.";
     2012 CLAIMS_UNREADABLE Error "The claims document is not what this version writes; nothing is changed. Somebody else wrote it, or a later version did.";
-    2101 STORE_AWAY Warn "A call to the store got no answer.";
+    2101 STORE_AWAY Warn "A call to the store got no answer; repeats are not logged again before the next answer.";
+    2102 STORE_CALL_FAILED Debug "A call of the claims to the store failed; it is made again.";
 }
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -148,7 +148,9 @@
         let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
         let body = serde_json::to_vec(&platform::LeaseRequest { ttl_ms })
             .map_err(|e| StoreError::away(e.to_string()))?;
-        let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned()).body(body);
+        let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned())
+            .header("content-type", "application/json")
+            .body(body);
         let answer = self.call(Call::Grant, request, self.timeout).await?;
         let granted: platform::LeaseAnswer = answer.json()?;
         Ok(granted.lease)
--- a/crates/figscale/tests/claims_support/mod.rs
+++ b/crates/figscale/tests/claims_support/mod.rs
@@ -3,6 +3,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 #![expect(dead_code, reason = "each test binary uses a part")]
+#![expect(unreachable_pub, reason = "a module of test binaries")]
 
 use std::collections::HashMap;
 use std::net;
