Stand-in worker refuses late calls by its clock; open-loop load tool

Starts and renewals received after not_after are refused and counted. The load tool counts latency from the intended arrival and verifies each answer; a dishonest server in its tests shows that it is not fooled.

--- a/crates/figscale-standin/src/worker/mod.rs
+++ b/crates/figscale-standin/src/worker/mod.rs
@@ -146,6 +146,7 @@
         config.capacity,
         config.usage_lag,
         config.ledger.clone(),
+        config.clock.now(),
     );
     let shared = sync::Arc::new(Shared {
         clock: config.clock,
--- a/crates/figscale-standin/src/worker/tasks.rs
+++ b/crates/figscale-standin/src/worker/tasks.rs
@@ -32,6 +32,8 @@
     pub overused: u64,
     /// Calls with an epoch lower than one seen before.
     pub stale_calls: u64,
+    /// Calls received after the moment by which they had to be.
+    pub late_calls: u64,
     /// Most room that was reserved at once.
     pub most_reserved: sizes::Resources,
 }
@@ -104,6 +106,8 @@
     capacity: sizes::Resources,
     usage_lag: time::Duration,
     ledger: ledger::TaskLedger,
+    life: u64,
+    started: time::Instant,
     epoch: ids::Epoch,
     tasks: IndexMap<ids::TaskId, Task>,
     faults: Faults,
@@ -118,12 +122,15 @@
         capacity: sizes::Resources,
         usage_lag: time::Duration,
         ledger: ledger::TaskLedger,
+        started: time::Instant,
     ) -> Self {
         Self {
             id,
             capacity,
             usage_lag,
             ledger,
+            life: rand::random(),
+            started,
             epoch: ids::Epoch(0),
             tasks: IndexMap::new(),
             faults: Faults::default(),
@@ -210,6 +217,20 @@
         current
     }
 
+    fn clock(&self, now: time::Instant) -> worker::WorkerClock {
+        worker::WorkerClock {
+            life: self.life,
+            elapsed_ms: millis(now.saturating_duration_since(self.started)),
+        }
+    }
+
+    fn is_in_time(&mut self, not_after: Option<worker::WorkerClock>, now: time::Instant) -> bool {
+        let clock = self.clock(now);
+        let in_time = not_after.is_none_or(|not_after| clock.is_within(&not_after));
+        self.record.late_calls += u64::from(!in_time);
+        in_time
+    }
+
     pub(super) fn start(
         &mut self,
         request: &worker::StartTask,
@@ -222,6 +243,9 @@
         if known.is_some_and(|task| task.attempt == request.attempt) {
             return worker::StartAnswer::Known;
         }
+        if !self.is_in_time(request.not_after, now) {
+            return worker::StartAnswer::Refused(worker::StartRefusal::Late);
+        }
         if let Some(refusal) = self.refusal(request) {
             return worker::StartAnswer::Refused(refusal);
         }
@@ -292,6 +316,9 @@
         if !self.obeys(request.epoch) {
             return self.report(now, true);
         }
+        if !self.is_in_time(request.not_after, now) {
+            return self.report(now, false);
+        }
         let until = now + time::Duration::from_millis(request.lease_ms);
         for id in &request.tasks {
             if let Some(task) = self.tasks.get_mut(id).filter(|task| task.is_running()) {
@@ -356,6 +383,7 @@
             capacity: self.capacity,
             leaving: self.faults.leaving,
             tasks: tasks.collect(),
+            clock: self.clock(now),
         }
     }
 
--- /dev/null
+++ b/crates/figscale-standin/tests/load.rs
@@ -0,0 +1,178 @@
+//! The load tool sees what a caller would see, and is not fooled.
+
+use std::net;
+use std::time;
+
+use figscale_standin::load;
+use figscale_standin::proxy;
+use figscale_standin::runner;
+use figscale_types::headers;
+use figscale_types::verdict::Verdict;
+use http::StatusCode;
+use rstest::rstest;
+
+fn config(targets: &[(net::SocketAddr, f64)]) -> load::Config {
+    let target = |(address, weight): &(net::SocketAddr, f64)| load::Target {
+        address: *address,
+        weight: *weight,
+    };
+    load::Config {
+        targets: targets.iter().map(target).collect(),
+        classes: vec![class("quotes", 3.0), class("renewals", 1.0)],
+        rate_per_s: 1_000.0,
+        duration: time::Duration::from_millis(300),
+        patience: time::Duration::from_secs(30),
+        seed: 7,
+    }
+}
+
+fn class(entry: &str, weight: f64) -> load::Class {
+    load::Class {
+        entry: entry.parse().expect("legal"),
+        owner: "broker".parse().expect("legal"),
+        weight,
+        mean_run_ms: 1.0,
+        idempotent: true,
+        budget_ms: None,
+        body_bytes: 200,
+        answer_bytes: 500,
+    }
+}
+
+async fn wide_runner() -> runner::Handle {
+    let config = runner::Config {
+        slots: 10_000,
+        connections: 10_000,
+        ..runner::Config::default()
+    };
+    runner::start(config).await.expect("it listens")
+}
+
+#[test]
+fn arrivals_keep_to_seed_rate_and_shares() {
+    let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let config = load::Config {
+        duration: time::Duration::from_secs(20),
+        ..config(&[(address, 9.0), (address, 1.0)])
+    };
+    let all: Vec<_> = load::arrivals(&config).collect();
+    assert_eq!(all, load::arrivals(&config).collect::<Vec<_>>());
+    let other = load::Config { seed: 8, ..config };
+    assert_ne!(all, load::arrivals(&other).collect::<Vec<_>>());
+
+    assert!((19_000..21_000).contains(&all.len()), "{}", all.len());
+    assert!(all.is_sorted_by_key(|arrival| arrival.at));
+    let first_target = all.iter().filter(|arrival| arrival.target == 0).count();
+    let first_class = all.iter().filter(|arrival| arrival.class == 0).count();
+    let near = |count: usize, share: f64| (count as f64 / all.len() as f64 - share).abs() < 0.02;
+    assert!(near(first_target, 0.9) && near(first_class, 0.75));
+}
+
+#[tokio::test]
+async fn every_answer_is_counted_by_class() {
+    let runner = wide_runner().await;
+    let report = load::run(&config(&[(runner.address(), 1.0)])).await;
+    assert_eq!(report.all.own, report.all.requests, "{report}");
+    let by_class: u64 = report.classes.values().map(|class| class.own).sum();
+    assert_eq!(by_class, report.all.own);
+    assert!(report.classes["quotes"].own > report.classes["renewals"].own);
+    assert_eq!(runner.ledger().requests().len() as u64, report.all.requests);
+}
+
+/// What a dishonest server answers to every request.
+type Lie = fn(&str) -> (StatusCode, String, String);
+
+fn other_request(_: &str) -> (StatusCode, String, String) {
+    answer("somebody-elses", "0")
+}
+
+fn other_body(id: &str) -> (StatusCode, String, String) {
+    answer(id, "0")
+}
+
+fn damaged(id: &str) -> (StatusCode, String, String) {
+    let (status, body, _) = answer(id, "0");
+    (status, body, "0".to_owned())
+}
+
+fn answer(request_id: &str, body_checksum: &str) -> (StatusCode, String, String) {
+    let answer = runner::RunAnswer {
+        request_id: request_id.to_owned(),
+        body_checksum: body_checksum.to_owned(),
+        entry: String::new(),
+        runner: "liar".parse().expect("legal"),
+        filling: String::new(),
+    };
+    let body = serde_json::to_string(&answer).expect("JSON");
+    let checksum = runner::checksum(body.as_bytes());
+    (StatusCode::OK, body, checksum)
+}
+
+async fn liar(lie: Lie) -> net::SocketAddr {
+    let handler = move |request: axum::extract::Request| async move {
+        let id = request.headers()[headers::REQUEST_ID].to_str();
+        let (status, body, checksum) = lie(id.expect("text"));
+        (status, [(headers::CHECKSUM, checksum)], body)
+    };
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("it listens");
+    let address = listener.local_addr().expect("an address");
+    let app = axum::Router::new().fallback(handler);
+    tokio::spawn(async { axum::serve(listener, app).await });
+    address
+}
+
+#[rstest]
+#[case::other_request(other_request)]
+#[case::other_body(other_body)]
+#[case::damaged(damaged)]
+#[tokio::test]
+async fn a_wrong_answer_is_found(#[case] lie: Lie) {
+    let report = load::run(&config(&[(liar(lie).await, 1.0)])).await;
+    assert_eq!(report.all.wrong, report.all.requests, "{report}");
+}
+
+#[tokio::test]
+async fn failures_are_counted_by_status_and_verdict() {
+    let runner = wide_runner().await;
+    runner.change_faults(|faults| faults.refuse = true);
+    let report = load::run(&config(&[(runner.address(), 1.0)])).await;
+    assert_eq!(report.all.failed["503 no-verdict"], report.all.requests);
+    runner.change_faults(|faults| faults.cut_answer = true);
+    runner.change_faults(|faults| faults.refuse = false);
+    let report = load::run(&config(&[(runner.address(), 1.0)])).await;
+    assert_eq!(report.all.no_answer, report.all.requests);
+}
+
+#[tokio::test]
+async fn a_false_not_run_is_found() {
+    let runner = wide_runner().await;
+    let mut report = load::run(&config(&[(runner.address(), 1.0)])).await;
+    assert!(report.false_not_run(runner.ledger()).is_empty());
+    report.outcomes[0].result = load::RequestResult::Failed {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        verdict: Some(Verdict::NotRun),
+        retry_after: false,
+    };
+    let expected = report.outcomes[0].request_id.to_string();
+    assert_eq!(report.false_not_run(runner.ledger()), vec![expected]);
+}
+
+#[tokio::test]
+async fn a_stall_is_seen_by_every_request_that_fell_into_it() {
+    let runner = wide_runner().await;
+    let proxy = proxy::start(proxy::Config::to(runner.address())).await;
+    let proxy = proxy.expect("it listens");
+    proxy.change_faults(|faults| faults.to_target.freeze = true);
+    let stall = async {
+        tokio::time::sleep(time::Duration::from_millis(600)).await;
+        proxy.change_faults(|faults| faults.to_target.freeze = false);
+    };
+    let config = config(&[(proxy.address(), 1.0)]);
+    let (report, ()) = tokio::join!(load::run(&config), stall);
+    // The last arrival is at 300 ms, so each waited for 300 ms or more; a
+    // closed loop would have made one request and seen one wait.
+    assert!(report.all.requests > 200, "{report}");
+    assert_eq!(report.all.own, report.all.requests, "{report}");
+    assert!(report.outcomes.iter().all(|o| o.latency.as_millis() >= 300));
+}
--- a/crates/figscale-standin/tests/worker.rs
+++ b/crates/figscale-standin/tests/worker.rs
@@ -72,6 +72,7 @@
         run_ms: 10_000,
         command: String::new(),
         resume: false,
+        not_after: None,
     }
 }
 
@@ -99,6 +100,7 @@
             lease_ms: 1_000,
             tasks: vec![task(index)],
             forget: Vec::new(),
+            not_after: None,
         };
         let answer = self.call(worker, "/v1/renew", &request).await;
         answer.json().expect("a report")
@@ -347,6 +349,7 @@
         lease_ms: 1_000,
         tasks: Vec::new(),
         forget: vec![task(0)],
+        not_after: None,
     };
     assert_eq!(bench.workers[0].report().tasks.len(), 1);
     let answer = bench.call(0, "/v1/renew", &request).await;
@@ -358,3 +361,66 @@
             .is_empty()
     );
 }
+
+/// When a start must be received, from a worker's clock.
+type NotAfter = fn(protocol::WorkerClock) -> protocol::WorkerClock;
+
+fn soon(clock: protocol::WorkerClock) -> protocol::WorkerClock {
+    let elapsed_ms = clock.elapsed_ms + 100;
+    protocol::WorkerClock {
+        elapsed_ms,
+        ..clock
+    }
+}
+
+fn of_another_life(clock: protocol::WorkerClock) -> protocol::WorkerClock {
+    let life = clock.life.wrapping_add(1);
+    protocol::WorkerClock {
+        life,
+        ..soon(clock)
+    }
+}
+
+#[rstest]
+#[case::in_time(soon, 100, true)]
+#[case::late(soon, 101, false)]
+#[case::of_another_life(of_another_life, 100, false)]
+#[tokio::test]
+async fn a_late_start_or_renewal_is_not_obeyed(
+    #[case] not_after: NotAfter,
+    #[case] pass_ms: u64,
+    #[case] obeyed: bool,
+) {
+    let bench = bench().await;
+    bench.start(0, &start(0, 1, 1, 1)).await;
+    let not_after = Some(not_after(bench.workers[0].report().clock));
+    bench.pass_ms(pass_ms);
+    let request = protocol::StartTask {
+        not_after,
+        ..start(1, 1, 1, 1)
+    };
+    let refused = StartAnswer::Refused(StartRefusal::Late);
+    let answer = bench.start(0, &request).await;
+    assert_eq!(
+        answer,
+        if obeyed {
+            StartAnswer::Started
+        } else {
+            refused
+        }
+    );
+
+    let renewal = protocol::Renew {
+        epoch: ids::Epoch(1),
+        lease_ms: 1_000,
+        tasks: vec![task(0)],
+        forget: Vec::new(),
+        not_after,
+    };
+    bench.call(0, "/v1/renew", &renewal).await;
+    bench.pass_ms(950);
+    let renewed = bench.phase(0) == TaskPhase::Running;
+    assert_eq!(renewed, obeyed);
+    let late = if obeyed { 0 } else { 2 };
+    assert_eq!(bench.workers[0].record().late_calls, late);
+}
