--- /dev/null
+++ b/crates/figscale/tests/cli_serve.rs
@@ -0,0 +1,152 @@
+//! `figscale serve` as a process: signals, exit codes and the log.
+//!
+//! The platform is absent throughout, which is an outage and no reason to fail.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::fs;
+use std::io::BufRead as _;
+use std::io::BufReader;
+use std::io::Read as _;
+use std::net;
+use std::path;
+use std::process;
+use std::sync::atomic;
+use std::time;
+
+use rstest::rstest;
+
+/// Longest wait for anything.
+const LIMIT: time::Duration = time::Duration::from_secs(60);
+/// Ports outside of those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// A running process, ended with the test.
+struct Serve {
+    child: process::Child,
+    log: BufReader<process::ChildStderr>,
+    _directory: tempfile::TempDir,
+}
+
+impl Drop for Serve {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Free ports, sought from a place that differs between processes; no two
+/// tests of this process get the same.
+fn free_ports<const N: usize>() -> [u16; N] {
+    static TRIED: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let span = u32::from(PORTS.end - PORTS.start);
+    let first = process::id().wrapping_mul(97) % span;
+    std::array::from_fn(|_| {
+        (0..span)
+            .map(|_| first + TRIED.fetch_add(1, atomic::Ordering::Relaxed))
+            .map(|place| PORTS.start + u16::try_from(place % span).unwrap())
+            .find(|port| net::TcpListener::bind(("127.0.0.1", *port)).is_ok())
+            .unwrap()
+    })
+}
+
+fn write_settings(
+    directory: &path::Path,
+    [caller, peer, operator, platform]: [u16; 4],
+) -> path::PathBuf {
+    let file = directory.join("settings.json");
+    let text = format!(
+        r#"{{
+  "member": "entry-a",
+  "failure_domain": "lm-1",
+  "caller_address": "127.0.0.1:{caller}",
+  "peer_address": "127.0.0.1:{peer}",
+  "operator_address": "127.0.0.1:{operator}",
+  "platform_address": "127.0.0.1:{platform}", // Nobody listens there.
+  "peer_token": "0123456789abcdef",
+  "shutdown_ms": 2000
+}}"#
+    );
+    fs::write(&file, text).unwrap();
+    file
+}
+
+fn serve(ports: [u16; 4]) -> Serve {
+    let directory = tempfile::tempdir().unwrap();
+    let file = write_settings(directory.path(), ports);
+    let mut child = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+        .arg("serve")
+        .arg("--settings")
+        .arg(file)
+        .stderr(process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let log = BufReader::new(child.stderr.take().unwrap());
+    Serve {
+        child,
+        log,
+        _directory: directory,
+    }
+}
+
+impl Serve {
+    /// Reads the log up to an event, whose line it returns.
+    fn read_until(&mut self, name: &str) -> serde_json::Value {
+        let mut line = String::new();
+        while self.log.read_line(&mut line).unwrap() > 0 {
+            let event: serde_json::Value = serde_json::from_str(&line).unwrap();
+            if event["name"] == name {
+                return event;
+            }
+            line.clear();
+        }
+        panic!("the log ended before {name}");
+    }
+
+    fn signal(&self, signal: &str) {
+        let status = process::Command::new("kill")
+            .args(["-s", signal, &self.child.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    fn exit_code(&mut self) -> Option<i32> {
+        let start = time::Instant::now();
+        while start.elapsed() < LIMIT {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(time::Duration::from_millis(10));
+        }
+        panic!("still running");
+    }
+}
+
+/// A signal is a planned stop: in order, and with code 0.
+#[rstest]
+#[case("TERM")]
+#[case("INT")]
+fn signal_stops_in_order(#[case] signal: &str) {
+    let mut serve = serve(free_ports());
+    let started = serve.read_until("PROCESS_STARTED");
+    assert_eq!(started["event"], 1_001);
+    assert!(started["member"].as_str().unwrap().starts_with("entry-a#"));
+    serve.signal(signal);
+    serve.read_until("PROCESS_LEAVING");
+    serve.read_until("PROCESS_ENDED");
+    assert_eq!(serve.exit_code(), Some(0));
+}
+
+/// An address that is taken fails the start, and the message names the field.
+#[test]
+fn taken_address_fails_the_start() {
+    let ports: [u16; 4] = free_ports();
+    let _taken = net::TcpListener::bind(("127.0.0.1", ports[2])).unwrap();
+    let mut serve = serve(ports);
+    assert_eq!(serve.exit_code(), Some(1));
+    let mut text = String::new();
+    serve.log.read_to_string(&mut text).unwrap();
+    let expected = format!("operator_address: cannot listen on 127.0.0.1:{}", ports[2]);
+    assert!(text.contains(&expected), "{text}");
+}
