--- a/crates/figscale/src/settings/document.rs
+++ b/crates/figscale/src/settings/document.rs
@@ -22,6 +22,9 @@
 /// Largest document that is read, in bytes.
 pub const MAX_DOCUMENT_BYTES: u64 = 1 << 20;
 
+/// Most faults that one error shows; each costs a look through the document.
+const MAX_FAULTS_SHOWN: usize = 20;
+
 /// A place in a document, both counted from 1, columns in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -171,36 +174,71 @@
 
     /// Refuses a document that was parsed but is wrong in itself.
     ///
-    /// Each line is placed at the first field that it names, by its path with
-    /// dots, and that stands in the document.
+    /// A line names fields by their paths with dots and is placed at the first
+    /// of them that stands in the document. Where none does, because a default
+    /// is wrong beside what was set, it is placed at the innermost object
+    /// around the first.
     pub fn refuse(&self, lines: &[String]) -> DocumentError {
         let fault = |line: &String| Fault {
-            place: Some(self.place_of_first_field(line)),
+            place: Some(self.place_of_line(line)),
             text: line.clone(),
         };
+        let mut faults: Vec<Fault> = lines.iter().take(MAX_FAULTS_SHOWN).map(fault).collect();
+        if lines.len() > MAX_FAULTS_SHOWN {
+            faults.push(Fault {
+                place: None,
+                text: format!("and {} more", lines.len() - MAX_FAULTS_SHOWN),
+            });
+        }
         DocumentError {
             name: self.name.clone(),
-            faults: lines.iter().map(fault).collect(),
+            faults,
         }
     }
 
-    fn place_of_first_field(&self, line: &str) -> Place {
-        line.split_whitespace()
+    fn place_of_line(&self, line: &str) -> Place {
+        let found: Vec<Found<'_>> = line
+            .split_whitespace()
             .map(|word| word.trim_matches([':', ',', ';', '`', '"', '(', ')']))
-            .find_map(|word| self.place_of(word))
-            .unwrap_or(Place::START)
+            .filter_map(|word| find(&self.text, word))
+            .collect();
+        let best = found.iter().find(|f| f.whole).or(found.first());
+        best.map_or(Place::START, |found| self.place(found.part))
+    }
+
+    /// The place of a part of the text, which the library borrowed from it.
+    fn place(&self, part: &str) -> Place {
+        let offset = (part.as_ptr() as usize).saturating_sub(self.text.as_ptr() as usize);
+        Place::at_offset(&self.text, offset)
     }
+}
+
+/// The value that a path leads to, or the innermost one on the way.
+struct Found<'a> {
+    part: &'a str,
+    whole: bool,
+}
 
-    /// The place of a field's value; `None` when the field is not there.
-    pub fn place_of(&self, path: &str) -> Option<Place> {
-        let mut part = self.text.as_str();
-        for name in path.split('.') {
-            let fields: IndexMap<String, &value::RawValue> = serde_json::from_str(part).ok()?;
-            part = fields.get(name)?.get();
+/// Follows a path whose names are joined by dots and may hold dots themselves;
+/// `None` when not even its first name is there.
+fn find<'a>(text: &'a str, path: &str) -> Option<Found<'a>> {
+    let fields: IndexMap<String, &'a value::RawValue> = serde_json::from_str(text).ok()?;
+    let mut best = None;
+    for (name, value) in fields {
+        let part = value.get();
+        let found = match path.strip_prefix(name.as_str()) {
+            Some("") => Found { part, whole: true },
+            Some(rest) if rest.starts_with('.') => {
+                find(part, &rest[1..]).unwrap_or(Found { part, whole: false })
+            }
+            _ => continue,
+        };
+        if found.whole {
+            return Some(found);
         }
-        let offset = (part.as_ptr() as usize).checked_sub(self.text.as_ptr() as usize)?;
-        Some(Place::at_offset(&self.text, offset))
+        best = Some(found);
     }
+    best
 }
 
 /// Where the library gave up: after the last good byte, or, when it read to
--- a/crates/figscale/tests/settings_load.rs
+++ b/crates/figscale/tests/settings_load.rs
@@ -104,3 +104,26 @@
         .output()
         .unwrap()
 }
+
+/// A line is placed at the first field that it names and that is there.
+#[rstest]
+#[case::whole("a.b is 1: expected a.c at most", "2:15")]
+#[case::second("a.none is 1: expected a.c at most", "2:23")]
+#[case::parent("a.none is 1: expected 2", "2:8")]
+#[case::dots_in_a_name("a.x.y.z: wrong", "3:19")]
+#[case::nothing_there("none: wrong", "1:1")]
+fn place_of_a_problem(#[case] line: &str, #[case] place: &str) {
+    let text = "{\n  \"a\": { \"b\": 1, \"c\": 2,\n    \"x.y\": { \"z\": 3 } }\n}";
+    let document = document::Document::from_text("FILE", text).unwrap();
+    let error = document.refuse(&[line.to_owned()]);
+    assert_eq!(error.to_string(), format!("FILE:{place}: {line}"));
+}
+
+#[test]
+fn many_problems_are_counted() {
+    let document = document::Document::from_text("FILE", "{}").unwrap();
+    let lines: Vec<String> = (0..25).map(|n| format!("problem {n}")).collect();
+    let error = document.refuse(&lines).to_string();
+    assert_eq!(error.lines().count(), 21);
+    assert!(error.ends_with("\nFILE: and 5 more"), "{error}");
+}
