--- a/crates/figscale/tests/settings_load.rs
+++ b/crates/figscale/tests/settings_load.rs
@@ -127,3 +127,37 @@
     assert_eq!(error.lines().count(), 21);
     assert!(error.ends_with("\nFILE: and 5 more"), "{error}");
 }
+
+/// No number is without a bound: each is refused when it is absurd.
+#[test]
+fn every_number_is_bounded() {
+    let text = std::fs::read_to_string("tests/data/settings/good-smallest.json").unwrap();
+    let document = document::Document::from_text("FILE", &text).unwrap();
+    let settings = settings::Settings::from_document(&document).unwrap();
+    let whole = serde_json::to_value(&settings).unwrap();
+    let mut numbers = Vec::new();
+    find_numbers("", &whole, &mut numbers);
+    assert!(numbers.len() >= 9, "{numbers:?}");
+    for pointer in numbers {
+        let mut absurd = whole.clone();
+        *absurd.pointer_mut(&pointer).unwrap() = 1_000_000_000_000_000_u64.into();
+        let document = document::Document::from_text("FILE", &absurd.to_string()).unwrap();
+        let error = settings::Settings::from_document(&document).expect_err(&pointer);
+        let field = pointer[1..].replace('/', ".");
+        let expected = format!("{field} is 1000000000000000: expected ");
+        assert!(error.to_string().contains(&expected), "{error}");
+    }
+}
+
+/// JSON pointers to every number.
+fn find_numbers(pointer: &str, value: &serde_json::Value, found: &mut Vec<String>) {
+    match value {
+        serde_json::Value::Number(_) => found.push(pointer.to_owned()),
+        serde_json::Value::Object(fields) => {
+            for (name, value) in fields {
+                find_numbers(&format!("{pointer}/{name}"), value, found);
+            }
+        }
+        _ => (),
+    }
+}
