--- a/crates/figscale-standin/tests/worker.rs
+++ b/crates/figscale-standin/tests/worker.rs
@@ -362,29 +362,65 @@
     );
 }
 
+/// When a start must be received, from a worker's clock.
+type NotAfter = fn(protocol::WorkerClock) -> protocol::WorkerClock;
+
+fn soon(clock: protocol::WorkerClock) -> protocol::WorkerClock {
+    let elapsed_ms = clock.elapsed_ms + 100;
+    protocol::WorkerClock {
+        elapsed_ms,
+        ..clock
+    }
+}
+
+fn of_another_life(clock: protocol::WorkerClock) -> protocol::WorkerClock {
+    let life = clock.life.wrapping_add(1);
+    protocol::WorkerClock {
+        life,
+        ..soon(clock)
+    }
+}
+
+#[rstest]
+#[case::in_time(soon, 100, true)]
+#[case::late(soon, 101, false)]
+#[case::of_another_life(of_another_life, 100, false)]
 #[tokio::test]
-async fn a_late_start_is_refused_and_a_late_renewal_renews_nothing() {
+async fn a_late_start_or_renewal_is_not_obeyed(
+    #[case] not_after: NotAfter,
+    #[case] pass_ms: u64,
+    #[case] obeyed: bool,
+) {
     let bench = bench().await;
-    let limit = bench.workers[0].report().clock;
+    bench.start(0, &start(0, 1, 1, 1)).await;
+    let not_after = Some(not_after(bench.workers[0].report().clock));
+    bench.pass_ms(pass_ms);
     let request = protocol::StartTask {
-        not_after: Some(limit),
-        ..start(0, 1, 1, 4)
+        not_after,
+        ..start(1, 1, 1, 1)
     };
-    bench.pass_ms(1);
-    let late = StartAnswer::Refused(protocol::StartRefusal::Late);
-    assert_eq!(bench.start(0, &request).await, late);
+    let refused = StartAnswer::Refused(StartRefusal::Late);
+    let answer = bench.start(0, &request).await;
+    assert_eq!(
+        answer,
+        if obeyed {
+            StartAnswer::Started
+        } else {
+            refused
+        }
+    );
 
-    let in_time = start(0, 1, 1, 4);
-    assert_eq!(bench.start(0, &in_time).await, StartAnswer::Started);
-    bench.pass_ms(900);
     let renewal = protocol::Renew {
         epoch: ids::Epoch(1),
         lease_ms: 1_000,
         tasks: vec![task(0)],
         forget: Vec::new(),
-        not_after: Some(limit),
+        not_after,
     };
     bench.call(0, "/v1/renew", &renewal).await;
-    bench.pass_ms(200);
-    assert_eq!(bench.phase(0), TaskPhase::Lapsed);
+    bench.pass_ms(950);
+    let renewed = bench.phase(0) == TaskPhase::Running;
+    assert_eq!(renewed, obeyed);
+    let late = if obeyed { 0 } else { 2 };
+    assert_eq!(bench.workers[0].record().late_calls, late);
 }
