Give up on a service that does not answer an operator

Cause: a call to a service without an answer held the operator's connection for as long as it liked; the command line gave up after 15 s without knowing whether anything was done. First: operator_api silent_service_is_given_up_on ran into its limit of 30 s. Change: operator.timeout_ms (10,000) around every call, bodies included; a read ends as unavailable, a change as unknown. Both with Retry-After.

--- a/crates/figscale/src/operator/mod.rs
+++ b/crates/figscale/src/operator/mod.rs
@@ -11,6 +11,7 @@
 mod process;
 
 use std::future::IntoFuture as _;
+use std::time;
 
 use axum::Router;
 use axum::extract;
@@ -71,6 +72,7 @@
             context.clone(),
             refuse_changes_when_leaving,
         ))
+        .layer(middleware::from_fn_with_state(context.clone(), limit_time))
         .layer(extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
         .with_state(context.clone())
 }
@@ -99,10 +101,32 @@
     request: extract::Request,
     next: middleware::Next,
 ) -> response::Response {
-    let changes = request.method() != http::Method::GET;
-    if changes && *context.shared.leaving.borrow() {
+    if is_change(&request) && *context.shared.leaving.borrow() {
         let text = "this entry instance is leaving and did nothing; ask another one";
         return answer::refuse(answer::unavailable(text));
     }
     next.run(request).await
 }
+
+/// A service that does not answer holds nobody; what became of a change that
+/// it was given is then not known.
+async fn limit_time(
+    extract::State(context): extract::State<state::Context>,
+    request: extract::Request,
+    next: middleware::Next,
+) -> response::Response {
+    let changes = is_change(&request);
+    let limit = time::Duration::from_millis(context.settings.operator.timeout_ms);
+    if let Ok(response) = tokio::time::timeout(limit, next.run(request)).await {
+        return response;
+    }
+    let mut error = answer::unavailable("the service asked did not answer in time");
+    if changes {
+        error.kind = operator::ErrorKind::Unknown;
+    }
+    answer::refuse(error)
+}
+
+fn is_change(request: &extract::Request) -> bool {
+    request.method() != http::Method::GET
+}
--- a/crates/figscale/src/settings/mod.rs
+++ b/crates/figscale/src/settings/mod.rs
@@ -9,6 +9,7 @@
 mod duplicates;
 mod jobs;
 mod log;
+mod operator;
 mod traffic;
 
 use std::net;
@@ -25,6 +26,7 @@
 pub use log::LogLevel;
 pub use log::LogSettings;
 pub use log::LogTarget;
+pub use operator::OperatorSettings;
 pub use traffic::TrafficSettings;
 
 /// Settings of an entry instance.
@@ -66,6 +68,9 @@
     /// Jobs and tasks.
     #[serde(default)]
     pub jobs: JobSettings,
+    /// Operators' calls.
+    #[serde(default)]
+    pub operator: OperatorSettings,
     /// The log.
     #[serde(default)]
     pub log: LogSettings,
@@ -138,6 +143,7 @@
         self.catalogue.check(&mut problems);
         self.traffic.check(&mut problems);
         self.jobs.check(&mut problems);
+        self.operator.check(&mut problems);
         problems
     }
 
--- a/crates/figscale/tests/entry/mod.rs
+++ b/crates/figscale/tests/entry/mod.rs
@@ -49,6 +49,10 @@
 
 impl Entry {
     pub(crate) fn start() -> Self {
+        Self::start_with(|_| ())
+    }
+
+    pub(crate) fn start_with(change: impl FnOnce(&mut settings::Settings)) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -56,7 +60,8 @@
             .unwrap();
         let text = include_str!("../data/settings/good-smallest.json");
         let document = document::Document::from_text("good", text).unwrap();
-        let settings = settings::Settings::from_document(&document).unwrap();
+        let mut settings = settings::Settings::from_document(&document).unwrap();
+        change(&mut settings);
         let clock = sync::Arc::new(clock::SystemClock);
         let context = serve::context(settings, clock, runtime.handle().clone());
         let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
--- a/crates/figscale/tests/operator_api.rs
+++ b/crates/figscale/tests/operator_api.rs
@@ -7,14 +7,13 @@
 
 mod entry;
 
-use std::time;
-
 use figscale::catalogue;
 use figscale::jobs;
 use figscale::kernel;
 use figscale::state;
 use figscale_types::ids;
 use figscale_types::operator;
+use futures_util::FutureExt as _;
 use rstest::rstest;
 
 const OWNERS: &str = r#"{"owners":{},"entries":{}}"#;
@@ -232,11 +231,9 @@
         .find::<jobs::Message>(jobs::NAME)
         .unwrap();
     for _ in 0..kernel::MAILBOX_LEN {
-        let message = |reply| jobs::Message::List(None, reply);
         // Posted and abandoned: the reply's receiver is dropped at once.
-        let call = address.call(message);
-        let waited = async { tokio::time::timeout(time::Duration::ZERO, call).await };
-        assert!(entry.block_on(waited).is_err());
+        let call = address.call(|reply| jobs::Message::List(None, reply));
+        assert!(call.now_or_never().is_none());
     }
     let got = entry.get("/v1/jobs");
     assert_eq!(got.status, 503);
@@ -258,3 +255,21 @@
     reply.send(Err(error));
     assert_eq!(entry.block_on(asked).unwrap().status, 404);
 }
+
+/// A service that does not answer holds nobody for longer than the limit.
+#[rstest]
+#[case::read("GET", "/v1/jobs/j", operator::ErrorKind::Unavailable)]
+#[case::change("POST", "/v1/jobs/j/cancel", operator::ErrorKind::Unknown)]
+fn silent_service_is_given_up_on(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] kind: operator::ErrorKind,
+) {
+    let entry = entry::Entry::start_with(|settings| settings.operator.timeout_ms = 100);
+    let _inbox = entry.context.kernel.register::<jobs::Message>(jobs::NAME);
+    let got = entry.ask(method, path, String::new());
+    assert_eq!(got.status, 503);
+    assert_eq!(got.header("retry-after"), Some("1"));
+    let told: operator::OperatorError = serde_json::from_str(&got.body).unwrap();
+    assert_eq!(told.kind, kind);
+}
