--- /dev/null
+++ b/crates/figscale-standin/src/cell/walk.rs
@@ -0,0 +1,252 @@
+//! What a user does with a cell: a catalogue, some requests, a job of each
+//! class; then the check that no promise was broken.
+
+use std::time;
+
+use figscale_types::catalogue::JobClass;
+use figscale_types::catalogue::Policy;
+use figscale_types::ids;
+use figscale_types::jobs;
+
+use super::Cell;
+use super::Operator;
+use super::Size;
+use super::User;
+use super::operator;
+use crate::load;
+
+/// Longest wait for anything that is to come about.
+const PATIENCE: time::Duration = time::Duration::from_secs(60);
+/// Time between lines that tell what is happening.
+const TELL: time::Duration = time::Duration::from_secs(5);
+/// Arrivals a second, of all callers.
+const RATE_PER_S: f64 = 60.0;
+
+/// What to do with a cell.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Whose cell.
+    pub user: User,
+    /// How large.
+    pub size: Size,
+    /// Whether to end after the check, rather than at Ctrl-C.
+    pub once: bool,
+    /// Time of load before the check.
+    pub load: time::Duration,
+    /// Seed of the load.
+    pub seed: u64,
+}
+
+/// Starts a cell, walks through it and tells what happens.
+pub async fn run(options: Options) -> eyre::Result<()> {
+    let cell = Cell::start(options.user, options.size).await?;
+    tell_addresses(&cell);
+    let walked = walk(&cell, &options).await;
+    if let Err(error) = &walked {
+        println!("\nThe walk failed: {error:#}");
+    }
+    if !options.once {
+        tell_what_to_try(&cell);
+        go_on(&cell, &options).await?;
+    }
+    println!("\nStopping the entry instances in order.");
+    cell.stop().await?;
+    walked
+}
+
+async fn walk(cell: &Cell, options: &Options) -> eyre::Result<()> {
+    let operators: Vec<_> = cell
+        .addresses
+        .iter()
+        .map(|entry| Operator::new(entry.operator))
+        .collect();
+    println!("\n1. Waiting until every entry instance is ready.");
+    for one in &operators {
+        operator::wait_for("ready", PATIENCE, async || match one.is_ready().await {
+            true => Ok(()),
+            false => Err(eyre::eyre!("not ready")),
+        })
+        .await?;
+    }
+    let operator = &operators[0];
+    apply(cell, operator).await?;
+    requests(cell, options).await?;
+    run_jobs(cell, operator).await?;
+    check_promises(cell)
+}
+
+async fn apply(cell: &Cell, operator: &Operator) -> eyre::Result<()> {
+    println!("\n2. Applying examples/{}.jsonc.", cell.user);
+    let catalogue = cell.user.catalogue()?;
+    let began = time::Instant::now();
+    let applied = operator.apply(ids::Revision(0), catalogue).await?;
+    let revision = applied.revision;
+    operator::wait_for("in force everywhere", PATIENCE, async || {
+        let status = operator.catalogue_status().await?;
+        let in_force = |found: &&Option<ids::Revision>| **found == Some(revision);
+        let count = status.in_force.values().filter(in_force).count();
+        eyre::ensure!(count == cell.addresses.len(), "in force at {count} only");
+        Ok(())
+    })
+    .await?;
+    println!(
+        "   Revision {revision} is in force at all {} entry instances after {} ms.",
+        cell.addresses.len(),
+        began.elapsed().as_millis()
+    );
+    Ok(())
+}
+
+fn load_config(cell: &Cell, duration: time::Duration, seed: u64) -> eyre::Result<load::Config> {
+    let target = |entry: &super::EntryAddresses| load::Target {
+        address: entry.caller,
+        weight: 1.0,
+    };
+    Ok(load::Config {
+        targets: cell.addresses.iter().map(target).collect(),
+        classes: cell.user.classes()?,
+        rate_per_s: RATE_PER_S,
+        duration,
+        patience: PATIENCE,
+        seed,
+    })
+}
+
+async fn requests(cell: &Cell, options: &Options) -> eyre::Result<()> {
+    println!(
+        "\n3. Callers make about {RATE_PER_S} requests a second for {} s.",
+        options.load.as_secs_f64()
+    );
+    let report = load::run(&load_config(cell, options.load, options.seed)?).await;
+    println!("{report}");
+    let false_not_run = report.false_not_run(&cell.requests);
+    eyre::ensure!(false_not_run.is_empty(), "false not-run: {false_not_run:?}");
+    eyre::ensure!(
+        report.all.own == report.all.requests,
+        "{} of {} requests got their whole answer",
+        report.all.own,
+        report.all.requests
+    );
+    Ok(())
+}
+
+async fn run_jobs(cell: &Cell, operator: &Operator) -> eyre::Result<()> {
+    println!("\n4. Submitting a job of each class.");
+    let catalogue = cell.user.catalogue()?;
+    let mut submitted = Vec::new();
+    for spec in cell.user.jobs()? {
+        let id: ids::JobId = format!("{}-{}", spec.entry, uuid::Uuid::now_v7()).parse()?;
+        operator.submit(&id, &spec).await?;
+        println!("   {id}: {} tasks of {}", spec.tasks, spec.task);
+        submitted.push((id, spec));
+    }
+    for (id, spec) in submitted {
+        let entry = catalogue.entries.get(&spec.entry);
+        let lasts = entry.is_some_and(|entry| {
+            matches!(&entry.policy, Policy::Tasks(tasks) if tasks.class == JobClass::Service)
+        });
+        let wanted = if lasts {
+            jobs::JobState::Running
+        } else {
+            jobs::JobState::Done
+        };
+        let began = time::Instant::now();
+        operator::wait_for("the job", PATIENCE, async || {
+            let status = operator.job(&id).await?;
+            let all = status.tasks.iter().all(|task| task.state == wanted);
+            eyre::ensure!(status.state == wanted && all, "{status:?}");
+            Ok(())
+        })
+        .await?;
+        println!("   {id} is {wanted:?} after {:?}.", began.elapsed());
+    }
+    Ok(())
+}
+
+fn check_promises(cell: &Cell) -> eyre::Result<()> {
+    println!("\n5. The judges at the runners and workers.");
+    let requests = cell.requests.violations();
+    eyre::ensure!(requests.is_empty(), "runners: {requests:?}");
+    let tasks = cell.tasks.violations();
+    eyre::ensure!(tasks.is_empty(), "workers: {tasks:?}");
+    let over: u64 = cell.workers.iter().map(|w| w.record().over_capacity).sum();
+    eyre::ensure!(
+        over == 0,
+        "workers were asked for more than they hold: {over}"
+    );
+    println!("   No promise was broken.");
+    Ok(())
+}
+
+async fn go_on(cell: &Cell, options: &Options) -> eyre::Result<()> {
+    let mut round = options.seed;
+    let rounds = async {
+        loop {
+            round += 1;
+            let report = load::run(&load_config(cell, TELL, round)?).await;
+            tell_round(cell, &report);
+        }
+        #[expect(unreachable_code, reason = "it gives the block its type")]
+        eyre::Ok(())
+    };
+    tokio::select! {
+        failed = rounds => failed,
+        interrupted = tokio::signal::ctrl_c() => Ok(interrupted?),
+    }
+}
+
+fn tell_round(cell: &Cell, report: &load::Report) {
+    let store = cell.platform.total();
+    println!(
+        "{} requests, {} answered, p99 wait {:.1} ms; store: {} calls so far; judges: {} findings",
+        report.all.requests,
+        report.all.own,
+        report.all.wait.p99_ms,
+        store.calls,
+        cell.requests.violations().len() + cell.tasks.violations().len()
+    );
+}
+
+fn tell_addresses(cell: &Cell) {
+    println!("The cell of {} is up.", cell.user);
+    println!("  platform   {}", cell.platform.address());
+    for entry in &cell.addresses {
+        println!(
+            "  {:<10} callers {}  operators {}  in {}",
+            entry.member.as_str(),
+            entry.caller,
+            entry.operator,
+            entry.place.failure_domain
+        );
+    }
+    println!(
+        "  {} runners and {} workers",
+        cell.runners.len(),
+        cell.workers.len()
+    );
+}
+
+fn tell_what_to_try(cell: &Cell) {
+    let (Some(entry), Ok(classes)) = (cell.addresses.first(), cell.user.classes()) else {
+        return;
+    };
+    let Some(class) = classes.first() else { return };
+    println!("\nWhat to try next, in another terminal:");
+    println!(
+        "  curl -i -d hello -H 'x-figscale-owner: {}' http://{}/v1/run/{}",
+        class.owner, entry.caller, class.entry
+    );
+    println!("  export FIGSCALE_ENTRY={}", entry.operator);
+    println!("  cargo run -q --release -p figscale -- catalogue status");
+    println!(
+        "  cargo run -q --release -p figscale -- catalogue diff examples/{}.jsonc",
+        cell.user
+    );
+    println!("  cargo run -q --release -p figscale -- job list");
+    println!("  cargo run -q --release -p figscale -- dump");
+    println!(
+        "  curl -X PUT -H 'content-type: application/json' -d '{{\"outage\":true}}' http://{}/control/faults",
+        cell.platform.address()
+    );
+    println!("\nCtrl-C stops the cell. Load goes on meanwhile:");
+}
--- a/crates/figscale-standin/src/client.rs
+++ b/crates/figscale-standin/src/client.rs
@@ -81,11 +81,10 @@
     fn default() -> Self {
         let mut connector = connect::HttpConnector::new();
         connector.set_nodelay(true);
-        // A call is made again by nobody but its caller.
+        // Of itself it makes a call again only when nothing of it was written.
         let inner = legacy::Client::builder(rt::TokioExecutor::new())
             .pool_timer(rt::TokioTimer::new())
             .pool_idle_timeout(time::Duration::from_secs(5))
-            .retry_canceled_requests(false)
             .build(connector);
         Self { inner }
     }
--- a/crates/figscale-standin/src/lib.rs
+++ b/crates/figscale-standin/src/lib.rs
@@ -8,10 +8,12 @@
 
 pub mod cell;
 pub mod client;
+pub mod experiment;
 mod http_server;
 pub mod load;
 mod lock;
 pub mod platform;
+pub mod ports;
 pub mod proxy;
 pub mod runner;
 pub mod worker;
--- a/crates/figscale-standin/src/load/mod.rs
+++ b/crates/figscale-standin/src/load/mod.rs
@@ -55,12 +55,17 @@
     pub answer_bytes: usize,
 }
 
+/// Size of a request that its class does not name, in bytes.
+pub const DEFAULT_BODY_BYTES: usize = 200;
+/// Filling of an answer that its class does not name, in bytes.
+pub const DEFAULT_ANSWER_BYTES: usize = 500;
+
 fn default_body_bytes() -> usize {
-    200
+    DEFAULT_BODY_BYTES
 }
 
 fn default_answer_bytes() -> usize {
-    500
+    DEFAULT_ANSWER_BYTES
 }
 
 /// An entry instance with its share of the arrivals.
