--- a/crates/figscale-standin/src/worker/tasks.rs
+++ b/crates/figscale-standin/src/worker/tasks.rs
@@ -204,6 +204,8 @@
             }
         }
         self.tasks.clear();
+        self.life = rand::random();
+        self.started = now;
     }
 
     /// Whether an epoch may be obeyed; remembers the highest.
