--- a/crates/figscale/tests/requests_cell/mod.rs
+++ b/crates/figscale/tests/requests_cell/mod.rs
@@ -145,7 +145,7 @@
             .collect();
         let claims = claims::Claims {
             members,
-            shards: IndexMap::new(),
+            ..claims::Claims::default()
         };
         let view = sync::Mutex::new(View {
             revision: 0,
