Place tasks on workers under fenced, clock-bounded leases

The placer as a pure state machine: sessions with workers, room, adoption after a takeover, resolution of starts without an answer by the worker's own report.

--- /dev/null
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -0,0 +1,284 @@
+//! What homes ask of the placer.
+
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::worker;
+
+use super::Placer;
+use super::task;
+use crate::job::message;
+
+impl Placer {
+    /// Answers a home's call.
+    pub fn answer(
+        &mut self,
+        now: time::Instant,
+        valid_until: time::Instant,
+        question: message::Question,
+    ) -> message::Answer {
+        match question {
+            message::Question::Place(home, orders) => {
+                let admitted = self.note_home(&home);
+                let answers = orders
+                    .into_iter()
+                    .map(|order| match admitted {
+                        true => self.place(now, valid_until, &home, order),
+                        false => message::OrderAnswer::StaleHome,
+                    })
+                    .collect();
+                message::Answer::Place(answers, self.summary(now))
+            }
+            message::Question::Tell(..) => message::Answer::NotHere,
+            other => self.answer_known_home(now, valid_until, other),
+        }
+    }
+
+    fn answer_known_home(
+        &mut self,
+        now: time::Instant,
+        valid_until: time::Instant,
+        question: message::Question,
+    ) -> message::Answer {
+        let home = match &question {
+            message::Question::Go(home, _)
+            | message::Question::Stop(home, _)
+            | message::Question::Inventory(home)
+            | message::Question::Acknowledge(home, _) => home.clone(),
+            _ => return message::Answer::NotHere,
+        };
+        if !self.note_home(&home) {
+            return message::Answer::StaleHome;
+        }
+        match question {
+            message::Question::Go(_, attempts) => message::Answer::Go(
+                attempts
+                    .iter()
+                    .map(|attempt| self.go(now, valid_until, attempt))
+                    .collect(),
+            ),
+            message::Question::Stop(_, tasks) => {
+                for task in &tasks {
+                    self.stop(task);
+                }
+                message::Answer::Noted
+            }
+            message::Question::Acknowledge(_, attempts) => {
+                for attempt in &attempts {
+                    self.acknowledge(attempt);
+                }
+                message::Answer::Noted
+            }
+            _ => message::Answer::Inventory(self.inventory(now, &home)),
+        }
+    }
+
+    fn place(
+        &mut self,
+        now: time::Instant,
+        valid_until: time::Instant,
+        home: &message::HomeKey,
+        order: message::TaskOrder,
+    ) -> message::OrderAnswer {
+        let id = order.attempt.task.clone();
+        if let Some(known) = self.tasks.get_mut(&id) {
+            if known.attempt == order.attempt.number && known.is_active() {
+                known.home_epoch = home.epoch;
+                return message::OrderAnswer::Placed(known.event(&id).place);
+            }
+            if known.is_active() || known.attempt >= order.attempt.number {
+                return message::OrderAnswer::Busy;
+            }
+            // A later attempt says that the end of the earlier one is dealt with.
+            let earlier = message::Attempt {
+                task: id.clone(),
+                number: known.attempt,
+            };
+            self.acknowledge(&earlier);
+        }
+        if now >= valid_until {
+            return message::OrderAnswer::NoRoom;
+        }
+        let Some(worker) = self.find_room(now, &order) else {
+            return message::OrderAnswer::NoRoom;
+        };
+        let Some(session) = self.sessions.get(&worker) else {
+            return message::OrderAnswer::NoRoom;
+        };
+        let hold = order.hold;
+        let task = task::Task {
+            attempt: order.attempt.number,
+            home: home.shard.clone(),
+            home_epoch: home.epoch,
+            shard: session.shard.clone(),
+            worker,
+            reserved: order.resources,
+            state: message::TaskState::Held,
+            order: Some(Box::new(order)),
+            hold_until: Some(now + self.config.hold),
+            start_bound: None,
+            known_at: None,
+            may_run_until: now,
+            action: None,
+            told_at: None,
+            noted: true,
+        };
+        let place = task.event(&id).place;
+        self.tasks.insert(id.clone(), task);
+        if !hold {
+            self.start(now, valid_until, &id);
+        }
+        message::OrderAnswer::Placed(place)
+    }
+
+    fn go(
+        &mut self,
+        now: time::Instant,
+        valid_until: time::Instant,
+        attempt: &message::Attempt,
+    ) -> message::GoAnswer {
+        let state = self
+            .tasks
+            .get(&attempt.task)
+            .filter(|task| task.attempt == attempt.number)
+            .map(|task| task.state);
+        match state {
+            Some(message::TaskState::Held) => {
+                self.start(now, valid_until, &attempt.task);
+                message::GoAnswer::Going
+            }
+            Some(message::TaskState::Ended(message::End::NotStarted)) | None => {
+                message::GoAnswer::NotStarted
+            }
+            Some(_) => message::GoAnswer::Going,
+        }
+    }
+
+    /// Sends the start of a reserved task, or ends it as not started.
+    fn start(&mut self, now: time::Instant, valid_until: time::Instant, id: &ids::TaskId) {
+        let bound = valid_until.min(now + self.config.window);
+        let lease = self.config.lease;
+        let Some(task) = self.tasks.get_mut(id) else {
+            return;
+        };
+        let session = self.sessions.get(&task.worker);
+        let not_after = session.and_then(|session| session.clock_at(bound));
+        let epoch = self.shards.get(&task.shard).map(|shard| shard.epoch);
+        let (Some(order), Some(session), Some(epoch), Some(not_after)) =
+            (task.order.take(), session, epoch, not_after)
+        else {
+            return self.end(id, message::End::NotStarted);
+        };
+        if now >= bound {
+            return self.end(id, message::End::NotStarted);
+        }
+        task.state = message::TaskState::Starting;
+        task.hold_until = None;
+        task.start_bound = Some(not_after);
+        task.may_run_until = bound + lease;
+        let call = super::StartCall {
+            target: super::Target {
+                worker: task.worker.clone(),
+                address: session.address,
+                epoch,
+            },
+            bound,
+            start: worker::StartTask {
+                task: id.clone(),
+                attempt: task.attempt,
+                epoch,
+                home_epoch: task.home_epoch,
+                lease_ms: millis(lease),
+                resources: task.reserved,
+                max_run_ms: order.max_run_ms,
+                run_ms: order.run_ms,
+                command: order.command,
+                resume: order.resume,
+                not_after: Some(not_after),
+            },
+        };
+        self.actions.push(super::Action::Start(call));
+    }
+
+    /// Ends a task by its home's wish.
+    fn stop(&mut self, id: &ids::TaskId) {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return;
+        };
+        match task.state {
+            message::TaskState::Held => self.end(id, message::End::NotStarted),
+            message::TaskState::Starting | message::TaskState::Running => {
+                task.action = Some(worker::TaskAction::Stop);
+                self.send_action(id);
+            }
+            message::TaskState::Ended(_) => {}
+        }
+    }
+
+    /// Sends what is wanted of a task to its worker.
+    pub(super) fn send_action(&mut self, id: &ids::TaskId) {
+        let Some(task) = self.tasks.get(id) else {
+            return;
+        };
+        let session = self.sessions.get(&task.worker);
+        let epoch = self.shards.get(&task.shard).map(|shard| shard.epoch);
+        let (Some(action), Some(session), Some(epoch)) = (task.action, session, epoch) else {
+            return;
+        };
+        self.actions.push(super::Action::Act(super::ActCall {
+            target: super::Target {
+                worker: task.worker.clone(),
+                address: session.address,
+                epoch,
+            },
+            act: worker::ActOnTask {
+                epoch,
+                task: id.clone(),
+                action,
+            },
+        }));
+    }
+
+    /// Forgets an end that its home has dealt with.
+    fn acknowledge(&mut self, attempt: &message::Attempt) {
+        let Some(task) = self.tasks.get(&attempt.task) else {
+            return;
+        };
+        if task.attempt != attempt.number || task.is_active() {
+            return;
+        }
+        let worker = task.worker.clone();
+        self.tasks.swap_remove(&attempt.task);
+        if let Some(session) = self.sessions.get_mut(&worker) {
+            session.forget.insert(attempt.task.clone());
+        }
+    }
+
+    fn inventory(
+        &self,
+        now: time::Instant,
+        home: &message::HomeKey,
+    ) -> Vec<message::ShardInventory> {
+        let of = |id: &ids::ShardId| {
+            self.tasks
+                .iter()
+                .filter(|(_, task)| task.shard == *id && task.home == home.shard)
+                .map(|(id, task)| task.event(id))
+                .collect()
+        };
+        self.shards
+            .iter()
+            .map(|(id, shard)| message::ShardInventory {
+                shard: id.clone(),
+                epoch: shard.epoch,
+                complete: now >= shard.lapsed_at,
+                tasks: of(id),
+            })
+            .collect()
+    }
+}
+
+/// Whole milliseconds, as the workers' protocol has them.
+pub(super) fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/figscale-types/src/jobs.rs
+++ b/crates/figscale-types/src/jobs.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::catalogue;
 use crate::claims;
 use crate::ids;
 use crate::sizes;
@@ -81,6 +82,9 @@
     pub started: bool,
     /// The final state.
     pub ended: Option<JobState>,
+    /// Whether it goes on from a checkpoint.
+    #[serde(default)]
+    pub checkpointed: bool,
 }
 
 /// What the store keeps of a job.
@@ -98,6 +102,51 @@
     pub ended: Option<JobState>,
     /// Tasks of which something must be kept.
     pub tasks: IndexMap<u32, TaskRecord>,
+    /// Wall-clock time of the end, milliseconds since 1970; 0 before.
+    #[serde(default)]
+    pub ended_unix_ms: u64,
+    /// What its catalogue entry allowed when it was accepted.
+    #[serde(default)]
+    pub terms: JobTerms,
+}
+
+/// What a catalogue entry allows a job, kept as it was at acceptance.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobTerms {
+    /// How the tasks belong together.
+    pub class: catalogue::JobClass,
+    /// Urgency.
+    pub urgency: catalogue::Urgency,
+    /// Longest run of a task.
+    pub max_run_ms: u64,
+    /// Attempts of one task, the first included.
+    pub max_attempts: u32,
+    /// Whether tasks may be stopped for more urgent ones.
+    pub preemptible: bool,
+}
+
+impl Default for JobTerms {
+    fn default() -> Self {
+        Self {
+            class: catalogue::JobClass::Batch,
+            urgency: catalogue::Urgency::BestEffort,
+            max_run_ms: 24 * 60 * 60 * 1_000,
+            max_attempts: 3,
+            preemptible: false,
+        }
+    }
+}
+
+impl From<&catalogue::TaskPolicy> for JobTerms {
+    fn from(policy: &catalogue::TaskPolicy) -> Self {
+        Self {
+            class: policy.class,
+            urgency: policy.urgency,
+            max_run_ms: policy.max_run_ms,
+            max_attempts: policy.max_attempts,
+            preemptible: policy.preemptible,
+        }
+    }
 }
 
 /// The document of a job shard.
