Keep jobs at their homes: document, queue, news, recovery

The home as a pure state machine. A late or repeated call for a place is bounded by the epochs of the shards that it names and by the number of the last inventory; without both, a placer that handed a shard over and is asked again would start the same attempt twice.

--- /dev/null
+++ b/crates/figscale-core/src/job/home/queue.rs
@@ -0,0 +1,415 @@
+//! The queue of tasks: which placer is asked for which, in which order.
+
+use std::time;
+
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::sizes;
+use figscale_types::verdict::Verdict;
+use indexmap::IndexMap;
+
+use super::Action;
+use super::Home;
+use super::Now;
+use super::job;
+use crate::job::message;
+
+/// Tasks without room that one pass looks at before it ends.
+const MAX_SKIPPED: usize = 1_000;
+
+/// Place of a task in the queue: the smallest goes first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct QueueKey {
+    urgency: catalogue::Urgency,
+    deadline_unix_ms: u64,
+    accepted_unix_ms: u64,
+    pub(super) task: ids::TaskId,
+}
+
+impl Home {
+    /// Queues a task, or keeps it until it may be queued.
+    pub(super) fn enqueue(
+        &mut self,
+        now: Now,
+        id: &ids::JobId,
+        index: u32,
+        not_before: time::Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(task) = job.tasks.get_mut(&index) else {
+            return;
+        };
+        task.life = job::Life::Queued { not_before };
+        if task.stopping {
+            task.life = job::Life::Ended(figscale_types::jobs::JobState::Cancelled);
+            return;
+        }
+        let task = ids::TaskId {
+            job: id.clone(),
+            index,
+        };
+        if not_before > now.at {
+            self.watched.insert(task);
+            return;
+        }
+        let accepted = job.record.accepted_unix_ms;
+        let deadline = job.record.spec.deadline_ms;
+        self.queue.insert(QueueKey {
+            urgency: job.record.terms.urgency,
+            deadline_unix_ms: deadline.map_or(u64::MAX, |ms| accepted.saturating_add(ms)),
+            accepted_unix_ms: accepted,
+            task,
+        });
+    }
+
+    /// Has a task looked at on every pass until it needs no more.
+    pub(super) fn watch(&mut self, id: &ids::JobId, index: u32) {
+        let job = id.clone();
+        self.watched.insert(ids::TaskId { job, index });
+    }
+
+    pub(super) fn task_mut(&mut self, id: &ids::TaskId) -> Option<&mut job::Task> {
+        self.jobs.get_mut(&id.job)?.tasks.get_mut(&id.index)
+    }
+
+    /// Asks placers for as many queued tasks as they may have room for.
+    pub(super) fn poll_queue(&mut self, now: Now) {
+        for view in self.placers.values_mut() {
+            view.refused.retain(|(_, until)| now.at < *until);
+        }
+        let mut orders: IndexMap<ids::MemberKey, Vec<message::TaskOrder>> = IndexMap::new();
+        let mut taken = Vec::new();
+        let mut skipped = 0;
+        for key in &self.queue {
+            let Some((size, wanted)) = self.wanted(&key.task) else {
+                continue;
+            };
+            if !wanted {
+                taken.push(key.clone());
+                continue;
+            }
+            match self.choose_placer(&size, &orders) {
+                Some(placer) => {
+                    taken.push(key.clone());
+                    if let Some(order) = self.order_of(&key.task) {
+                        orders.entry(placer).or_default().push(order);
+                    }
+                }
+                None => skipped += 1,
+            }
+            if skipped > MAX_SKIPPED {
+                break;
+            }
+        }
+        for key in &taken {
+            self.queue.remove(key);
+        }
+        for (placer, orders) in orders {
+            self.ask(now, &placer, orders);
+        }
+    }
+
+    /// Size of a task and whether it still wants a place.
+    fn wanted(&self, id: &ids::TaskId) -> Option<(sizes::Resources, bool)> {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return Some((sizes::Resources::default(), false));
+        };
+        let task = job.tasks.get(&id.index)?;
+        let queued = matches!(task.life, job::Life::Queued { .. });
+        Some((job.record.spec.task, queued))
+    }
+
+    /// The placer of this process first, then the one with the most free room.
+    fn choose_placer(
+        &self,
+        size: &sizes::Resources,
+        orders: &IndexMap<ids::MemberKey, Vec<message::TaskOrder>>,
+    ) -> Option<ids::MemberKey> {
+        let open = |(key, view): &(&ids::MemberKey, &super::PlacerView)| {
+            let full = orders
+                .get(*key)
+                .is_some_and(|orders| orders.len() >= self.config.call_len);
+            !full && !view.refused.iter().any(|(refused, _)| size.holds(refused))
+        };
+        let rank = |(key, view): &(&ids::MemberKey, &super::PlacerView)| {
+            let own = self.own.as_ref() == Some(*key);
+            (own, view.summary.free.cpu_millis)
+        };
+        let best = self.placers.iter().filter(open).max_by_key(rank)?;
+        Some(best.0.clone())
+    }
+
+    pub(super) fn order_of(&self, id: &ids::TaskId) -> Option<message::TaskOrder> {
+        let job = self.jobs.get(&id.job)?;
+        let task = job.tasks.get(&id.index)?;
+        let spec = &job.record.spec;
+        let terms = &job.record.terms;
+        Some(message::TaskOrder {
+            attempt: message::Attempt {
+                task: id.clone(),
+                number: task.attempt + 1,
+            },
+            owner: spec.owner.clone(),
+            entry: spec.entry.clone(),
+            class: terms.class,
+            urgency: terms.urgency,
+            resources: spec.task,
+            run_ms: spec.run_ms,
+            max_run_ms: terms.max_run_ms,
+            command: spec.command.clone(),
+            resume: task.checkpointed,
+            idempotent: job.may_repeat(),
+            checkpointable: spec.checkpointable,
+            preemptible: terms.preemptible,
+            hold: job.holds(),
+            avoid: task.avoid.clone(),
+        })
+    }
+
+    fn ask(&mut self, now: Now, placer: &ids::MemberKey, orders: Vec<message::TaskOrder>) {
+        for order in &orders {
+            if let Some(task) = self.task_mut(&order.attempt.task) {
+                task.attempt = order.attempt.number;
+                task.life = job::Life::Asked {
+                    placer: placer.clone(),
+                    asked_at: now.at,
+                    unanswered: false,
+                };
+            }
+        }
+        self.send_orders(placer, orders, false);
+    }
+
+    pub(super) fn send_orders(
+        &mut self,
+        placer: &ids::MemberKey,
+        orders: Vec<message::TaskOrder>,
+        repeat: bool,
+    ) {
+        let held = |(_, view): &(&ids::ShardId, &super::recover::ShardView)| {
+            view.holder.as_ref() == Some(placer)
+        };
+        let shards = self.shards.iter().filter(held);
+        let shards = shards.map(|(id, view)| (id.clone(), view.epoch)).collect();
+        let scope = message::Scope {
+            call: self.next_call(),
+            repeat,
+            shards,
+        };
+        let question = message::Question::Place(self.key.clone(), scope, orders);
+        self.actions.push(Action::Call(placer.clone(), question));
+    }
+
+    pub(super) fn next_call(&mut self) -> u64 {
+        self.call += 1;
+        self.call
+    }
+
+    /// Takes what became of a call that was made at `asked_at`.
+    pub fn on_call(
+        &mut self,
+        now: Now,
+        placer: &ids::MemberKey,
+        asked_at: time::Instant,
+        question: message::Question,
+        result: Result<message::Answer, Verdict>,
+    ) {
+        match (question, result) {
+            (
+                message::Question::Place(_, _, orders),
+                Ok(message::Answer::Place(answers, summary)),
+            ) => {
+                if let Some(view) = self.placers.get_mut(placer) {
+                    view.summary = summary;
+                }
+                for (order, answer) in orders.iter().zip(answers) {
+                    self.on_order(now, placer, order, answer);
+                }
+            }
+            (message::Question::Place(_, _, orders), failed) => {
+                let not_run = matches!(failed, Ok(_) | Err(Verdict::NotRun));
+                for order in &orders {
+                    self.on_order_failed(now, placer, order, not_run);
+                }
+            }
+            (message::Question::Go(_, attempts), Ok(message::Answer::Go(answers))) => {
+                for (attempt, answer) in attempts.iter().zip(answers) {
+                    self.on_go(now, placer, attempt, answer);
+                }
+            }
+            (message::Question::Go(_, attempts), _) => {
+                for attempt in &attempts {
+                    self.on_go_failed(now, attempt);
+                }
+            }
+            (message::Question::Inventory(..), Ok(message::Answer::Inventory(shards))) => {
+                self.on_inventory(now, placer, asked_at, shards);
+            }
+            (message::Question::Inventory(..), _) => self.on_inventory_failed(placer),
+            _ => {}
+        }
+    }
+
+    /// Takes a placer's pushed summary: it may have room again.
+    pub fn on_summary(&mut self, placer: &ids::MemberKey, summary: message::Summary) {
+        if let Some(view) = self.placers.get_mut(placer) {
+            let largest = summary.largest_free;
+            view.refused.retain(|(size, _)| !largest.holds(size));
+            view.summary = summary;
+        }
+    }
+
+    fn on_order(
+        &mut self,
+        now: Now,
+        placer: &ids::MemberKey,
+        order: &message::TaskOrder,
+        answer: message::OrderAnswer,
+    ) {
+        let id = &order.attempt.task;
+        let number = order.attempt.number;
+        let current = |task: &&mut job::Task| {
+            task.attempt == number && matches!(task.life, job::Life::Asked { .. })
+        };
+        let Some(task) = self.task_mut(id).filter(current) else {
+            return;
+        };
+        let unanswered = matches!(
+            task.life,
+            job::Life::Asked {
+                unanswered: true,
+                ..
+            }
+        );
+        match answer {
+            message::OrderAnswer::NotKnown => self.lose_sight(now, id),
+            // It tells only of the repeat.
+            message::OrderAnswer::StaleHome | message::OrderAnswer::Busy if unanswered => {
+                self.lose_sight(now, id);
+            }
+            message::OrderAnswer::Placed(place) => {
+                task.worker = Some(place.worker.clone());
+                if order.hold {
+                    task.life = job::Life::Held {
+                        placer: placer.clone(),
+                        place,
+                        since: now.at,
+                        marked: false,
+                    };
+                    self.watched.insert(id.clone());
+                } else {
+                    let stopping = task.stopping;
+                    task.life = job::Life::Placed {
+                        place,
+                        since: now.at,
+                        running: false,
+                    };
+                    if stopping {
+                        self.watched.insert(id.clone());
+                    }
+                }
+            }
+            message::OrderAnswer::NoRoom => {
+                task.attempt -= 1;
+                let until = now.at + self.config.room_retry;
+                if let Some(view) = self.placers.get_mut(placer) {
+                    view.refused.push((order.resources, until));
+                }
+                self.enqueue(now, &id.job, id.index, now.at);
+                self.settle(now, &id.job);
+            }
+            message::OrderAnswer::StaleHome | message::OrderAnswer::Busy => {
+                task.attempt -= 1;
+                let later = now.at + self.config.call_retry;
+                self.enqueue(now, &id.job, id.index, later);
+                self.settle(now, &id.job);
+            }
+        }
+    }
+
+    fn on_order_failed(
+        &mut self,
+        now: Now,
+        placer: &ids::MemberKey,
+        order: &message::TaskOrder,
+        not_run: bool,
+    ) {
+        let id = &order.attempt.task;
+        let number = order.attempt.number;
+        let Some(task) = self.task_mut(id).filter(|task| task.attempt == number) else {
+            return;
+        };
+        let job::Life::Asked { unanswered, .. } = &mut task.life else {
+            return;
+        };
+        // A repeat that was not run tells nothing of the call before it.
+        if not_run && !*unanswered {
+            task.attempt -= 1;
+            let later = now.at + self.config.call_retry;
+            let until = now.at + self.config.room_retry;
+            if let Some(view) = self.placers.get_mut(placer) {
+                view.refused.push((sizes::Resources::default(), until));
+            }
+            self.enqueue(now, &id.job, id.index, later);
+            self.settle(now, &id.job);
+            return;
+        }
+        task.life = job::Life::Asked {
+            placer: placer.clone(),
+            asked_at: now.at,
+            unanswered: true,
+        };
+        self.watched.insert(id.clone());
+    }
+
+    fn on_go(
+        &mut self,
+        now: Now,
+        _placer: &ids::MemberKey,
+        attempt: &message::Attempt,
+        answer: message::GoAnswer,
+    ) {
+        let Some(task) = self.task_mut(&attempt.task) else {
+            return;
+        };
+        if task.attempt != attempt.number {
+            return;
+        }
+        let job::Life::Going { place, .. } = &task.life else {
+            return;
+        };
+        match answer {
+            message::GoAnswer::Going => {
+                task.life = job::Life::Placed {
+                    place: place.clone(),
+                    since: now.at,
+                    running: false,
+                };
+            }
+            message::GoAnswer::NotStarted => {
+                self.on_end(now, &attempt.task, message::End::NotStarted);
+            }
+        }
+    }
+
+    fn on_go_failed(&mut self, now: Now, attempt: &message::Attempt) {
+        let Some(task) = self.task_mut(&attempt.task) else {
+            return;
+        };
+        if task.attempt != attempt.number {
+            return;
+        }
+        if let job::Life::Going {
+            in_flight,
+            asked_at,
+            ..
+        } = &mut task.life
+        {
+            *in_flight = false;
+            *asked_at = now.at;
+            self.watched.insert(attempt.task.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -0,0 +1,460 @@
+//! Taking over, and following worker shards from holder to holder.
+
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::jobs;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use super::Action;
+use super::Home;
+use super::Now;
+use super::job;
+use crate::job::message;
+
+/// What the home knows of a worker shard.
+#[derive(Clone, Debug)]
+pub(super) struct ShardView {
+    pub(super) holder: Option<ids::MemberKey>,
+    pub(super) epoch: ids::Epoch,
+    /// When the shard was no more listed.
+    gone_at: Option<time::Instant>,
+    /// When the last inventory under this epoch was asked for.
+    confirmed_at: Option<time::Instant>,
+    /// Whether that inventory was complete.
+    complete: bool,
+    /// When the holder was last asked for one.
+    asked_at: Option<time::Instant>,
+    in_flight: bool,
+}
+
+impl ShardView {
+    fn new(shard: &super::ShardHolder) -> Self {
+        Self {
+            holder: shard.holder.clone(),
+            epoch: shard.epoch,
+            gone_at: None,
+            confirmed_at: None,
+            complete: false,
+            asked_at: None,
+            in_flight: false,
+        }
+    }
+
+    /// Whether everything of the home on the shard is known as of `since`.
+    fn tells_all_since(&self, since: time::Instant) -> bool {
+        self.complete && self.confirmed_at.is_some_and(|at| at >= since)
+    }
+}
+
+impl Home {
+    /// Takes over what the document holds of an earlier home.
+    pub(super) fn load(&mut self, now: Now, document: jobs::JobDocument) {
+        self.jobs.clear();
+        self.queue.clear();
+        self.watched.clear();
+        let mut ready = Vec::new();
+        for (id, record) in document.jobs {
+            let job = load_job(now, record);
+            for (index, task) in &job.tasks {
+                if matches!(task.life, job::Life::Queued { .. }) {
+                    ready.push((id.clone(), *index));
+                }
+            }
+            self.jobs.insert(id, job);
+        }
+        for (id, index) in ready {
+            self.enqueue(now, &id, index, now.at);
+        }
+        // The first write makes the document this home's own.
+        self.document.touch();
+    }
+
+    /// Takes over the worker shards and their holders, as the claims have them.
+    pub fn set_shards(
+        &mut self,
+        now: Now,
+        own: &ids::MemberKey,
+        shards: &IndexMap<ids::ShardId, super::ShardHolder>,
+    ) {
+        self.own = Some(own.clone());
+        for (id, shard) in shards {
+            let view = self
+                .shards
+                .entry(id.clone())
+                .or_insert_with(|| ShardView::new(shard));
+            view.gone_at = None;
+            if shard.epoch > view.epoch {
+                *view = ShardView::new(shard);
+            } else if shard.epoch == view.epoch {
+                view.holder = shard.holder.clone();
+            }
+        }
+        for (id, view) in &mut self.shards {
+            if !shards.contains_key(id) {
+                view.gone_at.get_or_insert(now.at);
+            }
+        }
+        let holders: IndexSet<_> = self
+            .shards
+            .values()
+            .filter(|view| view.gone_at.is_none())
+            .filter_map(|view| view.holder.clone())
+            .collect();
+        self.placers.retain(|key, _| holders.contains(key));
+        for key in holders {
+            self.placers.entry(key).or_default();
+        }
+    }
+
+    /// Repeats calls without an answer, and gives up what is known to be safe.
+    pub(super) fn poll_watched(&mut self, now: Now) {
+        let mut marks = Vec::new();
+        let mut going: IndexMap<ids::MemberKey, Vec<message::Attempt>> = IndexMap::new();
+        for id in self.watched.clone() {
+            let Some(job) = self.jobs.get(&id.job) else {
+                self.watched.remove(&id);
+                continue;
+            };
+            let Some(task) = job.tasks.get(&id.index) else {
+                self.watched.remove(&id);
+                continue;
+            };
+            let attempt = message::Attempt {
+                task: id.clone(),
+                number: task.attempt,
+            };
+            match task.life.clone() {
+                job::Life::Queued { not_before } => {
+                    if now.at >= not_before {
+                        self.watched.remove(&id);
+                        self.enqueue(now, &id.job, id.index, now.at);
+                        self.settle(now, &id.job);
+                    }
+                }
+                job::Life::Asked {
+                    placer,
+                    asked_at,
+                    unanswered: true,
+                } => {
+                    if !self.placers.contains_key(&placer) {
+                        self.lose_sight(now, &id);
+                    } else if now.at >= asked_at + self.config.call_retry {
+                        self.repeat_order(now, &placer, &id);
+                    }
+                }
+                job::Life::Held {
+                    placer,
+                    marked,
+                    since,
+                    ..
+                } => {
+                    let waits = job.is_gang() && !job.gang_is_complete();
+                    let late = waits && now.at >= since + self.config.gang_wait;
+                    if !self.placers.contains_key(&placer) || task.stopping || late {
+                        self.release(now, &placer, &id);
+                    } else if self.may_go(now, &id, marked) {
+                        going.entry(placer).or_default().push(attempt);
+                    } else if !marked && self.wants_mark(&id) {
+                        marks.push(id);
+                    }
+                }
+                job::Life::Going {
+                    placer,
+                    asked_at,
+                    in_flight: false,
+                    ..
+                } => {
+                    if !self.placers.contains_key(&placer) {
+                        self.lose_sight(now, &id);
+                    } else if now.at >= asked_at + self.config.call_retry {
+                        going.entry(placer).or_default().push(attempt);
+                    }
+                }
+                job::Life::Placed { .. } | job::Life::Unknown { .. } if task.stopping => {}
+                job::Life::Asked { .. } | job::Life::Going { .. } => {}
+                _ => {
+                    self.watched.remove(&id);
+                }
+            }
+        }
+        self.write_marks(marks);
+        for (placer, attempts) in going {
+            self.send_go(now, &placer, attempts);
+        }
+    }
+
+    /// A task may be anywhere, until every placer has told what it holds.
+    pub(super) fn lose_sight(&mut self, now: Now, id: &ids::TaskId) {
+        if let Some(task) = self.task_mut(id) {
+            task.life = job::Life::Unknown { since: now.at };
+        }
+    }
+
+    fn repeat_order(&mut self, now: Now, placer: &ids::MemberKey, id: &ids::TaskId) {
+        let Some(mut order) = self.order_of(id) else {
+            return;
+        };
+        if let Some(task) = self.task_mut(id) {
+            order.attempt.number = task.attempt;
+            task.life = job::Life::Asked {
+                placer: placer.clone(),
+                asked_at: now.at,
+                unanswered: true,
+            };
+        }
+        // The flag stays: a repeat that did not reach the placer tells nothing
+        // of the first call. While it is in flight it is not repeated again
+        // before its own timeout, because its failure sets the time anew.
+        self.send_orders(placer, vec![order], true);
+    }
+
+    /// Whether a reserved task may start now.
+    fn may_go(&self, _now: Now, id: &ids::TaskId, marked: bool) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        if !job.may_repeat() && !marked {
+            return false;
+        }
+        !job.is_gang() || job.gang_is_complete()
+    }
+
+    /// Whether a reserved task waits for nothing but its mark.
+    fn wants_mark(&self, id: &ids::TaskId) -> bool {
+        self.jobs.get(&id.job).is_some_and(|job| {
+            !job.may_repeat()
+                && (!job.is_gang() || job.gang_is_complete())
+                && !job.record.tasks.get(&id.index).is_some_and(|record| {
+                    record.started
+                        && job
+                            .tasks
+                            .get(&id.index)
+                            .is_some_and(|task| task.attempt == record.attempts)
+                })
+        })
+    }
+
+    fn write_marks(&mut self, marks: Vec<ids::TaskId>) {
+        for id in marks {
+            let Some(job) = self.jobs.get_mut(&id.job) else {
+                continue;
+            };
+            let attempt = job.tasks.get(&id.index).map_or(0, |task| task.attempt);
+            let record = job.task_record(id.index);
+            record.started = true;
+            record.attempts = attempt;
+            self.document.mark(id);
+        }
+    }
+
+    fn send_go(&mut self, now: Now, placer: &ids::MemberKey, attempts: Vec<message::Attempt>) {
+        for attempt in &attempts {
+            let Some(task) = self.task_mut(&attempt.task) else {
+                continue;
+            };
+            if let job::Life::Held { place, .. } | job::Life::Going { place, .. } = &task.life {
+                task.life = job::Life::Going {
+                    placer: placer.clone(),
+                    place: place.clone(),
+                    asked_at: now.at,
+                    in_flight: true,
+                };
+            }
+        }
+        let question = message::Question::Go(self.key.clone(), attempts);
+        self.actions.push(Action::Call(placer.clone(), question));
+    }
+
+    /// Gives back a reservation that was never told to start.
+    fn release(&mut self, now: Now, placer: &ids::MemberKey, id: &ids::TaskId) {
+        if self.placers.contains_key(placer) {
+            let question = message::Question::Stop(self.key.clone(), vec![id.clone()]);
+            self.actions.push(Action::Call(placer.clone(), question));
+        }
+        self.on_end(now, id, message::End::NotStarted);
+    }
+
+    /// Asks holders for inventories, and decides what those that came tell.
+    pub(super) fn poll_shards(&mut self, now: Now) {
+        self.drop_vanished(now);
+        self.resolve_unknown(now);
+        let unknown_since = self.unknown_since();
+        let retry = self.config.call_retry;
+        let mut asked = IndexSet::new();
+        for view in self.shards.values() {
+            let known = view.confirmed_at.is_some() && view.complete;
+            let enough = known && unknown_since.is_none_or(|since| view.tells_all_since(since));
+            let rested = view.asked_at.is_none_or(|at| now.at >= at + retry);
+            if !enough && rested && !view.in_flight && view.gone_at.is_none() {
+                asked.extend(view.holder.clone());
+            }
+        }
+        for placer in asked {
+            for view in self.shards.values_mut() {
+                if view.holder.as_ref() == Some(&placer) {
+                    view.asked_at = Some(now.at);
+                    view.in_flight = true;
+                }
+            }
+            let question = message::Question::Inventory(self.key.clone(), self.next_call());
+            self.actions.push(Action::Call(placer, question));
+        }
+    }
+
+    fn unknown_since(&self) -> Option<time::Instant> {
+        self.jobs
+            .values()
+            .filter(|job| job.record.ended.is_none())
+            .flat_map(|job| job.tasks.values())
+            .filter_map(|task| match task.life {
+                job::Life::Unknown { since } => Some(since),
+                _ => None,
+            })
+            .max()
+    }
+
+    pub(super) fn on_inventory_failed(&mut self, placer: &ids::MemberKey) {
+        for view in self.shards.values_mut() {
+            if view.holder.as_ref() == Some(placer) {
+                view.in_flight = false;
+            }
+        }
+    }
+
+    pub(super) fn on_inventory(
+        &mut self,
+        now: Now,
+        placer: &ids::MemberKey,
+        asked_at: time::Instant,
+        inventory: Vec<message::ShardInventory>,
+    ) {
+        self.on_inventory_failed(placer);
+        for shard in inventory {
+            let Some(view) = self.shards.get_mut(&shard.shard) else {
+                continue;
+            };
+            if view.epoch != shard.epoch || view.holder.as_ref() != Some(placer) {
+                continue;
+            }
+            view.confirmed_at = Some(asked_at);
+            view.complete = shard.complete;
+            self.on_tell(now, placer, &shard.tasks);
+            if shard.complete {
+                self.lose_missing(now, asked_at, &shard);
+            }
+        }
+        self.resolve_unknown(now);
+    }
+
+    /// Tasks that were on the shard and that its holder does not have are lost.
+    fn lose_missing(&mut self, now: Now, asked_at: time::Instant, shard: &message::ShardInventory) {
+        let listed: IndexSet<_> = shard
+            .tasks
+            .iter()
+            .map(|event| &event.attempt.task)
+            .collect();
+        let missing = self.placed_where(|id, place, since| {
+            place.shard == shard.shard && since <= asked_at && !listed.contains(id)
+        });
+        for id in missing {
+            self.on_end(now, &id, message::End::Lost);
+        }
+    }
+
+    fn placed_where(
+        &self,
+        wanted: impl Fn(&ids::TaskId, &message::Place, time::Instant) -> bool,
+    ) -> Vec<ids::TaskId> {
+        let mut found = Vec::new();
+        for (id, job) in &self.jobs {
+            for (index, task) in &job.tasks {
+                let id = ids::TaskId {
+                    job: id.clone(),
+                    index: *index,
+                };
+                if let job::Life::Placed { place, since, .. } = &task.life
+                    && wanted(&id, place, *since)
+                {
+                    found.push(id);
+                }
+            }
+        }
+        found
+    }
+
+    /// Tasks on a shard that is long gone have lapsed.
+    fn drop_vanished(&mut self, now: Now) {
+        let vanish = self.config.vanish;
+        let gone: Vec<_> = self
+            .shards
+            .iter()
+            .filter(|(_, view)| view.gone_at.is_some_and(|at| now.at >= at + vanish))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for shard in gone {
+            self.shards.swap_remove(&shard);
+            for id in self.placed_where(|_, place, _| place.shard == shard) {
+                self.on_end(now, &id, message::End::Lost);
+            }
+        }
+    }
+
+    /// Tasks that no holder has cannot be running.
+    fn resolve_unknown(&mut self, now: Now) {
+        if self.shards.is_empty() || self.unknown_since().is_none() {
+            return;
+        }
+        let mut resolved = Vec::new();
+        for (id, job) in &self.jobs {
+            for (index, task) in &job.tasks {
+                let job::Life::Unknown { since } = task.life else {
+                    continue;
+                };
+                if self.shards.values().all(|view| view.tells_all_since(since)) {
+                    resolved.push(ids::TaskId {
+                        job: id.clone(),
+                        index: *index,
+                    });
+                }
+            }
+        }
+        for id in resolved {
+            self.on_end(now, &id, message::End::Lost);
+        }
+    }
+}
+
+fn load_job(now: Now, record: jobs::JobRecord) -> job::Job {
+    let bytes = super::submit::record_bytes(&record.spec);
+    let mut job = job::Job {
+        record,
+        tasks: IndexMap::new(),
+        written: true,
+        doubted: false,
+        bytes,
+    };
+    for index in 0..job.record.spec.tasks {
+        let task = load_task(now, &job, index);
+        job.tasks.insert(index, task);
+    }
+    job
+}
+
+fn load_task(now: Now, job: &job::Job, index: u32) -> job::Task {
+    let mut task = job::Task::new(now.at);
+    let record = job.record.tasks.get(&index).cloned().unwrap_or_default();
+    task.attempt = record.attempts;
+    task.checkpointed = record.checkpointed;
+    task.stopping = job.record.cancelled;
+    // Without its mark a task that may not run twice was never started.
+    let marked = record.started || job.may_repeat();
+    task.life = match (record.ended, job.record.ended) {
+        (Some(state), _) | (None, Some(state)) => job::Life::Ended(state),
+        _ if marked => job::Life::Unknown { since: now.at },
+        _ if task.stopping => job::Life::Ended(jobs::JobState::Cancelled),
+        _ => job::Life::Queued { not_before: now.at },
+    };
+    task
+}
--- /dev/null
+++ b/crates/figscale-core/src/job/home/submit.rs
@@ -0,0 +1,193 @@
+//! What owners ask: submit, status, cancel, list.
+
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::jobs;
+use figscale_types::operator;
+use indexmap::IndexMap;
+
+use super::Home;
+use super::Now;
+use super::Ticket;
+use super::job;
+
+/// Bytes of a record besides its texts, about.
+const RECORD_BYTES: usize = 420;
+/// Bytes of a task's record, about.
+const TASK_RECORD_BYTES: usize = 90;
+/// Time to come back after while a home is taking over, in milliseconds.
+const TAKING_OVER_MS: u64 = 500;
+/// Time to come back after while the document is full, in milliseconds.
+const FULL_MS: u64 = 5_000;
+
+/// A job to accept.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Id chosen by the submitter.
+    pub id: ids::JobId,
+    /// The job.
+    pub spec: jobs::JobSpec,
+    /// What its catalogue entry allows.
+    pub terms: jobs::JobTerms,
+}
+
+impl Home {
+    /// Accepts a job once it is written; the answer comes as an action.
+    pub fn submit(&mut self, now: Now, ticket: Ticket, submission: Submission) {
+        let Submission { id, spec, terms } = submission;
+        if let Some(known) = self.jobs.get(&id) {
+            if known.record.spec != spec {
+                let message = format!("job {id} exists and is another one");
+                return self.refuse(ticket, operator::ErrorKind::Conflict, message, None);
+            }
+            if known.written {
+                let status = known.status(&id, true);
+                return self.answer(ticket, Ok(status));
+            }
+        }
+        if let Err(error) = self.check_open() {
+            return self.answer(ticket, Err(error));
+        }
+        if !self.jobs.contains_key(&id) {
+            let job = new_job(now, spec, terms);
+            let used: usize = self.jobs.values().map(|job| job.bytes).sum();
+            if used + job.bytes > self.config.max_document_bytes {
+                let message = "the home of this job keeps as many jobs as it can".to_owned();
+                return self.refuse(
+                    ticket,
+                    operator::ErrorKind::Unavailable,
+                    message,
+                    Some(FULL_MS),
+                );
+            }
+            self.jobs.insert(id.clone(), job);
+        }
+        self.document.submit(id, ticket);
+    }
+
+    /// Tells how a job stands.
+    pub fn status(&self, id: &ids::JobId) -> super::Outcome {
+        match self.jobs.get(id) {
+            Some(job) if job.written => Ok(job.status(id, true)),
+            _ if !self.document.is_mine() => Err(taking_over()),
+            _ => Err(unknown_job(id)),
+        }
+    }
+
+    /// Lists jobs, of one owner or of all.
+    pub fn list(&self, owner: Option<&ids::OwnerName>) -> Vec<(u64, jobs::JobStatus)> {
+        self.jobs
+            .iter()
+            .filter(|(_, job)| job.written)
+            .filter(|(_, job)| owner.is_none_or(|owner| job.record.spec.owner == *owner))
+            .map(|(id, job)| (job.record.accepted_unix_ms, job.status(id, false)))
+            .collect()
+    }
+
+    /// Cancels a job; the answer comes once the wish is written.
+    pub fn cancel(&mut self, now: Now, ticket: Ticket, id: &ids::JobId) {
+        if let Err(error) = self.check_open() {
+            return self.answer(ticket, Err(error));
+        }
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.written) else {
+            return self.answer(ticket, Err(unknown_job(id)));
+        };
+        if job.record.ended.is_some() {
+            let status = job.status(id, true);
+            return self.answer(ticket, Ok(status));
+        }
+        job.record.cancelled = true;
+        for task in job.tasks.values_mut() {
+            task.stopping = true;
+            if matches!(task.life, job::Life::Queued { .. }) {
+                task.life = job::Life::Ended(jobs::JobState::Cancelled);
+            }
+        }
+        // Queue keys of the ended tasks are skipped when their turn comes.
+        let all: Vec<_> = job.tasks.keys().copied().collect();
+        for index in all {
+            self.watch(id, index);
+        }
+        self.settle(now, id);
+        self.document.wait_for_write(id.clone(), ticket);
+    }
+
+    fn check_open(&self) -> Result<(), operator::OperatorError> {
+        if self.fenced || self.draining || !self.document.is_mine() {
+            return Err(taking_over());
+        }
+        if let Some(retry) = self.document.away(self.config.store_retry) {
+            let mut error = operator::OperatorError::new(
+                operator::ErrorKind::Unavailable,
+                "the store does not answer, so nothing can be accepted",
+            );
+            error.retry_after_ms = Some(millis(retry));
+            return Err(error);
+        }
+        Ok(())
+    }
+
+    pub(super) fn answer(&mut self, ticket: Ticket, outcome: super::Outcome) {
+        let answer = super::Action::Answer(ticket, Box::new(outcome));
+        self.actions.push(answer);
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        ticket: Ticket,
+        kind: operator::ErrorKind,
+        message: String,
+        retry_after_ms: Option<u64>,
+    ) {
+        let mut error = operator::OperatorError::new(kind, message);
+        error.retry_after_ms = retry_after_ms;
+        self.answer(ticket, Err(error));
+    }
+}
+
+fn new_job(now: Now, spec: jobs::JobSpec, terms: jobs::JobTerms) -> job::Job {
+    let tasks = (0..spec.tasks)
+        .map(|index| (index, job::Task::new(now.at)))
+        .collect();
+    let bytes = record_bytes(&spec);
+    let record = jobs::JobRecord {
+        spec,
+        accepted_unix_ms: now.unix_ms,
+        cancelled: false,
+        reason: None,
+        ended: None,
+        tasks: IndexMap::new(),
+        ended_unix_ms: 0,
+        terms,
+    };
+    job::Job {
+        record,
+        tasks,
+        written: false,
+        doubted: false,
+        bytes,
+    }
+}
+
+/// Size of a job's record when every task has one.
+pub(super) fn record_bytes(spec: &jobs::JobSpec) -> usize {
+    RECORD_BYTES + spec.command.len() + spec.tasks as usize * TASK_RECORD_BYTES
+}
+
+fn taking_over() -> operator::OperatorError {
+    let mut error = operator::OperatorError::new(
+        operator::ErrorKind::Unavailable,
+        "the home of this job is being taken over",
+    );
+    error.retry_after_ms = Some(TAKING_OVER_MS);
+    error
+}
+
+fn unknown_job(id: &ids::JobId) -> operator::OperatorError {
+    operator::OperatorError::new(operator::ErrorKind::NotFound, format!("no job {id}"))
+}
+
+pub(super) fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/figscale-core/src/job/home/write.rs
@@ -0,0 +1,367 @@
+//! The document in the store: read, claimed by a first write, then replaced.
+
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::jobs;
+use figscale_types::operator;
+use figscale_types::verdict::Verdict;
+
+use super::Action;
+use super::Home;
+use super::Now;
+use super::Ticket;
+use crate::job::message;
+
+/// What became of a read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReadOutcome {
+    /// The document with its revision; a missing one is empty, with revision 0.
+    Read(ids::Revision, jobs::JobDocument),
+    /// No answer.
+    Away,
+}
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It took effect.
+    Written(ids::Revision),
+    /// It failed, with a verdict on whether it may have taken effect.
+    Failed(Verdict),
+    /// The document has another revision.
+    Conflict,
+}
+
+/// What goes with a write.
+#[derive(Clone, Debug, Default)]
+struct Batch {
+    /// New jobs with who waits for their acceptance.
+    submitted: Vec<(ids::JobId, Vec<Ticket>)>,
+    /// Who waits for a change of a job.
+    waiting: Vec<(ids::JobId, Ticket)>,
+    /// Start marks.
+    marks: Vec<ids::TaskId>,
+    /// Ends that may be acknowledged.
+    ends: Vec<(ids::MemberKey, message::Attempt)>,
+    /// Jobs that were given up for their age.
+    dirty: bool,
+}
+
+impl Batch {
+    fn is_empty(&self) -> bool {
+        !self.dirty
+            && self.submitted.is_empty()
+            && self.waiting.is_empty()
+            && self.marks.is_empty()
+            && self.ends.is_empty()
+    }
+
+    /// Puts back what an earlier write did not bring.
+    fn put_back(&mut self, mut earlier: Self) {
+        earlier.submitted.append(&mut self.submitted);
+        earlier.waiting.append(&mut self.waiting);
+        earlier.marks.append(&mut self.marks);
+        earlier.ends.append(&mut self.ends);
+        earlier.dirty |= self.dirty;
+        *self = earlier;
+    }
+}
+
+/// What the home knows of its document.
+#[derive(Debug, Default)]
+pub(super) struct DocumentState {
+    revision: Option<ids::Revision>,
+    /// Whether a write under this epoch is known to have taken effect.
+    mine: bool,
+    sequence: u64,
+    pending: Batch,
+    in_flight: Option<Batch>,
+    /// A write without a known outcome, with its sequence number.
+    in_doubt: Option<(u64, Batch)>,
+    reading: bool,
+    last_write: Option<time::Instant>,
+    retry_at: Option<time::Instant>,
+    pub(super) writes: u64,
+}
+
+impl DocumentState {
+    pub(super) fn is_mine(&self) -> bool {
+        self.mine
+    }
+
+    /// Time to come back after while the store does not answer.
+    pub(super) fn away(&self, retry: time::Duration) -> Option<time::Duration> {
+        self.retry_at.map(|_| retry)
+    }
+
+    pub(super) fn is_settled(&self) -> bool {
+        self.pending.is_empty() && self.in_flight.is_none() && self.in_doubt.is_none()
+    }
+
+    pub(super) fn submit(&mut self, id: ids::JobId, ticket: Ticket) {
+        let of = |batch: &mut Batch| {
+            let found = batch.submitted.iter_mut().find(|(known, _)| *known == id)?;
+            found.1.push(ticket);
+            Some(())
+        };
+        let known = of(&mut self.pending).or_else(|| self.in_flight.as_mut().and_then(of));
+        if known.is_none() {
+            self.pending.submitted.push((id, vec![ticket]));
+        }
+    }
+
+    pub(super) fn wait_for_write(&mut self, id: ids::JobId, ticket: Ticket) {
+        self.pending.dirty = true;
+        self.pending.waiting.push((id, ticket));
+    }
+
+    pub(super) fn mark(&mut self, task: ids::TaskId) {
+        self.pending.marks.push(task);
+    }
+
+    pub(super) fn end(&mut self, placer: ids::MemberKey, attempt: message::Attempt) {
+        if self.has_end(&attempt) {
+            return;
+        }
+        self.pending.ends.push((placer, attempt));
+    }
+
+    /// Whether an end waits for its write.
+    pub(super) fn has_end(&self, attempt: &message::Attempt) -> bool {
+        let doubted = self.in_doubt.as_ref().map(|(_, batch)| batch);
+        [Some(&self.pending), self.in_flight.as_ref(), doubted]
+            .into_iter()
+            .flatten()
+            .any(|batch| batch.ends.iter().any(|(_, known)| known == attempt))
+    }
+
+    pub(super) fn touch(&mut self) {
+        self.pending.dirty = true;
+    }
+}
+
+impl Home {
+    /// Reads or writes the document when that is due.
+    pub(super) fn poll_document(&mut self, now: Now) {
+        let state = &mut self.document;
+        if state.reading || state.in_flight.is_some() {
+            return;
+        }
+        if state.retry_at.is_some_and(|at| now.at < at) {
+            return;
+        }
+        let Some(revision) = state.revision.filter(|_| state.in_doubt.is_none()) else {
+            state.reading = true;
+            self.actions.push(Action::Read);
+            return;
+        };
+        let rested = state
+            .last_write
+            .is_none_or(|at| now.at >= at + self.config.write_every);
+        if state.pending.is_empty() || !rested {
+            return;
+        }
+        self.write(now, revision);
+    }
+
+    fn write(&mut self, now: Now, expected: ids::Revision) {
+        self.forget_old(now);
+        let state = &mut self.document;
+        state.in_flight = Some(std::mem::take(&mut state.pending));
+        state.last_write = Some(now.at);
+        state.sequence += 1;
+        state.writes += 1;
+        let jobs = self
+            .jobs
+            .iter()
+            .map(|(id, job)| (id.clone(), job.record.clone()))
+            .collect();
+        let document = jobs::JobDocument {
+            epoch: self.key.epoch,
+            sequence: state.sequence,
+            jobs,
+        };
+        let call = super::WriteCall { expected, document };
+        self.actions.push(Action::Write(call));
+    }
+
+    /// Drops ended jobs that were kept long enough.
+    fn forget_old(&mut self, now: Now) {
+        let keep_ms = self.config.keep_ended_ms;
+        self.jobs.retain(|_, job| {
+            job.record.ended.is_none() || job.record.ended_unix_ms + keep_ms > now.unix_ms
+        });
+    }
+
+    /// Takes what was read.
+    pub fn on_read(&mut self, now: Now, outcome: ReadOutcome) {
+        self.document.reading = false;
+        let ReadOutcome::Read(revision, document) = outcome else {
+            self.store_failed(now);
+            return;
+        };
+        if document.epoch > self.key.epoch {
+            self.fence();
+            return;
+        }
+        self.document.retry_at = None;
+        self.document.revision = Some(revision);
+        let known = document.epoch == self.key.epoch;
+        match self.document.in_doubt.take() {
+            Some((sequence, batch)) if known && document.sequence >= sequence => {
+                self.written(now, batch);
+            }
+            Some((_, batch)) if self.document.mine => self.document.pending.put_back(batch),
+            // Before the first write of its own, an earlier home may have
+            // written again: what was loaded is out of date.
+            _ if !self.document.mine => self.load(now, document),
+            _ => {}
+        }
+    }
+
+    /// Takes what became of a write.
+    pub fn on_write(&mut self, now: Now, outcome: WriteOutcome) {
+        let Some(batch) = self.document.in_flight.take() else {
+            return;
+        };
+        match outcome {
+            WriteOutcome::Written(revision) => {
+                self.document.revision = Some(revision);
+                self.document.retry_at = None;
+                self.written(now, batch);
+            }
+            WriteOutcome::Failed(Verdict::NotRun) => {
+                let batch = self.give_up_submissions(batch);
+                self.document.pending.put_back(batch);
+                self.store_failed(now);
+            }
+            WriteOutcome::Failed(_) => {
+                let batch = self.doubt_askers(batch);
+                self.document.in_doubt = Some((self.document.sequence, batch));
+                self.store_failed(now);
+            }
+            // Only this home writes under its epoch: an earlier write of its
+            // own, or of an earlier home, came through. Reading tells.
+            WriteOutcome::Conflict => {
+                self.document.in_doubt = Some((self.document.sequence, batch));
+            }
+        }
+    }
+
+    fn store_failed(&mut self, now: Now) {
+        self.document.retry_at = Some(now.at + self.config.store_retry);
+        // Whoever waits meanwhile is answered at once rather than kept.
+        let pending = std::mem::take(&mut self.document.pending);
+        self.document.pending = self.give_up_submissions(pending);
+        if let Some((sequence, batch)) = self.document.in_doubt.take() {
+            let batch = self.doubt_askers(batch);
+            self.document.in_doubt = Some((sequence, batch));
+        }
+    }
+
+    /// Submissions that were not written are not accepted.
+    fn give_up_submissions(&mut self, mut batch: Batch) -> Batch {
+        let retry = super::submit::millis(self.config.store_retry);
+        let submitted = std::mem::take(&mut batch.submitted);
+        for (id, tickets) in submitted {
+            let doubted = self
+                .jobs
+                .get(&id)
+                .is_none_or(|job| job.doubted || job.written);
+            if doubted {
+                batch.submitted.push((id, tickets));
+                continue;
+            }
+            self.jobs.swap_remove(&id);
+            batch.dirty = true;
+            for ticket in tickets {
+                self.refuse(
+                    ticket,
+                    operator::ErrorKind::Unavailable,
+                    format!("job {id} was not accepted: the store does not answer"),
+                    Some(retry),
+                );
+            }
+        }
+        // What is left may be in the store, or is a wish that is obeyed but
+        // not yet written.
+        self.doubt_askers(batch)
+    }
+
+    /// Whoever waits for a write without an outcome is told so.
+    fn doubt_askers(&mut self, mut batch: Batch) -> Batch {
+        let retry = super::submit::millis(self.config.store_retry);
+        let mut told = Vec::new();
+        for (id, tickets) in &mut batch.submitted {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.doubted = true;
+            }
+            told.extend(tickets.drain(..).map(|ticket| (id.clone(), ticket)));
+        }
+        told.append(&mut batch.waiting);
+        for (id, ticket) in told {
+            self.refuse(
+                ticket,
+                operator::ErrorKind::Unknown,
+                format!("job {id}: the store's answer was lost; ask again with the same id"),
+                Some(retry),
+            );
+        }
+        batch
+    }
+
+    fn written(&mut self, now: Now, batch: Batch) {
+        self.document.mine = true;
+        for (id, tickets) in batch.submitted {
+            self.accepted(now, &id);
+            for ticket in tickets {
+                let outcome = self.status(&id);
+                self.answer(ticket, outcome);
+            }
+        }
+        for (id, ticket) in batch.waiting {
+            let outcome = self.status(&id);
+            self.answer(ticket, outcome);
+        }
+        for task in batch.marks {
+            self.marked(now, &task);
+        }
+        self.acknowledge(batch.ends);
+    }
+
+    /// A job is accepted: its tasks may be placed.
+    fn accepted(&mut self, now: Now, id: &ids::JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if std::mem::replace(&mut job.written, true) {
+            return;
+        }
+        let all: Vec<_> = job.tasks.keys().copied().collect();
+        for index in all {
+            self.enqueue(now, id, index, now.at);
+        }
+    }
+
+    fn acknowledge(&mut self, ends: Vec<(ids::MemberKey, message::Attempt)>) {
+        let mut by_placer: indexmap::IndexMap<_, Vec<_>> = indexmap::IndexMap::new();
+        for (placer, attempt) in ends {
+            by_placer.entry(placer).or_default().push(attempt);
+        }
+        for (placer, attempts) in by_placer {
+            let question = message::Question::Acknowledge(self.key.clone(), attempts);
+            self.actions.push(Action::Call(placer, question));
+        }
+    }
+
+    /// A later home holds the shard: everybody who waits is told to come back.
+    pub(super) fn fence(&mut self) {
+        self.fenced = true;
+        let pending = std::mem::take(&mut self.document.pending);
+        let in_flight = self.document.in_flight.take();
+        for batch in [Some(pending), in_flight].into_iter().flatten() {
+            self.doubt_askers(batch);
+        }
+    }
+}
--- a/crates/figscale-core/src/job/message.rs
+++ b/crates/figscale-core/src/job/message.rs
@@ -19,6 +19,18 @@
     pub epoch: ids::Epoch,
 }
 
+/// What bounds a call that has tasks placed, however late it arrives.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Scope {
+    /// Number of the call; one that an inventory has overtaken is refused.
+    pub call: u64,
+    /// Whether the same orders were sent before: they are looked up, not placed.
+    pub repeat: bool,
+    /// Worker shards, with the epochs under which the home takes the placer to
+    /// hold them; others are not used.
+    pub shards: Vec<(ids::ShardId, ids::Epoch)>,
+}
+
 /// A task and its attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Attempt {
@@ -74,6 +86,8 @@
     StaleHome,
     /// Nothing was done: an older attempt of the task has not ended here.
     Busy,
+    /// The order, a repeat, is not known here; it may have been before.
+    NotKnown,
 }
 
 /// Where a task is.
@@ -165,13 +179,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     /// Home to placer: place these tasks.
-    Place(HomeKey, Vec<TaskOrder>),
+    Place(HomeKey, Scope, Vec<TaskOrder>),
     /// Home to placer: start these held tasks.
     Go(HomeKey, Vec<Attempt>),
     /// Home to placer: these are to end; reservations are given back.
     Stop(HomeKey, Vec<ids::TaskId>),
-    /// Home to placer: what do you hold of mine?
-    Inventory(HomeKey),
+    /// Home to placer: what do you hold of mine? With the number of the call.
+    Inventory(HomeKey, u64),
     /// Home to placer: these ends are dealt with.
     Acknowledge(HomeKey, Vec<Attempt>),
     /// Placer to home: news.
--- a/crates/figscale-core/src/job/placer/mod.rs
+++ b/crates/figscale-core/src/job/placer/mod.rs
@@ -140,6 +140,14 @@
     draining: bool,
 }
 
+/// The latest of a home that was seen.
+#[derive(Clone, Copy, Debug, Default)]
+struct HomeSeen {
+    epoch: ids::Epoch,
+    /// Number of its last inventory call.
+    inventory: u64,
+}
+
 /// The placer of a process.
 #[derive(Debug)]
 pub struct Placer {
@@ -147,8 +155,8 @@
     shards: IndexMap<ids::ShardId, Shard>,
     sessions: IndexMap<ids::InstanceId, session::Session>,
     tasks: IndexMap<ids::TaskId, task::Task>,
-    /// Highest epoch seen of each home.
-    homes: IndexMap<ids::ShardId, ids::Epoch>,
+    /// What was seen of each home.
+    homes: IndexMap<ids::ShardId, HomeSeen>,
     actions: Vec<Action>,
     duplicates: u64,
 }
@@ -244,11 +252,14 @@
     /// Notes the epoch of a home, as the claims tell it; earlier ones are refused.
     pub fn note_home(&mut self, home: &message::HomeKey) -> bool {
         let known = self.homes.entry(home.shard.clone()).or_default();
-        if home.epoch < *known {
+        if home.epoch < known.epoch {
             return false;
         }
-        if home.epoch > *known {
-            *known = home.epoch;
+        if home.epoch > known.epoch {
+            *known = HomeSeen {
+                epoch: home.epoch,
+                inventory: 0,
+            };
             self.drop_reservations_before(home);
         }
         true
--- a/crates/figscale-core/src/job/placer/orders.rs
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -18,12 +18,12 @@
         question: message::Question,
     ) -> message::Answer {
         match question {
-            message::Question::Place(home, orders) => {
-                let admitted = self.note_home(&home);
+            message::Question::Place(home, scope, orders) => {
+                let admitted = self.note_home(&home) && !self.is_overtaken(&home, &scope);
                 let answers = orders
                     .into_iter()
                     .map(|order| match admitted {
-                        true => self.place(now, valid_until, &home, order),
+                        true => self.place(now, valid_until, &home, &scope, order),
                         false => message::OrderAnswer::StaleHome,
                     })
                     .collect();
@@ -43,7 +43,7 @@
         let home = match &question {
             message::Question::Go(home, _)
             | message::Question::Stop(home, _)
-            | message::Question::Inventory(home)
+            | message::Question::Inventory(home, _)
             | message::Question::Acknowledge(home, _) => home.clone(),
             _ => return message::Answer::NotHere,
         };
@@ -69,15 +69,29 @@
                 }
                 message::Answer::Noted
             }
-            _ => message::Answer::Inventory(self.inventory(now, &home)),
+            message::Question::Inventory(_, call) => {
+                if let Some(seen) = self.homes.get_mut(&home.shard) {
+                    seen.inventory = seen.inventory.max(call);
+                }
+                message::Answer::Inventory(self.inventory(now, &home))
+            }
+            _ => message::Answer::NotHere,
         }
     }
 
+    /// Whether an inventory was taken that the call should have come before.
+    fn is_overtaken(&self, home: &message::HomeKey, scope: &message::Scope) -> bool {
+        self.homes
+            .get(&home.shard)
+            .is_some_and(|seen| scope.call < seen.inventory)
+    }
+
     fn place(
         &mut self,
         now: time::Instant,
         valid_until: time::Instant,
         home: &message::HomeKey,
+        scope: &message::Scope,
         order: message::TaskOrder,
     ) -> message::OrderAnswer {
         let id = order.attempt.task.clone();
@@ -96,10 +110,13 @@
             };
             self.acknowledge(&earlier);
         }
+        if scope.repeat {
+            return message::OrderAnswer::NotKnown;
+        }
         if now >= valid_until {
             return message::OrderAnswer::NoRoom;
         }
-        let Some(worker) = self.find_room(now, &order) else {
+        let Some(worker) = self.find_room(now, scope, &order) else {
             return message::OrderAnswer::NoRoom;
         };
         let Some(session) = self.sessions.get(&worker) else {
--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -23,12 +23,15 @@
     pub(super) fn find_room(
         &self,
         now: time::Instant,
+        scope: &message::Scope,
         order: &message::TaskOrder,
     ) -> Option<ids::InstanceId> {
         let fits = |(id, session): &(&ids::InstanceId, &super::session::Session)| {
+            let named =
+                |shard: &super::Shard| scope.shards.contains(&(session.shard.clone(), shard.epoch));
             let shard = self.shards.get(&session.shard);
             session.takes_work(now, self.config.lease)
-                && shard.is_some_and(|shard| !shard.draining)
+                && shard.is_some_and(|shard| !shard.draining && named(shard))
                 && !session.forget.contains(&order.attempt.task)
                 && session
                     .capacity
