--- a/crates/figscale-core/src/job/mod.rs
+++ b/crates/figscale-core/src/job/mod.rs
@@ -8,4 +8,5 @@
 
 pub mod home;
 pub mod message;
+pub mod placement;
 pub mod placer;
--- a/crates/figscale-core/src/job/placer/mod.rs
+++ b/crates/figscale-core/src/job/placer/mod.rs
@@ -26,11 +26,11 @@
 
 use figscale_types::ids;
 use figscale_types::instances;
-use figscale_types::sizes;
 use figscale_types::worker;
 use indexmap::IndexMap;
 
 use super::message;
+use super::placement;
 
 pub use report::StartOutcome;
 
@@ -155,6 +155,8 @@
     shards: IndexMap<ids::ShardId, Shard>,
     sessions: IndexMap<ids::InstanceId, session::Session>,
     tasks: IndexMap<ids::TaskId, task::Task>,
+    /// Room on the workers.
+    cluster: placement::Cluster,
     /// What was seen of each home.
     homes: IndexMap<ids::ShardId, HomeSeen>,
     actions: Vec<Action>,
@@ -169,6 +171,7 @@
             shards: IndexMap::new(),
             sessions: IndexMap::new(),
             tasks: IndexMap::new(),
+            cluster: placement::Cluster::default(),
             homes: IndexMap::new(),
             actions: Vec::new(),
             duplicates: 0,
@@ -194,12 +197,14 @@
             });
             self.list_workers(now, id, &new.workers);
         }
+        self.open_workers(now);
     }
 
     /// Forgets a shard: its next holder finds the tasks at the workers.
     fn drop_shard(&mut self, id: &ids::ShardId) {
         self.shards.swap_remove(id);
         self.sessions.retain(|_, session| session.shard != *id);
+        self.cluster.remove_shard(id);
         self.tasks.retain(|_, task| task.shard != *id);
     }
 
@@ -215,6 +220,8 @@
             }
         }
         for instance in listed {
+            self.cluster
+                .add_worker(instance, placement::Readiness::Unreported);
             match self.sessions.get_mut(&instance.id) {
                 Some(session) if session.shard == *shard => session.list(instance),
                 _ => {
@@ -230,6 +237,16 @@
         if let Some(shard) = self.shards.get_mut(shard) {
             shard.draining = true;
         }
+        let of_shard = |session: &&session::Session| session.shard == *shard;
+        let closed: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| of_shard(session))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in closed {
+            self.cluster.set_leaving(&id, true);
+        }
         let held: Vec<_> = self
             .tasks
             .iter()
@@ -279,6 +296,7 @@
             .collect();
         for id in old {
             self.tasks.swap_remove(&id);
+            self.cluster.release(&id);
         }
     }
 
@@ -287,6 +305,7 @@
         if let Some(task) = self.tasks.get_mut(id) {
             task.state = message::TaskState::Ended(end);
             task.told_at = None;
+            self.cluster.release(id);
         }
     }
 
@@ -295,13 +314,9 @@
         self.duplicates
     }
 
-    /// What each worker holds and has given away.
-    pub fn rooms(
-        &self,
-    ) -> impl Iterator<Item = (&ids::InstanceId, sizes::Resources, sizes::Resources)> {
-        self.sessions
-            .iter()
-            .map(|(id, session)| (id, session.capacity, self.reserved_on(id)))
+    /// The workers and their room.
+    pub fn cluster(&self) -> &placement::Cluster {
+        &self.cluster
     }
 
     /// Attempts that are not known to have ended.
--- a/crates/figscale-core/src/job/placer/orders.rs
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -27,7 +27,7 @@
                         false => message::OrderAnswer::StaleHome,
                     })
                     .collect();
-                message::Answer::Place(answers, self.summary(now))
+                message::Answer::Place(answers, self.summary())
             }
             message::Question::Tell(..) => message::Answer::NotHere,
             other => self.answer_known_home(now, valid_until, other),
@@ -120,6 +120,7 @@
             return message::OrderAnswer::NoRoom;
         };
         let Some(session) = self.sessions.get(&worker) else {
+            self.cluster.release(&id);
             return message::OrderAnswer::NoRoom;
         };
         let hold = order.hold;
@@ -129,7 +130,6 @@
             home_epoch: home.epoch,
             shard: session.shard.clone(),
             worker,
-            reserved: order.resources,
             state: message::TaskState::Held,
             order: Some(Box::new(order)),
             hold_until: Some(now + self.config.hold),
@@ -206,7 +206,7 @@
                 epoch,
                 home_epoch: task.home_epoch,
                 lease_ms: millis(lease),
-                resources: task.reserved,
+                resources: order.resources,
                 max_run_ms: order.max_run_ms,
                 run_ms: order.run_ms,
                 command: order.command,
--- a/crates/figscale-core/src/job/placer/report.rs
+++ b/crates/figscale-core/src/job/placer/report.rs
@@ -107,15 +107,17 @@
             return;
         }
         session.heard_at = now;
-        session.capacity = report.capacity;
         session.leaving |= report.leaving;
         for task in forgotten {
             session.forget.swap_remove(task);
         }
+        let outcome = self.cluster.sync(report, asked_at, now);
         for line in &report.tasks {
             self.on_line(now, target, line);
         }
+        self.relieve(outcome.relief);
         self.find_missing(target, asked_at, earlier_life.is_some(), report);
+        self.open_workers(now);
     }
 
     /// Whether the shard is still held under the epoch that a call carried.
@@ -154,7 +156,11 @@
                 self.end(&line.task, end);
             }
             (message::TaskState::Ended(_), Some(_)) => {}
-            (_, Some(end)) => self.end(&line.task, end),
+            (_, Some(end)) => {
+                let worker = task.worker.clone();
+                self.judge(now, &worker, &line.task.job, end);
+                self.end(&line.task, end);
+            }
             (message::TaskState::Running, None) => {}
             (_, None) => {
                 task.state = message::TaskState::Running;
@@ -165,6 +171,24 @@
         }
     }
 
+    /// Holds an end for or against the worker.
+    fn judge(
+        &mut self,
+        now: time::Instant,
+        worker: &ids::InstanceId,
+        job: &ids::JobId,
+        end: message::End,
+    ) {
+        let Some(session) = self.sessions.get_mut(worker) else {
+            return;
+        };
+        match end {
+            message::End::Done => session.on_done(),
+            message::End::Failed => session.on_failed(now, job),
+            _ => {}
+        }
+    }
+
     /// The task has room on another worker, or a later attempt of it is known.
     fn on_duplicate(&mut self, target: &Target, line: &worker::TaskReport) {
         if end_of(line.phase).is_some() {
@@ -217,7 +241,6 @@
             home_epoch: line.home_epoch,
             shard: session.shard.clone(),
             worker: target.worker.clone(),
-            reserved: line.reserved,
             state,
             order: None,
             hold_until: None,
--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -1,64 +1,119 @@
-//! Room on workers: first fit, until scoring takes its place.
+//! Room on workers, which the cluster gives away.
 
 use std::time;
 
+use figscale_types::catalogue;
 use figscale_types::ids;
-use figscale_types::sizes;
+use figscale_types::worker;
 
 use super::Placer;
 use crate::job::message;
+use crate::job::placement;
 
 impl Placer {
-    /// Room given away on a worker.
-    pub(super) fn reserved_on(&self, worker: &ids::InstanceId) -> sizes::Resources {
-        self.tasks
-            .values()
-            .filter(|task| task.worker == *worker && task.is_active())
-            .fold(sizes::Resources::default(), |sum, task| {
-                sum.plus(&task.reserved)
-            })
+    /// Replaces what placement weighs.
+    pub fn set_weights(&mut self, weights: catalogue::Weights) {
+        let config = placement::Config {
+            weights,
+            ..placement::Config::default()
+        };
+        self.cluster.set_config(config);
     }
 
-    /// A worker with room for the order.
+    /// Gives an order room on a worker.
     pub(super) fn find_room(
-        &self,
+        &mut self,
         now: time::Instant,
         scope: &message::Scope,
         order: &message::TaskOrder,
     ) -> Option<ids::InstanceId> {
-        let fits = |(id, session): &(&ids::InstanceId, &super::session::Session)| {
-            let named =
-                |shard: &super::Shard| scope.shards.contains(&(session.shard.clone(), shard.epoch));
-            let shard = self.shards.get(&session.shard);
-            session.takes_work(now, self.config.lease)
-                && shard.is_some_and(|shard| !shard.draining && named(shard))
-                && !session.forget.contains(&order.attempt.task)
-                && session
-                    .capacity
-                    .minus(&self.reserved_on(id))
-                    .holds(&order.resources)
+        let barred = self.barred(scope, order);
+        let mut ask = ask(order);
+        ask.avoid.extend(barred.iter().cloned());
+        if let Ok(worker) = self.cluster.place(&ask, now, None) {
+            return Some(worker);
+        }
+        if order.avoid.is_empty() {
+            return None;
+        }
+        // Better on a worker where it failed than nowhere.
+        ask.avoid = barred;
+        self.cluster.place(&ask, now, None).ok()
+    }
+
+    /// Workers that the order may not use, though they take work.
+    fn barred(&self, scope: &message::Scope, order: &message::TaskOrder) -> Vec<ids::InstanceId> {
+        let named = |id: &ids::ShardId| {
+            let epoch = self.shards.get(id).map(|shard| shard.epoch);
+            epoch.is_some_and(|epoch| {
+                scope
+                    .shards
+                    .iter()
+                    .any(|known| *known == (id.clone(), epoch))
+            })
         };
-        let (wanted, avoided): (Vec<_>, Vec<_>) = self
-            .sessions
+        let unnamed: indexmap::IndexSet<_> = self.shards.keys().filter(|id| !named(id)).collect();
+        self.sessions
             .iter()
-            .filter(fits)
-            .partition(|(id, _)| !order.avoid.contains(id));
-        let found = wanted.first().or(avoided.first())?;
-        Some(found.0.clone())
+            .filter(|(_, session)| {
+                unnamed.contains(&session.shard) || session.forget.contains(&order.attempt.task)
+            })
+            .map(|(id, _)| id.clone())
+            .collect()
     }
 
-    /// Free room, for homes.
-    pub fn summary(&self, now: time::Instant) -> message::Summary {
-        let mut summary = message::Summary::default();
-        for (id, session) in &self.sessions {
-            if !session.takes_work(now, self.config.lease) {
+    /// Opens workers to new tasks, or closes them.
+    pub(super) fn open_workers(&mut self, now: time::Instant) {
+        let silence = self.config.lease;
+        for (id, session) in &mut self.sessions {
+            let shard = self.shards.get(&session.shard);
+            let draining = shard.is_none_or(|shard| shard.draining);
+            let open = !draining && session.takes_work(now, silence);
+            self.cluster.set_leaving(id, !open);
+            self.cluster.set_aside(id, session.is_set_aside(now));
+        }
+    }
+
+    /// Acts on tasks that use more than they may, before their neighbours suffer.
+    pub(super) fn relieve(&mut self, relief: Vec<(ids::TaskId, worker::TaskAction)>) {
+        for (id, action) in relief {
+            let Some(task) = self.tasks.get_mut(&id) else {
                 continue;
+            };
+            if task.action.is_none() && task.may_run() {
+                task.action = Some(action);
+                self.send_action(&id);
             }
-            let free = session.capacity.minus(&self.reserved_on(id));
-            summary.largest_free = sizes::Resources::max(&summary.largest_free, &free);
+        }
+    }
+
+    /// Free room, for homes.
+    pub fn summary(&self) -> message::Summary {
+        let mut summary = message::Summary::default();
+        for worker in self.cluster.workers().filter(|worker| worker.takes_work()) {
+            let free = worker.free();
+            summary.largest_free = summary.largest_free.larger(&free);
             summary.free = summary.free.plus(&free);
             summary.workers += 1;
         }
         summary
     }
 }
+
+fn ask(order: &message::TaskOrder) -> placement::Ask {
+    placement::Ask {
+        task: order.attempt.task.clone(),
+        attempt: order.attempt.number,
+        owner: Some(order.owner.clone()),
+        class: order.class,
+        urgency: order.urgency,
+        size: order.resources,
+        declared: order.resources,
+        guard: placement::Guard {
+            idempotent: order.idempotent,
+            checkpointable: order.checkpointable,
+            preemptible: order.preemptible,
+        },
+        avoid: order.avoid.clone(),
+    }
+}
--- a/crates/figscale-core/src/job/placer/task.rs
+++ b/crates/figscale-core/src/job/placer/task.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use figscale_types::ids;
-use figscale_types::sizes;
 use figscale_types::worker;
 
 use crate::job::message;
@@ -17,7 +16,6 @@
     pub(super) home_epoch: ids::Epoch,
     pub(super) shard: ids::ShardId,
     pub(super) worker: ids::InstanceId,
-    pub(super) reserved: sizes::Resources,
     pub(super) state: message::TaskState,
     /// What to start once told to.
     pub(super) order: Option<Box<message::TaskOrder>>,
