--- /dev/null
+++ b/crates/figscale/src/jobs/calls.rs
@@ -0,0 +1,322 @@
+//! Calls that run on the traffic threads and come back as messages.
+
+use std::net;
+use std::time;
+
+use figscale_core::job::home;
+use figscale_core::job::message;
+use figscale_core::job::placer;
+use figscale_types::ids;
+use figscale_types::jobs;
+use figscale_types::operator;
+use figscale_types::verdict::Verdict;
+use figscale_types::worker;
+use tokio::sync::mpsc;
+
+use super::wire;
+use super::workers;
+use crate::events;
+use crate::kernel;
+use crate::peer;
+use crate::state;
+use crate::store;
+
+/// Time for one call between home and placer.
+const CORE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Time for a forwarded submission, which waits for a write.
+const FORWARD_TIMEOUT: time::Duration = time::Duration::from_secs(8);
+/// Time to come back after when a home could not be reached.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// What came of a call.
+pub(super) enum Done {
+    /// A start.
+    Start(placer::Target, message::Attempt, placer::StartOutcome),
+    /// A renewal or an action.
+    Report(ReportDone),
+    /// A call of the home of a job shard to a placer.
+    Call(CallDone),
+    /// News were told to a home, which took note of them or not.
+    Told(Vec<message::TaskEvent>, bool),
+    /// A document was read.
+    Read(message::HomeKey, home::ReadOutcome),
+    /// A document was written.
+    Write(message::HomeKey, home::WriteOutcome),
+}
+
+/// What came of a renewal or an action.
+pub(super) struct ReportDone {
+    pub(super) target: placer::Target,
+    pub(super) asked_at: time::Instant,
+    pub(super) forgotten: Vec<ids::TaskId>,
+    pub(super) report: Option<worker::WorkerReport>,
+}
+
+/// What came of a call to a placer.
+pub(super) struct CallDone {
+    pub(super) home: message::HomeKey,
+    pub(super) placer: ids::MemberKey,
+    pub(super) asked_at: time::Instant,
+    pub(super) question: message::Question,
+    pub(super) result: Result<message::Answer, Verdict>,
+}
+
+/// Makes the calls.
+#[derive(Clone)]
+pub(super) struct Calls {
+    context: state::Context,
+    workers: workers::Workers,
+    done: mpsc::UnboundedSender<Done>,
+}
+
+impl Calls {
+    pub(super) fn new(
+        context: &state::Context,
+        timeout: time::Duration,
+        done: mpsc::UnboundedSender<Done>,
+    ) -> Self {
+        Self {
+            context: context.clone(),
+            workers: workers::Workers::new(context, timeout),
+            done,
+        }
+    }
+
+    /// Has a result dealt with after what is under way.
+    pub(super) fn done(&self, done: Done) {
+        // The receiver lives as long as the service.
+        let _ = self.done.send(done);
+    }
+
+    fn spawn(&self, call: impl Future<Output = Done> + Send + 'static) {
+        let done = self.done.clone();
+        self.context.traffic.spawn(async move {
+            let _ = done.send(call.await);
+        });
+    }
+
+    /// Carries out an action of the placer towards a worker.
+    pub(super) fn start(&self, call: placer::StartCall) {
+        let workers = self.workers.clone();
+        self.spawn(async move {
+            let outcome = workers.start(&call).await;
+            let attempt = message::Attempt {
+                task: call.start.task,
+                number: call.start.attempt,
+            };
+            Done::Start(call.target, attempt, outcome)
+        });
+    }
+
+    /// Sends a renewal that the placer decided on at `asked_at`.
+    pub(super) fn renew(&self, asked_at: time::Instant, call: placer::RenewCall) {
+        let workers = self.workers.clone();
+        self.spawn(async move {
+            let report = workers.renew(&call).await.ok();
+            Done::Report(ReportDone {
+                target: call.target,
+                asked_at,
+                forgotten: call.renew.forget,
+                report,
+            })
+        });
+    }
+
+    /// Sends an action that the placer decided on at `asked_at`.
+    pub(super) fn act(&self, asked_at: time::Instant, call: placer::ActCall) {
+        let workers = self.workers.clone();
+        self.spawn(async move {
+            let report = workers.act(&call).await.ok();
+            Done::Report(ReportDone {
+                target: call.target,
+                asked_at,
+                forgotten: Vec::new(),
+                report,
+            })
+        });
+    }
+
+    /// Asks the placer of a peer on behalf of a home.
+    pub(super) fn ask_placer(
+        &self,
+        home: message::HomeKey,
+        placer: ids::MemberKey,
+        address: Option<net::SocketAddr>,
+        question: message::Question,
+    ) {
+        let asked_at = self.context.clock.now();
+        let peers = self.context.peers.clone();
+        self.spawn(async move {
+            let result = match address {
+                Some(address) => core_call(&peers, address, question.clone()).await,
+                None => Err(Verdict::NotRun),
+            };
+            Done::Call(CallDone {
+                home,
+                placer,
+                asked_at,
+                question,
+                result,
+            })
+        });
+    }
+
+    /// Tells a peer that is the home of a job shard.
+    pub(super) fn tell_home(
+        &self,
+        address: net::SocketAddr,
+        shard: ids::ShardId,
+        events: Vec<message::TaskEvent>,
+    ) {
+        let peers = self.context.peers.clone();
+        self.spawn(async move {
+            let question = message::Question::Tell(shard, events.clone());
+            let answer = core_call(&peers, address, question).await;
+            Done::Told(events, answer == Ok(message::Answer::Noted))
+        });
+    }
+
+    /// Reads the document of a job shard.
+    pub(super) fn read(&self, home: message::HomeKey) {
+        let store = self.context.store.clone();
+        self.spawn(async move {
+            let key = jobs::document_key(&home.shard);
+            let outcome = match store.get(&key).await {
+                Ok(None) => home::ReadOutcome::Read(ids::Revision(0), jobs::JobDocument::default()),
+                Ok(Some(found)) => parse(&home, found),
+                Err(error) => {
+                    crate::event!(
+                        events::jobs::JOB_STORE_AWAY,
+                        shard = home.shard,
+                        error = error
+                    );
+                    home::ReadOutcome::Away
+                }
+            };
+            Done::Read(home, outcome)
+        });
+    }
+
+    /// Writes the document of a job shard.
+    pub(super) fn write(&self, home: message::HomeKey, call: home::WriteCall) {
+        let store = self.context.store.clone();
+        self.spawn(async move {
+            let key = jobs::document_key(&home.shard);
+            let outcome = match serde_json::to_vec(&call.document) {
+                Ok(value) => written(store.put(&key, call.expected, value, None).await),
+                Err(_) => home::WriteOutcome::Failed(Verdict::NotRun),
+            };
+            if matches!(outcome, home::WriteOutcome::Failed(_)) {
+                crate::event!(
+                    events::jobs::JOB_STORE_AWAY,
+                    shard = home.shard,
+                    error = "write failed"
+                );
+            }
+            Done::Write(home, outcome)
+        });
+    }
+
+    /// Passes a question about a job on to its home.
+    pub(super) fn forward(
+        &self,
+        address: net::SocketAddr,
+        question: wire::Question,
+        reply: kernel::Reply<super::JobResult>,
+    ) {
+        let peers = self.context.peers.clone();
+        self.context.traffic.spawn(async move {
+            let answer = peers
+                .call(address, super::NAME, &question, FORWARD_TIMEOUT)
+                .await;
+            reply.send(match answer {
+                Ok(wire::Answer::Job(result)) => result,
+                Ok(_) => Err(unreachable_home(Verdict::MayHaveRun)),
+                Err(error) => Err(unreachable_home(error.verdict)),
+            });
+        });
+    }
+
+    /// Lists the jobs of all homes; `own` are those of this process.
+    pub(super) fn list(
+        &self,
+        own: Vec<(u64, jobs::JobStatus)>,
+        homes: Vec<net::SocketAddr>,
+        owner: Option<ids::OwnerName>,
+        reply: kernel::Reply<Result<Vec<jobs::JobStatus>, operator::OperatorError>>,
+    ) {
+        let peers = self.context.peers.clone();
+        self.context.traffic.spawn(async move {
+            let question = wire::Question::List(owner);
+            let asked = homes
+                .iter()
+                .map(|home| peers.call(*home, super::NAME, &question, CORE_TIMEOUT));
+            let mut all = own;
+            for answer in futures_util::future::join_all(asked).await {
+                let Ok(wire::Answer::List(jobs)) = answer else {
+                    return reply.send(Err(unreachable_home(Verdict::NotRun)));
+                };
+                all.extend(jobs);
+            }
+            all.sort_by_key(|(accepted_unix_ms, _)| std::cmp::Reverse(*accepted_unix_ms));
+            reply.send(Ok(all.into_iter().map(|(_, status)| status).collect()));
+        });
+    }
+}
+
+async fn core_call(
+    peers: &peer::Peers,
+    address: net::SocketAddr,
+    question: message::Question,
+) -> Result<message::Answer, Verdict> {
+    let question = wire::Question::Core(question);
+    match peers
+        .call(address, super::NAME, &question, CORE_TIMEOUT)
+        .await
+    {
+        Ok(wire::Answer::Core(answer)) => Ok(answer),
+        Ok(_) => Err(Verdict::MayHaveRun),
+        Err(error) => Err(error.verdict),
+    }
+}
+
+fn parse(home: &message::HomeKey, found: store::Versioned) -> home::ReadOutcome {
+    match serde_json::from_slice(&found.value) {
+        Ok(document) => home::ReadOutcome::Read(found.revision, document),
+        Err(error) => {
+            crate::event!(
+                events::jobs::JOB_DOCUMENT_INVALID,
+                shard = home.shard,
+                error = error
+            );
+            home::ReadOutcome::Away
+        }
+    }
+}
+
+fn written(result: Result<ids::Revision, store::StoreError>) -> home::WriteOutcome {
+    match result {
+        Ok(revision) => home::WriteOutcome::Written(revision),
+        Err(error) => match error.kind {
+            store::StoreErrorKind::Conflict(_) => home::WriteOutcome::Conflict,
+            _ => home::WriteOutcome::Failed(error.verdict),
+        },
+    }
+}
+
+/// The answer when the home of a job could not be asked.
+pub(super) fn unreachable_home(verdict: Verdict) -> operator::OperatorError {
+    let (kind, message) = match verdict {
+        Verdict::NotRun => (
+            operator::ErrorKind::Unavailable,
+            "the home of the job cannot be reached; nothing was done",
+        ),
+        _ => (
+            operator::ErrorKind::Unknown,
+            "the home of the job did not answer in time; ask again with the same id",
+        ),
+    };
+    let mut error = operator::OperatorError::new(kind, message);
+    error.retry_after_ms = Some(RETRY_AFTER_MS);
+    error
+}
