--- a/crates/figscale-core/src/job/home/job.rs
+++ b/crates/figscale-core/src/job/home/job.rs
@@ -98,6 +98,10 @@
     pub(super) written: bool,
     /// Whether a write that held it had no known outcome: it is never given up.
     pub(super) doubted: bool,
+    /// Times a gang gave back its room.
+    pub(super) gang_tries: u32,
+    /// Until when a gang that gave back its room waits.
+    pub(super) gang_pause_until: Option<time::Instant>,
     /// Size of its record, about.
     pub(super) bytes: usize,
 }
--- a/crates/figscale-core/src/job/home/mod.rs
+++ b/crates/figscale-core/src/job/home/mod.rs
@@ -13,6 +13,7 @@
 //! What this trades away: after a change of holder, tasks that may have been
 //! placed wait until every placer has told what it holds of them.
 
+mod gang;
 mod job;
 mod news;
 mod queue;
@@ -142,6 +143,8 @@
     queue: BTreeSet<queue::QueueKey>,
     /// Tasks that wait for their backoff or for resolution.
     watched: BTreeSet<ids::TaskId>,
+    /// The one gang that reserves room; others wait for their turn.
+    gang: Option<ids::JobId>,
     placers: IndexMap<ids::MemberKey, PlacerView>,
     /// The placer of the same process, asked first.
     own: Option<ids::MemberKey>,
@@ -163,6 +166,7 @@
             jobs: IndexMap::new(),
             queue: BTreeSet::new(),
             watched: BTreeSet::new(),
+            gang: None,
             placers: IndexMap::new(),
             own: None,
             shards: IndexMap::new(),
--- a/crates/figscale-core/src/job/home/news.rs
+++ b/crates/figscale-core/src/job/home/news.rs
@@ -154,7 +154,6 @@
             return;
         };
         let service = job.record.terms.class == catalogue::JobClass::Service;
-        let gang = job.is_gang();
         let max_attempts = job.record.terms.max_attempts;
         let Some(task) = job.tasks.get_mut(&id.index) else {
             return;
@@ -170,10 +169,6 @@
         if end == message::End::NotStarted {
             not_before += backoff / 5;
         }
-        if gang {
-            // Gangs that compete for room come back at different times.
-            not_before += backoff * (id.job.as_str().bytes().map(u32::from).sum::<u32>() % 7);
-        }
         let (failures, attempt) = (task.failures, task.attempt);
         let checkpointed = task.checkpointed;
         if failed && !service && failures >= max_attempts {
--- a/crates/figscale-core/src/job/home/queue.rs
+++ b/crates/figscale-core/src/job/home/queue.rs
@@ -82,7 +82,10 @@
         let mut orders: IndexMap<ids::MemberKey, Vec<message::TaskOrder>> = IndexMap::new();
         let mut taken = Vec::new();
         let mut skipped = 0;
-        for key in &self.queue {
+        self.end_gang_turn();
+        // Taken out for the pass, which changes other parts of the home.
+        let mut queue = std::mem::take(&mut self.queue);
+        for key in &queue {
             let Some((size, wanted)) = self.wanted(&key.task) else {
                 continue;
             };
@@ -90,9 +93,13 @@
                 taken.push(key.clone());
                 continue;
             }
+            if !self.is_gangs_turn(&key.task.job) {
+                continue;
+            }
             match self.choose_placer(&size, &orders) {
                 Some(placer) => {
                     taken.push(key.clone());
+                    self.take_gang_turn(&key.task.job);
                     if let Some(order) = self.order_of(&key.task) {
                         orders.entry(placer).or_default().push(order);
                     }
@@ -104,8 +111,9 @@
             }
         }
         for key in &taken {
-            self.queue.remove(key);
+            queue.remove(key);
         }
+        self.queue = queue;
         for (placer, orders) in orders {
             self.ask(now, &placer, orders);
         }
--- a/crates/figscale-core/src/job/home/recover.rs
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -111,6 +111,7 @@
     /// Repeats calls without an answer, and gives up what is known to be safe.
     pub(super) fn poll_watched(&mut self, now: Now) {
         let mut marks = Vec::new();
+        let mut late_gangs = IndexSet::new();
         let mut going: IndexMap<ids::MemberKey, Vec<message::Attempt>> = IndexMap::new();
         for id in self.watched.clone() {
             let Some(job) = self.jobs.get(&id.job) else {
@@ -129,6 +130,9 @@
                 job::Life::Queued { not_before } => {
                     if now.at >= not_before {
                         self.watched.remove(&id);
+                        if let Some(job) = self.jobs.get_mut(&id.job) {
+                            job.gang_pause_until = None;
+                        }
                         self.enqueue(now, &id.job, id.index, now.at);
                         self.settle(now, &id.job);
                     }
@@ -152,7 +156,9 @@
                 } => {
                     let waits = job.is_gang() && !job.gang_is_complete();
                     let late = waits && now.at >= since + self.config.gang_wait;
-                    if !self.placers.contains_key(&placer) || task.stopping || late {
+                    if late {
+                        late_gangs.insert(id.job.clone());
+                    } else if !self.placers.contains_key(&placer) || task.stopping {
                         self.release(now, &placer, &id);
                     } else if self.may_go(now, &id, marked) {
                         going.entry(placer).or_default().push(attempt);
@@ -179,6 +185,9 @@
                 }
             }
         }
+        for gang in &late_gangs {
+            self.disband(now, gang);
+        }
         self.write_marks(marks);
         for (placer, attempts) in going {
             self.send_go(now, &placer, attempts);
@@ -433,6 +442,8 @@
         tasks: IndexMap::new(),
         written: true,
         doubted: false,
+        gang_tries: 0,
+        gang_pause_until: None,
         bytes,
     };
     for index in 0..job.record.spec.tasks {
--- a/crates/figscale-core/src/job/home/submit.rs
+++ b/crates/figscale-core/src/job/home/submit.rs
@@ -166,6 +166,8 @@
         tasks,
         written: false,
         doubted: false,
+        gang_tries: 0,
+        gang_pause_until: None,
         bytes,
     }
 }
