--- a/crates/figscale-core/src/job/placer/mod.rs
+++ b/crates/figscale-core/src/job/placer/mod.rs
@@ -157,6 +157,8 @@
     tasks: IndexMap<ids::TaskId, task::Task>,
     /// Room on the workers.
     cluster: placement::Cluster,
+    /// Whose fault failures were.
+    faults: placement::fault::Faults,
     /// What was seen of each home.
     homes: IndexMap<ids::ShardId, HomeSeen>,
     actions: Vec<Action>,
@@ -172,6 +174,7 @@
             sessions: IndexMap::new(),
             tasks: IndexMap::new(),
             cluster: placement::Cluster::default(),
+            faults: placement::fault::Faults::default(),
             homes: IndexMap::new(),
             actions: Vec::new(),
             duplicates: 0,
@@ -197,6 +200,7 @@
             });
             self.list_workers(now, id, &new.workers);
         }
+        self.faults.set_total_workers(self.sessions.len());
         self.open_workers(now);
     }
 
--- a/crates/figscale-core/src/job/placer/poll.rs
+++ b/crates/figscale-core/src/job/placer/poll.rs
@@ -38,9 +38,25 @@
         for (id, end) in due {
             self.end(&id, end);
         }
-        let tasks = &self.tasks;
-        self.sessions
-            .retain(|id, session| session.listed || tasks.values().any(|task| task.worker == *id));
+        self.forget_unlisted();
+        self.open_workers(now);
+        self.probe_workers(now);
+    }
+
+    /// Forgets workers that are no more listed and have nothing left here.
+    fn forget_unlisted(&mut self) {
+        let busy = |id: &ids::InstanceId| self.tasks.values().any(|task| task.worker == *id);
+        let gone: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(id, session)| !session.listed && !busy(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.sessions.swap_remove(&id);
+            self.cluster.remove_worker(&id);
+            self.faults.forget_worker(&id);
+        }
     }
 
     fn renew(&mut self, now: time::Instant, valid_until: time::Instant) {
--- a/crates/figscale-core/src/job/placer/report.rs
+++ b/crates/figscale-core/src/job/placer/report.rs
@@ -158,7 +158,7 @@
             (message::TaskState::Ended(_), Some(_)) => {}
             (_, Some(end)) => {
                 let worker = task.worker.clone();
-                self.judge(now, &worker, &line.task.job, end);
+                self.judge(now, &worker, &line.task, end);
                 self.end(&line.task, end);
             }
             (message::TaskState::Running, None) => {}
@@ -176,17 +176,15 @@
         &mut self,
         now: time::Instant,
         worker: &ids::InstanceId,
-        job: &ids::JobId,
+        task: &ids::TaskId,
         end: message::End,
     ) {
-        let Some(session) = self.sessions.get_mut(worker) else {
-            return;
+        let blame = match end {
+            message::End::Done => self.faults.succeeded(task, worker, now),
+            message::End::Failed => self.faults.failed(task, worker, now),
+            _ => return,
         };
-        match end {
-            message::End::Done => session.on_done(),
-            message::End::Failed => session.on_failed(now, job),
-            _ => {}
-        }
+        self.take_blame(blame);
     }
 
     /// The task has room on another worker, or a later attempt of it is known.
--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -70,7 +70,21 @@
             let draining = shard.is_none_or(|shard| shard.draining);
             let open = !draining && session.takes_work(now, silence);
             self.cluster.set_leaving(id, !open);
-            self.cluster.set_aside(id, session.is_set_aside(now));
+        }
+    }
+
+    /// Takes over whom failures and successes speak against.
+    pub(super) fn take_blame(&mut self, blame: placement::fault::Blame) {
+        for (worker, standing) in blame.workers {
+            self.cluster.set_standing(&worker, standing);
+        }
+    }
+
+    /// Tries workers again that were set aside.
+    pub(super) fn probe_workers(&mut self, now: time::Instant) {
+        for worker in self.faults.probes(now) {
+            self.cluster
+                .set_standing(&worker, placement::Standing::Probing);
         }
     }
 
--- a/crates/figscale-core/src/job/placer/session.rs
+++ b/crates/figscale-core/src/job/placer/session.rs
@@ -35,21 +35,8 @@
     pub(super) hurry: bool,
     /// Ended tasks that the worker may forget.
     pub(super) forget: IndexSet<ids::TaskId>,
-    /// Jobs whose tasks failed here since one ended well.
-    failed_jobs: IndexSet<ids::JobId>,
-    /// Until when it gets nothing new, because it fails what it starts.
-    aside_until: Option<time::Instant>,
-    /// Times it was set aside since a task ended well.
-    times_aside: u32,
 }
 
-/// Different jobs that must fail on a worker before the worker is blamed.
-const BLAMED_AFTER_JOBS: usize = 3;
-/// Time for which a blamed worker gets nothing, doubled each time.
-const ASIDE: time::Duration = time::Duration::from_secs(15);
-/// Doublings of that time at most.
-const MAX_ASIDE_DOUBLINGS: u32 = 6;
-
 impl Session {
     /// A worker that has not answered yet.
     pub(super) fn new(
@@ -69,38 +56,9 @@
             heard_at: now,
             hurry: true,
             forget: IndexSet::new(),
-            failed_jobs: IndexSet::new(),
-            aside_until: None,
-            times_aside: 0,
         }
     }
 
-    /// Notes that a task ended well here.
-    pub(super) fn on_done(&mut self) {
-        self.failed_jobs.clear();
-        self.aside_until = None;
-        self.times_aside = 0;
-    }
-
-    /// Notes that a task of the job failed here.
-    ///
-    /// One job that fails may be to blame itself; when several do and none
-    /// ends well, the worker is.
-    pub(super) fn on_failed(&mut self, now: time::Instant, job: &ids::JobId) {
-        self.failed_jobs.insert(job.clone());
-        if self.failed_jobs.len() >= BLAMED_AFTER_JOBS {
-            let longer = 2_u32.pow(self.times_aside.min(MAX_ASIDE_DOUBLINGS));
-            self.aside_until = Some(now + ASIDE * longer);
-            self.times_aside += 1;
-            self.failed_jobs.clear();
-        }
-    }
-
-    /// Whether it gets nothing because it fails what it starts.
-    pub(super) fn is_set_aside(&self, now: time::Instant) -> bool {
-        self.aside_until.is_some_and(|until| now < until)
-    }
-
     /// Takes over its line of the list; a sign of leaving is kept.
     pub(super) fn list(&mut self, instance: &instances::Instance) {
         self.listed = true;
