Load reports count every time: the histogram grows

Cause: saturating_record clips at the histogram's first bound, 2 ms, so every quantile was 0.002 ms or 2 ms. Seen in the first run of the scenario load-tool (p50 0.002 ms at 500/s). Ruled out: the clock and the intended arrival, since the sum of requests was right and max was the same 2.047 ms in two runs. Change: record, which grows. Test quantiles_are_those_of_the_times failed first (p50_ms 0.002 where 500 was due), passes now.

--- a/crates/figscale-standin/src/load/report.rs
+++ b/crates/figscale-standin/src/load/report.rs
@@ -39,7 +39,8 @@
         };
         for time in times {
             let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-            histogram.saturating_record(micros);
+            // It grows by itself; only recording beyond all bounds fails.
+            let _ = histogram.record(micros);
         }
         let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
         Self {
--- a/crates/figscale-standin/src/runner/api.rs
+++ b/crates/figscale-standin/src/runner/api.rs
@@ -111,7 +111,10 @@
     let mut stopped = slot.shared.stopped.subscribe();
     let mut faults = slot.shared.faults.subscribe();
     let run = async {
-        tokio::time::sleep(length).await;
+        // The timer counts in whole milliseconds, also for no time at all.
+        if !length.is_zero() {
+            tokio::time::sleep(length).await;
+        }
         let _ = faults.wait_for(|faults| !faults.hang).await;
     };
     tokio::select! {
--- a/crates/figscale-standin/tests/load.rs
+++ b/crates/figscale-standin/tests/load.rs
@@ -176,3 +176,14 @@
     assert_eq!(report.all.own, report.all.requests, "{report}");
     assert!(report.outcomes.iter().all(|o| o.latency.as_millis() >= 300));
 }
+
+#[test]
+fn quantiles_are_those_of_the_times() {
+    let times = (1..=1_000).map(time::Duration::from_millis);
+    let found = load::Quantiles::of(times);
+    let near = |found: f64, expected: f64| (found / expected - 1.0).abs() < 0.01;
+    assert!(near(found.p50_ms, 500.0), "{found:?}");
+    assert!(near(found.p90_ms, 900.0), "{found:?}");
+    assert!(near(found.p99_ms, 990.0), "{found:?}");
+    assert!(near(found.max_ms, 1_000.0), "{found:?}");
+}
