--- /dev/null
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -0,0 +1,133 @@
+//! Room on workers, which the cluster gives away.
+
+use std::time;
+
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::worker;
+
+use super::Placer;
+use crate::job::message;
+use crate::job::placement;
+
+impl Placer {
+    /// Replaces what placement weighs.
+    pub fn set_weights(&mut self, weights: catalogue::Weights) {
+        let config = placement::Config {
+            weights,
+            ..placement::Config::default()
+        };
+        self.cluster.set_config(config);
+    }
+
+    /// Gives an order room on a worker.
+    pub(super) fn find_room(
+        &mut self,
+        now: time::Instant,
+        scope: &message::Scope,
+        order: &message::TaskOrder,
+    ) -> Option<ids::InstanceId> {
+        let barred = self.barred(scope, order);
+        let mut ask = ask(order);
+        ask.avoid.extend(barred.iter().cloned());
+        if let Ok(worker) = self.cluster.place(&ask, now, None) {
+            return Some(worker);
+        }
+        if order.avoid.is_empty() {
+            return None;
+        }
+        // Better on a worker where it failed than nowhere.
+        ask.avoid = barred;
+        self.cluster.place(&ask, now, None).ok()
+    }
+
+    /// Workers that the order may not use, though they take work.
+    fn barred(&self, scope: &message::Scope, order: &message::TaskOrder) -> Vec<ids::InstanceId> {
+        let named = |id: &ids::ShardId| {
+            let epoch = self.shards.get(id).map(|shard| shard.epoch);
+            epoch.is_some_and(|epoch| {
+                scope
+                    .shards
+                    .iter()
+                    .any(|known| *known == (id.clone(), epoch))
+            })
+        };
+        let unnamed: indexmap::IndexSet<_> = self.shards.keys().filter(|id| !named(id)).collect();
+        self.sessions
+            .iter()
+            .filter(|(_, session)| {
+                unnamed.contains(&session.shard) || session.forget.contains(&order.attempt.task)
+            })
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Opens workers to new tasks, or closes them.
+    pub(super) fn open_workers(&mut self, now: time::Instant) {
+        let silence = self.config.lease;
+        for (id, session) in &mut self.sessions {
+            let shard = self.shards.get(&session.shard);
+            let draining = shard.is_none_or(|shard| shard.draining);
+            let open = !draining && session.takes_work(now, silence);
+            self.cluster.set_leaving(id, !open);
+        }
+    }
+
+    /// Takes over whom failures and successes speak against.
+    pub(super) fn take_blame(&mut self, blame: placement::fault::Blame) {
+        for (worker, standing) in blame.workers {
+            self.cluster.set_standing(&worker, standing);
+        }
+    }
+
+    /// Tries workers again that were set aside.
+    pub(super) fn probe_workers(&mut self, now: time::Instant) {
+        for worker in self.faults.probes(now) {
+            self.cluster
+                .set_standing(&worker, placement::Standing::Probing);
+        }
+    }
+
+    /// Acts on tasks that use more than they may, before their neighbours suffer.
+    pub(super) fn relieve(&mut self, relief: Vec<(ids::TaskId, worker::TaskAction)>) {
+        for (id, action) in relief {
+            let Some(task) = self.tasks.get_mut(&id) else {
+                continue;
+            };
+            if task.action.is_none() && task.may_run() {
+                task.action = Some(action);
+                self.send_action(&id);
+            }
+        }
+    }
+
+    /// Free room, for homes.
+    pub fn summary(&self) -> message::Summary {
+        let mut summary = message::Summary::default();
+        for worker in self.cluster.workers().filter(|worker| worker.takes_work()) {
+            let free = worker.free();
+            summary.largest_free = summary.largest_free.larger(&free);
+            summary.free = summary.free.plus(&free);
+            summary.workers += 1;
+        }
+        summary
+    }
+}
+
+fn ask(order: &message::TaskOrder) -> placement::Ask {
+    placement::Ask {
+        task: order.attempt.task.clone(),
+        attempt: order.attempt.number,
+        owner: Some(order.owner.clone()),
+        class: order.class,
+        urgency: order.urgency,
+        size: order.resources,
+        declared: order.resources,
+        guard: placement::Guard {
+            idempotent: order.idempotent,
+            checkpointable: order.checkpointable,
+            preemptible: order.preemptible,
+        },
+        avoid: order.avoid.clone(),
+    }
+}
