--- a/crates/figscale-standin/src/cell/operator.rs
+++ b/crates/figscale-standin/src/cell/operator.rs
@@ -3,7 +3,6 @@
 use std::net;
 use std::time;
 
-use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
@@ -39,20 +38,12 @@
         answer.is_ok_and(|answer| answer.status.is_success())
     }
 
-    /// Applies a catalogue against a base revision.
+    /// Applies a catalogue; a repeat with the same change id counts once.
     pub async fn apply(
         &self,
-        base: ids::Revision,
-        catalogue: catalogue::Catalogue,
+        request: &operator::ApplyRequest,
     ) -> eyre::Result<operator::ApplyAnswer> {
-        let request = operator::ApplyRequest {
-            base,
-            change: ids::ChangeId(uuid::Uuid::now_v7()),
-            author: "cell".to_owned(),
-            note: "the example catalogue".to_owned(),
-            catalogue,
-        };
-        let call = client::Call::post(self.address, "/v1/catalogue").json(&request)?;
+        let call = client::Call::post(self.address, "/v1/catalogue").json(request)?;
         self.ask(call).await
     }
 
--- a/crates/figscale-standin/src/cell/walk.rs
+++ b/crates/figscale-standin/src/cell/walk.rs
@@ -7,6 +7,7 @@
 use figscale_types::catalogue::Policy;
 use figscale_types::ids;
 use figscale_types::jobs;
+use figscale_types::operator::ApplyRequest;
 
 use super::Cell;
 use super::Operator;
@@ -60,27 +61,28 @@
         .iter()
         .map(|entry| Operator::new(entry.operator))
         .collect();
-    println!("\n1. Waiting until every entry instance is ready.");
-    for one in &operators {
-        operator::wait_for("ready", PATIENCE, async || match one.is_ready().await {
-            true => Ok(()),
-            false => Err(eyre::eyre!("not ready")),
-        })
-        .await?;
-    }
     let operator = &operators[0];
     apply(cell, operator).await?;
+    wait_until_ready(&operators).await?;
     requests(cell, options).await?;
     run_jobs(cell, operator).await?;
     check_promises(cell)
 }
 
 async fn apply(cell: &Cell, operator: &Operator) -> eyre::Result<()> {
-    println!("\n2. Applying examples/{}.jsonc.", cell.user);
-    let catalogue = cell.user.catalogue()?;
+    println!("\n1. Applying examples/{}.jsonc.", cell.user);
+    let request = ApplyRequest {
+        base: ids::Revision(0),
+        change: ids::ChangeId(uuid::Uuid::now_v7()),
+        author: "cell".to_owned(),
+        note: "the example catalogue".to_owned(),
+        catalogue: cell.user.catalogue()?,
+    };
     let began = time::Instant::now();
-    let applied = operator.apply(ids::Revision(0), catalogue).await?;
-    let revision = applied.revision;
+    let accepted = async || operator.apply(&request).await;
+    let revision = operator::wait_for("accepted", PATIENCE, accepted)
+        .await?
+        .revision;
     operator::wait_for("in force everywhere", PATIENCE, async || {
         let status = operator.catalogue_status().await?;
         let in_force = |found: &&Option<ids::Revision>| **found == Some(revision);
@@ -97,6 +99,18 @@
     Ok(())
 }
 
+async fn wait_until_ready(operators: &[Operator]) -> eyre::Result<()> {
+    println!("\n2. Waiting until every entry instance is ready.");
+    for one in operators {
+        let ready = async || match one.is_ready().await {
+            true => Ok(()),
+            false => Err(eyre::eyre!("not ready")),
+        };
+        operator::wait_for("ready", PATIENCE, ready).await?;
+    }
+    Ok(())
+}
+
 fn load_config(cell: &Cell, duration: time::Duration, seed: u64) -> eyre::Result<load::Config> {
     let target = |entry: &super::EntryAddresses| load::Target {
         address: entry.caller,
--- a/crates/figscale-standin/src/main.rs
+++ b/crates/figscale-standin/src/main.rs
@@ -236,8 +236,9 @@
 
 /// Tells where a stand-in listens, and waits for the end.
 async fn serve(address: net::SocketAddr) -> eyre::Result<()> {
-    println!("listening on {address}");
+    // Whoever reads the line may send a signal at once.
     let mut terminate = signal::unix::signal(signal::unix::SignalKind::terminate())?;
+    println!("listening on {address}");
     tokio::select! {
         interrupted = signal::ctrl_c() => interrupted?,
         _ = terminate.recv() => {}
