Accept and follow the catalogue: one document, three ways into force

The decision about a change is a pure state machine (figscale-core), the service carries it out against the store and peers. Not yet run against a real store.

--- a/crates/figscale-types/src/catalogue.rs
+++ b/crates/figscale-types/src/catalogue.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::ids;
+use crate::operator;
 use crate::sizes;
 
 /// A whole catalogue.
@@ -159,6 +160,29 @@
     }
 }
 
+/// Key of the store that holds the [`Document`].
+pub const KEY: &str = "catalogue";
+
+/// What the store keeps: the accepted catalogue and how it came about.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Document {
+    /// The catalogue that is to be in force.
+    pub accepted: Accepted,
+    /// Changes, oldest first; the last one made `accepted`. Bounded in number
+    /// and bytes.
+    pub history: Vec<Record>,
+}
+
+/// One change as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Who made it, when and why.
+    pub line: operator::HistoryLine,
+    /// The catalogue that it made; `None` for the newest one, which stands in
+    /// [`Document::accepted`], and for those that became too old to keep.
+    pub catalogue: Option<Catalogue>,
+}
+
 /// A catalogue that was accepted.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Accepted {
--- /dev/null
+++ b/crates/figscale/src/catalogue/apply.rs
@@ -0,0 +1,112 @@
+//! Carries out what `figscale_core::catalogue::apply` decides about a change.
+
+use std::rc;
+use std::time;
+
+use eyre::WrapErr as _;
+use figscale_core::catalogue::apply;
+use figscale_core::catalogue::history;
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::operator;
+use figscale_types::verdict::Verdict;
+use rand::RngExt as _;
+
+use super::service;
+use crate::events::catalogue as events;
+use crate::store;
+
+/// Longest time until an operator has an answer.
+const APPLY_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
+/// Shortest and longest pause after a failed call.
+const PAUSE_MS: std::ops::Range<u64> = 100..300;
+
+/// Decides about a change; every outcome is an answer.
+pub(super) async fn run(
+    service: &rc::Rc<service::Service>,
+    change: apply::Change,
+) -> Result<operator::ApplyAnswer, operator::OperatorError> {
+    let id = change.id;
+    let decided = decide(service, change).await;
+    match &decided {
+        Ok(answer) => crate::event!(
+            events::CATALOGUE_ACCEPTED,
+            change = id,
+            revision = answer.revision,
+            repeated = answer.repeated
+        ),
+        Err(error) => {
+            crate::event!(events::CATALOGUE_REFUSED, change = id, error = error);
+        }
+    }
+    decided
+}
+
+async fn decide(
+    service: &rc::Rc<service::Service>,
+    change: apply::Change,
+) -> Result<operator::ApplyAnswer, operator::OperatorError> {
+    let mut apply = apply::Apply::new(change, unix_ms(service))?;
+    let decided = tokio::time::timeout(APPLY_TIMEOUT, carry_out(service, &mut apply)).await;
+    decided.unwrap_or_else(|_| Err(apply.give_up()))
+}
+
+fn unix_ms(service: &service::Service) -> u64 {
+    let since_epoch = service
+        .context
+        .clock
+        .wall()
+        .duration_since(time::UNIX_EPOCH);
+    u64::try_from(since_epoch.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn carry_out(
+    service: &rc::Rc<service::Service>,
+    apply: &mut apply::Apply,
+) -> Result<operator::ApplyAnswer, operator::OperatorError> {
+    let mut action = apply::Action::Read;
+    loop {
+        let input = match action {
+            apply::Action::Done(decided) => return decided,
+            apply::Action::Read => read(service).await,
+            apply::Action::ReadLater => {
+                let pause = rand::rng().random_range(PAUSE_MS);
+                tokio::time::sleep(time::Duration::from_millis(pause)).await;
+                read(service).await
+            }
+            apply::Action::Write(over, document) => write(service, over, *document).await,
+        };
+        action = service.with_document(|known| apply.step(input, known));
+    }
+}
+
+async fn read(service: &rc::Rc<service::Service>) -> apply::Input {
+    match service.read(service::Source::Read).await {
+        Ok(stored) => apply::Input::Read(stored.revision, stored.document.map(Box::new)),
+        Err(_) => apply::Input::ReadFailed,
+    }
+}
+
+async fn write(
+    service: &rc::Rc<service::Service>,
+    over: ids::Revision,
+    document: catalogue::Document,
+) -> apply::Input {
+    let written = match history::encode(&document).wrap_err("catalogue document") {
+        Ok(value) => {
+            let store = &service.context.store;
+            store.put(catalogue::KEY, over, value, None).await
+        }
+        Err(_) => return apply::Input::WriteFailed(Verdict::NotRun),
+    };
+    match written {
+        Ok(_) => {
+            service.see_accepted(document);
+            apply::Input::Written
+        }
+        Err(error) => match error.kind {
+            store::StoreErrorKind::Conflict(_) => apply::Input::WriteConflict,
+            _ => apply::Input::WriteFailed(error.verdict),
+        },
+    }
+}
--- a/crates/figscale/src/catalogue/mod.rs
+++ b/crates/figscale/src/catalogue/mod.rs
@@ -1,6 +1,20 @@
 //! The catalogue service: accepts operators' changes and brings them into force.
 //!
-//! Publishes the accepted catalogue to [`crate::state::Shared`].
+//! Publishes the accepted catalogue to [`crate::state::Shared`]. A change is
+//! accepted by a compare-and-swap in the store ([`mod@apply`]) and reaches the
+//! other entry instances by three ways, each of which is enough alone
+//! ([`follow`]): a watch on the store's key, an exchange with peers after each
+//! adoption, and a poll of the store and of one peer at a time. All of them end
+//! in [`service`], which adopts higher revisions only.
+//!
+//! The service runs on the control thread as local tasks that share one
+//! [`service::Service`]; nothing holds a borrow of it over an await.
+
+mod apply;
+pub mod follow;
+mod service;
+
+use std::rc;
 
 use figscale_types::catalogue;
 use figscale_types::ids;
@@ -34,8 +48,79 @@
     ),
     /// Revision in force at each entry instance.
     Status(kernel::Reply<operator::CatalogueStatus>),
+    /// A peer's question.
+    Peer(follow::Question, kernel::Reply<follow::Answer>),
 }
 
 /// Registers the service and what it answers to peers, then runs it on the
 /// control thread.
-pub fn start(_context: &state::Context, _handlers: &mut peer::Handlers) {}
+pub fn start(context: &state::Context, handlers: &mut peer::Handlers) {
+    let inbox = context.kernel.register::<Message>(NAME);
+    let kernel = context.kernel.clone();
+    handlers.on_call(NAME, move |_from, question| {
+        let address = kernel.find::<Message>(NAME);
+        async move {
+            let answer = address?
+                .call(|reply| Message::Peer(question, reply))
+                .await?;
+            Ok(answer)
+        }
+    });
+    let service = rc::Rc::new(service::Service::new(context.clone()));
+    tokio::task::spawn_local(follow::watch(service.clone()));
+    tokio::task::spawn_local(follow::poll_store(service.clone()));
+    tokio::task::spawn_local(follow::poll_peers(service.clone()));
+    tokio::task::spawn_local(answer_all(service, inbox));
+    offer_dump(context);
+}
+
+fn offer_dump(context: &state::Context) {
+    let shared = context.shared.clone();
+    context.kernel.offer_dump(NAME, move || {
+        let accepted = shared.catalogue_now();
+        Box::pin(async move {
+            serde_json::json!({
+                "revision": accepted.revision,
+                "change": accepted.change,
+                "owners": accepted.catalogue.owners.len(),
+                "entries": accepted.catalogue.entries.len(),
+            })
+        })
+    });
+}
+
+async fn answer_all(service: rc::Rc<service::Service>, mut inbox: kernel::Inbox<Message>) {
+    while let Some(message) = inbox.recv().await {
+        answer(&service, message);
+    }
+}
+
+/// Answers at once, or in a task of its own where the store or peers are asked.
+fn answer(service: &rc::Rc<service::Service>, message: Message) {
+    let service = service.clone();
+    match message {
+        Message::Apply(request, reply) => {
+            let change = (*request).into();
+            tokio::task::spawn_local(async move { reply.send(apply::run(&service, change).await) });
+        }
+        Message::Rollback(request, reply) => {
+            let change = request.into();
+            tokio::task::spawn_local(async move { reply.send(apply::run(&service, change).await) });
+        }
+        Message::Status(reply) => {
+            tokio::task::spawn_local(async move { reply.send(follow::status(&service).await) });
+        }
+        Message::History(reply) => {
+            tokio::task::spawn_local(async move {
+                reply.send(service.refreshed().await.map(|()| service.history()));
+            });
+        }
+        Message::At(revision, reply) => {
+            tokio::task::spawn_local(async move {
+                let found = service.refreshed().await;
+                reply.send(found.and_then(|()| service.at(revision)));
+            });
+        }
+        Message::Peer(question, reply) => reply.send(follow::answer(&service, question)),
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/catalogue/service.rs
@@ -0,0 +1,281 @@
+//! The state of the catalogue service and what it reads from the store.
+//!
+//! Everything that arrives, by whichever way, ends in [`Service::see`] or
+//! [`Service::see_newest`], which let the book decide and publish what it
+//! adopts.
+
+use std::cell;
+use std::fmt;
+use std::rc;
+use std::sync;
+use std::time;
+
+use figscale_core::catalogue::book;
+use figscale_core::catalogue::history;
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::operator;
+
+use super::follow;
+use crate::events::catalogue as events;
+use crate::state;
+use crate::store;
+
+/// Longest wait for the store where an answer without it is possible too.
+const REFRESH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+
+/// How a catalogue came to this entry instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// The first read, or one for an operator.
+    Read,
+    /// The watch.
+    Watch,
+    /// The poll.
+    Poll,
+    /// A peer.
+    Peer,
+    /// A change accepted through this entry instance.
+    Apply,
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Read => "read",
+            Self::Watch => "watch",
+            Self::Poll => "poll",
+            Self::Peer => "peer",
+            Self::Apply => "apply",
+        })
+    }
+}
+
+/// A read of the store's key.
+pub(super) struct Stored {
+    /// The store's revision of the key; 0 when absent.
+    pub(super) revision: ids::Revision,
+    /// The document.
+    pub(super) document: Option<catalogue::Document>,
+}
+
+/// The state of the service.
+pub(super) struct Service {
+    pub(super) context: state::Context,
+    book: cell::RefCell<book::Book>,
+    /// The store's revision of the key as last read.
+    store_revision: cell::Cell<ids::Revision>,
+    store_away: cell::Cell<bool>,
+}
+
+impl Service {
+    /// Nothing is known yet.
+    pub(super) fn new(context: state::Context) -> Self {
+        Self {
+            context,
+            book: cell::RefCell::default(),
+            store_revision: cell::Cell::default(),
+            store_away: cell::Cell::new(false),
+        }
+    }
+
+    /// Revision in force; `None` until anything was learnt.
+    pub(super) fn revision(&self) -> Option<ids::Revision> {
+        self.book.borrow().revision()
+    }
+
+    /// The store's revision of the key as last read.
+    pub(super) fn store_revision(&self) -> ids::Revision {
+        self.store_revision.get()
+    }
+
+    /// What to pass on to a peer.
+    pub(super) fn newest(&self) -> book::Newest {
+        self.book.borrow().newest()
+    }
+
+    /// Runs a decision with the catalogue in force.
+    pub(super) fn with_document<R>(&self, decide: impl FnOnce(&catalogue::Document) -> R) -> R {
+        decide(self.book.borrow().document())
+    }
+
+    /// The changes, newest first.
+    pub(super) fn history(&self) -> Vec<operator::HistoryLine> {
+        let book = self.book.borrow();
+        let records = book.document().history.iter().rev();
+        records.map(|record| record.line.clone()).collect()
+    }
+
+    /// An earlier catalogue.
+    pub(super) fn at(
+        &self,
+        revision: ids::Revision,
+    ) -> Result<catalogue::Accepted, operator::OperatorError> {
+        let book = self.book.borrow();
+        history::at(book.document(), revision).ok_or_else(|| {
+            operator::OperatorError::new(
+                operator::ErrorKind::NotFound,
+                format!(
+                    "the catalogue of revision {revision} is not kept; the newest is {}",
+                    book.document().accepted.revision
+                ),
+            )
+        })
+    }
+
+    /// Reads the store, so that an operator's question right after a change
+    /// at another entry instance sees it; the store being away is an error only
+    /// as long as nothing is known at all.
+    pub(super) async fn refreshed(self: &rc::Rc<Self>) -> Result<(), operator::OperatorError> {
+        let read = tokio::time::timeout(REFRESH_TIMEOUT, self.read(Source::Read)).await;
+        match read {
+            Ok(Ok(_)) => Ok(()),
+            _ if self.revision().is_some() => Ok(()),
+            _ => Err(operator::OperatorError {
+                kind: operator::ErrorKind::Unavailable,
+                message: "no catalogue is known here yet and the store is away".to_owned(),
+                retry_after_ms: Some(follow::RETRY_MS),
+            }),
+        }
+    }
+
+    /// Reads the document from the store and shows it to the book.
+    pub(super) async fn read(
+        self: &rc::Rc<Self>,
+        source: Source,
+    ) -> Result<Stored, store::StoreError> {
+        let found = self.context.store.get(catalogue::KEY).await;
+        self.note_store(&found);
+        Ok(self.see(found?, source))
+    }
+
+    /// Logs once when the store goes away.
+    pub(super) fn note_store<T>(&self, result: &Result<T, store::StoreError>) {
+        let was_away = self.store_away.replace(result.is_err());
+        if let Err(error) = result
+            && !was_away
+        {
+            crate::event!(events::CATALOGUE_STORE_AWAY, error = error);
+        }
+    }
+
+    /// Takes what the store has under the key.
+    pub(super) fn see(
+        self: &rc::Rc<Self>,
+        found: Option<store::Versioned>,
+        source: Source,
+    ) -> Stored {
+        let stored = decode(found);
+        self.store_revision.set(stored.revision);
+        let Some(document) = &stored.document else {
+            if stored.revision == ids::Revision(0) {
+                self.see_document(None, source);
+            }
+            return stored;
+        };
+        self.see_document(Some(document.clone()), source);
+        stored
+    }
+
+    fn see_document(self: &rc::Rc<Self>, document: Option<catalogue::Document>, source: Source) {
+        let repair = self.book.borrow().repair(document.as_ref());
+        let adoption = self.book.borrow_mut().see(document);
+        self.act_on(adoption, source);
+        if let Some(repair) = repair {
+            tokio::task::spawn_local(write_back(self.clone(), self.store_revision.get(), repair));
+        }
+    }
+
+    /// Takes what a peer passed on.
+    pub(super) fn see_newest(self: &rc::Rc<Self>, newest: book::Newest) {
+        let adoption = self.book.borrow_mut().see_newest(newest);
+        self.act_on(adoption, Source::Peer);
+    }
+
+    /// Takes a document whose write is known to have taken effect.
+    pub(super) fn see_accepted(self: &rc::Rc<Self>, document: catalogue::Document) {
+        let adoption = self.book.borrow_mut().see(Some(document));
+        self.act_on(adoption, Source::Apply);
+    }
+
+    fn act_on(self: &rc::Rc<Self>, adoption: book::Adoption, source: Source) {
+        let revision = self.book.borrow().document().accepted.revision;
+        match adoption {
+            book::Adoption::Same => {}
+            book::Adoption::Adopted => {
+                self.publish();
+                crate::event!(
+                    events::CATALOGUE_IN_FORCE,
+                    revision = revision,
+                    source = source
+                );
+                follow::tell_peers(self);
+            }
+            book::Adoption::Older if source == Source::Peer => {}
+            book::Adoption::Older => {
+                crate::event!(
+                    events::CATALOGUE_OLDER_IGNORED,
+                    in_force = revision,
+                    source = source
+                );
+            }
+            book::Adoption::Forked => {
+                crate::event!(
+                    events::CATALOGUE_FORKED,
+                    revision = revision,
+                    source = source
+                );
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let accepted = self.book.borrow().document().accepted.clone();
+        self.context
+            .shared
+            .catalogue
+            .send_replace(sync::Arc::new(accepted));
+    }
+}
+
+fn decode(found: Option<store::Versioned>) -> Stored {
+    let Some(versioned) = found else {
+        return Stored {
+            revision: ids::Revision(0),
+            document: None,
+        };
+    };
+    let document = match history::decode(&versioned.value) {
+        Ok(document) => Some(document),
+        Err(error) => {
+            crate::event!(events::CATALOGUE_UNREADABLE, error = error);
+            None
+        }
+    };
+    Stored {
+        revision: versioned.revision,
+        document,
+    }
+}
+
+/// Writes the document in force over an older one in the store.
+///
+/// The store's revision of the key is the condition, so a read that was merely
+/// late does no harm.
+async fn write_back(service: rc::Rc<Service>, over: ids::Revision, document: catalogue::Document) {
+    let Ok(value) = history::encode(&document) else {
+        return;
+    };
+    let written = service
+        .context
+        .store
+        .put(catalogue::KEY, over, value, None)
+        .await;
+    if let Ok(revision) = written {
+        service.store_revision.set(revision);
+        crate::event!(
+            events::CATALOGUE_REPAIRED,
+            revision = document.accepted.revision
+        );
+    }
+}
