--- a/crates/figscale-core/src/catalogue/history.rs
+++ b/crates/figscale-core/src/catalogue/history.rs
@@ -9,6 +9,7 @@
 use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::platform;
+use indexmap::IndexSet;
 use serde::Serialize;
 
 /// Most lines of history.
@@ -95,11 +96,16 @@
         false => (b, a),
     };
     let mut merged = high.clone();
-    for record in &low.history {
-        let known = |r: &catalogue::Record| r.line.revision == record.line.revision;
-        if !merged.history.iter().any(known) {
-            merged.history.push(with_catalogue(record, low));
-        }
+    let known: IndexSet<_> = high.history.iter().map(|r| r.line.revision).collect();
+    let missing = low
+        .history
+        .iter()
+        .filter(|record| !known.contains(&record.line.revision))
+        .map(|record| with_catalogue(record, low));
+    merged.history.extend(missing);
+    // Measuring encodes everything, so it is done only where something grew.
+    if merged.history.len() == high.history.len() {
+        return merged;
     }
     merged.history.sort_by_key(|record| record.line.revision);
     trim(&mut merged);
--- /dev/null
+++ b/crates/figscale-core/tests/catalogue_apply.rs
@@ -0,0 +1,429 @@
+//! Changes racing for a store that loses answers, delays writes and shows old
+//! values: what was accepted stays, once, and nothing goes back.
+
+use figscale_core::catalogue::apply;
+use figscale_core::catalogue::book;
+use figscale_core::catalogue::history;
+use figscale_types::catalogue as schema;
+use figscale_types::ids;
+use figscale_types::operator;
+use figscale_types::verdict::Verdict;
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand::rngs;
+
+const GOOD: &str = include_str!("data/catalogue.json");
+
+fn catalogue(weight: u32) -> schema::Catalogue {
+    let mut catalogue: schema::Catalogue = serde_json::from_str(GOOD).unwrap();
+    catalogue.owners[0].weight = weight;
+    catalogue
+}
+
+fn id(number: u128) -> ids::ChangeId {
+    ids::ChangeId(uuid::Uuid::from_u128(number))
+}
+
+fn change(base: u64, number: u32) -> apply::Change {
+    apply::Change {
+        base: ids::Revision(base),
+        id: id(number.into()),
+        author: format!("operator-{number}"),
+        note: "weights".to_owned(),
+        want: apply::Want::Catalogue(Box::new(catalogue(number + 1))),
+    }
+}
+
+fn begin(change: apply::Change) -> apply::Apply {
+    apply::Apply::new(change, 7).unwrap()
+}
+
+/// A document of this many changes, numbered from 1.
+fn document(changes: u32) -> schema::Document {
+    (1..=changes).fold(schema::Document::default(), |document, number| {
+        let line = operator::HistoryLine {
+            revision: document.accepted.revision.next(),
+            change: id(number.into()),
+            author: format!("operator-{number}"),
+            note: String::new(),
+            accepted_unix_ms: 1,
+        };
+        history::append(&document, line, catalogue(number))
+    })
+}
+
+fn read(store: u64, document: &schema::Document) -> apply::Input {
+    apply::Input::Read(ids::Revision(store), Some(Box::new(document.clone())))
+}
+
+fn none() -> schema::Document {
+    schema::Document::default()
+}
+
+#[test]
+fn a_change_is_accepted_by_one_write() {
+    let mut apply = begin(change(0, 9));
+    let action = apply.step(apply::Input::Read(ids::Revision(0), None), &none());
+    let apply::Action::Write(over, written) = action else {
+        panic!("{action:?}");
+    };
+    assert_eq!(over, ids::Revision(0));
+    assert_eq!(written.accepted.revision, ids::Revision(1));
+    assert_eq!(written.history[0].line.author, "operator-9");
+    let answer = operator::ApplyAnswer {
+        revision: ids::Revision(1),
+        repeated: false,
+    };
+    let done = apply.step(apply::Input::Written, &none());
+    assert_eq!(done, apply::Action::Done(Ok(answer)));
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_reading_back_the_change() {
+    let before = document(1);
+    let mut apply = begin(change(1, 9));
+    let apply::Action::Write(_, written) = apply.step(read(5, &before), &none()) else {
+        panic!("a write");
+    };
+    let lost = apply::Input::WriteFailed(Verdict::MayHaveRun);
+    assert_eq!(apply.step(lost, &none()), apply::Action::ReadLater);
+    assert_eq!(apply.give_up().kind, operator::ErrorKind::Unknown);
+    let done = apply.step(read(6, &written), &none());
+    let answer = operator::ApplyAnswer {
+        revision: ids::Revision(2),
+        repeated: false,
+    };
+    assert_eq!(done, apply::Action::Done(Ok(answer)));
+}
+
+#[test]
+fn a_lost_answer_whose_write_is_not_there_is_sent_again_under_the_same_condition() {
+    let before = document(1);
+    let mut apply = begin(change(1, 9));
+    let first = apply.step(read(5, &before), &none());
+    apply.step(apply::Input::WriteFailed(Verdict::MayHaveRun), &none());
+    assert_eq!(apply.step(read(5, &before), &none()), first);
+}
+
+#[test]
+fn a_repeated_change_counts_once() {
+    let mut apply = begin(change(3, 4));
+    let after = history::append(&document(3), line_of(4, 4), catalogue(5));
+    let done = apply.step(read(8, &after), &none());
+    let answer = operator::ApplyAnswer {
+        revision: ids::Revision(4),
+        repeated: true,
+    };
+    assert_eq!(done, apply::Action::Done(Ok(answer)));
+}
+
+fn line_of(revision: u64, number: u32) -> operator::HistoryLine {
+    operator::HistoryLine {
+        revision: ids::Revision(revision),
+        change: id(number.into()),
+        author: format!("operator-{number}"),
+        note: String::new(),
+        accepted_unix_ms: 1,
+    }
+}
+
+fn refusal(action: apply::Action) -> operator::OperatorError {
+    match action {
+        apply::Action::Done(Err(error)) => error,
+        action => panic!("{action:?}"),
+    }
+}
+
+#[test]
+fn one_id_for_two_catalogues_is_refused() {
+    let mut apply = begin(change(3, 3));
+    let error = refusal(apply.step(read(8, &document(3)), &none()));
+    assert_eq!(error.kind, operator::ErrorKind::Invalid);
+    assert!(error.message.contains("already stands for"), "{error}");
+}
+
+#[test]
+fn a_race_is_a_conflict_that_names_both_changes() {
+    let mut apply = begin(change(1, 9));
+    let error = refusal(apply.step(read(8, &document(3)), &none()));
+    assert_eq!(error.kind, operator::ErrorKind::Conflict);
+    for part in [id(9), id(2)] {
+        assert!(error.message.contains(&part.to_string()), "{error}");
+    }
+    assert!(
+        error.message.contains("operator-2 made revision 2"),
+        "{error}"
+    );
+}
+
+#[test]
+fn an_invalid_change_is_refused_before_the_store_is_asked() {
+    let mut change = change(0, 9);
+    change.want = apply::Want::Catalogue(Box::new(catalogue(0)));
+    let error = apply::Apply::new(change, 7).unwrap_err();
+    assert_eq!(error.kind, operator::ErrorKind::Invalid);
+    assert!(
+        error.message.starts_with("owners.brokers.weight: 0"),
+        "{error}"
+    );
+}
+
+#[test]
+fn a_rollback_is_a_new_revision_with_the_old_catalogue() {
+    let mut change = change(3, 9);
+    change.want = apply::Want::Rollback(ids::Revision(1));
+    let mut apply = begin(change.clone());
+    let apply::Action::Write(_, written) = apply.step(read(8, &document(3)), &none()) else {
+        panic!("a write");
+    };
+    assert_eq!(written.accepted.revision, ids::Revision(4));
+    assert_eq!(written.accepted.catalogue, catalogue(1));
+
+    change.want = apply::Want::Rollback(ids::Revision(77));
+    let error = refusal(begin(change).step(read(8, &document(3)), &none()));
+    assert_eq!(error.kind, operator::ErrorKind::NotFound);
+}
+
+#[test]
+fn a_store_that_was_set_back_is_built_upon_what_is_in_force() {
+    let mut apply = begin(change(3, 9));
+    let apply::Action::Write(over, written) = apply.step(read(4, &document(1)), &document(3))
+    else {
+        panic!("a write");
+    };
+    assert_eq!(over, ids::Revision(4));
+    assert_eq!(written.accepted.revision, ids::Revision(4));
+    assert_eq!(written.history.len(), 4);
+}
+
+#[test]
+fn a_book_adopts_higher_revisions_only() {
+    let mut book = book::Book::default();
+    assert_eq!(book.revision(), None);
+    assert_eq!(book.see(None), book::Adoption::Same);
+    assert_eq!(book.see(Some(document(3))), book::Adoption::Adopted);
+    assert_eq!(book.see(Some(document(2))), book::Adoption::Older);
+    assert_eq!(book.see(None), book::Adoption::Older);
+    assert_eq!(book.revision(), Some(ids::Revision(3)));
+    assert_eq!(book.document(), &document(3));
+    assert_eq!(book.repair(Some(&document(2))), Some(document(3)));
+    assert_eq!(book.repair(None), Some(document(3)));
+    assert_eq!(book.repair(Some(&document(3))), None);
+    let fork = history::append(&document(2), line_of(3, 99), catalogue(99));
+    assert_eq!(book.see(Some(fork)), book::Adoption::Forked);
+    assert_eq!(book.document(), &document(3));
+}
+
+#[test]
+fn a_peer_passes_on_the_newest_with_its_line() {
+    let mut ahead = book::Book::default();
+    ahead.see(Some(document(3)));
+    let mut behind = book::Book::default();
+    behind.see(Some(document(2)));
+    assert_eq!(behind.see_newest(ahead.newest()), book::Adoption::Adopted);
+    assert_eq!(behind.document(), &document(3));
+    assert_eq!(
+        ahead.see_newest(book::Book::default().newest()),
+        book::Adoption::Older
+    );
+}
+
+#[test]
+fn a_document_stays_within_one_value_of_the_store() {
+    let mut big = catalogue(1);
+    let entry = big.entries[0].clone();
+    for number in 0..1_500 {
+        let name = format!("entry-{number:04}").parse().unwrap();
+        big.entries.insert(name, entry.clone());
+    }
+    assert_eq!(figscale_core::catalogue::check(&big), []);
+    let mut document = schema::Document::default();
+    for number in 1..=20 {
+        let mut line = line_of(number, 1);
+        line.change = id(number.into());
+        line.note = "\u{1}".repeat(apply::MAX_NOTE_LEN);
+        document = history::append(&document, line, big.clone());
+        let bytes = history::encode(&document).unwrap();
+        assert!(
+            bytes.len() <= history::MAX_DOCUMENT_BYTES,
+            "{}",
+            bytes.len()
+        );
+    }
+    assert_eq!(document.accepted.revision, ids::Revision(20));
+    assert_eq!(document.history.len(), 20);
+    assert!(history::at(&document, ids::Revision(19)).is_some());
+    assert!(history::at(&document, ids::Revision(1)).is_none());
+}
+
+/// A store with the faults that the platform may have.
+struct Store {
+    revision: u64,
+    values: Vec<(u64, schema::Document)>,
+    /// Writes that were sent, got no answer and may land later.
+    under_way: Vec<(u64, schema::Document)>,
+    rng: rngs::StdRng,
+}
+
+impl Store {
+    fn current(&self) -> u64 {
+        self.values.last().map_or(0, |(revision, _)| *revision)
+    }
+
+    fn read(&mut self) -> apply::Input {
+        self.land_some();
+        match self.rng.random_range(0..10) {
+            0 => apply::Input::ReadFailed,
+            1 if !self.values.is_empty() => {
+                // An older value, as after a fail-over of the platform.
+                let at = self.rng.random_range(0..self.values.len());
+                let (revision, document) = &self.values[at];
+                read(*revision, document)
+            }
+            _ => match self.values.last() {
+                Some((revision, document)) => read(*revision, document),
+                None => apply::Input::Read(ids::Revision(0), None),
+            },
+        }
+    }
+
+    fn write(&mut self, over: u64, document: schema::Document) -> apply::Input {
+        match self.rng.random_range(0..6) {
+            0 => apply::Input::WriteFailed(Verdict::NotRun),
+            1 => {
+                self.under_way.push((over, document));
+                apply::Input::WriteFailed(Verdict::MayHaveRun)
+            }
+            2 => {
+                self.put(over, document);
+                apply::Input::WriteFailed(Verdict::MayHaveRun)
+            }
+            _ => match self.put(over, document) {
+                true => apply::Input::Written,
+                false => apply::Input::WriteConflict,
+            },
+        }
+    }
+
+    fn put(&mut self, over: u64, document: schema::Document) -> bool {
+        let fits = over == self.current();
+        if fits {
+            self.revision += 1 + self.rng.random_range(0..3);
+            self.values.push((self.revision, document));
+        }
+        fits
+    }
+
+    fn land_some(&mut self) {
+        if !self.under_way.is_empty() && self.rng.random_bool(0.3) {
+            let at = self.rng.random_range(0..self.under_way.len());
+            let (over, document) = self.under_way.swap_remove(at);
+            self.put(over, document);
+        }
+    }
+}
+
+/// One entry instance with the change that it is deciding.
+struct Instance {
+    book: book::Book,
+    deciding: Option<(apply::Change, apply::Apply, apply::Action)>,
+}
+
+impl Instance {
+    fn step(&mut self, store: &mut Store) -> Option<(apply::Change, apply::Action)> {
+        let (change, mut apply, action) = self.deciding.take()?;
+        let input = match action {
+            apply::Action::Read | apply::Action::ReadLater => store.read(),
+            apply::Action::Write(over, document) => {
+                let input = store.write(over.0, (*document).clone());
+                if input == apply::Input::Written {
+                    self.book.see(Some(*document));
+                }
+                input
+            }
+            done @ apply::Action::Done(_) => return Some((change, done)),
+        };
+        if let apply::Input::Read(_, document) = &input {
+            self.book.see(document.as_deref().cloned());
+        }
+        let next = apply.step(input, self.book.document());
+        self.deciding = Some((change, apply, next));
+        None
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: prop::test_runner::RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn accepted_changes_stay_once_and_refused_ones_never_show(seed in any::<u64>()) {
+        race(seed);
+    }
+}
+
+fn race(seed: u64) {
+    let mut rng = rngs::StdRng::seed_from_u64(seed);
+    let mut store = Store {
+        revision: 0,
+        values: Vec::new(),
+        under_way: Vec::new(),
+        rng: rngs::StdRng::seed_from_u64(seed ^ 1),
+    };
+    let mut instances: Vec<Instance> = (0..4)
+        .map(|_| Instance {
+            book: book::Book::default(),
+            deciding: None,
+        })
+        .collect();
+    let mut accepted = Vec::new();
+    let mut refused = Vec::new();
+    let mut unknown: Vec<apply::Change> = Vec::new();
+    let mut number = 0;
+    for _ in 0..300 {
+        let at = rng.random_range(0..instances.len());
+        let instance = &mut instances[at];
+        let before = instance.book.revision();
+        if instance.deciding.is_none() {
+            // A change whose fate is unknown is asked again, here or elsewhere.
+            let change = match unknown.pop() {
+                Some(change) => change,
+                None => {
+                    number += 1;
+                    change(instance.book.document().accepted.revision.0, number)
+                }
+            };
+            let apply = begin(change.clone());
+            instance.deciding = Some((change, apply, apply::Action::Read));
+        } else if rng.random_bool(0.03) {
+            // Its time is up, or its process is killed.
+            let (change, apply, _) = instance.deciding.take().unwrap();
+            if apply.give_up().kind == operator::ErrorKind::Unknown {
+                unknown.push(change);
+            }
+        }
+        match instance.step(&mut store) {
+            Some((change, apply::Action::Done(Ok(answer)))) => accepted.push((change, answer)),
+            Some((change, apply::Action::Done(Err(_)))) => refused.push(change),
+            _ => {}
+        }
+        assert!(instance.book.revision() >= before);
+    }
+    let last = &store.values.last().unwrap().1;
+    for (change, answer) in &accepted {
+        let records = last.history.iter().filter(|r| r.line.change == change.id);
+        let revisions: Vec<_> = records.map(|record| record.line.revision).collect();
+        assert_eq!(revisions, [answer.revision], "seed {seed}: {change:?}");
+    }
+    for change in &refused {
+        assert_eq!(history::find_change(last, change.id), None, "seed {seed}");
+    }
+    let revisions: Vec<u64> = last.history.iter().map(|r| r.line.revision.0).collect();
+    let expected: Vec<u64> = (1..=last.accepted.revision.0).collect();
+    assert_eq!(revisions, expected, "seed {seed}");
+    assert!(accepted.len() > 5, "seed {seed}: only {}", accepted.len());
+}
