--- /dev/null
+++ b/crates/figscale/tests/harness/mod.rs
@@ -0,0 +1,443 @@
+//! A cell of real entry instances for tests: processes, faults and judges.
+//!
+//! A [`Cell`] has one stand-in platform, runners and workers inside the test
+//! process, and entry instances that are real `figscale serve` processes with
+//! settings files in a folder of the cell. Between an entry instance and the
+//! platform, and between any two entry instances, stands a fault-injecting
+//! proxy of its own, one for each direction in which connections are made, so
+//! that a test can cut, delay or freeze exactly one path, in one direction or
+//! in both. All children are killed when the cell is dropped.
+//!
+//! ```ignore
+//! mod harness;
+//!
+//! #[tokio::test(flavor = "multi_thread")]
+//! async fn an_entry_instance_survives_an_outage() {
+//!     let mut cell = harness::Cell::start(harness::Plan::default()).await;
+//!     cell.operator(0).apply(&change(0, &catalogue)).await.unwrap();
+//!     cell.wait_for_revision(1).await;
+//!     cell.platform.change_faults(|faults| faults.outage = true);
+//!     cell.store_path(1).change_faults(|faults| faults.cut_both(true));
+//!     cell.peer_path(0, 1).change_faults(|faults| faults.to_target.cut = true);
+//!     cell.signal(0, signal::Signal::SIGSTOP);
+//!     cell.kill(0).await;
+//!     cell.launch(0);
+//! }
+//! ```
+//!
+//! Entry instances have indexes from 0 and names `entry-0`, `entry-1`, ...;
+//! paths are laid for all in the plan, started or not, so one that joins later
+//! or comes back keeps its addresses. Conditions are waited for with
+//! [`wait_until`], which polls and never asserts a speed. On a failure the
+//! test prints the logs of all processes ([`Cell::logs`]).
+
+#![expect(clippy::unwrap_used, reason = "A test may panic.")]
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "Each test binary uses a part."
+)]
+
+pub mod operator;
+pub mod process;
+
+use std::fs;
+use std::future;
+use std::net;
+use std::sync::atomic;
+use std::time;
+
+use figscale_standin::client;
+use figscale_standin::platform;
+use figscale_standin::proxy;
+use figscale_standin::runner;
+use figscale_standin::worker;
+use figscale_types::ids;
+use figscale_types::instances;
+use figscale_types::sizes;
+use indexmap::IndexMap;
+use nix::sys::signal;
+use serde_json::json;
+
+/// Longest wait for a condition.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(45);
+/// Failure domains over which instances are spread.
+const DOMAINS: [&str; 2] = ["lm-1", "lm-2"];
+/// Service of all runners.
+pub const SERVICE: &str = "hullrate";
+/// First and last port that tests listen on, outside the ephemeral range.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// What a cell consists of at its start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Entry instances started at once.
+    pub entries: usize,
+    /// Further ones that can be launched later.
+    pub spare_entries: usize,
+    /// Runners of 8 slots of [`SERVICE`].
+    pub runners: usize,
+    /// Workers of 64 cores.
+    pub workers: usize,
+    /// Laid over the settings of every entry instance, section by section.
+    pub settings: serde_json::Value,
+    /// Time by which the platform's instance list lags.
+    pub instance_lag: time::Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            spare_entries: 0,
+            runners: 0,
+            workers: 0,
+            settings: json!({}),
+            instance_lag: time::Duration::ZERO,
+        }
+    }
+}
+
+/// A free address on the loopback interface, outside the ephemeral ports.
+pub fn free_address() -> net::SocketAddr {
+    static STEP: atomic::AtomicU16 = atomic::AtomicU16::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    let first = std::process::id() * 97;
+    loop {
+        let step = STEP.fetch_add(1, atomic::Ordering::Relaxed);
+        let port = PORTS.start + u16::try_from((first + u32::from(step)) % count).unwrap();
+        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+        if net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Polls until `done` is true; panics with `what` when it takes too long.
+pub async fn wait_until<F>(what: &str, mut done: impl FnMut() -> F)
+where
+    F: future::Future<Output = bool>,
+{
+    let began = time::Instant::now();
+    while !done().await {
+        assert!(began.elapsed() < PATIENCE, "no {what} in {PATIENCE:?}");
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
+
+/// The cell.
+pub struct Cell {
+    /// The platform.
+    pub platform: platform::Handle,
+    /// Runners, by index.
+    pub runners: Vec<runner::Handle>,
+    /// Judge of what all runners saw.
+    pub requests: runner::Ledger,
+    /// Workers, by index.
+    pub workers: Vec<worker::Handle>,
+    /// Judge of where tasks ran.
+    pub tasks: worker::TaskLedger,
+    /// HTTP client for anything.
+    pub client: client::Client,
+    entries: Vec<process::Entry>,
+    peer_paths: IndexMap<(usize, usize), proxy::Handle>,
+    folder: tempfile::TempDir,
+}
+
+impl Cell {
+    /// Starts the platform, runners, workers and entry instances.
+    pub async fn start(plan: Plan) -> Self {
+        let config = platform::Config {
+            instance_lag: plan.instance_lag,
+            ..platform::Config::default()
+        };
+        let mut cell = Self {
+            platform: platform::start(config).await.unwrap(),
+            runners: Vec::new(),
+            requests: runner::Ledger::default(),
+            workers: Vec::new(),
+            tasks: worker::TaskLedger::default(),
+            client: client::Client::default(),
+            entries: Vec::new(),
+            peer_paths: IndexMap::new(),
+            folder: tempfile::tempdir().unwrap(),
+        };
+        for index in 0..plan.runners {
+            cell.add_runner(index).await;
+        }
+        for index in 0..plan.workers {
+            cell.add_worker(index).await;
+        }
+        for index in 0..plan.entries + plan.spare_entries {
+            cell.lay_paths(index).await;
+        }
+        cell.write_settings(&plan.settings);
+        for index in 0..plan.entries {
+            cell.launch(index);
+        }
+        for index in 0..plan.entries {
+            cell.wait_until_live(index).await;
+        }
+        cell
+    }
+
+    async fn add_runner(&mut self, index: usize) {
+        let id: ids::InstanceId = format!("runner-{index}").parse().unwrap();
+        let config = runner::Config {
+            id: id.clone(),
+            ledger: self.requests.clone(),
+            ..runner::Config::default()
+        };
+        let slots = config.slots;
+        let connections = config.connections;
+        let runner = runner::start(config).await.unwrap();
+        let line = instances::Instance {
+            role: instances::Role::Runner,
+            service: Some(SERVICE.parse().unwrap()),
+            slots,
+            connections,
+            ..instance(id, runner.address(), index)
+        };
+        self.platform.change_instances(|list| list.push(line));
+        self.runners.push(runner);
+    }
+
+    async fn add_worker(&mut self, index: usize) {
+        let id: ids::InstanceId = format!("worker-{index}").parse().unwrap();
+        let config = worker::Config {
+            id: id.clone(),
+            ledger: self.tasks.clone(),
+            ..worker::Config::default()
+        };
+        let capacity = config.capacity;
+        let worker = worker::start(config).await.unwrap();
+        let line = instances::Instance {
+            role: instances::Role::Worker,
+            capacity,
+            ..instance(id, worker.address(), index)
+        };
+        self.platform.change_instances(|list| list.push(line));
+        self.workers.push(worker);
+    }
+
+    /// Chooses the addresses of an entry instance and lays its paths.
+    async fn lay_paths(&mut self, index: usize) {
+        let to_store = proxy::Config::to(self.platform.address());
+        let to_store = proxy::start(to_store).await.unwrap();
+        let entry = process::Entry::new(index, to_store, self.folder.path());
+        for (other, earlier) in self.entries.iter().enumerate() {
+            let there = proxy::Config::to(earlier.peer_address);
+            let back = proxy::Config::to(entry.peer_address);
+            let there = proxy::start(there).await.unwrap();
+            let back = proxy::start(back).await.unwrap();
+            self.peer_paths.insert((index, other), there);
+            self.peer_paths.insert((other, index), back);
+        }
+        self.entries.push(entry);
+    }
+
+    fn write_settings(&self, overlay: &serde_json::Value) {
+        for (index, entry) in self.entries.iter().enumerate() {
+            let mut routes = serde_json::Map::new();
+            for ((from, to), path) in &self.peer_paths {
+                if *from == index {
+                    let published = self.entries[*to].peer_address.to_string();
+                    routes.insert(published, json!(path.address()));
+                }
+            }
+            let mut settings = entry.settings(DOMAINS[index % DOMAINS.len()]);
+            settings["claims"] = json!({ "peer_routes": routes });
+            overlay_sections(&mut settings, overlay);
+            fs::write(&entry.settings_file, settings.to_string()).unwrap();
+        }
+    }
+
+    /// Lays these settings over those of one entry instance; they are in force
+    /// after its next launch.
+    pub fn change_settings(&self, index: usize, overlay: &serde_json::Value) {
+        let file = &self.entries[index].settings_file;
+        let mut settings = serde_json::from_str(&fs::read_to_string(file).unwrap()).unwrap();
+        overlay_sections(&mut settings, overlay);
+        fs::write(file, settings.to_string()).unwrap();
+    }
+
+    /// Starts an entry instance, for the first time or again, and lists it.
+    pub fn launch(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        entry.launch();
+        let id: ids::InstanceId = entry.name.parse().unwrap();
+        let line = instance(id, entry.peer_address, index);
+        self.platform.change_instances(|list| {
+            list.retain(|known| known.id != line.id);
+            list.push(line);
+        });
+    }
+
+    /// Takes an entry instance off the platform's list.
+    pub fn unlist(&self, index: usize) {
+        let name = &self.entries[index].name;
+        self.platform
+            .change_instances(|list| list.retain(|known| known.id.as_str() != name));
+    }
+
+    /// Waits until an entry instance answers operators.
+    pub async fn wait_until_live(&self, index: usize) {
+        let entry = &self.entries[index];
+        wait_until(&format!("answer of {}", entry.name), || async {
+            let call = client::Call::get(entry.operator_address, "/livez");
+            let limit = time::Duration::from_secs(2);
+            self.client.send_within(limit, call).await.is_ok()
+        })
+        .await;
+    }
+
+    /// Waits until these entry instances have this revision of the catalogue
+    /// in force, by their own word.
+    pub async fn wait_for_revision(&self, indexes: &[usize], revision: u64) {
+        for index in indexes {
+            let operator = self.operator(*index);
+            let what = format!("revision {revision} at entry-{index}");
+            wait_until(&what, || async {
+                operator.in_force().await.is_ok_and(|r| r.0 >= revision)
+            })
+            .await;
+        }
+    }
+
+    /// Waits until these entry instances, and no others, are members of the
+    /// claims by the word of each.
+    pub async fn wait_for_members(&self, indexes: &[usize]) {
+        for index in indexes {
+            let operator = self.operator(*index);
+            let what = format!("{} members at entry-{index}", indexes.len());
+            wait_until(&what, || async {
+                let Ok(status) = operator.status().await else {
+                    return false;
+                };
+                let expected = indexes.iter().map(|i| self.entries[*i].name.as_str());
+                let mut names: Vec<&str> = expected.collect();
+                names.sort_unstable();
+                status.in_force.keys().map(|id| id.as_str()).eq(names)
+            })
+            .await;
+        }
+    }
+
+    /// Calls of an operator to an entry instance.
+    pub fn operator(&self, index: usize) -> operator::Operator {
+        operator::Operator::new(self.client.clone(), self.entries[index].operator_address)
+    }
+
+    /// Where callers reach an entry instance.
+    pub fn caller_address(&self, index: usize) -> net::SocketAddr {
+        self.entries[index].caller_address
+    }
+
+    /// The path from an entry instance to the platform.
+    pub fn store_path(&self, index: usize) -> &proxy::Handle {
+        &self.entries[index].to_store
+    }
+
+    /// The path on which an entry instance connects to another one.
+    pub fn peer_path(&self, from: usize, to: usize) -> &proxy::Handle {
+        &self.peer_paths[&(from, to)]
+    }
+
+    /// Cuts both paths between two entry instances, or mends them.
+    pub fn cut_peers(&self, one: usize, other: usize, cut: bool) {
+        for key in [(one, other), (other, one)] {
+            self.peer_paths[&key].change_faults(|faults| faults.cut_both(cut));
+        }
+    }
+
+    /// Cuts an entry instance from the platform, or mends the path.
+    pub fn cut_store(&self, index: usize, cut: bool) {
+        self.store_path(index)
+            .change_faults(|faults| faults.cut_both(cut));
+    }
+
+    /// Sends a signal to an entry instance.
+    pub fn signal(&self, index: usize, signal: signal::Signal) {
+        self.entries[index].signal(signal);
+    }
+
+    /// Kills an entry instance at once and waits for its end.
+    pub async fn kill(&mut self, index: usize) {
+        self.entries[index].signal(signal::Signal::SIGKILL);
+        self.wait_for_exit(index).await;
+    }
+
+    /// Asks an entry instance for a planned stop and waits for its end.
+    pub async fn stop(&mut self, index: usize) -> Option<i32> {
+        self.entries[index].signal(signal::Signal::SIGTERM);
+        self.wait_for_exit(index).await
+    }
+
+    /// Waits for an entry instance to end and returns its exit code; `None`
+    /// after a signal.
+    pub async fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
+        let began = time::Instant::now();
+        loop {
+            if let Some(status) = self.entries[index].try_wait() {
+                return status.code();
+            }
+            assert!(began.elapsed() < PATIENCE, "entry-{index} does not end");
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+
+    /// The log of an entry instance, over all its lives.
+    pub fn log(&self, index: usize) -> String {
+        fs::read_to_string(&self.entries[index].log_file).unwrap_or_default()
+    }
+
+    /// The logs of all entry instances, for a failure's message.
+    pub fn logs(&self) -> String {
+        let logs = self.entries.iter().enumerate();
+        logs.map(|(index, entry)| format!("--- {}\n{}", entry.name, self.log(index)))
+            .collect()
+    }
+
+    /// The folder of the cell, for a test's own files.
+    pub fn folder(&self) -> &std::path::Path {
+        self.folder.path()
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}", self.logs());
+        }
+    }
+}
+
+fn instance(id: ids::InstanceId, address: net::SocketAddr, index: usize) -> instances::Instance {
+    instances::Instance {
+        id,
+        role: instances::Role::Entry,
+        address,
+        failure_domain: DOMAINS[index % DOMAINS.len()].parse().unwrap(),
+        rack: format!("rack-{index}").parse().unwrap(),
+        service: None,
+        capacity: sizes::Resources::default(),
+        slots: 0,
+        connections: 0,
+        life: instances::Life::Live,
+    }
+}
+
+/// Lays `overlay` over `settings`: values of sections one by one, others whole.
+fn overlay_sections(settings: &mut serde_json::Value, overlay: &serde_json::Value) {
+    let Some(overlay) = overlay.as_object() else {
+        return;
+    };
+    for (key, value) in overlay {
+        match (&mut settings[key.as_str()], value) {
+            (serde_json::Value::Object(section), serde_json::Value::Object(values)) => {
+                section.extend(values.clone());
+            }
+            (place, value) => *place = value.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale/tests/harness/operator.rs
@@ -0,0 +1,120 @@
+//! An operator's calls to one entry instance.
+
+use std::net;
+use std::time;
+
+use figscale_standin::client;
+use figscale_types::catalogue;
+use figscale_types::ids;
+use figscale_types::jobs;
+use figscale_types::operator;
+use serde::Serialize;
+use serde::de;
+
+/// Longest wait for an answer.
+const LIMIT: time::Duration = time::Duration::from_secs(15);
+
+/// Calls to one entry instance; clones may run side by side.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    client: client::Client,
+    address: net::SocketAddr,
+}
+
+impl Operator {
+    /// Calls to this operator address.
+    pub fn new(client: client::Client, address: net::SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Where it calls, for the command line.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Asks for a new catalogue.
+    pub async fn apply(
+        &self,
+        request: &operator::ApplyRequest,
+    ) -> Result<operator::ApplyAnswer, operator::OperatorError> {
+        self.post("/v1/catalogue", request).await
+    }
+
+    /// Asks to go back to an earlier catalogue.
+    pub async fn rollback(
+        &self,
+        request: &operator::RollbackRequest,
+    ) -> Result<operator::ApplyAnswer, operator::OperatorError> {
+        self.post("/v1/catalogue/rollback", request).await
+    }
+
+    /// Revision in force at this entry instance.
+    pub async fn in_force(&self) -> Result<ids::Revision, operator::OperatorError> {
+        let accepted: catalogue::Accepted = self.get("/v1/catalogue").await?;
+        Ok(accepted.revision)
+    }
+
+    /// The changes, newest first.
+    pub async fn history(&self) -> Result<Vec<operator::HistoryLine>, operator::OperatorError> {
+        self.get("/v1/catalogue/history").await
+    }
+
+    /// Revision in force at each entry instance.
+    pub async fn status(&self) -> Result<operator::CatalogueStatus, operator::OperatorError> {
+        self.get("/v1/catalogue/status").await
+    }
+
+    /// Submits a job under an id of one's own.
+    pub async fn submit(
+        &self,
+        id: &ids::JobId,
+        job: &jobs::JobSpec,
+    ) -> Result<jobs::JobStatus, operator::OperatorError> {
+        self.post(&format!("/v1/jobs?id={id}"), job).await
+    }
+
+    /// How a job stands.
+    pub async fn job(&self, id: &ids::JobId) -> Result<jobs::JobStatus, operator::OperatorError> {
+        self.get(&format!("/v1/jobs/{id}")).await
+    }
+
+    /// The state of the process.
+    pub async fn dump(&self) -> Result<serde_json::Value, operator::OperatorError> {
+        self.get("/v1/dump").await
+    }
+
+    /// Reads anything.
+    pub async fn get<A: de::DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<A, operator::OperatorError> {
+        self.send(client::Call::get(self.address, path)).await
+    }
+
+    async fn post<A: de::DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<A, operator::OperatorError> {
+        let call = client::Call::post(self.address, path).json(body).unwrap();
+        self.send(call).await
+    }
+
+    /// No answer at all is an error of kind "unknown", as for a real operator.
+    async fn send<A: de::DeserializeOwned>(
+        &self,
+        call: client::Call,
+    ) -> Result<A, operator::OperatorError> {
+        let unknown =
+            |text: String| operator::OperatorError::new(operator::ErrorKind::Unknown, text);
+        let answer = self.client.send_within(LIMIT, call).await;
+        let answer = answer.map_err(|error| unknown(error.to_string()))?;
+        if answer.status.is_success() {
+            return answer.json().map_err(|error| unknown(error.to_string()));
+        }
+        match answer.json::<operator::OperatorError>() {
+            Ok(error) => Err(error),
+            Err(_) => Err(unknown(answer.text())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale/tests/harness/process.rs
@@ -0,0 +1,97 @@
+//! One entry instance as a child process.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+
+use figscale_standin::proxy;
+use nix::sys::signal;
+use nix::unistd;
+use serde_json::json;
+
+/// An entry instance, running or not.
+pub struct Entry {
+    pub name: String,
+    pub caller_address: net::SocketAddr,
+    pub peer_address: net::SocketAddr,
+    pub operator_address: net::SocketAddr,
+    pub to_store: proxy::Handle,
+    pub settings_file: path::PathBuf,
+    pub log_file: path::PathBuf,
+    child: Option<process::Child>,
+}
+
+impl Entry {
+    /// One that is not yet running.
+    pub fn new(index: usize, to_store: proxy::Handle, folder: &path::Path) -> Self {
+        let name = format!("entry-{index}");
+        Self {
+            caller_address: super::free_address(),
+            peer_address: super::free_address(),
+            operator_address: super::free_address(),
+            to_store,
+            settings_file: folder.join(format!("{name}.json")),
+            log_file: folder.join(format!("{name}.log")),
+            name,
+            child: None,
+        }
+    }
+
+    /// Its settings without those of the test.
+    pub fn settings(&self, failure_domain: &str) -> serde_json::Value {
+        json!({
+            "member": self.name,
+            "failure_domain": failure_domain,
+            "caller_address": self.caller_address,
+            "peer_address": self.peer_address,
+            "operator_address": self.operator_address,
+            "platform_address": self.to_store.address(),
+            "peer_token": "0123456789abcdef",
+            "shutdown_ms": 10_000,
+        })
+    }
+
+    /// Starts the process; its log is added to the file.
+    pub fn launch(&mut self) {
+        assert!(self.child.is_none(), "{} runs already", self.name);
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log_file)
+            .unwrap();
+        let child = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+            .args(["serve", "--settings"])
+            .arg(&self.settings_file)
+            .stdin(process::Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: signal::Signal) {
+        let child = self.child.as_ref().expect("a running process");
+        let pid = unistd::Pid::from_raw(i32::try_from(child.id()).unwrap());
+        signal::kill(pid, signal).unwrap();
+    }
+
+    /// The process's end, if it has ended.
+    pub fn try_wait(&mut self) -> Option<process::ExitStatus> {
+        let child = self.child.as_mut().expect("a process");
+        let status = child.try_wait().unwrap()?;
+        self.child = None;
+        Some(status)
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
