Start real entry instances in tests, with a proxy on every path

Harness for process tests: Cell with stand-ins, settings files, peer and store paths, signals and operator calls.

--- a/crates/figscale-core/tests/catalogue_apply.rs
+++ b/crates/figscale-core/tests/catalogue_apply.rs
@@ -1,6 +1,8 @@
 //! Changes racing for a store that loses answers, delays writes and shows old
 //! values: what was accepted stays, once, and nothing goes back.
 
+#![expect(clippy::unwrap_used, reason = "A test may panic.")]
+
 use figscale_core::catalogue::apply;
 use figscale_core::catalogue::book;
 use figscale_core::catalogue::history;
--- a/crates/figscale-core/tests/catalogue_check.rs
+++ b/crates/figscale-core/tests/catalogue_check.rs
@@ -1,5 +1,7 @@
 //! What the catalogue's check refuses, and how a diff reads.
 
+#![expect(clippy::unwrap_used, reason = "A test may panic.")]
+
 use std::error;
 use std::fmt::Write as _;
 
--- a/crates/figscale/tests/harness/mod.rs
+++ b/crates/figscale/tests/harness/mod.rs
@@ -14,8 +14,8 @@
 //! #[tokio::test(flavor = "multi_thread")]
 //! async fn an_entry_instance_survives_an_outage() {
 //!     let mut cell = harness::Cell::start(harness::Plan::default()).await;
-//!     cell.operator(0).apply(&change(0, &catalogue)).await.unwrap();
-//!     cell.wait_for_revision(1).await;
+//!     cell.operator(0).apply(&operator::change(0, 1)).await.unwrap();
+//!     cell.wait_for_revision(&[0, 1], 1).await;
 //!     cell.platform.change_faults(|faults| faults.outage = true);
 //!     cell.store_path(1).change_faults(|faults| faults.cut_both(true));
 //!     cell.peer_path(0, 1).change_faults(|faults| faults.to_target.cut = true);
@@ -38,8 +38,8 @@
     reason = "Each test binary uses a part."
 )]
 
-pub mod operator;
-pub mod process;
+pub(crate) mod operator;
+pub(crate) mod process;
 
 use std::fs;
 use std::future;
@@ -60,29 +60,29 @@
 use serde_json::json;
 
 /// Longest wait for a condition.
-pub const PATIENCE: time::Duration = time::Duration::from_secs(45);
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(45);
 /// Failure domains over which instances are spread.
 const DOMAINS: [&str; 2] = ["lm-1", "lm-2"];
 /// Service of all runners.
-pub const SERVICE: &str = "hullrate";
+pub(crate) const SERVICE: &str = "hullrate";
 /// First and last port that tests listen on, outside the ephemeral range.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
 /// What a cell consists of at its start.
 #[derive(Clone, Debug)]
-pub struct Plan {
+pub(crate) struct Plan {
     /// Entry instances started at once.
-    pub entries: usize,
+    pub(crate) entries: usize,
     /// Further ones that can be launched later.
-    pub spare_entries: usize,
+    pub(crate) spare_entries: usize,
     /// Runners of 8 slots of [`SERVICE`].
-    pub runners: usize,
+    pub(crate) runners: usize,
     /// Workers of 64 cores.
-    pub workers: usize,
+    pub(crate) workers: usize,
     /// Laid over the settings of every entry instance, section by section.
-    pub settings: serde_json::Value,
+    pub(crate) settings: serde_json::Value,
     /// Time by which the platform's instance list lags.
-    pub instance_lag: time::Duration,
+    pub(crate) instance_lag: time::Duration,
 }
 
 impl Default for Plan {
@@ -99,7 +99,7 @@
 }
 
 /// A free address on the loopback interface, outside the ephemeral ports.
-pub fn free_address() -> net::SocketAddr {
+pub(crate) fn free_address() -> net::SocketAddr {
     static STEP: atomic::AtomicU16 = atomic::AtomicU16::new(0);
     let count = u32::from(PORTS.end - PORTS.start);
     let first = std::process::id() * 97;
@@ -114,7 +114,7 @@
 }
 
 /// Polls until `done` is true; panics with `what` when it takes too long.
-pub async fn wait_until<F>(what: &str, mut done: impl FnMut() -> F)
+pub(crate) async fn wait_until<F>(what: &str, mut done: impl FnMut() -> F)
 where
     F: future::Future<Output = bool>,
 {
@@ -126,19 +126,19 @@
 }
 
 /// The cell.
-pub struct Cell {
+pub(crate) struct Cell {
     /// The platform.
-    pub platform: platform::Handle,
+    pub(crate) platform: platform::Handle,
     /// Runners, by index.
-    pub runners: Vec<runner::Handle>,
+    pub(crate) runners: Vec<runner::Handle>,
     /// Judge of what all runners saw.
-    pub requests: runner::Ledger,
+    pub(crate) requests: runner::Ledger,
     /// Workers, by index.
-    pub workers: Vec<worker::Handle>,
+    pub(crate) workers: Vec<worker::Handle>,
     /// Judge of where tasks ran.
-    pub tasks: worker::TaskLedger,
+    pub(crate) tasks: worker::TaskLedger,
     /// HTTP client for anything.
-    pub client: client::Client,
+    pub(crate) client: client::Client,
     entries: Vec<process::Entry>,
     peer_paths: IndexMap<(usize, usize), proxy::Handle>,
     folder: tempfile::TempDir,
@@ -146,7 +146,7 @@
 
 impl Cell {
     /// Starts the platform, runners, workers and entry instances.
-    pub async fn start(plan: Plan) -> Self {
+    pub(crate) async fn start(plan: Plan) -> Self {
         let config = platform::Config {
             instance_lag: plan.instance_lag,
             ..platform::Config::default()
@@ -254,7 +254,7 @@
 
     /// Lays these settings over those of one entry instance; they are in force
     /// after its next launch.
-    pub fn change_settings(&self, index: usize, overlay: &serde_json::Value) {
+    pub(crate) fn change_settings(&self, index: usize, overlay: &serde_json::Value) {
         let file = &self.entries[index].settings_file;
         let mut settings = serde_json::from_str(&fs::read_to_string(file).unwrap()).unwrap();
         overlay_sections(&mut settings, overlay);
@@ -262,7 +262,7 @@
     }
 
     /// Starts an entry instance, for the first time or again, and lists it.
-    pub fn launch(&mut self, index: usize) {
+    pub(crate) fn launch(&mut self, index: usize) {
         let entry = &mut self.entries[index];
         entry.launch();
         let id: ids::InstanceId = entry.name.parse().unwrap();
@@ -274,14 +274,14 @@
     }
 
     /// Takes an entry instance off the platform's list.
-    pub fn unlist(&self, index: usize) {
+    pub(crate) fn unlist(&self, index: usize) {
         let name = &self.entries[index].name;
         self.platform
             .change_instances(|list| list.retain(|known| known.id.as_str() != name));
     }
 
     /// Waits until an entry instance answers operators.
-    pub async fn wait_until_live(&self, index: usize) {
+    pub(crate) async fn wait_until_live(&self, index: usize) {
         let entry = &self.entries[index];
         wait_until(&format!("answer of {}", entry.name), || async {
             let call = client::Call::get(entry.operator_address, "/livez");
@@ -293,7 +293,7 @@
 
     /// Waits until these entry instances have this revision of the catalogue
     /// in force, by their own word.
-    pub async fn wait_for_revision(&self, indexes: &[usize], revision: u64) {
+    pub(crate) async fn wait_for_revision(&self, indexes: &[usize], revision: u64) {
         for index in indexes {
             let operator = self.operator(*index);
             let what = format!("revision {revision} at entry-{index}");
@@ -306,7 +306,7 @@
 
     /// Waits until these entry instances, and no others, are members of the
     /// claims by the word of each.
-    pub async fn wait_for_members(&self, indexes: &[usize]) {
+    pub(crate) async fn wait_for_members(&self, indexes: &[usize]) {
         for index in indexes {
             let operator = self.operator(*index);
             let what = format!("{} members at entry-{index}", indexes.len());
@@ -324,58 +324,58 @@
     }
 
     /// Calls of an operator to an entry instance.
-    pub fn operator(&self, index: usize) -> operator::Operator {
+    pub(crate) fn operator(&self, index: usize) -> operator::Operator {
         operator::Operator::new(self.client.clone(), self.entries[index].operator_address)
     }
 
     /// Where callers reach an entry instance.
-    pub fn caller_address(&self, index: usize) -> net::SocketAddr {
+    pub(crate) fn caller_address(&self, index: usize) -> net::SocketAddr {
         self.entries[index].caller_address
     }
 
     /// The path from an entry instance to the platform.
-    pub fn store_path(&self, index: usize) -> &proxy::Handle {
+    pub(crate) fn store_path(&self, index: usize) -> &proxy::Handle {
         &self.entries[index].to_store
     }
 
     /// The path on which an entry instance connects to another one.
-    pub fn peer_path(&self, from: usize, to: usize) -> &proxy::Handle {
+    pub(crate) fn peer_path(&self, from: usize, to: usize) -> &proxy::Handle {
         &self.peer_paths[&(from, to)]
     }
 
     /// Cuts both paths between two entry instances, or mends them.
-    pub fn cut_peers(&self, one: usize, other: usize, cut: bool) {
+    pub(crate) fn cut_peers(&self, one: usize, other: usize, cut: bool) {
         for key in [(one, other), (other, one)] {
             self.peer_paths[&key].change_faults(|faults| faults.cut_both(cut));
         }
     }
 
     /// Cuts an entry instance from the platform, or mends the path.
-    pub fn cut_store(&self, index: usize, cut: bool) {
+    pub(crate) fn cut_store(&self, index: usize, cut: bool) {
         self.store_path(index)
             .change_faults(|faults| faults.cut_both(cut));
     }
 
     /// Sends a signal to an entry instance.
-    pub fn signal(&self, index: usize, signal: signal::Signal) {
+    pub(crate) fn signal(&self, index: usize, signal: signal::Signal) {
         self.entries[index].signal(signal);
     }
 
     /// Kills an entry instance at once and waits for its end.
-    pub async fn kill(&mut self, index: usize) {
+    pub(crate) async fn kill(&mut self, index: usize) {
         self.entries[index].signal(signal::Signal::SIGKILL);
         self.wait_for_exit(index).await;
     }
 
     /// Asks an entry instance for a planned stop and waits for its end.
-    pub async fn stop(&mut self, index: usize) -> Option<i32> {
+    pub(crate) async fn stop(&mut self, index: usize) -> Option<i32> {
         self.entries[index].signal(signal::Signal::SIGTERM);
         self.wait_for_exit(index).await
     }
 
     /// Waits for an entry instance to end and returns its exit code; `None`
     /// after a signal.
-    pub async fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
+    pub(crate) async fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
         let began = time::Instant::now();
         loop {
             if let Some(status) = self.entries[index].try_wait() {
@@ -387,19 +387,19 @@
     }
 
     /// The log of an entry instance, over all its lives.
-    pub fn log(&self, index: usize) -> String {
+    pub(crate) fn log(&self, index: usize) -> String {
         fs::read_to_string(&self.entries[index].log_file).unwrap_or_default()
     }
 
     /// The logs of all entry instances, for a failure's message.
-    pub fn logs(&self) -> String {
+    pub(crate) fn logs(&self) -> String {
         let logs = self.entries.iter().enumerate();
         logs.map(|(index, entry)| format!("--- {}\n{}", entry.name, self.log(index)))
             .collect()
     }
 
     /// The folder of the cell, for a test's own files.
-    pub fn folder(&self) -> &std::path::Path {
+    pub(crate) fn folder(&self) -> &std::path::Path {
         self.folder.path()
     }
 }
--- a/crates/figscale/tests/harness/operator.rs
+++ b/crates/figscale/tests/harness/operator.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::time;
 
+use figscale::settings::document;
 use figscale_standin::client;
 use figscale_types::catalogue;
 use figscale_types::ids;
@@ -14,26 +15,48 @@
 /// Longest wait for an answer.
 const LIMIT: time::Duration = time::Duration::from_secs(15);
 
+/// The catalogue of the tests.
+const CATALOGUE: &str = include_str!("../../../../examples/fraser-reach.jsonc");
+
+/// The catalogue of the tests, Fraser Reach's example.
+pub(crate) fn catalogue() -> catalogue::Catalogue {
+    let document = document::Document::from_text("example", CATALOGUE).unwrap();
+    document.parse().unwrap()
+}
+
+/// A new change against `base` that sets the first owner's weight to `number`.
+pub(crate) fn change(base: u64, number: u32) -> operator::ApplyRequest {
+    let mut catalogue = catalogue();
+    catalogue.owners[0].weight = number;
+    operator::ApplyRequest {
+        base: ids::Revision(base),
+        change: ids::ChangeId(uuid::Uuid::now_v7()),
+        author: format!("operator-{number}"),
+        note: format!("weight {number}"),
+        catalogue,
+    }
+}
+
 /// Calls to one entry instance; clones may run side by side.
 #[derive(Clone, Debug)]
-pub struct Operator {
+pub(crate) struct Operator {
     client: client::Client,
     address: net::SocketAddr,
 }
 
 impl Operator {
     /// Calls to this operator address.
-    pub fn new(client: client::Client, address: net::SocketAddr) -> Self {
+    pub(crate) fn new(client: client::Client, address: net::SocketAddr) -> Self {
         Self { client, address }
     }
 
     /// Where it calls, for the command line.
-    pub fn address(&self) -> net::SocketAddr {
+    pub(crate) fn address(&self) -> net::SocketAddr {
         self.address
     }
 
     /// Asks for a new catalogue.
-    pub async fn apply(
+    pub(crate) async fn apply(
         &self,
         request: &operator::ApplyRequest,
     ) -> Result<operator::ApplyAnswer, operator::OperatorError> {
@@ -41,7 +64,7 @@
     }
 
     /// Asks to go back to an earlier catalogue.
-    pub async fn rollback(
+    pub(crate) async fn rollback(
         &self,
         request: &operator::RollbackRequest,
     ) -> Result<operator::ApplyAnswer, operator::OperatorError> {
@@ -49,23 +72,27 @@
     }
 
     /// Revision in force at this entry instance.
-    pub async fn in_force(&self) -> Result<ids::Revision, operator::OperatorError> {
+    pub(crate) async fn in_force(&self) -> Result<ids::Revision, operator::OperatorError> {
         let accepted: catalogue::Accepted = self.get("/v1/catalogue").await?;
         Ok(accepted.revision)
     }
 
     /// The changes, newest first.
-    pub async fn history(&self) -> Result<Vec<operator::HistoryLine>, operator::OperatorError> {
+    pub(crate) async fn history(
+        &self,
+    ) -> Result<Vec<operator::HistoryLine>, operator::OperatorError> {
         self.get("/v1/catalogue/history").await
     }
 
     /// Revision in force at each entry instance.
-    pub async fn status(&self) -> Result<operator::CatalogueStatus, operator::OperatorError> {
+    pub(crate) async fn status(
+        &self,
+    ) -> Result<operator::CatalogueStatus, operator::OperatorError> {
         self.get("/v1/catalogue/status").await
     }
 
     /// Submits a job under an id of one's own.
-    pub async fn submit(
+    pub(crate) async fn submit(
         &self,
         id: &ids::JobId,
         job: &jobs::JobSpec,
@@ -74,17 +101,20 @@
     }
 
     /// How a job stands.
-    pub async fn job(&self, id: &ids::JobId) -> Result<jobs::JobStatus, operator::OperatorError> {
+    pub(crate) async fn job(
+        &self,
+        id: &ids::JobId,
+    ) -> Result<jobs::JobStatus, operator::OperatorError> {
         self.get(&format!("/v1/jobs/{id}")).await
     }
 
     /// The state of the process.
-    pub async fn dump(&self) -> Result<serde_json::Value, operator::OperatorError> {
+    pub(crate) async fn dump(&self) -> Result<serde_json::Value, operator::OperatorError> {
         self.get("/v1/dump").await
     }
 
     /// Reads anything.
-    pub async fn get<A: de::DeserializeOwned>(
+    pub(crate) async fn get<A: de::DeserializeOwned>(
         &self,
         path: &str,
     ) -> Result<A, operator::OperatorError> {
--- a/crates/figscale/tests/harness/process.rs
+++ b/crates/figscale/tests/harness/process.rs
@@ -11,20 +11,20 @@
 use serde_json::json;
 
 /// An entry instance, running or not.
-pub struct Entry {
-    pub name: String,
-    pub caller_address: net::SocketAddr,
-    pub peer_address: net::SocketAddr,
-    pub operator_address: net::SocketAddr,
-    pub to_store: proxy::Handle,
-    pub settings_file: path::PathBuf,
-    pub log_file: path::PathBuf,
+pub(crate) struct Entry {
+    pub(crate) name: String,
+    pub(crate) caller_address: net::SocketAddr,
+    pub(crate) peer_address: net::SocketAddr,
+    pub(crate) operator_address: net::SocketAddr,
+    pub(crate) to_store: proxy::Handle,
+    pub(crate) settings_file: path::PathBuf,
+    pub(crate) log_file: path::PathBuf,
     child: Option<process::Child>,
 }
 
 impl Entry {
     /// One that is not yet running.
-    pub fn new(index: usize, to_store: proxy::Handle, folder: &path::Path) -> Self {
+    pub(crate) fn new(index: usize, to_store: proxy::Handle, folder: &path::Path) -> Self {
         let name = format!("entry-{index}");
         Self {
             caller_address: super::free_address(),
@@ -39,7 +39,7 @@
     }
 
     /// Its settings without those of the test.
-    pub fn settings(&self, failure_domain: &str) -> serde_json::Value {
+    pub(crate) fn settings(&self, failure_domain: &str) -> serde_json::Value {
         json!({
             "member": self.name,
             "failure_domain": failure_domain,
@@ -53,7 +53,7 @@
     }
 
     /// Starts the process; its log is added to the file.
-    pub fn launch(&mut self) {
+    pub(crate) fn launch(&mut self) {
         assert!(self.child.is_none(), "{} runs already", self.name);
         let log = fs::OpenOptions::new()
             .create(true)
@@ -72,14 +72,14 @@
     }
 
     /// Sends a signal to the process.
-    pub fn signal(&self, signal: signal::Signal) {
+    pub(crate) fn signal(&self, signal: signal::Signal) {
         let child = self.child.as_ref().expect("a running process");
         let pid = unistd::Pid::from_raw(i32::try_from(child.id()).unwrap());
         signal::kill(pid, signal).unwrap();
     }
 
     /// The process's end, if it has ended.
-    pub fn try_wait(&mut self) -> Option<process::ExitStatus> {
+    pub(crate) fn try_wait(&mut self) -> Option<process::ExitStatus> {
         let child = self.child.as_mut().expect("a process");
         let status = child.try_wait().unwrap()?;
         self.child = None;
