--- a/crates/figscale/src/settings/document.rs
+++ b/crates/figscale/src/settings/document.rs
@@ -17,10 +17,15 @@
 use serde::de;
 use serde_json::value;
 
+use super::duplicates;
+
 /// Largest document that is read, in bytes.
 pub const MAX_DOCUMENT_BYTES: u64 = 1 << 20;
 
-/// A place in a document, both counted from 1.
+/// Most faults that one error shows; each costs a look through the document.
+const MAX_FAULTS_SHOWN: usize = 20;
+
+/// A place in a document, both counted from 1, columns in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
     /// Line.
@@ -37,7 +42,7 @@
         let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
         Self {
             line: before.matches('\n').count() + 1,
-            column: before[line_start..].chars().count() + 1,
+            column: before.len() - line_start + 1,
         }
     }
 }
@@ -108,9 +113,17 @@
     /// Takes a text, with the name that errors give it.
     pub fn from_text(name: &str, text: &str) -> Result<Self, DocumentError> {
         let mut blanked = String::with_capacity(text.len());
-        StripComments::new(text.as_bytes())
-            .read_to_string(&mut blanked)
-            .map_err(|error| DocumentError::unreadable(name, format!("bad comment: {error}")))?;
+        let stripped = StripComments::new(text.as_bytes()).read_to_string(&mut blanked);
+        if stripped.is_err() {
+            let fault = Fault {
+                place: Some(place_of_bad_comment(text)),
+                text: "expected a comment, `// ...` or `/* ... */`, that is closed".to_owned(),
+            };
+            return Err(DocumentError {
+                name: name.to_owned(),
+                faults: vec![fault],
+            });
+        }
         Ok(Self {
             name: name.to_owned(),
             text: blanked,
@@ -125,9 +138,21 @@
             self.malformed(Some(&path), error.inner())
         })?;
         json.end().map_err(|error| self.malformed(None, &error))?;
+        self.refuse_duplicates()?;
         Ok(parsed)
     }
 
+    /// Refuses a name that stands twice in one object, of which a map would
+    /// quietly keep the last.
+    fn refuse_duplicates(&self) -> Result<(), DocumentError> {
+        let mut json = serde_json::Deserializer::from_str(&self.text);
+        let walked: Result<duplicates::Unique, _> = serde_path_to_error::deserialize(&mut json);
+        walked.map(|_| ()).map_err(|error| {
+            let path = error.path().to_string();
+            self.malformed(Some(&path), error.inner())
+        })
+    }
+
     fn malformed(&self, path: Option<&str>, error: &serde_json::Error) -> DocumentError {
         let place = Place {
             line: error.line().max(1),
@@ -135,7 +160,7 @@
         };
         let message = without_place(error);
         let text = match path {
-            Some(path) if path != "." => format!("{path}: {message}"),
+            Some(path) if path != "." && path != "?" => format!("{path}: {message}"),
             _ => message,
         };
         DocumentError {
@@ -149,43 +174,100 @@
 
     /// Refuses a document that was parsed but is wrong in itself.
     ///
-    /// Each line is placed at the first field that it names, by its path with
-    /// dots, and that stands in the document.
+    /// A line names fields by their paths with dots and is placed at the first
+    /// of them that stands in the document. Where none does, because a default
+    /// is wrong beside what was set, it is placed at the innermost object
+    /// around the first.
     pub fn refuse(&self, lines: &[String]) -> DocumentError {
         let fault = |line: &String| Fault {
-            place: Some(self.place_of_first_field(line)),
+            place: Some(self.place_of_line(line)),
             text: line.clone(),
         };
+        let mut faults: Vec<Fault> = lines.iter().take(MAX_FAULTS_SHOWN).map(fault).collect();
+        if lines.len() > MAX_FAULTS_SHOWN {
+            faults.push(Fault {
+                place: None,
+                text: format!("and {} more", lines.len() - MAX_FAULTS_SHOWN),
+            });
+        }
         DocumentError {
             name: self.name.clone(),
-            faults: lines.iter().map(fault).collect(),
+            faults,
         }
     }
 
-    fn place_of_first_field(&self, line: &str) -> Place {
-        line.split_whitespace()
+    fn place_of_line(&self, line: &str) -> Place {
+        let found: Vec<Found<'_>> = line
+            .split_whitespace()
             .map(|word| word.trim_matches([':', ',', ';', '`', '"', '(', ')']))
-            .find_map(|word| self.place_of(word))
-            .unwrap_or(Place::START)
+            .filter_map(|word| find(&self.text, word))
+            .collect();
+        let best = found.iter().find(|f| f.whole).or(found.first());
+        best.map_or(Place::START, |found| self.place(found.part))
     }
 
-    /// The place of a field's value; `None` when the field is not there.
-    pub fn place_of(&self, path: &str) -> Option<Place> {
-        let mut part = self.text.as_str();
-        for name in path.split('.') {
-            let fields: IndexMap<String, &value::RawValue> = serde_json::from_str(part).ok()?;
-            part = fields.get(name)?.get();
+    /// The place of a part of the text, which the library borrowed from it.
+    fn place(&self, part: &str) -> Place {
+        let offset = (part.as_ptr() as usize).saturating_sub(self.text.as_ptr() as usize);
+        Place::at_offset(&self.text, offset)
+    }
+}
+
+/// The value that a path leads to, or the innermost one on the way.
+struct Found<'a> {
+    part: &'a str,
+    whole: bool,
+}
+
+/// Follows a path whose names are joined by dots and may hold dots themselves;
+/// `None` when not even its first name is there.
+fn find<'a>(text: &'a str, path: &str) -> Option<Found<'a>> {
+    let fields: IndexMap<String, &'a value::RawValue> = serde_json::from_str(text).ok()?;
+    let mut best = None;
+    for (name, value) in fields {
+        let part = value.get();
+        let found = match path.strip_prefix(name.as_str()) {
+            Some("") => Found { part, whole: true },
+            Some(rest) if rest.starts_with('.') => {
+                find(part, &rest[1..]).unwrap_or(Found { part, whole: false })
+            }
+            _ => continue,
+        };
+        if found.whole {
+            return Some(found);
         }
-        let offset = (part.as_ptr() as usize).checked_sub(self.text.as_ptr() as usize)?;
-        Some(Place::at_offset(&self.text, offset))
+        best = Some(found);
     }
+    best
 }
 
+/// Where the library gave up: after the last good byte, or, when it read to
+/// the end for the end of a comment, where that comment begins.
+fn place_of_bad_comment(text: &str) -> Place {
+    let mut stripper = StripComments::new(text.as_bytes());
+    let mut byte = [0];
+    let mut good = 0;
+    // One byte at a time, since a longer read fails as a whole.
+    while stripper.read(&mut byte).is_ok_and(|length| length > 0) {
+        good += 1;
+    }
+    let offset = if good == text.len() {
+        text.rfind("/*").unwrap_or(good)
+    } else {
+        good
+    };
+    Place::at_offset(text, offset)
+}
+
+/// What the standard library says of an address, which names no form.
+const BAD_ADDRESS: &str = "invalid socket address syntax";
+
 /// The message of a JSON error without the place, which is shown in front.
 fn without_place(error: &serde_json::Error) -> String {
     let message = error.to_string();
     let place = format!(" at line {} column {}", error.line(), error.column());
     match message.strip_suffix(&place) {
+        Some(BAD_ADDRESS) => format!("{BAD_ADDRESS}, expected IP:PORT like 127.0.0.1:7101"),
         Some(message) => message.to_owned(),
         None => message,
     }
