Let owners take turns with work that waited long

Cause: at saturation all best-effort work waits longer than the ageing time and then went by age alone, so an owner that asks for three times as much waited no longer than the others. Test owners_take_turns_with_work_that_ waited_long failed before (0 of 20 picks for the light owner, wanted 10).

--- a/crates/figscale-core/src/job/placement/line.rs
+++ b/crates/figscale-core/src/job/placement/line.rs
@@ -154,12 +154,9 @@
     }
 }
 
-/// Whether owners take turns at a level.
+/// Whether owners take turns at a level: but where a deadline is near.
 fn is_fair(level: queue::Level) -> bool {
-    use queue::Level::BestEffort;
-    use queue::Level::Deadline;
-    use queue::Level::Interactive;
-    matches!(level, Interactive | Deadline | BestEffort)
+    level != queue::Level::Due
 }
 
 /// Rank in time within a list: the deadline, or since when it waits.
--- a/crates/figscale-core/src/job/placement/queue.rs
+++ b/crates/figscale-core/src/job/placement/queue.rs
@@ -8,7 +8,8 @@
 //! 1. interactive work, by fair share among owners;
 //! 2. work that misses its deadline unless it starts soon, earliest first;
 //! 3. other work with a deadline, by fair share, earliest first within an owner;
-//! 4. best-effort work that waited long, oldest first;
+//! 4. best-effort work that waited long, by fair share, oldest first within an
+//!    owner;
 //! 5. other best-effort work, by fair share.
 //!
 //! Work whose deadline cannot be met any more ranks with level 4, so that it
--- a/crates/figscale-core/tests/placement/order.rs
+++ b/crates/figscale-core/tests/placement/order.rs
@@ -262,6 +262,22 @@
     assert!((cpu - double).abs() < 0.02, "{cpu} {double}");
 }
 
+/// When all that waits has waited long, an owner with a large backlog must not
+/// go first only because its work is older.
+#[test]
+fn owners_take_turns_with_work_that_waited_long() {
+    let mut bench = Bench::new(1);
+    let now = bench.now;
+    let size = kit::size(1_000, 1, 0);
+    for (owner, waited_s) in [("heavy", 2_000), ("light", 1_000)] {
+        let mut work = kit::work(owner, owner, size, catalogue::Urgency::BestEffort, now);
+        work.queued_at = now - time::Duration::from_secs(waited_s);
+        bench.push(work, 100);
+    }
+    let placed = bench.placed_jobs(20);
+    assert_eq!(placed.iter().filter(|job| *job == "light").count(), 10);
+}
+
 #[test]
 fn quota_counts_use_at_peers() {
     let mut bench = Bench::new(4);
