Promise a worker to what found no room at a placer without a queue

Cause: homes ask placers for one task at a time, so what a pass does against starvation and for accelerators did nothing there. Tests a_large_task_finds_ room_though_small_ones_keep_coming (400 rounds, never placed) and a_placer_remembers_that_accelerators_are_wanted failed before. Change: one promise at a time to the first that found no room, lapsing 1 s after its job stops asking; never for gangs, whose rest may wait elsewhere. Accelerators count as wanted for 5 s. Ruled out: keeping room until it is taken, which would leave it idle when the job goes elsewhere.

--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -10,7 +10,6 @@
 use std::fmt;
 use std::time;
 
-use figscale_types::catalogue;
 use figscale_types::claims;
 use figscale_types::ids;
 use figscale_types::instances;
@@ -20,6 +19,7 @@
 use indexmap::IndexSet;
 
 use super::place;
+use super::promise;
 use super::work;
 use super::worker;
 
@@ -71,7 +71,9 @@
     pub(super) counted: sizes::Resources,
     pub(super) examined: u64,
     /// The most urgent work that waits for accelerators.
-    pub(super) accelerators_wanted: Option<catalogue::Urgency>,
+    pub(super) accelerators_wanted: Option<promise::Wanted>,
+    /// The worker promised to a job.
+    pub(super) promise: Option<promise::Promise>,
 }
 
 impl Cluster {
--- a/crates/figscale-core/src/job/placement/gang.rs
+++ b/crates/figscale-core/src/job/placement/gang.rs
@@ -303,7 +303,7 @@
     ) -> Vec<pass::Placement> {
         let mut held = Vec::new();
         for ask in asks {
-            let _ = self.place(ask, now, Some(expires));
+            let _ = self.try_place(ask, now, Some(expires));
             let Some(holding) = self.holdings.get_mut(&ask.task) else {
                 continue;
             };
--- a/crates/figscale-core/src/job/placement/mod.rs
+++ b/crates/figscale-core/src/job/placement/mod.rs
@@ -27,6 +27,7 @@
 mod pass;
 mod place;
 pub mod preempt;
+mod promise;
 mod queue;
 mod shares;
 pub mod summary;
--- a/crates/figscale-core/src/job/placement/pass.rs
+++ b/crates/figscale-core/src/job/placement/pass.rs
@@ -72,7 +72,8 @@
         let line = line::Line::new(self, input.cluster, input.shares, input.now);
         let waiting = self.groups.values().map(|group| &group.work);
         let accelerated = waiting.filter(|work| work.size.accelerators > 0);
-        input.cluster.accelerators_wanted = accelerated.map(|work| work.urgency).min();
+        let wanted = accelerated.map(|work| work.urgency).min();
+        input.cluster.set_accelerators_wanted(wanted, input.now);
         let mut holds_left = (input.cluster.workers().len() / HELD_ONE_IN).max(1);
         if input.cluster.workers().len() == 1 {
             holds_left = 0;
--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -75,12 +75,8 @@
 impl error::Error for NoPlace {}
 
 impl cluster::Cluster {
-    /// Places a task: filter, score, commit.
-    ///
-    /// # Errors
-    ///
-    /// Nothing changes if no worker can take it for now.
-    pub fn place(
+    /// Places a task without keeping anything for it if there is no room.
+    pub(super) fn try_place(
         &mut self,
         ask: &work::Ask,
         now: time::Instant,
@@ -111,7 +107,7 @@
     ) -> Result<Vec<ids::InstanceId>, NoPlace> {
         let mut placed = Vec::with_capacity(asks.len());
         for ask in asks {
-            match self.place(ask, now, expires) {
+            match self.try_place(ask, now, expires) {
                 Ok(id) => placed.push(id),
                 Err(error) => {
                     for ask in &asks[..placed.len()] {
@@ -127,23 +123,8 @@
     /// Keeps, for the rest of a pass, the worker on which a task that found no
     /// room will fit soonest; returns whether there is one.
     pub(super) fn hold_for(&mut self, ask: &work::Ask) -> bool {
-        let open = |worker: &&mut worker::Worker| {
-            let usable = worker.takes_work() && worker.held.is_none();
-            // A worker with room for it is closed to it for another reason.
-            let full = !worker.free().holds(&ask.size);
-            let fits_empty = worker.capacity.holds(&ask.size);
-            usable && full && fits_empty && !ask.avoid.contains(&worker.id)
-        };
-        let missing = |worker: &worker::Worker| {
-            let missing = ask.size.minus(&worker.free());
-            missing.dominant_share(&worker.capacity)
-        };
-        let soonest = self
-            .workers
-            .values_mut()
-            .filter(open)
-            .min_by(|a, b| missing(a).total_cmp(&missing(b)));
-        match soonest {
+        let soonest = self.soonest(ask).map(|worker| worker.id.clone());
+        match soonest.and_then(|id| self.workers.get_mut(&id)) {
             Some(worker) => {
                 worker.held = Some(ask.urgency);
                 true
@@ -177,7 +158,7 @@
         urgency: catalogue::Urgency,
     ) -> bool {
         let wanted = self.accelerators_wanted;
-        let yields = wanted.is_some_and(|wanted| wanted <= urgency);
+        let yields = wanted.is_some_and(|wanted| wanted.urgency <= urgency);
         let may_wait = urgency != catalogue::Urgency::Interactive;
         yields && may_wait && size.accelerators == 0
     }
@@ -189,10 +170,11 @@
             _ => None,
         };
         let keeps_accelerators = self.keeps_accelerators(&ask.size, ask.urgency);
+        let promised = self.promised_from(ask);
         let mut examined = 0;
-        for worker in self.workers.values() {
+        for (position, worker) in self.workers.values().enumerate() {
             examined += 1;
-            if !fits(worker, ask, keeps_accelerators) {
+            if promised == Some(position) || !fits(worker, ask, keeps_accelerators) {
                 continue;
             }
             let cost = cost(worker, ask, spread);
--- a/crates/figscale-core/tests/placement/room.rs
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -321,3 +321,68 @@
         Err(placement::NoPlace::Kept)
     );
 }
+
+/// At a placer, which is asked for one task at a time, small tasks that come
+/// and go must not keep a large one waiting for ever; and room that is kept
+/// for it must not stay idle once nobody asks any more.
+#[test]
+fn a_large_task_finds_room_though_small_ones_keep_coming() {
+    let mut now = time::Instant::now();
+    let mut cluster = kit::cluster(4);
+    let urgency = catalogue::Urgency::Deadline;
+    let large = kit::ask("large", 0, kit::size(60_000, 1, 0), urgency);
+    let mut running = std::collections::VecDeque::new();
+    let mut started = false;
+    for round in 0..400_u32 {
+        if round >= 10 && cluster.place(&large, now, None).is_ok() {
+            started = true;
+            break;
+        }
+        for index in 0..40 {
+            let job = format!("small-{round}");
+            let small = kit::ask(&job, index, kit::size(4_000, 1, 0), urgency);
+            if cluster.place(&small, now, None).is_err() {
+                break;
+            }
+            running.push_back(small.task);
+        }
+        for _ in 0..4 {
+            let ended = running.pop_front().expect("many run");
+            cluster.release(&ended);
+        }
+        now += time::Duration::from_millis(100);
+    }
+    assert!(started, "the large task starved");
+    let again = kit::ask("again", 0, kit::size(64_000, 1, 0), urgency);
+    cluster
+        .place(&again, now, None)
+        .expect_err("no worker is empty");
+    now += time::Duration::from_secs(2);
+    let small = |index| kit::ask("more", index, kit::size(4_000, 1, 0), urgency);
+    let more = (0..64).filter(|index| cluster.place(&small(*index), now, None).is_ok());
+    assert!(more.count() > 0, "room was free");
+    let full = |worker: &placement::Worker| worker.free().cpu_millis.0 < 4_000;
+    assert!(cluster.workers().all(full), "kept for nobody");
+}
+
+/// Plain work leaves room beside accelerators after a task found none there.
+#[test]
+fn a_placer_remembers_that_accelerators_are_wanted() {
+    let now = time::Instant::now();
+    let mut cluster = placement::Cluster::new(placement::Config::default());
+    cluster.add_worker(&kit::instance(3), placement::Readiness::Ready);
+    let urgency = catalogue::Urgency::Deadline;
+    let fill = kit::ask("fill", 0, kit::size(40_000, 1, 1), urgency);
+    cluster.place(&fill, now, None).expect("room");
+    let gang = kit::ask("gang", 0, kit::size(40_000, 1, 2), urgency);
+    cluster
+        .place(&gang, now, None)
+        .expect_err("no processors left");
+    cluster.release(&fill.task);
+    let plain = |index| kit::ask("plain", index, kit::size(20_000, 1, 0), urgency);
+    assert!(cluster.place(&plain(0), now, None).is_err());
+    assert!(cluster.place(&gang, now, None).is_ok());
+    cluster.release(&gang.task);
+    let later = now + time::Duration::from_secs(6);
+    assert!(cluster.place(&plain(0), later, None).is_ok());
+}
