A test of a watch waits until the watch does

Cause: two guards taken out (the tick that lapses leases, the end of watches in an outage) left the tests green, since the change came before the watch did. Change: Handle::waiting_watches; the tests change something only once a watch waits. The cell's walk waits until the homes of request ids take new ones.

--- a/crates/figscale-standin/src/cell/walk.rs
+++ b/crates/figscale-standin/src/cell/walk.rs
@@ -22,6 +22,8 @@
 const TELL: time::Duration = time::Duration::from_secs(5);
 /// Arrivals a second, of all callers.
 const RATE_PER_S: f64 = 60.0;
+/// Time of the load that finds out whether the homes of request ids are up.
+const PROBE: time::Duration = time::Duration::from_millis(500);
 
 /// What to do with a cell.
 #[derive(Clone, Copy, Debug)]
@@ -64,6 +66,7 @@
     let operator = &operators[0];
     apply(cell, operator).await?;
     wait_until_ready(&operators).await?;
+    wait_until_homes_take_ids(cell, options.seed).await?;
     requests(cell, options).await?;
     run_jobs(cell, operator).await?;
     check_promises(cell)
@@ -111,6 +114,20 @@
     Ok(())
 }
 
+/// A new home of request ids refuses those that may be older than itself, so
+/// requests that may run only once are taken a little later than others.
+async fn wait_until_homes_take_ids(cell: &Cell, seed: u64) -> eyre::Result<()> {
+    let mut probe = load_config(cell, PROBE, seed)?;
+    probe.classes.retain(|class| !class.idempotent);
+    operator::wait_for("requests that run once are taken", PATIENCE, async || {
+        let report = load::run(&probe).await;
+        let (own, all) = (report.all.own, report.all.requests);
+        eyre::ensure!(own == all, "{own} of {all}: {:?}", report.all.failed);
+        Ok(())
+    })
+    .await
+}
+
 fn load_config(cell: &Cell, duration: time::Duration, seed: u64) -> eyre::Result<load::Config> {
     let target = |entry: &super::EntryAddresses| load::Target {
         address: entry.caller,
--- a/crates/figscale-standin/src/platform/mod.rs
+++ b/crates/figscale-standin/src/platform/mod.rs
@@ -259,6 +259,11 @@
         all.fold(Counts::default(), |sum, one| sum.plus(one))
     }
 
+    /// Watches that wait now.
+    pub fn waiting_watches(&self) -> usize {
+        self.shared.revision.receiver_count()
+    }
+
     /// Forgets the counts, to measure from here on.
     pub fn reset_counts(&self) {
         lock(&self.shared.counts).clear();
--- a/crates/figscale-standin/tests/platform.rs
+++ b/crates/figscale-standin/tests/platform.rs
@@ -62,6 +62,18 @@
             .lease
     }
 
+    /// Waits until a watch has come in and waits itself.
+    async fn watch_waits(&self) {
+        let waits = async {
+            while self.platform.waiting_watches() == 0 {
+                tokio::time::sleep(time::Duration::from_millis(2)).await;
+            }
+        };
+        tokio::time::timeout(LONG, waits)
+            .await
+            .expect("a watch waits");
+    }
+
     async fn renew(&self, lease: ids::LeaseId) -> StatusCode {
         let path = format!("/v1/leases/{lease}");
         let call = client::Call::put(self.platform.address(), path);
@@ -161,7 +173,10 @@
 
     let path = format!("/v1/watch/k?after={}&wait_ms=30000", revision(&seen));
     let watch = bench.send(bench.get(&path));
-    let lapse = async { bench.clock.advance(time::Duration::from_secs(2)) };
+    let lapse = async {
+        bench.watch_waits().await;
+        bench.clock.advance(time::Duration::from_secs(2));
+    };
     let (seen, ()) = tokio::join!(watch, lapse);
     assert_eq!(seen.status, StatusCode::NOT_FOUND);
 }
@@ -170,7 +185,10 @@
 async fn an_outage_ends_watches_and_changes_nothing() {
     let bench = bench(platform::Config::default()).await;
     let watch = bench.send(bench.get("/v1/watch/k?after=0&wait_ms=30000"));
-    let outage = async { bench.platform.change_faults(|faults| faults.outage = true) };
+    let outage = async {
+        bench.watch_waits().await;
+        bench.platform.change_faults(|faults| faults.outage = true);
+    };
     let (seen, ()) = tokio::join!(watch, outage);
     assert_eq!(seen.status, StatusCode::SERVICE_UNAVAILABLE);
     let put = bench.send(bench.put("k", 0, "one")).await;
