--- a/crates/figscale-standin/tests/load.rs
+++ b/crates/figscale-standin/tests/load.rs
@@ -79,6 +79,17 @@
     assert_eq!(runner.ledger().requests().len() as u64, report.all.requests);
 }
 
+#[tokio::test]
+async fn classes_of_one_entry_are_counted_together() {
+    let runner = wide_runner().await;
+    let config = load::Config {
+        classes: vec![class("quotes", 1.0), class("quotes", 1.0)],
+        ..config(&[(runner.address(), 1.0)])
+    };
+    let report = load::run(&config).await;
+    assert_eq!(report.classes["quotes"].requests, report.all.requests);
+}
+
 /// What a dishonest server answers to every request.
 type Lie = fn(&str) -> (StatusCode, String, String);
 
