--- a/crates/figscale-standin/src/load/report.rs
+++ b/crates/figscale-standin/src/load/report.rs
@@ -129,17 +129,22 @@
 
 impl Report {
     pub(super) fn new(classes: &[Class], outcomes: Vec<Outcome>, took: time::Duration) -> Self {
-        let of_class =
-            |number| -> Vec<&Outcome> { outcomes.iter().filter(|o| o.class == number).collect() };
-        let numbered = classes.iter().enumerate();
-        let by_class = numbered.map(|(number, class)| {
-            let report = ClassReport::of(&of_class(number));
-            (class.entry.to_string(), report)
-        });
+        let mut by_entry: IndexMap<String, Vec<&Outcome>> = IndexMap::new();
+        for class in classes {
+            by_entry.entry(class.entry.to_string()).or_default();
+        }
+        for outcome in &outcomes {
+            let entry = classes[outcome.class].entry.to_string();
+            by_entry.entry(entry).or_default().push(outcome);
+        }
+        let reports = by_entry
+            .into_iter()
+            .map(|(entry, outcomes)| (entry, ClassReport::of(&outcomes)))
+            .collect();
         Self {
             took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
             all: ClassReport::of(&outcomes.iter().collect::<Vec<_>>()),
-            classes: by_class.collect(),
+            classes: reports,
             outcomes,
         }
     }
