--- a/crates/figscale-standin/src/lib.rs
+++ b/crates/figscale-standin/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod experiment;
 mod http_server;
 pub mod load;
-mod lock;
+mod mutex;
 pub mod platform;
 pub mod ports;
 pub mod proxy;
--- a/crates/figscale-standin/src/load/mod.rs
+++ b/crates/figscale-standin/src/load/mod.rs
@@ -28,7 +28,7 @@
 pub use report::Quantiles;
 pub use report::Report;
 pub use request::Outcome;
-pub use request::Result as RequestResult;
+pub use request::OutcomeKind;
 
 /// A class of requests in a mix.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/figscale-standin/src/load/report.rs
+++ b/crates/figscale-standin/src/load/report.rs
@@ -82,24 +82,28 @@
             ..Self::default()
         };
         for outcome in outcomes {
-            report.count(&outcome.result);
+            report.count(&outcome.kind);
         }
-        let own = || outcomes.iter().filter(|o| o.result == request::Result::Own);
+        let own = || {
+            outcomes
+                .iter()
+                .filter(|o| o.kind == request::OutcomeKind::Own)
+        };
         let failed = outcomes
             .iter()
-            .filter(|o| matches!(o.result, request::Result::Failed { .. }));
+            .filter(|o| matches!(o.kind, request::OutcomeKind::Failed { .. }));
         report.latency = Quantiles::of(own().map(|o| o.latency));
         report.wait = Quantiles::of(own().map(|o| o.latency.saturating_sub(o.run)));
         report.failed_latency = Quantiles::of(failed.map(|o| o.latency));
         report
     }
 
-    fn count(&mut self, result: &request::Result) {
-        match result {
-            request::Result::Own => self.own += 1,
-            request::Result::Wrong(_) => self.wrong += 1,
-            request::Result::NoAnswer(_) => self.no_answer += 1,
-            request::Result::Failed {
+    fn count(&mut self, kind: &request::OutcomeKind) {
+        match kind {
+            request::OutcomeKind::Own => self.own += 1,
+            request::OutcomeKind::Wrong(_) => self.wrong += 1,
+            request::OutcomeKind::NoAnswer(_) => self.no_answer += 1,
+            request::OutcomeKind::Failed {
                 status,
                 verdict,
                 retry_after,
@@ -153,8 +157,8 @@
     pub fn false_not_run(&self, ledger: &runner::Ledger) -> Vec<String> {
         let not_run = |outcome: &&Outcome| {
             matches!(
-                outcome.result,
-                request::Result::Failed {
+                outcome.kind,
+                request::OutcomeKind::Failed {
                     verdict: Some(Verdict::NotRun),
                     ..
                 }
--- a/crates/figscale-standin/src/load/request.rs
+++ b/crates/figscale-standin/src/load/request.rs
@@ -16,7 +16,7 @@
 
 /// What became of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Result {
+pub enum OutcomeKind {
     /// The whole answer to this very request.
     Own,
     /// An answer that is broken, or somebody else's.
@@ -48,7 +48,7 @@
     /// Time from its intended arrival to the end of its answer.
     pub latency: time::Duration,
     /// What became of it.
-    pub result: Result,
+    pub kind: OutcomeKind,
 }
 
 pub(super) struct Request {
@@ -66,9 +66,9 @@
         let body = self.body(request_id);
         let call = self.call(request_id, body.clone());
         let answer = self.client.send_within(self.patience, call).await;
-        let result = match answer {
+        let kind = match answer {
             Ok(answer) => judge(&answer, request_id, &body),
-            Err(error) => Result::NoAnswer(error.to_string()),
+            Err(error) => OutcomeKind::NoAnswer(error.to_string()),
         };
         Outcome {
             request_id,
@@ -76,7 +76,7 @@
             idempotent: self.class.idempotent,
             run: time::Duration::from_millis(self.arrival.run_ms),
             latency: self.due.elapsed(),
-            result,
+            kind,
         }
     }
 
@@ -103,26 +103,26 @@
     }
 }
 
-fn judge(answer: &client::Answer, request_id: ids::RequestId, body: &[u8]) -> Result {
+fn judge(answer: &client::Answer, request_id: ids::RequestId, body: &[u8]) -> OutcomeKind {
     if !answer.status.is_success() {
-        return Result::Failed {
+        return OutcomeKind::Failed {
             status: answer.status,
             verdict: answer.header(headers::VERDICT).parse().ok(),
             retry_after: !answer.header("retry-after").is_empty(),
         };
     }
     if answer.header(headers::CHECKSUM) != runner::checksum(&answer.body) {
-        return Result::Wrong("the checksum does not match".to_owned());
+        return OutcomeKind::Wrong("the checksum does not match".to_owned());
     }
     let told: runner::RunAnswer = match answer.json() {
         Ok(told) => told,
-        Err(error) => return Result::Wrong(error.to_string()),
+        Err(error) => return OutcomeKind::Wrong(error.to_string()),
     };
     if told.request_id != request_id.to_string() {
-        return Result::Wrong(format!("it is the answer to {}", told.request_id));
+        return OutcomeKind::Wrong(format!("it is the answer to {}", told.request_id));
     }
     if told.body_checksum != runner::checksum(body) {
-        return Result::Wrong("the runner got another body".to_owned());
+        return OutcomeKind::Wrong("the runner got another body".to_owned());
     }
-    Result::Own
+    OutcomeKind::Own
 }
--- a/crates/figscale-standin/src/platform/api.rs
+++ b/crates/figscale-standin/src/platform/api.rs
@@ -30,7 +30,7 @@
 use super::counts;
 use super::store;
 use crate::http_server;
-use crate::lock::lock;
+use crate::mutex;
 
 type SharedState = State<sync::Arc<Shared>>;
 
@@ -80,7 +80,7 @@
         received_bytes: received,
         sent_bytes: sent,
     };
-    let mut all = lock(&layer.shared.counts);
+    let mut all = mutex::lock(&layer.shared.counts);
     let line = all.entry(client).or_default().entry(kind).or_default();
     *line = line.plus(&one);
     drop(all);
@@ -108,7 +108,7 @@
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
         let now = self.shared.clock.now();
-        if !lock(&self.shared.limits).take(kind.is_write(), now) {
+        if !mutex::lock(&self.shared.limits).take(kind.is_write(), now) {
             return StatusCode::TOO_MANY_REQUESTS.into_response();
         }
         let mut response = tokio::select! {
@@ -133,7 +133,8 @@
             return response;
         }
         let probability = self.shared.faults.borrow().lose_answer_probability;
-        let by_chance = probability > 0.0 && lock(&self.chance).random_bool(probability.min(1.0));
+        let by_chance =
+            probability > 0.0 && mutex::lock(&self.chance).random_bool(probability.min(1.0));
         let by_order = self.shared.faults.send_if_modified(|faults| {
             let lose = faults.lose_next_answers > 0;
             faults.lose_next_answers = faults.lose_next_answers.saturating_sub(1);
@@ -291,5 +292,5 @@
 
 async fn instances(State(shared): SharedState) -> impl IntoResponse {
     let now = shared.clock.now();
-    Json(lock(&shared.instances).shown(now))
+    Json(mutex::lock(&shared.instances).shown(now))
 }
--- a/crates/figscale-standin/src/platform/control.rs
+++ b/crates/figscale-standin/src/platform/control.rs
@@ -6,13 +6,12 @@
 use axum::Router;
 use axum::extract::State;
 use axum::routing;
-use figscale_types::instances::Instance;
-use figscale_types::instances::InstanceList;
+use figscale_types::instances;
 
 use super::Faults;
 use super::Shared;
 use super::counts;
-use crate::lock::lock;
+use crate::mutex;
 
 type SharedState = State<sync::Arc<Shared>>;
 
@@ -35,16 +34,16 @@
     shared.faults.send_replace(faults);
 }
 
-async fn instances(State(shared): SharedState) -> Json<InstanceList> {
+async fn instances(State(shared): SharedState) -> Json<instances::InstanceList> {
     let now = shared.clock.now();
-    Json(lock(&shared.instances).shown(now))
+    Json(mutex::lock(&shared.instances).shown(now))
 }
 
-async fn set_instances(State(shared): SharedState, Json(lines): Json<Vec<Instance>>) {
+async fn set_instances(State(shared): SharedState, Json(lines): Json<Vec<instances::Instance>>) {
     let now = shared.clock.now();
-    lock(&shared.instances).change(now, |instances| *instances = lines);
+    mutex::lock(&shared.instances).change(now, |instances| *instances = lines);
 }
 
 async fn read_counts(State(shared): SharedState) -> Json<counts::CountsByClient> {
-    Json(lock(&shared.counts).clone())
+    Json(mutex::lock(&shared.counts).clone())
 }
--- a/crates/figscale-standin/src/platform/instances.rs
+++ b/crates/figscale-standin/src/platform/list.rs
@@ -4,28 +4,27 @@
 use std::time;
 
 use figscale_types::ids;
-use figscale_types::instances::Instance;
-use figscale_types::instances::InstanceList;
+use figscale_types::instances;
 
 #[derive(Clone, Debug)]
 struct Version {
     revision: ids::Revision,
     visible_at: time::Instant,
-    instances: Vec<Instance>,
+    instances: Vec<instances::Instance>,
 }
 
 #[derive(Debug)]
 pub(crate) struct LaggingList {
     lag: time::Duration,
     /// What readers see.
-    shown: InstanceList,
+    shown: instances::InstanceList,
     /// What they will see, oldest first.
     pending: collections::VecDeque<Version>,
 }
 
 impl LaggingList {
-    pub(crate) fn new(instances: Vec<Instance>, lag: time::Duration) -> Self {
-        let shown = InstanceList {
+    pub(crate) fn new(instances: Vec<instances::Instance>, lag: time::Duration) -> Self {
+        let shown = instances::InstanceList {
             revision: ids::Revision(1),
             lag_ms: millis(lag),
             instances,
@@ -42,7 +41,11 @@
         self.shown.lag_ms = millis(lag);
     }
 
-    pub(crate) fn change(&mut self, now: time::Instant, change: impl FnOnce(&mut Vec<Instance>)) {
+    pub(crate) fn change(
+        &mut self,
+        now: time::Instant,
+        change: impl FnOnce(&mut Vec<instances::Instance>),
+    ) {
         let (revision, instances) = self.latest();
         let mut instances = instances.to_vec();
         let revision = revision.next();
@@ -54,7 +57,7 @@
         });
     }
 
-    pub(crate) fn shown(&mut self, now: time::Instant) -> InstanceList {
+    pub(crate) fn shown(&mut self, now: time::Instant) -> instances::InstanceList {
         while let Some(version) = self.pending.pop_front_if(|v| v.visible_at <= now) {
             self.shown.revision = version.revision;
             self.shown.instances = version.instances;
@@ -62,7 +65,7 @@
         self.shown.clone()
     }
 
-    fn latest(&self) -> (ids::Revision, &[Instance]) {
+    fn latest(&self) -> (ids::Revision, &[instances::Instance]) {
         match self.pending.back() {
             Some(version) => (version.revision, &version.instances),
             None => (self.shown.revision, &self.shown.instances),
--- a/crates/figscale-standin/src/platform/mod.rs
+++ b/crates/figscale-standin/src/platform/mod.rs
@@ -17,8 +17,8 @@
 mod api;
 mod control;
 mod counts;
-mod instances;
 mod limits;
+mod list;
 mod store;
 
 use std::io;
@@ -28,7 +28,7 @@
 
 use figscale_types::clock;
 use figscale_types::ids;
-use figscale_types::instances::Instance;
+use figscale_types::instances;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,7 +36,7 @@
 use tokio::task;
 
 use crate::http_server;
-use crate::lock::lock;
+use crate::mutex;
 
 pub use counts::CallKind;
 pub use counts::Counts;
@@ -56,7 +56,7 @@
     /// Time by which the instance list lags. Default 0.
     pub instance_lag: time::Duration,
     /// The list at the start, in force at once. Default: empty.
-    pub instances: Vec<Instance>,
+    pub instances: Vec<instances::Instance>,
     /// Seed of the chance by which answers are lost. Default 1.
     pub seed: u64,
     /// The clock by which leases lapse. Default: the system's.
@@ -116,7 +116,7 @@
     clock: clock::SharedClock,
     seed: u64,
     store: sync::Mutex<store::Store>,
-    instances: sync::Mutex<instances::LaggingList>,
+    instances: sync::Mutex<list::LaggingList>,
     limits: sync::Mutex<limits::Limits>,
     counts: sync::Mutex<counts::CountsByClient>,
     faults: watch::Sender<Faults>,
@@ -131,7 +131,7 @@
             clock: config.clock.clone(),
             seed: config.seed,
             store: sync::Mutex::new(store::Store::default()),
-            instances: sync::Mutex::new(instances::LaggingList::new(
+            instances: sync::Mutex::new(list::LaggingList::new(
                 config.instances.clone(),
                 config.instance_lag,
             )),
@@ -145,7 +145,7 @@
     /// Works on the store with lapsed leases removed, then wakes watches.
     fn with_store<R>(&self, work: impl FnOnce(&mut store::Store, time::Instant) -> R) -> R {
         let now = self.clock.now();
-        let mut store = lock(&self.store);
+        let mut store = mutex::lock(&self.store);
         store.expire(now);
         let result = work(&mut store, now);
         let revision = store.revision();
@@ -201,18 +201,18 @@
 
     /// Changes the rates that it takes.
     pub fn set_rates(&self, writes_per_s: f64, reads_per_s: f64) {
-        lock(&self.shared.limits).set_rates(writes_per_s, reads_per_s);
+        mutex::lock(&self.shared.limits).set_rates(writes_per_s, reads_per_s);
     }
 
     /// Edits the list of instances; readers see it once the lag has passed.
-    pub fn change_instances(&self, change: impl FnOnce(&mut Vec<Instance>)) {
+    pub fn change_instances(&self, change: impl FnOnce(&mut Vec<instances::Instance>)) {
         let now = self.shared.clock.now();
-        lock(&self.shared.instances).change(now, change);
+        mutex::lock(&self.shared.instances).change(now, change);
     }
 
     /// Sets the time by which later edits of the list lag.
     pub fn set_instance_lag(&self, lag: time::Duration) {
-        lock(&self.shared.instances).set_lag(lag);
+        mutex::lock(&self.shared.instances).set_lag(lag);
     }
 
     /// Reads a key, at any time.
@@ -249,12 +249,12 @@
 
     /// Calls and bytes by client and kind.
     pub fn counts(&self) -> IndexMap<String, IndexMap<CallKind, Counts>> {
-        lock(&self.shared.counts).clone()
+        mutex::lock(&self.shared.counts).clone()
     }
 
     /// Calls and bytes of all clients and kinds.
     pub fn total(&self) -> Counts {
-        let counts = lock(&self.shared.counts);
+        let counts = mutex::lock(&self.shared.counts);
         let all = counts.values().flat_map(IndexMap::values);
         all.fold(Counts::default(), |sum, one| sum.plus(one))
     }
@@ -266,6 +266,6 @@
 
     /// Forgets the counts, to measure from here on.
     pub fn reset_counts(&self) {
-        lock(&self.shared.counts).clear();
+        mutex::lock(&self.shared.counts).clear();
     }
 }
--- a/crates/figscale-standin/src/runner/api.rs
+++ b/crates/figscale-standin/src/runner/api.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use figscale_types::headers;
 use figscale_types::instances;
-use figscale_types::instances::RunnerUsage;
+
 use futures_util::stream;
 use http::HeaderMap;
 use http::HeaderName;
@@ -30,7 +30,7 @@
 use super::Shared;
 use super::answer;
 use super::ledger;
-use crate::lock::lock;
+use crate::mutex;
 
 /// Longest filling of an answer, in bytes.
 const MAX_FILLING_BYTES: usize = 64 << 20;
@@ -49,7 +49,7 @@
         .with_state(shared)
 }
 
-async fn usage(State(shared): SharedState) -> Json<RunnerUsage> {
+async fn usage(State(shared): SharedState) -> Json<instances::RunnerUsage> {
     Json(shared.usage())
 }
 
@@ -144,7 +144,7 @@
             (Ok(ms), _) => time::Duration::from_millis(ms),
             (Err(_), RunTime::Fixed(length)) => length,
             (Err(_), RunTime::Exponential(mean)) => {
-                let chance: f64 = lock(&self.chance).random();
+                let chance: f64 = mutex::lock(&self.chance).random();
                 mean.mul_f64(-(1.0 - chance).ln())
             }
         };
--- a/crates/figscale-standin/src/runner/ledger.rs
+++ b/crates/figscale-standin/src/runner/ledger.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::lock::lock;
+use crate::mutex;
 
 /// Who dispatched a request, as the header `x-figscale-holder` tells.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -154,42 +154,42 @@
 impl Ledger {
     /// Every request seen, in order of arrival.
     pub fn requests(&self) -> Vec<SeenRequest> {
-        lock(&self.book).requests.clone()
+        mutex::lock(&self.book).requests.clone()
     }
 
     /// Whether any runner saw anything of a request and did not refuse it.
     pub fn may_have_run(&self, request_id: &str) -> bool {
-        let book = lock(&self.book);
+        let book = mutex::lock(&self.book);
         let mut lines = book.requests.iter();
         lines.any(|line| line.request_id == request_id && !line.refused)
     }
 
     /// How many times a request ran.
     pub fn runs(&self, request_id: &str) -> u32 {
-        let book = lock(&self.book);
+        let book = mutex::lock(&self.book);
         book.runs.get(request_id).copied().unwrap_or_default()
     }
 
     /// Every promise that was broken, in order.
     pub fn violations(&self) -> Vec<Violation> {
-        lock(&self.book).violations.clone()
+        mutex::lock(&self.book).violations.clone()
     }
 
     /// Most requests that a runner ever ran at once.
     pub fn most_busy(&self, runner: &ids::InstanceId) -> u32 {
-        let book = lock(&self.book);
+        let book = mutex::lock(&self.book);
         book.runners.get(runner).map_or(0, |state| state.most_busy)
     }
 
     /// Requests that a runner runs now.
     pub fn busy(&self, runner: &ids::InstanceId) -> u32 {
-        let book = lock(&self.book);
+        let book = mutex::lock(&self.book);
         book.runners.get(runner).map_or(0, |state| state.busy)
     }
 
     /// Connections open to a runner now.
     pub fn connections(&self, runner: &ids::InstanceId) -> u32 {
-        let book = lock(&self.book);
+        let book = mutex::lock(&self.book);
         book.runners
             .get(runner)
             .map_or(0, |state| state.connections)
@@ -200,7 +200,7 @@
     }
 
     pub(super) fn connected(&self, runner: &ids::InstanceId, limit: u32) {
-        let mut book = lock(&self.book);
+        let mut book = mutex::lock(&self.book);
         let state = book.runners.entry(runner.clone()).or_default();
         state.connections += 1;
         let open = state.connections;
@@ -213,7 +213,7 @@
     }
 
     pub(super) fn disconnected(&self, runner: &ids::InstanceId) {
-        if let Some(state) = lock(&self.book).runners.get_mut(runner) {
+        if let Some(state) = mutex::lock(&self.book).runners.get_mut(runner) {
             state.connections -= 1;
         }
     }
@@ -221,7 +221,7 @@
     /// Writes a line and returns its number.
     pub(super) fn seen(&self, runner: &ids::InstanceId, head: Head) -> usize {
         let seen_us = self.now_us();
-        let mut book = lock(&self.book);
+        let mut book = mutex::lock(&self.book);
         if let Some(holder) = &head.holder {
             book.judge_holder(runner, holder);
         }
@@ -241,7 +241,7 @@
 
     /// Takes a slot; `false` when all are in use.
     pub(super) fn take_slot(&self, line: usize, slots: u32) -> bool {
-        let mut book = lock(&self.book);
+        let mut book = mutex::lock(&self.book);
         let book = &mut *book;
         let request = &mut book.requests[line];
         let state = book.runners.entry(request.runner.clone()).or_default();
@@ -260,7 +260,7 @@
 
     pub(super) fn free_slot(&self, line: usize) {
         let ended_us = self.now_us();
-        let mut book = lock(&self.book);
+        let mut book = mutex::lock(&self.book);
         let book = &mut *book;
         let request = &mut book.requests[line];
         request.ended_us = Some(ended_us);
@@ -270,12 +270,12 @@
     }
 
     pub(super) fn refused(&self, line: usize) {
-        lock(&self.book).requests[line].refused = true;
+        mutex::lock(&self.book).requests[line].refused = true;
     }
 
     pub(super) fn started(&self, line: usize) {
         let started_us = self.now_us();
-        let mut book = lock(&self.book);
+        let mut book = mutex::lock(&self.book);
         let book = &mut *book;
         let request = &mut book.requests[line];
         request.started_us = Some(started_us);
--- a/crates/figscale-standin/src/runner/mod.rs
+++ b/crates/figscale-standin/src/runner/mod.rs
@@ -22,7 +22,7 @@
 use std::time;
 
 use figscale_types::ids;
-use figscale_types::instances::RunnerUsage;
+use figscale_types::instances;
 use rand::SeedableRng as _;
 use rand::rngs;
 use serde::Deserialize;
@@ -31,7 +31,7 @@
 use tokio::task;
 
 use crate::http_server;
-use crate::lock::lock;
+use crate::mutex;
 
 pub use answer::RunAnswer;
 pub use answer::checksum;
@@ -207,16 +207,16 @@
         if !shared.faults.borrow().stale_usage {
             let busy = shared.ledger.busy(&shared.id);
             let taken_at = time::Instant::now();
-            *lock(&shared.usage) = Usage { busy, taken_at };
+            *mutex::lock(&shared.usage) = Usage { busy, taken_at };
         }
     }
 }
 
 impl Shared {
-    fn usage(&self) -> RunnerUsage {
-        let usage = *lock(&self.usage);
+    fn usage(&self) -> instances::RunnerUsage {
+        let usage = *mutex::lock(&self.usage);
         let age = usage.taken_at.elapsed();
-        RunnerUsage {
+        instances::RunnerUsage {
             busy: usage.busy,
             slots: self.slots,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
--- a/crates/figscale-standin/src/worker/ledger.rs
+++ b/crates/figscale-standin/src/worker/ledger.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::lock::lock;
+use crate::mutex;
 
 /// A stretch of time in which a worker worked on a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -74,30 +74,34 @@
 impl TaskLedger {
     /// Every run, in order of its beginning.
     pub fn runs(&self) -> Vec<Run> {
-        lock(&self.0).runs.clone()
+        mutex::lock(&self.0).runs.clone()
     }
 
     /// How many times a task was started, on whatever worker.
     pub fn starts(&self, task: &ids::TaskId) -> u32 {
-        lock(&self.0).starts.get(task).copied().unwrap_or_default()
+        mutex::lock(&self.0)
+            .starts
+            .get(task)
+            .copied()
+            .unwrap_or_default()
     }
 
     /// Starts of all tasks.
     pub fn all_starts(&self) -> IndexMap<ids::TaskId, u32> {
-        lock(&self.0).starts.clone()
+        mutex::lock(&self.0).starts.clone()
     }
 
     /// Every promise that was broken, in order.
     pub fn violations(&self) -> Vec<Violation> {
-        lock(&self.0).violations.clone()
+        mutex::lock(&self.0).violations.clone()
     }
 
     pub(super) fn started(&self, task: &ids::TaskId) {
-        *lock(&self.0).starts.entry(task.clone()).or_default() += 1;
+        *mutex::lock(&self.0).starts.entry(task.clone()).or_default() += 1;
     }
 
     pub(super) fn began(&self, run: Run) {
-        lock(&self.0).begin(run);
+        mutex::lock(&self.0).begin(run);
     }
 
     pub(super) fn renewed(
@@ -106,19 +110,23 @@
         worker: &ids::InstanceId,
         until: time::Instant,
     ) {
-        lock(&self.0).on_open_run(task, worker, |run| run.lease_until = until);
+        mutex::lock(&self.0).on_open_run(task, worker, |run| run.lease_until = until);
     }
 
     pub(super) fn ended(&self, task: &ids::TaskId, worker: &ids::InstanceId, at: time::Instant) {
-        lock(&self.0).end(task, worker, at);
+        mutex::lock(&self.0).end(task, worker, at);
     }
 
     pub(super) fn save(&self, task: &ids::TaskId, ran: time::Duration) {
-        lock(&self.0).saved.insert(task.clone(), ran);
+        mutex::lock(&self.0).saved.insert(task.clone(), ran);
     }
 
     pub(super) fn saved(&self, task: &ids::TaskId) -> time::Duration {
-        lock(&self.0).saved.get(task).copied().unwrap_or_default()
+        mutex::lock(&self.0)
+            .saved
+            .get(task)
+            .copied()
+            .unwrap_or_default()
     }
 }
 
--- a/crates/figscale-standin/src/worker/mod.rs
+++ b/crates/figscale-standin/src/worker/mod.rs
@@ -31,7 +31,7 @@
 use tokio::task;
 
 use crate::http_server;
-use crate::lock::lock;
+use crate::mutex;
 
 pub use behaviour::Behaviour;
 pub use ledger::Run;
@@ -118,14 +118,14 @@
     /// Works on the tasks, brought up to date first.
     fn with_tasks<R>(&self, work: impl FnOnce(&mut tasks::Tasks, time::Instant) -> R) -> R {
         let now = self.clock.now();
-        let mut tasks = lock(&self.tasks);
+        let mut tasks = mutex::lock(&self.tasks);
         tasks.advance(now);
         work(&mut tasks, now)
     }
 
     fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
         let now = self.clock.now();
-        let mut tasks = lock(&self.tasks);
+        let mut tasks = mutex::lock(&self.tasks);
         tasks.advance(now);
         self.faults.send_modify(change);
         tasks.set_faults(self.faults.borrow().clone(), now);
--- a/crates/figscale-standin/tests/load.rs
+++ b/crates/figscale-standin/tests/load.rs
@@ -160,7 +160,7 @@
     let runner = wide_runner().await;
     let mut report = load::run(&config(&[(runner.address(), 1.0)])).await;
     assert!(report.false_not_run(runner.ledger()).is_empty());
-    report.outcomes[0].result = load::RequestResult::Failed {
+    report.outcomes[0].kind = load::OutcomeKind::Failed {
         status: StatusCode::SERVICE_UNAVAILABLE,
         verdict: Some(Verdict::NotRun),
         retry_after: false,
