--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -13,11 +13,7 @@
 impl Placer {
     /// Replaces what placement weighs.
     pub fn set_weights(&mut self, weights: catalogue::Weights) {
-        let config = placement::Config {
-            weights,
-            ..placement::Config::default()
-        };
-        self.cluster.set_config(config);
+        self.cluster.set_config(placement::Config { weights });
     }
 
     /// Gives an order room on a worker.
