Measure entry processes over entries and workers, with lines through the figures

Cause: docs/CAPACITY.md needs slopes, and there was no command that measures real entry processes. Ruled out: /proc/PID/io for bytes, which does not count recv and send on sockets; a proxy on each link counts instead. Change: the scenario capacity, its quick form, a tick and byte counts in the stand-ins.

--- /dev/null
+++ b/crates/figscale-standin/src/experiment/capacity/entry.rs
@@ -0,0 +1,176 @@
+//! A real entry process, with a proxy on each of its links that counts bytes.
+
+use std::env;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+
+use eyre::OptionExt as _;
+use eyre::WrapErr as _;
+use figscale_types::ids;
+use figscale_types::instances;
+use figscale_types::sizes;
+
+use super::usage;
+use crate::ports;
+use crate::proxy;
+
+/// Secret that the entry instances show each other.
+const PEER_TOKEN: &str = "a-secret-of-the-experiment-only";
+
+/// Where an entry instance is reached.
+#[derive(Clone, Debug)]
+pub(super) struct Addresses {
+    pub(super) member: ids::MemberId,
+    pub(super) failure_domain: ids::FailureDomain,
+    pub(super) caller: net::SocketAddr,
+    pub(super) operator: net::SocketAddr,
+    peer: net::SocketAddr,
+}
+
+/// The links of an entry instance.
+struct Links {
+    /// From it to the platform.
+    store: proxy::Handle,
+    /// From all others to it.
+    peers: proxy::Handle,
+}
+
+/// A running entry process; dropping it ends it.
+pub(super) struct Entry {
+    pub(super) addresses: Addresses,
+    child: process::Child,
+    links: Links,
+}
+
+/// What an entry process used and what passed along its links up to a moment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Look {
+    pub(super) used: usage::Used,
+    pub(super) store_bytes: u64,
+    pub(super) peer_bytes: u64,
+}
+
+impl Addresses {
+    /// Free addresses for entry instance `number`.
+    pub(super) fn pick(number: usize, domains: usize) -> eyre::Result<Self> {
+        Ok(Self {
+            member: format!("entry-{}", number + 1).parse()?,
+            failure_domain: format!("domain-{}", number % domains + 1).parse()?,
+            caller: ports::free_address()?,
+            operator: ports::free_address()?,
+            peer: ports::free_address()?,
+        })
+    }
+
+    /// Its line in the platform's list.
+    pub(super) fn line(&self) -> eyre::Result<instances::Instance> {
+        Ok(instances::Instance {
+            id: self.member.as_str().parse()?,
+            role: instances::Role::Entry,
+            address: self.peer,
+            failure_domain: self.failure_domain.clone(),
+            rack: "rack-0".parse()?,
+            service: None,
+            capacity: sizes::Resources::default(),
+            slots: 0,
+            connections: 0,
+            life: instances::Life::Live,
+        })
+    }
+}
+
+/// Starts all entry processes.
+pub(super) async fn start_all(
+    all: &[Addresses],
+    platform: net::SocketAddr,
+    folder: &path::Path,
+) -> eyre::Result<Vec<Entry>> {
+    let mut links = Vec::new();
+    let mut routes = serde_json::Map::new();
+    for addresses in all {
+        let peers = proxy::start(proxy::Config::to(addresses.peer)).await?;
+        let store = proxy::start(proxy::Config::to(platform)).await?;
+        routes.insert(
+            addresses.peer.to_string(),
+            peers.address().to_string().into(),
+        );
+        links.push(Links { store, peers });
+    }
+    let mut entries = Vec::new();
+    for (addresses, links) in all.iter().zip(links) {
+        entries.push(start(addresses, links, &routes, folder)?);
+    }
+    Ok(entries)
+}
+
+fn start(
+    addresses: &Addresses,
+    links: Links,
+    routes: &serde_json::Map<String, serde_json::Value>,
+    folder: &path::Path,
+) -> eyre::Result<Entry> {
+    let settings = serde_json::json!({
+        "member": addresses.member,
+        "failure_domain": addresses.failure_domain,
+        "caller_address": addresses.caller,
+        "peer_address": addresses.peer,
+        "operator_address": addresses.operator,
+        "platform_address": links.store.address(),
+        "peer_token": PEER_TOKEN,
+        "claims": { "peer_routes": routes },
+    });
+    let file = folder.join(format!("{}.json", addresses.member));
+    fs::write(&file, settings.to_string())?;
+    let log = fs::File::create(folder.join(format!("{}.log", addresses.member)))?;
+    let program = program()?;
+    let child = process::Command::new(&program)
+        .args(["serve", "--settings"])
+        .arg(&file)
+        .stdin(process::Stdio::null())
+        .stdout(process::Stdio::null())
+        .stderr(log)
+        .spawn()
+        .wrap_err_with(|| program.display().to_string())?;
+    Ok(Entry {
+        addresses: addresses.clone(),
+        child,
+        links,
+    })
+}
+
+/// The `figscale` program beside this one.
+fn program() -> eyre::Result<path::PathBuf> {
+    let this = env::current_exe()?;
+    let program = this.parent().ok_or_eyre("no folder")?.join("figscale");
+    eyre::ensure!(
+        program.exists(),
+        "{} is missing: cargo build --release -p figscale",
+        program.display()
+    );
+    Ok(program)
+}
+
+impl Entry {
+    /// What it has used up to now.
+    pub(super) fn look(&self) -> eyre::Result<Look> {
+        let bytes = |link: &proxy::Handle| {
+            let traffic = link.traffic();
+            traffic.to_target_bytes + traffic.to_client_bytes
+        };
+        Ok(Look {
+            used: usage::Used::by(self.child.id())?,
+            store_bytes: bytes(&self.links.store),
+            peer_bytes: bytes(&self.links.peers),
+        })
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/figscale-standin/src/experiment/mod.rs
+++ b/crates/figscale-standin/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 //! itself when it is quoted. To add one, write a module beside this one and a
 //! line in [`SCENARIOS`]. A scenario measures its baseline in the same run.
 
+pub mod capacity;
 mod tools;
 
 use std::future;
@@ -27,6 +28,16 @@
 
 /// Every scenario.
 pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "capacity",
+        help: "cost of an entry process by entries, workers, tasks and rates; under 6 minutes",
+        measure: |_| Box::pin(capacity::measure(false)),
+    },
+    Scenario {
+        name: "capacity-quick",
+        help: "the same at small sizes; under 60 s",
+        measure: |_| Box::pin(capacity::measure(true)),
+    },
     Scenario {
         name: "load-tool",
         help: "latency that the load tool itself adds, with and without the proxy",
--- a/crates/figscale-standin/src/http_server.rs
+++ b/crates/figscale-standin/src/http_server.rs
@@ -4,8 +4,12 @@
 //! a process does that dies, and a handler may close a connection without an
 //! answer, which is how a lost answer looks from outside.
 
+mod counted;
+
 use std::io;
 use std::net;
+use std::sync;
+use std::sync::atomic;
 
 use axum::Router;
 use axum::body::Body;
@@ -38,6 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     address: net::SocketAddr,
+    bytes: sync::Arc<atomic::AtomicU64>,
     task: task::JoinHandle<()>,
 }
 
@@ -50,8 +55,18 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let task = tokio::spawn(accept(listener, app, connected));
-        Ok(Self { address, task })
+        let bytes = sync::Arc::new(atomic::AtomicU64::new(0));
+        let task = tokio::spawn(accept(listener, app, bytes.clone(), connected));
+        Ok(Self {
+            address,
+            bytes,
+            task,
+        })
+    }
+
+    /// Bytes received and sent over all connections.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes.load(atomic::Ordering::Relaxed)
     }
 
     /// Where it listens.
@@ -69,6 +84,7 @@
 async fn accept<G: Send + 'static>(
     listener: TcpListener,
     app: Router,
+    bytes: sync::Arc<atomic::AtomicU64>,
     connected: impl Fn() -> G + Send + 'static,
 ) {
     let mut connections = task::JoinSet::new();
@@ -78,8 +94,9 @@
                 let Ok((stream, _)) = accepted else { continue };
                 let guard = connected();
                 let app = app.clone();
+                let bytes = bytes.clone();
                 connections.spawn(async move {
-                    serve(stream, app).await;
+                    serve(stream, app, bytes).await;
                     drop(guard);
                 });
             }
@@ -88,8 +105,9 @@
     }
 }
 
-async fn serve(stream: TcpStream, app: Router) {
+async fn serve(stream: TcpStream, app: Router, bytes: sync::Arc<atomic::AtomicU64>) {
     let _ = stream.set_nodelay(true);
+    let stream = counted::Counted::new(stream, bytes);
     let app = TowerToHyperService::new(app);
     let service = service::service_fn(move |request: Request<Incoming>| {
         let answer = app.call(request);
--- a/crates/figscale-standin/src/main.rs
+++ b/crates/figscale-standin/src/main.rs
@@ -189,6 +189,9 @@
     /// seed (default 1)
     #[argh(option, default = "1")]
     seed: u64,
+    /// measure at small sizes only; `capacity` has such a form
+    #[argh(switch)]
+    quick: bool,
 }
 
 fn any_port() -> net::SocketAddr {
@@ -361,6 +364,11 @@
         }
         return Ok(());
     };
+    let name = if arguments.quick {
+        format!("{name}-quick")
+    } else {
+        name
+    };
     for line in experiment::run(&name, arguments.seed).await? {
         println!("{line}");
     }
--- a/crates/figscale-standin/src/worker/mod.rs
+++ b/crates/figscale-standin/src/worker/mod.rs
@@ -39,9 +39,6 @@
 pub use ledger::Violation;
 pub use tasks::Record;
 
-/// Time between looks for tasks that ended or whose lease lapsed.
-const TICK: time::Duration = time::Duration::from_millis(5);
-
 /// How a stand-in worker starts.
 #[derive(Clone)]
 pub struct Config {
@@ -53,6 +50,8 @@
     pub capacity: sizes::Resources,
     /// Time by which its reports of use lag. Default 500 ms.
     pub usage_lag: time::Duration,
+    /// Time between looks for tasks that ended or whose lease lapsed. Default 5 ms.
+    pub tick: time::Duration,
     /// Its clock. Default: the system's.
     pub clock: clock::SharedClock,
     /// Where it writes which tasks run. Default: a ledger of its own.
@@ -70,6 +69,7 @@
                 accelerators: 0,
             },
             usage_lag: time::Duration::from_millis(500),
+            tick: time::Duration::from_millis(5),
             clock: sync::Arc::new(clock::SystemClock),
             ledger: TaskLedger::default(),
         }
@@ -155,7 +155,7 @@
     });
     let app = api::router(shared.clone(), config.ledger);
     let server = http_server::Server::start(config.listen, app, || ()).await?;
-    let ticker = tokio::spawn(tick(shared.clone()));
+    let ticker = tokio::spawn(tick(shared.clone(), config.tick));
     Ok(Handle {
         server,
         shared,
@@ -163,8 +163,8 @@
     })
 }
 
-async fn tick(shared: sync::Arc<Shared>) {
-    let mut interval = tokio::time::interval(TICK);
+async fn tick(shared: sync::Arc<Shared>, every: time::Duration) {
+    let mut interval = tokio::time::interval(every);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
@@ -190,6 +190,11 @@
         self.shared.change_faults(change);
     }
 
+    /// Bytes that it received and sent over all its connections.
+    pub fn link_bytes(&self) -> u64 {
+        self.server.bytes()
+    }
+
     /// What it would report now.
     pub fn report(&self) -> WorkerReport {
         self.shared
