--- a/crates/figscale-standin/src/experiment/capacity/catalogue.rs
+++ b/crates/figscale-standin/src/experiment/capacity/catalogue.rs
@@ -2,6 +2,7 @@
 
 use figscale_types::catalogue;
 use figscale_types::ids;
+use figscale_types::operator;
 use figscale_types::sizes;
 use indexmap::IndexMap;
 
@@ -39,6 +40,20 @@
     Ok(all)
 }
 
+/// Asks for a catalogue against a base revision.
+pub(super) fn change(
+    base: ids::Revision,
+    catalogue: catalogue::Catalogue,
+) -> operator::ApplyRequest {
+    operator::ApplyRequest {
+        base,
+        change: ids::ChangeId(uuid::Uuid::now_v7()),
+        author: "experiment".to_owned(),
+        note: "a change of one weight".to_owned(),
+        catalogue,
+    }
+}
+
 fn quota(weight: u32) -> catalogue::Owner {
     catalogue::Owner {
         weight,
--- a/crates/figscale-standin/src/experiment/capacity/fleet.rs
+++ b/crates/figscale-standin/src/experiment/capacity/fleet.rs
@@ -177,7 +177,8 @@
         let began = time::Instant::now();
         loop {
             let wanted = catalogue::of(self.size.owners, 0)?;
-            match self.operator.apply(ids::Revision(0), wanted).await {
+            let request = catalogue::change(ids::Revision(0), wanted);
+            match self.operator.apply(&request).await {
                 Ok(answer) => {
                     self.revision = answer.revision;
                     return Ok(());
