--- a/crates/figscale-core/src/claims/machine.rs
+++ b/crates/figscale-core/src/claims/machine.rs
@@ -27,7 +27,6 @@
 use super::lease;
 use super::schedule;
 use super::schedule::Op;
-use super::shards;
 use super::witness;
 
 /// Where a member is.
@@ -160,7 +159,7 @@
             promises: witness::Promises::default(),
             promises_asked_at: None,
             gone: gone::Gone::default(),
-            shards: shards::by_shard(&Default::default()).into_keys().collect(),
+            shards: Vec::new(),
             held: IndexMap::new(),
             giving: IndexMap::new(),
             leaving: false,
@@ -266,7 +265,7 @@
             } => self.answered(question, sent_at, answer),
             Input::Instances(list) => {
                 self.gone.read(&list, &self.me.id, now);
-                self.shards = shards::by_shard(&list).into_keys().collect();
+                self.shards = (self.config.shards_of)(&list);
             }
             Input::ClockJumped => self.clock_jumped(),
             Input::Leave => self.leaving = true,
--- a/crates/figscale-core/src/claims/mod.rs
+++ b/crates/figscale-core/src/claims/mod.rs
@@ -46,6 +46,9 @@
 
 use std::time;
 
+use figscale_types::ids;
+use figscale_types::instances;
+
 pub use action::Action;
 pub use action::Input;
 pub use action::StoreFailure;
@@ -69,6 +72,8 @@
     pub store_unseen: time::Duration,
     /// Time for which the members must stay the same before shards move.
     pub settle: time::Duration,
+    /// The shards that a list of instances gives rise to.
+    pub shards_of: fn(&instances::InstanceList) -> Vec<ids::ShardId>,
     /// Rules that only trials of the checker turn off.
     pub guards: Guards,
 }
@@ -82,6 +87,7 @@
             margin,
             store_unseen: lease / 3,
             settle: heartbeat / 3,
+            shards_of: |list| shards::by_shard(list).into_keys().collect(),
             guards: Guards::default(),
         }
     }
