--- a/crates/figscale-core/src/claims/machine.rs
+++ b/crates/figscale-core/src/claims/machine.rs
@@ -195,15 +195,19 @@
     }
 
     /// Shards that may be used while there is authority.
-    pub fn held(&self) -> IndexMap<ids::ShardId, Held> {
-        let usable = |id: &ids::ShardId| {
-            !self.config.guards.stop_before_handover || !self.giving.contains_key(id)
-        };
-        self.held
-            .iter()
-            .filter(|(id, _)| usable(id))
-            .map(|(id, held)| (id.clone(), held.clone()))
-            .collect()
+    pub fn held(&self) -> impl Iterator<Item = (&ids::ShardId, &Held)> {
+        self.held.iter().filter(|(id, _)| self.is_usable(id))
+    }
+
+    /// Whether a shard may be used at `now`.
+    pub fn may_use(&self, shard: &ids::ShardId, now: time::Instant) -> bool {
+        self.held.contains_key(shard)
+            && self.is_usable(shard)
+            && self.authority_until().is_some_and(|until| now < until)
+    }
+
+    fn is_usable(&self, shard: &ids::ShardId) -> bool {
+        !self.config.guards.stop_before_handover || !self.giving.contains_key(shard)
     }
 
     /// The document as last seen, with its revision.
--- a/crates/figscale-core/src/claims/machine/evict.rs
+++ b/crates/figscale-core/src/claims/machine/evict.rs
@@ -2,12 +2,14 @@
 
 use std::time;
 
+use figscale_types::claims;
 use figscale_types::claims::PeerQuestion;
 use figscale_types::ids;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use super::super::Action;
+use super::super::Config;
 use super::super::hash;
 use super::super::release_quorum;
 use super::Machine;
@@ -37,7 +39,7 @@
                 continue;
             }
             let again = self.config.heartbeat / 2;
-            for witness in promise::witnesses_of(&document.claims, holder) {
+            for witness in counted_witnesses(&document.claims, holder, &self.config) {
                 let asked = eviction.asked_at.get(&witness);
                 let wait = asked.is_some_and(|at| now < *at + again);
                 if wait || eviction.released.contains(&witness) {
@@ -114,10 +116,7 @@
         if !holds || !self.config.guards.need_releases {
             return true;
         }
-        let witnesses = match self.config.guards.count_over_written_list {
-            true => promise::witnesses_of(&document.claims, holder),
-            false => document.claims.keys(),
-        };
+        let witnesses = counted_witnesses(&document.claims, holder, &self.config);
         let longest = self.longest_promise();
         let released = witnesses.iter().filter(|witness| {
             eviction.released.contains(*witness) || self.gone.is_gone(&witness.id, longest)
@@ -125,3 +124,15 @@
         released.count() >= release_quorum(witnesses.len())
     }
 }
+
+/// The witnesses over whom releases from `holder` count.
+fn counted_witnesses(
+    claims: &claims::Claims,
+    holder: &ids::MemberKey,
+    config: &Config,
+) -> Vec<ids::MemberKey> {
+    match config.guards.count_over_written_list {
+        true => promise::witnesses_of(claims, holder),
+        false => claims.keys(),
+    }
+}
--- a/crates/figscale/src/claims/dump.rs
+++ b/crates/figscale/src/claims/dump.rs
@@ -44,7 +44,6 @@
     };
     let status = machine.status();
     let document = machine.document();
-    let held = machine.held();
     let dump = Dump {
         revision: document.map_or(ids::Revision(0), |(revision, _)| revision),
         is_member: status.is_member,
@@ -53,7 +52,10 @@
         authority_ms: left_ms(machine.authority_until()),
         lease_ms: left_ms(status.lease_until),
         promised_ms: left_ms(status.promised_until),
-        held: held.iter().map(|(id, h)| (id.clone(), shown(h))).collect(),
+        held: machine
+            .held()
+            .map(|(id, h)| (id.clone(), shown(h)))
+            .collect(),
         giving: status.giving,
         evicting: status.evicting,
         unknown_writes: status.unknown_writes,
--- a/crates/figscale/src/claims/publish.rs
+++ b/crates/figscale/src/claims/publish.rs
@@ -65,7 +65,10 @@
 
     fn publish_view(&mut self, machine: &core::Machine) {
         let old = self.context.shared.claims_now();
-        let held = machine.held();
+        let held: IndexMap<_, _> = machine
+            .held()
+            .map(|(id, held)| (id.clone(), held.clone()))
+            .collect();
         let revision = machine.document().map_or(old.revision, |(rev, _)| rev);
         let same_held = held.len() == old.held.len()
             && held
@@ -111,16 +114,16 @@
         let has_authority = machine.authority_until().is_some_and(|until| now < until);
         if has_authority != self.had_authority && !status.left {
             match has_authority {
-                true => crate::event!(events::AUTHORITY_GAINED, shards = machine.held().len()),
-                false => crate::event!(events::AUTHORITY_LOST, shards = machine.held().len()),
+                true => crate::event!(events::AUTHORITY_GAINED, shards = machine.held().count()),
+                false => crate::event!(events::AUTHORITY_LOST, shards = machine.held().count()),
             }
         }
         self.had_authority = has_authority;
         let by_promises = has_authority && !by_lease;
         if by_promises != self.by_promises && has_authority {
             match by_promises {
-                true => crate::event!(events::HELD_BY_PROMISES, shards = machine.held().len()),
-                false => crate::event!(events::HELD_BY_LEASE, shards = machine.held().len()),
+                true => crate::event!(events::HELD_BY_PROMISES, shards = machine.held().count()),
+                false => crate::event!(events::HELD_BY_LEASE, shards = machine.held().count()),
             }
         }
         self.by_promises = by_promises;
