--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -10,6 +10,7 @@
 use std::fmt;
 use std::time;
 
+use figscale_types::catalogue;
 use figscale_types::claims;
 use figscale_types::ids;
 use figscale_types::instances;
@@ -69,6 +70,8 @@
     pub(super) capacity: sizes::Resources,
     pub(super) counted: sizes::Resources,
     pub(super) examined: u64,
+    /// The most urgent work that waits for accelerators.
+    pub(super) accelerators_wanted: Option<catalogue::Urgency>,
 }
 
 impl Cluster {
@@ -109,7 +112,7 @@
             readiness,
             leaving,
             standing: worker::Standing::InUse,
-            held: false,
+            held: None,
             tasks: IndexSet::new(),
         };
         self.capacity = self.capacity.plus(&added.capacity);
--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -33,23 +33,11 @@
 /// Largest share of the capacity kept from best-effort work.
 const MAX_KEPT_SHARE: f64 = 0.2;
 
-/// How a worker is chosen among those that fit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Strategy {
-    /// The lowest cost.
-    #[default]
-    Scored,
-    /// The first in the list; a baseline for measurements.
-    FirstFit,
-}
-
 /// What placement weighs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Config {
     /// Waiting against packing, from the catalogue.
     pub weights: catalogue::Weights,
-    /// How a worker is chosen. Default: by cost.
-    pub strategy: Strategy,
 }
 
 impl Config {
@@ -140,8 +128,11 @@
     /// room will fit soonest; returns whether there is one.
     pub(super) fn hold_for(&mut self, ask: &work::Ask) -> bool {
         let open = |worker: &&mut worker::Worker| {
-            let usable = worker.takes_work() && !worker.held;
-            usable && worker.capacity.holds(&ask.size) && !ask.avoid.contains(&worker.id)
+            let usable = worker.takes_work() && worker.held.is_none();
+            // A worker with room for it is closed to it for another reason.
+            let full = !worker.free().holds(&ask.size);
+            let fits_empty = worker.capacity.holds(&ask.size);
+            usable && full && fits_empty && !ask.avoid.contains(&worker.id)
         };
         let missing = |worker: &worker::Worker| {
             let missing = ask.size.minus(&worker.free());
@@ -154,7 +145,7 @@
             .min_by(|a, b| missing(a).total_cmp(&missing(b)));
         match soonest {
             Some(worker) => {
-                worker.held = true;
+                worker.held = Some(ask.urgency);
                 true
             }
             None => false,
@@ -164,7 +155,7 @@
     /// Gives all held workers free again.
     pub(super) fn clear_holds(&mut self) {
         for worker in self.workers.values_mut() {
-            worker.held = false;
+            worker.held = None;
         }
     }
 
@@ -174,7 +165,17 @@
             return false;
         }
         let after = self.counted.plus(&ask.size);
-        after.dominant_share(&self.capacity) > 1.0 - self.config.kept_share()
+        let share = share_of_asked(&ask.size, &after, &self.capacity);
+        share > 1.0 - self.config.kept_share()
+    }
+
+    /// Whether a task must leave room beside free accelerators: it needs none,
+    /// and work that does waits and is as urgent.
+    pub(super) fn keeps_accelerators(&self, ask: &work::Ask) -> bool {
+        let wanted = self.accelerators_wanted;
+        let yields = wanted.is_some_and(|urgency| urgency <= ask.urgency);
+        let may_wait = ask.urgency != catalogue::Urgency::Interactive;
+        yields && may_wait && ask.size.accelerators == 0
     }
 
     fn choose(&mut self, ask: &work::Ask) -> Option<ids::InstanceId> {
@@ -183,16 +184,13 @@
             catalogue::JobClass::Service => self.spreads.get(&ask.task.job),
             _ => None,
         };
+        let keeps_accelerators = self.keeps_accelerators(ask);
         let mut examined = 0;
         for worker in self.workers.values() {
             examined += 1;
-            if !fits(worker, ask) {
+            if !fits(worker, ask, keeps_accelerators) {
                 continue;
             }
-            if self.config.strategy == Strategy::FirstFit {
-                best = Some((0.0, worker));
-                break;
-            }
             let cost = cost(worker, ask, spread);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, worker));
@@ -204,9 +202,47 @@
     }
 }
 
-fn fits(worker: &worker::Worker, ask: &work::Ask) -> bool {
-    let open = worker.admits(ask) && !worker.held;
-    open && worker.free().holds(&ask.size) && !ask.avoid.contains(&worker.id)
+/// Largest share of `whole` that `part` takes of a resource in `asked`.
+///
+/// A resource that a task does not need, such as accelerators that are all in
+/// use, keeps nothing from it.
+fn share_of_asked(
+    asked: &sizes::Resources,
+    part: &sizes::Resources,
+    whole: &sizes::Resources,
+) -> f64 {
+    let mut part = *part;
+    if asked.cpu_millis.0 == 0 {
+        part.cpu_millis.0 = 0;
+    }
+    if asked.memory_bytes.0 == 0 {
+        part.memory_bytes.0 = 0;
+    }
+    if asked.accelerators == 0 {
+        part.accelerators = 0;
+    }
+    part.dominant_share(whole)
+}
+
+fn fits(worker: &worker::Worker, ask: &work::Ask, keeps_accelerators: bool) -> bool {
+    let open = worker.admits(ask) && !worker.is_held_from(ask);
+    let roomy = worker.free().holds(&ask.size)
+        && (!keeps_accelerators || leaves_accelerators_usable(worker, ask));
+    open && roomy && !ask.avoid.contains(&worker.id)
+}
+
+/// Whether each free accelerator is left its part of the worker's processors
+/// and memory.
+fn leaves_accelerators_usable(worker: &worker::Worker, ask: &work::Ask) -> bool {
+    let whole = &worker.capacity;
+    let free = worker.free();
+    if free.accelerators == 0 || whole.accelerators == 0 {
+        return true;
+    }
+    let left = free.minus(&ask.size);
+    let part = |all: u64| all / u64::from(whole.accelerators) * u64::from(free.accelerators);
+    left.cpu_millis.0 >= part(whole.cpu_millis.0)
+        && left.memory_bytes.0 >= part(whole.memory_bytes.0)
 }
 
 fn cost(worker: &worker::Worker, ask: &work::Ask, spread: Option<&cluster::Spread>) -> f64 {
