--- a/crates/figscale-core/tests/claims_faults.rs
+++ b/crates/figscale-core/tests/claims_faults.rs
@@ -3,6 +3,8 @@
 //! A schedule is tried at many moments. With the rule no moment gives a shard
 //! two users; without it one does, so the schedule reaches what the rule is for.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 mod claims_world;
 
 use claims_world::World;
--- /dev/null
+++ b/crates/figscale/tests/claims_faults.rs
@@ -0,0 +1,203 @@
+//! Faults of real entry instances, judged by what they say of themselves all
+//! along: nobody uses a shard under a lower epoch than was in use before.
+
+mod claims_support;
+
+use claims_support::Cell;
+use claims_support::LEASE_MS;
+use rstest::rstest;
+
+/// Shards in use in the whole cell.
+fn in_use(all: &[Option<claims_support::Claims>]) -> usize {
+    let claims = all.iter().flatten();
+    claims.map(|claims| claims.in_use().len()).sum()
+}
+
+async fn cell(len: usize) -> Cell {
+    let mut cell = Cell::new(len).await;
+    cell.start_all().await;
+    cell.wait_for_witnesses().await;
+    cell
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_and_back_under_its_address() {
+    let mut cell = cell(3).await;
+    cell.kill(0);
+    cell.wait_for_holders(&[1, 2]).await;
+    let unclean = cell.document().shards.values().any(|shard| !shard.clean);
+    assert!(unclean, "a takeover is not clean");
+    cell.start(0);
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_and_back_at_once() {
+    let mut cell = cell(3).await;
+    cell.kill(0);
+    cell.start(0);
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_of_five_killed_at_once() {
+    let mut cell = cell(5).await;
+    cell.kill(0);
+    cell.kill(1);
+    cell.wait_for_holders(&[2, 3, 4]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_past_its_lease_and_woken() {
+    let mut cell = cell(3).await;
+    cell.signal(0, "STOP");
+    cell.wait_for_holders(&[1, 2]).await;
+    cell.signal(0, "CONT");
+    // It must not use what it held before; the judge looks all the time.
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
+#[rstest]
+#[case::store(true, false)]
+#[case::store_and_peers(true, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off(#[case] store: bool, #[case] peers: bool) {
+    let mut cell = cell(3).await;
+    for other in [1, 2] {
+        cell.cut_peers(0, other, peers);
+    }
+    cell.cut_store(0, store);
+    cell.wait_for_holders(&[1, 2]).await;
+    for other in [1, 2] {
+        cell.cut_peers(0, other, false);
+    }
+    cell.cut_store(0, false);
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
+#[rstest]
+#[case::questions(true)]
+#[case::answers(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_from_the_store_one_way(#[case] questions: bool) {
+    let mut cell = cell(3).await;
+    cell.entries[0]
+        .to_store
+        .change_faults(|faults| match questions {
+            true => faults.to_target.cut = true,
+            false => faults.to_client.cut = true,
+        });
+    cell.wait_until("holders without the one cut off", |all| {
+        let uses = |index: usize| all[index].as_ref().map_or(0, |c| c.in_use().len());
+        uses(0) == 0 && uses(1) + uses(2) == claims_support::shard_count()
+    })
+    .await;
+    cell.entries[0].to_store.change_faults(|faults| {
+        faults.cut_both(false);
+    });
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_from_peers_only_changes_nothing() {
+    let mut cell = cell(3).await;
+    let before = cell.document().shards;
+    for other in [1, 2] {
+        cell.cut_peers(0, other, true);
+    }
+    cell.look_for(2 * LEASE_MS).await;
+    cell.wait_for_holders(&[0, 1, 2]).await;
+    assert_eq!(cell.document().shards, before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_down_for_long_while_an_entry_dies() {
+    let mut cell = cell(4).await;
+    let lost = cell.claims(3).await.unwrap().in_use().len();
+    cell.platform.change_faults(|faults| faults.outage = true);
+    cell.wait_until("promises", |all| {
+        all.iter()
+            .flatten()
+            .all(claims_support::Claims::by_promises)
+    })
+    .await;
+    cell.kill(3);
+    let left = claims_support::shard_count() - lost;
+    for _ in 0..20 {
+        cell.look_for(LEASE_MS / 4).await;
+        let all = cell.look().await;
+        assert_eq!(in_use(&all), left, "an outage stops no holder");
+    }
+    cell.platform.expire_all_leases();
+    cell.platform.change_faults(|faults| faults.outage = false);
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off_in_an_outage() {
+    let mut cell = cell(3).await;
+    cell.platform.change_faults(|faults| faults.outage = true);
+    cell.wait_until("promises", |all| {
+        all.iter()
+            .flatten()
+            .all(claims_support::Claims::by_promises)
+    })
+    .await;
+    for other in [1, 2] {
+        cell.cut_peers(0, other, true);
+    }
+    cell.wait_until("an end of the lone one's authority", |all| {
+        let lone = all[0]
+            .as_ref()
+            .is_some_and(|claims| !claims.has_authority());
+        lone && all[1..]
+            .iter()
+            .flatten()
+            .all(claims_support::Claims::by_promises)
+    })
+    .await;
+    cell.platform.change_faults(|faults| faults.outage = false);
+    for other in [1, 2] {
+        cell.cut_peers(0, other, false);
+    }
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_slow() {
+    let mut cell = cell(3).await;
+    let before = cell.document().shards;
+    cell.platform
+        .change_faults(|faults| faults.answer_delay_ms = 300);
+    cell.look_for(3 * LEASE_MS).await;
+    cell.wait_for_holders(&[0, 1, 2]).await;
+    assert_eq!(cell.document().shards, before, "a slow store moves nothing");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_lost_after_the_write() {
+    let mut cell = Cell::new(4).await;
+    cell.platform
+        .change_faults(|faults| faults.lose_answer_probability = 0.5);
+    cell.start_all().await;
+    cell.kill(0);
+    cell.wait_for_holders(&[1, 2, 3]).await;
+    cell.platform
+        .change_faults(|faults| faults.lose_answer_probability = 0.0);
+    cell.signal(1, "TERM");
+    assert_eq!(cell.wait_for_exit(1).await, Some(0));
+    cell.wait_for_holders(&[2, 3]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_replaced_at_once_in_an_outage() {
+    let mut cell = cell(3).await;
+    cell.platform.change_faults(|faults| faults.outage = true);
+    for index in 0..3 {
+        cell.kill(index);
+        cell.start(index);
+    }
+    cell.look_for(LEASE_MS).await;
+    cell.platform.change_faults(|faults| faults.outage = false);
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
--- a/crates/figscale/tests/claims_support/mod.rs
+++ b/crates/figscale/tests/claims_support/mod.rs
@@ -335,6 +335,22 @@
         .await;
     }
 
+    /// Waits until every member has listed all as its witnesses.
+    pub async fn wait_for_witnesses(&mut self) {
+        let began = time::Instant::now();
+        loop {
+            let document = self.document();
+            let keys = document.keys();
+            let listed = document.witnesses.values().filter(|list| **list == keys);
+            if listed.count() == self.entries.len() {
+                return;
+            }
+            assert!(began.elapsed() < PATIENCE, "no witnesses: {document:#?}");
+            self.look().await;
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
     /// Cuts all paths between two entry instances, or mends them.
     pub fn cut_peers(&self, one: usize, other: usize, cut: bool) {
         for key in [(one, other), (other, one)] {
