Use a drained shard again under a new epoch only

Cause: a member that drained a shard for another and then kept it, since the other had died, went on under the same epoch. Its services had given the shard up under that epoch, so homes of request ids answered nobody and runner shards stayed drained until the next change of holder. Found by reading the two sides against each other. Ruled out: telling services to use it again (a second way into a state that an epoch already names). Change: a drained shard that is to stay is passed on to its own member under a new epoch. That showed in the test of an hour's outage that members drained shards needlessly when the store came back, as the others' leases had lapsed: a shard now moves only where the target is the same with and without members whose lease lapsed but who are still listed. Test: drained_shards_are_not_used_under_the_same_epoch, failed first at moment 1 of 60, passes now; outage_of_an_hour failed on the first half of the change and passes with the second.

--- a/crates/figscale-core/src/claims/machine.rs
+++ b/crates/figscale-core/src/claims/machine.rs
@@ -199,6 +199,11 @@
         self.held.iter().filter(|(id, _)| self.is_usable(id))
     }
 
+    /// Shards that the document gives to this member, drained ones included.
+    pub fn all_held(&self) -> impl Iterator<Item = (&ids::ShardId, &Held)> {
+        self.held.iter()
+    }
+
     /// Whether a shard may be used at `now`.
     pub fn may_use(&self, shard: &ids::ShardId, now: time::Instant) -> bool {
         self.held.contains_key(shard)
--- a/crates/figscale-core/src/claims/machine/plan.rs
+++ b/crates/figscale-core/src/claims/machine/plan.rs
@@ -66,25 +66,20 @@
             return;
         }
         let targets = self.targets(&document.claims);
+        // A lease that lapsed in an outage may come back with its member, so a
+        // shard moves only where the target is the same with and without it.
+        let listed = self.targets_among(&document.claims, |_| true);
         for shard in self.held.keys() {
             let target = targets.get(shard);
-            let stays = target.is_none_or(|target| *target == self.me.id) && !self.leaving;
-            if !stays && !self.giving.contains_key(shard) {
+            let agreed = target == listed.get(shard);
+            let stays = target.is_none_or(|target| *target == self.me.id) || !agreed;
+            if (!stays || self.leaving) && !self.giving.contains_key(shard) {
                 self.giving.insert(shard.clone(), Giving::Draining);
                 actions.push(Action::Drain {
                     shard: shard.clone(),
                 });
             }
         }
-        if self.unknown.is_empty() && !self.leaving {
-            // Nothing in flight can still give these away.
-            self.giving.retain(|shard, giving| {
-                let stays = targets
-                    .get(shard)
-                    .is_none_or(|target| *target == self.me.id);
-                !(stays && matches!(giving, Giving::Ready(_)))
-            });
-        }
     }
 
     /// Writes the document when it should say something else.
@@ -188,10 +183,10 @@
                 continue;
             };
             let to = targets.get(shard).and_then(|id| claims.key_of(id));
-            let stays = to.as_ref().is_none_or(|to| *to == self.me);
-            if !stays || self.leaving {
-                edit::hand_over(claims, shard, to, *clean);
-            }
+            // Whoever drained it uses it again under a new epoch only, so a
+            // shard that is to stay after all is passed on to this member.
+            let keeper = (!self.leaving).then(|| self.me.clone());
+            edit::hand_over(claims, shard, to.or(keeper), *clean);
         }
     }
 
@@ -216,10 +211,18 @@
 
     /// The member that should hold each shard.
     fn targets(&self, claims: &claims::Claims) -> IndexMap<ids::ShardId, ids::MemberId> {
+        self.targets_among(claims, |member| !self.lapsed.contains(&member.lease))
+    }
+
+    fn targets_among(
+        &self,
+        claims: &claims::Claims,
+        counts: impl Fn(&claims::Member) -> bool,
+    ) -> IndexMap<ids::ShardId, ids::MemberId> {
         let live = claims
             .members
             .iter()
-            .filter(|(_, member)| !member.leaving && !self.lapsed.contains(&member.lease))
+            .filter(|(_, member)| !member.leaving && counts(member))
             .filter(|(id, _)| !(self.leaving && **id == self.me.id));
         let members: Vec<_> = live
             .map(|(id, member)| (id.clone(), member.failure_domain.clone()))
--- a/crates/figscale-core/tests/claims_faults.rs
+++ b/crates/figscale-core/tests/claims_faults.rs
@@ -314,3 +314,38 @@
         assert!(held <= 2 * share + 4, "{id} has {held}, share {share}");
     }
 }
+
+/// A member dies while others drain shards for it and cannot write. Whoever keeps such a shard
+/// holds it under a new epoch, since its users have stopped for the old one.
+#[test]
+fn drained_shards_are_not_used_under_the_same_epoch() {
+    for moment in 0..60 {
+        let mut world = calm_world(moment, 2, &claims_world::config());
+        let joined = world.add();
+        for _ in 0..400 {
+            world.run(20);
+            if world.nodes[0]
+                .machine
+                .as_ref()
+                .unwrap()
+                .status()
+                .giving
+                .is_empty()
+            {
+                continue;
+            }
+            // Nobody can write until the new member is known to be gone.
+            world.cut(Some(0), None, true);
+            world.cut(Some(1), None, true);
+            world.kill(joined);
+            world.run(1_500 + moment * 50);
+            world.mend();
+            break;
+        }
+        for _ in 0..600 {
+            world.run(25);
+            assert_eq!(world.used_after_drain(), None, "moment {moment}");
+        }
+        assert!(world.all_in_use() && world.violation.is_none());
+    }
+}
--- a/crates/figscale-core/tests/claims_world/mod.rs
+++ b/crates/figscale-core/tests/claims_world/mod.rs
@@ -120,6 +120,8 @@
     calls: u64,
     /// Calls without an answer, with the time before each.
     open: HashMap<Call, time::Instant>,
+    /// Lives, shards and epochs that were drained.
+    drained: HashSet<(usize, u64, ids::ShardId, ids::Epoch)>,
 }
 
 impl World {
@@ -139,6 +141,7 @@
             queued: 0,
             calls: 0,
             open: HashMap::new(),
+            drained: HashSet::new(),
         }
     }
 
@@ -264,6 +267,28 @@
         (0..self.nodes.len()).filter(uses).collect()
     }
 
+    fn note_drain(&mut self, index: usize, shard: &ids::ShardId) {
+        let node = &self.nodes[index];
+        let held = node.machine.iter().flat_map(core::Machine::all_held);
+        let found = held.filter(|(id, _)| *id == shard);
+        let lines: Vec<_> = found
+            .map(|(id, held)| (index, node.life, id.clone(), held.epoch))
+            .collect();
+        self.drained.extend(lines);
+    }
+
+    /// A shard in use under an epoch that was drained, if any.
+    pub fn used_after_drain(&self) -> Option<(usize, ids::ShardId)> {
+        self.nodes.iter().enumerate().find_map(|(index, node)| {
+            let mut held = node.machine.as_ref()?.held();
+            let used = held.find(|(id, held)| {
+                let line = (index, node.life, (*id).clone(), held.epoch);
+                self.drained.contains(&line)
+            });
+            used.map(|(id, _)| (index, id.clone()))
+        })
+    }
+
     /// Whether every shard is in use by somebody.
     pub fn all_in_use(&self) -> bool {
         self.shards
@@ -404,6 +429,7 @@
         let sent_at = self.local(index);
         self.open.insert(call, sent_at);
         if let core::Action::Drain { shard } = action {
+            self.note_drain(index, &shard);
             let input = core::Input::Drained { shard, clean: true };
             let delay_ms = self.rng.random_range(0..300);
             self.push(delay_ms, Event::Answer { call, input });
