--- a/crates/figscale-core/src/catalogue/apply.rs
+++ b/crates/figscale-core/src/catalogue/apply.rs
@@ -49,6 +49,8 @@
     Read(ids::Revision, Option<Box<catalogue::Document>>),
     /// Reading failed.
     ReadFailed,
+    /// The value is no document, so nothing may be written over it.
+    Unreadable,
     /// The write took effect.
     Written,
     /// The write did not get through; the verdict tells whether it may have.
@@ -148,6 +150,7 @@
                 self.decide(store_revision, &document, known)
             }
             Input::ReadFailed => Action::ReadLater,
+            Input::Unreadable => Action::Done(Err(self.unreadable())),
             Input::Written => Action::Done(Ok(operator::ApplyAnswer {
                 revision: self.revision,
                 repeated: false,
@@ -264,6 +267,18 @@
         })
     }
 
+    fn unreadable(&self) -> operator::OperatorError {
+        operator::OperatorError::new(
+            operator::ErrorKind::Unavailable,
+            format!(
+                "change {} was not accepted: the store's key {} holds no catalogue document, \
+                 perhaps that of a newer version; it is not written over",
+                self.change.id,
+                catalogue::KEY
+            ),
+        )
+    }
+
     fn conflict(&self, latest: &catalogue::Document) -> operator::OperatorError {
         let Change { id, base, .. } = &self.change;
         let revision = latest.accepted.revision;
--- a/crates/figscale-standin/src/platform/api.rs
+++ b/crates/figscale-standin/src/platform/api.rs
@@ -241,8 +241,9 @@
     let changed = async {
         loop {
             revisions.mark_unchanged();
+            let deaf = shared.faults.borrow().deaf_watches;
             let response = shared.with_store(|store, _| {
-                (store.changed_at(&key).0 > query.after).then(|| as_get(store, &key))
+                (!deaf && store.changed_at(&key).0 > query.after).then(|| as_get(store, &key))
             });
             if let Some(response) = response {
                 return response;
--- a/crates/figscale-standin/src/platform/mod.rs
+++ b/crates/figscale-standin/src/platform/mod.rs
@@ -85,6 +85,8 @@
     pub outage: bool,
     /// No call is answered, until this is switched off; none takes effect.
     pub hang: bool,
+    /// Watches wait their time out, whatever changes.
+    pub deaf_watches: bool,
     /// Time added before a call takes effect.
     pub delay_ms: u64,
     /// Time added after a call took effect and before its answer.
--- a/crates/figscale/src/catalogue/apply.rs
+++ b/crates/figscale/src/catalogue/apply.rs
@@ -82,6 +82,7 @@
 
 async fn read(service: &rc::Rc<service::Service>) -> apply::Input {
     match service.read(service::Source::Read).await {
+        Ok(stored) if stored.is_unreadable() => apply::Input::Unreadable,
         Ok(stored) => apply::Input::Read(stored.revision, stored.document.map(Box::new)),
         Err(_) => apply::Input::ReadFailed,
     }
--- a/crates/figscale/src/catalogue/follow.rs
+++ b/crates/figscale/src/catalogue/follow.rs
@@ -82,14 +82,16 @@
     wait: time::Duration,
 ) -> Result<(), crate::store::StoreError> {
     let after = service.store_revision();
-    let seen = service
-        .context
-        .store
-        .watch(catalogue::KEY, after, wait)
-        .await;
+    let began = service.context.clock.now();
+    let store = &service.context.store;
+    let seen = store.watch(catalogue::KEY, after, wait).await;
     service.note_store(&seen);
     if let Some(versioned) = seen? {
         service.see(Some(versioned), service::Source::Watch);
+    } else if service.context.clock.now() < began + wait / 2 {
+        // Not the end of its time, so the key was deleted.
+        service.read(service::Source::Watch).await?;
+        pause(RETRY_MS).await;
     }
     Ok(())
 }
--- a/crates/figscale/src/catalogue/service.rs
+++ b/crates/figscale/src/catalogue/service.rs
@@ -55,10 +55,17 @@
 pub(super) struct Stored {
     /// The store's revision of the key; 0 when absent.
     pub(super) revision: ids::Revision,
-    /// The document.
+    /// The document; `None` when absent or unreadable.
     pub(super) document: Option<catalogue::Document>,
 }
 
+impl Stored {
+    /// Whether the key holds something else than a document.
+    pub(super) fn is_unreadable(&self) -> bool {
+        self.document.is_none() && self.revision != ids::Revision(0)
+    }
+}
+
 /// The state of the service.
 pub(super) struct Service {
     pub(super) context: state::Context,
@@ -167,13 +174,9 @@
     ) -> Stored {
         let stored = decode(found);
         self.store_revision.set(stored.revision);
-        let Some(document) = &stored.document else {
-            if stored.revision == ids::Revision(0) {
-                self.see_document(None, source);
-            }
-            return stored;
-        };
-        self.see_document(Some(document.clone()), source);
+        if !stored.is_unreadable() {
+            self.see_document(stored.document.clone(), source);
+        }
         stored
     }
 
--- a/crates/figscale/tests/harness/operator.rs
+++ b/crates/figscale/tests/harness/operator.rs
@@ -63,6 +63,17 @@
         self.post("/v1/catalogue", request).await
     }
 
+    /// As [`Operator::apply`], by an operator who waits only this long.
+    pub(crate) async fn apply_within(
+        &self,
+        limit: time::Duration,
+        request: &operator::ApplyRequest,
+    ) -> Result<operator::ApplyAnswer, operator::OperatorError> {
+        let answer = tokio::time::timeout(limit, self.apply(request)).await;
+        let unknown = operator::ErrorKind::Unknown;
+        answer.unwrap_or_else(|_| Err(operator::OperatorError::new(unknown, "gave up")))
+    }
+
     /// Asks to go back to an earlier catalogue.
     pub(crate) async fn rollback(
         &self,
