--- a/crates/figscale/tests/catalogue_follow.rs
+++ b/crates/figscale/tests/catalogue_follow.rs
@@ -42,7 +42,7 @@
         let matches = line["event"] == 3001 && line["revision"] == wanted.as_str();
         matches.then(|| line["source"].as_str().unwrap().to_owned())
     });
-    lines.last().unwrap_or_default()
+    lines.rev().next().unwrap_or_default()
 }
 
 #[tokio::test(flavor = "multi_thread")]
