--- a/crates/figscale/src/catalogue/follow.rs
+++ b/crates/figscale/src/catalogue/follow.rs
@@ -5,9 +5,9 @@
 //! 2. Peers: after each adoption, the revision is told to every member of the
 //!    claims; whoever is behind gets the catalogue, whoever is ahead is asked
 //!    for it. The catalogue itself travels only when it is wanted.
-//! 3. Polls: the revision of the store's key is listed now and then, and one
-//!    peer after another is told the revision in force. They find what the
-//!    others lost, and are rare enough to cost little.
+//! 3. Polls: the revision of the store's key is listed now and then, and a peer
+//!    is told the revision in force; all peers are while the store is away.
+//!    They find what the others lost, and are rare enough to cost little.
 
 use std::net;
 use std::rc;
@@ -102,7 +102,9 @@
     let every_ms = service.context.settings.catalogue.poll_ms;
     loop {
         pause(every_ms).await;
-        let Ok(list) = service.context.store.keys(catalogue::KEY).await else {
+        let listed = service.context.store.keys(catalogue::KEY).await;
+        service.note_store(&listed);
+        let Ok(list) = listed else {
             continue;
         };
         let line = list.keys.iter().find(|line| line.key == catalogue::KEY);
@@ -113,16 +115,20 @@
     }
 }
 
-/// Compares revisions with one peer after another.
+/// Compares revisions with one peer now and then, and with all of them while
+/// the store is away and they are the only source.
 pub(super) async fn poll_peers(service: rc::Rc<service::Service>) {
     let every_ms = service.context.settings.catalogue.poll_ms;
-    let mut turn = 0_usize;
     loop {
         pause(every_ms).await;
+        if service.is_store_away() {
+            tell_peers(&service);
+            continue;
+        }
         let peers = peers(&service);
         if !peers.is_empty() {
-            turn = (turn + 1) % peers.len();
-            exchange(&service, peers[turn]).await;
+            let at = rand::rng().random_range(0..peers.len());
+            exchange(&service, peers[at]).await;
         }
     }
 }
--- a/crates/figscale/src/catalogue/service.rs
+++ b/crates/figscale/src/catalogue/service.rs
@@ -156,6 +156,11 @@
         Ok(self.see(found?, source))
     }
 
+    /// Whether the last call to the store failed.
+    pub(super) fn is_store_away(&self) -> bool {
+        self.store_away.get()
+    }
+
     /// Logs once when the store goes away.
     pub(super) fn note_store<T>(&self, result: &Result<T, store::StoreError>) {
         let was_away = self.store_away.replace(result.is_err());
--- a/crates/figscale/src/cli/catalogue.rs
+++ b/crates/figscale/src/cli/catalogue.rs
@@ -8,6 +8,7 @@
 use std::fmt::Write as _;
 use std::path;
 
+use figscale_core::catalogue as core;
 use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::operator;
@@ -16,7 +17,6 @@
 use super::Outcome;
 use super::args;
 use super::client;
-use super::diff;
 use crate::settings::document;
 
 pub(super) fn run(
@@ -38,7 +38,13 @@
 /// Reads a catalogue file, refusing what can be known to be wrong without the cell.
 fn read(file: &path::Path) -> Result<catalogue::Catalogue, Failure> {
     let document = document::Document::read(file).map_err(Failure::usage)?;
-    document.parse().map_err(Failure::usage)
+    let catalogue = document.parse().map_err(Failure::usage)?;
+    let problems = core::check(&catalogue);
+    if problems.is_empty() {
+        return Ok(catalogue);
+    }
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    Err(Failure::usage(document.refuse(&lines)))
 }
 
 fn check(file: &path::Path) -> Outcome {
@@ -63,8 +69,7 @@
 fn compare(file: &path::Path, client: &client::Client, json: bool) -> Outcome {
     let wanted = read(file)?;
     let in_force: catalogue::Accepted = client.get("/v1/catalogue")?;
-    let changes = diff::changes(&in_force.catalogue, &wanted)
-        .map_err(|error| Failure::new(super::EXIT_FAILED, error))?;
+    let changes = core::diff(&in_force.catalogue, &wanted);
     if json {
         let answer = serde_json::json!({ "base": in_force.revision, "changes": changes });
         return Ok(super::pretty(&answer));
