--- a/crates/figscale/src/catalogue/service.rs
+++ b/crates/figscale/src/catalogue/service.rs
@@ -239,6 +239,7 @@
 
     fn publish(&self) {
         let accepted = self.book.borrow().document().accepted.clone();
+        self.context.metrics.catalogue_adopted(accepted.revision);
         self.context
             .shared
             .catalogue
--- a/crates/figscale/tests/catalogue_follow.rs
+++ b/crates/figscale/tests/catalogue_follow.rs
@@ -37,12 +37,12 @@
 fn source(cell: &harness::Cell, index: usize, revision: u64) -> String {
     let wanted = revision.to_string();
     let log = cell.log(index);
-    let lines = log.lines().filter_map(|line| {
+    let mut lines = log.lines().filter_map(|line| {
         let line: serde_json::Value = serde_json::from_str(line).ok()?;
         let matches = line["event"] == 3001 && line["revision"] == wanted.as_str();
         matches.then(|| line["source"].as_str().unwrap().to_owned())
     });
-    lines.rev().next().unwrap_or_default()
+    lines.next_back().unwrap_or_default()
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/figscale/tests/harness/mod.rs
+++ b/crates/figscale/tests/harness/mod.rs
@@ -44,7 +44,6 @@
 use std::fs;
 use std::future;
 use std::net;
-use std::sync::atomic;
 use std::time;
 
 use figscale_standin::client;
@@ -62,11 +61,9 @@
 /// Longest wait for a condition.
 pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(45);
 /// Failure domains over which instances are spread.
-const DOMAINS: [&str; 2] = ["lm-1", "lm-2"];
+pub(crate) const DOMAINS: [&str; 2] = ["lm-1", "lm-2"];
 /// Service of all runners.
 pub(crate) const SERVICE: &str = "hullrate";
-/// First and last port that tests listen on, outside the ephemeral range.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
 /// What a cell consists of at its start.
 #[derive(Clone, Debug)]
@@ -98,21 +95,6 @@
     }
 }
 
-/// A free address on the loopback interface, outside the ephemeral ports.
-pub(crate) fn free_address() -> net::SocketAddr {
-    static STEP: atomic::AtomicU16 = atomic::AtomicU16::new(0);
-    let count = u32::from(PORTS.end - PORTS.start);
-    let first = std::process::id() * 97;
-    loop {
-        let step = STEP.fetch_add(1, atomic::Ordering::Relaxed);
-        let port = PORTS.start + u16::try_from((first + u32::from(step)) % count).unwrap();
-        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Polls until `done` is true; panics with `what` when it takes too long.
 pub(crate) async fn wait_until<F>(what: &str, mut done: impl FnMut() -> F)
 where
@@ -140,6 +122,7 @@
     /// HTTP client for anything.
     pub(crate) client: client::Client,
     entries: Vec<process::Entry>,
+    store_paths: Vec<proxy::Handle>,
     peer_paths: IndexMap<(usize, usize), proxy::Handle>,
     folder: tempfile::TempDir,
 }
@@ -159,6 +142,7 @@
             tasks: worker::TaskLedger::default(),
             client: client::Client::default(),
             entries: Vec::new(),
+            store_paths: Vec::new(),
             peer_paths: IndexMap::new(),
             folder: tempfile::tempdir().unwrap(),
         };
@@ -224,7 +208,8 @@
     async fn lay_paths(&mut self, index: usize) {
         let to_store = proxy::Config::to(self.platform.address());
         let to_store = proxy::start(to_store).await.unwrap();
-        let entry = process::Entry::new(index, to_store, self.folder.path());
+        let entry = process::Entry::new(index, to_store.address(), self.folder.path());
+        self.store_paths.push(to_store);
         for (other, earlier) in self.entries.iter().enumerate() {
             let there = proxy::Config::to(earlier.peer_address);
             let back = proxy::Config::to(entry.peer_address);
@@ -335,7 +320,7 @@
 
     /// The path from an entry instance to the platform.
     pub(crate) fn store_path(&self, index: usize) -> &proxy::Handle {
-        &self.entries[index].to_store
+        &self.store_paths[index]
     }
 
     /// The path on which an entry instance connects to another one.
@@ -412,7 +397,11 @@
     }
 }
 
-fn instance(id: ids::InstanceId, address: net::SocketAddr, index: usize) -> instances::Instance {
+pub(crate) fn instance(
+    id: ids::InstanceId,
+    address: net::SocketAddr,
+    index: usize,
+) -> instances::Instance {
     instances::Instance {
         id,
         role: instances::Role::Entry,
--- a/crates/figscale/tests/harness/process.rs
+++ b/crates/figscale/tests/harness/process.rs
@@ -5,7 +5,7 @@
 use std::path;
 use std::process;
 
-use figscale_standin::proxy;
+use figscale_standin::ports;
 use nix::sys::signal;
 use nix::unistd;
 use serde_json::json;
@@ -16,7 +16,7 @@
     pub(crate) caller_address: net::SocketAddr,
     pub(crate) peer_address: net::SocketAddr,
     pub(crate) operator_address: net::SocketAddr,
-    pub(crate) to_store: proxy::Handle,
+    pub(crate) platform_address: net::SocketAddr,
     pub(crate) settings_file: path::PathBuf,
     pub(crate) log_file: path::PathBuf,
     child: Option<process::Child>,
@@ -24,13 +24,17 @@
 
 impl Entry {
     /// One that is not yet running.
-    pub(crate) fn new(index: usize, to_store: proxy::Handle, folder: &path::Path) -> Self {
+    pub(crate) fn new(
+        index: usize,
+        platform_address: net::SocketAddr,
+        folder: &path::Path,
+    ) -> Self {
         let name = format!("entry-{index}");
         Self {
-            caller_address: super::free_address(),
-            peer_address: super::free_address(),
-            operator_address: super::free_address(),
-            to_store,
+            caller_address: ports::free_address().unwrap(),
+            peer_address: ports::free_address().unwrap(),
+            operator_address: ports::free_address().unwrap(),
+            platform_address,
             settings_file: folder.join(format!("{name}.json")),
             log_file: folder.join(format!("{name}.log")),
             name,
@@ -46,7 +50,7 @@
             "caller_address": self.caller_address,
             "peer_address": self.peer_address,
             "operator_address": self.operator_address,
-            "platform_address": self.to_store.address(),
+            "platform_address": self.platform_address,
             "peer_token": "0123456789abcdef",
             "shutdown_ms": 10_000,
         })
--- /dev/null
+++ b/crates/figscale/tests/session/mod.rs
@@ -0,0 +1,330 @@
+//! A cell in which every part is a process of its own, and a transcript of
+//! what its users see, with everything that differs between runs made equal.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io;
+use std::io::BufRead as _;
+use std::net;
+use std::path;
+use std::process;
+
+use figscale_standin::client;
+use figscale_standin::ports;
+use figscale_types::headers;
+use figscale_types::instances;
+use nix::sys::signal;
+
+use crate::harness;
+
+/// Runners and workers, each.
+const UPSTREAMS: usize = 2;
+
+/// A stand-in process; killed when dropped.
+pub(crate) struct StandIn {
+    child: process::Child,
+    pub(crate) address: net::SocketAddr,
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The program of the stand-ins, which another package builds: next to the
+/// program under test, brought up to date first.
+fn stand_in_program() -> path::PathBuf {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_figscale"));
+    let mut cargo = process::Command::new(env!("CARGO"));
+    cargo.args([
+        "build",
+        "--quiet",
+        "--locked",
+        "--package",
+        "figscale-standin",
+    ]);
+    if program
+        .parent()
+        .is_some_and(|folder| folder.ends_with("release"))
+    {
+        cargo.arg("--release");
+    }
+    cargo.current_dir(env!("CARGO_MANIFEST_DIR"));
+    assert!(cargo.status().unwrap().success());
+    program.with_file_name("figscale-standin")
+}
+
+fn stand_in(program: &path::Path, arguments: &[&str]) -> StandIn {
+    let mut child = process::Command::new(program)
+        .args(arguments)
+        .stdout(process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let output = child.stdout.take().unwrap();
+    io::BufReader::new(output).read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("listening on ").unwrap();
+    StandIn {
+        address: address.parse().unwrap(),
+        child,
+    }
+}
+
+/// The session.
+pub(crate) struct Session {
+    pub(crate) runners: Vec<StandIn>,
+    pub(crate) entries: Vec<harness::process::Entry>,
+    pub(crate) client: client::Client,
+    pub(crate) platform_address: net::SocketAddr,
+    _others: Vec<StandIn>,
+    folder: tempfile::TempDir,
+    text: String,
+    /// What is written instead of what differs between runs.
+    redactions: Vec<(String, String)>,
+}
+
+impl Session {
+    /// Starts stand-ins and two entry instances.
+    pub(crate) fn start() -> Self {
+        let program = stand_in_program();
+        let folder = tempfile::tempdir().unwrap();
+        let mut list = Vec::new();
+        let runners: Vec<StandIn> = (0..UPSTREAMS)
+            .map(|index| {
+                let id = format!("runner-{index}");
+                let runner = stand_in(&program, &["runner", "--id", &id]);
+                list.push(runner_line(&id, runner.address));
+                runner
+            })
+            .collect();
+        let mut others: Vec<StandIn> = (0..UPSTREAMS)
+            .map(|index| {
+                let id = format!("worker-{index}");
+                let worker = stand_in(&program, &["worker", "--id", &id]);
+                list.push(worker_line(&id, worker.address, index));
+                worker
+            })
+            .collect();
+        let platform_address = ports::free_address().unwrap();
+        let entries: Vec<_> = (0..2)
+            .map(|index| harness::process::Entry::new(index, platform_address, folder.path()))
+            .collect();
+        for (index, entry) in entries.iter().enumerate() {
+            let id = entry.name.parse().unwrap();
+            list.push(harness::instance(id, entry.peer_address, index));
+        }
+        let file = folder.path().join("instances.json");
+        fs::write(&file, serde_json::to_string(&list).unwrap()).unwrap();
+        others.push(stand_in(
+            &program,
+            &[
+                "platform",
+                "--listen",
+                &platform_address.to_string(),
+                "--instances",
+                file.to_str().unwrap(),
+                "--lag-ms",
+                "0",
+            ],
+        ));
+        let mut session = Self {
+            runners,
+            entries,
+            client: client::Client::default(),
+            platform_address,
+            _others: others,
+            folder,
+            text: String::new(),
+            redactions: Vec::new(),
+        };
+        session.redact_addresses();
+        session.launch();
+        session
+    }
+
+    fn redact_addresses(&mut self) {
+        let folder = self.folder.path().to_str().unwrap().to_owned();
+        self.redact(folder, "FOLDER");
+        for entry in &self.entries {
+            let redactions = [
+                (entry.caller_address, "CALLERS"),
+                (entry.peer_address, "PEERS"),
+                (entry.operator_address, "OPERATORS"),
+            ];
+            for (address, name) in redactions {
+                let name = format!("{name}-OF-{}", entry.name.to_uppercase());
+                self.redactions.push((address.to_string(), name));
+            }
+        }
+    }
+
+    fn launch(&mut self) {
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            let domain = harness::DOMAINS[index % harness::DOMAINS.len()];
+            let settings = entry.settings(domain).to_string();
+            fs::write(&entry.settings_file, settings).unwrap();
+            entry.launch();
+        }
+    }
+
+    /// Writes `shown` wherever `text` stands.
+    pub(crate) fn redact(&mut self, text: impl Into<String>, shown: &str) {
+        self.redactions.push((text.into(), shown.to_owned()));
+    }
+
+    /// Writes a file into the folder of the session and returns its path.
+    pub(crate) fn file(&self, name: &str, content: &str) -> String {
+        let file = self.folder.path().join(name);
+        fs::write(&file, content).unwrap();
+        file.to_str().unwrap().to_owned()
+    }
+
+    /// The file of a settings of an entry instance.
+    pub(crate) fn settings_file(&self, index: usize) -> String {
+        self.entries[index]
+            .settings_file
+            .to_str()
+            .unwrap()
+            .to_owned()
+    }
+
+    /// Calls of an operator to an entry instance.
+    pub(crate) fn operator(&self, index: usize) -> harness::operator::Operator {
+        harness::operator::Operator::new(self.client.clone(), self.entries[index].operator_address)
+    }
+
+    /// The end of the transcript so far.
+    pub(crate) fn mark(&self) -> usize {
+        self.text.len()
+    }
+
+    /// Strikes out what was written after a mark.
+    pub(crate) fn forget_since(&mut self, mark: usize) {
+        self.text.truncate(mark);
+    }
+
+    /// Begins a part.
+    pub(crate) fn heading(&mut self, words: &str) {
+        let _ = writeln!(self.text, "\n# {words}");
+    }
+
+    /// Notes a line that the test found out by itself.
+    pub(crate) fn note(&mut self, line: &str) {
+        let _ = writeln!(self.text, "{line}");
+    }
+
+    /// Runs `figscale` towards an entry instance and writes down what it says.
+    pub(crate) fn figscale(&mut self, index: usize, words: &[&str]) {
+        let entry = self.entries[index].operator_address.to_string();
+        let _ = writeln!(self.text, "\n$ figscale {}", words.join(" "));
+        let output = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+            .args(["--entry", &entry])
+            .args(words)
+            .output()
+            .unwrap();
+        for stream in [&output.stdout, &output.stderr] {
+            let said = String::from_utf8_lossy(stream);
+            self.text.push_str(&said);
+            if !said.is_empty() && !said.ends_with('\n') {
+                self.text.push('\n');
+            }
+        }
+        let _ = writeln!(self.text, "(exit code {})", output.status.code().unwrap());
+    }
+
+    /// Sends a caller's request and writes down both sides.
+    pub(crate) async fn request(
+        &mut self,
+        index: usize,
+        path: &str,
+        fields: &[(&'static str, &str)],
+        body: &str,
+    ) -> client::Answer {
+        let entry = &self.entries[index];
+        let mut call = client::Call::post(entry.caller_address, path).body(body.to_owned());
+        let _ = writeln!(self.text, "\n> POST {path} at {}", entry.name);
+        let given: Vec<&str> = fields.iter().map(|(_, value)| *value).collect();
+        for (name, value) in fields {
+            call = call.header(name, value);
+            let _ = writeln!(self.text, "> {name}: {value}");
+        }
+        let _ = writeln!(self.text, "> ({} bytes)", body.len());
+        let answer = self
+            .client
+            .send_within(harness::PATIENCE, call)
+            .await
+            .unwrap();
+        let id = answer.header(headers::REQUEST_ID).to_owned();
+        if !id.is_empty() && !given.contains(&id.as_str()) {
+            self.redact(id, "MADE-BY-THE-ENTRY-INSTANCE");
+        }
+        self.write_answer(&answer);
+        answer
+    }
+
+    fn write_answer(&mut self, answer: &client::Answer) {
+        let _ = writeln!(self.text, "< {}", answer.status);
+        for name in [
+            headers::VERDICT,
+            headers::REQUEST_ID,
+            headers::SERVED_BY,
+            headers::RUNNER,
+            "retry-after",
+        ] {
+            if !answer.header(name).is_empty() {
+                let _ = writeln!(self.text, "< {name}: {}", answer.header(name));
+            }
+        }
+        if !answer.status.is_success() {
+            let _ = writeln!(self.text, "{}", answer.text());
+        }
+    }
+
+    /// Asks all entry instances for a planned stop and writes down how they end.
+    pub(crate) async fn stop(&mut self) {
+        for entry in &mut self.entries {
+            entry.signal(signal::Signal::SIGTERM);
+            let began = std::time::Instant::now();
+            let status = loop {
+                if let Some(status) = entry.try_wait() {
+                    break status;
+                }
+                assert!(began.elapsed() < harness::PATIENCE, "it does not end");
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            };
+            let _ = writeln!(
+                self.text,
+                "{} ended after SIGTERM (exit code {})",
+                entry.name,
+                status.code().unwrap()
+            );
+        }
+    }
+
+    /// The transcript, the same in every run.
+    pub(crate) fn transcript(&self) -> String {
+        let redact = |text: String, (from, to): &(String, String)| text.replace(from, to);
+        self.redactions.iter().fold(self.text.clone(), redact)
+    }
+}
+
+/// Both runners stand in one rack, so one entry instance holds both.
+fn runner_line(id: &str, address: net::SocketAddr) -> instances::Instance {
+    instances::Instance {
+        role: instances::Role::Runner,
+        service: Some(harness::SERVICE.parse().unwrap()),
+        slots: 8,
+        connections: 60,
+        ..harness::instance(id.parse().unwrap(), address, 1)
+    }
+}
+
+fn worker_line(id: &str, address: net::SocketAddr, index: usize) -> instances::Instance {
+    instances::Instance {
+        role: instances::Role::Worker,
+        capacity: figscale_standin::worker::Config::default().capacity,
+        ..harness::instance(id.parse().unwrap(), address, index)
+    }
+}
