--- a/crates/figscale-core/src/job/placement/pass.rs
+++ b/crates/figscale-core/src/job/placement/pass.rs
@@ -16,6 +16,7 @@
 
 use super::cluster;
 use super::line;
+use super::no_room;
 use super::place;
 use super::queue;
 use super::shares;
@@ -69,6 +70,10 @@
     /// Places what fits, in order; placed tasks leave the queue.
     pub fn pass(&mut self, input: PassInput<'_>) -> PassOutcome {
         let line = line::Line::new(self, input.cluster, input.shares, input.now);
+        let waiting = self.groups.values().map(|group| &group.work);
+        let accelerated = waiting.filter(|work| work.size.accelerators > 0);
+        let wanted = accelerated.map(|work| work.urgency).min();
+        input.cluster.set_accelerators_wanted(wanted, input.now);
         let mut holds_left = (input.cluster.workers().len() / HELD_ONE_IN).max(1);
         if input.cluster.workers().len() == 1 {
             holds_left = 0;
@@ -77,7 +82,7 @@
             queue: self,
             input,
             line,
-            no_room: Vec::new(),
+            no_room: no_room::NoRoomList::default(),
             holds_left,
             outcome: PassOutcome::default(),
         };
@@ -102,8 +107,8 @@
     queue: &'a mut queue::Queue,
     input: PassInput<'a>,
     line: line::Line,
-    /// Sizes that found no room; none holds another.
-    no_room: Vec<sizes::Resources>,
+    /// What found no room in this pass.
+    no_room: no_room::NoRoomList,
     holds_left: usize,
     outcome: PassOutcome,
 }
@@ -116,21 +121,38 @@
                 break;
             }
             let Some(asks) = self.asks(head.group) else {
-                self.line.advance(head);
+                self.advance(head);
                 continue;
             };
             match self.attempt(&asks) {
                 Tried::Placed => self.after_placed(head, &asks),
-                Tried::Quota => self.line.advance(head),
+                Tried::Quota => self.advance(head),
                 Tried::NoRoom(reason) => {
                     self.after_no_room(head, &asks, reason);
-                    self.line.advance(head);
+                    self.advance(head);
                 }
             }
         }
         self.input.cluster.clear_holds();
     }
 
+    /// Moves on, past groups that cannot find room and are not to be reported
+    /// or to have workers kept for them.
+    fn advance(&mut self, head: line::Head) {
+        let (queue, cluster) = (&*self.queue, &*self.input.cluster);
+        let no_room = &self.no_room;
+        let reports = is_urgent(head.level) && self.outcome.blocked.len() < MAX_BLOCKED;
+        let holds = head.level == queue::Level::Aged && self.holds_left > 0;
+        self.line.advance(head, |position| {
+            let group = queue.groups.get_index(position);
+            let skips = |(_, group): (_, &queue::Group)| {
+                let hopeless = no_room.rules_out(&no_room::Wish::of_work(&group.work, cluster));
+                group.pending.is_empty() || (hopeless && !reports && !holds)
+            };
+            group.is_none_or(skips)
+        });
+    }
+
     /// The next task of a group, or all of a gang; `None` if none is left.
     fn asks(&self, group: usize) -> Option<Vec<work::Ask>> {
         let (_, group) = self.queue.groups.get_index(group)?;
@@ -159,7 +181,8 @@
         if !first.owner.as_ref().is_none_or(admits) {
             return Tried::Quota;
         }
-        if self.no_room.iter().any(|size| first.size.holds(size)) {
+        let wish = no_room::Wish::of_ask(first, self.input.cluster);
+        if self.no_room.rules_out(&wish) {
             return Tried::NoRoom(place::NoPlace::NoRoom);
         }
         self.outcome.scans += asks.len();
@@ -182,13 +205,13 @@
 
     fn after_placed(&mut self, head: line::Head, asks: &[work::Ask]) {
         self.queue.take_at(head.group, asks.len());
-        let PassInput {
-            cluster, shares, ..
-        } = &self.input;
-        if let Some(owner) = asks.first().and_then(|ask| ask.owner.as_ref()) {
-            let share = shares.share(owner, cluster, &sizes::Resources::default());
-            self.line.count_placed(head, share);
-        }
+        let Some((_, group)) = self.queue.groups.get_index(head.group) else {
+            return;
+        };
+        let none = sizes::Resources::default();
+        let owner = &group.work.owner;
+        let share = self.input.shares.share(owner, self.input.cluster, &none);
+        self.line.count_placed(group.owner, share);
     }
 
     fn after_no_room(&mut self, head: line::Head, asks: &[work::Ask], reason: place::NoPlace) {
@@ -197,9 +220,10 @@
         };
         // A gang or a task that avoids workers says nothing of others.
         if asks.len() == 1 && first.avoid.is_empty() {
-            self.remember(first.size);
+            let wish = no_room::Wish::of_ask(first, self.input.cluster);
+            self.no_room.add(wish);
         }
-        let urgent = matches!(head.level, queue::Level::Interactive | queue::Level::Due);
+        let urgent = is_urgent(head.level);
         if urgent && self.outcome.blocked.len() < MAX_BLOCKED {
             self.outcome.blocked.push(first.task.job.clone());
         }
@@ -208,11 +232,6 @@
         }
     }
 
-    fn remember(&mut self, size: sizes::Resources) {
-        self.no_room.retain(|known| !known.holds(&size));
-        self.no_room.push(size);
-    }
-
     /// Keeps workers for tasks that found no room, as far as any are left.
     fn hold(&mut self, asks: &[work::Ask]) {
         for ask in asks {
@@ -223,3 +242,8 @@
         }
     }
 }
+
+/// Whether other work is ended for work of this level, if need be.
+fn is_urgent(level: queue::Level) -> bool {
+    matches!(level, queue::Level::Interactive | queue::Level::Due)
+}
--- a/crates/figscale-standin/src/cell/walk.rs
+++ b/crates/figscale-standin/src/cell/walk.rs
@@ -7,6 +7,7 @@
 use figscale_types::catalogue::Policy;
 use figscale_types::ids;
 use figscale_types::jobs;
+use figscale_types::operator::ApplyRequest;
 
 use super::Cell;
 use super::Operator;
@@ -21,6 +22,8 @@
 const TELL: time::Duration = time::Duration::from_secs(5);
 /// Arrivals a second, of all callers.
 const RATE_PER_S: f64 = 60.0;
+/// Time of the load that finds out whether the homes of request ids are up.
+const PROBE: time::Duration = time::Duration::from_millis(500);
 
 /// What to do with a cell.
 #[derive(Clone, Copy, Debug)]
@@ -60,27 +63,29 @@
         .iter()
         .map(|entry| Operator::new(entry.operator))
         .collect();
-    println!("\n1. Waiting until every entry instance is ready.");
-    for one in &operators {
-        operator::wait_for("ready", PATIENCE, async || match one.is_ready().await {
-            true => Ok(()),
-            false => Err(eyre::eyre!("not ready")),
-        })
-        .await?;
-    }
     let operator = &operators[0];
     apply(cell, operator).await?;
+    wait_until_ready(&operators).await?;
+    wait_until_homes_take_ids(cell, options.seed).await?;
     requests(cell, options).await?;
     run_jobs(cell, operator).await?;
     check_promises(cell)
 }
 
 async fn apply(cell: &Cell, operator: &Operator) -> eyre::Result<()> {
-    println!("\n2. Applying examples/{}.jsonc.", cell.user);
-    let catalogue = cell.user.catalogue()?;
+    println!("\n1. Applying examples/{}.jsonc.", cell.user);
+    let request = ApplyRequest {
+        base: ids::Revision(0),
+        change: ids::ChangeId(uuid::Uuid::now_v7()),
+        author: "cell".to_owned(),
+        note: "the example catalogue".to_owned(),
+        catalogue: cell.user.catalogue()?,
+    };
     let began = time::Instant::now();
-    let applied = operator.apply(ids::Revision(0), catalogue).await?;
-    let revision = applied.revision;
+    let accepted = async || operator.apply(&request).await;
+    let revision = operator::wait_for("accepted", PATIENCE, accepted)
+        .await?
+        .revision;
     operator::wait_for("in force everywhere", PATIENCE, async || {
         let status = operator.catalogue_status().await?;
         let in_force = |found: &&Option<ids::Revision>| **found == Some(revision);
@@ -97,6 +102,32 @@
     Ok(())
 }
 
+async fn wait_until_ready(operators: &[Operator]) -> eyre::Result<()> {
+    println!("\n2. Waiting until every entry instance is ready.");
+    for one in operators {
+        let ready = async || match one.is_ready().await {
+            true => Ok(()),
+            false => Err(eyre::eyre!("not ready")),
+        };
+        operator::wait_for("ready", PATIENCE, ready).await?;
+    }
+    Ok(())
+}
+
+/// A new home of request ids refuses those that may be older than itself, so
+/// requests that may run only once are taken a little later than others.
+async fn wait_until_homes_take_ids(cell: &Cell, seed: u64) -> eyre::Result<()> {
+    let mut probe = load_config(cell, PROBE, seed)?;
+    probe.classes.retain(|class| !class.idempotent);
+    operator::wait_for("requests that run once are taken", PATIENCE, async || {
+        let report = load::run(&probe).await;
+        let (own, all) = (report.all.own, report.all.requests);
+        eyre::ensure!(own == all, "{own} of {all}: {:?}", report.all.failed);
+        Ok(())
+    })
+    .await
+}
+
 fn load_config(cell: &Cell, duration: time::Duration, seed: u64) -> eyre::Result<load::Config> {
     let target = |entry: &super::EntryAddresses| load::Target {
         address: entry.caller,
--- a/crates/figscale-standin/src/main.rs
+++ b/crates/figscale-standin/src/main.rs
@@ -189,6 +189,9 @@
     /// seed (default 1)
     #[argh(option, default = "1")]
     seed: u64,
+    /// measure at small sizes only; `capacity` has such a form
+    #[argh(switch)]
+    quick: bool,
 }
 
 fn any_port() -> net::SocketAddr {
@@ -236,8 +239,9 @@
 
 /// Tells where a stand-in listens, and waits for the end.
 async fn serve(address: net::SocketAddr) -> eyre::Result<()> {
-    println!("listening on {address}");
+    // Whoever reads the line may send a signal at once.
     let mut terminate = signal::unix::signal(signal::unix::SignalKind::terminate())?;
+    println!("listening on {address}");
     tokio::select! {
         interrupted = signal::ctrl_c() => interrupted?,
         _ = terminate.recv() => {}
@@ -361,6 +365,11 @@
         }
         return Ok(());
     };
+    let name = if arguments.quick {
+        format!("{name}-quick")
+    } else {
+        name
+    };
     for line in experiment::run(&name, arguments.seed).await? {
         println!("{line}");
     }
--- a/crates/figscale-standin/tests/load.rs
+++ b/crates/figscale-standin/tests/load.rs
@@ -79,6 +79,17 @@
     assert_eq!(runner.ledger().requests().len() as u64, report.all.requests);
 }
 
+#[tokio::test]
+async fn classes_of_one_entry_are_counted_together() {
+    let runner = wide_runner().await;
+    let config = load::Config {
+        classes: vec![class("quotes", 1.0), class("quotes", 1.0)],
+        ..config(&[(runner.address(), 1.0)])
+    };
+    let report = load::run(&config).await;
+    assert_eq!(report.classes["quotes"].requests, report.all.requests);
+}
+
 /// What a dishonest server answers to every request.
 type Lie = fn(&str) -> (StatusCode, String, String);
 
@@ -149,7 +160,7 @@
     let runner = wide_runner().await;
     let mut report = load::run(&config(&[(runner.address(), 1.0)])).await;
     assert!(report.false_not_run(runner.ledger()).is_empty());
-    report.outcomes[0].result = load::RequestResult::Failed {
+    report.outcomes[0].kind = load::OutcomeKind::Failed {
         status: StatusCode::SERVICE_UNAVAILABLE,
         verdict: Some(Verdict::NotRun),
         retry_after: false,
@@ -176,3 +187,14 @@
     assert_eq!(report.all.own, report.all.requests, "{report}");
     assert!(report.outcomes.iter().all(|o| o.latency.as_millis() >= 300));
 }
+
+#[test]
+fn quantiles_are_those_of_the_times() {
+    let times = (1..=1_000).map(time::Duration::from_millis);
+    let found = load::Quantiles::of(times);
+    let near = |found: f64, expected: f64| (found / expected - 1.0).abs() < 0.01;
+    assert!(near(found.p50_ms, 500.0), "{found:?}");
+    assert!(near(found.p90_ms, 900.0), "{found:?}");
+    assert!(near(found.p99_ms, 990.0), "{found:?}");
+    assert!(near(found.max_ms, 1_000.0), "{found:?}");
+}
