--- a/crates/figscale-standin/src/cell/operator.rs
+++ b/crates/figscale-standin/src/cell/operator.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::time;
 
+use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
@@ -47,6 +48,22 @@
         self.ask(call).await
     }
 
+    /// Replaces the catalogue of revision `base`, by a change of its own.
+    pub async fn replace(
+        &self,
+        base: ids::Revision,
+        catalogue: catalogue::Catalogue,
+    ) -> eyre::Result<operator::ApplyAnswer> {
+        let request = operator::ApplyRequest {
+            base,
+            change: ids::ChangeId(uuid::Uuid::now_v7()),
+            author: "experiment".to_owned(),
+            note: String::new(),
+            catalogue,
+        };
+        self.apply(&request).await
+    }
+
     /// Revision in force at each entry instance.
     pub async fn catalogue_status(&self) -> eyre::Result<operator::CatalogueStatus> {
         let call = client::Call::get(self.address, "/v1/catalogue/status");
--- a/crates/figscale-standin/src/experiment/capacity/fleet.rs
+++ b/crates/figscale-standin/src/experiment/capacity/fleet.rs
@@ -177,7 +177,7 @@
         let began = time::Instant::now();
         loop {
             let wanted = catalogue::of(self.size.owners, 0)?;
-            match self.operator.apply(ids::Revision(0), wanted).await {
+            match self.operator.replace(ids::Revision(0), wanted).await {
                 Ok(answer) => {
                     self.revision = answer.revision;
                     return Ok(());
--- a/crates/figscale-standin/src/experiment/capacity/load.rs
+++ b/crates/figscale-standin/src/experiment/capacity/load.rs
@@ -211,7 +211,7 @@
     limit: time::Duration,
 ) -> eyre::Result<Option<time::Duration>> {
     let wanted = catalogue::of(owners, version)?;
-    let answer = fleet.operator.apply(fleet.revision, wanted).await?;
+    let answer = fleet.operator.replace(fleet.revision, wanted).await?;
     let accepted = time::Instant::now();
     fleet.revision = answer.revision;
     while accepted.elapsed() < limit {
@@ -245,7 +245,7 @@
         let Ok(wanted) = catalogue::of(fleet.size.owners, version) else {
             return accepted;
         };
-        if let Ok(answer) = fleet.operator.apply(fleet.revision, wanted).await {
+        if let Ok(answer) = fleet.operator.replace(fleet.revision, wanted).await {
             fleet.revision = answer.revision;
             accepted += 1;
         }
--- /dev/null
+++ b/crates/figscale/tests/jobs_cell.rs
@@ -0,0 +1,265 @@
+//! Jobs over real entry instances, judged at the workers' shared ledger.
+
+#![expect(clippy::unwrap_used, reason = "A test may panic.")]
+
+mod harness;
+
+use std::time;
+
+use figscale_types::ids;
+use figscale_types::jobs;
+use figscale_types::operator;
+use nix::sys::signal;
+use serde_json::json;
+
+/// Leases short enough for a test, in the proportions of the defaults.
+fn plan(entries: usize, workers: usize) -> harness::Plan {
+    harness::Plan {
+        entries,
+        workers,
+        settings: json!({
+            "claims": { "lease_ms": 2_000, "heartbeat_ms": 500, "margin_ms": 200, "instances_ms": 200 },
+            "jobs": { "lease_ms": 2_000, "renew_ms": 500, "window_ms": 500, "margin_ms": 200 },
+        }),
+        ..harness::Plan::default()
+    }
+}
+
+fn catalogue() -> serde_json::Value {
+    let policy = |class: &str| json!({ "owner": "council", "policy": { "tasks": { "class": class, "urgency": "deadline" } } });
+    json!({
+        "owners": { "council": {} },
+        "entries": {
+            "tides": policy("batch"),
+            "cliffs": policy("gang"),
+            "gauges": policy("service"),
+        },
+    })
+}
+
+async fn start(plan: harness::Plan) -> harness::Cell {
+    let entries: Vec<usize> = (0..plan.entries).collect();
+    let cell = harness::Cell::start(plan).await;
+    let request = operator::ApplyRequest {
+        base: ids::Revision(0),
+        change: ids::ChangeId(uuid::Uuid::now_v7()),
+        author: "test".to_owned(),
+        note: String::new(),
+        catalogue: serde_json::from_value(catalogue()).unwrap(),
+    };
+    harness::wait_until("accepted catalogue", || async {
+        let answer = cell.operator(0).apply(&request).await;
+        answer.is_ok()
+    })
+    .await;
+    cell.wait_for_revision(&entries, 1).await;
+    cell
+}
+
+fn spec(entry: &str, tasks: u32, run_ms: u64, idempotent: bool) -> jobs::JobSpec {
+    serde_json::from_value(json!({
+        "entry": entry,
+        "owner": "council",
+        "tasks": tasks,
+        "task": { "cpu_millis": 1_000, "memory_bytes": 1 << 30 },
+        "run_ms": run_ms,
+        "idempotent": idempotent,
+    }))
+    .unwrap()
+}
+
+fn id(text: &str) -> ids::JobId {
+    text.parse().unwrap()
+}
+
+/// Submits until the job is accepted, with the same id.
+async fn accept(cell: &harness::Cell, entry: usize, name: &str, spec: &jobs::JobSpec) {
+    harness::wait_until(&format!("acceptance of {name}"), || async {
+        cell.operator(entry).submit(&id(name), spec).await.is_ok()
+    })
+    .await;
+}
+
+async fn state(cell: &harness::Cell, entry: usize, name: &str) -> Option<jobs::JobState> {
+    let status = cell.operator(entry).job(&id(name)).await.ok()?;
+    Some(status.state)
+}
+
+async fn wait_for(cell: &harness::Cell, entry: usize, name: &str, wanted: jobs::JobState) {
+    harness::wait_until(&format!("{name} {wanted:?}"), || async {
+        state(cell, entry, name).await == Some(wanted)
+    })
+    .await;
+}
+
+/// What must hold whatever happened.
+fn judge(cell: &harness::Cell) {
+    assert_eq!(cell.tasks.violations(), Vec::new(), "{}", cell.logs());
+    for worker in &cell.workers {
+        let report = worker.report();
+        let running = report
+            .tasks
+            .iter()
+            .filter(|task| task.phase == figscale_types::worker::TaskPhase::Running);
+        let sum = running.fold(figscale_types::sizes::Resources::default(), |sum, task| {
+            sum.plus(&task.reserved)
+        });
+        assert!(report.capacity.holds(&sum), "{} holds {sum}", report.worker);
+    }
+}
+
+fn starts(cell: &harness::Cell, name: &str) -> u32 {
+    let all = cell.tasks.all_starts();
+    let of = |(task, count): (&ids::TaskId, &u32)| (task.job == id(name)).then_some(*count);
+    all.iter().filter_map(of).sum()
+}
+
+/// Submitted at either of two entry instances, every job is written, placed,
+/// runs under a lease and is done, and both tell so.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_run_to_their_end_over_two_entries() {
+    let cell = start(plan(2, 4)).await;
+    for number in 0..8 {
+        let name = format!("job-{number}");
+        accept(
+            &cell,
+            number % 2,
+            &name,
+            &spec("tides", 3, 200, number % 3 != 0),
+        )
+        .await;
+    }
+    accept(&cell, 0, "cliff", &spec("cliffs", 6, 200, true)).await;
+    for entry in 0..2 {
+        for number in 0..8 {
+            wait_for(&cell, entry, &format!("job-{number}"), jobs::JobState::Done).await;
+        }
+        wait_for(&cell, entry, "cliff", jobs::JobState::Done).await;
+    }
+    judge(&cell);
+    assert_eq!(cell.tasks.runs().len(), 8 * 3 + 6, "{}", cell.logs());
+}
+
+/// The death of an entry instance loses no accepted job and runs none twice at
+/// once; what may not run again is not run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_entry_loses_no_job() {
+    let mut cell = start(plan(3, 4)).await;
+    for number in 0..12 {
+        let name = format!("job-{number}");
+        let spec = spec("tides", 4, 3_000, number % 2 == 0);
+        accept(&cell, number % 3, &name, &spec).await;
+    }
+    harness::wait_until("running tasks", || async { cell.tasks.runs().len() > 20 }).await;
+    cell.kill(2).await;
+    for number in 0..12 {
+        let name = format!("job-{number}");
+        harness::wait_until(&format!("end of {name}"), || async {
+            state(&cell, 0, &name)
+                .await
+                .is_some_and(jobs::JobState::is_final)
+        })
+        .await;
+        let ended = state(&cell, 0, &name).await;
+        match number % 2 {
+            0 => assert_eq!(ended, Some(jobs::JobState::Done), "{name}\n{}", cell.logs()),
+            _ => assert!(starts(&cell, &name) <= 4, "{name} ran again"),
+        }
+    }
+    judge(&cell);
+}
+
+/// An entry instance that is frozen past its leases and then goes on starts
+/// nothing that runs elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_runs_nothing_twice() {
+    let cell = start(plan(3, 4)).await;
+    for number in 0..12 {
+        let name = format!("job-{number}");
+        accept(&cell, number % 3, &name, &spec("tides", 4, 2_500, true)).await;
+    }
+    harness::wait_until("running tasks", || async { !cell.tasks.runs().is_empty() }).await;
+    cell.signal(1, signal::Signal::SIGSTOP);
+    tokio::time::sleep(time::Duration::from_secs(6)).await;
+    cell.signal(1, signal::Signal::SIGCONT);
+    for number in 0..12 {
+        wait_for(&cell, 0, &format!("job-{number}"), jobs::JobState::Done).await;
+    }
+    judge(&cell);
+}
+
+/// A worker that is frozen past its tasks' leases, and one that is cut off,
+/// keep nothing from running, and nothing runs in two places.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_or_cut_worker_runs_nothing_twice() {
+    let cell = start(plan(2, 4)).await;
+    for number in 0..6 {
+        let name = format!("job-{number}");
+        accept(&cell, number % 2, &name, &spec("tides", 8, 2_000, true)).await;
+    }
+    harness::wait_until("running tasks", || async { cell.tasks.runs().len() > 10 }).await;
+    cell.workers[0].change_faults(|faults| faults.freeze = true);
+    cell.workers[1].change_faults(|faults| faults.cut_off = true);
+    cell.workers[2].change_faults(|faults| faults.lose_next_starts = 10);
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    cell.workers[0].change_faults(|faults| faults.freeze = false);
+    cell.workers[1].change_faults(|faults| faults.cut_off = false);
+    for number in 0..6 {
+        wait_for(&cell, 0, &format!("job-{number}"), jobs::JobState::Done).await;
+    }
+    judge(&cell);
+}
+
+/// While the store is away running tasks go on and end, nothing is accepted,
+/// and the refusal says when to come back; what was refused never runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_outage_stops_no_task() {
+    let cell = start(plan(2, 2)).await;
+    accept(&cell, 0, "before", &spec("tides", 4, 4_000, false)).await;
+    harness::wait_until("running tasks", || async { cell.tasks.runs().len() == 4 }).await;
+    cell.platform.change_faults(|faults| faults.outage = true);
+    // The first submission finds out; from then on the refusal is immediate.
+    let mut refused = Vec::new();
+    for number in 0..40 {
+        let name = format!("during-{number}");
+        let answer = cell
+            .operator(0)
+            .submit(&id(&name), &spec("tides", 1, 100, false))
+            .await;
+        let error = answer.expect_err("nothing is accepted in an outage");
+        if error.kind == operator::ErrorKind::Unavailable {
+            assert!(error.retry_after_ms.is_some(), "{error:?}");
+            refused.push(name);
+        }
+    }
+    assert!(!refused.is_empty());
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    cell.platform.change_faults(|faults| faults.outage = false);
+    wait_for(&cell, 1, "before", jobs::JobState::Done).await;
+    accept(&cell, 0, "after", &spec("tides", 1, 100, true)).await;
+    wait_for(&cell, 0, "after", jobs::JobState::Done).await;
+    for name in refused {
+        assert_eq!(starts(&cell, &name), 0, "{name} was refused and ran");
+    }
+    assert_eq!(starts(&cell, "before"), 4);
+    judge(&cell);
+}
+
+/// A job that can never run is refused with the reason; one that asks for too
+/// much at once blocks nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_can_never_run_is_refused() {
+    let cell = start(plan(2, 2)).await;
+    let mut large = spec("tides", 1, 100, true);
+    large.task.cpu_millis.0 = 10_000_000;
+    harness::wait_until("refusal", || async {
+        match cell.operator(0).submit(&id("large"), &large).await {
+            Err(error) => error.kind == operator::ErrorKind::Invalid,
+            Ok(_) => false,
+        }
+    })
+    .await;
+    accept(&cell, 0, "small", &spec("tides", 1, 100, true)).await;
+    wait_for(&cell, 1, "small", jobs::JobState::Done).await;
+    judge(&cell);
+}
