--- a/crates/figscale-standin/src/worker/mod.rs
+++ b/crates/figscale-standin/src/worker/mod.rs
@@ -14,6 +14,7 @@
 mod api;
 mod behaviour;
 mod ledger;
+mod task;
 mod tasks;
 
 use std::io;
@@ -28,7 +29,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::watch;
-use tokio::task;
 
 use crate::http_server;
 use crate::mutex;
@@ -136,7 +136,7 @@
 pub struct Handle {
     server: http_server::Server,
     shared: sync::Arc<Shared>,
-    ticker: task::JoinHandle<()>,
+    ticker: tokio::task::JoinHandle<()>,
 }
 
 /// Starts a stand-in; returns once it listens.
--- a/crates/figscale-standin/src/worker/tasks.rs
+++ b/crates/figscale-standin/src/worker/tasks.rs
@@ -18,6 +18,7 @@
 use super::Behaviour;
 use super::Faults;
 use super::ledger;
+use super::task;
 
 /// What holders asked of a worker, and how full it was.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,69 +39,6 @@
     pub most_reserved: sizes::Resources,
 }
 
-#[derive(Debug)]
-struct Task {
-    attempt: u32,
-    home_epoch: ids::Epoch,
-    phase: TaskPhase,
-    reserved: sizes::Resources,
-    use_factor: f64,
-    fail: bool,
-    started: time::Instant,
-    lease_until: time::Instant,
-    ends: time::Instant,
-    longest: time::Instant,
-    /// Run time saved by earlier attempts.
-    saved: time::Duration,
-    /// When it stopped running.
-    stopped: Option<time::Instant>,
-}
-
-impl Task {
-    fn is_running(&self) -> bool {
-        self.phase == TaskPhase::Running
-    }
-
-    fn used(&self) -> sizes::Resources {
-        scaled(&self.reserved, self.use_factor)
-    }
-
-    /// What a report shows, which is from `lag` before `now`.
-    fn reported_use(&self, now: time::Instant, lag: time::Duration) -> sizes::Resources {
-        let seen_at = now.checked_sub(lag).unwrap_or(now);
-        let runs_then = self.started <= seen_at && self.stopped.is_none_or(|at| seen_at < at);
-        if runs_then {
-            self.used()
-        } else {
-            sizes::Resources::default()
-        }
-    }
-
-    /// How and when it ends next.
-    fn next_end(&self) -> (time::Instant, TaskPhase) {
-        let end = if self.fail {
-            TaskPhase::Failed
-        } else {
-            TaskPhase::Done
-        };
-        let ends = [
-            (self.lease_until, TaskPhase::Lapsed),
-            (self.longest, TaskPhase::Failed),
-            (self.ends, end),
-        ];
-        let first = ends.into_iter().min_by_key(|(at, _)| *at);
-        first.unwrap_or((self.ends, end))
-    }
-}
-
-fn scaled(size: &sizes::Resources, factor: f64) -> sizes::Resources {
-    sizes::Resources {
-        cpu_millis: sizes::CpuMillis((size.cpu_millis.0 as f64 * factor) as u64),
-        memory_bytes: sizes::Bytes((size.memory_bytes.0 as f64 * factor) as u64),
-        accelerators: size.accelerators,
-    }
-}
-
 pub(super) struct Tasks {
     id: ids::InstanceId,
     capacity: sizes::Resources,
@@ -109,7 +47,7 @@
     life: u64,
     started: time::Instant,
     epoch: ids::Epoch,
-    tasks: IndexMap<ids::TaskId, Task>,
+    tasks: IndexMap<ids::TaskId, task::Task>,
     faults: Faults,
     frozen_at: Option<time::Instant>,
     overused: bool,
@@ -190,7 +128,7 @@
                 task.phase = TaskPhase::Lapsed;
                 task.stopped = Some(since);
             } else {
-                self.ledger.began(run(id, task, &self.id, now));
+                self.ledger.began(task.run(id, &self.id, now));
             }
         }
         self.advance(now);
@@ -257,7 +195,7 @@
 
     fn refusal(&mut self, request: &worker::StartTask) -> Option<worker::StartRefusal> {
         let other_attempt = self.tasks.get(&request.task);
-        if other_attempt.is_some_and(Task::is_running) {
+        if other_attempt.is_some_and(task::Task::is_running) {
             return Some(worker::StartRefusal::RunsAlready);
         }
         if self.faults.leaving {
@@ -286,7 +224,7 @@
         } else {
             whole.saturating_sub(saved)
         };
-        let task = Task {
+        let task = task::Task {
             attempt: request.attempt,
             home_epoch: request.home_epoch,
             phase: TaskPhase::Running,
@@ -301,7 +239,7 @@
             stopped: None,
         };
         self.ledger.started(&request.task);
-        self.ledger.began(run(&request.task, &task, &self.id, now));
+        self.ledger.began(task.run(&request.task, &self.id, now));
         self.tasks.insert(request.task.clone(), task);
         self.record.starts += 1;
         let reserved = self.reserved();
@@ -410,17 +348,6 @@
     }
 }
 
-fn run(id: &ids::TaskId, task: &Task, worker: &ids::InstanceId, now: time::Instant) -> ledger::Run {
-    ledger::Run {
-        task: id.clone(),
-        attempt: task.attempt,
-        worker: worker.clone(),
-        began: now,
-        lease_until: task.lease_until,
-        ended: None,
-    }
-}
-
 fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
