--- a/crates/figscale-standin/src/cell/users.rs
+++ b/crates/figscale-standin/src/cell/users.rs
@@ -3,20 +3,55 @@
 use std::fmt;
 use std::str;
 
-use eyre::WrapErr as _;
 use figscale::settings::document;
 use figscale_types::catalogue;
 use figscale_types::error;
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::sizes;
+use serde::de;
 
 use crate::load;
 
-const FRASER_REACH: &str = include_str!("../../../../examples/fraser-reach.jsonc");
-const FIRTH_SHORE: &str = include_str!("../../../../examples/firth-shore.jsonc");
 const GIB: u64 = 1_024 * sizes::MIB;
 
+/// A file of the folder `examples`, as it was when this was built.
+#[derive(Clone, Copy)]
+struct Example {
+    name: &'static str,
+    text: &'static str,
+}
+
+impl Example {
+    fn parse<T: de::DeserializeOwned>(&self) -> eyre::Result<T> {
+        let document = document::Document::from_text(self.name, self.text)?;
+        Ok(document.parse()?)
+    }
+}
+
+/// Takes in a file of the folder `examples` by its name.
+macro_rules! example {
+    ($name:literal) => {
+        Example {
+            name: concat!("examples/", $name),
+            text: include_str!(concat!("../../../../examples/", $name)),
+        }
+    };
+}
+
+const FRASER_REACH: Example = example!("fraser-reach.jsonc");
+const FIRTH_SHORE: Example = example!("firth-shore.jsonc");
+const FRASER_REACH_JOBS: &[Example] = &[
+    example!("jobs/rate-tables.jsonc"),
+    example!("jobs/fleet-repricing.jsonc"),
+    example!("jobs/accumulation-run.jsonc"),
+];
+const FIRTH_SHORE_JOBS: &[Example] = &[
+    example!("jobs/tide-gauge-feed.jsonc"),
+    example!("jobs/tide-comparison.jsonc"),
+    example!("jobs/reconstruction.jsonc"),
+];
+
 /// A user of the system, with a cell of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum User {
@@ -49,12 +84,10 @@
 impl User {
     /// Its example catalogue.
     pub fn catalogue(self) -> eyre::Result<catalogue::Catalogue> {
-        let (name, text) = match self {
-            Self::FraserReach => ("examples/fraser-reach.jsonc", FRASER_REACH),
-            Self::FirthShore => ("examples/firth-shore.jsonc", FIRTH_SHORE),
-        };
-        let document = document::Document::from_text(name, text).wrap_err(name)?;
-        document.parse().wrap_err(name)
+        match self {
+            Self::FraserReach => FRASER_REACH.parse(),
+            Self::FirthShore => FIRTH_SHORE.parse(),
+        }
     }
 
     /// The service that its runners belong to.
@@ -80,7 +113,11 @@
             Self::FraserReach => 128,
             Self::FirthShore => 256,
         };
-        size(64, memory_gib)
+        sizes::Resources {
+            cpu_millis: sizes::CpuMillis(64_000),
+            memory_bytes: sizes::Bytes(memory_gib * GIB),
+            accelerators: 0,
+        }
     }
 
     /// Its requests, as callers make them.
@@ -101,30 +138,21 @@
         }
     }
 
-    /// A job of each class: service, batch and gang.
-    pub fn jobs(self) -> eyre::Result<Vec<jobs::JobSpec>> {
+    /// The file of its main job.
+    pub fn job_file(self) -> &'static str {
         match self {
-            Self::FraserReach => Ok(vec![
-                job("rate-tables", "underwriting-desk", 3, size(2, 4), HOUR_MS)?,
-                job("fleet-repricing", "port-shippers", 12, size(4, 8), 1_500)?,
-                job("accumulation-run", "brokers", 6, size(8, 16), 2_000)?,
-            ]),
-            Self::FirthShore => Ok(vec![
-                job("tide-gauge-feed", "consortium", 3, size(2, 4), HOUR_MS)?,
-                job("tide-comparison", "councils", 16, size(4, 12), 1_500)?,
-                job("reconstruction", "lunan-survey", 6, size(16, 64), 2_500)?,
-            ]),
+            Self::FraserReach => "examples/jobs/accumulation-run.jsonc",
+            Self::FirthShore => "examples/jobs/reconstruction.jsonc",
         }
     }
-}
 
-const HOUR_MS: u64 = 3_600_000;
-
-fn size(cores: u64, memory_gib: u64) -> sizes::Resources {
-    sizes::Resources {
-        cpu_millis: sizes::CpuMillis(cores * 1_000),
-        memory_bytes: sizes::Bytes(memory_gib * GIB),
-        accelerators: 0,
+    /// A job of each class: service, batch and gang.
+    pub fn jobs(self) -> eyre::Result<Vec<jobs::JobSpec>> {
+        let files = match self {
+            Self::FraserReach => FRASER_REACH_JOBS,
+            Self::FirthShore => FIRTH_SHORE_JOBS,
+        };
+        files.iter().map(|file| file.parse()).collect()
     }
 }
 
@@ -146,23 +174,3 @@
         answer_bytes: load::DEFAULT_ANSWER_BYTES,
     })
 }
-
-fn job(
-    entry: &str,
-    owner: &str,
-    tasks: u32,
-    task: sizes::Resources,
-    run_ms: u64,
-) -> eyre::Result<jobs::JobSpec> {
-    Ok(jobs::JobSpec {
-        entry: entry.parse()?,
-        owner: owner.parse()?,
-        tasks,
-        task,
-        run_ms,
-        deadline_ms: None,
-        idempotent: true,
-        checkpointable: true,
-        command: String::new(),
-    })
-}
--- a/crates/figscale-standin/src/cell/walk.rs
+++ b/crates/figscale-standin/src/cell/walk.rs
@@ -3,11 +3,11 @@
 
 use std::time;
 
-use figscale_types::catalogue::JobClass;
-use figscale_types::catalogue::Policy;
+use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::jobs;
-use figscale_types::operator::ApplyRequest;
+use figscale_types::operator as messages;
+use futures_util::future;
 
 use super::Cell;
 use super::Operator;
@@ -74,7 +74,7 @@
 
 async fn apply(cell: &Cell, operator: &Operator) -> eyre::Result<()> {
     println!("\n1. Applying examples/{}.jsonc.", cell.user);
-    let request = ApplyRequest {
+    let request = messages::ApplyRequest {
         base: ids::Revision(0),
         change: ids::ChangeId(uuid::Uuid::now_v7()),
         author: "cell".to_owned(),
@@ -171,26 +171,46 @@
         println!("   {id}: {} tasks of {}", spec.tasks, spec.task);
         submitted.push((id, spec));
     }
-    for (id, spec) in submitted {
-        let entry = catalogue.entries.get(&spec.entry);
-        let lasts = entry.is_some_and(|entry| {
-            matches!(&entry.policy, Policy::Tasks(tasks) if tasks.class == JobClass::Service)
-        });
-        let wanted = if lasts {
+    let began = time::Instant::now();
+    let ends = submitted.iter().map(|(id, spec)| {
+        let wanted = wanted_state(&catalogue, spec);
+        wait_for_job(operator, id, wanted, began)
+    });
+    future::try_join_all(ends).await?;
+    Ok(())
+}
+
+/// A service is to run on, every other job to end well.
+fn wanted_state(catalogue: &catalogue::Catalogue, spec: &jobs::JobSpec) -> jobs::JobState {
+    let policy = catalogue
+        .entries
+        .get(&spec.entry)
+        .map(|entry| &entry.policy);
+    match policy {
+        Some(catalogue::Policy::Tasks(tasks)) if tasks.class == catalogue::JobClass::Service => {
             jobs::JobState::Running
-        } else {
-            jobs::JobState::Done
-        };
-        let began = time::Instant::now();
-        operator::wait_for("the job", PATIENCE, async || {
-            let status = operator.job(&id).await?;
-            let all = status.tasks.iter().all(|task| task.state == wanted);
-            eyre::ensure!(status.state == wanted && all, "{status:?}");
-            Ok(())
-        })
-        .await?;
-        println!("   {id} is {wanted:?} after {:?}.", began.elapsed());
+        }
+        _ => jobs::JobState::Done,
     }
+}
+
+async fn wait_for_job(
+    operator: &Operator,
+    id: &ids::JobId,
+    wanted: jobs::JobState,
+    began: time::Instant,
+) -> eyre::Result<()> {
+    operator::wait_for("the job", PATIENCE, async || {
+        let status = operator.job(id).await?;
+        let all = status.tasks.iter().all(|task| task.state == wanted);
+        eyre::ensure!(status.state == wanted && all, "{status:?}");
+        Ok(())
+    })
+    .await?;
+    println!(
+        "   {id}: {wanted:?}, seen {} ms after the last was submitted.",
+        began.elapsed().as_millis()
+    );
     Ok(())
 }
 
@@ -273,6 +293,14 @@
         "  cargo run -q --release -p figscale -- catalogue diff examples/{}.jsonc",
         cell.user
     );
+    println!(
+        "  cargo run -q --release -p figscale -- catalogue apply --base 1 examples/{}.jsonc",
+        cell.user
+    );
+    println!(
+        "  cargo run -q --release -p figscale -- job submit {}",
+        cell.user.job_file()
+    );
     println!("  cargo run -q --release -p figscale -- job list");
     println!("  cargo run -q --release -p figscale -- dump");
     println!(
