--- a/crates/figscale-core/src/job/placement/queue.rs
+++ b/crates/figscale-core/src/job/placement/queue.rs
@@ -8,7 +8,8 @@
 //! 1. interactive work, by fair share among owners;
 //! 2. work that misses its deadline unless it starts soon, earliest first;
 //! 3. other work with a deadline, by fair share, earliest first within an owner;
-//! 4. best-effort work that waited long, oldest first;
+//! 4. best-effort work that waited long, by fair share, oldest first within an
+//!    owner;
 //! 5. other best-effort work, by fair share.
 //!
 //! Work whose deadline cannot be met any more ranks with level 4, so that it
@@ -21,6 +22,7 @@
 use figscale_types::ids;
 use figscale_types::sizes;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::work;
 
@@ -116,6 +118,8 @@
     pub(super) pending: Vec<Pending>,
     /// Order of arrival.
     pub(super) seq: u64,
+    /// Position of the owner among the queue's owners.
+    pub(super) owner: usize,
 }
 
 /// All work that waits.
@@ -123,6 +127,8 @@
 pub struct Queue {
     pub(super) config: QueueConfig,
     pub(super) groups: IndexMap<ids::JobId, Group>,
+    /// Every owner that ever had work here.
+    pub(super) owners: IndexSet<ids::OwnerName>,
     next_seq: u64,
     tasks: usize,
 }
@@ -141,6 +147,7 @@
     /// A task that waits already is not added again.
     pub fn push(&mut self, work: Work, tasks: impl IntoIterator<Item = Pending>) {
         let next_seq = self.next_seq;
+        let owner = self.owners.insert_full(work.owner.clone()).0;
         let group = self
             .groups
             .entry(work.job.clone())
@@ -148,9 +155,11 @@
                 work: work.clone(),
                 pending: Vec::new(),
                 seq: next_seq,
+                owner,
             });
         let before = group.pending.len();
         group.work = work;
+        group.owner = owner;
         group.pending.extend(tasks);
         // Sorted so that the lowest index goes first, from the end.
         group
