--- a/crates/figscale-standin/src/cell/operator.rs
+++ b/crates/figscale-standin/src/cell/operator.rs
@@ -39,24 +39,8 @@
         answer.is_ok_and(|answer| answer.status.is_success())
     }
 
-    /// Applies a catalogue against a base revision, as a change of its own.
-    pub async fn apply(
-        &self,
-        base: ids::Revision,
-        catalogue: catalogue::Catalogue,
-    ) -> eyre::Result<operator::ApplyAnswer> {
-        let request = operator::ApplyRequest {
-            base,
-            change: ids::ChangeId(uuid::Uuid::now_v7()),
-            author: "standin".to_owned(),
-            note: String::new(),
-            catalogue,
-        };
-        self.apply_change(&request).await
-    }
-
     /// Applies a change; a repeat with the same id counts once.
-    pub async fn apply_change(
+    pub async fn apply(
         &self,
         request: &operator::ApplyRequest,
     ) -> eyre::Result<operator::ApplyAnswer> {
--- a/crates/figscale-standin/src/cell/walk.rs
+++ b/crates/figscale-standin/src/cell/walk.rs
@@ -82,7 +82,7 @@
         catalogue: cell.user.catalogue()?,
     };
     let began = time::Instant::now();
-    let accepted = async || operator.apply_change(&request).await;
+    let accepted = async || operator.apply(&request).await;
     let revision = operator::wait_for("accepted", PATIENCE, accepted)
         .await?
         .revision;
