--- a/crates/figscale-standin/src/cell/operator.rs
+++ b/crates/figscale-standin/src/cell/operator.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::time;
 
+use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
@@ -38,7 +39,7 @@
         answer.is_ok_and(|answer| answer.status.is_success())
     }
 
-    /// Applies a catalogue; a repeat with the same change id counts once.
+    /// Applies a change; a repeat with the same id counts once.
     pub async fn apply(
         &self,
         request: &operator::ApplyRequest,
@@ -47,6 +48,22 @@
         self.ask(call).await
     }
 
+    /// Replaces the catalogue of revision `base`, by a change of its own.
+    pub async fn replace(
+        &self,
+        base: ids::Revision,
+        catalogue: catalogue::Catalogue,
+    ) -> eyre::Result<operator::ApplyAnswer> {
+        let request = operator::ApplyRequest {
+            base,
+            change: ids::ChangeId(uuid::Uuid::now_v7()),
+            author: "experiment".to_owned(),
+            note: String::new(),
+            catalogue,
+        };
+        self.apply(&request).await
+    }
+
     /// Revision in force at each entry instance.
     pub async fn catalogue_status(&self) -> eyre::Result<operator::CatalogueStatus> {
         let call = client::Call::get(self.address, "/v1/catalogue/status");
