Empty leaving workers, preempt for urgent work, describe adopted tasks

A leaving worker's tasks are checkpointed or, for services, stopped and started elsewhere; an urgent order without room has placement's plan carried out; a home tells a placer what the tasks are that it found running.

--- a/crates/figscale-core/src/job/home/recover.rs
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -350,6 +350,7 @@
             view.confirmed_at = Some(asked_at);
             view.complete = shard.complete;
             self.on_tell(now, placer, &shard.tasks);
+            self.describe(placer, &shard.tasks);
             if shard.complete {
                 self.lose_missing(now, asked_at, &shard);
             }
@@ -357,6 +358,24 @@
         self.resolve_unknown(now);
     }
 
+    /// Tells a placer what the tasks are that it found running.
+    fn describe(&mut self, placer: &ids::MemberKey, events: &[message::TaskEvent]) {
+        let running = events
+            .iter()
+            .filter(|event| event.state == message::TaskState::Running);
+        let orders: Vec<_> = running
+            .filter_map(|event| {
+                let mut order = self.order_of(&event.attempt.task)?;
+                order.attempt = event.attempt.clone();
+                Some(order)
+            })
+            .collect();
+        if !orders.is_empty() {
+            let question = message::Question::Describe(self.key.clone(), orders);
+            self.actions.push(Action::Call(placer.clone(), question));
+        }
+    }
+
     /// Tasks that were on the shard and that its holder does not have are lost.
     fn lose_missing(&mut self, now: Now, asked_at: time::Instant, shard: &message::ShardInventory) {
         let listed: IndexSet<_> = shard
--- a/crates/figscale-core/src/job/message.rs
+++ b/crates/figscale-core/src/job/message.rs
@@ -188,6 +188,8 @@
     Inventory(HomeKey, u64),
     /// Home to placer: these ends are dealt with.
     Acknowledge(HomeKey, Vec<Attempt>),
+    /// Home to placer: what tasks are that the placer took over.
+    Describe(HomeKey, Vec<TaskOrder>),
     /// Placer to home: news.
     Tell(ids::ShardId, Vec<TaskEvent>),
 }
--- a/crates/figscale-core/src/job/placer/mod.rs
+++ b/crates/figscale-core/src/job/placer/mod.rs
@@ -157,6 +157,8 @@
     tasks: IndexMap<ids::TaskId, task::Task>,
     /// Room on the workers.
     cluster: placement::Cluster,
+    /// Preemption for the orders of one call.
+    planner: placement::preempt::Planner,
     /// Whose fault failures were.
     faults: placement::fault::Faults,
     /// What was seen of each home.
@@ -174,6 +176,7 @@
             sessions: IndexMap::new(),
             tasks: IndexMap::new(),
             cluster: placement::Cluster::default(),
+            planner: placement::preempt::Planner::default(),
             faults: placement::fault::Faults::default(),
             homes: IndexMap::new(),
             actions: Vec::new(),
--- a/crates/figscale-core/src/job/placer/orders.rs
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -8,6 +8,7 @@
 use super::Placer;
 use super::task;
 use crate::job::message;
+use crate::job::placement;
 
 impl Placer {
     /// Answers a home's call.
@@ -19,6 +20,7 @@
     ) -> message::Answer {
         match question {
             message::Question::Place(home, scope, orders) => {
+                self.planner = placement::preempt::Planner::default();
                 let admitted = self.note_home(&home) && !self.is_overtaken(&home, &scope);
                 let answers = orders
                     .into_iter()
@@ -44,6 +46,7 @@
             message::Question::Go(home, _)
             | message::Question::Stop(home, _)
             | message::Question::Inventory(home, _)
+            | message::Question::Describe(home, _)
             | message::Question::Acknowledge(home, _) => home.clone(),
             _ => return message::Answer::NotHere,
         };
@@ -69,6 +72,12 @@
                 }
                 message::Answer::Noted
             }
+            message::Question::Describe(_, orders) => {
+                for order in &orders {
+                    self.describe(order);
+                }
+                message::Answer::Noted
+            }
             message::Question::Inventory(_, call) => {
                 if let Some(seen) = self.homes.get_mut(&home.shard) {
                     seen.inventory = seen.inventory.max(call);
@@ -117,6 +126,7 @@
             return message::OrderAnswer::NoRoom;
         }
         let Some(worker) = self.find_room(now, scope, &order) else {
+            self.make_room(scope, &order);
             return message::OrderAnswer::NoRoom;
         };
         let Some(session) = self.sessions.get(&worker) else {
--- a/crates/figscale-core/src/job/placer/poll.rs
+++ b/crates/figscale-core/src/job/placer/poll.rs
@@ -41,6 +41,7 @@
         self.forget_unlisted();
         self.open_workers(now);
         self.probe_workers(now);
+        self.empty_leaving();
     }
 
     /// Forgets workers that are no more listed and have nothing left here.
--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -37,6 +37,47 @@
         self.cluster.place(&ask, now, None).ok()
     }
 
+    /// Ends or slows less urgent tasks, so that the order fits when it comes again.
+    pub(super) fn make_room(&mut self, scope: &message::Scope, order: &message::TaskOrder) {
+        if order.urgency == catalogue::Urgency::BestEffort {
+            return;
+        }
+        let mut ask = ask(order);
+        ask.avoid = self.barred(scope, order);
+        let Some(plan) = self.planner.plan(&mut self.cluster, &ask) else {
+            return;
+        };
+        let steps = plan.steps.into_iter();
+        self.relieve(steps.map(|step| (step.task, step.action)).collect());
+    }
+
+    /// Takes over what a task is that was found running.
+    pub(super) fn describe(&mut self, order: &message::TaskOrder) {
+        self.cluster.describe(ask(order));
+    }
+
+    /// Moves tasks off workers that are leaving: what can be saved is saved,
+    /// services are started elsewhere, the rest runs to its end.
+    pub(super) fn empty_leaving(&mut self) {
+        let mut wanted = Vec::new();
+        for (id, task) in &self.tasks {
+            let session = self.sessions.get(&task.worker);
+            let leaving = session.is_some_and(|session| session.leaving);
+            if !leaving || task.state != message::TaskState::Running || task.action.is_some() {
+                continue;
+            }
+            let Some(holding) = self.cluster.holding(id) else {
+                continue;
+            };
+            if holding.ask.guard.checkpointable {
+                wanted.push((id.clone(), worker::TaskAction::Checkpoint));
+            } else if holding.ask.class == catalogue::JobClass::Service {
+                wanted.push((id.clone(), worker::TaskAction::Stop));
+            }
+        }
+        self.relieve(wanted);
+    }
+
     /// Workers that the order may not use, though they take work.
     fn barred(&self, scope: &message::Scope, order: &message::TaskOrder) -> Vec<ids::InstanceId> {
         let named = |id: &ids::ShardId| {
--- a/crates/figscale-core/tests/job_sim/main.rs
+++ b/crates/figscale-core/tests/job_sim/main.rs
@@ -79,6 +79,147 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+fn state(world: &World, name: &str) -> Option<jobs::JobState> {
+    let id: ids::JobId = name.parse().expect("a legal name");
+    world.status(&id).map(|status| status.state)
+}
+
+/// A worker that leaves gets nothing new; what can be saved is saved and goes
+/// on elsewhere, a service is started elsewhere, the rest runs to its end.
+#[test]
+fn a_leaving_worker_is_emptied() {
+    let mut world = World::new(2, 1, 2);
+    world.run(SECOND);
+    let (saved, served) = (name("saved", 1), name("served", 1));
+    let mut job = spec(2, 1_000, 60_000, false);
+    job.checkpointable = true;
+    world.submit(&saved, job, terms(catalogue::JobClass::Batch));
+    let service = spec(2, 500, 1_000_000, true);
+    world.submit(&served, service, terms(catalogue::JobClass::Service));
+    world.run(3 * SECOND);
+    let busy = (0..2).find(|index| world.workers[*index].used(world.now).cpu_millis.0 > 0);
+    let busy = busy.expect("a busy worker");
+    world.workers[busy].leaving = true;
+    world.run(SECOND);
+    let before = world.starts_on(busy);
+    world.run(10 * SECOND);
+    assert_eq!(world.starts_on(busy), before);
+    assert_eq!(world.workers[busy].used(world.now).cpu_millis.0, 0);
+    assert_eq!(world.workers[1 - busy].used(world.now).cpu_millis.0, 3_000);
+}
+
+/// Tasks of a service are started again whenever they end.
+#[test]
+fn a_service_is_kept_running() {
+    let mut world = World::new(3, 2, 4);
+    world.run(SECOND);
+    let served = name("served", 1);
+    world.submit(
+        &served,
+        spec(3, 500, 2_000, true),
+        terms(catalogue::JobClass::Service),
+    );
+    world.run(20 * SECOND);
+    assert_eq!(state(&world, &served), Some(jobs::JobState::Running));
+    assert!(
+        world.starts.values().all(|starts| *starts >= 4),
+        "{:?}",
+        world.starts
+    );
+    world.cancel(&served);
+    world.run(3 * SECOND);
+    assert_eq!(state(&world, &served), Some(jobs::JobState::Cancelled));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Urgent work gets the room of less urgent work that may be stopped for it.
+#[test]
+fn urgent_work_takes_the_room_of_preemptible_work() {
+    let mut world = World::new(4, 1, 2);
+    world.run(SECOND);
+    let patient = jobs::JobTerms {
+        preemptible: true,
+        ..jobs::JobTerms::default()
+    };
+    let (low, high) = (name("low", 1), name("high", 1));
+    world.submit(&low, spec(7, 1_000, 20_000, true), patient);
+    world.run(2 * SECOND);
+    let urgent = jobs::JobTerms {
+        urgency: catalogue::Urgency::Interactive,
+        ..jobs::JobTerms::default()
+    };
+    world.submit(&high, spec(1, 3_000, 1_000, true), urgent);
+    world.run(6 * SECOND);
+    assert_eq!(state(&world, &high), Some(jobs::JobState::Done));
+    world.run(60 * SECOND);
+    assert_eq!(state(&world, &low), Some(jobs::JobState::Done));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// A worker that fails everything is set aside after few losses, and the jobs
+/// that it failed end well elsewhere.
+#[test]
+fn a_worker_that_fails_everything_is_set_aside() {
+    let mut world = World::new(5, 1, 4);
+    world.run(SECOND);
+    world.workers[0].fails = true;
+    let names: Vec<_> = (0..40).map(|number| name("job", number)).collect();
+    for name in &names {
+        world.submit(
+            name,
+            spec(2, 1_000, 300, true),
+            terms(catalogue::JobClass::Batch),
+        );
+        world.run(SECOND / 10);
+    }
+    world.run(20 * SECOND);
+    for name in &names {
+        assert_eq!(state(&world, name), Some(jobs::JobState::Done), "{name}");
+    }
+    assert!(world.starts_on(0) < 20, "{} losses", world.starts_on(0));
+}
+
+/// A wave of 10,000 cancelled tasks costs a few grouped writes, and what comes
+/// after it runs at once.
+#[test]
+fn ten_thousand_cancellations_leave_placements_flowing() {
+    let mut world = World::new(6, 2, 4);
+    world.run(SECOND);
+    let names: Vec<_> = (0..100).map(|number| name("wave", number)).collect();
+    for name in &names {
+        world.submit(
+            name,
+            spec(100, 4_000, 600_000, true),
+            terms(catalogue::JobClass::Batch),
+        );
+    }
+    world.run(2 * SECOND);
+    let writes = world.writes;
+    for name in &names {
+        world.cancel(name);
+    }
+    let after = name("after", 1);
+    world.submit(
+        &after,
+        spec(4, 500, 100, true),
+        terms(catalogue::JobClass::Batch),
+    );
+    world.run(3 * SECOND);
+    assert_eq!(state(&world, &after), Some(jobs::JobState::Done));
+    for name in &names {
+        assert_eq!(
+            state(&world, name),
+            Some(jobs::JobState::Cancelled),
+            "{name}"
+        );
+    }
+    assert!(
+        world.writes - writes < 80,
+        "{} writes",
+        world.writes - writes
+    );
+}
+
 #[rstest]
 #[case::lost_messages(Faults { lose_message: 0.05, ..Faults::default() })]
 #[case::killed_entries(Faults { kill_entry: 0.001, ..Faults::default() })]
--- a/crates/figscale-core/tests/job_sim/worker.rs
+++ b/crates/figscale-core/tests/job_sim/worker.rs
@@ -27,6 +27,8 @@
     pub(crate) clock_skew: i64,
     pub(crate) epoch: ids::Epoch,
     pub(crate) leaving: bool,
+    /// Whether every task fails soon after its start.
+    pub(crate) fails: bool,
     pub(crate) frozen_until: Option<time::Instant>,
     pub(crate) cut_until: Option<time::Instant>,
     pub(crate) tasks: IndexMap<ids::TaskId, Task>,
@@ -57,7 +59,10 @@
             if now >= task.lease_until {
                 task.phase = worker::TaskPhase::Lapsed;
             } else if now >= task.ends_at {
-                task.phase = worker::TaskPhase::Done;
+                task.phase = match self.fails {
+                    true => worker::TaskPhase::Failed,
+                    false => worker::TaskPhase::Done,
+                };
             }
         }
     }
@@ -108,7 +113,7 @@
             phase: worker::TaskPhase::Running,
             reserved: call.resources,
             home_epoch: call.home_epoch,
-            ends_at: now + time::Duration::from_millis(call.run_ms),
+            ends_at: now + time::Duration::from_millis(if self.fails { 20 } else { call.run_ms }),
             lease_until: self.lease_end(now, call.lease_ms),
         };
         self.tasks.insert(call.task.clone(), task);
--- a/crates/figscale-core/tests/job_sim/world.rs
+++ b/crates/figscale-core/tests/job_sim/world.rs
@@ -125,6 +125,7 @@
     pub(crate) submitted: IndexMap<ids::JobId, Submitted>,
     pub(crate) specs: IndexMap<ids::JobId, jobs::JobSpec>,
     pub(crate) starts: IndexMap<ids::TaskId, u32>,
+    started_on: Vec<usize>,
     pub(crate) violations: Vec<String>,
     pub(crate) writes: u64,
 }
@@ -164,6 +165,7 @@
             submitted: IndexMap::new(),
             specs: IndexMap::new(),
             starts: IndexMap::new(),
+            started_on: vec![0; workers],
             violations: Vec::new(),
             writes: 0,
         };
@@ -210,6 +212,7 @@
             clock_skew: self.rng.random_range(-5..=5),
             epoch: ids::Epoch(0),
             leaving: false,
+            fails: false,
             frozen_until: None,
             cut_until: None,
             tasks: IndexMap::new(),
@@ -268,6 +271,21 @@
         home.submit(now, ticket, home::Submission { id, spec, terms });
     }
 
+    /// Cancels a job at the present holder of its shard.
+    pub(crate) fn cancel(&mut self, id: &str) {
+        let id: ids::JobId = id.parse().expect("a legal name");
+        let now = self.home_now();
+        let shard = self.shard_of_job(&id);
+        let entry = &mut self.entries[self.shards[&shard].holder];
+        let home = entry.homes.get_mut(&shard).expect("a home");
+        home.cancel(now, home::Ticket(u64::MAX), &id);
+    }
+
+    /// Starts seen by a worker.
+    pub(crate) fn starts_on(&self, index: usize) -> usize {
+        self.started_on[index]
+    }
+
     /// Only the first four job shards are in use; names are chosen to match.
     fn shard_of_job(&self, id: &ids::JobId) -> ids::ShardId {
         let shard = jobs::shard_of(id).expect("a shard");
@@ -912,6 +930,7 @@
         let at = (self.now - self.start).as_millis();
         let id = &start.task;
         *self.starts.entry(id.clone()).or_default() += 1;
+        self.started_on[index] += 1;
         for (other, worker) in self.workers.iter().enumerate() {
             if other != index && worker.runs(id, self.now) {
                 let line = format!("{at} ms: {id} started on worker {index}, runs on {other}");
