--- a/crates/figscale-standin/src/load/report.rs
+++ b/crates/figscale-standin/src/load/report.rs
@@ -39,7 +39,8 @@
         };
         for time in times {
             let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-            histogram.saturating_record(micros);
+            // It grows by itself; only recording beyond all bounds fails.
+            let _ = histogram.record(micros);
         }
         let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
         Self {
@@ -81,24 +82,28 @@
             ..Self::default()
         };
         for outcome in outcomes {
-            report.count(&outcome.result);
+            report.count(&outcome.kind);
         }
-        let own = || outcomes.iter().filter(|o| o.result == request::Result::Own);
+        let own = || {
+            outcomes
+                .iter()
+                .filter(|o| o.kind == request::OutcomeKind::Own)
+        };
         let failed = outcomes
             .iter()
-            .filter(|o| matches!(o.result, request::Result::Failed { .. }));
+            .filter(|o| matches!(o.kind, request::OutcomeKind::Failed { .. }));
         report.latency = Quantiles::of(own().map(|o| o.latency));
         report.wait = Quantiles::of(own().map(|o| o.latency.saturating_sub(o.run)));
         report.failed_latency = Quantiles::of(failed.map(|o| o.latency));
         report
     }
 
-    fn count(&mut self, result: &request::Result) {
-        match result {
-            request::Result::Own => self.own += 1,
-            request::Result::Wrong(_) => self.wrong += 1,
-            request::Result::NoAnswer(_) => self.no_answer += 1,
-            request::Result::Failed {
+    fn count(&mut self, kind: &request::OutcomeKind) {
+        match kind {
+            request::OutcomeKind::Own => self.own += 1,
+            request::OutcomeKind::Wrong(_) => self.wrong += 1,
+            request::OutcomeKind::NoAnswer(_) => self.no_answer += 1,
+            request::OutcomeKind::Failed {
                 status,
                 verdict,
                 retry_after,
@@ -128,17 +133,22 @@
 
 impl Report {
     pub(super) fn new(classes: &[Class], outcomes: Vec<Outcome>, took: time::Duration) -> Self {
-        let of_class =
-            |number| -> Vec<&Outcome> { outcomes.iter().filter(|o| o.class == number).collect() };
-        let numbered = classes.iter().enumerate();
-        let by_class = numbered.map(|(number, class)| {
-            let report = ClassReport::of(&of_class(number));
-            (class.entry.to_string(), report)
-        });
+        let mut by_entry: IndexMap<String, Vec<&Outcome>> = IndexMap::new();
+        for class in classes {
+            by_entry.entry(class.entry.to_string()).or_default();
+        }
+        for outcome in &outcomes {
+            let entry = classes[outcome.class].entry.to_string();
+            by_entry.entry(entry).or_default().push(outcome);
+        }
+        let reports = by_entry
+            .into_iter()
+            .map(|(entry, outcomes)| (entry, ClassReport::of(&outcomes)))
+            .collect();
         Self {
             took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
             all: ClassReport::of(&outcomes.iter().collect::<Vec<_>>()),
-            classes: by_class.collect(),
+            classes: reports,
             outcomes,
         }
     }
@@ -147,8 +157,8 @@
     pub fn false_not_run(&self, ledger: &runner::Ledger) -> Vec<String> {
         let not_run = |outcome: &&Outcome| {
             matches!(
-                outcome.result,
-                request::Result::Failed {
+                outcome.kind,
+                request::OutcomeKind::Failed {
                     verdict: Some(Verdict::NotRun),
                     ..
                 }
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -10,7 +10,6 @@
 //! lease that lapses costs more calls than it saved; they are charged to it
 //! all the same.
 
-mod backoff;
 mod budget;
 mod count;
 mod error;
@@ -25,13 +24,13 @@
 use figscale_types::instances;
 use figscale_types::platform;
 
-pub use backoff::Backoff;
 pub use budget::Budget;
 pub use count::Call;
 pub use count::Counts;
 pub use count::Usage;
 pub use error::StoreError;
 pub use error::StoreErrorKind;
+pub use figscale_core::backoff::Backoff;
 
 /// A value with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +44,7 @@
 /// The client.
 pub struct Store {
     http: http::HttpClient,
+    name: String,
     clock: clock::SharedClock,
     timeout: time::Duration,
     budget: sync::Mutex<Budget>,
@@ -61,6 +61,7 @@
         let budget = Budget::new(settings.budget_calls_per_s, clock.now());
         Self {
             http: http::HttpClient::new(address),
+            name: "-".to_owned(),
             clock,
             timeout: time::Duration::from_millis(settings.timeout_ms),
             budget: sync::Mutex::new(budget),
@@ -68,6 +69,12 @@
         }
     }
 
+    /// Gives the client's name with every call, for the platform's accounts.
+    pub fn named(mut self, member: &ids::MemberId) -> Self {
+        self.name = member.to_string();
+        self
+    }
+
     /// Tells how many entry instances share the budget.
     pub fn share_among(&self, members: usize) {
         lock(&self.budget).share_among(members, self.clock.now());
@@ -141,7 +148,9 @@
         let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
         let body = serde_json::to_vec(&platform::LeaseRequest { ttl_ms })
             .map_err(|e| StoreError::away(e.to_string()))?;
-        let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned()).body(body);
+        let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned())
+            .header("content-type", "application/json")
+            .body(body);
         let answer = self.call(Call::Grant, request, self.timeout).await?;
         let granted: platform::LeaseAnswer = answer.json()?;
         Ok(granted.lease)
@@ -175,6 +184,7 @@
         timeout: time::Duration,
     ) -> Result<http::Answer, StoreError> {
         self.wait_for_budget(kind).await?;
+        let request = request.header(platform::CLIENT, &self.name);
         let sent_bytes = request.len();
         let result = self.http.send(request, timeout).await;
         let received_bytes = result.as_ref().map_or(0, http::Answer::len);
