Check and diff catalogues by the decisions that accept them

Cause: the command line had a diff and no check of its own beside those in figscale-core, so a file could pass 'catalogue check' and be refused by apply. Change: both go through the core; problems are placed at line and column by the document. The test of 'check and serve agree' now ends a process that goes on to serve: with the check taken out it hung instead of failing.

--- a/crates/figscale/src/cli/catalogue.rs
+++ b/crates/figscale/src/cli/catalogue.rs
@@ -8,17 +8,27 @@
 use std::fmt::Write as _;
 use std::path;
 
+use figscale_core::catalogue as decision;
 use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::operator;
+use serde::Serialize;
 
 use super::Failure;
 use super::Outcome;
 use super::args;
 use super::client;
-use super::diff;
 use crate::settings::document;
 
+/// What `diff --json` prints.
+#[derive(Serialize)]
+struct Difference {
+    /// Revision to give to `apply`.
+    base: ids::Revision,
+    /// One line for each field that differs.
+    changes: Vec<String>,
+}
+
 pub(super) fn run(
     command: args::CatalogueCommand,
     client: impl Fn() -> Result<client::Client, Failure>,
@@ -38,7 +48,15 @@
 /// Reads a catalogue file, refusing what can be known to be wrong without the cell.
 fn read(file: &path::Path) -> Result<catalogue::Catalogue, Failure> {
     let document = document::Document::read(file).map_err(Failure::usage)?;
-    document.parse().map_err(Failure::usage)
+    let catalogue = document.parse().map_err(Failure::usage)?;
+    let problems: Vec<String> = decision::check(&catalogue)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    if problems.is_empty() {
+        return Ok(catalogue);
+    }
+    Err(Failure::usage(document.refuse(&problems)))
 }
 
 fn check(file: &path::Path) -> Outcome {
@@ -63,10 +81,12 @@
 fn compare(file: &path::Path, client: &client::Client, json: bool) -> Outcome {
     let wanted = read(file)?;
     let in_force: catalogue::Accepted = client.get("/v1/catalogue")?;
-    let changes = diff::changes(&in_force.catalogue, &wanted)
-        .map_err(|error| Failure::new(super::EXIT_FAILED, error))?;
+    let changes = decision::diff(&in_force.catalogue, &wanted);
     if json {
-        let answer = serde_json::json!({ "base": in_force.revision, "changes": changes });
+        let answer = Difference {
+            base: in_force.revision,
+            changes: changes.iter().map(ToString::to_string).collect(),
+        };
         return Ok(super::pretty(&answer));
     }
     let mut text = String::new();
--- a/crates/figscale/src/cli/mod.rs
+++ b/crates/figscale/src/cli/mod.rs
@@ -8,7 +8,6 @@
 mod args;
 mod catalogue;
 mod client;
-mod diff;
 mod jobs;
 mod local;
 mod serve;
--- a/crates/figscale/tests/cli_exit.rs
+++ b/crates/figscale/tests/cli_exit.rs
@@ -235,6 +235,7 @@
 #[case::bad_revision(&["catalogue", "rollback", "one", "--base", "2"], "a whole number")]
 #[case::bad_job(&["job", "status", "No Job"], "invalid job id")]
 #[case::no_file(&["catalogue", "check", "none.json"], "none.json: cannot read")]
+#[case::bad_owner(&["catalogue", "check", "tests/data/bad-owner.json"], ":9:16: entries.hullrate/quote.owner")]
 #[case::bad_file(&["catalogue", "check", "tests/data/catalogue/bad-unit.json"], ":4:49: owners.fraser-reach.rate_per_min: unknown field")]
 fn wrong_usage(#[case] arguments: &[&str], #[case] expected: &str) {
     let output = figscale("127.0.0.1:1", arguments);
--- a/crates/figscale/tests/settings_load.rs
+++ b/crates/figscale/tests/settings_load.rs
@@ -7,12 +7,17 @@
 
 use std::path;
 use std::process;
+use std::thread;
+use std::time;
 
 use figscale::settings;
 use figscale::settings::document;
 use figscale_types::catalogue;
 use rstest::rstest;
 
+/// Longest wait for a refusal.
+const LIMIT: time::Duration = time::Duration::from_secs(30);
+
 fn stem(file: &path::Path) -> String {
     file.file_stem().unwrap().to_string_lossy().into_owned()
 }
@@ -97,12 +102,24 @@
     assert!(!shown.contains(&settings.peer_token), "{shown}");
 }
 
+/// Runs the program on a file. One that takes the file and goes on to serve is
+/// ended after a while, which shows as the lack of an exit code.
 fn figscale(arguments: &[&str], file: &path::Path) -> process::Output {
-    process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+    let mut child = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
         .args(arguments)
         .arg(file)
-        .output()
-        .unwrap()
+        .stdout(process::Stdio::piped())
+        .stderr(process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let start = time::Instant::now();
+    while child.try_wait().unwrap().is_none() {
+        if start.elapsed() > LIMIT {
+            child.kill().unwrap();
+        }
+        thread::sleep(time::Duration::from_millis(2));
+    }
+    child.wait_with_output().unwrap()
 }
 
 /// A line is placed at the first field that it names and that is there.
