Ask a port at which nothing ever listened

Cause: cli_exit nobody_there_is_unavailable failed once: its script listened for a moment, so that the first connection could be taken and reset, which is rightly a lost answer (code 5). Change: port 1. The expectation is as before.

--- a/crates/figscale/tests/cli_exit.rs
+++ b/crates/figscale/tests/cli_exit.rs
@@ -24,6 +24,10 @@
     Lose,
 }
 
+/// A port at which nothing listens. One that was just closed will not do: it
+/// may still take a connection and break it, which is a lost answer.
+const NOBODY: &str = "127.0.0.1:1";
+
 struct Script {
     address: net::SocketAddr,
     requests: mpsc::Receiver<String>,
@@ -199,19 +203,16 @@
 /// Nothing was sent, so nothing can have taken effect.
 #[test]
 fn nobody_there_is_unavailable() {
-    let script = play(Vec::new());
     let file = data("catalogue/good.json");
-    let arguments = ["catalogue", "apply", &file, "--base", "1"];
-    let output = figscale(&script.address.to_string(), &arguments);
+    let output = figscale(NOBODY, &["catalogue", "apply", &file, "--base", "1"]);
     assert_eq!(output.status.code(), Some(4), "{}", text(&output.stderr));
 }
 
 /// The next address is asked when the first takes no connection.
 #[test]
 fn second_address_is_asked() {
-    let gone = play(Vec::new());
     let script = play(vec![ACCEPTED]);
-    let entries = format!("{},{}", gone.address, script.address);
+    let entries = format!("{NOBODY},{}", script.address);
     let file = data("catalogue/good.json");
     let output = figscale(&entries, &["catalogue", "apply", &file, "--base", "1"]);
     assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
