--- a/crates/figscale/tests/settings_load.rs
+++ b/crates/figscale/tests/settings_load.rs
@@ -178,3 +178,16 @@
         _ => (),
     }
 }
+
+/// The files that the README points to are good.
+#[test]
+fn shipped_examples_are_good() {
+    let examples = path::Path::new("../../examples");
+    settings::Settings::load(&examples.join("settings.jsonc")).unwrap();
+    for name in ["fraser-reach.jsonc", "firth-shore.jsonc"] {
+        let checked = figscale(&["catalogue", "check"], &examples.join(name));
+        assert_eq!(checked.status.code(), Some(0), "{name}");
+    }
+    let job = document::Document::read(&examples.join("jobs/fleet-repricing.jsonc")).unwrap();
+    job.parse::<figscale_types::jobs::JobSpec>().unwrap();
+}
