Have the services fill the metrics

Cause: the README's walk showed /metrics with process figures only; nobody called the instruments. Change: gauges are brought up to date when somebody reads them (kernel report), the store's own counts are read instead of counted twice, requests are counted at the callers' address under catalogue entries only, waits where a slot is acquired, starts where they are sent. Removed: instruments that nothing can fill (peer messages, time of placement decisions).

--- a/crates/figscale/src/jobs/mod.rs
+++ b/crates/figscale/src/jobs/mod.rs
@@ -42,6 +42,8 @@
     Peer(PeerQuestion),
     /// Give up a shard in order.
     Drain(ids::ShardId, kernel::Reply<kernel::Drained>),
+    /// Bring the gauges up to date.
+    Report(kernel::Reply<()>),
     /// Show the state.
     Dump(kernel::Reply<serde_json::Value>),
 }
@@ -67,6 +69,11 @@
         let address = dumped.clone();
         Box::pin(async move { address.call(Message::Dump).await.unwrap_or_default() })
     });
+    let reported = address.clone();
+    context.kernel.offer_report(NAME, move || {
+        let address = reported.clone();
+        Box::pin(async move { address.call(Message::Report).await.unwrap_or_default() })
+    });
     tokio::task::spawn_local(service::run(context.clone(), inbox));
 }
 
--- a/crates/figscale/src/jobs/service.rs
+++ b/crates/figscale/src/jobs/service.rs
@@ -251,6 +251,10 @@
             }
             Message::Peer(asked) => self.on_peer(asked),
             Message::Drain(shard, reply) => self.drain(shard, reply),
+            Message::Report(reply) => {
+                self.report();
+                reply.send(());
+            }
             Message::Dump(reply) => reply.send(self.dump()),
         }
     }
@@ -461,7 +465,10 @@
 
     fn carry_out_placer(&mut self, now: home::Now, action: placer::Action) {
         match action {
-            placer::Action::Start(call) => self.calls.start(call),
+            placer::Action::Start(call) => {
+                self.context.metrics.task_start_sent();
+                self.calls.start(call);
+            }
             placer::Action::Renew(call) => self.calls.renew(now.at, call),
             placer::Action::Act(call) => self.calls.act(now.at, call),
             placer::Action::Tell(shard, events) => self.tell(now, shard, events),
@@ -502,6 +509,12 @@
         }
     }
 
+    fn report(&self) {
+        let queued = self.homes.values().map(|home| home.len().1).sum();
+        let metrics = &self.context.metrics;
+        metrics.tasks_changed(self.placer.active(), queued);
+    }
+
     fn dump(&self) -> serde_json::Value {
         let homes: serde_json::Map<_, _> = self
             .homes
--- a/crates/figscale/src/kernel.rs
+++ b/crates/figscale/src/kernel.rs
@@ -27,6 +27,7 @@
 /// A boxed future that may cross threads.
 pub type BoxFuture<T> = pin::Pin<Box<dyn future::Future<Output = T> + Send>>;
 type DumpFn = sync::Arc<dyn Fn() -> BoxFuture<serde_json::Value> + Send + Sync>;
+type ReportFn = sync::Arc<dyn Fn() -> BoxFuture<()> + Send + Sync>;
 type DrainFn = sync::Arc<dyn Fn(ids::ShardId) -> BoxFuture<Drained> + Send + Sync>;
 
 /// How a shard was given up.
@@ -113,6 +114,7 @@
 pub struct Kernel {
     addresses: sync::Mutex<IndexMap<&'static str, Box<dyn any::Any + Send>>>,
     dumps: sync::Mutex<IndexMap<&'static str, DumpFn>>,
+    reports: sync::Mutex<IndexMap<&'static str, ReportFn>>,
     drains: sync::Mutex<IndexMap<&'static str, DrainFn>>,
 }
 
@@ -153,6 +155,26 @@
         serde_json::Value::Object(all)
     }
 
+    /// Offers to bring a service's gauges up to date under its name.
+    ///
+    /// Gauges are read rarely and change all the time, so they are set when
+    /// somebody reads them rather than at every change.
+    pub fn offer_report(
+        &self,
+        name: &'static str,
+        report: impl Fn() -> BoxFuture<()> + Send + Sync + 'static,
+    ) {
+        lock(&self.reports).insert(name, sync::Arc::new(report));
+    }
+
+    /// Brings the gauges of every service up to date.
+    pub async fn report(&self) {
+        let reports = lock(&self.reports).clone();
+        for report in reports.values() {
+            report().await;
+        }
+    }
+
     /// Offers to give up shards whose id begins with `prefix`.
     pub fn offer_drain(
         &self,
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -7,6 +7,7 @@
 //! processor time, resident memory, threads and open files.
 
 use std::fmt;
+use std::sync;
 use std::time;
 
 use figscale_types::catalogue;
@@ -18,73 +19,36 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::process_collector;
 
+use crate::store;
+
+/// Scope of the instruments.
+const SCOPE: &str = "figscale";
 /// Bounds of the histogram of waits, in seconds.
 const WAIT_BOUNDS_S: [f64; 12] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.3, 10.0,
 ];
-/// Bounds of the histogram of placement decisions, in seconds.
-const DECISION_BOUNDS_S: [f64; 9] = [
-    0.000_01, 0.000_025, 0.000_05, 0.000_1, 0.000_25, 0.001, 0.002_5, 0.005, 0.01,
-];
-
-/// A kind of call to the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StoreCall {
-    /// Read of a key.
-    Get,
-    /// Compare-and-swap of a key, or its deletion.
-    Put,
-    /// Wait for a change.
-    Watch,
-    /// List of keys.
-    Keys,
-    /// Grant, renewal or end of a lease.
-    Lease,
-    /// Read of the instance list.
-    Instances,
-}
-
-impl StoreCall {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Get => "get",
-            Self::Put => "put",
-            Self::Watch => "watch",
-            Self::Keys => "keys",
-            Self::Lease => "lease",
-            Self::Instances => "instances",
-        }
-    }
-}
 
 /// Slots of a service's runners that this process hands out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Slots {
-    /// May be given to a request.
-    pub free: u64,
-    /// Run a request.
-    pub busy: u64,
-    /// May still run a request of an earlier holder.
-    pub quarantined: u64,
+    /// May be given to a request now.
+    pub free: u32,
+    /// Run a request, or are kept back because they may.
+    pub taken: u32,
 }
 
 /// The meters of a process.
 pub struct Metrics {
     registry: prometheus::Registry,
     // Instruments are dead once their provider is dropped.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     requests: metrics::Counter<u64>,
     request_wait: metrics::Histogram<f64>,
     queue_len: metrics::Gauge<u64>,
     slots: metrics::Gauge<u64>,
-    store_calls: metrics::Counter<u64>,
-    store_bytes: metrics::Counter<u64>,
-    peer_messages: metrics::Counter<u64>,
-    peer_bytes: metrics::Counter<u64>,
     claims_held: metrics::Gauge<u64>,
     tasks: metrics::Gauge<u64>,
-    placements: metrics::Counter<u64>,
-    placement_decision: metrics::Histogram<f64>,
+    task_starts: metrics::Counter<u64>,
     catalogue_revision: metrics::Gauge<u64>,
 }
 
@@ -98,7 +62,7 @@
     fn default() -> Self {
         let registry = prometheus::Registry::new();
         let provider = provider(&registry);
-        let meter = provider.meter("figscale");
+        let meter = provider.meter(SCOPE);
         let counter = |name, help| meter.u64_counter(name).with_description(help).build();
         let gauge = |name, help| meter.u64_gauge(name).with_description(help).build();
         let seconds = |name, help, bounds: &[f64]| {
@@ -117,30 +81,15 @@
             ),
             queue_len: gauge("figscale_queue_len", "Requests waiting for a slot."),
             slots: gauge("figscale_slots", "Slots that this process hands out."),
-            store_calls: counter("figscale_store_calls", "Calls to the store."),
-            store_bytes: counter(
-                "figscale_store_bytes",
-                "Bytes of bodies to and from the store.",
-            ),
-            peer_messages: counter("figscale_peer_messages", "Calls to other entry instances."),
-            peer_bytes: counter(
-                "figscale_peer_bytes",
-                "Bytes of messages to and from other entry instances.",
-            ),
             claims_held: gauge("figscale_claims_held", "Shards that this process holds."),
             tasks: gauge("figscale_tasks", "Tasks that this process looks after."),
-            placements: counter("figscale_placements", "Tasks placed on a worker."),
-            placement_decision: seconds(
-                "figscale_placement_decision_seconds",
-                "Time to choose a worker.",
-                &DECISION_BOUNDS_S,
-            ),
+            task_starts: counter("figscale_task_starts", "Starts of tasks sent to workers."),
             catalogue_revision: gauge(
                 "figscale_catalogue_revision",
                 "Catalogue revision in force here.",
             ),
             registry,
-            _provider: provider,
+            provider,
         }
     }
 }
@@ -222,34 +171,48 @@
 
     /// The slots of a service are in these states now.
     pub fn slots_changed(&self, service: &ids::ServiceName, slots: Slots) {
-        let record = |state, number| {
+        let record = |state, number: u32| {
             let labels = [
                 KeyValue::new("service", service.to_string()),
                 KeyValue::new("state", state),
             ];
-            self.slots.record(number, &labels);
+            self.slots.record(number.into(), &labels);
         };
         record("free", slots.free);
-        record("busy", slots.busy);
-        record("quarantined", slots.quarantined);
-    }
-
-    /// A call to the store ended; sizes are those of the bodies, in bytes.
-    pub fn store_called(&self, call: StoreCall, succeeded: bool, sent: usize, received: usize) {
-        let kind = KeyValue::new("kind", call.as_str());
-        let outcome = if succeeded { "ok" } else { "error" };
-        let labels = [kind.clone(), KeyValue::new("outcome", outcome)];
-        self.store_calls.add(1, &labels);
-        add_bytes(&self.store_bytes, kind, sent, received);
-    }
-
-    /// A call to another entry instance ended; sizes in bytes.
-    pub fn peer_called(&self, service: &str, succeeded: bool, sent: usize, received: usize) {
-        let service = KeyValue::new("service", service.to_owned());
-        let outcome = if succeeded { "ok" } else { "error" };
-        let labels = [service.clone(), KeyValue::new("outcome", outcome)];
-        self.peer_messages.add(1, &labels);
-        add_bytes(&self.peer_bytes, service, sent, received);
+        record("taken", slots.taken);
+    }
+
+    /// Has the use of the store read from its client's own counts.
+    pub fn observe_store(&self, counts: impl Fn() -> store::Counts + Send + Sync + 'static) {
+        let counts = sync::Arc::new(counts);
+        let meter = self.provider.meter(SCOPE);
+        let of_calls = counts.clone();
+        meter
+            .u64_observable_counter("figscale_store_calls")
+            .with_description("Calls to the store.")
+            .with_callback(move |out| {
+                for (call, usage) in of_calls().iter() {
+                    let answered = usage.calls.saturating_sub(usage.failed);
+                    out.observe(answered, &[kind(call), KeyValue::new("outcome", "ok")]);
+                    out.observe(
+                        usage.failed,
+                        &[kind(call), KeyValue::new("outcome", "error")],
+                    );
+                }
+            })
+            .build();
+        meter
+            .u64_observable_counter("figscale_store_bytes")
+            .with_description("Bytes to and from the store, heads estimated.")
+            .with_callback(move |out| {
+                for (call, usage) in counts().iter() {
+                    let sent = KeyValue::new("direction", "sent");
+                    out.observe(usage.sent_bytes, &[kind(call), sent]);
+                    let received = KeyValue::new("direction", "received");
+                    out.observe(usage.received_bytes, &[kind(call), received]);
+                }
+            })
+            .build();
     }
 
     /// So many shards are held now.
@@ -264,11 +227,9 @@
         self.tasks.record(count(queued), &state("queued"));
     }
 
-    /// A task was placed; the choice of its worker took this long.
-    pub fn task_placed(&self, urgency: catalogue::Urgency, decision: time::Duration) {
-        let labels = [urgency_label(urgency)];
-        self.placements.add(1, &labels);
-        self.placement_decision.record(decision.as_secs_f64(), &[]);
+    /// The start of a task was sent to a worker.
+    pub fn task_start_sent(&self) {
+        self.task_starts.add(1, &[]);
     }
 
     /// A catalogue came into force here.
@@ -277,10 +238,8 @@
     }
 }
 
-fn add_bytes(counter: &metrics::Counter<u64>, label: KeyValue, sent: usize, received: usize) {
-    let direction = |word| [label.clone(), KeyValue::new("direction", word)];
-    counter.add(count(sent), &direction("sent"));
-    counter.add(count(received), &direction("received"));
+fn kind(call: store::Call) -> KeyValue {
+    KeyValue::new("kind", format!("{call:?}").to_lowercase())
 }
 
 fn count(number: usize) -> u64 {
--- a/crates/figscale/src/operator/process.rs
+++ b/crates/figscale/src/operator/process.rs
@@ -53,7 +53,11 @@
 }
 
 async fn metrics(extract::State(context): extract::State<state::Context>) -> response::Response {
-    let text = context.metrics.render();
+    let metrics = &context.metrics;
+    metrics.claims_changed(context.shared.claims_now().held.len());
+    metrics.catalogue_adopted(context.shared.catalogue_now().revision);
+    context.kernel.report().await;
+    let text = metrics.render();
     ([(http::header::CONTENT_TYPE, METRICS_TYPE)], text).into_response()
 }
 
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -137,6 +137,10 @@
     };
     let store = store::Store::new(settings.platform_address, &settings.store, clock.clone())
         .named(&settings.member);
+    let store = sync::Arc::new(store);
+    let metrics = metrics::Metrics::default();
+    let counted = store.clone();
+    metrics.observe_store(move || counted.counts());
     let peers = peer::Peers::new(me.clone(), settings.peer_token.clone(), traffic.clone())
         .with_routes(settings.claims.peer_routes.clone());
     state::Context {
@@ -145,8 +149,8 @@
         settings: sync::Arc::new(settings),
         clock,
         peers: sync::Arc::new(peers),
-        store: sync::Arc::new(store),
-        metrics: sync::Arc::new(metrics::Metrics::default()),
+        store,
+        metrics: sync::Arc::new(metrics),
         traffic,
     }
 }
--- a/crates/figscale/src/traffic/dump.rs
+++ b/crates/figscale/src/traffic/dump.rs
@@ -1,14 +1,21 @@
 //! The dump of slots, queues and budgets.
 
+use std::future;
 use std::sync;
 
 use serde_json::json;
 
 use super::Traffic;
+use crate::metrics;
 
-/// Offers the dump under the service's name.
+/// Offers the dump and the gauges under the service's name.
 pub(super) fn offer(traffic: &sync::Arc<Traffic>) {
     let kernel = traffic.context.kernel.clone();
+    let reported = traffic.clone();
+    kernel.offer_report(super::NAME, move || {
+        reported.report();
+        Box::pin(future::ready(()))
+    });
     let traffic = traffic.clone();
     kernel.offer_dump(super::NAME, move || {
         let dump = traffic.dump();
@@ -17,6 +24,24 @@
 }
 
 impl Traffic {
+    fn report(&self) {
+        let now = self.now();
+        let (waiting, services) = {
+            let decisions = self.decide();
+            let dispatcher = &decisions.dispatcher;
+            (dispatcher.waiting(), dispatcher.counts(now))
+        };
+        let metrics = &self.context.metrics;
+        metrics.queue_changed(waiting);
+        for (service, counts) in services {
+            let slots = metrics::Slots {
+                free: counts.free,
+                taken: counts.slots.saturating_sub(counts.free),
+            };
+            metrics.slots_changed(&service, slots);
+        }
+    }
+
     fn dump(&self) -> serde_json::Value {
         let now = self.now();
         let decisions = self.decide();
--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -10,7 +10,9 @@
 use std::time;
 
 use bytes::Bytes;
+use figscale_types::catalogue;
 use figscale_types::headers;
+use figscale_types::ids;
 use figscale_types::verdict::Verdict;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -181,11 +183,20 @@
         Err(bad) => return no_answer(&traffic, &NoAnswer::Bad(bad), counted),
     };
     let id = head.id;
+    let entry = head.entry.clone();
     let admitted = match traffic.admit(&head) {
         Ok(admitted) => admitted,
-        Err(refused) => return identified(no_answer(&traffic, &refused, counted), id),
+        Err(refused) => {
+            count(&traffic, &entry, refused.verdict());
+            return identified(no_answer(&traffic, &refused, counted), id);
+        }
     };
     let result = traffic.run(head, &admitted, body).await;
+    let verdict = result
+        .as_ref()
+        .err()
+        .map_or(Verdict::Ran, NoAnswer::verdict);
+    count(&traffic, &entry, verdict);
     let response = match result {
         Ok(answer) => whole_answer(&traffic, answer, admitted, counted),
         Err(none) => no_answer(&traffic, &none, counted),
@@ -193,10 +204,18 @@
     identified(response, id)
 }
 
-fn identified(
-    mut response: Response<Outgoing>,
-    id: figscale_types::ids::RequestId,
-) -> Response<Outgoing> {
+/// Counts a final answer. Names that callers make up become no label: only
+/// entries of the catalogue are counted.
+fn count(traffic: &Traffic, entry: &ids::EntryName, verdict: Verdict) {
+    let accepted = traffic.context.shared.catalogue_now();
+    let policy = accepted.catalogue.entries.get(entry).map(|e| &e.policy);
+    if let Some(catalogue::Policy::Requests(policy)) = policy {
+        let metrics = &traffic.context.metrics;
+        metrics.request_answered(entry, policy.urgency, verdict);
+    }
+}
+
+fn identified(mut response: Response<Outgoing>, id: ids::RequestId) -> Response<Outgoing> {
     insert(response.headers_mut(), headers::REQUEST_ID, &id.to_string());
     response
 }
--- a/crates/figscale/src/traffic/local.rs
+++ b/crates/figscale/src/traffic/local.rs
@@ -72,6 +72,26 @@
     pub(super) async fn acquire(
         self: &sync::Arc<Self>,
         make: impl FnOnce(queue::Ticket) -> dispatcher::Submission,
+    ) -> Result<Slot, dispatcher::Refusal> {
+        let arrived = self.now();
+        let mut asked = None;
+        let make = |ticket| {
+            let submission = make(ticket);
+            asked = Some((submission.entry.clone(), submission.urgency));
+            submission
+        };
+        let slot = self.wait_for_slot(make).await?;
+        if let Some((entry, urgency)) = asked {
+            let waited = self.now().saturating_duration_since(arrived);
+            let metrics = &self.context.metrics;
+            metrics.request_dispatched(&entry, urgency, waited);
+        }
+        Ok(slot)
+    }
+
+    async fn wait_for_slot(
+        self: &sync::Arc<Self>,
+        make: impl FnOnce(queue::Ticket) -> dispatcher::Submission,
     ) -> Result<Slot, dispatcher::Refusal> {
         if !self.has_authority() {
             return Err(no_holder());
--- a/crates/figscale/tests/entry/mod.rs
+++ b/crates/figscale/tests/entry/mod.rs
@@ -140,16 +140,8 @@
     metrics.request_answered(&entry, urgency, verdict::Verdict::Ran);
     metrics.request_dispatched(&entry, urgency, moment);
     metrics.queue_changed(7);
-    let slots = metrics::Slots {
-        free: 5,
-        busy: 2,
-        quarantined: 1,
-    };
+    let slots = metrics::Slots { free: 5, taken: 3 };
     metrics.slots_changed(&"hullrate".parse().unwrap(), slots);
-    metrics.store_called(metrics::StoreCall::Get, true, 0, 120);
-    metrics.peer_called("claims", false, 40, 0);
-    metrics.claims_changed(3);
     metrics.tasks_changed(4, 9);
-    metrics.task_placed(urgency, time::Duration::from_micros(20));
-    metrics.catalogue_adopted(ids::Revision(6));
+    metrics.task_start_sent();
 }
--- a/crates/figscale/tests/operator_api.rs
+++ b/crates/figscale/tests/operator_api.rs
@@ -203,6 +203,12 @@
 fn metrics_are_rendered() {
     let entry = entry::Entry::start();
     entry::report_everything(&entry.context.metrics);
+    let accepted = figscale_types::catalogue::Accepted {
+        revision: ids::Revision(6),
+        ..figscale_types::catalogue::Accepted::default()
+    };
+    let shared = &entry.context.shared;
+    shared.catalogue.send_replace(std::sync::Arc::new(accepted));
     let got = entry.get("/metrics");
     assert_eq!(got.status, 200);
     let own: String = got
