Let owners take turns, hold them to their quotas, say what a job waits for

Cause: a home queued by acceptance alone, so an owner with 400 tasks waiting kept another's four from running for over 20 s (owners_take_turns failed). First try: start-time fair queueing whose present turn was the last one placed; failed as well, since a second call under way to the same placer was answered first and moved the turn to its end. Ruled out: placement's promise of a worker. Change: turns are counted by the cost of what was served, and a placer is asked by one call at a time. Quotas: placers tell each other once a second what owners use (not yet proved by a test over processes).

--- a/crates/figscale-core/src/job/home/job.rs
+++ b/crates/figscale-core/src/job/home/job.rs
@@ -54,6 +54,8 @@
     pub(super) life: Life,
     /// Number of the present or last attempt.
     pub(super) attempt: u32,
+    /// Turn in the queue, kept until it gets a place.
+    pub(super) turn: Option<u64>,
     /// Attempts that ended badly.
     pub(super) failures: u32,
     pub(super) worker: Option<ids::InstanceId>,
@@ -70,6 +72,7 @@
         Self {
             life: Life::Queued { not_before: now },
             attempt: 0,
+            turn: None,
             failures: 0,
             worker: None,
             avoid: Vec::new(),
@@ -79,6 +82,10 @@
         }
     }
 
+    pub(super) fn has_ended(&self) -> bool {
+        matches!(self.life, Life::Ended(_))
+    }
+
     /// Its state as shown.
     fn state(&self) -> jobs::JobState {
         match &self.life {
@@ -102,6 +109,8 @@
     pub(super) gang_tries: u32,
     /// Until when a gang that gave back its room waits.
     pub(super) gang_pause_until: Option<time::Instant>,
+    /// What its last order without a place lacked.
+    pub(super) waits_for: Option<String>,
     /// Size of its record, about.
     pub(super) bytes: usize,
 }
@@ -147,7 +156,7 @@
             entry: self.record.spec.entry.clone(),
             state,
             verdict: self.verdict(state),
-            reason: self.record.reason.clone(),
+            reason: self.record.reason.clone().or_else(|| self.why_waiting()),
             tasks: if with_tasks {
                 tasks.collect()
             } else {
@@ -156,6 +165,20 @@
         }
     }
 
+    /// Why it is not running yet, as far as the home knows.
+    fn why_waiting(&self) -> Option<String> {
+        let any = |wanted: fn(&Life) -> bool| self.tasks.values().any(|task| wanted(&task.life));
+        if self.record.ended.is_some() {
+            None
+        } else if any(|life| matches!(life, Life::Unknown { .. })) {
+            Some("waits until every placer has told what it runs, after a change of holder".into())
+        } else if let Some(reason) = &self.waits_for {
+            any(|life| matches!(life, Life::Queued { .. })).then(|| reason.clone())
+        } else {
+            None
+        }
+    }
+
     fn present_state(&self) -> jobs::JobState {
         let runs = |task: &Task| task.state() != jobs::JobState::Queued;
         match self.tasks.values().any(runs) {
--- a/crates/figscale-core/src/job/home/mod.rs
+++ b/crates/figscale-core/src/job/home/mod.rs
@@ -19,6 +19,7 @@
 mod queue;
 mod recover;
 mod submit;
+mod turns;
 mod write;
 
 use std::collections::BTreeSet;
@@ -127,6 +128,8 @@
 /// What a placer said of its room.
 #[derive(Clone, Debug, Default)]
 struct PlacerView {
+    /// Whether it was asked for places and has not answered.
+    asking: bool,
     summary: message::Summary,
     /// Sizes refused, with the time until which they are not asked for.
     refused: Vec<(figscale_types::sizes::Resources, time::Instant)>,
@@ -141,6 +144,7 @@
     jobs: IndexMap<ids::JobId, job::Job>,
     /// Tasks that want a place, most urgent first.
     queue: BTreeSet<queue::QueueKey>,
+    turns: turns::Turns,
     /// Tasks that wait for their backoff or for resolution.
     watched: BTreeSet<ids::TaskId>,
     /// The one gang that reserves room; others wait for their turn.
@@ -165,6 +169,7 @@
             document: write::DocumentState::default(),
             jobs: IndexMap::new(),
             queue: BTreeSet::new(),
+            turns: turns::Turns::default(),
             watched: BTreeSet::new(),
             gang: None,
             placers: IndexMap::new(),
@@ -177,6 +182,11 @@
         }
     }
 
+    /// Takes over the weights of owners among each other.
+    pub fn set_weights(&mut self, weights: IndexMap<ids::OwnerName, u32>) {
+        self.turns.set_weights(weights);
+    }
+
     /// Its shard and epoch.
     pub fn key(&self) -> &message::HomeKey {
         &self.key
--- a/crates/figscale-core/src/job/home/queue.rs
+++ b/crates/figscale-core/src/job/home/queue.rs
@@ -22,6 +22,7 @@
 pub(super) struct QueueKey {
     urgency: catalogue::Urgency,
     deadline_unix_ms: u64,
+    turn: u64,
     accepted_unix_ms: u64,
     pub(super) task: ids::TaskId,
 }
@@ -44,8 +45,15 @@
         task.life = job::Life::Queued { not_before };
         if task.stopping {
             task.life = job::Life::Ended(figscale_types::jobs::JobState::Cancelled);
-            return;
+            let job = id.clone();
+            return self.serve_turn(&ids::TaskId { job, index });
         }
+        let spec = &job.record.spec;
+        let turn = match task.turn {
+            Some(turn) => turn,
+            None => self.turns.take(&spec.owner, &spec.task),
+        };
+        task.turn = Some(turn);
         let task = ids::TaskId {
             job: id.clone(),
             index,
@@ -59,11 +67,24 @@
         self.queue.insert(QueueKey {
             urgency: job.record.terms.urgency,
             deadline_unix_ms: deadline.map_or(u64::MAX, |ms| accepted.saturating_add(ms)),
+            turn,
             accepted_unix_ms: accepted,
             task,
         });
     }
 
+    /// Ends a task's turn in the queue.
+    pub(super) fn serve_turn(&mut self, id: &ids::TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let spec = &job.record.spec;
+        let task = job.tasks.get_mut(&id.index);
+        if task.is_some_and(|task| task.turn.take().is_some()) {
+            self.turns.serve(&spec.owner, &spec.task);
+        }
+    }
+
     /// Has a task looked at on every pass until it needs no more.
     pub(super) fn watch(&mut self, id: &ids::JobId, index: u32) {
         let job = id.clone();
@@ -139,7 +160,7 @@
             let full = orders
                 .get(*key)
                 .is_some_and(|orders| orders.len() >= self.config.call_len);
-            !full && !view.refused.iter().any(|(refused, _)| size.holds(refused))
+            !full && !view.asking && !view.refused.iter().any(|(refused, _)| size.holds(refused))
         };
         let rank = |(key, view): &(&ids::MemberKey, &super::PlacerView)| {
             let own = self.own.as_ref() == Some(*key);
@@ -187,6 +208,10 @@
                 };
             }
         }
+        // One call at a time, or a later call's orders overtake the earlier's.
+        if let Some(view) = self.placers.get_mut(placer) {
+            view.asking = true;
+        }
         self.send_orders(placer, orders, false);
     }
 
@@ -224,6 +249,12 @@
         question: message::Question,
         result: Result<message::Answer, Verdict>,
     ) {
+        if let message::Question::Place(_, scope, _) = &question
+            && !scope.repeat
+            && let Some(view) = self.placers.get_mut(placer)
+        {
+            view.asking = false;
+        }
         match (question, result) {
             (
                 message::Question::Place(_, _, orders),
@@ -298,6 +329,10 @@
                 self.lose_sight(now, id);
             }
             message::OrderAnswer::Placed(place) => {
+                self.serve_turn(id);
+                let Some(task) = self.task_mut(id) else {
+                    return;
+                };
                 task.worker = Some(place.worker.clone());
                 if order.hold {
                     task.life = job::Life::Held {
@@ -319,8 +354,17 @@
                     }
                 }
             }
+            message::OrderAnswer::OverQuota => {
+                task.attempt -= 1;
+                let later = now.at + self.config.call_retry;
+                let reason = format!("owner {} is at its quota", order.owner);
+                self.waits_for(&id.job, reason);
+                self.enqueue(now, &id.job, id.index, later);
+                self.settle(now, &id.job);
+            }
             message::OrderAnswer::NoRoom => {
                 task.attempt -= 1;
+                self.waits_for(&id.job, "no worker has room for it now".to_owned());
                 let until = now.at + self.config.room_retry;
                 if let Some(view) = self.placers.get_mut(placer) {
                     view.refused.push((order.resources, until));
@@ -337,6 +381,12 @@
         }
     }
 
+    fn waits_for(&mut self, id: &ids::JobId, reason: String) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.waits_for = Some(reason);
+        }
+    }
+
     fn on_order_failed(
         &mut self,
         now: Now,
--- a/crates/figscale-core/src/job/home/recover.rs
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -461,6 +461,7 @@
         tasks: IndexMap::new(),
         written: true,
         doubted: false,
+        waits_for: None,
         gang_tries: 0,
         gang_pause_until: None,
         bytes,
--- a/crates/figscale-core/src/job/home/submit.rs
+++ b/crates/figscale-core/src/job/home/submit.rs
@@ -108,6 +108,11 @@
         let all: Vec<_> = job.tasks.keys().copied().collect();
         for index in all {
             self.watch(id, index);
+            let job = id.clone();
+            let task = ids::TaskId { job, index };
+            if self.task_mut(&task).is_some_and(|task| task.has_ended()) {
+                self.serve_turn(&task);
+            }
         }
         self.settle(now, id);
         self.document.wait_for_write(id.clone(), ticket);
@@ -166,6 +171,7 @@
         tasks,
         written: false,
         doubted: false,
+        waits_for: None,
         gang_tries: 0,
         gang_pause_until: None,
         bytes,
--- a/crates/figscale-core/src/job/message.rs
+++ b/crates/figscale-core/src/job/message.rs
@@ -82,6 +82,8 @@
     Placed(Place),
     /// No worker of this placer has room now.
     NoRoom,
+    /// Nothing was done: its owner's quota is used up.
+    OverQuota,
     /// Nothing was done: the home's epoch is not the highest seen.
     StaleHome,
     /// Nothing was done: an older attempt of the task has not ended here.
--- a/crates/figscale-core/src/job/placer/mod.rs
+++ b/crates/figscale-core/src/job/placer/mod.rs
@@ -159,6 +159,8 @@
     cluster: placement::Cluster,
     /// Preemption for the orders of one call.
     planner: placement::preempt::Planner,
+    /// What owners use and may use.
+    shares: placement::Shares,
     /// Whose fault failures were.
     faults: placement::fault::Faults,
     /// What was seen of each home.
@@ -177,6 +179,7 @@
             tasks: IndexMap::new(),
             cluster: placement::Cluster::default(),
             planner: placement::preempt::Planner::default(),
+            shares: placement::Shares::default(),
             faults: placement::fault::Faults::default(),
             homes: IndexMap::new(),
             actions: Vec::new(),
--- a/crates/figscale-core/src/job/placer/orders.rs
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -125,6 +125,9 @@
         if now >= valid_until {
             return message::OrderAnswer::NoRoom;
         }
+        if !self.admits(&order) {
+            return message::OrderAnswer::OverQuota;
+        }
         let Some(worker) = self.find_room(now, scope, &order) else {
             self.make_room(scope, &order);
             return message::OrderAnswer::NoRoom;
--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -14,9 +14,33 @@
 const MAX_UNPROVEN_TASKS: usize = 8;
 
 impl Placer {
-    /// Replaces what placement weighs.
-    pub fn set_weights(&mut self, weights: catalogue::Weights) {
+    /// Takes over what placement weighs and what owners may use.
+    pub fn set_catalogue(&mut self, catalogue: &catalogue::Catalogue) {
+        let weights = catalogue.weights;
         self.cluster.set_config(placement::Config { weights });
+        self.shares.set_catalogue(catalogue);
+    }
+
+    /// What owners use on the workers held here, for the other placers.
+    pub fn usage(&self) -> placement::UsageByOwner {
+        let all = self.cluster.usage_by_owner();
+        all.map(|(owner, used)| (owner.clone(), *used)).collect()
+    }
+
+    /// Takes over what owners use on the workers that a peer holds.
+    pub fn set_peer_usage(&mut self, peer: ids::MemberId, usage: placement::UsageByOwner) {
+        self.shares.set_peer(peer, usage);
+    }
+
+    /// Forgets what owners use at a peer that is gone.
+    pub fn remove_peer(&mut self, peer: &ids::MemberId) {
+        self.shares.remove_peer(peer);
+    }
+
+    /// Whether the owner's quota has room for the order.
+    pub(super) fn admits(&self, order: &message::TaskOrder) -> bool {
+        self.shares
+            .admits(&order.owner, &self.cluster, &order.resources)
     }
 
     /// Gives an order room on a worker.
--- a/crates/figscale-core/tests/job_sim/main.rs
+++ b/crates/figscale-core/tests/job_sim/main.rs
@@ -53,6 +53,15 @@
         .expect("a name")
 }
 
+/// A name whose job shard is that of another job.
+fn same_shard(prefix: &str, other: &str) -> String {
+    let shard = |name: &str| jobs::shard_of(&name.parse().expect("a legal name"));
+    (0..)
+        .map(|salt| format!("{prefix}-{salt}"))
+        .find(|name| shard(name) == shard(other))
+        .expect("a name")
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("JOB_SIM_SEEDS") else {
         return (1..=4).collect();
@@ -179,6 +188,27 @@
     assert!(world.starts_on(0) < 20, "{} losses", world.starts_on(0));
 }
 
+/// One owner's long queue does not hold up another owner's first tasks.
+#[test]
+fn owners_take_turns() {
+    let mut world = World::new(7, 1, 2);
+    world.run(SECOND);
+    let many = name("many", 1);
+    world.submit(
+        &many,
+        spec(400, 1_000, 1_000, true),
+        terms(catalogue::JobClass::Batch),
+    );
+    world.run(3 * SECOND);
+    let few = same_shard("few", &many);
+    let mut other = spec(4, 1_000, 1_000, true);
+    other.owner = "harbour".parse().expect("a legal name");
+    world.submit(&few, other, terms(catalogue::JobClass::Batch));
+    world.run(6 * SECOND);
+    assert_eq!(state(&world, &few), Some(jobs::JobState::Done));
+    assert_eq!(state(&world, &many), Some(jobs::JobState::Running));
+}
+
 /// A wave of 10,000 cancelled tasks costs a few grouped writes, and what comes
 /// after it runs at once.
 #[test]
--- a/crates/figscale/src/jobs/calls.rs
+++ b/crates/figscale/src/jobs/calls.rs
@@ -9,6 +9,7 @@
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
+use figscale_types::sizes;
 use figscale_types::verdict::Verdict;
 use figscale_types::worker;
 use tokio::sync::mpsc;
@@ -176,6 +177,23 @@
         });
     }
 
+    /// Tells peers what owners use on the workers held here; the next time makes
+    /// up for a call that is lost.
+    pub(super) fn tell_usage(
+        &self,
+        peers: Vec<net::SocketAddr>,
+        usage: Vec<(ids::OwnerName, sizes::Resources)>,
+    ) {
+        for address in peers {
+            let peers = self.context.peers.clone();
+            let question = wire::Question::Usage(usage.clone());
+            self.context.traffic.spawn(async move {
+                let answer = peers.call(address, super::NAME, &question, CORE_TIMEOUT);
+                let _: Result<wire::Answer, _> = answer.await;
+            });
+        }
+    }
+
     /// Reads the document of a job shard.
     pub(super) fn read(&self, home: message::HomeKey) {
         let store = self.context.store.clone();
--- a/crates/figscale/src/jobs/service.rs
+++ b/crates/figscale/src/jobs/service.rs
@@ -5,6 +5,7 @@
 use figscale_core::job::home;
 use figscale_core::job::message;
 use figscale_core::job::placer;
+use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::jobs;
 use indexmap::IndexMap;
@@ -22,6 +23,8 @@
 
 /// Time between looks at what became due.
 const TICK: time::Duration = time::Duration::from_millis(25);
+/// Time between reports of what owners use here to the other placers.
+const TELL_USAGE: time::Duration = time::Duration::from_secs(1);
 /// Messages dealt with before the machines are polled.
 const BATCH: usize = 256;
 /// Prefix of worker shards.
@@ -66,6 +69,10 @@
     homes: IndexMap<ids::ShardId, home::Home>,
     askers: IndexMap<home::Ticket, Waiting>,
     next_ticket: u64,
+    /// When peers were last told what owners use here.
+    usage_told_at: Option<time::Instant>,
+    /// Peers as of the last claims.
+    peers: IndexSet<ids::MemberId>,
     draining: Vec<Draining>,
 }
 
@@ -138,6 +145,8 @@
             homes: IndexMap::new(),
             askers: IndexMap::new(),
             next_ticket: 0,
+            usage_told_at: None,
+            peers: IndexSet::new(),
             draining: Vec::new(),
         }
     }
@@ -157,7 +166,10 @@
 
     fn on_catalogue(&mut self) {
         let accepted = self.context.shared.catalogue_now();
-        self.placer.set_weights(accepted.catalogue.weights);
+        self.placer.set_catalogue(&accepted.catalogue);
+        for home in self.homes.values_mut() {
+            home.set_weights(owner_weights(&accepted.catalogue));
+        }
     }
 
     /// Takes over which shards are held here, and by whom the others are.
@@ -177,6 +189,7 @@
             }
         }
         self.placer.set_shards(now.at, &held);
+        self.forget_peers(&view);
         self.take_homes(&view);
         let holders = holders(&view);
         for home in self.homes.values_mut() {
@@ -192,6 +205,30 @@
         }
     }
 
+    /// What owners used at a member that is gone is no more counted.
+    fn forget_peers(&mut self, view: &state::ClaimsView) {
+        let members: IndexSet<_> = view.claims.members.keys().cloned().collect();
+        for gone in self.peers.difference(&members) {
+            self.placer.remove_peer(gone);
+        }
+        self.peers = members;
+    }
+
+    /// Tells the other placers what owners use here, for their quotas.
+    fn tell_usage(&mut self, now: home::Now) {
+        let due = |told| now.at >= told + TELL_USAGE;
+        if !self.usage_told_at.is_none_or(due) {
+            return;
+        }
+        self.usage_told_at = Some(now.at);
+        let view = self.context.shared.claims_now();
+        let others = view.claims.members.iter();
+        let others = others.filter(|(id, _)| **id != self.me.id);
+        let addresses = others.map(|(_, member)| member.peer_address).collect();
+        let usage = self.placer.usage().into_iter().collect();
+        self.calls.tell_usage(addresses, usage);
+    }
+
     fn take_homes(&mut self, view: &state::ClaimsView) {
         self.homes.retain(|id, home| {
             let kept = view
@@ -213,7 +250,9 @@
                 shard: id.clone(),
                 epoch: held.epoch,
             };
-            let home = home::Home::new(self.home_config, key);
+            let mut home = home::Home::new(self.home_config, key);
+            let accepted = self.context.shared.catalogue_now();
+            home.set_weights(owner_weights(&accepted.catalogue));
             self.homes.insert(id.clone(), home);
         }
     }
@@ -319,7 +358,7 @@
                 home.cancel(now, ticket, &id);
             }
             wire::Question::Status(id) => asker.answer(home.status(&id)),
-            wire::Question::Core(_) | wire::Question::List(_) => {}
+            wire::Question::Core(_) | wire::Question::List(_) | wire::Question::Usage(_) => {}
         }
     }
 
@@ -337,6 +376,11 @@
             wire::Question::List(owner) => {
                 return reply.send(wire::Answer::List(self.list(owner.as_ref())));
             }
+            wire::Question::Usage(usage) => {
+                let usage = usage.iter().cloned().collect();
+                self.placer.set_peer_usage(from.id, usage);
+                return reply.send(wire::Answer::Noted);
+            }
             wire::Question::Submit(id, ..)
             | wire::Question::Status(id)
             | wire::Question::Cancel(id) => id,
@@ -426,6 +470,7 @@
             self.carry_out_placer(now, action);
         }
         self.finish_drains();
+        self.tell_usage(now);
     }
 
     fn carry_out_home(&mut self, key: message::HomeKey, action: home::Action) {
@@ -540,6 +585,14 @@
     }
 }
 
+/// The weights of owners among each other.
+fn owner_weights(catalogue: &catalogue::Catalogue) -> IndexMap<ids::OwnerName, u32> {
+    let owners = catalogue.owners.iter();
+    owners
+        .map(|(name, owner)| (name.clone(), owner.weight))
+        .collect()
+}
+
 /// The worker shards with their holders.
 fn holders(view: &state::ClaimsView) -> IndexMap<ids::ShardId, home::ShardHolder> {
     view.claims
--- a/crates/figscale/src/jobs/wire.rs
+++ b/crates/figscale/src/jobs/wire.rs
@@ -4,6 +4,7 @@
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
+use figscale_types::sizes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -18,6 +19,8 @@
     Status(ids::JobId),
     /// To the home: cancel a job.
     Cancel(ids::JobId),
+    /// To any: what owners use on the workers that the sender holds.
+    Usage(Vec<(ids::OwnerName, sizes::Resources)>),
     /// To any: the jobs that you are the home of, of one owner or of all.
     List(Option<ids::OwnerName>),
 }
@@ -29,6 +32,8 @@
     Core(message::Answer),
     /// About one job.
     Job(Result<jobs::JobStatus, operator::OperatorError>),
+    /// Taken note of.
+    Noted,
     /// A listing, each with the time of its acceptance.
     List(Vec<(u64, jobs::JobStatus)>),
 }
