--- a/crates/figscale-core/examples/placement_bench/drive.rs
+++ b/crates/figscale-core/examples/placement_bench/drive.rs
@@ -35,6 +35,8 @@
 enum Policy {
     /// The product.
     Figscale,
+    /// The product with the weights of the other user.
+    Swapped,
     /// One queue; whoever does not fit holds up all behind it.
     Fifo,
     /// Order of arrival, passing over what does not fit; first worker.
@@ -102,6 +104,7 @@
         let config = placement::Config {
             weights: match policy {
                 Policy::Figscale => user.weights(),
+                Policy::Swapped => user.other().weights(),
                 // Baselines keep nothing back.
                 _ => catalogue::Weights {
                     waiting: 0.0,
@@ -187,7 +190,7 @@
     }
 
     fn enqueue(&mut self, job: usize, tasks: Vec<u32>) {
-        if self.policy != Policy::Figscale {
+        if !matches!(self.policy, Policy::Figscale | Policy::Swapped) {
             self.fifo.push_back((job, tasks));
             return;
         }
@@ -292,7 +295,7 @@
 
     fn decide(&mut self) {
         match self.policy {
-            Policy::Figscale => self.decide_by_pass(),
+            Policy::Figscale | Policy::Swapped => self.decide_by_pass(),
             Policy::Fifo => self.decide_in_order(Choice::Scored, true),
             Policy::FirstFit => self.decide_in_order(Choice::FirstFit, false),
             Policy::Random => self.decide_in_order(Choice::Random, false),
@@ -449,6 +452,7 @@
             let jobs = mix::draw(user, WORKERS, LOAD, SPAN_S, &mut rng);
             for policy in [
                 Policy::Figscale,
+                Policy::Swapped,
                 Policy::Fifo,
                 Policy::FirstFit,
                 Policy::Random,
--- a/crates/figscale-core/examples/placement_bench/mix.rs
+++ b/crates/figscale-core/examples/placement_bench/mix.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    pub(crate) fn other(self) -> Self {
+        match self {
+            Self::Fraser => Self::Firth,
+            Self::Firth => Self::Fraser,
+        }
+    }
+
     fn memory_gib(self) -> u64 {
         match self {
             Self::Fraser => 128,
--- a/crates/figscale-core/tests/placement/gangs.rs
+++ b/crates/figscale-core/tests/placement/gangs.rs
@@ -194,6 +194,21 @@
     }
 }
 
+#[test]
+fn an_earlier_try_commits_nothing_of_a_later_one() {
+    let now = time::Instant::now();
+    let later = now + time::Duration::from_secs(2);
+    let mut cluster = kit::cluster(1);
+    let asks = [Net::ask(0, 0), Net::ask(0, 1)];
+    let tasks = [asks[0].task.clone(), asks[1].task.clone()];
+    let (first, second) = (gang::TryNumber(1), gang::TryNumber(2));
+    assert_eq!(cluster.hold_gang(&asks, first, now, later).len(), 2);
+    assert_eq!(cluster.hold_gang(&asks, second, now, later).len(), 2);
+    assert_eq!(cluster.hold_gang(&asks, first, now, later).len(), 0);
+    assert!(!cluster.commit_gang(&tasks, first, later));
+    assert!(cluster.commit_gang(&tasks, second, later));
+}
+
 #[test]
 fn a_gang_without_room_leaves_nothing_held() {
     let mut net = Net::new(&[1, 1], &[5], 1);
--- a/crates/figscale-core/tests/placement/room.rs
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -237,6 +237,11 @@
         let instance = kit::instance(kit::worker_number(&id));
         *domains.entry(instance.failure_domain).or_default() += 1;
         *racks.entry(shard).or_default() += 1;
+        let most = index / 4 + 1;
+        assert!(
+            domains.values().all(|count| *count <= most),
+            "failure domains before racks: {domains:?}"
+        );
     }
     assert!(
         domains.len() == 4 && domains.values().all(|count| *count == 2),
