--- a/crates/figscale-core/src/job/placement/place.rs
+++ b/crates/figscale-core/src/job/placement/place.rs
@@ -263,13 +263,11 @@
         ),
     ];
     let mut dominant = (0.0, 0.0);
-    let mut sum = 0.0;
     for (asked, left, whole) in dimensions {
         let asked = share(asked, whole);
-        sum += if whole > 0 { share(left, whole) } else { 0.0 };
         if asked > dominant.0 {
             dominant = (asked, share(left, whole));
         }
     }
-    dominant.1 + 0.5 * sum
+    dominant.1
 }
