Open no worker by a report that refused its holder

Cause: sync made a worker ready for any report, one of a refused call too. The placer checks that itself (placer/report.rs), so no fault in the product was seen; the cluster must not rest on it. The test of a worker taken over has a step for it, which failed before.

--- a/crates/figscale-core/src/job/placement/sync.rs
+++ b/crates/figscale-core/src/job/placement/sync.rs
@@ -72,7 +72,10 @@
         self.capacity = self.capacity.minus(&worker.capacity).plus(&report.capacity);
         worker.capacity = report.capacity;
         worker.leaving |= report.leaving;
-        worker.readiness = worker::Readiness::Ready;
+        // A worker that refused this holder for its epoch is another's.
+        if !report.stale {
+            worker.readiness = worker::Readiness::Ready;
+        }
         true
     }
 
--- a/crates/figscale-core/tests/placement/room.rs
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -202,6 +202,17 @@
     );
     let old = kit::running_task(kit::task("old", 3), kit::size(63_500, 1, 0));
     let worker = cluster.worker(&kit::worker_id(0)).expect("known");
+    let mut refused = kit::report(worker, vec![]);
+    refused.stale = true;
+    cluster.sync(&refused, now, now);
+    let tiny = kit::ask(
+        "job",
+        2,
+        kit::size(1, 0, 0),
+        catalogue::Urgency::Interactive,
+    );
+    assert!(cluster.place(&tiny, now, None).is_err(), "another holds it");
+    let worker = cluster.worker(&kit::worker_id(0)).expect("known");
     let report = kit::report(worker, vec![old]);
     let outcome = cluster.sync(&report, now, now);
     assert_eq!(outcome.adopted, [kit::task("old", 3)]);
