--- a/crates/figscale-core/src/request/once.rs
+++ b/crates/figscale-core/src/request/once.rs
@@ -66,11 +66,13 @@
 
 impl Begin {
     /// What may be said of a request that is refused with this answer.
+    ///
+    /// Without a home nobody knows whether it is a repeat of one that ran.
     pub fn verdict(self) -> Verdict {
         match self {
-            Self::Fresh | Self::FromFuture | Self::NotHome => Verdict::NotRun,
+            Self::Fresh | Self::FromFuture => Verdict::NotRun,
             Self::Repeat(verdict) => verdict,
-            Self::Forgotten => Verdict::MayHaveRun,
+            Self::Forgotten | Self::NotHome => Verdict::MayHaveRun,
         }
     }
 }
@@ -114,18 +116,43 @@
                 false => Begin::Repeat(line.verdict),
             };
         }
-        if stamp_ms > now_unix_ms.saturating_add(millis(self.config.tolerance)) {
-            return Begin::FromFuture;
-        }
         self.forget_old(now_unix_ms);
-        if stamp_ms <= self.floor_ms {
-            return Begin::Forgotten;
+        if let Some(refused) = self.refused(stamp_ms, now_unix_ms) {
+            return refused;
         }
         let verdict = Verdict::MayHaveRun;
         self.ids.insert(id.0, Line { attempt, verdict });
         Begin::Fresh
     }
 
+    /// What is known of an id, apart from this attempt; nothing is let through.
+    ///
+    /// [`Begin::Fresh`] means that no other attempt ever began.
+    pub fn peek(&self, id: ids::RequestId, attempt: AttemptId, now_unix_ms: u64) -> Begin {
+        let Some(stamp_ms) = stamp_ms(id) else {
+            return Begin::FromFuture;
+        };
+        match self.ids.get(&id.0) {
+            Some(line) if line.attempt == attempt => Begin::Fresh,
+            Some(line) => Begin::Repeat(line.verdict),
+            None => self.refused(stamp_ms, now_unix_ms).unwrap_or(Begin::Fresh),
+        }
+    }
+
+    /// Whether a time stamp alone refuses an id that is not remembered. The
+    /// floor goes first: below it an earlier home with a clock ahead of ours
+    /// may have let through what is in the future here.
+    fn refused(&self, stamp_ms: u64, now_unix_ms: u64) -> Option<Begin> {
+        let latest_ms = now_unix_ms.saturating_add(millis(self.config.tolerance));
+        if stamp_ms <= self.floor_ms {
+            Some(Begin::Forgotten)
+        } else if stamp_ms > latest_ms {
+            Some(Begin::FromFuture)
+        } else {
+            None
+        }
+    }
+
     /// Notes how an attempt ended; one that did not run may begin again.
     pub fn end(&mut self, id: ids::RequestId, attempt: AttemptId, verdict: Verdict) {
         let Some(line) = self.ids.get_mut(&id.0) else {
--- a/crates/figscale/src/traffic/answer.rs
+++ b/crates/figscale/src/traffic/answer.rs
@@ -242,14 +242,14 @@
         }
     }
 
-    /// Status, headers and JSON body.
-    pub(super) fn parts(&self) -> (StatusCode, HeaderMap, Bytes) {
+    /// Status, headers and JSON body, for a request with this verdict.
+    pub(super) fn parts(&self, verdict: Verdict) -> (StatusCode, HeaderMap, Bytes) {
         let come_back = self.come_back();
         let millis = come_back.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
         let body = ErrorBody {
             error: self.word(),
             message: self.message(),
-            verdict: self.verdict(),
+            verdict,
             retry_after_ms: millis,
         };
         let bytes = serde_json::to_vec(&body).unwrap_or_default();
--- a/crates/figscale/src/traffic/call.rs
+++ b/crates/figscale/src/traffic/call.rs
@@ -39,6 +39,12 @@
 }
 
 impl Head {
+    /// Whether the home of its id remembers it. An id that only we know is
+    /// repeated by nobody.
+    pub(super) fn is_remembered(&self) -> bool {
+        !self.idempotent && self.id_is_callers
+    }
+
     /// Reads and checks a head.
     pub(super) fn read(parts: &request::Parts) -> Result<Self, BadRequest> {
         let name = parts.uri.path().strip_prefix(RUN_PATH);
--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -178,19 +178,27 @@
     let (parts, body) = request.into_parts();
     let head = match call::Head::read(&parts) {
         Ok(head) => head,
-        Err(bad) => return no_answer(&traffic, &NoAnswer::Bad(bad), counted),
+        Err(bad) => {
+            let none = NoAnswer::Bad(bad);
+            return no_answer(&traffic, &none, none.verdict(), counted);
+        }
     };
-    let id = head.id;
-    let admitted = match traffic.admit(&head) {
-        Ok(admitted) => admitted,
-        Err(refused) => return identified(no_answer(&traffic, &refused, counted), id),
+    let attempt = traffic.new_attempt();
+    let result = match traffic.admit(&head) {
+        Ok(admitted) => {
+            let result = traffic.run(&head, attempt, &admitted, body).await;
+            result.map(|answer| (answer, admitted))
+        }
+        Err(refused) => Err(refused),
     };
-    let result = traffic.run(head, &admitted, body).await;
     let response = match result {
-        Ok(answer) => whole_answer(&traffic, answer, admitted, counted),
-        Err(none) => no_answer(&traffic, &none, counted),
+        Ok((answer, admitted)) => whole_answer(&traffic, answer, admitted, counted),
+        Err(none) => {
+            let verdict = traffic.final_verdict(&head, attempt, &none).await;
+            no_answer(&traffic, &none, verdict, counted)
+        }
     };
-    identified(response, id)
+    identified(response, head.id)
 }
 
 fn identified(
@@ -209,11 +217,15 @@
     own_response(traffic, status, HeaderMap::new(), Bytes::new(), counted)
 }
 
-fn no_answer(traffic: &Traffic, none: &NoAnswer, counted: InProgress) -> Response<Outgoing> {
-    let (status, map, bytes) = none.parts();
+fn no_answer(
+    traffic: &Traffic,
+    none: &NoAnswer,
+    verdict: Verdict,
+    counted: InProgress,
+) -> Response<Outgoing> {
+    let (status, map, bytes) = none.parts(verdict);
     let mut response = own_response(traffic, status, map, bytes, counted);
-    let verdict = none.verdict().as_str();
-    insert(response.headers_mut(), headers::VERDICT, verdict);
+    insert(response.headers_mut(), headers::VERDICT, verdict.as_str());
     response
 }
 
--- a/crates/figscale/src/traffic/homes.rs
+++ b/crates/figscale/src/traffic/homes.rs
@@ -23,6 +23,8 @@
 const CALL: &str = "once";
 /// Time to wait for one answer.
 const TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// Time to wait for what a home knows, when a refusal waits for it.
+const PEEK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Time between two tries.
 const PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -37,6 +39,7 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 enum Asked {
     Begin,
+    Peek,
     End(Verdict),
 }
 
@@ -121,6 +124,7 @@
         let memory = &mut homes[shard].memory;
         match question.asked {
             Asked::Begin => memory.begin(question.id, question.attempt, now_ms),
+            Asked::Peek => memory.peek(question.id, question.attempt, now_ms),
             Asked::End(verdict) => {
                 memory.end(question.id, question.attempt, verdict);
                 once::Begin::Fresh
@@ -167,6 +171,21 @@
         }
     }
 
+    /// What the home knows of an id, apart from this attempt.
+    pub(super) async fn peek_once(
+        &self,
+        id: ids::RequestId,
+        attempt: once::AttemptId,
+    ) -> once::Begin {
+        let question = Question {
+            id,
+            attempt,
+            asked: Asked::Peek,
+        };
+        let asked = tokio::time::timeout(PEEK_TIMEOUT, self.ask(question)).await;
+        asked.ok().flatten().unwrap_or(once::Begin::NotHome)
+    }
+
     /// Tells the home how an attempt ended; a loss leaves `MayHaveRun` there.
     pub(super) async fn end_once(
         &self,
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -117,6 +117,29 @@
 }
 
 impl Traffic {
+    /// A name for this attempt of a caller.
+    pub(super) fn new_attempt(&self) -> once::AttemptId {
+        once::AttemptId(self.decide().rng.random())
+    }
+
+    /// What may be said of a request that got this instead of an answer.
+    ///
+    /// The word is about the request, not about this message of its caller: a
+    /// repeat that is refused is not said not to have run when an earlier
+    /// message may have had it run.
+    pub(super) async fn final_verdict(
+        &self,
+        head: &call::Head,
+        attempt: once::AttemptId,
+        none: &NoAnswer,
+    ) -> Verdict {
+        let verdict = none.verdict();
+        if verdict != Verdict::NotRun || !head.is_remembered() {
+            return verdict;
+        }
+        self.peek_once(head.id, attempt).await.verdict()
+    }
+
     /// Lets a request in, or says why not.
     pub(super) fn admit(self: &sync::Arc<Self>, head: &call::Head) -> Result<Admitted, NoAnswer> {
         let now = self.now();
@@ -145,27 +168,27 @@
     /// Runs a request that was let in.
     pub(super) async fn run(
         self: &sync::Arc<Self>,
-        head: call::Head,
+        head: &call::Head,
+        attempt: once::AttemptId,
         admitted: &Admitted,
         body: body::Incoming,
     ) -> Result<Answer, NoAnswer> {
         let default = time::Duration::from_millis(admitted.policy.budget_ms);
         let deadline = self.now() + head.budget.unwrap_or(default);
+        let remembered = head.is_remembered();
         let body = call::read_body(self, body, admitted.policy.max_body_bytes);
         let body = body.await.map_err(NoAnswer::Bad)?;
         let _memory = body.memory;
         let call = sync::Arc::new(Call {
-            entry: head.entry,
-            owner: head.owner,
+            entry: head.entry.clone(),
+            owner: head.owner.clone(),
             id: head.id,
             idempotent: head.idempotent,
-            headers: head.headers,
+            headers: head.headers.clone(),
             body: body.bytes,
             deadline,
         });
         let progress = sync::Arc::new(Progress::default());
-        // An id that only we know is repeated by nobody.
-        let remembered = !head.idempotent && head.id_is_callers;
         let attempts = Attempts {
             traffic: self,
             call: &call,
@@ -180,7 +203,7 @@
         let limit = tokio::time::Instant::now() + deadline.saturating_duration_since(self.now());
         let all = async {
             let mut guard = match remembered {
-                true => Some(self.remember(&call, &progress).await?),
+                true => Some(self.remember(&call, attempt, &progress).await?),
                 false => None,
             };
             let result = attempts.make().await;
@@ -202,10 +225,10 @@
     async fn remember(
         self: &sync::Arc<Self>,
         call: &Call,
+        attempt: once::AttemptId,
         progress: &sync::Arc<Progress>,
     ) -> Result<OnceGuard, NoAnswer> {
-        let attempt = once::AttemptId(self.decide().rng.random());
-        let mut guard = OnceGuard {
+        let guard = OnceGuard {
             traffic: self.clone(),
             id: call.id,
             attempt,
@@ -217,7 +240,6 @@
         match self.begin_once(call.id, attempt, limit).await {
             once::Begin::Fresh => Ok(guard),
             begin => {
-                guard.ran = false;
                 crate::event!(
                     crate::events::requests::REPEAT_REFUSED,
                     request = call.id,
--- a/crates/figscale/tests/requests_cell/mod.rs
+++ b/crates/figscale/tests/requests_cell/mod.rs
@@ -37,7 +37,8 @@
 pub struct Entry {
     pub context: state::Context,
     pub caller: net::SocketAddr,
-    pub peer: net::SocketAddr,
+    /// The way to its peer address.
+    pub peer: proxy::Handle,
 }
 
 /// A runner behind a proxy.
@@ -204,6 +205,20 @@
         view.held.insert(shard, held);
     }
 
+    /// The number of a shard's holder.
+    pub fn holder(&self, shard: &ids::ShardId) -> usize {
+        let view = self.view.lock().expect("not poisoned");
+        let holder = view.claims.shards[shard].holder.clone();
+        let is_holder = |entry: &Entry| Some(entry.context.me()) == holder;
+        self.entries.iter().position(is_holder).expect("a holder")
+    }
+
+    /// The epoch of a shard.
+    pub fn epoch(&self, shard: &ids::ShardId) -> ids::Epoch {
+        let view = self.view.lock().expect("not poisoned");
+        view.claims.shards[shard].epoch
+    }
+
     /// Changes the lines of the instance list; publish to bring it into force.
     pub fn change_instances(&self, change: impl FnOnce(&mut Vec<instances::Instance>)) {
         change(&mut self.view.lock().expect("not poisoned").instances);
@@ -284,7 +299,7 @@
 fn claims_member(entry: &Entry) -> claims::Member {
     claims::Member {
         incarnation: entry.context.me().incarnation,
-        peer_address: entry.peer,
+        peer_address: entry.peer.address(),
         failure_domain: "domain-1".parse().expect("a domain"),
         lease: ids::LeaseId(1),
         leaving: false,
@@ -360,7 +375,9 @@
     Entry {
         context,
         caller: caller_address,
-        peer: peer_address,
+        peer: proxy::start(proxy::Config::to(peer_address))
+            .await
+            .expect("a proxy"),
     }
 }
 
