--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -175,6 +175,21 @@
     if request.uri().path() == READY_PATH {
         return ready(&traffic, counted);
     }
+    // Two lengths of one body can be read in two ways; whatever follows such a
+    // body is not read at all.
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut response = answer_call(traffic, request, counted).await;
+    if chunked {
+        close_after(&mut response);
+    }
+    response
+}
+
+async fn answer_call(
+    traffic: sync::Arc<Traffic>,
+    request: Request<body::Incoming>,
+    counted: InProgress,
+) -> Response<Outgoing> {
     let (parts, body) = request.into_parts();
     let head = match call::Head::read(&parts) {
         Ok(head) => head,
@@ -287,10 +302,15 @@
     let map = response.headers_mut();
     insert(map, headers::SERVED_BY, me.id.as_str());
     if traffic.is_leaving() {
-        map.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        close_after(response);
     }
 }
 
+fn close_after(response: &mut Response<Outgoing>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 fn insert(map: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         map.insert(name, value);
