--- a/crates/figscale-core/tests/request_once.rs
+++ b/crates/figscale-core/tests/request_once.rs
@@ -1,7 +1,5 @@
 //! The memory of request ids, alone and through changes of home.
 
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
-
 use std::time;
 
 use figscale_core::request::once;
--- a/crates/figscale-core/tests/request_slots.rs
+++ b/crates/figscale-core/tests/request_slots.rs
@@ -206,13 +206,11 @@
             runs.retain(|run| run.watched || now < run.ends);
             match step {
                 Step::Wait(wait) => now += ms(wait),
-                Step::Dispatch => {
-                    if table.take(&runner(), now) {
-                        chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-                        let arrives = now + ms((chance >> 33) % SETTLE_MS);
-                        let ends = arrives + ms(RUN_MS);
-                        runs.push(Run { arrives, ends, watched: true });
-                    }
+                Step::Dispatch if table.take(&runner(), now) => {
+                    chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                    let arrives = now + ms((chance >> 33) % SETTLE_MS);
+                    let ends = arrives + ms(RUN_MS);
+                    runs.push(Run { arrives, ends, watched: true });
                 }
                 Step::End(index) if !runs.is_empty() => {
                     let at = index.index(runs.len());
--- a/crates/figscale/src/traffic/forward.rs
+++ b/crates/figscale/src/traffic/forward.rs
@@ -39,6 +39,28 @@
     Refused(dispatcher::Refusal),
     /// It failed.
     Failed(Failure),
+    /// It waited for a slot, and another holder has one free.
+    Moved(Place),
+}
+
+/// Where an attempt is made.
+#[derive(Clone, Debug)]
+pub(super) enum Place {
+    /// At a runner that this process holds.
+    Here,
+    /// At another holder; with a free slot, by its last word.
+    There(Holder, Room),
+    /// Nobody holds a runner of the service.
+    Nowhere,
+}
+
+/// Whether a holder is believed to have a free slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    /// It is.
+    Free,
+    /// A request would wait there.
+    Queue,
 }
 
 /// A holder among the peers.
@@ -54,13 +76,21 @@
     pub(super) holder: &'a Holder,
     pub(super) call: &'a Call,
     pub(super) avoid: Option<ids::InstanceId>,
+    /// Whether the body goes along with the head.
+    pub(super) eager: bool,
 }
 
 impl Attempt<'_> {
     /// Forwards the request; `sent` is called before the body goes out.
-    pub(super) async fn run(self, sent: impl Fn()) -> Result<Answer, NoAnswerYet> {
+    ///
+    /// Gives up waiting for a slot when `better` completes.
+    pub(super) async fn run(
+        self,
+        sent: impl Fn(),
+        better: impl Future<Output = Place>,
+    ) -> Result<Answer, NoAnswerYet> {
         let link_broke = |verdict| failed(verdict, Fault::PeerLink);
-        let eager = wire::is_eager(self.call.idempotent, self.call.body.len() as u64);
+        let eager = self.eager;
         let hold_bytes = self.traffic.settings().hold_bytes;
         let (reply, mut sender) = self.open().await?;
         if eager {
@@ -79,7 +109,10 @@
             return Err(link_broke(Verdict::NotRun));
         }
         let mut reader = wire::Reader::new(answer.into_body());
-        let first = self.heard(reader.frame::<wire::Reply>(), before).await?;
+        let first = tokio::select! {
+            first = self.heard(reader.frame::<wire::Reply>(), before) => first?,
+            place = better, if !eager => return Err(NoAnswerYet::Moved(place)),
+        };
         match first.map_err(|_| link_broke(before))? {
             wire::Reply::Granted => {}
             other => return ended(other, reader, hold_bytes).await,
@@ -119,6 +152,7 @@
             avoid: self.avoid.clone(),
             headers: wire::from_map(&call.headers),
             body_bytes: call.body.len() as u64,
+            eager: self.eager,
         }
     }
 
--- a/crates/figscale/src/traffic/peer_side.rs
+++ b/crates/figscale/src/traffic/peer_side.rs
@@ -70,7 +70,7 @@
         Ok(slot) => slot,
         Err(refusal) => {
             refuse(&mut sender, refusal).await?;
-            if wire::is_eager(head.idempotent, head.body_bytes) {
+            if head.eager {
                 // Read what was sent along, so that no reset overtakes the refusal.
                 let _ = tokio::time::timeout(BODY_TIMEOUT, reader.whole(head.body_bytes)).await;
             }
--- a/crates/figscale/src/traffic/push.rs
+++ b/crates/figscale/src/traffic/push.rs
@@ -1,8 +1,7 @@
 //! Free-slot counts to and from the other entry instances.
 //!
 //! Pushed on change, at a bounded rate, and again after a while without change,
-//! so that silence means something. A peer that has not answered the last push
-//! gets no other until it has.
+//! so that silence means something.
 
 use std::net;
 use std::sync;
@@ -13,6 +12,7 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::watch;
 
 use super::Traffic;
 use crate::peer;
@@ -20,7 +20,7 @@
 /// Name of the service towards peers.
 const CALL: &str = "slots";
 /// Time to wait for a peer to take a push.
-const TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// What a holder says of its slots.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -58,42 +58,52 @@
     }
 }
 
-/// Pushes counts until the process ends.
+/// Pushes counts until the process ends, from a task for each peer.
 pub(super) async fn keep_pushing(traffic: sync::Arc<Traffic>) {
     let shortest = time::Duration::from_millis(traffic.settings().push_ms);
     let refresh = time::Duration::from_millis(traffic.settings().refresh_ms);
-    let mut last = Push::default();
-    let mut refreshed = tokio::time::Instant::now();
-    let mut links = IndexMap::<net::SocketAddr, tokio::task::JoinHandle<()>>::new();
+    let latest = watch::Sender::new(Push::default());
+    let mut tasks = IndexMap::<net::SocketAddr, tokio::task::JoinHandle<()>>::new();
     loop {
         let _ = tokio::time::timeout(refresh, traffic.changed.notified()).await;
         let push = traffic.push_now();
-        if push != last || refreshed.elapsed() >= refresh {
-            send_all(&traffic, &push, &mut links);
-            last = push;
-            refreshed = tokio::time::Instant::now();
+        latest.send_if_modified(|last| {
+            let modified = *last != push;
+            *last = push;
+            modified
+        });
+        let others = traffic.others();
+        tasks.retain(|address, task| {
+            let stays = others.contains(address);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        for address in others {
+            tasks.entry(address).or_insert_with(|| {
+                tokio::spawn(push_to(traffic.clone(), address, latest.subscribe()))
+            });
         }
         tokio::time::sleep(shortest).await;
     }
 }
 
-fn send_all(
-    traffic: &sync::Arc<Traffic>,
-    push: &Push,
-    links: &mut IndexMap<net::SocketAddr, tokio::task::JoinHandle<()>>,
+/// Pushes the latest counts to one peer, on change and after a while without.
+///
+/// A peer that does not answer gets the counts of the moment once it does.
+async fn push_to(
+    traffic: sync::Arc<Traffic>,
+    address: net::SocketAddr,
+    mut latest: watch::Receiver<Push>,
 ) {
-    let others = traffic.others();
-    links.retain(|address, _| others.contains(address));
-    for address in others {
-        if links.get(&address).is_some_and(|task| !task.is_finished()) {
-            continue;
+    let refresh = time::Duration::from_millis(traffic.settings().refresh_ms);
+    loop {
+        let push = latest.borrow_and_update().clone();
+        let peers = &traffic.context.peers;
+        let _: Result<(), _> = peers.call(address, CALL, &push, TIMEOUT).await;
+        if let Ok(Err(_)) = tokio::time::timeout(refresh, latest.changed()).await {
+            return;
         }
-        let traffic = traffic.clone();
-        let push = push.clone();
-        let task = tokio::spawn(async move {
-            let peers = &traffic.context.peers;
-            let _: Result<(), _> = peers.call(address, CALL, &push, TIMEOUT).await;
-        });
-        links.insert(address, task);
     }
 }
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use figscale_core::request::admission;
+use figscale_core::request::board;
 use figscale_core::request::dispatcher;
 use figscale_core::request::once;
 use figscale_core::request::retry;
@@ -27,6 +28,9 @@
 use super::exchange;
 use super::forward;
 use super::forward::NoAnswerYet;
+use super::forward::Place;
+use super::forward::Room;
+use super::wire;
 
 /// Holders that are asked before a request is refused for want of room.
 const MAX_REFUSALS: u32 = 3;
@@ -109,13 +113,6 @@
     }
 }
 
-/// Where an attempt is made.
-enum Place {
-    Here,
-    There(forward::Holder),
-    Nowhere,
-}
-
 impl Traffic {
     /// A name for this attempt of a caller.
     pub(super) fn new_attempt(&self) -> once::AttemptId {
@@ -278,11 +275,12 @@
         self.traffic.decide().budget(&self.policy.service).earn();
         let wait = time::Duration::from_millis(self.traffic.settings().holder_wait_ms);
         let mut give_up_at = self.traffic.now() + wait;
+        let mut next = None;
         loop {
-            let place = self.choose();
+            let place = next.take().unwrap_or_else(|| self.choose());
             let result = match &place {
                 Place::Here => self.here().await,
-                Place::There(holder) => self.there(holder).await,
+                Place::There(holder, room) => self.there(holder, *room).await,
                 Place::Nowhere if self.traffic.now() < give_up_at => {
                     self.excluded.clear();
                     tokio::time::sleep(LOOK).await;
@@ -299,6 +297,7 @@
                     let last = matches!(place, Place::Nowhere);
                     self.refused(&place, refusal, last).await?;
                 }
+                Err(NoAnswerYet::Moved(place)) => next = Some(place),
                 Err(NoAnswerYet::Failed(failure)) => {
                     self.failed(&place, failure)?;
                     give_up_at = self.traffic.now() + wait;
@@ -310,8 +309,7 @@
     fn choose(&self) -> Place {
         let traffic = self.traffic;
         let now = traffic.now();
-        let view = traffic.context.shared.claims_now();
-        let here = traffic.has_authority() && !self.excluded.contains(&view.me);
+        let here = self.is_open_here();
         let service = &self.policy.service;
         let mut decisions = traffic.decide();
         let decisions = &mut *decisions;
@@ -320,24 +318,60 @@
         }
         let own = decisions.dispatcher.counts_of(service, now);
         let chosen = (decisions.board).choose(service, &self.excluded, now, &mut decisions.rng);
-        let chosen = chosen.and_then(|choice| {
-            let member = view.claims.members.get(&choice.member.id)?;
-            let live = member.incarnation == choice.member.incarnation;
-            live.then_some((choice, member.peer_address))
-        });
         match chosen {
-            Some((choice, address)) if !here || choice.room > own.room(0) => {
-                decisions.board.sent(service, &choice.member);
-                Place::There(forward::Holder {
-                    member: choice.member,
-                    address,
-                })
-            }
+            Some(choice) if !here || choice.room > own.room(0) => self.there_by(decisions, choice),
             _ if here && own.slots > 0 => Place::Here,
             _ => Place::Nowhere,
         }
     }
 
+    /// A place for the choice, unless its member is unknown by now.
+    fn there_by(&self, decisions: &mut super::Decisions, choice: board::Choice) -> Place {
+        let claims = self.traffic.context.shared.claims.borrow();
+        let known = claims.claims.members.get(&choice.member.id);
+        let live = known.filter(|known| known.incarnation == choice.member.incarnation);
+        let Some(member) = live else {
+            return Place::Nowhere;
+        };
+        let room = match choice.room > 0.0 {
+            true => Room::Free,
+            false => Room::Queue,
+        };
+        decisions.board.sent(&self.policy.service, &choice.member);
+        let holder = forward::Holder {
+            member: choice.member,
+            address: member.peer_address,
+        };
+        Place::There(holder, room)
+    }
+
+    fn is_open_here(&self) -> bool {
+        let me = self.traffic.context.me();
+        self.traffic.has_authority() && !self.excluded.contains(&me)
+    }
+
+    /// Completes when another place has a slot free while this one has not.
+    async fn better(&self, present: Option<&ids::MemberKey>) -> Place {
+        let service = &self.policy.service;
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now = self.traffic.now();
+            let here = present.is_some() && self.is_open_here();
+            let mut decisions = self.traffic.decide();
+            let decisions = &mut *decisions;
+            if here && (decisions.dispatcher).would_grant(service, self.policy.urgency, now) {
+                return Place::Here;
+            }
+            let chosen = (decisions.board).choose(service, &self.excluded, now, &mut decisions.rng);
+            let better = chosen.filter(|c| c.room > 0.0 && Some(&c.member) != present);
+            if let Some(choice) = better
+                && let Place::There(holder, room) = self.there_by(decisions, choice)
+            {
+                return Place::There(holder, room);
+            }
+        }
+    }
+
     async fn here(&self) -> Result<Answer, NoAnswerYet> {
         let call = self.call;
         let max_run = time::Duration::from_millis(self.policy.max_run_ms);
@@ -354,7 +388,10 @@
             max_queue_len: self.policy.max_queue_len,
             max_run,
         };
-        let slot = self.traffic.acquire(submission).await;
+        let slot = tokio::select! {
+            slot = self.traffic.acquire(submission) => slot,
+            place = self.better(None) => return Err(NoAnswerYet::Moved(place)),
+        };
         let slot = slot.map_err(NoAnswerYet::Refused)?;
         self.progress.sent();
         let ending = exchange::start(self.traffic, slot, call.clone(), max_run);
@@ -367,14 +404,17 @@
         result.map_err(NoAnswerYet::Failed)
     }
 
-    async fn there(&self, holder: &forward::Holder) -> Result<Answer, NoAnswerYet> {
+    async fn there(&self, holder: &forward::Holder, room: Room) -> Result<Answer, NoAnswerYet> {
+        let small = self.call.body.len() <= wire::MAX_EAGER_BYTES;
         let attempt = forward::Attempt {
             traffic: self.traffic,
             holder,
             call: self.call,
             avoid: self.avoid.clone(),
+            eager: self.call.idempotent && small && room == Room::Free,
         };
-        attempt.run(|| self.progress.sent()).await
+        let better = self.better(Some(&holder.member));
+        attempt.run(|| self.progress.sent(), better).await
     }
 
     /// Goes on to another holder, or gives up.
@@ -392,7 +432,7 @@
         let mut decisions = self.traffic.decide();
         match place {
             Place::Here => self.excluded.push(self.traffic.context.me()),
-            Place::There(holder) => {
+            Place::There(holder, _) => {
                 decisions
                     .board
                     .refused(&self.policy.service, &holder.member);
@@ -429,7 +469,7 @@
         self.progress.ended(failure.verdict);
         self.made += 1;
         super::log_failure(self.call.id, failure.verdict, failure.fault.as_str());
-        if let Place::There(holder) = place
+        if let Place::There(holder, _) = place
             && matches!(failure.fault, Fault::PeerLink | Fault::PeerSilent)
         {
             self.excluded.push(holder.member.clone());
--- a/crates/figscale/src/traffic/wire.rs
+++ b/crates/figscale/src/traffic/wire.rs
@@ -3,8 +3,10 @@
 //!
 //! Messages go as frames: a length of four bytes, then `bincode`. The sender
 //! begins with a [`Head`]. The holder answers [`Reply::Granted`] once the request
-//! has a slot; only then does the sender send the body, except for a
-//! small idempotent request, whose body goes along with its head. The last reply is
+//! has a slot; only then does the sender send the body. Where a slot
+//! is expected to be free, the small body of an idempotent request goes along
+//! with its head, which saves a round trip and is worth a doubt if the link
+//! breaks. The last reply is
 //! [`Reply::Refused`], [`Reply::Failed`] or [`Reply::Answer`]; after an answer
 //! the rest of the stream is its body. A body that breaks resets the stream.
 
@@ -69,6 +71,8 @@
     pub(super) avoid: Option<ids::InstanceId>,
     pub(super) headers: Vec<Header>,
     pub(super) body_bytes: u64,
+    /// Whether the body goes along with the head.
+    pub(super) eager: bool,
 }
 
 /// Why a holder does not run a request.
@@ -125,12 +129,7 @@
 }
 
 /// Largest body that goes along with its head.
-const MAX_EAGER_BYTES: u64 = 256 << 10;
-
-/// Whether a body goes along with its head, before a slot is granted.
-pub(super) fn is_eager(idempotent: bool, body_bytes: u64) -> bool {
-    idempotent && body_bytes <= MAX_EAGER_BYTES
-}
+pub(super) const MAX_EAGER_BYTES: usize = 256 << 10;
 
 /// Encodes a frame.
 pub(super) fn frame<T: Serialize>(message: &T) -> eyre::Result<Bytes> {
--- a/crates/figscale/tests/requests_random.rs
+++ b/crates/figscale/tests/requests_random.rs
@@ -288,15 +288,17 @@
             told.request_id == id.to_string() && told.body_checksum == runner::checksum(body)
         });
         if !whole || !own {
-            told.wrong.push(format!("{id}: whole {whole}, own {own}"));
+            let start: String = answer.text().chars().take(200).collect();
+            let status = answer.status;
+            let wrong = format!("{id}: {status}, whole {whole}, own {own}: {start}");
+            told.wrong.push(wrong);
         }
         return verdict;
     }
-    if verdict == Verdict::NotRun {
-        if answer.status.as_u16() >= 429 && answer.header("retry-after").is_empty() {
-            told.wrong
-                .push(format!("{id}: no retry-after: {}", answer.text()));
-        }
+    let refused = verdict == Verdict::NotRun && answer.status.as_u16() >= 429;
+    if refused && answer.header("retry-after").is_empty() {
+        told.wrong
+            .push(format!("{id}: no retry-after: {}", answer.text()));
     }
     let told_of: serde_json::Value = answer.json().unwrap();
     let line = format!("{verdict} {}", told_of["error"].as_str().unwrap());
