--- a/crates/figscale/src/traffic/dump.rs
+++ b/crates/figscale/src/traffic/dump.rs
@@ -1,6 +1,7 @@
 //! The dump of slots, queues and budgets.
 
 use std::sync;
+use std::sync::atomic;
 
 use serde_json::json;
 
@@ -54,6 +55,7 @@
         json!({
             "authority": self.context.shared.authority.is_valid(now),
             "in_progress": *self.in_progress.borrow(),
+            "fenced": self.fenced.load(atomic::Ordering::Relaxed),
             "waiting": dispatcher.waiting(),
             "counts": dispatcher.counts(now),
             "runners": runners,
--- a/crates/figscale/src/traffic/exchange.rs
+++ b/crates/figscale/src/traffic/exchange.rs
@@ -7,6 +7,7 @@
 //! whose end cannot be told from a cut, counts as broken.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
@@ -150,6 +151,8 @@
             Ok(Err(_)) if gate.has_begun() => Sent::Broken(Fault::Broken),
             Err(_) if gate.has_begun() => Sent::Broken(Fault::TooSlow),
             _ if gate.was_refused() => {
+                let fenced = &self.traffic.fenced;
+                fenced.fetch_add(1, atomic::Ordering::Relaxed);
                 crate::event!(
                     crate::events::requests::DISPATCH_FENCED,
                     request = self.call.id,
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 mod wire;
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use figscale_core::request::admission;
@@ -110,6 +111,8 @@
     /// Requests of callers and peers being answered.
     in_progress: watch::Sender<usize>,
     bodies: sync::Arc<tokio::sync::Semaphore>,
+    /// Dispatches that were not written for want of the right.
+    fenced: atomic::AtomicU64,
 }
 
 impl Traffic {
@@ -125,6 +128,7 @@
             changed: Notify::new(),
             in_progress: watch::Sender::new(0),
             bodies: sync::Arc::new(tokio::sync::Semaphore::new(units as usize)),
+            fenced: atomic::AtomicU64::new(0),
         }
     }
 
--- a/crates/figscale/tests/requests_cell/mod.rs
+++ b/crates/figscale/tests/requests_cell/mod.rs
@@ -57,6 +57,7 @@
     pub seed: u64,
     pub traffic: settings::TrafficSettings,
     pub catalogue: catalogue::Catalogue,
+    pub clock: clock::SharedClock,
 }
 
 impl Default for Shape {
@@ -69,6 +70,7 @@
             seed: 1,
             traffic: settings::TrafficSettings::default(),
             catalogue: catalogue(),
+            clock: sync::Arc::new(clock::SystemClock),
         }
     }
 }
@@ -342,7 +344,7 @@
     let peer_listener = listen().await.expect("a listener");
     let caller_address = caller.local_addr().expect("an address");
     let peer_address = peer_listener.local_addr().expect("an address");
-    let clock: clock::SharedClock = sync::Arc::new(clock::SystemClock);
+    let clock = shape.clock.clone();
     let settings = settings(shape, number, caller_address, peer_address);
     let me = ids::MemberKey {
         id: member(number),
