--- a/crates/figscale/tests/requests_limits.rs
+++ b/crates/figscale/tests/requests_limits.rs
@@ -1,7 +1,5 @@
 //! Limits, given-up requests and the right to dispatch, at chosen moments.
 
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
-
 mod requests_cell;
 
 use std::sync;
