--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -19,6 +19,7 @@
 use indexmap::IndexSet;
 
 use super::place;
+use super::promise;
 use super::work;
 use super::worker;
 
@@ -69,6 +70,10 @@
     pub(super) capacity: sizes::Resources,
     pub(super) counted: sizes::Resources,
     pub(super) examined: u64,
+    /// The most urgent work that waits for accelerators.
+    pub(super) accelerators_wanted: Option<promise::Wanted>,
+    /// The worker promised to a job.
+    pub(super) promise: Option<promise::Promise>,
 }
 
 impl Cluster {
@@ -109,7 +114,7 @@
             readiness,
             leaving,
             standing: worker::Standing::InUse,
-            held: false,
+            held: None,
             tasks: IndexSet::new(),
         };
         self.capacity = self.capacity.plus(&added.capacity);
--- a/crates/figscale-standin/tests/load.rs
+++ b/crates/figscale-standin/tests/load.rs
@@ -79,6 +79,17 @@
     assert_eq!(runner.ledger().requests().len() as u64, report.all.requests);
 }
 
+#[tokio::test]
+async fn classes_of_one_entry_are_counted_together() {
+    let runner = wide_runner().await;
+    let config = load::Config {
+        classes: vec![class("quotes", 1.0), class("quotes", 1.0)],
+        ..config(&[(runner.address(), 1.0)])
+    };
+    let report = load::run(&config).await;
+    assert_eq!(report.classes["quotes"].requests, report.all.requests);
+}
+
 /// What a dishonest server answers to every request.
 type Lie = fn(&str) -> (StatusCode, String, String);
 
@@ -149,7 +160,7 @@
     let runner = wide_runner().await;
     let mut report = load::run(&config(&[(runner.address(), 1.0)])).await;
     assert!(report.false_not_run(runner.ledger()).is_empty());
-    report.outcomes[0].result = load::RequestResult::Failed {
+    report.outcomes[0].kind = load::OutcomeKind::Failed {
         status: StatusCode::SERVICE_UNAVAILABLE,
         verdict: Some(Verdict::NotRun),
         retry_after: false,
