Counts by urgency, so that nobody moves to slots that are kept from him

Cause: free counts told all free slots, the reserve for interactive requests among them, so best-effort requests were sent to holders where they had to wait, and an interactive one avoided a holder for a queue that it would pass by.

--- a/crates/figscale-core/examples/request_waits.rs
+++ b/crates/figscale-core/examples/request_waits.rs
@@ -146,7 +146,7 @@
     failed: [u64; 3],
     asked: [u64; 3],
     forwarded: u64,
-    busy_us: u64,
+    busy_s: f64,
     most_at_runner: u32,
 }
 
@@ -281,7 +281,7 @@
             }
             let passed = at - self.now;
             let busy: u32 = self.at_runner.iter().sum();
-            self.outcome.busy_us += u64::from(busy) * passed.as_micros() as u64;
+            self.outcome.busy_s += f64::from(busy) * passed.as_secs_f64();
             self.now = at;
             self.step(event);
         }
@@ -364,9 +364,15 @@
         if here && state.dispatcher.would_grant(&service(), urgency, self.now) {
             return self.submit(number, entry, false);
         }
-        let chosen = (state.board).choose(&service(), &request.excluded, self.now, &mut self.rng);
+        let chosen = (state.board).choose(
+            &service(),
+            urgency,
+            &request.excluded,
+            self.now,
+            &mut self.rng,
+        );
         match chosen {
-            Some(choice) if !here || choice.room > own.room(0) => {
+            Some(choice) if !here || choice.room > own.room(urgency, 0) => {
                 state.board.sent(&service(), &choice.member);
                 self.outcome.forwarded += 1;
                 self.after(HOP, Event::Reach(number, number_of(&choice.member)));
@@ -447,7 +453,7 @@
         let own = holder != entry && state.dispatcher.would_grant(&service(), urgency, now);
         let chosen = state
             .board
-            .choose(&service(), &excluded, now, &mut self.rng);
+            .choose(&service(), urgency, &excluded, now, &mut self.rng);
         let better = chosen.filter(|c| c.room > 0.0 && number_of(&c.member) != holder);
         if !own && better.is_none() {
             return self.after(LOOK, Event::Look(number, moves));
@@ -655,8 +661,8 @@
 
 fn line(policy: Policy, fault: Fault, load: f64, seed: u64) {
     let mut outcome = World::new(policy, fault, load, seed).run();
-    let slot_us = SECONDS * 1_000_000 * RUNNERS as u64 * u64::from(SLOTS);
-    let used = outcome.busy_us as f64 / slot_us as f64;
+    let slot_s = SECONDS as f64 * RUNNERS as f64 * f64::from(SLOTS);
+    let used = outcome.busy_s / slot_s;
     print!("| {load} | {fault:?} | {policy:?} |");
     for class in 0..CLASSES.len() {
         let waits = &mut outcome.waits_us[class];
--- a/crates/figscale-core/src/request/board.rs
+++ b/crates/figscale-core/src/request/board.rs
@@ -10,12 +10,15 @@
 
 use std::time;
 
+use figscale_types::catalogue;
 use figscale_types::ids;
 use indexmap::IndexMap;
 use rand::RngExt as _;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::queue;
+
 /// Settings of the board.
 #[derive(Clone, Copy, Debug)]
 pub struct BoardConfig {
@@ -31,24 +34,28 @@
     }
 }
 
-/// Room of one holder for one service.
+/// Room of one holder for one service, by urgency from the most urgent.
+///
+/// A slot that is kept for interactive requests is free to them and to nobody
+/// else, and what is less urgent than a request does not stand before it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
-    /// Slots that may be granted now.
-    pub free: u32,
     /// Slots in all, free or not, that the holder may grant.
     pub slots: u32,
-    /// Requests that wait.
-    pub queued: u32,
+    /// Slots that a request of each urgency could have now.
+    pub free: [u32; 3],
+    /// Requests that would go before a request of each urgency.
+    pub ahead: [u32; 3],
 }
 
 impl Counts {
     /// Room relative to size: above zero for free slots, below for a queue.
-    pub fn room(&self, sent: u32) -> f64 {
+    pub fn room(&self, urgency: catalogue::Urgency, sent: u32) -> f64 {
         if self.slots == 0 {
             return f64::NEG_INFINITY;
         }
-        let left = f64::from(self.free) - f64::from(self.queued) - f64::from(sent);
+        let level = queue::level_of(urgency);
+        let left = f64::from(self.free[level]) - f64::from(self.ahead[level]) - f64::from(sent);
         left / f64::from(self.slots)
     }
 }
@@ -134,7 +141,7 @@
     /// Notes that a holder refused for want of room.
     pub fn refused(&mut self, service: &ids::ServiceName, member: &ids::MemberKey) {
         if let Some(line) = self.line_mut(service, member) {
-            line.sent = line.sent.max(line.counts.free);
+            line.sent = line.sent.max(line.counts.free[0]);
         }
     }
 
@@ -142,6 +149,7 @@
     pub fn choose(
         &self,
         service: &ids::ServiceName,
+        urgency: catalogue::Urgency,
         excluded: &[ids::MemberKey],
         now: time::Instant,
         rng: &mut impl rand::Rng,
@@ -161,7 +169,7 @@
         }
         let best = [open[first], open[second]]
             .into_iter()
-            .map(|(member, line)| (member, self.room(line, now)))
+            .map(|(member, line)| (member, self.room(line, urgency, now)))
             .reduce(|a, b| if b.1 > a.1 { b } else { a })?;
         Some(Choice {
             member: best.0.clone(),
@@ -183,16 +191,16 @@
         })
     }
 
-    fn room(&self, line: &Line, now: time::Instant) -> f64 {
+    fn room(&self, line: &Line, urgency: catalogue::Urgency, now: time::Instant) -> f64 {
         let stale = now.saturating_duration_since(line.heard) > self.config.stale_after;
         let counts = match stale {
             true => Counts {
-                free: 0,
+                free: [0; 3],
                 ..line.counts
             },
             false => line.counts,
         };
-        counts.room(line.sent)
+        counts.room(urgency, line.sent)
     }
 
     fn line_mut(
--- a/crates/figscale-core/src/request/dispatcher.rs
+++ b/crates/figscale-core/src/request/dispatcher.rs
@@ -457,14 +457,22 @@
 
     /// Counts of one service.
     pub fn counts_of(&self, name: &ids::ServiceName, now: time::Instant) -> board::Counts {
-        let service = self.services.get(name);
-        let queued = service.map_or(0, |service| service.queue.len());
         let live = self.table.of_service(name).filter(|r| !r.is_leaving());
         let slots = live.map(|runner| runner.instance.slots).sum();
+        let usable = self.usable(name, now);
+        let reserve = self.reserve(name, now);
+        let queue = self.services.get(name).map(|service| &service.queue);
+        let ahead = |urgency| {
+            let ahead = queue.map_or(0, |queue| queue.ahead_of(urgency));
+            u32::try_from(ahead).unwrap_or(u32::MAX)
+        };
         board::Counts {
-            free: self.usable(name, now),
             slots,
-            queued: u32::try_from(queued).unwrap_or(u32::MAX),
+            free: queue::URGENCIES.map(|urgency| match urgency {
+                catalogue::Urgency::BestEffort => usable.saturating_sub(reserve),
+                _ => usable,
+            }),
+            ahead: queue::URGENCIES.map(ahead),
         }
     }
 
@@ -542,16 +550,22 @@
         urgency: catalogue::Urgency,
         now: time::Instant,
     ) -> bool {
+        urgency != catalogue::Urgency::BestEffort
+            || self.usable(name, now) > self.reserve(name, now)
+    }
+
+    /// Free slots that best-effort work leaves to others.
+    fn reserve(&self, name: &ids::ServiceName, now: time::Instant) -> u32 {
         let service = self.services.get(name);
         let last = service.and_then(|service| service.last_interactive);
         let kept =
             last.is_some_and(|last| now.saturating_duration_since(last) < self.config.reserve_for);
-        if urgency != catalogue::Urgency::BestEffort || !kept {
-            return true;
+        if !kept {
+            return 0;
         }
         let slots: u32 = self.table.of_service(name).map(|r| r.instance.slots).sum();
-        let reserve = f64::from(slots) * self.config.reserve_share;
-        f64::from(self.usable(name, now)) > reserve
+        // A share of a number of slots, rounded down.
+        (f64::from(slots) * self.config.reserve_share) as u32
     }
 
     fn grant(&mut self, submission: &Submission, now: time::Instant) -> Option<Grant> {
--- a/crates/figscale-core/src/request/queue.rs
+++ b/crates/figscale-core/src/request/queue.rs
@@ -135,7 +135,7 @@
     grants: u32,
 }
 
-fn level_of(urgency: catalogue::Urgency) -> usize {
+pub(crate) fn level_of(urgency: catalogue::Urgency) -> usize {
     match urgency {
         catalogue::Urgency::Interactive => 0,
         catalogue::Urgency::Deadline => 1,
@@ -143,7 +143,7 @@
     }
 }
 
-const URGENCIES: [catalogue::Urgency; 3] = [
+pub(crate) const URGENCIES: [catalogue::Urgency; 3] = [
     catalogue::Urgency::Interactive,
     catalogue::Urgency::Deadline,
     catalogue::Urgency::BestEffort,
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -317,14 +317,22 @@
             return Place::Here;
         }
         let own = decisions.dispatcher.counts_of(service, now);
-        let chosen = (decisions.board).choose(service, &self.excluded, now, &mut decisions.rng);
+        let chosen = self.draw(decisions, now);
         match chosen {
-            Some(choice) if !here || choice.room > own.room(0) => self.there_by(decisions, choice),
+            Some(choice) if !here || choice.room > own.room(self.policy.urgency, 0) => {
+                self.there_by(decisions, choice)
+            }
             _ if here && own.slots > 0 => Place::Here,
             _ => Place::Nowhere,
         }
     }
 
+    fn draw(&self, decisions: &mut super::Decisions, now: time::Instant) -> Option<board::Choice> {
+        let urgency = self.policy.urgency;
+        let (board, rng) = (&decisions.board, &mut decisions.rng);
+        board.choose(&self.policy.service, urgency, &self.excluded, now, rng)
+    }
+
     /// A place for the choice, unless its member is unknown by now.
     fn there_by(&self, decisions: &mut super::Decisions, choice: board::Choice) -> Place {
         let claims = self.traffic.context.shared.claims.borrow();
@@ -362,7 +370,7 @@
             if here && (decisions.dispatcher).would_grant(service, self.policy.urgency, now) {
                 return Place::Here;
             }
-            let chosen = (decisions.board).choose(service, &self.excluded, now, &mut decisions.rng);
+            let chosen = self.draw(decisions, now);
             let better = chosen.filter(|c| c.room > 0.0 && Some(&c.member) != present);
             if let Some(choice) = better
                 && let Place::There(holder, room) = self.there_by(decisions, choice)
--- a/crates/figscale/tests/requests_process.rs
+++ b/crates/figscale/tests/requests_process.rs
@@ -80,7 +80,7 @@
                 return false;
             };
             let counts = &dump["traffic"]["counts"]["hullrate"];
-            free += counts["free"].as_u64().unwrap_or(0);
+            free += counts["free"][0].as_u64().unwrap_or(0);
             let held = dump["claims"]["held"].as_object();
             homes += held.map_or(0, |held| {
                 held.keys().filter(|s| s.starts_with("id/")).count()
