Refuse by the pace of the queue, not by run times alone

Cause: the wait of a best-effort request was reckoned from run times, as if nothing more urgent came meanwhile, so at three times capacity 646 of 1,830 waited until their deadline to hear no.

--- a/crates/figscale-core/src/request/dispatcher.rs
+++ b/crates/figscale-core/src/request/dispatcher.rs
@@ -163,6 +163,7 @@
     queue: queue::FairQueue,
     outliers: outlier::Outliers,
     last_interactive: Option<time::Instant>,
+    paces: [service_time::Pace; 3],
 }
 
 /// The slots that this process may grant, and who waits for them.
@@ -233,7 +234,7 @@
     pub fn submit(&mut self, submission: Submission, now: time::Instant) -> Submitted {
         let name = submission.service.clone();
         if self.table.of_service(&name).next().is_none() {
-            return Submitted::Refused(self.refusal(admission::Reason::NoHolder, &submission));
+            return Submitted::Refused(self.refusal(admission::Reason::NoHolder, &submission, now));
         }
         if submission.urgency == catalogue::Urgency::Interactive {
             self.service_mut(&name).last_interactive = Some(now);
@@ -244,8 +245,10 @@
             return Submitted::Granted(grant);
         }
         if let Some(reason) = self.cannot_wait(&submission, now) {
-            return Submitted::Refused(self.refusal(reason, &submission));
+            return Submitted::Refused(self.refusal(reason, &submission, now));
         }
+        let level = queue::level_of(submission.urgency);
+        self.service_mut(&name).paces[level].waits(now);
         self.enqueue(submission);
         Submitted::Queued
     }
@@ -271,7 +274,7 @@
         if waiting.copied().unwrap_or(0) >= submission.max_queue_len {
             return Some(admission::Reason::QueueFull);
         }
-        let needs = self.expected_wait(&submission.service, submission.urgency)
+        let needs = self.expected_wait(&submission.service, submission.urgency, now)
             + self.times.of_entry(&submission.entry);
         (now + needs >= submission.deadline).then_some(admission::Reason::Unreachable)
     }
@@ -377,19 +380,22 @@
         events: &mut Vec<Event>,
     ) {
         for ticket in self.service_mut(name).queue.expire(now) {
-            self.refuse_waiting(ticket, admission::Reason::Expired, events);
+            self.refuse_waiting(ticket, admission::Reason::Expired, now, events);
         }
         let held = self.table.of_service(name).next().is_some();
         while let Some(ticket) = self.next_waiting(name, held, now) {
             if !held {
-                self.refuse_waiting(ticket, admission::Reason::NoHolder, events);
+                self.refuse_waiting(ticket, admission::Reason::NoHolder, now, events);
                 continue;
             }
             let Some(submission) = self.forget(ticket) else {
                 continue;
             };
             match self.grant(&submission, now) {
-                Some(grant) => events.push(Event::Granted(ticket, grant)),
+                Some(grant) => {
+                    self.note_pace(&submission, now);
+                    events.push(Event::Granted(ticket, grant));
+                }
                 None => {
                     self.enqueue(submission);
                     break;
@@ -398,6 +404,12 @@
         }
     }
 
+    fn note_pace(&mut self, submission: &Submission, now: time::Instant) {
+        let service = self.service_mut(&submission.service);
+        let left = service.queue.len_of(submission.urgency);
+        service.paces[queue::level_of(submission.urgency)].granted(left, now);
+    }
+
     fn next_waiting(
         &mut self,
         name: &ids::ServiceName,
@@ -419,32 +431,46 @@
         &mut self,
         ticket: queue::Ticket,
         reason: admission::Reason,
+        now: time::Instant,
         events: &mut Vec<Event>,
     ) {
         if let Some(submission) = self.forget(ticket) {
-            let refusal = self.refusal(reason, &submission);
+            let refusal = self.refusal(reason, &submission, now);
             events.push(Event::Refused(ticket, refusal));
         }
     }
 
-    fn refusal(&self, reason: admission::Reason, submission: &Submission) -> Refusal {
+    fn refusal(
+        &self,
+        reason: admission::Reason,
+        submission: &Submission,
+        now: time::Instant,
+    ) -> Refusal {
         Refusal {
             reason,
-            backlog: self.expected_wait(&submission.service, submission.urgency),
+            backlog: self.expected_wait(&submission.service, submission.urgency, now),
         }
     }
 
     /// Time that a request of this urgency would wait behind those before it.
+    ///
+    /// The larger of two estimates: what the run times allow, and the pace at
+    /// which requests of its urgency were granted slots of late.
     pub fn expected_wait(
         &self,
         name: &ids::ServiceName,
         urgency: catalogue::Urgency,
+        now: time::Instant,
     ) -> time::Duration {
+        let Some(service) = self.services.get(name) else {
+            return time::Duration::ZERO;
+        };
         let slots: u32 = self.table.of_service(name).map(|r| r.instance.slots).sum();
-        let queue = self.services.get(name).map(|service| &service.queue);
-        let ahead = queue.map_or(0, |queue| queue.ahead_of(urgency));
+        let ahead = service.queue.ahead_of(urgency);
         let rounds = ahead as f64 / f64::from(slots.max(1));
-        self.times.of_service(name).mul_f64(rounds)
+        let by_runs = self.times.of_service(name).mul_f64(rounds);
+        let pace = &service.paces[queue::level_of(urgency)];
+        by_runs.max(pace.expect(service.queue.len_of(urgency), now))
     }
 
     /// Counts of every service with a held runner, for the other holders.
@@ -523,6 +549,7 @@
                 queue: queue::FairQueue::new(config.queue),
                 outliers: outlier::Outliers::new(config.outlier),
                 last_interactive: None,
+                paces: Default::default(),
             };
             self.services.insert(name.clone(), service);
         }
--- a/crates/figscale-core/src/request/queue.rs
+++ b/crates/figscale-core/src/request/queue.rs
@@ -174,6 +174,11 @@
         levels.iter().map(Level::len).sum()
     }
 
+    /// Number of waiting requests of this urgency.
+    pub fn len_of(&self, urgency: catalogue::Urgency) -> usize {
+        self.levels[level_of(urgency)].len()
+    }
+
     /// Adds a request.
     pub fn push(&mut self, waiting: &Waiting) {
         let level = level_of(waiting.urgency);
--- a/crates/figscale-core/src/request/service_time.rs
+++ b/crates/figscale-core/src/request/service_time.rs
@@ -1,4 +1,4 @@
-//! Measured service times.
+//! Measured service times, and the pace at which a queue moves.
 //!
 //! An exponentially weighted mean of the time from dispatch to the end of the
 //! answer, for each catalogue entry and for each service. It answers one
@@ -51,3 +51,36 @@
 fn seconds(mean: Option<&f64>) -> time::Duration {
     time::Duration::from_secs_f64(mean.copied().unwrap_or(0.0))
 }
+
+/// How fast the requests of one urgency leave a queue.
+///
+/// The mean time between two grants while somebody waits. It already contains
+/// what more urgent requests take away, which the mean run time does not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    gap: Option<f64>,
+    last: Option<time::Instant>,
+}
+
+impl Pace {
+    /// Notes a grant; `waiting` is how many are left.
+    pub fn granted(&mut self, waiting: usize, now: time::Instant) {
+        if let Some(last) = self.last {
+            let gap = now.saturating_duration_since(last).as_secs_f64();
+            blend(self.gap.get_or_insert(gap), gap);
+        }
+        self.last = (waiting > 0).then_some(now);
+    }
+
+    /// Notes that somebody waits.
+    pub fn waits(&mut self, now: time::Instant) {
+        self.last.get_or_insert(now);
+    }
+
+    /// Time until a request with so many before it is granted a slot.
+    pub fn expect(&self, ahead: usize, now: time::Instant) -> time::Duration {
+        let stalled = self.last.map(|last| now.saturating_duration_since(last));
+        let gap = seconds(self.gap.as_ref()).max(stalled.unwrap_or_default());
+        gap.mul_f64(ahead as f64)
+    }
+}
