--- a/crates/figscale/src/traffic/dump.rs
+++ b/crates/figscale/src/traffic/dump.rs
@@ -2,6 +2,7 @@
 
 use std::future;
 use std::sync;
+use std::sync::atomic;
 
 use serde_json::json;
 
@@ -34,9 +35,11 @@
         let metrics = &self.context.metrics;
         metrics.queue_changed(waiting);
         for (service, counts) in services {
+            // Some urgency may have every free slot; the others keep from some.
+            let free = counts.free.into_iter().max().unwrap_or(0);
             let slots = metrics::Slots {
-                free: counts.free,
-                taken: counts.slots.saturating_sub(counts.free),
+                free,
+                taken: counts.slots.saturating_sub(free),
             };
             metrics.slots_changed(&service, slots);
         }
@@ -79,6 +82,7 @@
         json!({
             "authority": self.context.shared.authority.is_valid(now),
             "in_progress": *self.in_progress.borrow(),
+            "fenced": self.fenced.load(atomic::Ordering::Relaxed),
             "waiting": dispatcher.waiting(),
             "counts": dispatcher.counts(now),
             "runners": runners,
