Load: each lie of the dishonest server is wrong in one thing only; open loop proved

Cause: with the check of the checksum, or of the request id, or the open loop taken out, the tests stayed green: the two lies were caught by the check of the body too, and a closed loop that counts from the intended arrival passed the test of the stall. Change: precise lies, and two tests more.

--- a/crates/figscale-standin/tests/load.rs
+++ b/crates/figscale-standin/tests/load.rs
@@ -90,26 +90,27 @@
     assert_eq!(report.classes["quotes"].requests, report.all.requests);
 }
 
-/// What a dishonest server answers to every request.
-type Lie = fn(&str) -> (StatusCode, String, String);
+/// What a dishonest server answers to a request id and a body: status, body
+/// and checksum. Each lie is wrong in one thing only.
+type Lie = fn(&str, &[u8]) -> (StatusCode, String, String);
 
-fn other_request(_: &str) -> (StatusCode, String, String) {
-    answer("somebody-elses", "0")
+fn other_request(_: &str, body: &[u8]) -> (StatusCode, String, String) {
+    answer("somebody-elses", body)
 }
 
-fn other_body(id: &str) -> (StatusCode, String, String) {
-    answer(id, "0")
+fn other_body(id: &str, _: &[u8]) -> (StatusCode, String, String) {
+    answer(id, b"somebody else's")
 }
 
-fn damaged(id: &str) -> (StatusCode, String, String) {
-    let (status, body, _) = answer(id, "0");
+fn damaged(id: &str, body: &[u8]) -> (StatusCode, String, String) {
+    let (status, body, _) = answer(id, body);
     (status, body, "0".to_owned())
 }
 
-fn answer(request_id: &str, body_checksum: &str) -> (StatusCode, String, String) {
+fn answer(request_id: &str, body: &[u8]) -> (StatusCode, String, String) {
     let answer = runner::RunAnswer {
         request_id: request_id.to_owned(),
-        body_checksum: body_checksum.to_owned(),
+        body_checksum: runner::checksum(body),
         entry: String::new(),
         runner: "liar".parse().expect("legal"),
         filling: String::new(),
@@ -120,9 +121,9 @@
 }
 
 async fn liar(lie: Lie) -> net::SocketAddr {
-    let handler = move |request: axum::extract::Request| async move {
-        let id = request.headers()[headers::REQUEST_ID].to_str();
-        let (status, body, checksum) = lie(id.expect("text"));
+    let handler = move |headers: http::HeaderMap, body: bytes::Bytes| async move {
+        let id = headers[headers::REQUEST_ID].to_str();
+        let (status, body, checksum) = lie(id.expect("text"), &body);
         (status, [(headers::CHECKSUM, checksum)], body)
     };
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
@@ -133,6 +134,12 @@
     address
 }
 
+#[tokio::test]
+async fn the_whole_truth_passes_for_an_own_answer() {
+    let report = load::run(&config(&[(liar(answer).await, 1.0)])).await;
+    assert_eq!(report.all.own, report.all.requests, "{report}");
+}
+
 #[rstest]
 #[case::other_request(other_request)]
 #[case::other_body(other_body)]
@@ -170,7 +177,23 @@
 }
 
 #[tokio::test]
-async fn a_stall_is_seen_by_every_request_that_fell_into_it() {
+async fn arrivals_do_not_wait_for_answers() {
+    let runner = wide_runner().await;
+    runner.change_faults(|faults| faults.hang = true);
+    let config = config(&[(runner.address(), 1.0)]);
+    let all = load::arrivals(&config).count();
+    let all_run = async {
+        while runner.busy() as usize != all {
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+        runner.change_faults(|faults| faults.hang = false);
+    };
+    let (report, ()) = tokio::join!(load::run(&config), all_run);
+    assert_eq!(report.all.own, all as u64, "{report}");
+}
+
+#[tokio::test]
+async fn a_stall_of_the_path_is_seen_by_every_request_that_fell_into_it() {
     let runner = wide_runner().await;
     let proxy = proxy::start(proxy::Config::to(runner.address())).await;
     let proxy = proxy.expect("it listens");
@@ -181,13 +204,27 @@
     };
     let config = config(&[(proxy.address(), 1.0)]);
     let (report, ()) = tokio::join!(load::run(&config), stall);
-    // The last arrival is at 300 ms, so each waited for 300 ms or more; a
-    // closed loop would have made one request and seen one wait.
-    assert!(report.all.requests > 200, "{report}");
+    // The last arrival is at 300 ms, so each waited for 300 ms or more.
     assert_eq!(report.all.own, report.all.requests, "{report}");
     assert!(report.outcomes.iter().all(|o| o.latency.as_millis() >= 300));
 }
 
+#[tokio::test]
+async fn a_stall_of_the_tool_itself_is_counted_as_latency() {
+    let runner = wide_runner().await;
+    let config = config(&[(runner.address(), 1.0)]);
+    let early = |arrival: &load::Arrival| arrival.at.as_millis() < 100;
+    let early = load::arrivals(&config).filter(early).count();
+    // The test has one thread, so that this stops the load tool.
+    let stall = async { std::thread::sleep(time::Duration::from_millis(300)) };
+    let (report, ()) = tokio::join!(load::run(&config), stall);
+    let slow = report
+        .outcomes
+        .iter()
+        .filter(|o| o.latency.as_millis() >= 200);
+    assert!(slow.count() >= early, "{report}");
+}
+
 #[test]
 fn quantiles_are_those_of_the_times() {
     let times = (1..=1_000).map(time::Duration::from_millis);
