--- a/crates/figscale-standin/tests/load.rs
+++ b/crates/figscale-standin/tests/load.rs
@@ -188,7 +188,13 @@
         }
         runner.change_faults(|faults| faults.hang = false);
     };
-    let (report, ()) = tokio::join!(load::run(&config), all_run);
+    // A loop that waits for answers never gets all of them to run.
+    let all_run = tokio::time::timeout(time::Duration::from_secs(30), all_run);
+    let (report, all_ran) = tokio::select! {
+        both = async { tokio::join!(load::run(&config), all_run) } => both,
+        () = tokio::time::sleep(time::Duration::from_secs(60)) => panic!("the load hangs"),
+    };
+    assert!(all_ran.is_ok());
     assert_eq!(report.all.own, all as u64, "{report}");
 }
 
--- a/crates/figscale-standin/tests/worker.rs
+++ b/crates/figscale-standin/tests/worker.rs
@@ -273,6 +273,23 @@
     assert_eq!(bench.ledger.violations().len(), violations);
 }
 
+#[tokio::test]
+async fn a_frozen_worker_works_on_nothing() {
+    let bench = bench().await;
+    let request = protocol::StartTask {
+        run_ms: 500,
+        lease_ms: 60_000,
+        ..start(0, 1, 1, 4)
+    };
+    bench.start(0, &request).await;
+    bench.workers[0].change_faults(|faults| faults.freeze = true);
+    bench.pass_ms(600);
+    bench.workers[0].change_faults(|faults| faults.freeze = false);
+    assert_eq!(bench.phase(0), TaskPhase::Running);
+    bench.pass_ms(500);
+    assert_eq!(bench.phase(0), TaskPhase::Done);
+}
+
 #[rstest]
 #[case::cut_off(|f: &mut worker::Faults| f.cut_off = true, 0)]
 #[case::frozen(|f: &mut worker::Faults| f.freeze = true, 0)]
