--- a/crates/figscale-standin/tests/worker.rs
+++ b/crates/figscale-standin/tests/worker.rs
@@ -273,6 +273,25 @@
     assert_eq!(bench.ledger.violations().len(), violations);
 }
 
+#[tokio::test]
+async fn a_late_tick_of_a_worker_is_not_taken_for_two_places() {
+    let mut bench = bench().await;
+    // The first worker's clock stands, so that it does not notice the lapse.
+    bench.clock = sync::Arc::new(clock::ManualClock::default());
+    let config = worker::Config {
+        id: "worker-3".parse().unwrap(),
+        clock: bench.clock.clone(),
+        ledger: bench.ledger.clone(),
+        ..worker::Config::default()
+    };
+    bench.workers.push(worker::start(config).await.unwrap());
+    bench.start(0, &start(0, 1, 1, 4)).await;
+    bench.pass_ms(1_000);
+    assert_eq!(bench.phase(0), TaskPhase::Running);
+    bench.start(2, &start(0, 2, 1, 4)).await;
+    assert!(bench.ledger.violations().is_empty());
+}
+
 #[tokio::test]
 async fn a_frozen_worker_works_on_nothing() {
     let bench = bench().await;
