Pass the memory of request ids on in a planned hand-over

Ruled out: a shorter tolerance (clocks differ), a store write per request (a few hundred writes a second are all there is), holding the callers until the floor has passed (they would wait in vain after a death). Change: the first holder of a home begins without a floor; a home given up in order keeps its memory until the claims name the next holder under the very next epoch and sends it there; the next home waits for it at most 1.5 s, then goes by its floor as after a death. A leaving process waits up to 2 s for its memories to arrive. Repeats are refused by the new home as by the old one.

--- a/crates/figscale-core/src/request/once.rs
+++ b/crates/figscale-core/src/request/once.rs
@@ -10,7 +10,8 @@
 //! would outlive the floor.
 //!
 //! This trades a short time after each take-over, in which fresh ids are
-//! refused, for no store write on any request.
+//! refused, for no store write on any request. In a planned hand-over the old
+//! home passes its memory on ([`Kept`]), and nothing fresh is refused.
 //!
 //! [`Verdict::MayHaveRun`]: figscale_types::verdict::Verdict::MayHaveRun
 //! [`Verdict::NotRun`]: figscale_types::verdict::Verdict::NotRun
@@ -24,6 +25,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Most ids that one home passes on to the next, so that they fit a message.
+pub const MAX_KEPT: usize = 100_000;
+
 /// Settings of the memory.
 #[derive(Clone, Copy, Debug)]
 pub struct OnceConfig {
@@ -77,12 +81,20 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Line {
     attempt: AttemptId,
     verdict: Verdict,
 }
 
+/// What a home passes on to the next one in a planned hand-over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    floor_ms: u64,
+    /// Ids as numbers, which are shorter in a message than as text.
+    lines: Vec<(u128, Line)>,
+}
+
 /// The memory of one home.
 #[derive(Clone, Debug)]
 pub struct Memory {
@@ -105,6 +117,38 @@
         }
     }
 
+    /// The memory of a home that nobody held before.
+    pub fn first(config: OnceConfig) -> Self {
+        Self {
+            config,
+            floor_ms: 0,
+            ids: BTreeMap::new(),
+        }
+    }
+
+    /// The memory that an earlier home passed on.
+    pub fn from_kept(config: OnceConfig, kept: Kept) -> Self {
+        let line = |(id, line)| (uuid::Uuid::from_u128(id), line);
+        Self {
+            config,
+            floor_ms: kept.floor_ms,
+            ids: kept.lines.into_iter().map(line).collect(),
+        }
+    }
+
+    /// What the next home has to know; at most [`MAX_KEPT`] of the newest ids,
+    /// the floor standing for the others.
+    pub fn pass_on(&self) -> Kept {
+        let older = self.ids.len().saturating_sub(MAX_KEPT);
+        let newest_left_out = self.ids.keys().take(older).next_back();
+        let left_out_ms = newest_left_out.and_then(|id| stamp_ms(ids::RequestId(*id)));
+        let newer = self.ids.iter().skip(older);
+        Kept {
+            floor_ms: self.floor_ms.max(left_out_ms.unwrap_or(0)),
+            lines: newer.map(|(id, line)| (id.as_u128(), *line)).collect(),
+        }
+    }
+
     /// Lets an id through once.
     pub fn begin(&mut self, id: ids::RequestId, attempt: AttemptId, now_unix_ms: u64) -> Begin {
         let Some(stamp_ms) = stamp_ms(id) else {
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -29,6 +29,9 @@
 use crate::store;
 use crate::traffic;
 
+/// Longest time that a leaving process takes for passing on what it remembers.
+const PASS_ON_LIMIT: time::Duration = time::Duration::from_secs(2);
+
 /// A running entry instance.
 pub struct EntryInstance {
     stop: watch::Sender<bool>,
@@ -184,6 +187,8 @@
     let in_order = async {
         traffic::drain(context).await;
         claims::leave(context).await;
+        let passed_on = traffic::pass_on(context);
+        let _ = tokio::time::timeout(PASS_ON_LIMIT, passed_on).await;
         operators.end().await;
     };
     let _ = tokio::time::timeout(limit, in_order).await;
--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -104,38 +104,39 @@
     }
 }
 
-/// Serves callers until a drain has ended.
+/// Serves callers until the first message, which says to stop.
 pub(super) async fn serve(
-    traffic: sync::Arc<Traffic>,
+    traffic: &sync::Arc<Traffic>,
     listener: TcpListener,
-    mut inbox: kernel::Inbox<Message>,
-) {
+    inbox: &mut kernel::Inbox<Message>,
+) -> Option<Message> {
     let shutdown = graceful::GracefulShutdown::new();
     let permits = sync::Arc::new(Semaphore::new(traffic.settings().max_connections));
-    let reply = loop {
+    let message = loop {
         tokio::select! {
             accepted = accept(&listener, &permits) => {
                 let Some((socket, permit)) = accepted else {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 };
-                let connection = shutdown.watch(connection(&traffic, socket));
+                let connection = shutdown.watch(connection(traffic, socket));
                 tokio::spawn(async move {
                     let _ = connection.await;
                     drop(permit);
                 });
             }
-            message = inbox.recv() => match message {
-                Some(Message::Drain(reply)) => break reply,
-                None => return,
-            },
+            message = inbox.recv() => break message,
         }
     };
     drop(listener);
     shutdown.shutdown().await;
+    message
+}
+
+/// Waits until the requests in progress have their answers.
+pub(super) async fn finish(traffic: &Traffic) {
     let mut in_progress = traffic.in_progress.subscribe();
     let _ = in_progress.wait_for(|count| *count == 0).await;
-    reply.send(());
 }
 
 async fn accept(
--- a/crates/figscale/src/traffic/homes.rs
+++ b/crates/figscale/src/traffic/homes.rs
@@ -18,6 +18,7 @@
 use super::Traffic;
 use crate::peer;
 use crate::settings;
+use crate::state;
 
 /// Name of the service towards peers.
 const CALL: &str = "once";
@@ -25,6 +26,10 @@
 const TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Time to wait for what a home knows, when a refusal waits for it.
 const PEEK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Epoch of a shard's first holder.
+const FIRST_EPOCH: ids::Epoch = ids::Epoch(1);
+/// Time that a new home waits for the memory of an earlier one that left in order.
+const PASS_ON_WAIT: time::Duration = time::Duration::from_millis(1_500);
 /// Time between two tries.
 const PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -48,11 +53,31 @@
     memory: once::Memory,
 }
 
+/// A memory on its way to the next home.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Passed {
+    pub(super) shard: ids::ShardId,
+    /// Epoch under which it was given up; the next home holds the next one.
+    pub(super) given_up: ids::Epoch,
+    kept: once::Kept,
+}
+
+/// When a home was taken over.
+#[derive(Clone, Copy)]
+struct Taken {
+    ago: time::Duration,
+    unix_ms: u64,
+}
+
 /// Memories of the id shards that this process holds.
 pub(super) struct Homes {
     config: once::OnceConfig,
     homes: sync::Mutex<IndexMap<ids::ShardId, Home>>,
     given_up: sync::Mutex<IndexMap<ids::ShardId, ids::Epoch>>,
+    /// Given up here and not yet with the next home.
+    leaving: sync::Mutex<IndexMap<ids::ShardId, Passed>>,
+    /// Passed on to this process, perhaps before it knows that it is the home.
+    arrived: sync::Mutex<IndexMap<ids::ShardId, Passed>>,
 }
 
 impl Homes {
@@ -66,13 +91,65 @@
             config,
             homes: sync::Mutex::default(),
             given_up: sync::Mutex::default(),
+            leaving: sync::Mutex::default(),
+            arrived: sync::Mutex::default(),
         }
     }
 
-    /// Lets no id through any more under the present holding of a shard.
-    pub(super) fn give_up(&self, shard: &ids::ShardId, epoch: ids::Epoch) {
+    /// Lets no id through any more under the present holding of a shard, and
+    /// keeps its memory for the next home.
+    fn give_up(&self, shard: &ids::ShardId, epoch: ids::Epoch) {
         lock(&self.given_up).insert(shard.clone(), epoch);
-        lock(&self.homes).swap_remove(shard);
+        let home = lock(&self.homes).swap_remove(shard);
+        if let Some(home) = home.filter(|home| home.epoch == epoch) {
+            let passed = Passed {
+                shard: shard.clone(),
+                given_up: epoch,
+                kept: home.memory.pass_on(),
+            };
+            lock(&self.leaving).insert(shard.clone(), passed);
+        }
+    }
+
+    /// Memories that are not yet with the next home.
+    pub(super) fn leaving(&self) -> Vec<Passed> {
+        lock(&self.leaving).values().cloned().collect()
+    }
+
+    /// Keeps a memory no longer for the next home.
+    pub(super) fn forget_leaving(&self, passed: &Passed) {
+        let mut leaving = lock(&self.leaving);
+        let same = leaving.get(&passed.shard).map(|p| p.given_up) == Some(passed.given_up);
+        if same {
+            leaving.swap_remove(&passed.shard);
+        }
+    }
+
+    /// Takes in a memory that an earlier home passed on.
+    pub(super) fn arrive(&self, passed: Passed) {
+        lock(&self.arrived).insert(passed.shard.clone(), passed);
+    }
+
+    /// The memory to begin with under a new holding; `None` while an earlier
+    /// home may still pass its own on.
+    fn begin_with(&self, shard: &ids::ShardId, held: &state::Held, taken: Taken) -> Option<Home> {
+        let epoch = held.epoch;
+        let memory = if epoch == FIRST_EPOCH {
+            once::Memory::first(self.config)
+        } else if let Some(passed) = self.take_arrived(shard, epoch) {
+            once::Memory::from_kept(self.config, passed.kept)
+        } else if held.clean && taken.ago < PASS_ON_WAIT {
+            return None;
+        } else {
+            once::Memory::new(self.config, taken.unix_ms)
+        };
+        Some(Home { epoch, memory })
+    }
+
+    fn take_arrived(&self, shard: &ids::ShardId, epoch: ids::Epoch) -> Option<Passed> {
+        let mut arrived = lock(&self.arrived);
+        let fits = arrived.get(shard)?.given_up.next() == epoch;
+        fits.then(|| arrived.swap_remove(shard)).flatten()
     }
 
     /// Ids remembered by shard, for a dump.
@@ -118,8 +195,10 @@
         let mut homes = lock(&self.homes.homes);
         let known = homes.get(shard).is_some_and(|home| home.epoch == epoch);
         if !known {
-            let memory = once::Memory::new(self.homes.config, self.taken_unix_ms(shard, now_ms));
-            homes.insert(shard.clone(), Home { epoch, memory });
+            let Some(home) = self.new_home(shard, epoch, now_ms) else {
+                return once::Begin::NotHome;
+            };
+            homes.insert(shard.clone(), home);
         }
         let memory = &mut homes[shard].memory;
         match question.asked {
@@ -132,12 +211,33 @@
         }
     }
 
-    fn taken_unix_ms(&self, shard: &ids::ShardId, now_ms: u64) -> u64 {
-        let claims = self.context.shared.claims.borrow();
-        let taken = claims.held.get(shard).map(|held| held.taken_at);
-        let ago = taken.map(|taken| self.now().saturating_duration_since(taken));
-        let ago_ms = u64::try_from(ago.unwrap_or_default().as_millis()).unwrap_or(0);
-        now_ms.saturating_sub(ago_ms)
+    fn new_home(&self, shard: &ids::ShardId, epoch: ids::Epoch, now_ms: u64) -> Option<Home> {
+        let view = self.context.shared.claims_now();
+        let held = view.held.get(shard).filter(|held| held.epoch == epoch)?;
+        let ago = self.now().saturating_duration_since(held.taken_at);
+        let ago_ms = u64::try_from(ago.as_millis()).unwrap_or(0);
+        let taken = Taken {
+            ago,
+            unix_ms: now_ms.saturating_sub(ago_ms),
+        };
+        self.homes.begin_with(shard, held, taken)
+    }
+
+    /// Gives up a home under its present holding, its memory for the next one.
+    pub(super) fn give_up_home(&self, shard: &ids::ShardId) {
+        let view = self.context.shared.claims_now();
+        let Some(held) = view.held.get(shard) else {
+            return;
+        };
+        let epoch = held.epoch;
+        let mut homes = lock(&self.homes.homes);
+        let known = homes.get(shard).is_some_and(|home| home.epoch == epoch);
+        // A home that was never asked still passes on its floor.
+        if !known && let Some(home) = self.new_home(shard, epoch, self.unix_ms()) {
+            homes.insert(shard.clone(), home);
+        }
+        drop(homes);
+        self.homes.give_up(shard, epoch);
     }
 
     fn unix_ms(&self) -> u64 {
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod front;
 mod homes;
 mod local;
+mod pass_on;
 mod peer_side;
 mod pool;
 mod push;
@@ -53,6 +54,8 @@
 enum Message {
     /// Stop taking requests; answered when all have their answers.
     Drain(kernel::Reply<()>),
+    /// Answered when every memory of request ids is with its next home.
+    PassOn(kernel::Reply<()>),
 }
 
 /// The decision state, behind one mutex.
@@ -186,14 +189,38 @@
     peer_side::register(&traffic, handlers);
     push::register(&traffic, handlers);
     homes::register(&traffic, handlers);
+    pass_on::register(&traffic, handlers);
     dump::offer(&traffic);
     shards::offer_drains(&traffic);
     runtime.spawn(shards::follow(traffic.clone()));
     runtime.spawn(shards::ask_reports(traffic.clone()));
     runtime.spawn(local::keep_polling(traffic.clone()));
     runtime.spawn(push::keep_pushing(traffic.clone()));
+    runtime.spawn(pass_on::keep_passing(traffic.clone()));
     let inbox = context.kernel.register::<Message>(NAME);
-    runtime.spawn(front::serve(traffic, listener, inbox));
+    runtime.spawn(run(traffic, listener, inbox));
+}
+
+/// Serves callers until asked to stop, then helps the next homes.
+async fn run(
+    traffic: sync::Arc<Traffic>,
+    listener: TcpListener,
+    mut inbox: kernel::Inbox<Message>,
+) {
+    let mut message = front::serve(&traffic, listener, &mut inbox).await;
+    while let Some(asked) = message {
+        match asked {
+            Message::Drain(reply) => {
+                front::finish(&traffic).await;
+                reply.send(());
+            }
+            Message::PassOn(reply) => {
+                pass_on::passed_on(&traffic).await;
+                reply.send(());
+            }
+        }
+        message = inbox.recv().await;
+    }
 }
 
 /// Stops taking requests and waits until those in progress have their answers.
@@ -202,3 +229,10 @@
         let _ = address.call(Message::Drain).await;
     }
 }
+
+/// Waits until the memories of request ids are with their next homes.
+pub async fn pass_on(context: &state::Context) {
+    if let Ok(address) = context.kernel.find::<Message>(NAME) {
+        let _ = address.call(Message::PassOn).await;
+    }
+}
--- a/crates/figscale/src/traffic/shards.rs
+++ b/crates/figscale/src/traffic/shards.rs
@@ -161,11 +161,7 @@
     });
     let homes = traffic.clone();
     kernel.offer_drain(HOMES, move |shard| {
-        let view = homes.context.shared.claims_now();
-        if let Some(held) = view.held.get(&shard) {
-            homes.homes.give_up(&shard, held.epoch);
-        }
-        // The next home goes by the time of its taking over, not by this word.
+        homes.give_up_home(&shard);
         Box::pin(async { kernel::Drained::Clean })
     });
 }
