Report no catalogue before one was learnt

Cause: GET /v1/catalogue of a process that had just started told revision 0, lower than its last life, until the first read; status told null rightly. Seen: the_catalogue_stays_when_all_are_replaced_at_once_in_an_outage, with the new line, got Ok(Revision(0)). Change: the service answers, and refuses with 503 and a time to come back until it learnt one. The scripted service of operator_api answers the new message; its assertion stays.

--- a/crates/figscale/src/catalogue/mod.rs
+++ b/crates/figscale/src/catalogue/mod.rs
@@ -15,6 +15,7 @@
 mod service;
 
 use std::rc;
+use std::sync;
 
 use figscale_types::catalogue;
 use figscale_types::ids;
@@ -39,6 +40,9 @@
         operator::RollbackRequest,
         kernel::Reply<Result<operator::ApplyAnswer, operator::OperatorError>>,
     ),
+    /// The catalogue in force here; an error until one is known, since a process
+    /// that has just started must not report a lower revision than its last life.
+    InForce(kernel::Reply<Result<sync::Arc<catalogue::Accepted>, operator::OperatorError>>),
     /// The changes, newest first.
     History(kernel::Reply<Result<Vec<operator::HistoryLine>, operator::OperatorError>>),
     /// An earlier catalogue.
@@ -107,6 +111,7 @@
             let change = request.into();
             tokio::task::spawn_local(async move { reply.send(apply::run(&service, change).await) });
         }
+        Message::InForce(reply) => reply.send(service.in_force()),
         Message::Status(reply) => {
             tokio::task::spawn_local(async move { reply.send(follow::status(&service).await) });
         }
--- a/crates/figscale/src/catalogue/service.rs
+++ b/crates/figscale/src/catalogue/service.rs
@@ -106,6 +106,16 @@
         decide(self.book.borrow().document())
     }
 
+    /// The catalogue in force.
+    pub(super) fn in_force(
+        &self,
+    ) -> Result<sync::Arc<catalogue::Accepted>, operator::OperatorError> {
+        match self.revision() {
+            Some(_) => Ok(self.context.shared.catalogue_now()),
+            None => Err(nothing_known()),
+        }
+    }
+
     /// The changes, newest first.
     pub(super) fn history(&self) -> Vec<operator::HistoryLine> {
         let book = self.book.borrow();
@@ -138,11 +148,7 @@
         match read {
             Ok(Ok(_)) => Ok(()),
             _ if self.revision().is_some() => Ok(()),
-            _ => Err(operator::OperatorError {
-                kind: operator::ErrorKind::Unavailable,
-                message: "no catalogue is known here yet and the store is away".to_owned(),
-                retry_after_ms: Some(follow::RETRY_MS),
-            }),
+            _ => Err(nothing_known()),
         }
     }
 
@@ -247,6 +253,14 @@
     }
 }
 
+fn nothing_known() -> operator::OperatorError {
+    operator::OperatorError {
+        kind: operator::ErrorKind::Unavailable,
+        message: "no catalogue is known here yet: the store has not answered".to_owned(),
+        retry_after_ms: Some(follow::RETRY_MS),
+    }
+}
+
 fn decode(found: Option<store::Versioned>) -> Stored {
     let Some(versioned) = found else {
         return Stored {
--- a/crates/figscale/src/operator/catalogue.rs
+++ b/crates/figscale/src/operator/catalogue.rs
@@ -34,8 +34,9 @@
 
 async fn in_force(
     extract::State(context): extract::State<state::Context>,
-) -> Json<schema::Accepted> {
-    Json(schema::Accepted::clone(&context.shared.catalogue_now()))
+) -> answer::Answer<schema::Accepted> {
+    let asked = service(&context)?.call(catalogue::Message::InForce).await;
+    answer::settle(asked.map(|known| known.map(|accepted| schema::Accepted::clone(&accepted))))
 }
 
 async fn apply(
--- a/crates/figscale/tests/catalogue_follow.rs
+++ b/crates/figscale/tests/catalogue_follow.rs
@@ -205,6 +205,8 @@
         // Nothing is known, and nothing lower is reported.
         let status = cell.operator(index).status().await.unwrap();
         assert!(status.in_force.values().all(Option::is_none), "{status:?}");
+        let error = cell.operator(index).in_force().await.unwrap_err();
+        assert_eq!(error.kind, operator::ErrorKind::Unavailable);
         let error = cell.operator(index).history().await.unwrap_err();
         assert_eq!(error.kind, operator::ErrorKind::Unavailable);
     }
--- a/crates/figscale/tests/operator_api.rs
+++ b/crates/figscale/tests/operator_api.rs
@@ -15,6 +15,7 @@
 use figscale_types::operator;
 use futures_util::FutureExt as _;
 use rstest::rstest;
+use std::sync;
 
 const OWNERS: &str = r#"{"owners":{},"entries":{}}"#;
 const CHANGE: &str = "01890000-0000-7000-8000-000000000000";
@@ -33,8 +34,10 @@
         .register::<catalogue::Message>(catalogue::NAME);
     context.traffic.spawn(async move {
         while let Some(message) = inbox.recv().await {
-            if let catalogue::Message::Apply(_, reply) = message {
-                reply.send(answer.clone());
+            match message {
+                catalogue::Message::Apply(_, reply) => reply.send(answer.clone()),
+                catalogue::Message::InForce(reply) => reply.send(Ok(sync::Arc::default())),
+                _ => {}
             }
         }
     });
