--- a/crates/figscale/src/catalogue/apply.rs
+++ b/crates/figscale/src/catalogue/apply.rs
@@ -12,6 +12,7 @@
 use figscale_types::verdict::Verdict;
 use rand::RngExt as _;
 
+use super::follow;
 use super::service;
 use crate::events::catalogue as events;
 use crate::store;
@@ -46,6 +47,13 @@
     service: &rc::Rc<service::Service>,
     change: apply::Change,
 ) -> Result<operator::ApplyAnswer, operator::OperatorError> {
+    let Ok(_turn) = service.turns.try_acquire() else {
+        return Err(operator::OperatorError {
+            kind: operator::ErrorKind::Unavailable,
+            message: "too many changes are being decided here; nothing was done".to_owned(),
+            retry_after_ms: Some(follow::RETRY_MS),
+        });
+    };
     let mut apply = apply::Apply::new(change, unix_ms(service))?;
     let decided = tokio::time::timeout(APPLY_TIMEOUT, carry_out(service, &mut apply)).await;
     decided.unwrap_or_else(|_| Err(apply.give_up()))
--- a/crates/figscale/src/catalogue/service.rs
+++ b/crates/figscale/src/catalogue/service.rs
@@ -24,6 +24,9 @@
 /// Longest wait for the store where an answer without it is possible too.
 const REFRESH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
+/// Changes that are decided at once; each may hold some megabytes.
+const MAX_CHANGES: usize = 16;
+
 /// How a catalogue came to this entry instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Source {
@@ -73,6 +76,8 @@
     /// The store's revision of the key as last read.
     store_revision: cell::Cell<ids::Revision>,
     store_away: cell::Cell<bool>,
+    /// Turns of changes that are being decided.
+    pub(super) turns: tokio::sync::Semaphore,
 }
 
 impl Service {
@@ -83,6 +88,7 @@
             book: cell::RefCell::default(),
             store_revision: cell::Cell::default(),
             store_away: cell::Cell::new(false),
+            turns: tokio::sync::Semaphore::new(MAX_CHANGES),
         }
     }
 
--- a/crates/figscale/tests/catalogue_race.rs
+++ b/crates/figscale/tests/catalogue_race.rs
@@ -1,5 +1,5 @@
 //! Operators race from many clients while the store is away, slow and loses
-//! answers: every accepted change is in the final history once, no refused one
+//! answers, and entry instances are killed and come back: every accepted change is in the final history once, no refused one
 //! is, and no entry instance ever reports a lower revision than before.
 
 #![expect(clippy::unwrap_used, reason = "A test may panic.")]
@@ -43,6 +43,7 @@
     while outcome.accepted.len() < CHANGES as usize {
         let at = rng.random_range(0..operators.len());
         let Ok(base) = operators[at].in_force().await else {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
             continue;
         };
         let request = change(base.0, number + 1);
@@ -76,7 +77,10 @@
                     outcome.refused.push(request.change);
                     return;
                 }
-                operator::ErrorKind::Unknown => outcome.unknown += 1,
+                operator::ErrorKind::Unknown => {
+                    outcome.unknown += 1;
+                    tokio::time::sleep(time::Duration::from_millis(1)).await;
+                }
                 operator::ErrorKind::Unavailable => {
                     assert!(error.retry_after_ms.is_some(), "{error}");
                 }
@@ -86,7 +90,7 @@
     }
 }
 
-/// Reports of an entry instance never go down.
+/// Reports of an entry instance never go down, over all its lives.
 async fn watch_revisions(operator: Operator, done: sync::Arc<atomic::AtomicBool>) -> usize {
     let mut highest = ids::Revision(0);
     let mut reads = 0;
@@ -101,8 +105,10 @@
     reads
 }
 
-async fn play_faults(cell: &harness::Cell, done: &atomic::AtomicBool) {
+/// Plays faults until all is accepted, then mends them; returns the kills.
+async fn play_faults(cell: &mut harness::Cell, done: &atomic::AtomicBool) -> usize {
     let mut rng = rngs::StdRng::seed_from_u64(SEED);
+    let mut kills = 0;
     while !done.load(atomic::Ordering::Relaxed) {
         let outage = rng.random_bool(0.2);
         let cut = rng.random_range(0..ENTRIES * 2);
@@ -114,6 +120,12 @@
         for index in 0..ENTRIES {
             cell.cut_store(index, index == cut);
         }
+        if rng.random_bool(0.2) {
+            let index = rng.random_range(0..ENTRIES);
+            cell.kill(index).await;
+            cell.launch(index);
+            kills += 1;
+        }
         let pause = rng.random_range(50..200);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
     }
@@ -122,6 +134,7 @@
     for index in 0..ENTRIES {
         cell.cut_store(index, false);
     }
+    kills
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -135,7 +148,7 @@
         }),
         ..harness::Plan::default()
     };
-    let cell = harness::Cell::start(plan).await;
+    let mut cell = harness::Cell::start(plan).await;
     cell.wait_for_members(&[0, 1, 2]).await;
     let operators: Vec<Operator> = (0..ENTRIES).map(|index| cell.operator(index)).collect();
     let done = sync::Arc::new(atomic::AtomicBool::new(false));
@@ -154,7 +167,8 @@
         done.store(true, atomic::Ordering::Relaxed);
         outcomes
     };
-    let (outcomes, ()) = tokio::join!(all, play_faults(&cell, &done));
+    let (outcomes, kills) = tokio::join!(all, play_faults(&mut cell, &done));
+    assert!(kills > 0);
     for watcher in watching {
         assert!(watcher.await.unwrap() > 10);
     }
--- a/crates/figscale/tests/catalogue_refuse.rs
+++ b/crates/figscale/tests/catalogue_refuse.rs
@@ -9,6 +9,7 @@
 
 use figscale_types::catalogue;
 use figscale_types::operator;
+use futures_util::future;
 use harness::operator::change;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -46,6 +47,26 @@
     assert_eq!(cell.platform.read(catalogue::KEY).unwrap(), before);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_is_answered_with_the_time_to_come_back() {
+    let cell = harness::Cell::start(harness::Plan::default()).await;
+    let operator = cell.operator(0);
+    operator.apply(&change(0, 1)).await.unwrap();
+    let before = cell.platform.read(catalogue::KEY).unwrap();
+    cell.platform.change_faults(|faults| faults.outage = true);
+    let requests: Vec<_> = (0..20).map(|number| change(1, number + 2)).collect();
+    let answers = requests.iter().map(|request| operator.apply(request));
+    let mut crowded = 0;
+    for answer in future::join_all(answers).await {
+        let error = answer.unwrap_err();
+        assert_eq!(error.kind, operator::ErrorKind::Unavailable, "{error}");
+        assert!(error.retry_after_ms.is_some(), "{error}");
+        crowded += usize::from(error.message.starts_with("too many changes"));
+    }
+    assert_eq!(crowded, 4, "20 at once, of which 16 get a turn");
+    assert_eq!(cell.platform.read(catalogue::KEY).unwrap(), before);
+}
+
 fn place(line: &str) -> &str {
     line.split_once(": ").unwrap().0
 }
