--- a/crates/figscale/tests/catalogue_latency.rs
+++ b/crates/figscale/tests/catalogue_latency.rs
@@ -15,6 +15,7 @@
 
 use futures_util::future;
 use harness::operator::change;
+use indexmap::IndexMap;
 use rstest::rstest;
 use serde_json::json;
 
@@ -79,6 +80,28 @@
     given.map_or(1, |n| n.parse().unwrap())
 }
 
+/// Time at rest against which the cost of changes is measured.
+fn rest_time() -> time::Duration {
+    match rounds() {
+        1 => time::Duration::ZERO,
+        _ => time::Duration::from_secs(20),
+    }
+}
+
+/// Calls a second by kind, of all entry instances together.
+fn by_kind(cell: &harness::Cell, during: time::Duration) -> String {
+    let mut kinds: IndexMap<String, u64> = IndexMap::new();
+    for (kind, counts) in cell.platform.counts().into_values().flatten() {
+        *kinds.entry(format!("{kind:?}")).or_default() += counts.calls;
+    }
+    let rate = |calls: u64| calls as f64 / during.as_secs_f64();
+    let shown: Vec<String> = kinds
+        .into_iter()
+        .map(|(kind, calls)| format!("{kind} {:.1}", rate(calls)))
+        .collect();
+    shown.join(", ")
+}
+
 #[rstest]
 #[case::all(Ways::All)]
 #[case::watch(Ways::Watch)]
@@ -117,19 +140,23 @@
     let took = began.elapsed();
     let busy = cell.platform.total();
     cell.platform.reset_counts();
-    tokio::time::sleep(took).await;
+    let resting = took.max(rest_time());
+    tokio::time::sleep(resting).await;
     let rest = cell.platform.total();
-    let per_change = |busy: u64, rest: u64| busy.saturating_sub(rest) / u64::from(rounds());
+    let share = took.as_secs_f64() / resting.as_secs_f64();
+    let per_change =
+        |busy: u64, rest: u64| (busy as f64 - rest as f64 * share).max(0.0) / f64::from(rounds());
     println!(
         "{ways:?}: n {}, answered {}, in force everywhere {}; store for a change: \
-         {} calls, {} bytes in, {} bytes out; at rest {:.1} calls/s",
+         {:.1} calls, {:.0} bytes in, {:.0} bytes out; at rest {:.1} calls/s: {}",
         rounds(),
         median_and_worst(answered),
         median_and_worst(in_force),
         per_change(busy.calls, rest.calls),
         per_change(busy.received_bytes, rest.received_bytes),
         per_change(busy.sent_bytes, rest.sent_bytes),
-        rest.calls as f64 / took.as_secs_f64(),
+        rest.calls as f64 / resting.as_secs_f64(),
+        by_kind(&cell, resting),
     );
 }
 
--- a/crates/figscale/tests/catalogue_race.rs
+++ b/crates/figscale/tests/catalogue_race.rs
@@ -68,6 +68,7 @@
         let patience = time::Duration::from_millis(patience_ms);
         match operators[at].apply_within(patience, request).await {
             Ok(answer) => {
+                assert_eq!(answer.revision, request.base.next());
                 outcome.accepted.push((request.change, answer.revision));
                 return;
             }
