--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -10,14 +10,13 @@
 use crate::job::message;
 use crate::job::placement;
 
+/// Tasks on a worker that has not yet kept one running.
+const MAX_UNPROVEN_TASKS: usize = 8;
+
 impl Placer {
     /// Replaces what placement weighs.
     pub fn set_weights(&mut self, weights: catalogue::Weights) {
-        let config = placement::Config {
-            weights,
-            ..placement::Config::default()
-        };
-        self.cluster.set_config(config);
+        self.cluster.set_config(placement::Config { weights });
     }
 
     /// Gives an order room on a worker.
@@ -41,6 +40,47 @@
         self.cluster.place(&ask, now, None).ok()
     }
 
+    /// Ends or slows less urgent tasks, so that the order fits when it comes again.
+    pub(super) fn make_room(&mut self, scope: &message::Scope, order: &message::TaskOrder) {
+        if order.urgency == catalogue::Urgency::BestEffort {
+            return;
+        }
+        let mut ask = ask(order);
+        ask.avoid = self.barred(scope, order);
+        let Some(plan) = self.planner.plan(&mut self.cluster, &ask) else {
+            return;
+        };
+        let steps = plan.steps.into_iter();
+        self.relieve(steps.map(|step| (step.task, step.action)).collect());
+    }
+
+    /// Takes over what a task is that was found running.
+    pub(super) fn describe(&mut self, order: &message::TaskOrder) {
+        self.cluster.describe(ask(order));
+    }
+
+    /// Moves tasks off workers that are leaving: what can be saved is saved,
+    /// services are started elsewhere, the rest runs to its end.
+    pub(super) fn empty_leaving(&mut self) {
+        let mut wanted = Vec::new();
+        for (id, task) in &self.tasks {
+            let session = self.sessions.get(&task.worker);
+            let leaving = session.is_some_and(|session| session.leaving);
+            if !leaving || task.state != message::TaskState::Running || task.action.is_some() {
+                continue;
+            }
+            let Some(holding) = self.cluster.holding(id) else {
+                continue;
+            };
+            if holding.ask.guard.checkpointable {
+                wanted.push((id.clone(), worker::TaskAction::Checkpoint));
+            } else if holding.ask.class == catalogue::JobClass::Service {
+                wanted.push((id.clone(), worker::TaskAction::Stop));
+            }
+        }
+        self.relieve(wanted);
+    }
+
     /// Workers that the order may not use, though they take work.
     fn barred(&self, scope: &message::Scope, order: &message::TaskOrder) -> Vec<ids::InstanceId> {
         let named = |id: &ids::ShardId| {
@@ -53,10 +93,18 @@
             })
         };
         let unnamed: indexmap::IndexSet<_> = self.shards.keys().filter(|id| !named(id)).collect();
+        // A worker that fails everything would lose all that fits on it before
+        // the first report of a failure.
+        let tried_enough = |id: &ids::InstanceId, session: &super::session::Session| {
+            let tasks = self.cluster.worker(id).map_or(0, |w| w.tasks().count());
+            !session.proven && tasks >= MAX_UNPROVEN_TASKS
+        };
         self.sessions
             .iter()
-            .filter(|(_, session)| {
-                unnamed.contains(&session.shard) || session.forget.contains(&order.attempt.task)
+            .filter(|(id, session)| {
+                unnamed.contains(&session.shard)
+                    || session.forget.contains(&order.attempt.task)
+                    || tried_enough(id, session)
             })
             .map(|(id, _)| id.clone())
             .collect()
