--- a/crates/figscale-core/tests/catalogue_apply.rs
+++ b/crates/figscale-core/tests/catalogue_apply.rs
@@ -273,13 +273,25 @@
         big.entries.insert(name, entry.clone());
     }
     assert_eq!(figscale_core::catalogue::check(&big), []);
-    let mut document = schema::Document::default();
-    for number in 1..=505 {
-        let mut line = line_of(number, 1);
-        line.change = id(number.into());
-        line.note = "raise the quota of a team for its yearly run".to_owned();
-        document = history::append(&document, line, big.clone());
-    }
+    // As if all had been kept; the next change brings it within its bounds.
+    let line = |number: u64| operator::HistoryLine {
+        change: id(number.into()),
+        note: "raise the quota of a team for its yearly run".to_owned(),
+        ..line_of(number, 1)
+    };
+    let record = |number| schema::Record {
+        line: line(number),
+        catalogue: Some(big.clone()),
+    };
+    let before = schema::Document {
+        accepted: schema::Accepted {
+            revision: ids::Revision(599),
+            change: Some(id(599)),
+            catalogue: big.clone(),
+        },
+        history: (1..600).map(record).collect(),
+    };
+    let document = history::append(&before, line(600), big.clone());
     let bytes = history::encode(&document).unwrap().len();
     println!(
         "catalogue {} bytes, document {bytes} bytes",
@@ -287,7 +299,7 @@
     );
     assert!(bytes < 400 << 10, "{bytes}");
     assert_eq!(document.history.len(), history::MAX_LINES);
-    assert!(history::at(&document, ids::Revision(504)).is_some());
+    assert!(history::at(&document, ids::Revision(599)).is_some());
 }
 
 /// A store with the faults that the platform may have.
