--- a/crates/figscale/tests/harness/mod.rs
+++ b/crates/figscale/tests/harness/mod.rs
@@ -32,11 +32,7 @@
 //! test prints the logs of all processes ([`Cell::logs`]).
 
 #![expect(clippy::unwrap_used, reason = "A test may panic.")]
-#![allow(
-    dead_code,
-    clippy::allow_attributes,
-    reason = "Each test binary uses a part."
-)]
+#![expect(dead_code, reason = "Each test binary uses a part.")]
 
 pub(crate) mod operator;
 pub(crate) mod process;
