--- a/crates/figscale/src/catalogue/service.rs
+++ b/crates/figscale/src/catalogue/service.rs
@@ -24,6 +24,9 @@
 /// Longest wait for the store where an answer without it is possible too.
 const REFRESH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
+/// Changes that are decided at once; each may hold some megabytes.
+const MAX_CHANGES: usize = 16;
+
 /// How a catalogue came to this entry instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Source {
@@ -73,6 +76,8 @@
     /// The store's revision of the key as last read.
     store_revision: cell::Cell<ids::Revision>,
     store_away: cell::Cell<bool>,
+    /// Turns of changes that are being decided.
+    pub(super) turns: tokio::sync::Semaphore,
 }
 
 impl Service {
@@ -83,6 +88,7 @@
             book: cell::RefCell::default(),
             store_revision: cell::Cell::default(),
             store_away: cell::Cell::new(false),
+            turns: tokio::sync::Semaphore::new(MAX_CHANGES),
         }
     }
 
@@ -106,6 +112,16 @@
         decide(self.book.borrow().document())
     }
 
+    /// The catalogue in force.
+    pub(super) fn in_force(
+        &self,
+    ) -> Result<sync::Arc<catalogue::Accepted>, operator::OperatorError> {
+        match self.revision() {
+            Some(_) => Ok(self.context.shared.catalogue_now()),
+            None => Err(nothing_known()),
+        }
+    }
+
     /// The changes, newest first.
     pub(super) fn history(&self) -> Vec<operator::HistoryLine> {
         let book = self.book.borrow();
@@ -138,11 +154,7 @@
         match read {
             Ok(Ok(_)) => Ok(()),
             _ if self.revision().is_some() => Ok(()),
-            _ => Err(operator::OperatorError {
-                kind: operator::ErrorKind::Unavailable,
-                message: "no catalogue is known here yet and the store is away".to_owned(),
-                retry_after_ms: Some(follow::RETRY_MS),
-            }),
+            _ => Err(nothing_known()),
         }
     }
 
@@ -247,6 +259,14 @@
     }
 }
 
+fn nothing_known() -> operator::OperatorError {
+    operator::OperatorError {
+        kind: operator::ErrorKind::Unavailable,
+        message: "no catalogue is known here yet: the store has not answered".to_owned(),
+        retry_after_ms: Some(follow::RETRY_MS),
+    }
+}
+
 fn decode(found: Option<store::Versioned>) -> Stored {
     let Some(versioned) = found else {
         return Stored {
