--- a/crates/figscale/tests/operator_api.rs
+++ b/crates/figscale/tests/operator_api.rs
@@ -180,6 +180,7 @@
     };
     let ended = entry.end_later();
     entry.wait_until_refused();
+    assert!(!ended.is_finished(), "ended before the answer");
     reply.send(accepted());
     assert_eq!(entry.block_on(asked).unwrap().status, 200);
     entry.block_on(ended).unwrap();
