--- a/crates/figscale/tests/settings_load.rs
+++ b/crates/figscale/tests/settings_load.rs
@@ -188,6 +188,8 @@
         let checked = figscale(&["catalogue", "check"], &examples.join(name));
         assert_eq!(checked.status.code(), Some(0), "{name}");
     }
-    let job = document::Document::read(&examples.join("jobs/fleet-repricing.jsonc")).unwrap();
-    job.parse::<figscale_types::jobs::JobSpec>().unwrap();
+    for job in std::fs::read_dir(examples.join("jobs")).unwrap() {
+        let job = document::Document::read(&job.unwrap().path()).unwrap();
+        job.parse::<figscale_types::jobs::JobSpec>().unwrap();
+    }
 }
