--- a/crates/figscale-core/src/catalogue/mod.rs
+++ b/crates/figscale-core/src/catalogue/mod.rs
@@ -5,7 +5,7 @@
 //! catalogue's own counter (1, 2, 3, ...), not the store's, so that it means
 //! the same after the store was moved or restored.
 //!
-//! - [`check`] and [`diff`] tell operators what is wrong and what changes.
+//! - [`check()`] and [`diff()`] tell operators what is wrong and what changes.
 //! - [`apply`] decides about one change: a state machine that asks its adapter
 //!   to read and write until the change is known to be accepted or refused.
 //! - [`book`] is what one entry instance knows: it adopts only higher
--- a/crates/figscale/src/cli/mod.rs
+++ b/crates/figscale/src/cli/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `serve` runs an entry instance; the other commands work on local files or
 //! ask an entry instance by its operator address. A command returns its text
-//! for standard output or a [`Failure`], which is one sentence for standard
+//! for standard output or a failure, which is one sentence for standard
 //! error and an exit code that scripts may rely on (docs/API.md).
 
 mod args;
--- a/crates/figscale/tests/dependencies_page.rs
+++ b/crates/figscale/tests/dependencies_page.rs
@@ -1,7 +1,5 @@
 //! docs/DEPENDENCIES.md names every library that a crate asks for.
 
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
-
 use std::collections::BTreeSet;
 use std::fs;
 use std::path;
