--- a/crates/figscale/src/catalogue/mod.rs
+++ b/crates/figscale/src/catalogue/mod.rs
@@ -1,14 +1,14 @@
 //! The catalogue service: accepts operators' changes and brings them into force.
 //!
 //! Publishes the accepted catalogue to [`crate::state::Shared`]. A change is
-//! accepted by a compare-and-swap in the store ([`mod@apply`]) and reaches the
+//! accepted by a compare-and-swap in the store (`mod@apply`) and reaches the
 //! other entry instances by three ways, each of which is enough alone
-//! ([`follow`]): a watch on the store's key, an exchange with peers after each
+//! (`follow`): a watch on the store's key, an exchange with peers after each
 //! adoption, and a poll of the store and of one peer at a time. All of them end
-//! in [`service`], which adopts higher revisions only.
+//! in `service`, which adopts higher revisions only.
 //!
 //! The service runs on the control thread as local tasks that share one
-//! [`service::Service`]; nothing holds a borrow of it over an await.
+//! `service::Service`; nothing holds a borrow of it over an await.
 
 mod apply;
 pub mod follow;
--- a/crates/figscale/src/jobs/mod.rs
+++ b/crates/figscale/src/jobs/mod.rs
@@ -1,6 +1,6 @@
 //! The jobs service: accepts jobs, places their tasks on workers and sees them end.
 //!
-//! One [`service::Service`] on the control thread owns the homes of the job
+//! One `service::Service` on the control thread owns the homes of the job
 //! shards and the placer of the worker shards that this process holds. Calls
 //! to workers, peers and the store run on the traffic threads and come back as
 //! messages, so that no decision waits for the network.
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -1,9 +1,9 @@
 //! Callers' requests: admission, queue, slot choice, dispatch and answer.
 //!
 //! The decisions are in [`figscale_core::request`]; here are the sockets around
-//! them. A request comes in at the [`front`], finds its way in [`route`], gets a
-//! slot in [`local`] or at another holder through [`forward`] and [`peer_side`],
-//! and is run in [`exchange`]. One mutex guards the decision state of a process;
+//! them. A request comes in at the `front`, finds its way in `route`, gets a
+//! slot in `local` or at another holder through `forward` and `peer_side`,
+//! and is run in `exchange`. One mutex guards the decision state of a process;
 //! it is never held across an await, and what is done under it is arithmetic
 //! over at most a few hundred runners.
 
