--- a/crates/figscale/src/catalogue/mod.rs
+++ b/crates/figscale/src/catalogue/mod.rs
@@ -3,7 +3,7 @@
 //! Publishes the accepted catalogue to [`crate::state::Shared`]. A change is
 //! accepted by a compare-and-swap in the store (`apply`) and reaches the
 //! other entry instances by three ways, each of which is enough alone
-//! ([`follow`]): a watch on the store's key, an exchange with peers after each
+//! (`follow`): a watch on the store's key, an exchange with peers after each
 //! adoption, and a poll of the store and of one peer at a time. All of them end
 //! in `service`, which adopts higher revisions only.
 //!
