--- a/crates/figscale/tests/claims_faults.rs
+++ b/crates/figscale/tests/claims_faults.rs
@@ -57,6 +57,29 @@
     cell.wait_for_holders(&[0, 1, 2]).await;
 }
 
+/// It wakes with everything that it knew, and nothing tells it better: only
+/// its clock can stop it.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_and_woken_in_the_dark() {
+    let mut cell = cell(3).await;
+    cell.signal(0, "STOP");
+    cell.wait_for_holders(&[1, 2]).await;
+    for other in [1, 2] {
+        cell.cut_peers(0, other, true);
+    }
+    cell.cut_store(0, true);
+    cell.entries[0].to_store.break_connections();
+    cell.signal(0, "CONT");
+    cell.wait_until("an answer of the woken one", |all| all[0].is_some())
+        .await;
+    cell.look_for(LEASE_MS).await;
+    for other in [1, 2] {
+        cell.cut_peers(0, other, false);
+    }
+    cell.cut_store(0, false);
+    cell.wait_for_holders(&[0, 1, 2]).await;
+}
+
 #[rstest]
 #[case::store(true, false)]
 #[case::store_and_peers(true, true)]
@@ -89,7 +112,7 @@
         });
     cell.wait_until("holders without the one cut off", |all| {
         let uses = |index: usize| all[index].as_ref().map_or(0, |c| c.in_use().len());
-        uses(0) == 0 && uses(1) + uses(2) == claims_support::shard_count()
+        uses(0) == 0 && uses(1) + uses(2) == claims_support::shard_count(2)
     })
     .await;
     cell.entries[0].to_store.change_faults(|faults| {
@@ -122,7 +145,7 @@
     })
     .await;
     cell.kill(3);
-    let left = claims_support::shard_count() - lost;
+    let left = claims_support::shard_count(2) - lost;
     for _ in 0..20 {
         cell.look_for(LEASE_MS / 4).await;
         let all = cell.look().await;
--- a/crates/figscale/tests/claims_support/mod.rs
+++ b/crates/figscale/tests/claims_support/mod.rs
@@ -77,8 +77,20 @@
     }
 }
 
+/// What a cell is like.
+#[derive(Clone, Copy)]
+pub struct Shape {
+    /// Entry instances.
+    pub entries: usize,
+    /// Racks of runners, one runner in each.
+    pub racks: usize,
+    /// Life of a lease; a quarter is the heartbeat, a tenth the margin.
+    pub lease_ms: u64,
+}
+
 /// The cell.
 pub struct Cell {
+    shape: Shape,
     pub platform: platform::Handle,
     pub entries: Vec<Entry>,
     /// Paths between entries, by the indexes of both.
@@ -145,12 +157,23 @@
     /// A platform with two racks of runners, and `len` entry instances that
     /// are not yet running.
     pub async fn new(len: usize) -> Self {
+        let shape = Shape {
+            entries: len,
+            racks: 2,
+            lease_ms: LEASE_MS,
+        };
+        Self::of(shape).await
+    }
+
+    /// A cell of some shape; no entry instance runs yet.
+    pub async fn of(shape: Shape) -> Self {
         let platform = platform::start(platform::Config::default()).await.unwrap();
         platform.change_instances(|list| {
-            list.push(runner("runner-1", "r1"));
-            list.push(runner("runner-2", "r2"));
+            let racks = 1..=shape.racks;
+            list.extend(racks.map(|rack| runner(&format!("runner-{rack}"), &format!("r{rack}"))));
         });
         let mut cell = Self {
+            shape,
             platform,
             entries: Vec::new(),
             paths: HashMap::new(),
@@ -158,7 +181,7 @@
             client: client::Client::default(),
             judge: Judge::default(),
         };
-        for _ in 0..len {
+        for _ in 0..shape.entries {
             cell.add().await;
         }
         cell
@@ -183,10 +206,10 @@
             "shutdown_ms": 10_000,
             "store": { "timeout_ms": 500 },
             "claims": {
-                "lease_ms": LEASE_MS,
-                "heartbeat_ms": 500,
-                "margin_ms": 200,
-                "instances_ms": 200,
+                "lease_ms": self.shape.lease_ms,
+                "heartbeat_ms": self.shape.lease_ms / 4,
+                "margin_ms": self.shape.lease_ms / 10,
+                "instances_ms": self.shape.lease_ms / 10,
                 "peer_routes": {},
             },
         });
@@ -324,7 +347,7 @@
     /// Waits until exactly these hold every shard, each some.
     pub async fn wait_for_holders(&mut self, indexes: &[usize]) {
         let indexes = indexes.to_vec();
-        let shards = shard_count();
+        let shards = shard_count(self.shape.racks);
         self.wait_until("holders of all shards", |all| {
             let uses: Vec<_> = indexes
                 .iter()
@@ -376,10 +399,10 @@
     }
 }
 
-/// Two racks of runners and all homes.
-pub fn shard_count() -> usize {
+/// So many racks of runners and all homes.
+pub fn shard_count(racks: usize) -> usize {
     let homes = figscale_types::claims::ID_SHARDS + figscale_types::claims::JOB_SHARDS;
-    2 + homes as usize
+    racks + homes as usize
 }
 
 impl Drop for Entry {
