--- a/crates/figscale/tests/claims_support/mod.rs
+++ b/crates/figscale/tests/claims_support/mod.rs
@@ -45,7 +45,8 @@
     child: Option<process::Child>,
     settings: serde_json::Value,
     peer_address: net::SocketAddr,
-    operator_address: net::SocketAddr,
+    pub caller_address: net::SocketAddr,
+    pub operator_address: net::SocketAddr,
     pub to_store: proxy::Handle,
 }
 
@@ -192,13 +193,14 @@
         let index = self.entries.len();
         let name = format!("entry-{index}");
         let peer_address = free_address();
+        let caller_address = free_address();
         let operator_address = free_address();
         let to_store = proxy::Config::to(self.platform.address());
         let to_store = proxy::start(to_store).await.unwrap();
         let settings = json!({
             "member": name,
             "failure_domain": "d0",
-            "caller_address": free_address(),
+            "caller_address": caller_address,
             "peer_address": peer_address,
             "operator_address": operator_address,
             "platform_address": to_store.address(),
@@ -227,6 +229,7 @@
             child: None,
             settings,
             peer_address,
+            caller_address,
             operator_address,
             to_store,
         });
