--- a/crates/figscale-core/tests/catalogue_apply.rs
+++ b/crates/figscale-core/tests/catalogue_apply.rs
@@ -400,7 +400,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 60,
+        cases: 100,
         rng_seed: prop::test_runner::RngSeed::Fixed(4),
         failure_persistence: None,
         ..ProptestConfig::default()
