--- a/crates/figscale/src/traffic/homes.rs
+++ b/crates/figscale/src/traffic/homes.rs
@@ -26,6 +26,8 @@
 const TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Time to wait for what a home knows, when a refusal waits for it.
 const PEEK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Prefix of homes of request ids.
+pub(super) const HOMES: &str = "id/";
 /// Epoch of a shard's first holder.
 const FIRST_EPOCH: ids::Epoch = ids::Epoch(1);
 /// Time that a new home waits for the memory of an earlier one that left in order.
@@ -223,21 +225,40 @@
         self.homes.begin_with(shard, held, taken)
     }
 
-    /// Gives up a home under its present holding, its memory for the next one.
-    pub(super) fn give_up_home(&self, shard: &ids::ShardId) {
+    /// Opens the homes of newly held shards, so that even one that is never
+    /// asked can pass its floor on; returns how many still wait for a memory.
+    pub(super) fn open_homes(&self) -> usize {
         let view = self.context.shared.claims_now();
-        let Some(held) = view.held.get(shard) else {
-            return;
-        };
-        let epoch = held.epoch;
+        let now_ms = self.unix_ms();
+        let ids = (view.held.iter()).filter(|(id, _)| id.as_str().starts_with(HOMES));
+        let mut waiting = 0;
         let mut homes = lock(&self.homes.homes);
-        let known = homes.get(shard).is_some_and(|home| home.epoch == epoch);
-        // A home that was never asked still passes on its floor.
-        if !known && let Some(home) = self.new_home(shard, epoch, self.unix_ms()) {
-            homes.insert(shard.clone(), home);
+        for (shard, held) in ids {
+            let known = homes
+                .get(shard)
+                .is_some_and(|home| home.epoch == held.epoch);
+            if known {
+                continue;
+            }
+            match self.new_home(shard, held.epoch, now_ms) {
+                Some(home) => drop(homes.insert(shard.clone(), home)),
+                None => waiting += 1,
+            }
+        }
+        waiting
+    }
+
+    /// Gives up a home, its memory for the next one.
+    ///
+    /// The shard is not among the held ones any more: it is asked to be drained
+    /// after it was taken off the snapshot.
+    pub(super) fn give_up_home(&self, shard: &ids::ShardId) {
+        let view = self.context.shared.claims_now();
+        let mine = view.claims.shards.get(shard);
+        let mine = mine.filter(|line| line.holder.as_ref() == Some(&view.me));
+        if let Some(line) = mine {
+            self.homes.give_up(shard, line.epoch);
         }
-        drop(homes);
-        self.homes.give_up(shard, epoch);
     }
 
     fn unix_ms(&self) -> u64 {
--- a/crates/figscale/src/traffic/pass_on.rs
+++ b/crates/figscale/src/traffic/pass_on.rs
@@ -52,12 +52,12 @@
     }
 }
 
-/// Sends memories on their way with each change of the claims, and again
-/// until they have arrived.
+/// Opens homes and sends memories on their way with each change of the claims,
+/// and again until they have arrived.
 pub(super) async fn keep_passing(traffic: sync::Arc<Traffic>) {
     let mut claims = traffic.context.shared.claims.subscribe();
     loop {
-        let waiting = pass_all(&traffic).await;
+        let waiting = pass_all(&traffic).await + traffic.open_homes();
         if waiting == 0 {
             if claims.changed().await.is_err() {
                 return;
--- a/crates/figscale/src/traffic/shards.rs
+++ b/crates/figscale/src/traffic/shards.rs
@@ -10,14 +10,13 @@
 
 use super::Traffic;
 use super::exchange;
+use super::homes;
 use crate::events;
 use crate::kernel;
 use crate::state;
 
 /// Prefix of shards of runners.
 const RUNNERS: &str = "runner/";
-/// Prefix of homes of request ids.
-const HOMES: &str = "id/";
 /// Longest time that a shard is drained.
 const LONGEST_DRAIN: time::Duration = time::Duration::from_secs(120);
 /// Time between two looks at a shard that is drained.
@@ -159,9 +158,9 @@
     kernel.offer_drain(RUNNERS, move |shard| {
         Box::pin(drain_runners(runners.clone(), shard))
     });
-    let homes = traffic.clone();
-    kernel.offer_drain(HOMES, move |shard| {
-        homes.give_up_home(&shard);
+    let giver = traffic.clone();
+    kernel.offer_drain(homes::HOMES, move |shard| {
+        giver.give_up_home(&shard);
         Box::pin(async { kernel::Drained::Clean })
     });
 }
