--- a/crates/figscale-core/tests/claims_faults.rs
+++ b/crates/figscale-core/tests/claims_faults.rs
@@ -349,3 +349,15 @@
         assert!(world.all_in_use() && world.violation.is_none());
     }
 }
+
+/// After the monotonic clock stood still, nothing is used before the store has
+/// renewed the lease.
+#[test]
+fn a_jumped_clock_waits_for_the_store() {
+    let mut world = calm_world(1, 3, &claims_world::config());
+    let shard = "id/00".parse().unwrap();
+    let holder = holder_of(&world, "id/00");
+    world.clock_jumped(holder);
+    assert!(world.users(&shard).is_empty());
+    assert!(time_to_users(&mut world, 1_000) > 0);
+}
--- a/crates/figscale-core/tests/claims_world/mod.rs
+++ b/crates/figscale-core/tests/claims_world/mod.rs
@@ -329,6 +329,11 @@
         }
     }
 
+    /// The monotonic clock of a node is found to have stood still.
+    pub fn clock_jumped(&mut self, index: usize) {
+        self.input(index, core::Input::ClockJumped);
+    }
+
     /// A node's own clock.
     fn local(&self, index: usize) -> time::Instant {
         let skew = self.now_ms as i64 * self.nodes[index].rate / 1_000;
