--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -177,31 +177,49 @@
     if request.uri().path() == READY_PATH {
         return ready(&traffic, counted);
     }
+    // Two lengths of one body can be read in two ways; whatever follows such a
+    // body is not read at all.
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut response = answer_call(traffic, request, counted).await;
+    if chunked {
+        close_after(&mut response);
+    }
+    response
+}
+
+async fn answer_call(
+    traffic: sync::Arc<Traffic>,
+    request: Request<body::Incoming>,
+    counted: InProgress,
+) -> Response<Outgoing> {
     let (parts, body) = request.into_parts();
     let head = match call::Head::read(&parts) {
         Ok(head) => head,
-        Err(bad) => return no_answer(&traffic, &NoAnswer::Bad(bad), counted),
+        Err(bad) => {
+            let none = NoAnswer::Bad(bad);
+            return no_answer(&traffic, &none, none.verdict(), counted);
+        }
     };
-    let id = head.id;
-    let entry = head.entry.clone();
-    let admitted = match traffic.admit(&head) {
-        Ok(admitted) => admitted,
-        Err(refused) => {
-            count(&traffic, &entry, refused.verdict());
-            return identified(no_answer(&traffic, &refused, counted), id);
+    let attempt = traffic.new_attempt();
+    let result = match traffic.admit(&head) {
+        Ok(admitted) => {
+            let result = traffic.run(&head, attempt, &admitted, body).await;
+            result.map(|answer| (answer, admitted))
         }
+        Err(refused) => Err(refused),
     };
-    let result = traffic.run(head, &admitted, body).await;
-    let verdict = result
-        .as_ref()
-        .err()
-        .map_or(Verdict::Ran, NoAnswer::verdict);
-    count(&traffic, &entry, verdict);
     let response = match result {
-        Ok(answer) => whole_answer(&traffic, answer, admitted, counted),
-        Err(none) => no_answer(&traffic, &none, counted),
+        Ok((answer, admitted)) => {
+            count(&traffic, &head.entry, Verdict::Ran);
+            whole_answer(&traffic, answer, admitted, counted)
+        }
+        Err(none) => {
+            let verdict = traffic.final_verdict(&head, attempt, &none).await;
+            count(&traffic, &head.entry, verdict);
+            no_answer(&traffic, &none, verdict, counted)
+        }
     };
-    identified(response, id)
+    identified(response, head.id)
 }
 
 /// Counts a final answer. Names that callers make up become no label: only
@@ -228,11 +246,15 @@
     own_response(traffic, status, HeaderMap::new(), Bytes::new(), counted)
 }
 
-fn no_answer(traffic: &Traffic, none: &NoAnswer, counted: InProgress) -> Response<Outgoing> {
-    let (status, map, bytes) = none.parts();
+fn no_answer(
+    traffic: &Traffic,
+    none: &NoAnswer,
+    verdict: Verdict,
+    counted: InProgress,
+) -> Response<Outgoing> {
+    let (status, map, bytes) = none.parts(verdict);
     let mut response = own_response(traffic, status, map, bytes, counted);
-    let verdict = none.verdict().as_str();
-    insert(response.headers_mut(), headers::VERDICT, verdict);
+    insert(response.headers_mut(), headers::VERDICT, verdict.as_str());
     response
 }
 
@@ -294,10 +316,15 @@
     let map = response.headers_mut();
     insert(map, headers::SERVED_BY, me.id.as_str());
     if traffic.is_leaving() {
-        map.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        close_after(response);
     }
 }
 
+fn close_after(response: &mut Response<Outgoing>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 fn insert(map: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         map.insert(name, value);
