--- a/crates/figscale/tests/operator_api.rs
+++ b/crates/figscale/tests/operator_api.rs
@@ -15,6 +15,7 @@
 use figscale_types::operator;
 use futures_util::FutureExt as _;
 use rstest::rstest;
+use std::sync;
 
 const OWNERS: &str = r#"{"owners":{},"entries":{}}"#;
 const CHANGE: &str = "01890000-0000-7000-8000-000000000000";
@@ -33,8 +34,10 @@
         .register::<catalogue::Message>(catalogue::NAME);
     context.traffic.spawn(async move {
         while let Some(message) = inbox.recv().await {
-            if let catalogue::Message::Apply(_, reply) = message {
-                reply.send(answer.clone());
+            match message {
+                catalogue::Message::Apply(_, reply) => reply.send(answer.clone()),
+                catalogue::Message::InForce(reply) => reply.send(Ok(sync::Arc::default())),
+                _ => {}
             }
         }
     });
@@ -180,6 +183,7 @@
     };
     let ended = entry.end_later();
     entry.wait_until_refused();
+    assert!(!ended.is_finished(), "ended before the answer");
     reply.send(accepted());
     assert_eq!(entry.block_on(asked).unwrap().status, 200);
     entry.block_on(ended).unwrap();
