Send the instance list again only after a change

Ruled out: reading it less often (a leaving upstream gets no new work within seconds), one reader that passes it on (a holder more to agree on). Change: the client names the list's entity tag, the platform answers 304 while it still holds. A platform without tags is read whole as before. Test: an_unchanged_instance_list_is_not_sent_again.

--- a/crates/figscale-standin/src/platform/api.rs
+++ b/crates/figscale-standin/src/platform/api.rs
@@ -21,6 +21,7 @@
 use figscale_types::platform;
 use http::HeaderMap;
 use http::StatusCode;
+use http::header;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs;
@@ -31,6 +32,7 @@
 use super::store;
 use crate::http_server;
 use crate::mutex;
+use crate::runner;
 
 type SharedState = State<sync::Arc<Shared>>;
 
@@ -291,7 +293,17 @@
         .map_err(refused)
 }
 
-async fn instances(State(shared): SharedState) -> impl IntoResponse {
+async fn instances(State(shared): SharedState, headers: HeaderMap) -> Response {
     let now = shared.clock.now();
-    Json(mutex::lock(&shared.instances).shown(now))
+    let list = mutex::lock(&shared.instances).shown(now);
+    let Ok(body) = serde_json::to_vec(&list) else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    let tag = format!("\"{}\"", runner::checksum(&body));
+    let known = headers.get(header::IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
+    let kind = (header::CONTENT_TYPE, "application/json".to_owned());
+    ([kind, (header::ETAG, tag)], body).into_response()
 }
--- a/crates/figscale/src/store/http.rs
+++ b/crates/figscale/src/store/http.rs
@@ -20,6 +20,7 @@
 use http_body_util::Limited;
 use hyper::Method;
 use hyper::StatusCode;
+use hyper::header;
 use hyper_util::client::legacy;
 use hyper_util::rt;
 use serde::de;
@@ -87,6 +88,7 @@
 pub(super) struct Answer {
     status: StatusCode,
     revision: Option<ids::Revision>,
+    entity_tag: Option<String>,
     body: Bytes,
     /// Verdict of an answer that makes no sense.
     unknown: Verdict,
@@ -130,6 +132,16 @@
         }
     }
 
+    /// Whether what the call named by its entity tag is still current.
+    pub(super) fn is_unchanged(&self) -> bool {
+        self.status == StatusCode::NOT_MODIFIED
+    }
+
+    /// The tag by which a later call may ask whether this changed.
+    pub(super) fn entity_tag(&self) -> Option<String> {
+        self.entity_tag.clone()
+    }
+
     fn senseless(&self) -> StoreError {
         let cause = format!("an answer with status {} makes no sense", self.status);
         StoreError {
@@ -204,6 +216,7 @@
         })?;
         let status = answer.status();
         let revision = revision(&answer);
+        let entity_tag = header(&answer, header::ETAG).map(str::to_owned);
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
         let body = body.collect().await.map_err(|error| StoreError {
             kind: StoreErrorKind::Away(error.to_string()),
@@ -212,6 +225,7 @@
         let answer = Answer {
             status,
             revision,
+            entity_tag,
             body: body.to_bytes(),
             unknown,
         };
@@ -234,7 +248,8 @@
         StatusCode::GONE => StoreErrorKind::LeaseGone,
         StatusCode::PAYLOAD_TOO_LARGE => StoreErrorKind::TooLarge,
         StatusCode::TOO_MANY_REQUESTS => StoreErrorKind::Busy,
-        status if status.is_success() || status == StatusCode::NOT_FOUND => return Ok(answer),
+        StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => return Ok(answer),
+        status if status.is_success() => return Ok(answer),
         status => {
             return Err(StoreError {
                 kind: StoreErrorKind::Away(format!("status {status}")),
@@ -246,9 +261,11 @@
 }
 
 fn revision<B>(answer: &hyper::Response<B>) -> Option<ids::Revision> {
-    let value = answer.headers().get(platform::REVISION)?;
-    let text = str::from_utf8(value.as_bytes()).ok()?;
-    text.parse().ok()
+    header(answer, platform::REVISION)?.parse().ok()
+}
+
+fn header<B>(answer: &hyper::Response<B>, name: impl header::AsHeaderName) -> Option<&str> {
+    str::from_utf8(answer.headers().get(name)?.as_bytes()).ok()
 }
 
 /// The whole chain of causes, since the first one alone says little.
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -49,6 +49,14 @@
     timeout: time::Duration,
     budget: sync::Mutex<Budget>,
     counts: sync::Mutex<Counts>,
+    listed: sync::Mutex<Option<Listed>>,
+}
+
+/// The instance list as last read whole.
+#[derive(Clone, Debug)]
+struct Listed {
+    entity_tag: String,
+    list: instances::InstanceList,
 }
 
 impl Store {
@@ -66,6 +74,7 @@
             timeout: time::Duration::from_millis(settings.timeout_ms),
             budget: sync::Mutex::new(budget),
             counts: sync::Mutex::default(),
+            listed: sync::Mutex::default(),
         }
     }
 
@@ -170,11 +179,29 @@
         answer.done()
     }
 
-    /// Reads the instance list.
+    /// Reads the instance list, whole only when it has changed since the last read.
     pub async fn instances(&self) -> Result<instances::InstanceList, StoreError> {
-        let request = http::Request::read("/v1/instances".to_owned());
+        let known = lock(&self.listed).clone();
+        let mut request = http::Request::read("/v1/instances".to_owned());
+        if let Some(known) = &known {
+            request = request.header("if-none-match", &known.entity_tag);
+        }
         let answer = self.call(Call::Instances, request, self.timeout).await?;
-        answer.json()
+        match known {
+            Some(known) if answer.is_unchanged() => Ok(known.list),
+            _ => self.listed(answer),
+        }
+    }
+
+    fn listed(&self, answer: http::Answer) -> Result<instances::InstanceList, StoreError> {
+        let entity_tag = answer.entity_tag();
+        let list: instances::InstanceList = answer.json()?;
+        let tagged = entity_tag.map(|entity_tag| Listed {
+            entity_tag,
+            list: list.clone(),
+        });
+        *lock(&self.listed) = tagged;
+        Ok(list)
     }
 
     async fn call(
--- a/crates/figscale/tests/claims_store.rs
+++ b/crates/figscale/tests/claims_store.rs
@@ -11,8 +11,11 @@
 use figscale::settings;
 use figscale::store;
 use figscale::store::StoreErrorKind;
+use figscale_standin::platform;
 use figscale_types::clock;
 use figscale_types::ids;
+use figscale_types::instances;
+use figscale_types::sizes;
 use figscale_types::verdict::Verdict;
 use rstest::rstest;
 use tokio::net::TcpListener;
@@ -137,3 +140,41 @@
     assert_eq!(budget.reserve(start, second), None, "the wait is too long");
     assert!(budget.reserve(start + second, second).is_some());
 }
+
+/// The list crosses the network again only after a change.
+#[tokio::test]
+async fn an_unchanged_instance_list_is_not_sent_again() {
+    let worker = |number: u64| instances::Instance {
+        id: format!("w-{number}").parse().unwrap(),
+        role: instances::Role::Worker,
+        address: "127.0.0.1:9".parse().unwrap(),
+        failure_domain: "fd-1".parse().unwrap(),
+        rack: "r-1".parse().unwrap(),
+        service: None,
+        capacity: sizes::Resources::default(),
+        slots: 0,
+        connections: 0,
+        life: instances::Life::Live,
+    };
+    let config = platform::Config {
+        instances: (0..100).map(worker).collect(),
+        ..platform::Config::default()
+    };
+    let platform = platform::start(config).await.unwrap();
+    let store = client(platform.address(), 30_000);
+    let read_bytes = |store: &store::Store| {
+        let counts = store.counts();
+        let all = counts.iter().map(|(_, usage)| usage.received_bytes);
+        all.sum::<u64>()
+    };
+
+    let first = store.instances().await.unwrap();
+    let whole = read_bytes(&store);
+    assert_eq!(store.instances().await.unwrap(), first);
+    assert!(read_bytes(&store) - whole < 200, "sent whole again");
+
+    platform.change_instances(|all| all.truncate(50));
+    let after = store.instances().await.unwrap();
+    assert_eq!(after.instances.len(), 50);
+    assert!(after.revision > first.revision);
+}
