--- a/crates/figscale/tests/jobs_cell.rs
+++ b/crates/figscale/tests/jobs_cell.rs
@@ -170,3 +170,21 @@
     wait_for(&cell, 1, "small", jobs::JobState::Done).await;
     judge(&cell);
 }
+
+/// A planned stop hands its shards over: no running task is cut off or started
+/// again, and every job ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_off_no_task() {
+    let mut cell = start(plan(3, 4)).await;
+    for number in 0..12 {
+        let spec = spec("tides", 4, 3_000, number % 2 == 0);
+        accept(&cell, number % 3, &format!("job-{number}"), &spec).await;
+    }
+    harness::wait_until("running tasks", || async { cell.tasks.runs().len() == 48 }).await;
+    cell.stop(1).await;
+    for number in 0..12 {
+        wait_for(&cell, 0, &format!("job-{number}"), jobs::JobState::Done).await;
+    }
+    assert_eq!(cell.tasks.runs().len(), 48, "{}", cell.logs());
+    judge(&cell);
+}
