--- a/crates/figscale-core/src/job/placer/orders.rs
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -148,6 +148,7 @@
             hold_until: Some(now + self.config.hold),
             start_bound: None,
             known_at: None,
+            ends_at: None,
             may_run_until: now,
             action: None,
             told_at: None,
@@ -206,6 +207,7 @@
         task.hold_until = None;
         task.start_bound = Some(not_after);
         task.may_run_until = bound + lease;
+        task.ends_at = Some(now + time::Duration::from_millis(order.run_ms));
         let call = super::StartCall {
             target: super::Target {
                 worker: task.worker.clone(),
--- a/crates/figscale-core/src/job/placer/poll.rs
+++ b/crates/figscale-core/src/job/placer/poll.rs
@@ -5,12 +5,17 @@
 use figscale_types::ids;
 use figscale_types::worker;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::Action;
 use super::Placer;
 use super::orders;
+use super::task;
 use crate::job::message;
 
+/// Time given to a task beyond its declared run time before its end is asked for.
+const END_GRACE: time::Duration = time::Duration::from_millis(20);
+
 impl Placer {
     /// Everything to be done now; call after each input and at least every 100 ms.
     pub fn poll(&mut self, now: time::Instant, valid_until: time::Instant) -> Vec<Action> {
@@ -65,13 +70,14 @@
         if now >= bound {
             return;
         }
+        let ending = self.workers_with_ends(now);
         let due: Vec<_> = self
             .sessions
             .iter()
             .filter(|(_, session)| !session.fenced && session.asked_at.is_none())
             .filter(|(id, session)| {
                 let busy = !session.proven && self.tasks.values().any(|t| t.worker == **id);
-                let pause = match session.hurry || busy {
+                let pause = match session.hurry || busy || ending.contains(*id) {
                     true => self.config.renew / 8,
                     false => self.config.renew,
                 };
@@ -84,6 +90,20 @@
         }
     }
 
+    /// Workers on which a task should have ended since they were last asked.
+    ///
+    /// One call more for an end frees its room at once, instead of at the next
+    /// renewal.
+    fn workers_with_ends(&self, now: time::Instant) -> IndexSet<ids::InstanceId> {
+        let due = |task: &&task::Task| {
+            let sent = self.sessions.get(&task.worker).and_then(|s| s.sent_at);
+            let ends_at = task.ends_at.map(|at| at + END_GRACE);
+            task.may_run() && ends_at.is_some_and(|at| now >= at && sent.is_none_or(|s| s < at))
+        };
+        let tasks = self.tasks.values().filter(due);
+        tasks.map(|task| task.worker.clone()).collect()
+    }
+
     fn renew_worker(&mut self, now: time::Instant, bound: time::Instant, id: &ids::InstanceId) {
         let Some(session) = self.sessions.get_mut(id) else {
             return;
--- a/crates/figscale-core/src/job/placer/report.rs
+++ b/crates/figscale-core/src/job/placer/report.rs
@@ -250,6 +250,7 @@
             hold_until: None,
             start_bound: None,
             known_at: Some(now),
+            ends_at: None,
             may_run_until: now + self.config.window + self.config.lease,
             action: (too_late && state == message::TaskState::Running)
                 .then_some(worker::TaskAction::Stop),
--- a/crates/figscale-core/src/job/placer/task.rs
+++ b/crates/figscale-core/src/job/placer/task.rs
@@ -25,6 +25,8 @@
     pub(super) start_bound: Option<worker::WorkerClock>,
     /// When it became known that it runs.
     pub(super) known_at: Option<time::Instant>,
+    /// When it ends if it runs as long as it declared.
+    pub(super) ends_at: Option<time::Instant>,
     /// When it must have stopped, as far as anything sent tells.
     pub(super) may_run_until: time::Instant,
     /// What its home, or the placer itself, wants done to it.
