--- a/crates/figscale-core/src/job/home/mod.rs
+++ b/crates/figscale-core/src/job/home/mod.rs
@@ -214,6 +214,8 @@
     /// Stops accepting and placing, before the shard is handed over.
     pub fn drain(&mut self) {
         self.draining = true;
+        // A last write says which tasks may have a place.
+        self.document.touch();
     }
 
     /// Whether everything that was to be written is.
--- a/crates/figscale-core/src/job/home/recover.rs
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -55,8 +55,9 @@
         self.queue.clear();
         self.watched.clear();
         let mut ready = Vec::new();
+        let placed = document.placed.map(IndexSet::from_iter);
         for (id, record) in document.jobs {
-            let job = load_job(now, record);
+            let job = load_job(now, &id, record, placed.as_ref());
             for (index, task) in &job.tasks {
                 if matches!(task.life, job::Life::Queued { .. }) {
                     ready.push((id.clone(), *index));
@@ -454,7 +455,12 @@
     }
 }
 
-fn load_job(now: Now, record: jobs::JobRecord) -> job::Job {
+fn load_job(
+    now: Now,
+    id: &ids::JobId,
+    record: jobs::JobRecord,
+    placed: Option<&IndexSet<ids::TaskId>>,
+) -> job::Job {
     let bytes = super::submit::record_bytes(&record.spec);
     let mut job = job::Job {
         record,
@@ -467,13 +473,18 @@
         bytes,
     };
     for index in 0..job.record.spec.tasks {
-        let task = load_task(now, &job, index);
+        let id = ids::TaskId {
+            job: id.clone(),
+            index,
+        };
+        let may_be_placed = placed.is_none_or(|placed| placed.contains(&id));
+        let task = load_task(now, &job, index, may_be_placed);
         job.tasks.insert(index, task);
     }
     job
 }
 
-fn load_task(now: Now, job: &job::Job, index: u32) -> job::Task {
+fn load_task(now: Now, job: &job::Job, index: u32, may_be_placed: bool) -> job::Task {
     let mut task = job::Task::new(now.at);
     let record = job.record.tasks.get(&index).cloned().unwrap_or_default();
     task.attempt = record.attempts;
@@ -483,7 +494,7 @@
     let marked = record.started || job.may_repeat();
     task.life = match (record.ended, job.record.ended) {
         (Some(state), _) | (None, Some(state)) => job::Life::Ended(state),
-        _ if marked => job::Life::Unknown { since: now.at },
+        _ if marked && may_be_placed => job::Life::Unknown { since: now.at },
         _ if task.stopping => job::Life::Ended(jobs::JobState::Cancelled),
         _ => job::Life::Queued { not_before: now.at },
     };
--- a/crates/figscale-core/src/job/home/write.rs
+++ b/crates/figscale-core/src/job/home/write.rs
@@ -11,6 +11,7 @@
 use super::Home;
 use super::Now;
 use super::Ticket;
+use super::job;
 use crate::job::message;
 
 /// What became of a read.
@@ -167,6 +168,8 @@
 
     fn write(&mut self, now: Now, expected: ids::Revision) {
         self.forget_old(now);
+        // While it drains the home asks for no more places.
+        let placed = self.draining.then(|| self.maybe_placed());
         let state = &mut self.document;
         state.in_flight = Some(std::mem::take(&mut state.pending));
         state.last_write = Some(now.at);
@@ -180,12 +183,29 @@
         let document = jobs::JobDocument {
             epoch: self.key.epoch,
             sequence: state.sequence,
+            placed,
             jobs,
         };
         let call = super::WriteCall { expected, document };
         self.actions.push(Action::Write(call));
     }
 
+    /// Tasks that may have a place.
+    fn maybe_placed(&self) -> Vec<ids::TaskId> {
+        let mut placed = Vec::new();
+        for (id, job) in &self.jobs {
+            for (index, task) in &job.tasks {
+                if !matches!(task.life, job::Life::Queued { .. } | job::Life::Ended(_)) {
+                    placed.push(ids::TaskId {
+                        job: id.clone(),
+                        index: *index,
+                    });
+                }
+            }
+        }
+        placed
+    }
+
     /// Drops ended jobs that were kept long enough.
     fn forget_old(&mut self, now: Now) {
         let keep_ms = self.config.keep_ended_ms;
--- a/crates/figscale-types/src/jobs.rs
+++ b/crates/figscale-types/src/jobs.rs
@@ -157,6 +157,10 @@
     /// Number of the write, by which its writer knows it again after a lost answer.
     #[serde(default)]
     pub sequence: u64,
+    /// After a hand-over in order, the only tasks that may have a place; `None`
+    /// while the holder may place others.
+    #[serde(default)]
+    pub placed: Option<Vec<ids::TaskId>>,
     /// Jobs by id.
     pub jobs: IndexMap<ids::JobId, JobRecord>,
 }
--- a/crates/figscale/src/jobs/calls.rs
+++ b/crates/figscale/src/jobs/calls.rs
@@ -294,7 +294,14 @@
     {
         Ok(wire::Answer::Core(answer)) => Ok(answer),
         Ok(_) => Err(Verdict::MayHaveRun),
-        Err(error) => Err(error.verdict),
+        Err(error) => {
+            crate::event!(
+                events::jobs::JOB_PEER_CALL_FAILED,
+                peer = address,
+                error = error
+            );
+            Err(error.verdict)
+        }
     }
 }
 
