Have a drained home say in its last write which tasks may have a place

Cause: the claims take a shard out of use before they drain it, so the home was dropped and drained nothing; the next home knew nothing of its queued tasks and held them until every worker shard was complete, 7.5 s after it moved. Ruled out: calling an inventory complete once all listed workers reported (a worker listed only at the old holder would be missed). Change: the home stays, paused, until another holds the shard, and its last write names the tasks that may have a place.

--- a/crates/figscale-core/src/job/home/mod.rs
+++ b/crates/figscale-core/src/job/home/mod.rs
@@ -157,6 +157,7 @@
     /// Number of the last numbered call.
     call: u64,
     draining: bool,
+    paused: bool,
     fenced: bool,
 }
 
@@ -178,6 +179,7 @@
             actions: Vec::new(),
             call: 0,
             draining: false,
+            paused: false,
             fenced: false,
         }
     }
@@ -202,7 +204,7 @@
         if !self.fenced {
             self.poll_document(now);
         }
-        if !self.fenced && self.document.is_mine() && !self.draining {
+        if !self.fenced && self.document.is_mine() && !self.is_closed() {
             self.poll_watched(now);
             self.poll_shards(now);
             self.poll_queue(now);
@@ -211,6 +213,15 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Stops accepting and placing for as long as the shard may not be used.
+    pub fn pause(&mut self, paused: bool) {
+        self.paused = paused;
+    }
+
+    fn is_closed(&self) -> bool {
+        self.draining || self.paused
+    }
+
     /// Stops accepting and placing, before the shard is handed over.
     pub fn drain(&mut self) {
         self.draining = true;
--- a/crates/figscale-core/src/job/home/submit.rs
+++ b/crates/figscale-core/src/job/home/submit.rs
@@ -119,7 +119,7 @@
     }
 
     fn check_open(&self) -> Result<(), operator::OperatorError> {
-        if self.fenced || self.draining || !self.document.is_mine() {
+        if self.fenced || self.is_closed() || !self.document.is_mine() {
             return Err(taking_over());
         }
         if let Some(retry) = self.document.away(self.config.store_retry) {
--- a/crates/figscale-core/src/job/home/write.rs
+++ b/crates/figscale-core/src/job/home/write.rs
@@ -192,18 +192,23 @@
 
     /// Tasks that may have a place.
     fn maybe_placed(&self) -> Vec<ids::TaskId> {
-        let mut placed = Vec::new();
+        let mut all = Vec::new();
         for (id, job) in &self.jobs {
             for (index, task) in &job.tasks {
-                if !matches!(task.life, job::Life::Queued { .. } | job::Life::Ended(_)) {
-                    placed.push(ids::TaskId {
+                // A reservation that was never told to start dies with this home.
+                let placed = !matches!(
+                    task.life,
+                    job::Life::Queued { .. } | job::Life::Held { .. } | job::Life::Ended(_)
+                );
+                if placed {
+                    all.push(ids::TaskId {
                         job: id.clone(),
                         index: *index,
                     });
                 }
             }
         }
-        placed
+        all
     }
 
     /// Drops ended jobs that were kept long enough.
--- a/crates/figscale/src/jobs/service.rs
+++ b/crates/figscale/src/jobs/service.rs
@@ -230,11 +230,16 @@
     }
 
     fn take_homes(&mut self, view: &state::ClaimsView) {
+        let me = &self.me;
         self.homes.retain(|id, home| {
-            let kept = view
-                .held
-                .get(id)
-                .is_some_and(|held| held.epoch == home.key().epoch);
+            let epoch = home.key().epoch;
+            let used = view.held.get(id).is_some_and(|held| held.epoch == epoch);
+            // Out of use but not another's: authority is away for a moment, or
+            // it is about to be drained and has a last write to make.
+            let known = view.claims.shards.get(id);
+            let mine = known.is_some_and(|s| s.holder.as_ref() == Some(me) && s.epoch == epoch);
+            home.pause(!used);
+            let kept = used || mine;
             if !kept {
                 crate::event!(events::jobs::JOB_HOME_LOST, shard = id);
             }
