--- a/crates/figscale-core/src/request/once.rs
+++ b/crates/figscale-core/src/request/once.rs
@@ -10,7 +10,8 @@
 //! would outlive the floor.
 //!
 //! This trades a short time after each take-over, in which fresh ids are
-//! refused, for no store write on any request.
+//! refused, for no store write on any request. In a planned hand-over the old
+//! home passes its memory on ([`Kept`]), and nothing fresh is refused.
 //!
 //! [`Verdict::MayHaveRun`]: figscale_types::verdict::Verdict::MayHaveRun
 //! [`Verdict::NotRun`]: figscale_types::verdict::Verdict::NotRun
@@ -24,6 +25,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Most ids that one home passes on to the next, so that they fit a message.
+pub const MAX_KEPT: usize = 100_000;
+
 /// Settings of the memory.
 #[derive(Clone, Copy, Debug)]
 pub struct OnceConfig {
@@ -66,21 +70,31 @@
 
 impl Begin {
     /// What may be said of a request that is refused with this answer.
+    ///
+    /// Without a home nobody knows whether it is a repeat of one that ran.
     pub fn verdict(self) -> Verdict {
         match self {
-            Self::Fresh | Self::FromFuture | Self::NotHome => Verdict::NotRun,
+            Self::Fresh | Self::FromFuture => Verdict::NotRun,
             Self::Repeat(verdict) => verdict,
-            Self::Forgotten => Verdict::MayHaveRun,
+            Self::Forgotten | Self::NotHome => Verdict::MayHaveRun,
         }
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Line {
     attempt: AttemptId,
     verdict: Verdict,
 }
 
+/// What a home passes on to the next one in a planned hand-over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    floor_ms: u64,
+    /// Ids as numbers, which are shorter in a message than as text.
+    lines: Vec<(u128, Line)>,
+}
+
 /// The memory of one home.
 #[derive(Clone, Debug)]
 pub struct Memory {
@@ -103,6 +117,38 @@
         }
     }
 
+    /// The memory of a home that nobody held before.
+    pub fn first(config: OnceConfig) -> Self {
+        Self {
+            config,
+            floor_ms: 0,
+            ids: BTreeMap::new(),
+        }
+    }
+
+    /// The memory that an earlier home passed on.
+    pub fn from_kept(config: OnceConfig, kept: Kept) -> Self {
+        let line = |(id, line)| (uuid::Uuid::from_u128(id), line);
+        Self {
+            config,
+            floor_ms: kept.floor_ms,
+            ids: kept.lines.into_iter().map(line).collect(),
+        }
+    }
+
+    /// What the next home has to know; at most [`MAX_KEPT`] of the newest ids,
+    /// the floor standing for the others.
+    pub fn pass_on(&self) -> Kept {
+        let older = self.ids.len().saturating_sub(MAX_KEPT);
+        let newest_left_out = self.ids.keys().take(older).next_back();
+        let left_out_ms = newest_left_out.and_then(|id| stamp_ms(ids::RequestId(*id)));
+        let newer = self.ids.iter().skip(older);
+        Kept {
+            floor_ms: self.floor_ms.max(left_out_ms.unwrap_or(0)),
+            lines: newer.map(|(id, line)| (id.as_u128(), *line)).collect(),
+        }
+    }
+
     /// Lets an id through once.
     pub fn begin(&mut self, id: ids::RequestId, attempt: AttemptId, now_unix_ms: u64) -> Begin {
         let Some(stamp_ms) = stamp_ms(id) else {
@@ -114,18 +160,43 @@
                 false => Begin::Repeat(line.verdict),
             };
         }
-        if stamp_ms > now_unix_ms.saturating_add(millis(self.config.tolerance)) {
-            return Begin::FromFuture;
-        }
         self.forget_old(now_unix_ms);
-        if stamp_ms <= self.floor_ms {
-            return Begin::Forgotten;
+        if let Some(refused) = self.refused(stamp_ms, now_unix_ms) {
+            return refused;
         }
         let verdict = Verdict::MayHaveRun;
         self.ids.insert(id.0, Line { attempt, verdict });
         Begin::Fresh
     }
 
+    /// What is known of an id, apart from this attempt; nothing is let through.
+    ///
+    /// [`Begin::Fresh`] means that no other attempt ever began.
+    pub fn peek(&self, id: ids::RequestId, attempt: AttemptId, now_unix_ms: u64) -> Begin {
+        let Some(stamp_ms) = stamp_ms(id) else {
+            return Begin::FromFuture;
+        };
+        match self.ids.get(&id.0) {
+            Some(line) if line.attempt == attempt => Begin::Fresh,
+            Some(line) => Begin::Repeat(line.verdict),
+            None => self.refused(stamp_ms, now_unix_ms).unwrap_or(Begin::Fresh),
+        }
+    }
+
+    /// Whether a time stamp alone refuses an id that is not remembered. The
+    /// floor goes first: below it an earlier home with a clock ahead of ours
+    /// may have let through what is in the future here.
+    fn refused(&self, stamp_ms: u64, now_unix_ms: u64) -> Option<Begin> {
+        let latest_ms = now_unix_ms.saturating_add(millis(self.config.tolerance));
+        if stamp_ms <= self.floor_ms {
+            Some(Begin::Forgotten)
+        } else if stamp_ms > latest_ms {
+            Some(Begin::FromFuture)
+        } else {
+            None
+        }
+    }
+
     /// Notes how an attempt ended; one that did not run may begin again.
     pub fn end(&mut self, id: ids::RequestId, attempt: AttemptId, verdict: Verdict) {
         let Some(line) = self.ids.get_mut(&id.0) else {
--- a/crates/figscale-core/src/request/queue.rs
+++ b/crates/figscale-core/src/request/queue.rs
@@ -135,7 +135,7 @@
     grants: u32,
 }
 
-fn level_of(urgency: catalogue::Urgency) -> usize {
+pub(crate) fn level_of(urgency: catalogue::Urgency) -> usize {
     match urgency {
         catalogue::Urgency::Interactive => 0,
         catalogue::Urgency::Deadline => 1,
@@ -143,7 +143,7 @@
     }
 }
 
-const URGENCIES: [catalogue::Urgency; 3] = [
+pub(crate) const URGENCIES: [catalogue::Urgency; 3] = [
     catalogue::Urgency::Interactive,
     catalogue::Urgency::Deadline,
     catalogue::Urgency::BestEffort,
@@ -174,6 +174,11 @@
         levels.iter().map(Level::len).sum()
     }
 
+    /// Number of waiting requests of this urgency.
+    pub fn len_of(&self, urgency: catalogue::Urgency) -> usize {
+        self.levels[level_of(urgency)].len()
+    }
+
     /// Adds a request.
     pub fn push(&mut self, waiting: &Waiting) {
         let level = level_of(waiting.urgency);
--- a/crates/figscale-core/tests/catalogue_apply.rs
+++ b/crates/figscale-core/tests/catalogue_apply.rs
@@ -258,6 +258,50 @@
     assert!(history::at(&document, ids::Revision(1)).is_none());
 }
 
+/// 92 owners and 500 entries, changed more often than lines are kept.
+#[test]
+fn a_document_of_the_target_size_is_no_burden() {
+    let mut big = catalogue(1);
+    let owner = big.owners[0].clone();
+    let entry = big.entries[0].clone();
+    for number in 0..90 {
+        let name = format!("owner-{number:02}").parse().unwrap();
+        big.owners.insert(name, owner.clone());
+    }
+    for number in 0..498 {
+        let name = format!("entry-{number:03}").parse().unwrap();
+        big.entries.insert(name, entry.clone());
+    }
+    assert_eq!(figscale_core::catalogue::check(&big), []);
+    // As if all had been kept; the next change brings it within its bounds.
+    let line = |number: u64| operator::HistoryLine {
+        change: id(number.into()),
+        note: "raise the quota of a team for its yearly run".to_owned(),
+        ..line_of(number, 1)
+    };
+    let record = |number| schema::Record {
+        line: line(number),
+        catalogue: Some(big.clone()),
+    };
+    let before = schema::Document {
+        accepted: schema::Accepted {
+            revision: ids::Revision(599),
+            change: Some(id(599)),
+            catalogue: big.clone(),
+        },
+        history: (1..600).map(record).collect(),
+    };
+    let document = history::append(&before, line(600), big.clone());
+    let bytes = history::encode(&document).unwrap().len();
+    println!(
+        "catalogue {} bytes, document {bytes} bytes",
+        history::encoded_len(&big)
+    );
+    assert!(bytes < 400 << 10, "{bytes}");
+    assert_eq!(document.history.len(), history::MAX_LINES);
+    assert!(history::at(&document, ids::Revision(599)).is_some());
+}
+
 /// A store with the faults that the platform may have.
 struct Store {
     revision: u64,
--- a/crates/figscale/src/catalogue/mod.rs
+++ b/crates/figscale/src/catalogue/mod.rs
@@ -1,20 +1,21 @@
 //! The catalogue service: accepts operators' changes and brings them into force.
 //!
 //! Publishes the accepted catalogue to [`crate::state::Shared`]. A change is
-//! accepted by a compare-and-swap in the store ([`mod@apply`]) and reaches the
+//! accepted by a compare-and-swap in the store (`apply`) and reaches the
 //! other entry instances by three ways, each of which is enough alone
-//! ([`follow`]): a watch on the store's key, an exchange with peers after each
+//! (`follow`): a watch on the store's key, an exchange with peers after each
 //! adoption, and a poll of the store and of one peer at a time. All of them end
-//! in [`service`], which adopts higher revisions only.
+//! in `service`, which adopts higher revisions only.
 //!
 //! The service runs on the control thread as local tasks that share one
-//! [`service::Service`]; nothing holds a borrow of it over an await.
+//! `service::Service`; nothing holds a borrow of it over an await.
 
 mod apply;
 pub mod follow;
 mod service;
 
 use std::rc;
+use std::sync;
 
 use figscale_types::catalogue;
 use figscale_types::ids;
@@ -39,6 +40,9 @@
         operator::RollbackRequest,
         kernel::Reply<Result<operator::ApplyAnswer, operator::OperatorError>>,
     ),
+    /// The catalogue in force here; an error until one is known, since a process
+    /// that has just started must not report a lower revision than its last life.
+    InForce(kernel::Reply<Result<sync::Arc<catalogue::Accepted>, operator::OperatorError>>),
     /// The changes, newest first.
     History(kernel::Reply<Result<Vec<operator::HistoryLine>, operator::OperatorError>>),
     /// An earlier catalogue.
@@ -107,6 +111,7 @@
             let change = request.into();
             tokio::task::spawn_local(async move { reply.send(apply::run(&service, change).await) });
         }
+        Message::InForce(reply) => reply.send(service.in_force()),
         Message::Status(reply) => {
             tokio::task::spawn_local(async move { reply.send(follow::status(&service).await) });
         }
--- a/crates/figscale/src/cli/catalogue.rs
+++ b/crates/figscale/src/cli/catalogue.rs
@@ -8,10 +8,11 @@
 use std::fmt::Write as _;
 use std::path;
 
-use figscale_core::catalogue as core;
+use figscale_core::catalogue as decision;
 use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::operator;
+use serde::Serialize;
 
 use super::Failure;
 use super::Outcome;
@@ -19,6 +20,15 @@
 use super::client;
 use crate::settings::document;
 
+/// What `diff --json` prints.
+#[derive(Serialize)]
+struct Difference {
+    /// Revision to give to `apply`.
+    base: ids::Revision,
+    /// One line for each field that differs.
+    changes: Vec<String>,
+}
+
 pub(super) fn run(
     command: args::CatalogueCommand,
     client: impl Fn() -> Result<client::Client, Failure>,
@@ -39,12 +49,14 @@
 fn read(file: &path::Path) -> Result<catalogue::Catalogue, Failure> {
     let document = document::Document::read(file).map_err(Failure::usage)?;
     let catalogue = document.parse().map_err(Failure::usage)?;
-    let problems = core::check(&catalogue);
+    let problems: Vec<String> = decision::check(&catalogue)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
     if problems.is_empty() {
         return Ok(catalogue);
     }
-    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
-    Err(Failure::usage(document.refuse(&lines)))
+    Err(Failure::usage(document.refuse(&problems)))
 }
 
 fn check(file: &path::Path) -> Outcome {
@@ -69,9 +81,12 @@
 fn compare(file: &path::Path, client: &client::Client, json: bool) -> Outcome {
     let wanted = read(file)?;
     let in_force: catalogue::Accepted = client.get("/v1/catalogue")?;
-    let changes = core::diff(&in_force.catalogue, &wanted);
+    let changes = decision::diff(&in_force.catalogue, &wanted);
     if json {
-        let answer = serde_json::json!({ "base": in_force.revision, "changes": changes });
+        let answer = Difference {
+            base: in_force.revision,
+            changes: changes.iter().map(ToString::to_string).collect(),
+        };
         return Ok(super::pretty(&answer));
     }
     let mut text = String::new();
--- a/crates/figscale/src/jobs/mod.rs
+++ b/crates/figscale/src/jobs/mod.rs
@@ -1,6 +1,6 @@
 //! The jobs service: accepts jobs, places their tasks on workers and sees them end.
 //!
-//! One [`service::Service`] on the control thread owns the homes of the job
+//! One `service::Service` on the control thread owns the homes of the job
 //! shards and the placer of the worker shards that this process holds. Calls
 //! to workers, peers and the store run on the traffic threads and come back as
 //! messages, so that no decision waits for the network.
@@ -42,6 +42,8 @@
     Peer(PeerQuestion),
     /// Give up a shard in order.
     Drain(ids::ShardId, kernel::Reply<kernel::Drained>),
+    /// Bring the gauges up to date.
+    Report(kernel::Reply<()>),
     /// Show the state.
     Dump(kernel::Reply<serde_json::Value>),
 }
@@ -67,6 +69,11 @@
         let address = dumped.clone();
         Box::pin(async move { address.call(Message::Dump).await.unwrap_or_default() })
     });
+    let reported = address.clone();
+    context.kernel.offer_report(NAME, move || {
+        let address = reported.clone();
+        Box::pin(async move { address.call(Message::Report).await.unwrap_or_default() })
+    });
     tokio::task::spawn_local(service::run(context.clone(), inbox));
 }
 
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -29,6 +29,9 @@
 use crate::store;
 use crate::traffic;
 
+/// Longest time that a leaving process takes for passing on what it remembers.
+const PASS_ON_LIMIT: time::Duration = time::Duration::from_secs(2);
+
 /// A running entry instance.
 pub struct EntryInstance {
     stop: watch::Sender<bool>,
@@ -137,6 +140,10 @@
     };
     let store = store::Store::new(settings.platform_address, &settings.store, clock.clone())
         .named(&settings.member);
+    let store = sync::Arc::new(store);
+    let metrics = metrics::Metrics::default();
+    let counted = store.clone();
+    metrics.observe_store(move || counted.counts());
     let peers = peer::Peers::new(me.clone(), settings.peer_token.clone(), traffic.clone())
         .with_routes(settings.claims.peer_routes.clone());
     state::Context {
@@ -145,8 +152,8 @@
         settings: sync::Arc::new(settings),
         clock,
         peers: sync::Arc::new(peers),
-        store: sync::Arc::new(store),
-        metrics: sync::Arc::new(metrics::Metrics::default()),
+        store,
+        metrics: sync::Arc::new(metrics),
         traffic,
     }
 }
@@ -180,6 +187,8 @@
     let in_order = async {
         traffic::drain(context).await;
         claims::leave(context).await;
+        let passed_on = traffic::pass_on(context);
+        let _ = tokio::time::timeout(PASS_ON_LIMIT, passed_on).await;
         operators.end().await;
     };
     let _ = tokio::time::timeout(limit, in_order).await;
--- a/crates/figscale/src/traffic/dump.rs
+++ b/crates/figscale/src/traffic/dump.rs
@@ -1,14 +1,22 @@
 //! The dump of slots, queues and budgets.
 
+use std::future;
 use std::sync;
+use std::sync::atomic;
 
 use serde_json::json;
 
 use super::Traffic;
+use crate::metrics;
 
-/// Offers the dump under the service's name.
+/// Offers the dump and the gauges under the service's name.
 pub(super) fn offer(traffic: &sync::Arc<Traffic>) {
     let kernel = traffic.context.kernel.clone();
+    let reported = traffic.clone();
+    kernel.offer_report(super::NAME, move || {
+        reported.report();
+        Box::pin(future::ready(()))
+    });
     let traffic = traffic.clone();
     kernel.offer_dump(super::NAME, move || {
         let dump = traffic.dump();
@@ -17,6 +25,26 @@
 }
 
 impl Traffic {
+    fn report(&self) {
+        let now = self.now();
+        let (waiting, services) = {
+            let decisions = self.decide();
+            let dispatcher = &decisions.dispatcher;
+            (dispatcher.waiting(), dispatcher.counts(now))
+        };
+        let metrics = &self.context.metrics;
+        metrics.queue_changed(waiting);
+        for (service, counts) in services {
+            // Some urgency may have every free slot; the others keep from some.
+            let free = counts.free.into_iter().max().unwrap_or(0);
+            let slots = metrics::Slots {
+                free,
+                taken: counts.slots.saturating_sub(free),
+            };
+            metrics.slots_changed(&service, slots);
+        }
+    }
+
     fn dump(&self) -> serde_json::Value {
         let now = self.now();
         let decisions = self.decide();
@@ -54,6 +82,7 @@
         json!({
             "authority": self.context.shared.authority.is_valid(now),
             "in_progress": *self.in_progress.borrow(),
+            "fenced": self.fenced.load(atomic::Ordering::Relaxed),
             "waiting": dispatcher.waiting(),
             "counts": dispatcher.counts(now),
             "runners": runners,
--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -10,7 +10,9 @@
 use std::time;
 
 use bytes::Bytes;
+use figscale_types::catalogue;
 use figscale_types::headers;
+use figscale_types::ids;
 use figscale_types::verdict::Verdict;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -102,38 +104,39 @@
     }
 }
 
-/// Serves callers until a drain has ended.
+/// Serves callers until the first message, which says to stop.
 pub(super) async fn serve(
-    traffic: sync::Arc<Traffic>,
+    traffic: &sync::Arc<Traffic>,
     listener: TcpListener,
-    mut inbox: kernel::Inbox<Message>,
-) {
+    inbox: &mut kernel::Inbox<Message>,
+) -> Option<Message> {
     let shutdown = graceful::GracefulShutdown::new();
     let permits = sync::Arc::new(Semaphore::new(traffic.settings().max_connections));
-    let reply = loop {
+    let message = loop {
         tokio::select! {
             accepted = accept(&listener, &permits) => {
                 let Some((socket, permit)) = accepted else {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 };
-                let connection = shutdown.watch(connection(&traffic, socket));
+                let connection = shutdown.watch(connection(traffic, socket));
                 tokio::spawn(async move {
                     let _ = connection.await;
                     drop(permit);
                 });
             }
-            message = inbox.recv() => match message {
-                Some(Message::Drain(reply)) => break reply,
-                None => return,
-            },
+            message = inbox.recv() => break message,
         }
     };
     drop(listener);
     shutdown.shutdown().await;
+    message
+}
+
+/// Waits until the requests in progress have their answers.
+pub(super) async fn finish(traffic: &Traffic) {
     let mut in_progress = traffic.in_progress.subscribe();
     let _ = in_progress.wait_for(|count| *count == 0).await;
-    reply.send(());
 }
 
 async fn accept(
@@ -175,28 +178,63 @@
     if request.uri().path() == READY_PATH {
         return ready(&traffic, counted);
     }
+    // Two lengths of one body can be read in two ways; whatever follows such a
+    // body is not read at all.
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut response = answer_call(traffic, request, counted).await;
+    if chunked {
+        close_after(&mut response);
+    }
+    response
+}
+
+async fn answer_call(
+    traffic: sync::Arc<Traffic>,
+    request: Request<body::Incoming>,
+    counted: InProgress,
+) -> Response<Outgoing> {
     let (parts, body) = request.into_parts();
     let head = match call::Head::read(&parts) {
         Ok(head) => head,
-        Err(bad) => return no_answer(&traffic, &NoAnswer::Bad(bad), counted),
+        Err(bad) => {
+            let none = NoAnswer::Bad(bad);
+            return no_answer(&traffic, &none, none.verdict(), counted);
+        }
     };
-    let id = head.id;
-    let admitted = match traffic.admit(&head) {
-        Ok(admitted) => admitted,
-        Err(refused) => return identified(no_answer(&traffic, &refused, counted), id),
+    let attempt = traffic.new_attempt();
+    let result = match traffic.admit(&head) {
+        Ok(admitted) => {
+            let result = traffic.run(&head, attempt, &admitted, body).await;
+            result.map(|answer| (answer, admitted))
+        }
+        Err(refused) => Err(refused),
     };
-    let result = traffic.run(head, &admitted, body).await;
     let response = match result {
-        Ok(answer) => whole_answer(&traffic, answer, admitted, counted),
-        Err(none) => no_answer(&traffic, &none, counted),
+        Ok((answer, admitted)) => {
+            count(&traffic, &head.entry, Verdict::Ran);
+            whole_answer(&traffic, answer, admitted, counted)
+        }
+        Err(none) => {
+            let verdict = traffic.final_verdict(&head, attempt, &none).await;
+            count(&traffic, &head.entry, verdict);
+            no_answer(&traffic, &none, verdict, counted)
+        }
     };
-    identified(response, id)
+    identified(response, head.id)
 }
 
-fn identified(
-    mut response: Response<Outgoing>,
-    id: figscale_types::ids::RequestId,
-) -> Response<Outgoing> {
+/// Counts a final answer. Names that callers make up become no label: only
+/// entries of the catalogue are counted.
+fn count(traffic: &Traffic, entry: &ids::EntryName, verdict: Verdict) {
+    let accepted = traffic.context.shared.catalogue_now();
+    let policy = accepted.catalogue.entries.get(entry).map(|e| &e.policy);
+    if let Some(catalogue::Policy::Requests(policy)) = policy {
+        let metrics = &traffic.context.metrics;
+        metrics.request_answered(entry, policy.urgency, verdict);
+    }
+}
+
+fn identified(mut response: Response<Outgoing>, id: ids::RequestId) -> Response<Outgoing> {
     insert(response.headers_mut(), headers::REQUEST_ID, &id.to_string());
     response
 }
@@ -209,11 +247,15 @@
     own_response(traffic, status, HeaderMap::new(), Bytes::new(), counted)
 }
 
-fn no_answer(traffic: &Traffic, none: &NoAnswer, counted: InProgress) -> Response<Outgoing> {
-    let (status, map, bytes) = none.parts();
+fn no_answer(
+    traffic: &Traffic,
+    none: &NoAnswer,
+    verdict: Verdict,
+    counted: InProgress,
+) -> Response<Outgoing> {
+    let (status, map, bytes) = none.parts(verdict);
     let mut response = own_response(traffic, status, map, bytes, counted);
-    let verdict = none.verdict().as_str();
-    insert(response.headers_mut(), headers::VERDICT, verdict);
+    insert(response.headers_mut(), headers::VERDICT, verdict.as_str());
     response
 }
 
@@ -275,10 +317,15 @@
     let map = response.headers_mut();
     insert(map, headers::SERVED_BY, me.id.as_str());
     if traffic.is_leaving() {
-        map.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        close_after(response);
     }
 }
 
+fn close_after(response: &mut Response<Outgoing>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 fn insert(map: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         map.insert(name, value);
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use figscale_core::request::admission;
+use figscale_core::request::board;
 use figscale_core::request::dispatcher;
 use figscale_core::request::once;
 use figscale_core::request::retry;
@@ -27,6 +28,9 @@
 use super::exchange;
 use super::forward;
 use super::forward::NoAnswerYet;
+use super::forward::Place;
+use super::forward::Room;
+use super::wire;
 
 /// Holders that are asked before a request is refused for want of room.
 const MAX_REFUSALS: u32 = 3;
@@ -109,14 +113,30 @@
     }
 }
 
-/// Where an attempt is made.
-enum Place {
-    Here,
-    There(forward::Holder),
-    Nowhere,
-}
-
 impl Traffic {
+    /// A name for this attempt of a caller.
+    pub(super) fn new_attempt(&self) -> once::AttemptId {
+        once::AttemptId(self.decide().rng.random())
+    }
+
+    /// What may be said of a request that got this instead of an answer.
+    ///
+    /// The word is about the request, not about this message of its caller: a
+    /// repeat that is refused is not said not to have run when an earlier
+    /// message may have had it run.
+    pub(super) async fn final_verdict(
+        &self,
+        head: &call::Head,
+        attempt: once::AttemptId,
+        none: &NoAnswer,
+    ) -> Verdict {
+        let verdict = none.verdict();
+        if verdict != Verdict::NotRun || !head.is_remembered() {
+            return verdict;
+        }
+        self.peek_once(head.id, attempt).await.verdict()
+    }
+
     /// Lets a request in, or says why not.
     pub(super) fn admit(self: &sync::Arc<Self>, head: &call::Head) -> Result<Admitted, NoAnswer> {
         let now = self.now();
@@ -145,27 +165,27 @@
     /// Runs a request that was let in.
     pub(super) async fn run(
         self: &sync::Arc<Self>,
-        head: call::Head,
+        head: &call::Head,
+        attempt: once::AttemptId,
         admitted: &Admitted,
         body: body::Incoming,
     ) -> Result<Answer, NoAnswer> {
         let default = time::Duration::from_millis(admitted.policy.budget_ms);
         let deadline = self.now() + head.budget.unwrap_or(default);
+        let remembered = head.is_remembered();
         let body = call::read_body(self, body, admitted.policy.max_body_bytes);
         let body = body.await.map_err(NoAnswer::Bad)?;
         let _memory = body.memory;
         let call = sync::Arc::new(Call {
-            entry: head.entry,
-            owner: head.owner,
+            entry: head.entry.clone(),
+            owner: head.owner.clone(),
             id: head.id,
             idempotent: head.idempotent,
-            headers: head.headers,
+            headers: head.headers.clone(),
             body: body.bytes,
             deadline,
         });
         let progress = sync::Arc::new(Progress::default());
-        // An id that only we know is repeated by nobody.
-        let remembered = !head.idempotent && head.id_is_callers;
         let attempts = Attempts {
             traffic: self,
             call: &call,
@@ -180,7 +200,7 @@
         let limit = tokio::time::Instant::now() + deadline.saturating_duration_since(self.now());
         let all = async {
             let mut guard = match remembered {
-                true => Some(self.remember(&call, &progress).await?),
+                true => Some(self.remember(&call, attempt, &progress).await?),
                 false => None,
             };
             let result = attempts.make().await;
@@ -202,10 +222,10 @@
     async fn remember(
         self: &sync::Arc<Self>,
         call: &Call,
+        attempt: once::AttemptId,
         progress: &sync::Arc<Progress>,
     ) -> Result<OnceGuard, NoAnswer> {
-        let attempt = once::AttemptId(self.decide().rng.random());
-        let mut guard = OnceGuard {
+        let guard = OnceGuard {
             traffic: self.clone(),
             id: call.id,
             attempt,
@@ -217,7 +237,6 @@
         match self.begin_once(call.id, attempt, limit).await {
             once::Begin::Fresh => Ok(guard),
             begin => {
-                guard.ran = false;
                 crate::event!(
                     crate::events::requests::REPEAT_REFUSED,
                     request = call.id,
@@ -256,11 +275,12 @@
         self.traffic.decide().budget(&self.policy.service).earn();
         let wait = time::Duration::from_millis(self.traffic.settings().holder_wait_ms);
         let mut give_up_at = self.traffic.now() + wait;
+        let mut next = None;
         loop {
-            let place = self.choose();
+            let place = next.take().unwrap_or_else(|| self.choose());
             let result = match &place {
                 Place::Here => self.here().await,
-                Place::There(holder) => self.there(holder).await,
+                Place::There(holder, room) => self.there(holder, *room).await,
                 Place::Nowhere if self.traffic.now() < give_up_at => {
                     self.excluded.clear();
                     tokio::time::sleep(LOOK).await;
@@ -277,6 +297,7 @@
                     let last = matches!(place, Place::Nowhere);
                     self.refused(&place, refusal, last).await?;
                 }
+                Err(NoAnswerYet::Moved(place)) => next = Some(place),
                 Err(NoAnswerYet::Failed(failure)) => {
                     self.failed(&place, failure)?;
                     give_up_at = self.traffic.now() + wait;
@@ -288,8 +309,7 @@
     fn choose(&self) -> Place {
         let traffic = self.traffic;
         let now = traffic.now();
-        let view = traffic.context.shared.claims_now();
-        let here = traffic.has_authority() && !self.excluded.contains(&view.me);
+        let here = self.is_open_here();
         let service = &self.policy.service;
         let mut decisions = traffic.decide();
         let decisions = &mut *decisions;
@@ -297,25 +317,69 @@
             return Place::Here;
         }
         let own = decisions.dispatcher.counts_of(service, now);
-        let chosen = (decisions.board).choose(service, &self.excluded, now, &mut decisions.rng);
-        let chosen = chosen.and_then(|choice| {
-            let member = view.claims.members.get(&choice.member.id)?;
-            let live = member.incarnation == choice.member.incarnation;
-            live.then_some((choice, member.peer_address))
-        });
+        let chosen = self.draw(decisions, now);
         match chosen {
-            Some((choice, address)) if !here || choice.room > own.room(0) => {
-                decisions.board.sent(service, &choice.member);
-                Place::There(forward::Holder {
-                    member: choice.member,
-                    address,
-                })
+            Some(choice) if !here || choice.room > own.room(self.policy.urgency, 0) => {
+                self.there_by(decisions, choice)
             }
             _ if here && own.slots > 0 => Place::Here,
             _ => Place::Nowhere,
         }
     }
 
+    fn draw(&self, decisions: &mut super::Decisions, now: time::Instant) -> Option<board::Choice> {
+        let urgency = self.policy.urgency;
+        let (board, rng) = (&decisions.board, &mut decisions.rng);
+        board.choose(&self.policy.service, urgency, &self.excluded, now, rng)
+    }
+
+    /// A place for the choice, unless its member is unknown by now.
+    fn there_by(&self, decisions: &mut super::Decisions, choice: board::Choice) -> Place {
+        let claims = self.traffic.context.shared.claims.borrow();
+        let known = claims.claims.members.get(&choice.member.id);
+        let live = known.filter(|known| known.incarnation == choice.member.incarnation);
+        let Some(member) = live else {
+            return Place::Nowhere;
+        };
+        let room = match choice.room > 0.0 {
+            true => Room::Free,
+            false => Room::Queue,
+        };
+        decisions.board.sent(&self.policy.service, &choice.member);
+        let holder = forward::Holder {
+            member: choice.member,
+            address: member.peer_address,
+        };
+        Place::There(holder, room)
+    }
+
+    fn is_open_here(&self) -> bool {
+        let me = self.traffic.context.me();
+        self.traffic.has_authority() && !self.excluded.contains(&me)
+    }
+
+    /// Completes when another place has a slot free while this one has not.
+    async fn better(&self, present: Option<&ids::MemberKey>) -> Place {
+        let service = &self.policy.service;
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now = self.traffic.now();
+            let here = present.is_some() && self.is_open_here();
+            let mut decisions = self.traffic.decide();
+            let decisions = &mut *decisions;
+            if here && (decisions.dispatcher).would_grant(service, self.policy.urgency, now) {
+                return Place::Here;
+            }
+            let chosen = self.draw(decisions, now);
+            let better = chosen.filter(|c| c.room > 0.0 && Some(&c.member) != present);
+            if let Some(choice) = better
+                && let Place::There(holder, room) = self.there_by(decisions, choice)
+            {
+                return Place::There(holder, room);
+            }
+        }
+    }
+
     async fn here(&self) -> Result<Answer, NoAnswerYet> {
         let call = self.call;
         let max_run = time::Duration::from_millis(self.policy.max_run_ms);
@@ -332,7 +396,10 @@
             max_queue_len: self.policy.max_queue_len,
             max_run,
         };
-        let slot = self.traffic.acquire(submission).await;
+        let slot = tokio::select! {
+            slot = self.traffic.acquire(submission) => slot,
+            place = self.better(None) => return Err(NoAnswerYet::Moved(place)),
+        };
         let slot = slot.map_err(NoAnswerYet::Refused)?;
         self.progress.sent();
         let ending = exchange::start(self.traffic, slot, call.clone(), max_run);
@@ -345,14 +412,17 @@
         result.map_err(NoAnswerYet::Failed)
     }
 
-    async fn there(&self, holder: &forward::Holder) -> Result<Answer, NoAnswerYet> {
+    async fn there(&self, holder: &forward::Holder, room: Room) -> Result<Answer, NoAnswerYet> {
+        let small = self.call.body.len() <= wire::MAX_EAGER_BYTES;
         let attempt = forward::Attempt {
             traffic: self.traffic,
             holder,
             call: self.call,
             avoid: self.avoid.clone(),
+            eager: self.call.idempotent && small && room == Room::Free,
         };
-        attempt.run(|| self.progress.sent()).await
+        let better = self.better(Some(&holder.member));
+        attempt.run(|| self.progress.sent(), better).await
     }
 
     /// Goes on to another holder, or gives up.
@@ -370,7 +440,7 @@
         let mut decisions = self.traffic.decide();
         match place {
             Place::Here => self.excluded.push(self.traffic.context.me()),
-            Place::There(holder) => {
+            Place::There(holder, _) => {
                 decisions
                     .board
                     .refused(&self.policy.service, &holder.member);
@@ -407,7 +477,7 @@
         self.progress.ended(failure.verdict);
         self.made += 1;
         super::log_failure(self.call.id, failure.verdict, failure.fault.as_str());
-        if let Place::There(holder) = place
+        if let Place::There(holder, _) = place
             && matches!(failure.fault, Fault::PeerLink | Fault::PeerSilent)
         {
             self.excluded.push(holder.member.clone());
--- a/crates/figscale/tests/requests_cell/mod.rs
+++ b/crates/figscale/tests/requests_cell/mod.rs
@@ -37,7 +37,8 @@
 pub struct Entry {
     pub context: state::Context,
     pub caller: net::SocketAddr,
-    pub peer: net::SocketAddr,
+    /// The way to its peer address.
+    pub peer: proxy::Handle,
 }
 
 /// A runner behind a proxy.
@@ -56,6 +57,7 @@
     pub seed: u64,
     pub traffic: settings::TrafficSettings,
     pub catalogue: catalogue::Catalogue,
+    pub clock: clock::SharedClock,
 }
 
 impl Default for Shape {
@@ -68,6 +70,7 @@
             seed: 1,
             traffic: settings::TrafficSettings::default(),
             catalogue: catalogue(),
+            clock: sync::Arc::new(clock::SystemClock),
         }
     }
 }
@@ -204,6 +207,20 @@
         view.held.insert(shard, held);
     }
 
+    /// The number of a shard's holder.
+    pub fn holder(&self, shard: &ids::ShardId) -> usize {
+        let view = self.view.lock().expect("not poisoned");
+        let holder = view.claims.shards[shard].holder.clone();
+        let is_holder = |entry: &Entry| Some(entry.context.me()) == holder;
+        self.entries.iter().position(is_holder).expect("a holder")
+    }
+
+    /// The epoch of a shard.
+    pub fn epoch(&self, shard: &ids::ShardId) -> ids::Epoch {
+        let view = self.view.lock().expect("not poisoned");
+        view.claims.shards[shard].epoch
+    }
+
     /// Changes the lines of the instance list; publish to bring it into force.
     pub fn change_instances(&self, change: impl FnOnce(&mut Vec<instances::Instance>)) {
         change(&mut self.view.lock().expect("not poisoned").instances);
@@ -284,7 +301,7 @@
 fn claims_member(entry: &Entry) -> claims::Member {
     claims::Member {
         incarnation: entry.context.me().incarnation,
-        peer_address: entry.peer,
+        peer_address: entry.peer.address(),
         failure_domain: "domain-1".parse().expect("a domain"),
         lease: ids::LeaseId(1),
         leaving: false,
@@ -327,7 +344,7 @@
     let peer_listener = listen().await.expect("a listener");
     let caller_address = caller.local_addr().expect("an address");
     let peer_address = peer_listener.local_addr().expect("an address");
-    let clock: clock::SharedClock = sync::Arc::new(clock::SystemClock);
+    let clock = shape.clock.clone();
     let settings = settings(shape, number, caller_address, peer_address);
     let me = ids::MemberKey {
         id: member(number),
@@ -360,7 +377,9 @@
     Entry {
         context,
         caller: caller_address,
-        peer: peer_address,
+        peer: proxy::start(proxy::Config::to(peer_address))
+            .await
+            .expect("a proxy"),
     }
 }
 
