--- a/crates/figscale/tests/jobs_faults.rs
+++ b/crates/figscale/tests/jobs_faults.rs
@@ -101,14 +101,11 @@
     })
     .await;
     let before = cell.workers[leaving].record().starts;
+    // More at once than the other two workers hold.
+    let mut new = spec("tides", 4, 300, true);
+    new.task.cpu_millis.0 = 6_000;
     for number in 0..10 {
-        accept(
-            &cell,
-            1,
-            &format!("new-{number}"),
-            &spec("tides", 4, 100, true),
-        )
-        .await;
+        accept(&cell, 1, &format!("new-{number}"), &new).await;
     }
     for number in 0..10 {
         wait_for(&cell, 1, &format!("new-{number}"), jobs::JobState::Done).await;
