Reserve a port until the process ends, in the stand-ins' allocator

Cause: between the bind check and the listen of the child another test process could choose the same port or probe it at that very moment; the starting points of processes (id times a stride, modulo 22,000) meet now and then. Ruled out: ports handed out twice inside a process (a counter prevents it), the ephemeral range (not used).

--- a/crates/figscale-standin/src/ports.rs
+++ b/crates/figscale-standin/src/ports.rs
@@ -1,32 +1,67 @@
 //! Free ports for processes that must know their addresses beforehand.
 //!
 //! They are taken from below the range that the operating system hands out for
-//! outgoing connections, so that none is lost between the check and the use
-//! but to another process that picks in the same way.
+//! outgoing connections. Between the choice of a port and the moment at which
+//! a child process listens on it lies time in which another test process could
+//! choose the same one, or probe it just while the child binds. So a port is
+//! reserved first: its UDP twin, which nothing here uses, stays bound until
+//! this process ends. The price is one open socket for each port. Only
+//! strangers that do not reserve can still come in between.
 
 use std::io;
 use std::net;
 use std::process;
-use std::sync::atomic;
+use std::sync;
+
+use crate::mutex;
 
 const FIRST: u32 = 10_000;
 const COUNT: u32 = 22_000;
 /// Distance between the starting points of processes with adjacent ids.
 const STRIDE: u32 = 101;
 
-static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+static PORTS: sync::LazyLock<sync::Mutex<Ports>> = sync::LazyLock::new(|| {
+    sync::Mutex::new(Ports::starting_at(process::id().wrapping_mul(STRIDE)))
+});
 
-/// An address of 127.0.0.1 that was free a moment ago; never the same twice.
+/// An address of 127.0.0.1 that is reserved for this process until its end;
+/// never the same twice. Fails when no port of the range is free.
 pub fn free_address() -> io::Result<net::SocketAddr> {
-    let start = process::id().wrapping_mul(STRIDE);
-    for _ in 0..COUNT {
-        let step = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
-        let port = FIRST + start.wrapping_add(step) % COUNT;
-        let port = u16::try_from(port).unwrap_or_default();
-        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
-        if net::TcpListener::bind(address).is_ok() {
-            return Ok(address);
+    mutex::lock(&PORTS).free_address()
+}
+
+/// The ports that one process has reserved.
+#[derive(Debug)]
+pub struct Ports {
+    next: u32,
+    reserved: Vec<net::UdpSocket>,
+}
+
+impl Ports {
+    /// None reserved yet; the search begins at this place of the range, taken
+    /// modulo its size.
+    pub fn starting_at(place: u32) -> Self {
+        Self {
+            next: place % COUNT,
+            reserved: Vec::new(),
+        }
+    }
+
+    /// An address of 127.0.0.1 that is reserved until this is dropped. Fails
+    /// when no port of the range is free.
+    pub fn free_address(&mut self) -> io::Result<net::SocketAddr> {
+        for _ in 0..COUNT {
+            let port = u16::try_from(FIRST + self.next).map_err(io::Error::other)?;
+            self.next = (self.next + 1) % COUNT;
+            let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+            let Ok(reservation) = net::UdpSocket::bind(address) else {
+                continue;
+            };
+            if net::TcpListener::bind(address).is_ok() {
+                self.reserved.push(reservation);
+                return Ok(address);
+            }
         }
+        Err(io::Error::other("no port is free"))
     }
-    Err(io::Error::other("no port is free"))
 }
