Choose test ports in one place; start a cell anew when an address is taken

Cause: cli_serve and claims_support picked ports each in their own way, blind to the reservations; and a stranger can still take an address before the child listens, which ended catalogue_follow once. Change: both use figscale_standin::ports; harness::Cell::start begins anew with other addresses, five times at most, when a process ended with 'Address already in use', and panics at once with the log when it ended for another reason (it waited 45 s before).

--- a/crates/figscale/tests/claims_support/mod.rs
+++ b/crates/figscale/tests/claims_support/mod.rs
@@ -8,11 +8,11 @@
 use std::collections::HashMap;
 use std::net;
 use std::process;
-use std::sync::atomic;
 use std::time;
 
 use figscale_standin::client;
 use figscale_standin::platform;
+use figscale_standin::ports;
 use figscale_standin::proxy;
 use figscale_types::ids;
 use figscale_types::instances;
@@ -24,21 +24,6 @@
 /// Longest wait for a condition.
 pub const PATIENCE: time::Duration = time::Duration::from_secs(45);
 
-static NEXT_PORT: atomic::AtomicU16 = atomic::AtomicU16::new(0);
-
-/// A free port outside the ephemeral range.
-pub fn free_address() -> net::SocketAddr {
-    let base = 10_000 + (process::id() * 97 % 21_000) as u16;
-    loop {
-        let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
-        let port = 10_000 + (base - 10_000 + step) % 22_000;
-        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// One entry instance.
 pub struct Entry {
     pub name: String,
@@ -150,7 +135,7 @@
         service: Some("rating".parse().unwrap()),
         slots: 8,
         connections: 60,
-        ..entry_instance(name, free_address())
+        ..entry_instance(name, ports::free_address().unwrap())
     }
 }
 
@@ -192,9 +177,9 @@
     pub async fn add(&mut self) -> usize {
         let index = self.entries.len();
         let name = format!("entry-{index}");
-        let peer_address = free_address();
-        let caller_address = free_address();
-        let operator_address = free_address();
+        let peer_address = ports::free_address().unwrap();
+        let caller_address = ports::free_address().unwrap();
+        let operator_address = ports::free_address().unwrap();
         let to_store = proxy::Config::to(self.platform.address());
         let to_store = proxy::start(to_store).await.unwrap();
         let settings = json!({
--- a/crates/figscale/tests/cli_serve.rs
+++ b/crates/figscale/tests/cli_serve.rs
@@ -11,15 +11,13 @@
 use std::net;
 use std::path;
 use std::process;
-use std::sync::atomic;
 use std::time;
 
+use figscale_standin::ports;
 use rstest::rstest;
 
 /// Longest wait for anything.
 const LIMIT: time::Duration = time::Duration::from_secs(60);
-/// Ports outside of those that the system gives to outgoing connections.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
 /// A running process, ended with the test.
 struct Serve {
@@ -35,34 +33,24 @@
     }
 }
 
-/// Free ports, sought from a place that differs between processes; no two
-/// tests of this process get the same.
-fn free_ports<const N: usize>() -> [u16; N] {
-    static TRIED: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-    let span = u32::from(PORTS.end - PORTS.start);
-    let first = process::id().wrapping_mul(97) % span;
-    std::array::from_fn(|_| {
-        (0..span)
-            .map(|_| first + TRIED.fetch_add(1, atomic::Ordering::Relaxed))
-            .map(|place| PORTS.start + u16::try_from(place % span).unwrap())
-            .find(|port| net::TcpListener::bind(("127.0.0.1", *port)).is_ok())
-            .unwrap()
-    })
+/// Addresses of callers, peers, operators and the platform.
+fn free_addresses() -> [net::SocketAddr; 4] {
+    std::array::from_fn(|_| ports::free_address().unwrap())
 }
 
 fn write_settings(
     directory: &path::Path,
-    [caller, peer, operator, platform]: [u16; 4],
+    [caller, peer, operator, platform]: [net::SocketAddr; 4],
 ) -> path::PathBuf {
     let file = directory.join("settings.json");
     let text = format!(
         r#"{{
   "member": "entry-a",
   "failure_domain": "lm-1",
-  "caller_address": "127.0.0.1:{caller}",
-  "peer_address": "127.0.0.1:{peer}",
-  "operator_address": "127.0.0.1:{operator}",
-  "platform_address": "127.0.0.1:{platform}", // Nobody listens there.
+  "caller_address": "{caller}",
+  "peer_address": "{peer}",
+  "operator_address": "{operator}",
+  "platform_address": "{platform}", // Nobody listens there.
   "peer_token": "0123456789abcdef",
   "shutdown_ms": 2000
 }}"#
@@ -71,9 +59,9 @@
     file
 }
 
-fn serve(ports: [u16; 4]) -> Serve {
+fn serve(addresses: [net::SocketAddr; 4]) -> Serve {
     let directory = tempfile::tempdir().unwrap();
-    let file = write_settings(directory.path(), ports);
+    let file = write_settings(directory.path(), addresses);
     let mut child = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
         .arg("serve")
         .arg("--settings")
@@ -128,7 +116,7 @@
 #[case("TERM")]
 #[case("INT")]
 fn signal_stops_in_order(#[case] signal: &str) {
-    let mut serve = serve(free_ports());
+    let mut serve = serve(free_addresses());
     let started = serve.read_until("PROCESS_STARTED");
     assert_eq!(started["event"], 1_001);
     assert!(started["member"].as_str().unwrap().starts_with("entry-a#"));
@@ -141,12 +129,12 @@
 /// An address that is taken fails the start, and the message names the field.
 #[test]
 fn taken_address_fails_the_start() {
-    let ports: [u16; 4] = free_ports();
-    let _taken = net::TcpListener::bind(("127.0.0.1", ports[2])).unwrap();
-    let mut serve = serve(ports);
+    let addresses = free_addresses();
+    let _taken = net::TcpListener::bind(addresses[2]).unwrap();
+    let mut serve = serve(addresses);
     assert_eq!(serve.exit_code(), Some(1));
     let mut text = String::new();
     serve.log.read_to_string(&mut text).unwrap();
-    let expected = format!("operator_address: cannot listen on 127.0.0.1:{}", ports[2]);
+    let expected = format!("operator_address: cannot listen on {}", addresses[2]);
     assert!(text.contains(&expected), "{text}");
 }
--- a/crates/figscale/tests/harness/mod.rs
+++ b/crates/figscale/tests/harness/mod.rs
@@ -56,6 +56,8 @@
 
 /// Longest wait for a condition.
 pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(45);
+/// Starts of a cell of which some address was taken by somebody else.
+const STARTS: usize = 5;
 /// Failure domains over which instances are spread.
 pub(crate) const DOMAINS: [&str; 2] = ["lm-1", "lm-2"];
 /// Service of all runners.
@@ -76,6 +78,9 @@
     pub(crate) settings: serde_json::Value,
     /// Time by which the platform's instance list lags.
     pub(crate) instance_lag: time::Duration,
+    /// Callers' address of the first entry instance; `None` for one that is
+    /// free. Given up when somebody else listens there.
+    pub(crate) caller_address: Option<net::SocketAddr>,
 }
 
 impl Default for Plan {
@@ -87,6 +92,7 @@
             workers: 0,
             settings: json!({}),
             instance_lag: time::Duration::ZERO,
+            caller_address: None,
         }
     }
 }
@@ -124,8 +130,20 @@
 }
 
 impl Cell {
-    /// Starts the platform, runners, workers and entry instances.
-    pub(crate) async fn start(plan: Plan) -> Self {
+    /// Starts the platform, runners, workers and entry instances; when an
+    /// address is taken by somebody else, all anew with other addresses.
+    pub(crate) async fn start(mut plan: Plan) -> Self {
+        for _ in 0..STARTS {
+            match Self::try_start(&plan).await {
+                Ok(cell) => return cell,
+                Err(taken) => eprintln!("an address was taken: {}", taken.log),
+            }
+            plan.caller_address = None;
+        }
+        panic!("addresses were taken in {STARTS} starts");
+    }
+
+    async fn try_start(plan: &Plan) -> Result<Self, process::AddressTaken> {
         let config = platform::Config {
             instance_lag: plan.instance_lag,
             ..platform::Config::default()
@@ -151,14 +169,17 @@
         for index in 0..plan.entries + plan.spare_entries {
             cell.lay_paths(index).await;
         }
+        if let (Some(address), Some(first)) = (plan.caller_address, cell.entries.first_mut()) {
+            first.caller_address = address;
+        }
         cell.write_settings(&plan.settings);
         for index in 0..plan.entries {
             cell.launch(index);
         }
         for index in 0..plan.entries {
-            cell.wait_until_live(index).await;
+            cell.wait_until_started(index).await?;
         }
-        cell
+        Ok(cell)
     }
 
     async fn add_runner(&mut self, index: usize) {
@@ -261,15 +282,27 @@
             .change_instances(|list| list.retain(|known| known.id.as_str() != name));
     }
 
+    /// Waits until an entry instance answers operators, or ends because an
+    /// address of it is taken; panics when it ends for another reason.
+    async fn wait_until_started(&mut self, index: usize) -> Result<(), process::AddressTaken> {
+        let began = time::Instant::now();
+        while !self.is_live(index).await {
+            self.entries[index].look_for_early_end()?;
+            assert!(began.elapsed() < PATIENCE, "entry-{index} does not answer");
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    async fn is_live(&self, index: usize) -> bool {
+        let call = client::Call::get(self.entries[index].operator_address, "/livez");
+        let limit = time::Duration::from_secs(2);
+        self.client.send_within(limit, call).await.is_ok()
+    }
+
     /// Waits until an entry instance answers operators.
     pub(crate) async fn wait_until_live(&self, index: usize) {
-        let entry = &self.entries[index];
-        wait_until(&format!("answer of {}", entry.name), || async {
-            let call = client::Call::get(entry.operator_address, "/livez");
-            let limit = time::Duration::from_secs(2);
-            self.client.send_within(limit, call).await.is_ok()
-        })
-        .await;
+        wait_until(&format!("answer of entry-{index}"), || self.is_live(index)).await;
     }
 
     /// Waits until these entry instances have this revision of the catalogue
--- a/crates/figscale/tests/harness/process.rs
+++ b/crates/figscale/tests/harness/process.rs
@@ -10,6 +10,16 @@
 use nix::unistd;
 use serde_json::json;
 
+/// What the system says when somebody else listens on an address.
+const TAKEN: &str = "Address already in use";
+
+/// An entry instance ended because somebody else listens on its address.
+#[derive(Debug)]
+pub(crate) struct AddressTaken {
+    /// What the process said.
+    pub(crate) log: String,
+}
+
 /// An entry instance, running or not.
 pub(crate) struct Entry {
     pub(crate) name: String,
@@ -82,6 +92,17 @@
         signal::kill(pid, signal).unwrap();
     }
 
+    /// Fails when the process has ended because an address is taken; panics
+    /// when it has ended for any other reason.
+    pub(crate) fn look_for_early_end(&mut self) -> Result<(), AddressTaken> {
+        let Some(status) = self.try_wait() else {
+            return Ok(());
+        };
+        let log = fs::read_to_string(&self.log_file).unwrap();
+        assert!(log.contains(TAKEN), "{} ended: {status}\n{log}", self.name);
+        Err(AddressTaken { log })
+    }
+
     /// The process's end, if it has ended.
     pub(crate) fn try_wait(&mut self) -> Option<process::ExitStatus> {
         let child = self.child.as_mut().expect("a process");
--- /dev/null
+++ b/crates/figscale/tests/harness_ports.rs
@@ -0,0 +1,20 @@
+//! The harness itself: an address that somebody else took is no failure.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod harness;
+
+use std::net;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_taken_address_is_given_up() {
+    let taken = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken_address = taken.local_addr().unwrap();
+    let plan = harness::Plan {
+        caller_address: Some(taken_address),
+        ..harness::Plan::default()
+    };
+    let cell = harness::Cell::start(plan).await;
+    assert_ne!(cell.caller_address(0), taken_address);
+    cell.wait_for_members(&[0, 1]).await;
+}
