Stop the newest of tasks that use too much, so that some come to their end

Cause: relief stops the worst first, and among tasks that are alike that was the oldest. What is stopped is queued and placed again by its declared size, and at the next report the survivor is the oldest: none ever ends. Seen over processes (trial, 84 tasks of 1,193 ms that use ten times what they declare, an entry instance frozen and one killed): 15 had ended after 45 s, the others were at attempts of 20 and more. Ruled out for that run by the dumps of homes and placers: a home kept while paused, an inventory that never comes, a shard without a ready placer. Change: excess is compared in sixteenths of the worker, and of tasks about as bad the one that ran least goes first. Tests: over_use_by_all_lets_them_end_one_after_another failed first (0 ended in 40 rounds of reports).

--- a/crates/figscale-core/src/job/placement/sync.rs
+++ b/crates/figscale-core/src/job/placement/sync.rs
@@ -1,5 +1,6 @@
 //! Takes a worker's report over into the cluster.
 
+use std::cmp;
 use std::time;
 
 use figscale_types::ids;
@@ -10,6 +11,9 @@
 use super::work;
 use super::worker;
 
+/// Steps by which use beyond a reservation is compared, for a whole worker.
+const EXCESS_STEPS: f64 = 16.0;
+
 /// What a report changed.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SyncOutcome {
@@ -140,8 +144,10 @@
                 over.push(holding);
             }
         }
-        // The worst first: the fewest tasks are touched.
-        over.sort_by(|a, b| excess(b, worker).total_cmp(&excess(a, worker)));
+        // The worst first: the fewest tasks are touched. Of those that are about
+        // as bad the newest first, or tasks that are alike are all stopped in
+        // turn and none ever comes to its end.
+        over.sort_by_key(|holding| (cmp::Reverse(excess(holding, worker)), holding.ran_ms));
         for holding in over {
             if worker.capacity.holds(&used) {
                 return;
@@ -174,9 +180,10 @@
     }
 }
 
-fn excess(holding: &work::Holding, worker: &worker::Worker) -> f64 {
+/// Use beyond the reservation, in steps of a share of the worker.
+fn excess(holding: &work::Holding, worker: &worker::Worker) -> u32 {
     let over = holding.used.minus(&holding.ask.size);
-    over.dominant_share(&worker.capacity)
+    (over.dominant_share(&worker.capacity) * EXCESS_STEPS) as u32
 }
 
 /// Memory cannot be taken back from a running task; processor time can.
--- a/crates/figscale-core/tests/placement/room.rs
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -402,3 +402,53 @@
     let later = now + time::Duration::from_secs(6);
     assert!(cluster.place(&plain(0), later, None).is_ok());
 }
+
+/// Tasks that all use ten times what they declare, on a worker that holds one
+/// of them so; each report has what does not fit stopped, and others placed.
+#[test]
+fn over_use_by_all_lets_them_end_one_after_another() {
+    const ROUND_MS: u64 = 250;
+    const RUN_MS: u64 = 1_000;
+    const ROUNDS: u32 = 40;
+    let used = kit::size(40_000, 40, 0);
+    let mut now = time::Instant::now();
+    let mut cluster = kit::cluster(1);
+    let mut running: Vec<(ids::TaskId, u64)> = Vec::new();
+    let mut ended = 0;
+    for index in 0..ROUNDS {
+        for slot in 0..16 {
+            let index = index * 16 + slot;
+            let size = kit::size(4_000, 4, 0);
+            let ask = kit::ask("greedy", index, size, catalogue::Urgency::Deadline);
+            if cluster.place(&ask, now, None).is_ok() {
+                running.push((ask.task, 0));
+            }
+        }
+        now += time::Duration::from_millis(ROUND_MS);
+        let lines = running.iter_mut().map(|(task, ran_ms)| {
+            *ran_ms += ROUND_MS;
+            let holding = cluster.holding(task).expect("placed");
+            let phase = match *ran_ms >= RUN_MS {
+                true => protocol::TaskPhase::Done,
+                false => protocol::TaskPhase::Running,
+            };
+            protocol::TaskReport {
+                phase,
+                ran_ms: *ran_ms,
+                ..kit::running(holding, used)
+            }
+        });
+        let lines = lines.collect();
+        let worker = cluster.workers().next().expect("a worker");
+        let report = kit::report(worker, lines);
+        let outcome = cluster.sync(&report, now, now);
+        ended += outcome.ended.len();
+        for (task, action) in &outcome.relief {
+            assert_eq!(*action, protocol::TaskAction::Stop);
+            cluster.release(task);
+        }
+        running.retain(|(task, _)| cluster.holding(task).is_some());
+    }
+    // One at a time, for 1 s of the 10 s each.
+    assert!(ended >= 9, "{ended} ended in {ROUNDS} rounds");
+}
