Reserve by what was seen: learned sizes in the placer

Cause: room was given by declared sizes alone, so work that uses ten times as much was placed, seen and stopped again and again. Change: the placer observes what ended tasks used at their peak, by entry and owner, and reserves the larger of that and the declared size, at most a whole worker. A start still carries the declared size, which is the worker's bound; quotas count as before. What is learned stays in its process. The simulated workers report how long tasks ran, and may use more than declared. Dump: a home says where its tasks stand and what it waits for.

--- a/crates/figscale-core/src/job/home/mod.rs
+++ b/crates/figscale-core/src/job/home/mod.rs
@@ -16,6 +16,7 @@
 mod gang;
 mod job;
 mod news;
+mod outline;
 mod queue;
 mod recover;
 mod submit;
@@ -32,6 +33,7 @@
 
 use super::message;
 
+pub use outline::Outline;
 pub use submit::Submission;
 pub use write::ReadOutcome;
 pub use write::WriteOutcome;
--- a/crates/figscale-core/src/job/home/recover.rs
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Worker shards whose holder has not told all that it has.
+    pub(super) fn unconfirmed(&self) -> Vec<ids::ShardId> {
+        let open = self.shards.iter().filter(|(_, view)| !view.complete);
+        open.map(|(id, _)| id.clone()).collect()
+    }
+
     fn unknown_since(&self) -> Option<time::Instant> {
         self.jobs
             .values()
--- a/crates/figscale-core/src/job/placement/feasibility.rs
+++ b/crates/figscale-core/src/job/placement/feasibility.rs
@@ -24,11 +24,16 @@
 impl CellShape {
     /// The workers among the platform's instances; leaving ones do not count.
     pub fn of(list: &instances::InstanceList) -> Self {
+        Self::of_all(&list.instances)
+    }
+
+    /// As [`CellShape::of`], for some of the lines of the list.
+    pub fn of_all<'a>(all: impl IntoIterator<Item = &'a instances::Instance>) -> Self {
         let mut shape = Self::default();
         let live = |i: &&instances::Instance| {
             i.role == instances::Role::Worker && i.life == instances::Life::Live
         };
-        for instance in list.instances.iter().filter(live) {
+        for instance in all.into_iter().filter(live) {
             *shape.counts.entry(instance.capacity).or_default() += 1;
             shape.total = shape.total.plus(&instance.capacity);
         }
--- a/crates/figscale-core/src/job/placer/mod.rs
+++ b/crates/figscale-core/src/job/placer/mod.rs
@@ -163,6 +163,10 @@
     shares: placement::Shares,
     /// Whose fault failures were.
     faults: placement::fault::Faults,
+    /// What tasks were seen to use.
+    learner: placement::learn::Learner,
+    /// Sizes of the workers held here, which bound what is reserved.
+    sizes: placement::feasibility::CellShape,
     /// What was seen of each home.
     homes: IndexMap<ids::ShardId, HomeSeen>,
     actions: Vec<Action>,
@@ -181,6 +185,8 @@
             planner: placement::preempt::Planner::default(),
             shares: placement::Shares::default(),
             faults: placement::fault::Faults::default(),
+            learner: placement::learn::Learner::default(),
+            sizes: placement::feasibility::CellShape::default(),
             homes: IndexMap::new(),
             actions: Vec::new(),
             duplicates: 0,
@@ -207,6 +213,8 @@
             self.list_workers(now, id, &new.workers);
         }
         self.faults.set_total_workers(self.sessions.len());
+        let workers = held.values().flat_map(|shard| &shard.workers);
+        self.sizes = placement::feasibility::CellShape::of_all(workers);
         self.open_workers(now);
     }
 
--- a/crates/figscale-core/src/job/placer/orders.rs
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -144,6 +144,7 @@
             shard: session.shard.clone(),
             worker,
             state: message::TaskState::Held,
+            entry: Some(order.entry.clone()),
             order: Some(Box::new(order)),
             hold_until: Some(now + self.config.hold),
             start_bound: None,
--- a/crates/figscale-core/src/job/placer/report.rs
+++ b/crates/figscale-core/src/job/placer/report.rs
@@ -118,6 +118,7 @@
             session.proven = proven;
         }
         let outcome = self.cluster.sync(report, asked_at, now);
+        self.learn(&outcome.ended);
         for line in &report.tasks {
             self.on_line(now, target, line);
         }
@@ -246,6 +247,7 @@
             shard: session.shard.clone(),
             worker: target.worker.clone(),
             state,
+            entry: None,
             order: None,
             hold_until: None,
             start_bound: None,
--- a/crates/figscale-core/src/job/placer/room.rs
+++ b/crates/figscale-core/src/job/placer/room.rs
@@ -51,7 +51,7 @@
         order: &message::TaskOrder,
     ) -> Option<ids::InstanceId> {
         let barred = self.barred(scope, order);
-        let mut ask = ask(order);
+        let mut ask = self.ask(order);
         ask.avoid.extend(barred.iter().cloned());
         if let Ok(worker) = self.cluster.place(&ask, now, None) {
             return Some(worker);
@@ -69,7 +69,7 @@
         if order.urgency == catalogue::Urgency::BestEffort {
             return;
         }
-        let mut ask = ask(order);
+        let mut ask = self.ask(order);
         ask.avoid = self.barred(scope, order);
         let Some(plan) = self.planner.plan(&mut self.cluster, &ask) else {
             return;
@@ -80,7 +80,45 @@
 
     /// Takes over what a task is that was found running.
     pub(super) fn describe(&mut self, order: &message::TaskOrder) {
-        self.cluster.describe(ask(order));
+        if let Some(task) = self.tasks.get_mut(&order.attempt.task) {
+            task.entry = Some(order.entry.clone());
+        }
+        self.cluster.describe(self.ask(order));
+    }
+
+    /// Takes over what ended tasks used, for those that are placed later.
+    pub(super) fn learn(&mut self, ended: &[(worker::TaskPhase, placement::Holding)]) {
+        for (phase, holding) in ended {
+            let task = self.tasks.get(&holding.ask.task);
+            let entry = task.and_then(|task| task.entry.as_ref());
+            let (Some(entry), Some(owner)) = (entry, &holding.ask.owner) else {
+                continue;
+            };
+            let done = *phase == worker::TaskPhase::Done;
+            let run = done.then(|| time::Duration::from_millis(holding.ran_ms));
+            self.learner.observe(entry, owner, &holding.peak, run);
+        }
+    }
+
+    /// What an order wants, by what was learned of the like.
+    fn ask(&self, order: &message::TaskOrder) -> placement::Ask {
+        let learned = self.learner.learned(&order.entry, &order.owner);
+        let size = self.sizes.reservation(&order.resources, &learned.size);
+        placement::Ask {
+            task: order.attempt.task.clone(),
+            attempt: order.attempt.number,
+            owner: Some(order.owner.clone()),
+            class: order.class,
+            urgency: order.urgency,
+            size,
+            declared: order.resources,
+            guard: placement::Guard {
+                idempotent: order.idempotent,
+                checkpointable: order.checkpointable,
+                preemptible: order.preemptible,
+            },
+            avoid: order.avoid.clone(),
+        }
     }
 
     /// Moves tasks off workers that are leaving: what can be saved is saved,
@@ -185,21 +223,3 @@
         summary
     }
 }
-
-fn ask(order: &message::TaskOrder) -> placement::Ask {
-    placement::Ask {
-        task: order.attempt.task.clone(),
-        attempt: order.attempt.number,
-        owner: Some(order.owner.clone()),
-        class: order.class,
-        urgency: order.urgency,
-        size: order.resources,
-        declared: order.resources,
-        guard: placement::Guard {
-            idempotent: order.idempotent,
-            checkpointable: order.checkpointable,
-            preemptible: order.preemptible,
-        },
-        avoid: order.avoid.clone(),
-    }
-}
--- a/crates/figscale-core/src/job/placer/task.rs
+++ b/crates/figscale-core/src/job/placer/task.rs
@@ -17,6 +17,9 @@
     pub(super) shard: ids::ShardId,
     pub(super) worker: ids::InstanceId,
     pub(super) state: message::TaskState,
+    /// Catalogue entry; `None` until the home has told what a task is that was
+    /// found running.
+    pub(super) entry: Option<ids::EntryName>,
     /// What to start once told to.
     pub(super) order: Option<Box<message::TaskOrder>>,
     /// When a reservation is given back.
--- a/crates/figscale-core/tests/job_sim/main.rs
+++ b/crates/figscale-core/tests/job_sim/main.rs
@@ -188,6 +188,29 @@
     assert!(world.starts_on(0) < 20, "{} losses", world.starts_on(0));
 }
 
+/// Tasks that use ten times what they declare, of which a worker holds one: a
+/// first job teaches it, a second one is placed by it and starts each task once.
+#[test]
+fn use_beyond_what_is_declared_is_learned() {
+    let mut world = World::new(8, 1, 2);
+    world.run(SECOND);
+    for worker in &mut world.workers {
+        worker.use_factor = 10;
+    }
+    let batch = || terms(catalogue::JobClass::Batch);
+    let (first, second) = (name("first", 1), name("second", 1));
+    world.submit(&first, spec(12, 300, 1_000, true), batch());
+    world.run(40 * SECOND);
+    assert_eq!(state(&world, &first), Some(jobs::JobState::Done));
+    let before: u32 = world.starts.values().sum();
+    world.submit(&second, spec(12, 300, 1_000, true), batch());
+    world.run(20 * SECOND);
+    assert_eq!(state(&world, &second), Some(jobs::JobState::Done));
+    let starts = world.starts.values().sum::<u32>() - before;
+    assert_eq!(starts, 12, "after {before} starts of the first job");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// One owner's long queue does not hold up another owner's first tasks.
 #[test]
 fn owners_take_turns() {
--- a/crates/figscale-core/tests/job_sim/worker.rs
+++ b/crates/figscale-core/tests/job_sim/worker.rs
@@ -7,12 +7,16 @@
 use figscale_types::worker;
 use indexmap::IndexMap;
 
+/// Time for which a task runs before its use is seen.
+const WARM: time::Duration = time::Duration::from_millis(300);
+
 /// A task on the worker.
 pub(crate) struct Task {
     pub(crate) attempt: u32,
     pub(crate) phase: worker::TaskPhase,
     pub(crate) reserved: sizes::Resources,
     pub(crate) home_epoch: ids::Epoch,
+    started_at: time::Instant,
     pub(crate) ends_at: time::Instant,
     pub(crate) lease_until: time::Instant,
 }
@@ -29,6 +33,8 @@
     pub(crate) leaving: bool,
     /// Whether every task fails soon after its start.
     pub(crate) fails: bool,
+    /// What tasks use of what was declared for them, once they are warm.
+    pub(crate) use_factor: u64,
     pub(crate) frozen_until: Option<time::Instant>,
     pub(crate) cut_until: Option<time::Instant>,
     pub(crate) tasks: IndexMap<ids::TaskId, Task>,
@@ -113,6 +119,7 @@
             phase: worker::TaskPhase::Running,
             reserved: call.resources,
             home_epoch: call.home_epoch,
+            started_at: now,
             ends_at: now + time::Duration::from_millis(if self.fails { 20 } else { call.run_ms }),
             lease_until: self.lease_end(now, call.lease_ms),
         };
@@ -170,14 +177,26 @@
         self.report(now, false)
     }
 
+    fn use_of(&self, task: &Task, now: time::Instant) -> sizes::Resources {
+        let factor = match ran(task, now) >= WARM {
+            true => self.use_factor,
+            false => 1,
+        };
+        sizes::Resources {
+            cpu_millis: sizes::CpuMillis(task.reserved.cpu_millis.0 * factor),
+            memory_bytes: sizes::Bytes(task.reserved.memory_bytes.0 * factor),
+            ..task.reserved
+        }
+    }
+
     fn report(&self, now: time::Instant, stale: bool) -> worker::WorkerReport {
         let line = |(id, task): (&ids::TaskId, &Task)| worker::TaskReport {
             task: id.clone(),
             attempt: task.attempt,
             phase: task.phase,
             reserved: task.reserved,
-            used: task.reserved,
-            ran_ms: 0,
+            used: self.use_of(task, now),
+            ran_ms: ran(task, now).as_millis() as u64,
             home_epoch: task.home_epoch,
         };
         worker::WorkerReport {
@@ -191,3 +210,7 @@
         }
     }
 }
+
+fn ran(task: &Task, now: time::Instant) -> time::Duration {
+    now.saturating_duration_since(task.started_at)
+}
--- a/crates/figscale-core/tests/job_sim/world.rs
+++ b/crates/figscale-core/tests/job_sim/world.rs
@@ -213,6 +213,7 @@
             epoch: ids::Epoch(0),
             leaving: false,
             fails: false,
+            use_factor: 1,
             frozen_until: None,
             cut_until: None,
             tasks: IndexMap::new(),
