Show homes and placers when a job does not end; 16 tasks a job again

wait_for prints the status of the job and the dump of every entry instance that answers, beside the logs. wrong_sizes has 16 tasks a job instead of 8, at which it was seen to catch a missing check of room (docs/design/jobs.md).

--- a/crates/figscale/src/jobs/service.rs
+++ b/crates/figscale/src/jobs/service.rs
@@ -571,12 +571,19 @@
             .iter()
             .map(|(id, home)| {
                 let (jobs, queued) = home.len();
+                let outline = home.outline();
                 let line = serde_json::json!({
                     "epoch": home.key().epoch,
                     "jobs": jobs,
                     "queued": queued,
                     "writes": home.writes(),
                     "recovered": home.is_recovered(),
+                    "tasks": outline.tasks,
+                    "most_attempts": outline.most_attempts,
+                    "unconfirmed": outline.unconfirmed,
+                    "paused": outline.paused,
+                    "draining": outline.draining,
+                    "fenced": outline.fenced,
                 });
                 (id.to_string(), line)
             })
--- a/crates/figscale/tests/harness/mod.rs
+++ b/crates/figscale/tests/harness/mod.rs
@@ -337,6 +337,11 @@
         }
     }
 
+    /// Entry instances of the cell, running or not.
+    pub(crate) fn entries(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Calls of an operator to an entry instance.
     pub(crate) fn operator(&self, index: usize) -> operator::Operator {
         operator::Operator::new(self.client.clone(), self.entries[index].operator_address)
--- a/crates/figscale/tests/jobs_faults.rs
+++ b/crates/figscale/tests/jobs_faults.rs
@@ -26,7 +26,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_sizes_never_fill_a_worker_beyond_what_it_holds() {
     let mut cell = start(plan(3, 3)).await;
-    let mut greedy = spec("tides", 8, 500, true);
+    let mut greedy = spec("tides", 16, 500, true);
     greedy.task.cpu_millis.0 = 4_000;
     greedy.command = "use=10".to_owned();
     for number in 0..6 {
--- a/crates/figscale/tests/jobs_support/mod.rs
+++ b/crates/figscale/tests/jobs_support/mod.rs
@@ -6,6 +6,8 @@
     reason = "Each test binary uses a part."
 )]
 
+use std::time;
+
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
@@ -96,10 +98,26 @@
     name: &str,
     wanted: jobs::JobState,
 ) {
-    harness::wait_until(&format!("{name} {wanted:?}"), || async {
-        state(cell, entry, name).await == Some(wanted)
-    })
-    .await;
+    let began = time::Instant::now();
+    while state(cell, entry, name).await != Some(wanted) {
+        if began.elapsed() >= harness::PATIENCE {
+            let status = cell.operator(entry).job(&id(name)).await;
+            let dumps = dumps(cell).await;
+            panic!("{name} is not {wanted:?} but {status:?}\n{dumps}");
+        }
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
+
+/// What the entry instances that answer know of homes and placers.
+async fn dumps(cell: &harness::Cell) -> String {
+    let mut all = String::new();
+    for index in 0..cell.entries() {
+        let dump = cell.operator(index).dump().await;
+        let jobs = dump.map(|dump| dump["jobs"].clone());
+        all += &format!("entry-{index}: {jobs:#?}\n");
+    }
+    all
 }
 
 /// What must hold whatever happened.
