--- a/crates/figscale-standin/src/experiment/capacity/catalogue.rs
+++ b/crates/figscale-standin/src/experiment/capacity/catalogue.rs
@@ -14,6 +14,11 @@
     Ok(format!("batch-{owner}").parse()?)
 }
 
+/// Entry for urgent tasks of an owner.
+pub(super) fn urgent_entry(owner: usize) -> eyre::Result<ids::EntryName> {
+    Ok(format!("urgent-{owner}").parse()?)
+}
+
 /// Entry for requests of an owner.
 pub(super) fn request_entry(owner: usize) -> eyre::Result<ids::EntryName> {
     Ok(format!("quote-{owner}").parse()?)
@@ -24,7 +29,7 @@
     Ok(format!("owner-{number}").parse()?)
 }
 
-/// A catalogue of so many owners with three entries each; another `version`
+/// A catalogue of so many owners with four entries each; another `version`
 /// differs in the weight of one owner.
 pub(super) fn of(owners: usize, version: usize) -> eyre::Result<catalogue::Catalogue> {
     let mut all = catalogue::Catalogue::default();
@@ -80,18 +85,24 @@
         entries.insert(name, entry);
         Ok(())
     };
-    insert(batch_entry(number)?, tasks(catalogue::JobClass::Batch))?;
+    let (deadline, interactive) = (
+        catalogue::Urgency::Deadline,
+        catalogue::Urgency::Interactive,
+    );
+    let (batch, service) = (catalogue::JobClass::Batch, catalogue::JobClass::Service);
+    insert(batch_entry(number)?, tasks(batch, deadline))?;
+    insert(urgent_entry(number)?, tasks(batch, interactive))?;
     insert(
         format!("service-{number}").parse()?,
-        tasks(catalogue::JobClass::Service),
+        tasks(service, deadline),
     )?;
     insert(request_entry(number)?, requests()?)
 }
 
-fn tasks(class: catalogue::JobClass) -> catalogue::Policy {
+fn tasks(class: catalogue::JobClass, urgency: catalogue::Urgency) -> catalogue::Policy {
     catalogue::Policy::Tasks(catalogue::TaskPolicy {
         class,
-        urgency: catalogue::Urgency::Deadline,
+        urgency,
         max_tasks: 1_000,
         max_task: None,
         max_run_ms: 24 * 3_600_000,
--- a/crates/figscale-standin/src/experiment/capacity/entry.rs
+++ b/crates/figscale-standin/src/experiment/capacity/entry.rs
@@ -153,6 +153,16 @@
 }
 
 impl Entry {
+    /// Its process id.
+    pub(super) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether its process has ended.
+    pub(super) fn has_ended(&mut self) -> eyre::Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
     /// What it has used up to now.
     pub(super) fn look(&self) -> eyre::Result<Look> {
         let bytes = |link: &proxy::Handle| {
--- a/crates/figscale-standin/src/experiment/capacity/load.rs
+++ b/crates/figscale-standin/src/experiment/capacity/load.rs
@@ -24,6 +24,10 @@
 const SHORT_RUN_MS: u64 = 1_000;
 /// Run time of a task that does not.
 const LONG_RUN_MS: u64 = 3_600_000;
+/// Run time of an urgent task.
+const URGENT_RUN_MS: u64 = 500;
+/// Longest wait for an urgent task to start.
+const URGENT_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// Time between looks.
 const LOOK: time::Duration = time::Duration::from_millis(5);
 
@@ -150,6 +154,43 @@
     }
 }
 
+/// Submits urgent jobs of one task, one after the other, for a while; returns
+/// the times from submission until each was seen to run.
+pub(super) fn urgent(
+    fleet: &fleet::Fleet,
+    duration: time::Duration,
+) -> task::JoinHandle<eyre::Result<Vec<time::Duration>>> {
+    let operators = operators(fleet);
+    let owners = fleet.size.owners;
+    tokio::spawn(async move {
+        let end = time::Instant::now() + duration;
+        let mut times = Vec::new();
+        while time::Instant::now() < end {
+            let number = times.len();
+            let operator = &operators[number % operators.len()];
+            times.push(urgent_start(operator, number % owners).await?);
+            tokio::time::sleep(SUBMIT_EVERY).await;
+        }
+        Ok(times)
+    })
+}
+
+async fn urgent_start(operator: &Operator, owner: usize) -> eyre::Result<time::Duration> {
+    let mut spec = job(owner, owner + 1, 1, URGENT_RUN_MS)?;
+    spec.entry = catalogue::urgent_entry(owner)?;
+    let id = new_id()?;
+    let began = time::Instant::now();
+    operator.submit(&id, &spec).await?;
+    while operator.job(&id).await?.state == jobs::JobState::Queued {
+        eyre::ensure!(
+            began.elapsed() < URGENT_LIMIT,
+            "an urgent task did not start within {URGENT_LIMIT:?}"
+        );
+        tokio::time::sleep(LOOK).await;
+    }
+    Ok(began.elapsed())
+}
+
 /// Submits jobs of long tasks until so many run; returns how many do by then.
 pub(super) async fn run_tasks(
     fleet: &fleet::Fleet,
--- a/crates/figscale-standin/src/experiment/capacity/measure.rs
+++ b/crates/figscale-standin/src/experiment/capacity/measure.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use figscale_types::ids;
 use indexmap::IndexMap;
 use serde::Serialize;
 
@@ -76,6 +77,16 @@
         })
     }
 
+    /// Begins to measure those that stay when these members go.
+    pub(super) fn now_without(fleet: &fleet::Fleet, gone: &[ids::MemberId]) -> eyre::Result<Self> {
+        let stays = |entry: &&entry::Entry| !gone.contains(&entry.addresses.member);
+        let looks = fleet.entries.iter().filter(stays).map(entry::Entry::look);
+        Ok(Self {
+            looks: looks.collect::<eyre::Result<_>>()?,
+            ..Self::now(fleet)?
+        })
+    }
+
     /// What was used since.
     pub(super) fn row(
         self,
@@ -94,7 +105,7 @@
         let mut row = Row {
             series,
             size,
-            entries: fleet.size.entries,
+            entries: fleet.entries.len(),
             workers: fleet.size.workers,
             store_kb_per_s: each_kb_per_s(grown(|look| look.store_bytes)),
             peer_kb_per_s: each_kb_per_s(grown(|look| look.peer_bytes)),
--- a/crates/figscale-standin/src/experiment/capacity/mod.rs
+++ b/crates/figscale-standin/src/experiment/capacity/mod.rs
@@ -12,17 +12,18 @@
 
 mod catalogue;
 mod entry;
+mod faults;
 pub mod fit;
 mod fleet;
 mod load;
 mod measure;
+mod series;
 mod table;
 mod usage;
 
 use std::time;
 
 use measure::Row;
-use measure::Start;
 
 /// What to measure, and for how long.
 #[derive(Clone, Debug)]
@@ -75,14 +76,8 @@
     }
 }
 
-/// Time that a load goes on before it is measured.
-const WARM_UP: time::Duration = time::Duration::from_secs(1);
-/// Longest wait for tasks to start or end.
-const TASKS_LIMIT: time::Duration = time::Duration::from_secs(25);
-/// Longest wait for a change to be in force everywhere.
-const CHANGE_LIMIT: time::Duration = time::Duration::from_secs(5);
-/// Changes whose way is timed for each number of owners.
-const TIMED_CHANGES: usize = 5;
+/// Longest wait for tasks to end.
+const IDLE_LIMIT: time::Duration = time::Duration::from_secs(25);
 
 /// Measures everything and prints the table.
 pub(super) async fn measure(quick: bool) -> eyre::Result<super::Lines> {
@@ -152,32 +147,49 @@
     async fn under_load(&mut self, fleet: &mut fleet::Fleet) {
         let plan = self.plan.clone();
         for rate in plan.request_rates {
-            let row = requests(fleet, rate, plan.window).await;
+            let row = series::requests(fleet, rate, plan.window).await;
             self.add(&format!("{rate} requests/s"), row);
         }
         for owners in plan.owners {
-            let row = changes_in_force(fleet, owners).await;
+            let row = series::changes_in_force(fleet, owners).await;
             self.add(&format!("changes with {owners} owners"), row);
         }
         for rate in plan.change_rates {
-            let row = changes(fleet, rate, plan.window).await;
+            let row = series::changes(fleet, rate, plan.window).await;
             self.add(&format!("{rate} changes/s"), row);
         }
         for rate in plan.start_rates {
             if self.is_late("task starts") {
                 break;
             }
-            let row = starts(fleet, rate, plan.window).await;
+            let row = series::starts(fleet, rate, plan.window).await;
             self.add(&format!("{rate} task starts/s"), row);
-            load::wait_until_idle(fleet, TASKS_LIMIT).await;
+            load::wait_until_idle(fleet, IDLE_LIMIT).await;
         }
         for count in plan.running {
             if self.is_late("running tasks") {
                 break;
             }
-            let row = running(fleet, count, plan.window).await;
+            let row = series::running(fleet, count, plan.window).await;
             self.add(&format!("{count} running tasks"), row);
         }
+        self.under_faults(fleet).await;
+    }
+
+    /// Ends entry processes while the last number of tasks runs.
+    async fn under_faults(&mut self, fleet: &mut fleet::Fleet) {
+        if self.is_late("entry processes that go") {
+            return;
+        }
+        let row = series::replaced(fleet, self.plan.window).await;
+        self.add("an entry process replaced", row);
+        for count in [1, 2] {
+            if self.is_late("entry processes killed") {
+                return;
+            }
+            let row = series::killed(fleet, count, self.plan.window).await;
+            self.add(&format!("{count} entry processes killed"), row);
+        }
     }
 
     async fn fleet(&mut self, size: fleet::Size) -> Option<fleet::Fleet> {
@@ -194,7 +206,7 @@
     }
 
     async fn rest(&mut self, fleet: &fleet::Fleet, series: &'static str, size: usize) {
-        let row = rest(fleet, series, size, self.plan.window).await;
+        let row = series::rest(fleet, series, size, self.plan.window).await;
         self.add(series, row);
     }
 
@@ -216,134 +228,3 @@
         }
     }
 }
-
-async fn rest(
-    fleet: &fleet::Fleet,
-    series: &'static str,
-    size: usize,
-    window: time::Duration,
-) -> eyre::Result<Row> {
-    let start = Start::now(fleet)?;
-    tokio::time::sleep(window).await;
-    let row = start.row(fleet, series, size as f64)?;
-    let documents = fleet.documents();
-    let claims = documents.get("claims").copied().unwrap_or_default();
-    let list = fleet.instance_list_bytes().await?;
-    Ok(row
-        .with("claims document bytes", claims as f64)
-        .with("instance list bytes", list as f64))
-}
-
-fn need_catalogue(fleet: &fleet::Fleet) -> eyre::Result<()> {
-    eyre::ensure!(fleet.revision.0 > 0, "no catalogue is in force");
-    Ok(())
-}
-
-async fn requests(
-    fleet: &fleet::Fleet,
-    rate_per_s: f64,
-    window: time::Duration,
-) -> eyre::Result<Row> {
-    need_catalogue(fleet)?;
-    let load = load::requests(fleet, rate_per_s, window + 2 * WARM_UP)?;
-    tokio::time::sleep(WARM_UP).await;
-    let start = Start::now(fleet)?;
-    tokio::time::sleep(window).await;
-    let row = start.row(fleet, "requests/s", rate_per_s)?;
-    let report = load.await?;
-    let wrong = report.false_not_run(&fleet.requests).len() as u64 + report.all.wrong;
-    Ok(row
-        .with("answered", report.all.own as f64)
-        .with("of", report.all.requests as f64)
-        .with("wrong", wrong as f64)
-        .with("wait p50 ms", report.all.wait.p50_ms)
-        .with("wait p99 ms", report.all.wait.p99_ms))
-}
-
-async fn changes_in_force(fleet: &mut fleet::Fleet, owners: usize) -> eyre::Result<Row> {
-    need_catalogue(fleet)?;
-    let start = Start::now(fleet)?;
-    let mut times_ms = Vec::new();
-    let mut late = 0;
-    for version in 0..TIMED_CHANGES {
-        match load::change(fleet, owners, version, CHANGE_LIMIT).await? {
-            Some(time) => times_ms.push(time.as_secs_f64() * 1e3),
-            None => late += 1,
-        }
-    }
-    let row = start.row(fleet, "owners", owners as f64)?;
-    let document = fleet.catalogue_bytes();
-    let slowest = times_ms.iter().copied().fold(0.0, f64::max);
-    times_ms.sort_by(f64::total_cmp);
-    let middle = times_ms.get(times_ms.len() / 2).copied().unwrap_or(0.0);
-    Ok(row
-        .with("in force ms, median", middle)
-        .with("in force ms, slowest", slowest)
-        .with("later than the limit", f64::from(late))
-        .with("catalogue bytes", catalogue_len(owners)? as f64)
-        .with("catalogue document bytes", document as f64))
-}
-
-/// Bytes of the catalogue alone, without the history beside it.
-fn catalogue_len(owners: usize) -> eyre::Result<usize> {
-    Ok(serde_json::to_vec(&catalogue::of(owners, 0)?)?.len())
-}
-
-async fn changes(
-    fleet: &mut fleet::Fleet,
-    rate_per_s: f64,
-    window: time::Duration,
-) -> eyre::Result<Row> {
-    need_catalogue(fleet)?;
-    let start = Start::now(fleet)?;
-    let accepted = load::changes(fleet, rate_per_s, window).await;
-    let row = start.row(fleet, "changes/s", accepted as f64 / window.as_secs_f64())?;
-    let document = fleet.catalogue_bytes();
-    Ok(row.with("catalogue document bytes", document as f64))
-}
-
-async fn starts(
-    fleet: &fleet::Fleet,
-    rate_per_s: f64,
-    window: time::Duration,
-) -> eyre::Result<Row> {
-    need_catalogue(fleet)?;
-    let load = load::starts(fleet, rate_per_s, window + 2 * WARM_UP);
-    // The tasks of the first second must end before starts and ends balance.
-    tokio::time::sleep(2 * WARM_UP).await;
-    let before = load::started(fleet);
-    let began = time::Instant::now();
-    let start = Start::now(fleet)?;
-    tokio::time::sleep(window).await;
-    let started = load::started(fleet) - before;
-    let per_s = started as f64 / began.elapsed().as_secs_f64();
-    let row = start.row(fleet, "task starts/s", per_s)?;
-    let submitted = load.await?;
-    let documents = fleet.job_documents();
-    Ok(row
-        .with("asked for", rate_per_s)
-        .with("jobs accepted", submitted.accepted as f64)
-        .with("jobs refused", submitted.refused as f64)
-        .with("tasks so far", load::started(fleet) as f64)
-        .with("largest job document bytes", documents.largest as f64)
-        .with("job documents bytes", documents.all as f64))
-}
-
-async fn running(fleet: &fleet::Fleet, count: usize, window: time::Duration) -> eyre::Result<Row> {
-    need_catalogue(fleet)?;
-    let began = time::Instant::now();
-    load::run_tasks(fleet, count, TASKS_LIMIT).await?;
-    let took = began.elapsed();
-    tokio::time::sleep(WARM_UP).await;
-    let start = Start::now(fleet)?;
-    tokio::time::sleep(window).await;
-    let runs = load::running(fleet);
-    let row = start.row(fleet, "running tasks", runs as f64)?;
-    let documents = fleet.job_documents();
-    Ok(row
-        .with("wanted", count as f64)
-        .with("seconds to get there", took.as_secs_f64())
-        .with("double runs", fleet.tasks.violations().len() as f64)
-        .with("largest job document bytes", documents.largest as f64)
-        .with("job documents bytes", documents.all as f64))
-}
--- a/crates/figscale-standin/src/experiment/capacity/table.rs
+++ b/crates/figscale-standin/src/experiment/capacity/table.rs
@@ -25,6 +25,17 @@
     ("refused, all", |row| row.store_refused_all as f64),
 ];
 
+/// Series during which nothing else happens than what grows; in the others,
+/// asking costs as much as what is asked for.
+const SERIES_AT_A_STEADY_RATE: &[&str] = &[
+    "entries at rest",
+    "workers at rest",
+    "requests/s",
+    "changes/s",
+    "task starts/s",
+    "running tasks",
+];
+
 /// A line through the rows of a series.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct Fitted {
@@ -41,12 +52,15 @@
     }
     let mut all = Vec::new();
     for (series, rows) in by_series {
-        for (name, of) in COLUMNS {
-            let points = rows.iter().map(|row| (row.size, of(row)));
-            all.extend(fitted(series, name, points));
+        if SERIES_AT_A_STEADY_RATE.contains(&series) {
+            for (name, of) in COLUMNS {
+                let points = rows.iter().map(|row| (row.size, of(row)));
+                all.extend(fitted(series, name, points));
+            }
         }
         let first = rows.first().map(|row| row.more.keys());
-        for name in first.into_iter().flatten() {
+        let sizes = first.into_iter().flatten();
+        for name in sizes.filter(|name| name.ends_with("bytes")) {
             let points = rows
                 .iter()
                 .filter_map(|row| Some((row.size, *row.more.get(name)?)));
@@ -124,26 +138,20 @@
             text,
             "| {series} | {column} | {} + {} x size | {} |",
             short(line.at_rest),
-            slope(line.slope),
+            short(line.slope),
             short(line.residual)
         );
     }
 }
 
-/// A figure with about three digits.
+/// A figure with three digits.
 fn short(value: f64) -> String {
-    match value.abs() {
-        size if size >= 100.0 || size == 0.0 => format!("{value:.0}"),
-        size if size >= 10.0 => format!("{value:.1}"),
-        _ => format!("{value:.2}"),
-    }
-}
-
-/// A slope, which may be far below one.
-fn slope(value: f64) -> String {
     match value.abs() {
         0.0 => "0".to_owned(),
-        size if size < 0.1 => format!("{value:.2e}"),
-        _ => short(value),
+        size if size < 0.01 => format!("{value:.2e}"),
+        size if size < 1.0 => format!("{value:.3}"),
+        size if size < 10.0 => format!("{value:.2}"),
+        size if size < 100.0 => format!("{value:.1}"),
+        _ => format!("{value:.0}"),
     }
 }
