--- a/crates/figscale-standin/src/platform/api.rs
+++ b/crates/figscale-standin/src/platform/api.rs
@@ -290,7 +290,16 @@
         .map_err(refused)
 }
 
-async fn instances(State(shared): SharedState) -> impl IntoResponse {
+#[derive(Deserialize)]
+struct InstancesQuery {
+    known: Option<u64>,
+}
+
+async fn instances(State(shared): SharedState, Query(query): Query<InstancesQuery>) -> Response {
     let now = shared.clock.now();
-    Json(mutex::lock(&shared.instances).shown(now))
+    let list = mutex::lock(&shared.instances).shown(now);
+    if query.known == Some(list.revision.0) {
+        return StatusCode::NO_CONTENT.into_response();
+    }
+    Json(list).into_response()
 }
--- a/crates/figscale-standin/src/platform/list.rs
+++ b/crates/figscale-standin/src/platform/list.rs
@@ -36,9 +36,14 @@
         }
     }
 
+    /// Sets the lag, which readers must see as a change of the list.
     pub(crate) fn set_lag(&mut self, lag: time::Duration) {
         self.lag = lag;
         self.shown.lag_ms = millis(lag);
+        self.shown.revision = self.shown.revision.next();
+        for version in &mut self.pending {
+            version.revision = version.revision.next();
+        }
     }
 
     pub(crate) fn change(
--- a/crates/figscale-standin/tests/platform.rs
+++ b/crates/figscale-standin/tests/platform.rs
@@ -291,6 +291,28 @@
     assert!(after.revision > before.revision);
 }
 
+#[tokio::test]
+async fn an_unchanged_instance_list_is_not_sent_again() {
+    let bench = bench(platform::Config::default()).await;
+    let read = async |known: ids::Revision| {
+        let path = format!("/v1/instances?known={known}");
+        bench.send(bench.get(&path)).await
+    };
+    let list = |answer: client::Answer| -> instances::InstanceList { answer.json().unwrap() };
+    let whole = list(read(ids::Revision(0)).await);
+    let unchanged = read(whole.revision).await;
+    assert_eq!(unchanged.status, StatusCode::NO_CONTENT);
+    assert!(unchanged.body.is_empty());
+
+    bench.platform.change_instances(|list| list.push(runner()));
+    let changed = list(read(whole.revision).await);
+    assert_eq!(changed.instances, vec![runner()]);
+    bench
+        .platform
+        .set_instance_lag(time::Duration::from_millis(700));
+    assert_eq!(list(read(changed.revision).await).lag_ms, 700);
+}
+
 fn runner() -> instances::Instance {
     instances::Instance {
         id: "runner-1".parse().expect("legal"),
--- a/crates/figscale-types/src/platform.rs
+++ b/crates/figscale-types/src/platform.rs
@@ -10,7 +10,7 @@
 //! | `POST /v1/leases` with [`LeaseRequest`] | 200, [`LeaseAnswer`] |
 //! | `PUT /v1/leases/ID` | 200 when renewed; 410 when gone |
 //! | `DELETE /v1/leases/ID` | 200; keys under it are deleted |
-//! | `GET /v1/instances` | 200, [`crate::instances::InstanceList`] |
+//! | `GET /v1/instances`, perhaps with `?known=REV` | 200, [`crate::instances::InstanceList`]; 204 when the list still has the revision `REV` |
 //!
 //! Revisions come from one counter of the whole service, so that a key that
 //! was deleted and made again never shows an old one. Any call may be answered
--- a/crates/figscale/src/claims/calls.rs
+++ b/crates/figscale/src/claims/calls.rs
@@ -9,6 +9,7 @@
 use figscale_core::claims::StoreFailure;
 use figscale_types::claims;
 use figscale_types::ids;
+use figscale_types::instances;
 use figscale_types::verdict::Verdict;
 use rand::SeedableRng as _;
 use rand::rngs;
@@ -215,18 +216,26 @@
         }
     }
 
-    /// Reads the instance list again and again.
+    /// Reads the instance list again and again, whole only when it changed.
+    ///
+    /// An unchanged list is handed on all the same: that it still shows or does
+    /// not show a member is news.
     pub(super) fn poll_instances(&self) {
         let calls = self.clone();
         tokio::task::spawn_local(async move {
             let mut delays = Delays::new(&calls.context);
             let pause = time::Duration::from_millis(calls.context.settings.claims.instances_ms);
+            let mut last: Option<sync::Arc<instances::InstanceList>> = None;
             loop {
-                match calls.context.store.instances().await {
-                    Ok(list) => {
+                let known = last.as_ref().map(|list| list.revision);
+                match calls.context.store.instances(known).await {
+                    Ok(found) => {
                         delays.reset();
-                        let input = core::Input::Instances(sync::Arc::new(list));
-                        let _ = calls.inputs.send(input).await;
+                        last = found.map(sync::Arc::new).or(last);
+                        if let Some(list) = &last {
+                            let input = core::Input::Instances(list.clone());
+                            let _ = calls.inputs.send(input).await;
+                        }
                         tokio::time::sleep(pause).await;
                     }
                     Err(error) => delays.wait(&error).await,
--- a/crates/figscale/src/claims/publish.rs
+++ b/crates/figscale/src/claims/publish.rs
@@ -40,7 +40,8 @@
 
     /// Takes in the instance list.
     pub(super) fn instances(&mut self, list: sync::Arc<instances::InstanceList>) {
-        if *list != *self.instances {
+        // The very same list is handed on while it does not change.
+        if !sync::Arc::ptr_eq(&list, &self.instances) && *list != *self.instances {
             self.by_shard = core::by_shard(&list);
             self.instances = list;
             self.listed = true;
--- a/crates/figscale/src/store/http.rs
+++ b/crates/figscale/src/store/http.rs
@@ -123,6 +123,13 @@
         }
     }
 
+    pub(super) fn json_if_changed<T: de::DeserializeOwned>(self) -> Result<Option<T>, StoreError> {
+        match self.status {
+            StatusCode::NO_CONTENT => Ok(None),
+            _ => self.json().map(Some),
+        }
+    }
+
     pub(super) fn json<T: de::DeserializeOwned>(self) -> Result<T, StoreError> {
         match self.status {
             StatusCode::OK => serde_json::from_slice(&self.body).map_err(|_| self.senseless()),
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -170,11 +170,18 @@
         answer.done()
     }
 
-    /// Reads the instance list.
-    pub async fn instances(&self) -> Result<instances::InstanceList, StoreError> {
-        let request = http::Request::read("/v1/instances".to_owned());
+    /// Reads the instance list; `None` when it still has the revision `known`.
+    pub async fn instances(
+        &self,
+        known: Option<ids::Revision>,
+    ) -> Result<Option<instances::InstanceList>, StoreError> {
+        let path = match known {
+            Some(revision) => format!("/v1/instances?known={revision}"),
+            None => "/v1/instances".to_owned(),
+        };
+        let request = http::Request::read(path);
         let answer = self.call(Call::Instances, request, self.timeout).await?;
-        answer.json()
+        answer.json_if_changed()
     }
 
     async fn call(
--- a/crates/figscale/tests/claims_store.rs
+++ b/crates/figscale/tests/claims_store.rs
@@ -137,3 +137,20 @@
     assert_eq!(budget.reserve(start, second), None, "the wait is too long");
     assert!(budget.reserve(start + second, second).is_some());
 }
+
+#[rstest]
+#[case::first_read(None, "GET /v1/instances")]
+#[case::later_read(Some(ids::Revision(7)), "GET /v1/instances?known=7")]
+#[tokio::test]
+async fn an_unchanged_instance_list_is_no_error(
+    #[case] known: Option<ids::Revision>,
+    #[case] expected: &'static str,
+) {
+    let address = serve(sync::Arc::new(move |line| {
+        assert_eq!(line, expected);
+        status(204, 0)
+    }))
+    .await;
+    let found = client(address, 5_000).instances(known).await;
+    assert_eq!(found.unwrap(), None);
+}
