--- a/crates/figscale-core/src/claims/machine.rs
+++ b/crates/figscale-core/src/claims/machine.rs
@@ -27,7 +27,6 @@
 use super::lease;
 use super::schedule;
 use super::schedule::Op;
-use super::shards;
 use super::witness;
 
 /// Where a member is.
@@ -160,7 +159,7 @@
             promises: witness::Promises::default(),
             promises_asked_at: None,
             gone: gone::Gone::default(),
-            shards: shards::by_shard(&Default::default()).into_keys().collect(),
+            shards: Vec::new(),
             held: IndexMap::new(),
             giving: IndexMap::new(),
             leaving: false,
@@ -196,15 +195,24 @@
     }
 
     /// Shards that may be used while there is authority.
-    pub fn held(&self) -> IndexMap<ids::ShardId, Held> {
-        let usable = |id: &ids::ShardId| {
-            !self.config.guards.stop_before_handover || !self.giving.contains_key(id)
-        };
-        self.held
-            .iter()
-            .filter(|(id, _)| usable(id))
-            .map(|(id, held)| (id.clone(), held.clone()))
-            .collect()
+    pub fn held(&self) -> impl Iterator<Item = (&ids::ShardId, &Held)> {
+        self.held.iter().filter(|(id, _)| self.is_usable(id))
+    }
+
+    /// Shards that the document gives to this member, drained ones included.
+    pub fn all_held(&self) -> impl Iterator<Item = (&ids::ShardId, &Held)> {
+        self.held.iter()
+    }
+
+    /// Whether a shard may be used at `now`.
+    pub fn may_use(&self, shard: &ids::ShardId, now: time::Instant) -> bool {
+        self.held.contains_key(shard)
+            && self.is_usable(shard)
+            && self.authority_until().is_some_and(|until| now < until)
+    }
+
+    fn is_usable(&self, shard: &ids::ShardId) -> bool {
+        !self.config.guards.stop_before_handover || !self.giving.contains_key(shard)
     }
 
     /// The document as last seen, with its revision.
@@ -266,7 +274,7 @@
             } => self.answered(question, sent_at, answer),
             Input::Instances(list) => {
                 self.gone.read(&list, &self.me.id, now);
-                self.shards = shards::by_shard(&list).into_keys().collect();
+                self.shards = (self.config.shards_of)(&list);
             }
             Input::ClockJumped => self.clock_jumped(),
             Input::Leave => self.leaving = true,
--- a/crates/figscale-standin/src/cell/operator.rs
+++ b/crates/figscale-standin/src/cell/operator.rs
@@ -38,7 +38,7 @@
         answer.is_ok_and(|answer| answer.status.is_success())
     }
 
-    /// Applies a catalogue; a repeat with the same change id counts once.
+    /// Applies a change; a repeat with the same id counts once.
     pub async fn apply(
         &self,
         request: &operator::ApplyRequest,
