--- a/crates/figscale-core/src/claims/machine.rs
+++ b/crates/figscale-core/src/claims/machine.rs
@@ -11,10 +11,12 @@
 mod promise;
 
 use std::net;
+use std::sync;
 use std::time;
 
 use figscale_types::claims;
 use figscale_types::ids;
+use figscale_types::instances;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rand::SeedableRng as _;
@@ -27,6 +29,7 @@
 use super::lease;
 use super::schedule;
 use super::schedule::Op;
+use super::targets;
 use super::witness;
 
 /// Where a member is.
@@ -122,7 +125,10 @@
     promises: witness::Promises,
     promises_asked_at: Option<time::Instant>,
     gone: gone::Gone,
+    /// The platform's list as last read.
+    list: Option<sync::Arc<instances::InstanceList>>,
     shards: Vec<ids::ShardId>,
+    targets: targets::Memo,
     held: IndexMap<ids::ShardId, Held>,
     giving: IndexMap<ids::ShardId, Giving>,
     leaving: bool,
@@ -160,6 +166,8 @@
             promises_asked_at: None,
             gone: gone::Gone::default(),
             shards: Vec::new(),
+            list: None,
+            targets: targets::Memo::default(),
             held: IndexMap::new(),
             giving: IndexMap::new(),
             leaving: false,
@@ -274,7 +282,12 @@
             } => self.answered(question, sent_at, answer),
             Input::Instances(list) => {
                 self.gone.read(&list, &self.me.id, now);
-                self.shards = (self.config.shards_of)(&list);
+                let known = self.list.as_ref();
+                // An unchanged list comes as the very same one.
+                if !known.is_some_and(|known| sync::Arc::ptr_eq(known, &list)) {
+                    self.shards = (self.config.shards_of)(&list);
+                    self.list = Some(list);
+                }
             }
             Input::ClockJumped => self.clock_jumped(),
             Input::Leave => self.leaving = true,
--- a/crates/figscale-core/src/claims/machine/plan.rs
+++ b/crates/figscale-core/src/claims/machine/plan.rs
@@ -1,5 +1,6 @@
 //! The edits of the document: what it should say, and when to write it.
 
+use std::rc;
 use std::time;
 
 use figscale_types::claims;
@@ -10,7 +11,6 @@
 use super::super::StoreFailure;
 use super::super::edit;
 use super::super::schedule::Op;
-use super::super::targets;
 use super::Document;
 use super::Giving;
 use super::Machine;
@@ -210,7 +210,7 @@
     }
 
     /// The member that should hold each shard.
-    fn targets(&self, claims: &claims::Claims) -> IndexMap<ids::ShardId, ids::MemberId> {
+    fn targets(&self, claims: &claims::Claims) -> rc::Rc<IndexMap<ids::ShardId, ids::MemberId>> {
         self.targets_among(claims, |member| !self.lapsed.contains(&member.lease))
     }
 
@@ -218,7 +218,7 @@
         &self,
         claims: &claims::Claims,
         counts: impl Fn(&claims::Member) -> bool,
-    ) -> IndexMap<ids::ShardId, ids::MemberId> {
+    ) -> rc::Rc<IndexMap<ids::ShardId, ids::MemberId>> {
         let live = claims
             .members
             .iter()
@@ -230,6 +230,6 @@
         let mut shards: Vec<_> = self.shards.iter().chain(claims.shards.keys()).collect();
         shards.sort();
         shards.dedup();
-        targets::targets(shards, &members)
+        self.targets.targets(&shards, &members)
     }
 }
--- a/crates/figscale-core/src/claims/targets.rs
+++ b/crates/figscale-core/src/claims/targets.rs
@@ -8,6 +8,9 @@
 //! about its own share only. Plain rendezvous hashing would move a little less,
 //! but with a dozen shards of a kind it leaves some members with none.
 
+use std::cell;
+use std::rc;
+
 use figscale_types::ids;
 use indexmap::IndexMap;
 
@@ -33,6 +36,45 @@
     targets
 }
 
+/// Targets as last worked out, with what they were worked out from.
+#[derive(Debug)]
+struct Known {
+    shards: Vec<ids::ShardId>,
+    members: Vec<(ids::MemberId, ids::FailureDomain)>,
+    targets: rc::Rc<IndexMap<ids::ShardId, ids::MemberId>>,
+}
+
+/// Remembers the last targets, since members and shards rarely change from one
+/// input to the next and hashing every pair of them costs most of a decision.
+#[derive(Debug, Default)]
+pub(super) struct Memo {
+    known: cell::RefCell<Option<Known>>,
+}
+
+impl Memo {
+    /// As [`targets`], for shards in order and without repeats.
+    pub(super) fn targets(
+        &self,
+        shards: &[&ids::ShardId],
+        members: &[(ids::MemberId, ids::FailureDomain)],
+    ) -> rc::Rc<IndexMap<ids::ShardId, ids::MemberId>> {
+        let mut known = self.known.borrow_mut();
+        if let Some(known) = &*known
+            && known.members == members
+            && known.shards.iter().eq(shards.iter().copied())
+        {
+            return known.targets.clone();
+        }
+        let found = rc::Rc::new(targets(shards.iter().copied(), members));
+        *known = Some(Known {
+            shards: shards.iter().copied().cloned().collect(),
+            members: members.to_vec(),
+            targets: found.clone(),
+        });
+        found
+    }
+}
+
 /// Shards that are spread as one: all of a kind, or those in one domain.
 fn group_of(shard: &ids::ShardId) -> String {
     let name = shard.as_str();
