--- a/crates/figscale-core/tests/placement/room.rs
+++ b/crates/figscale-core/tests/placement/room.rs
@@ -56,7 +56,7 @@
         for task in worker.tasks() {
             let holding = cluster.holding(task).expect("a task of a worker has room");
             assert_eq!(&holding.worker, worker.id());
-            sum = sum.plus(&holding.counted());
+            sum = sum.plus(&holding.ask.size.larger(&holding.used));
             tasks += 1;
         }
         assert_eq!(sum, worker.counted());
@@ -202,6 +202,17 @@
     );
     let old = kit::running_task(kit::task("old", 3), kit::size(63_500, 1, 0));
     let worker = cluster.worker(&kit::worker_id(0)).expect("known");
+    let mut refused = kit::report(worker, vec![]);
+    refused.stale = true;
+    cluster.sync(&refused, now, now);
+    let tiny = kit::ask(
+        "job",
+        2,
+        kit::size(1, 0, 0),
+        catalogue::Urgency::Interactive,
+    );
+    assert!(cluster.place(&tiny, now, None).is_err(), "another holds it");
+    let worker = cluster.worker(&kit::worker_id(0)).expect("known");
     let report = kit::report(worker, vec![old]);
     let outcome = cluster.sync(&report, now, now);
     assert_eq!(outcome.adopted, [kit::task("old", 3)]);
@@ -237,6 +248,11 @@
         let instance = kit::instance(kit::worker_number(&id));
         *domains.entry(instance.failure_domain).or_default() += 1;
         *racks.entry(shard).or_default() += 1;
+        let most = index / 4 + 1;
+        assert!(
+            domains.values().all(|count| *count <= most),
+            "failure domains before racks: {domains:?}"
+        );
     }
     assert!(
         domains.len() == 4 && domains.values().all(|count| *count == 2),
