--- a/crates/figscale/tests/claims_store.rs
+++ b/crates/figscale/tests/claims_store.rs
@@ -170,11 +170,15 @@
 
     let first = store.instances().await.unwrap();
     let whole = read_bytes(&store);
-    assert_eq!(store.instances().await.unwrap(), first);
+    let second = store.instances().await.unwrap();
+    assert!(sync::Arc::ptr_eq(&first, &second), "read whole again");
     assert!(read_bytes(&store) - whole < 200, "sent whole again");
 
     platform.change_instances(|all| all.truncate(50));
     let after = store.instances().await.unwrap();
     assert_eq!(after.instances.len(), 50);
     assert!(after.revision > first.revision);
+
+    platform.set_instance_lag(time::Duration::from_millis(700));
+    assert_eq!(store.instances().await.unwrap().lag_ms, 700);
 }
