--- a/crates/figscale/tests/requests_front.rs
+++ b/crates/figscale/tests/requests_front.rs
@@ -33,7 +33,9 @@
     let _ = caller.write_all(bytes).await;
     let mut answer = Vec::new();
     let read = caller.read_to_end(&mut answer);
-    let _ = tokio::time::timeout(requests_cell::LONG, read)
+    // Far above the limits of this test's settings, and below any library's.
+    let limit = time::Duration::from_secs(15);
+    let _ = tokio::time::timeout(limit, read)
         .await
         .expect("closed in time");
     String::from_utf8_lossy(&answer).into_owned()
--- a/crates/figscale/tests/requests_whole.rs
+++ b/crates/figscale/tests/requests_whole.rs
@@ -48,20 +48,23 @@
     Script { bytes, close }
 }
 
+/// Heads that a raw runner was sent.
+type Heads = sync::Arc<sync::Mutex<String>>;
+
 /// A runner that writes the same for every request.
-async fn raw_runner(script: Script) -> net::SocketAddr {
+async fn raw_runner(script: Script, heads: Heads) -> net::SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let script = sync::Arc::new(script);
     tokio::spawn(async move {
         while let Ok((socket, _)) = listener.accept().await {
-            tokio::spawn(serve(socket, script.clone()));
+            tokio::spawn(serve(socket, script.clone(), heads.clone()));
         }
     });
     address
 }
 
-async fn serve(socket: TcpStream, script: sync::Arc<Script>) -> Option<()> {
+async fn serve(socket: TcpStream, script: sync::Arc<Script>, heads: Heads) -> Option<()> {
     let (reading, mut writing) = socket.into_split();
     let mut reading = BufReader::new(reading);
     loop {
@@ -72,6 +75,7 @@
                 return None;
             }
             let line = line.trim().to_ascii_lowercase();
+            heads.lock().unwrap().push_str(&format!("{line}\n"));
             if line.is_empty() {
                 break;
             }
@@ -96,7 +100,10 @@
         ..Shape::default()
     };
     let cell = Cell::start(shape).await;
-    cell.runners[0].proxy.set_target(raw_runner(script).await);
+    let heads = Heads::default();
+    cell.runners[0]
+        .proxy
+        .set_target(raw_runner(script, heads).await);
     cell
 }
 
@@ -240,3 +247,32 @@
         format!("body {number}").len(),
     )
 }
+
+/// Only the holder's own words about a request reach a runner.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_runner_hears_nothing_that_a_caller_made_up(#[values(0, 1)] entry: usize) {
+    let shape = Shape {
+        runners: 1,
+        ..Shape::default()
+    };
+    let cell = Cell::start(shape).await;
+    let heads = Heads::default();
+    let whole = script("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", false);
+    let address = raw_runner(whole, heads.clone()).await;
+    cell.runners[0].proxy.set_target(address);
+    let call = cell
+        .call(entry, QUOTE)
+        .header("x-figscale-made-up", "1")
+        .header("x-peer-token", "0123456789abcdef")
+        .header(headers::LEAVING, "1")
+        .header("connection", "x-named")
+        .header("x-named", "1")
+        .header("x-kept", "1");
+    assert_eq!(cell.send(call).await.status, 200);
+    let heads = heads.lock().unwrap().clone();
+    assert!(heads.contains("x-kept: 1"), "{heads}");
+    for gone in ["made-up", "x-peer", headers::LEAVING, "x-named"] {
+        assert!(!heads.contains(gone), "{gone} in {heads}");
+    }
+}
