--- a/crates/figscale-core/src/job/message.rs
+++ b/crates/figscale-core/src/job/message.rs
@@ -82,6 +82,8 @@
     Placed(Place),
     /// No worker of this placer has room now.
     NoRoom,
+    /// Nothing was done: its owner's quota is used up.
+    OverQuota,
     /// Nothing was done: the home's epoch is not the highest seen.
     StaleHome,
     /// Nothing was done: an older attempt of the task has not ended here.
@@ -188,6 +190,8 @@
     Inventory(HomeKey, u64),
     /// Home to placer: these ends are dealt with.
     Acknowledge(HomeKey, Vec<Attempt>),
+    /// Home to placer: what tasks are that the placer took over.
+    Describe(HomeKey, Vec<TaskOrder>),
     /// Placer to home: news.
     Tell(ids::ShardId, Vec<TaskEvent>),
 }
--- a/crates/figscale-core/src/job/placer/mod.rs
+++ b/crates/figscale-core/src/job/placer/mod.rs
@@ -157,6 +157,10 @@
     tasks: IndexMap<ids::TaskId, task::Task>,
     /// Room on the workers.
     cluster: placement::Cluster,
+    /// Preemption for the orders of one call.
+    planner: placement::preempt::Planner,
+    /// What owners use and may use.
+    shares: placement::Shares,
     /// Whose fault failures were.
     faults: placement::fault::Faults,
     /// What was seen of each home.
@@ -174,6 +178,8 @@
             sessions: IndexMap::new(),
             tasks: IndexMap::new(),
             cluster: placement::Cluster::default(),
+            planner: placement::preempt::Planner::default(),
+            shares: placement::Shares::default(),
             faults: placement::fault::Faults::default(),
             homes: IndexMap::new(),
             actions: Vec::new(),
--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -10,7 +10,9 @@
 use std::time;
 
 use bytes::Bytes;
+use figscale_types::catalogue;
 use figscale_types::headers;
+use figscale_types::ids;
 use figscale_types::verdict::Verdict;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -207,19 +209,31 @@
         Err(refused) => Err(refused),
     };
     let response = match result {
-        Ok((answer, admitted)) => whole_answer(&traffic, answer, admitted, counted),
+        Ok((answer, admitted)) => {
+            count(&traffic, &head.entry, Verdict::Ran);
+            whole_answer(&traffic, answer, admitted, counted)
+        }
         Err(none) => {
             let verdict = traffic.final_verdict(&head, attempt, &none).await;
+            count(&traffic, &head.entry, verdict);
             no_answer(&traffic, &none, verdict, counted)
         }
     };
     identified(response, head.id)
 }
 
-fn identified(
-    mut response: Response<Outgoing>,
-    id: figscale_types::ids::RequestId,
-) -> Response<Outgoing> {
+/// Counts a final answer. Names that callers make up become no label: only
+/// entries of the catalogue are counted.
+fn count(traffic: &Traffic, entry: &ids::EntryName, verdict: Verdict) {
+    let accepted = traffic.context.shared.catalogue_now();
+    let policy = accepted.catalogue.entries.get(entry).map(|e| &e.policy);
+    if let Some(catalogue::Policy::Requests(policy)) = policy {
+        let metrics = &traffic.context.metrics;
+        metrics.request_answered(entry, policy.urgency, verdict);
+    }
+}
+
+fn identified(mut response: Response<Outgoing>, id: ids::RequestId) -> Response<Outgoing> {
     insert(response.headers_mut(), headers::REQUEST_ID, &id.to_string());
     response
 }
