Let the claims tests use the harness's cell

Cause: claims_support started real processes behind proxies, wrote settings and waited just as harness does, in 200 lines of its own. Change: its Cell wraps harness::Cell with short leases and the judge of claims; logs of the processes now go to files and are shown on a failure. Entry instances stand in the harness's failure domains rather than all in one; runners as before. Every assertion is kept.

--- a/crates/figscale/tests/claims_faults.rs
+++ b/crates/figscale/tests/claims_faults.rs
@@ -2,9 +2,11 @@
 //! along: nobody uses a shard under a lower epoch than was in use before.
 
 mod claims_support;
+mod harness;
 
 use claims_support::Cell;
 use claims_support::LEASE_MS;
+use nix::sys::signal;
 use rstest::rstest;
 
 /// Shards in use in the whole cell.
@@ -23,36 +25,36 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_and_back_under_its_address() {
     let mut cell = cell(3).await;
-    cell.kill(0);
+    cell.kill(0).await;
     cell.wait_for_holders(&[1, 2]).await;
     let unclean = cell.document().shards.values().any(|shard| !shard.clean);
     assert!(unclean, "a takeover is not clean");
-    cell.start(0);
+    cell.launch(0);
     cell.wait_for_holders(&[0, 1, 2]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_and_back_at_once() {
     let mut cell = cell(3).await;
-    cell.kill(0);
-    cell.start(0);
+    cell.kill(0).await;
+    cell.launch(0);
     cell.wait_for_holders(&[0, 1, 2]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn two_of_five_killed_at_once() {
     let mut cell = cell(5).await;
-    cell.kill(0);
-    cell.kill(1);
+    cell.kill(0).await;
+    cell.kill(1).await;
     cell.wait_for_holders(&[2, 3, 4]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_past_its_lease_and_woken() {
     let mut cell = cell(3).await;
-    cell.signal(0, "STOP");
+    cell.signal(0, signal::Signal::SIGSTOP);
     cell.wait_for_holders(&[1, 2]).await;
-    cell.signal(0, "CONT");
+    cell.signal(0, signal::Signal::SIGCONT);
     // It must not use what it held before; the judge looks all the time.
     cell.wait_for_holders(&[0, 1, 2]).await;
 }
@@ -62,10 +64,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_and_woken_in_the_dark() {
     let mut cell = cell(3).await;
-    cell.signal(0, "STOP");
+    cell.signal(0, signal::Signal::SIGSTOP);
     cell.cut_off(0, &[1, 2]);
     cell.wait_for_holders(&[1, 2]).await;
-    cell.signal(0, "CONT");
+    cell.signal(0, signal::Signal::SIGCONT);
     cell.wait_until("an answer of the woken one", |all| all[0].is_some())
         .await;
     cell.look_for(LEASE_MS).await;
@@ -100,18 +102,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cut_from_the_store_one_way(#[case] questions: bool) {
     let mut cell = cell(3).await;
-    cell.entries[0]
-        .to_store
-        .change_faults(|faults| match questions {
-            true => faults.to_target.cut = true,
-            false => faults.to_client.cut = true,
-        });
+    cell.store_path(0).change_faults(|faults| match questions {
+        true => faults.to_target.cut = true,
+        false => faults.to_client.cut = true,
+    });
     cell.wait_until("holders without the one cut off", |all| {
         let uses = |index: usize| all[index].as_ref().map_or(0, |c| c.in_use().len());
         uses(0) == 0 && uses(1) + uses(2) == claims_support::shard_count(2)
     })
     .await;
-    cell.entries[0].to_store.change_faults(|faults| {
+    cell.store_path(0).change_faults(|faults| {
         faults.cut_both(false);
     });
     cell.wait_for_holders(&[0, 1, 2]).await;
@@ -140,7 +140,7 @@
             .all(claims_support::Claims::by_promises)
     })
     .await;
-    cell.kill(3);
+    cell.kill(3).await;
     let left = claims_support::shard_count(2) - lost;
     for _ in 0..20 {
         cell.look_for(LEASE_MS / 4).await;
@@ -199,11 +199,11 @@
     cell.platform
         .change_faults(|faults| faults.lose_answer_probability = 0.5);
     cell.start_all().await;
-    cell.kill(0);
+    cell.kill(0).await;
     cell.wait_for_holders(&[1, 2, 3]).await;
     cell.platform
         .change_faults(|faults| faults.lose_answer_probability = 0.0);
-    cell.signal(1, "TERM");
+    cell.signal(1, signal::Signal::SIGTERM);
     assert_eq!(cell.wait_for_exit(1).await, Some(0));
     cell.wait_for_holders(&[2, 3]).await;
 }
@@ -213,8 +213,8 @@
     let mut cell = cell(3).await;
     cell.platform.change_faults(|faults| faults.outage = true);
     for index in 0..3 {
-        cell.kill(index);
-        cell.start(index);
+        cell.kill(index).await;
+        cell.launch(index);
     }
     cell.look_for(LEASE_MS).await;
     cell.platform.change_faults(|faults| faults.outage = false);
--- a/crates/figscale/tests/claims_join.rs
+++ b/crates/figscale/tests/claims_join.rs
@@ -1,8 +1,10 @@
 //! Entry instances come, share the shards, and go.
 
 mod claims_support;
+mod harness;
 
 use claims_support::Cell;
+use nix::sys::signal;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_takes_all() {
@@ -15,7 +17,7 @@
 async fn four_share_and_one_leaves_in_order() {
     let mut cell = Cell::new(4).await;
     cell.start_all().await;
-    cell.signal(3, "TERM");
+    cell.signal(3, signal::Signal::SIGTERM);
     assert_eq!(cell.wait_for_exit(3).await, Some(0));
     let document = cell.document();
     assert!(!document.members.contains_key(&cell.id(3)));
--- a/crates/figscale/tests/claims_measure.rs
+++ b/crates/figscale/tests/claims_measure.rs
@@ -3,6 +3,7 @@
 //! --nocapture --test-threads=1`. Asserts nothing about speed.
 
 mod claims_support;
+mod harness;
 
 use std::net;
 use std::sync;
@@ -14,6 +15,7 @@
 use figscale::store;
 use figscale_types::clock;
 use figscale_types::ids;
+use nix::sys::signal;
 use rstest::rstest;
 
 /// The lease of the default settings.
@@ -41,9 +43,9 @@
     cell.wait_for_witnesses().await;
     let began = time::Instant::now();
     match end {
-        End::Kill => cell.kill(0),
-        End::Freeze => cell.signal(0, "STOP"),
-        End::PlannedStop => cell.signal(0, "TERM"),
+        End::Kill => cell.kill(0).await,
+        End::Freeze => cell.signal(0, signal::Signal::SIGSTOP),
+        End::PlannedStop => cell.signal(0, signal::Signal::SIGTERM),
     }
     cell.wait_for_holders(&[1, 2, 3]).await;
     began.elapsed()
@@ -106,7 +108,7 @@
 
     cell.platform.reset_counts();
     let began = time::Instant::now();
-    cell.signal(0, "TERM");
+    cell.signal(0, signal::Signal::SIGTERM);
     let others: Vec<_> = (1..entries).collect();
     cell.wait_for_holders(&others).await;
     print_counts(&format!("{what}, one stops"), &cell, began.elapsed());
--- a/crates/figscale/tests/claims_runner.rs
+++ b/crates/figscale/tests/claims_runner.rs
@@ -5,6 +5,7 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod claims_support;
+mod harness;
 
 use std::net;
 use std::time;
@@ -15,6 +16,7 @@
 use figscale_standin::runner;
 use figscale_types::headers;
 use figscale_types::ids;
+use nix::sys::signal;
 use rstest::rstest;
 use serde_json::json;
 
@@ -49,11 +51,11 @@
     }
     cell.start_all().await;
     cell.wait_for_witnesses().await;
-    apply_catalogue(cell.entries[0].operator_address).await;
+    apply_catalogue(cell.operator_address(0)).await;
     let mut callers = tokio::task::JoinSet::new();
-    for entry in &cell.entries {
+    for index in 0..cell.len() {
         for _ in 0..CALLERS {
-            callers.spawn(call_on(entry.caller_address));
+            callers.spawn(call_on(cell.caller_address(index)));
         }
     }
     let mut loaded = Loaded {
@@ -112,7 +114,7 @@
         let shard = SHARD.parse::<ids::ShardId>().unwrap();
         let document = self.cell.document();
         let holder = document.shards[&shard].holder.clone().unwrap();
-        let mut indexes = 0..self.cell.entries.len();
+        let mut indexes = 0..self.cell.len();
         indexes.find(|i| self.cell.id(*i) == holder.id).unwrap()
     }
 
@@ -159,19 +161,19 @@
     let epoch = loaded.epoch();
     let others: Vec<_> = (0..3).filter(|index| *index != holder).collect();
     match fault {
-        Fault::Kill => loaded.cell.kill(holder),
-        Fault::Freeze => loaded.cell.signal(holder, "STOP"),
+        Fault::Kill => loaded.cell.kill(holder).await,
+        Fault::Freeze => loaded.cell.signal(holder, signal::Signal::SIGSTOP),
         Fault::FreezeInTheDark => {
-            loaded.cell.signal(holder, "STOP");
+            loaded.cell.signal(holder, signal::Signal::SIGSTOP);
             loaded.cell.cut_off(holder, &others);
         }
         Fault::CutStore => loaded.cell.cut_store(holder, true),
         Fault::CutStoreAndPeers => loaded.cell.cut_off(holder, &others),
-        Fault::PlannedStop => loaded.cell.signal(holder, "TERM"),
+        Fault::PlannedStop => loaded.cell.signal(holder, signal::Signal::SIGTERM),
     }
     loaded.wait_for_dispatch_above(epoch).await;
     if matches!(fault, Fault::Freeze | Fault::FreezeInTheDark) {
-        loaded.cell.signal(holder, "CONT");
+        loaded.cell.signal(holder, signal::Signal::SIGCONT);
     }
     loaded.cell.look_for(2 * LEASE_MS).await;
     loaded.judge().await;
--- a/crates/figscale/tests/claims_support/mod.rs
+++ b/crates/figscale/tests/claims_support/mod.rs
@@ -1,57 +1,42 @@
-//! A cell of real entry instances around a stand-in platform, for tests of
-//! claims. Every path between two processes leads through a proxy of its own.
+//! A cell for tests of claims: that of the harness with short leases, and a
+//! judge that compares what its entry instances say of their claims.
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 #![expect(dead_code, reason = "each test binary uses a part")]
-#![expect(unreachable_pub, reason = "a module of test binaries")]
 
 use std::collections::HashMap;
-use std::net;
-use std::process;
+use std::ops;
 use std::time;
 
 use figscale_standin::client;
-use figscale_standin::platform;
 use figscale_standin::ports;
-use figscale_standin::proxy;
 use figscale_types::ids;
 use figscale_types::instances;
-use figscale_types::sizes;
 use serde_json::json;
 
-/// Life of a lease in these tests.
-pub const LEASE_MS: u64 = 2_000;
-/// Longest wait for a condition.
-pub const PATIENCE: time::Duration = time::Duration::from_secs(45);
+use crate::harness;
+use crate::harness::PATIENCE;
 
-/// One entry instance.
-pub struct Entry {
-    pub name: String,
-    child: Option<process::Child>,
-    settings: serde_json::Value,
-    peer_address: net::SocketAddr,
-    pub caller_address: net::SocketAddr,
-    pub operator_address: net::SocketAddr,
-    pub to_store: proxy::Handle,
-}
+/// Life of a lease in these tests.
+pub(crate) const LEASE_MS: u64 = 2_000;
 
 /// What a dump says of claims.
 #[derive(Clone, Debug)]
-pub struct Claims {
-    pub raw: serde_json::Value,
+pub(crate) struct Claims {
+    pub(crate) raw: serde_json::Value,
 }
 
 impl Claims {
-    pub fn has_authority(&self) -> bool {
+    pub(crate) fn has_authority(&self) -> bool {
         self.raw["authority_ms"].as_u64().unwrap_or(0) > 0
     }
 
-    pub fn by_promises(&self) -> bool {
+    pub(crate) fn by_promises(&self) -> bool {
         self.has_authority() && self.raw["lease_ms"].as_u64() == Some(0)
     }
 
     /// Shards and epochs that may be used at the moment.
-    pub fn in_use(&self) -> HashMap<String, u64> {
+    pub(crate) fn in_use(&self) -> HashMap<String, u64> {
         let Some(held) = self.raw["held"].as_object() else {
             return HashMap::new();
         };
@@ -65,27 +50,36 @@
 
 /// What a cell is like.
 #[derive(Clone, Copy)]
-pub struct Shape {
+pub(crate) struct Shape {
     /// Entry instances.
-    pub entries: usize,
+    pub(crate) entries: usize,
     /// Racks of runners, one runner in each.
-    pub racks: usize,
+    pub(crate) racks: usize,
     /// Life of a lease; a quarter is the heartbeat, a tenth the margin.
-    pub lease_ms: u64,
+    pub(crate) lease_ms: u64,
 }
 
-/// The cell.
-pub struct Cell {
+/// The cell; all else that it can do is the harness's.
+pub(crate) struct Cell {
+    base: harness::Cell,
     shape: Shape,
-    pub platform: platform::Handle,
-    pub entries: Vec<Entry>,
-    /// Paths between entries, by the indexes of both.
-    pub paths: HashMap<(usize, usize), proxy::Handle>,
-    folder: tempfile::TempDir,
-    client: client::Client,
     judge: Judge,
 }
 
+impl ops::Deref for Cell {
+    type Target = harness::Cell;
+
+    fn deref(&self) -> &harness::Cell {
+        &self.base
+    }
+}
+
+impl ops::DerefMut for Cell {
+    fn deref_mut(&mut self) -> &mut harness::Cell {
+        &mut self.base
+    }
+}
+
 /// Finds two holders of one shard: whoever uses a lower epoch after a higher
 /// one was in use is an old holder that goes on.
 #[derive(Default)]
@@ -113,36 +107,23 @@
     }
 }
 
-pub fn entry_instance(name: &str, address: net::SocketAddr) -> instances::Instance {
-    instances::Instance {
-        id: name.parse().unwrap(),
-        role: instances::Role::Entry,
-        address,
-        failure_domain: "d0".parse().unwrap(),
-        rack: "r0".parse().unwrap(),
-        service: None,
-        capacity: sizes::Resources::default(),
-        slots: 0,
-        connections: 0,
-        life: instances::Life::Live,
-    }
-}
-
-pub fn runner(name: &str, rack: &str) -> instances::Instance {
+fn runner(rack: usize) -> instances::Instance {
+    let id = format!("runner-{rack}").parse().unwrap();
     instances::Instance {
         role: instances::Role::Runner,
-        rack: rack.parse().unwrap(),
+        failure_domain: "d0".parse().unwrap(),
+        rack: format!("r{rack}").parse().unwrap(),
         service: Some("rating".parse().unwrap()),
         slots: 8,
         connections: 60,
-        ..entry_instance(name, ports::free_address().unwrap())
+        ..harness::instance(id, ports::free_address().unwrap(), rack)
     }
 }
 
 impl Cell {
     /// A platform with two racks of runners, and `len` entry instances that
     /// are not yet running.
-    pub async fn new(len: usize) -> Self {
+    pub(crate) async fn new(len: usize) -> Self {
         let shape = Shape {
             entries: len,
             racks: 2,
@@ -152,135 +133,45 @@
     }
 
     /// A cell of some shape; no entry instance runs yet.
-    pub async fn of(shape: Shape) -> Self {
-        let platform = platform::start(platform::Config::default()).await.unwrap();
-        platform.change_instances(|list| {
-            let racks = 1..=shape.racks;
-            list.extend(racks.map(|rack| runner(&format!("runner-{rack}"), &format!("r{rack}"))));
-        });
-        let mut cell = Self {
-            shape,
-            platform,
-            entries: Vec::new(),
-            paths: HashMap::new(),
-            folder: tempfile::tempdir().unwrap(),
-            client: client::Client::default(),
-            judge: Judge::default(),
-        };
-        for _ in 0..shape.entries {
-            cell.add().await;
-        }
-        cell
-    }
-
-    /// Adds an entry instance that is not yet running; returns its index.
-    pub async fn add(&mut self) -> usize {
-        let index = self.entries.len();
-        let name = format!("entry-{index}");
-        let peer_address = ports::free_address().unwrap();
-        let caller_address = ports::free_address().unwrap();
-        let operator_address = ports::free_address().unwrap();
-        let to_store = proxy::Config::to(self.platform.address());
-        let to_store = proxy::start(to_store).await.unwrap();
+    pub(crate) async fn of(shape: Shape) -> Self {
         let settings = json!({
-            "member": name,
-            "failure_domain": "d0",
-            "caller_address": caller_address,
-            "peer_address": peer_address,
-            "operator_address": operator_address,
-            "platform_address": to_store.address(),
-            "peer_token": "0123456789abcdef",
-            "shutdown_ms": 10_000,
             "store": { "timeout_ms": 500 },
             "claims": {
-                "lease_ms": self.shape.lease_ms,
-                "heartbeat_ms": self.shape.lease_ms / 4,
-                "margin_ms": self.shape.lease_ms / 10,
-                "instances_ms": self.shape.lease_ms / 10,
-                "peer_routes": {},
+                "lease_ms": shape.lease_ms,
+                "heartbeat_ms": shape.lease_ms / 4,
+                "margin_ms": shape.lease_ms / 10,
+                "instances_ms": shape.lease_ms / 10,
             },
         });
-        for other in 0..index {
-            let there = self.entries[other].peer_address;
-            let path = proxy::start(proxy::Config::to(there)).await.unwrap();
-            self.paths.insert((index, other), path);
-            let path = proxy::start(proxy::Config::to(peer_address)).await.unwrap();
-            self.paths.insert((other, index), path);
-        }
-        self.platform
-            .change_instances(|list| list.push(entry_instance(&name, peer_address)));
-        self.entries.push(Entry {
-            name,
-            child: None,
+        let plan = harness::Plan {
+            entries: 0,
+            spare_entries: shape.entries,
             settings,
-            peer_address,
-            caller_address,
-            operator_address,
-            to_store,
-        });
-        index
-    }
-
-    /// Starts an entry instance, for the first time or again.
-    pub fn start(&mut self, index: usize) {
-        let mut routes = serde_json::Map::new();
-        for ((from, to), path) in &self.paths {
-            if *from == index {
-                let published = self.entries[*to].peer_address.to_string();
-                routes.insert(published, json!(path.address()));
-            }
+            ..harness::Plan::default()
+        };
+        let base = harness::Cell::start(plan).await;
+        base.platform
+            .change_instances(|list| list.extend((1..=shape.racks).map(runner)));
+        Self {
+            base,
+            shape,
+            judge: Judge::default(),
         }
-        let entry = &mut self.entries[index];
-        entry.settings["claims"]["peer_routes"] = routes.into();
-        let file = self.folder.path().join(format!("{}.json", entry.name));
-        std::fs::write(&file, entry.settings.to_string()).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
-            .args(["serve", "--settings"])
-            .arg(&file)
-            .stdout(process::Stdio::null())
-            .spawn()
-            .unwrap();
-        entry.child = Some(child);
     }
 
     /// Starts all and waits until they share all shards.
-    pub async fn start_all(&mut self) {
-        for index in 0..self.entries.len() {
-            self.start(index);
+    pub(crate) async fn start_all(&mut self) {
+        let all: Vec<_> = (0..self.len()).collect();
+        for index in &all {
+            self.launch(*index);
         }
-        let all: Vec<_> = (0..self.entries.len()).collect();
         self.wait_for_holders(&all).await;
     }
 
-    /// Sends a signal to an entry instance by its process id.
-    pub fn signal(&self, index: usize, signal: &str) {
-        let pid = self.entries[index].child.as_ref().unwrap().id();
-        let status = process::Command::new("kill")
-            .args([format!("-{signal}"), pid.to_string()])
-            .status()
-            .unwrap();
-        assert!(status.success());
-    }
-
-    /// Kills an entry instance at once.
-    pub fn kill(&mut self, index: usize) {
-        let mut child = self.entries[index].child.take().unwrap();
-        child.kill().unwrap();
-        child.wait().unwrap();
-    }
-
-    /// Waits for a process to end by itself and returns its exit code.
-    pub async fn wait_for_exit(&mut self, index: usize) -> Option<i32> {
-        let mut child = self.entries[index].child.take().unwrap();
-        let wait = tokio::task::spawn_blocking(move || child.wait().unwrap());
-        let status = tokio::time::timeout(PATIENCE, wait).await;
-        status.unwrap().unwrap().code()
-    }
-
     /// What an entry instance says of its claims; `None` without an answer.
-    pub async fn claims(&mut self, index: usize) -> Option<Claims> {
+    pub(crate) async fn claims(&mut self, index: usize) -> Option<Claims> {
         let began = time::Instant::now();
-        let address = self.entries[index].operator_address;
+        let address = self.operator_address(index);
         let limit = time::Duration::from_millis(300);
         let call = client::Call::get(address, "/v1/dump");
         let answer = self.client.send_within(limit, call).await.ok()?;
@@ -288,18 +179,18 @@
         let claims = Claims {
             raw: dump.get("claims")?.clone(),
         };
-        let name = &self.entries[index].name;
-        self.judge.see(name, began, time::Instant::now(), &claims);
+        self.judge
+            .see(self.base.name(index), began, time::Instant::now(), &claims);
         Some(claims)
     }
 
     /// Looks at all entry instances once, judging what they say.
-    pub async fn look(&mut self) -> Vec<Option<Claims>> {
+    pub(crate) async fn look(&mut self) -> Vec<Option<Claims>> {
         let mut all = Vec::new();
-        for index in 0..self.entries.len() {
-            let claims = match self.entries[index].child {
-                Some(_) => self.claims(index).await,
-                None => None,
+        for index in 0..self.len() {
+            let claims = match self.is_running(index) {
+                true => self.claims(index).await,
+                false => None,
             };
             all.push(claims);
         }
@@ -307,7 +198,7 @@
     }
 
     /// Looks on until `done` says so.
-    pub async fn wait_until(
+    pub(crate) async fn wait_until(
         &mut self,
         what: &str,
         mut done: impl FnMut(&[Option<Claims>]) -> bool,
@@ -324,7 +215,7 @@
     }
 
     /// Looks on for a while.
-    pub async fn look_for(&mut self, while_ms: u64) {
+    pub(crate) async fn look_for(&mut self, while_ms: u64) {
         let began = time::Instant::now();
         while began.elapsed() < time::Duration::from_millis(while_ms) {
             self.look().await;
@@ -333,7 +224,7 @@
     }
 
     /// Waits until exactly these hold every shard, each some.
-    pub async fn wait_for_holders(&mut self, indexes: &[usize]) {
+    pub(crate) async fn wait_for_holders(&mut self, indexes: &[usize]) {
         let indexes = indexes.to_vec();
         let shards = shard_count(self.shape.racks);
         self.wait_until("holders of all shards", |all| {
@@ -347,13 +238,13 @@
     }
 
     /// Waits until every member has listed all as its witnesses.
-    pub async fn wait_for_witnesses(&mut self) {
+    pub(crate) async fn wait_for_witnesses(&mut self) {
         let began = time::Instant::now();
         loop {
             let document = self.document();
             let keys = document.keys();
             let listed = document.witnesses.values().filter(|list| **list == keys);
-            if listed.count() == self.entries.len() {
+            if listed.count() == self.len() {
                 return;
             }
             assert!(began.elapsed() < PATIENCE, "no witnesses: {document:#?}");
@@ -362,53 +253,31 @@
         }
     }
 
-    /// Cuts all paths between two entry instances, or mends them.
-    pub fn cut_peers(&self, one: usize, other: usize, cut: bool) {
-        for key in [(one, other), (other, one)] {
-            self.paths[&key].change_faults(|faults| faults.cut_both(cut));
-        }
-    }
-
-    /// Cuts an entry instance from the store, or mends it.
-    pub fn cut_store(&self, index: usize, cut: bool) {
-        let to_store = &self.entries[index].to_store;
-        to_store.change_faults(|faults| faults.cut_both(cut));
-    }
-
     /// Cuts an entry instance from the store and the others, so that not even
     /// what was on its way arrives.
-    pub fn cut_off(&self, index: usize, others: &[usize]) {
+    pub(crate) fn cut_off(&self, index: usize, others: &[usize]) {
         self.cut_store(index, true);
-        self.entries[index].to_store.break_connections();
+        self.store_path(index).break_connections();
         for other in others {
             self.cut_peers(index, *other, true);
-            self.paths[&(*other, index)].break_connections();
+            self.peer_path(*other, index).break_connections();
         }
     }
 
     /// The claims document in the store.
-    pub fn document(&self) -> figscale_types::claims::Claims {
+    pub(crate) fn document(&self) -> figscale_types::claims::Claims {
         let value = self.platform.read("claims").unwrap();
         serde_json::from_slice(&value.bytes).unwrap()
     }
 
     /// The member id of an entry instance.
-    pub fn id(&self, index: usize) -> ids::MemberId {
-        self.entries[index].name.parse().unwrap()
+    pub(crate) fn id(&self, index: usize) -> ids::MemberId {
+        self.name(index).parse().unwrap()
     }
 }
 
 /// So many racks of runners and all homes.
-pub fn shard_count(racks: usize) -> usize {
+pub(crate) fn shard_count(racks: usize) -> usize {
     let homes = figscale_types::claims::ID_SHARDS + figscale_types::claims::JOB_SHARDS;
     racks + homes as usize
 }
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
--- a/crates/figscale/tests/harness/mod.rs
+++ b/crates/figscale/tests/harness/mod.rs
@@ -337,6 +337,21 @@
         }
     }
 
+    /// Number of entry instances, running or not.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The name of an entry instance.
+    pub(crate) fn name(&self, index: usize) -> &str {
+        &self.entries[index].name
+    }
+
+    /// Whether an entry instance was launched and its end was not yet seen.
+    pub(crate) fn is_running(&self, index: usize) -> bool {
+        self.entries[index].is_running()
+    }
+
     /// Calls of an operator to an entry instance.
     pub(crate) fn operator(&self, index: usize) -> operator::Operator {
         operator::Operator::new(self.client.clone(), self.entries[index].operator_address)
--- a/crates/figscale/tests/harness/process.rs
+++ b/crates/figscale/tests/harness/process.rs
@@ -85,6 +85,11 @@
         self.child = Some(child);
     }
 
+    /// Whether it was launched and its end was not yet seen.
+    pub(crate) fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: signal::Signal) {
         let child = self.child.as_ref().expect("a running process");
