--- a/crates/figscale/tests/harness_ports.rs
+++ b/crates/figscale/tests/harness_ports.rs
@@ -1,7 +1,5 @@
 //! The harness itself: an address that somebody else took is no failure.
 
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
-
 mod harness;
 
 use std::net;
--- a/crates/figscale/tests/session_golden.rs
+++ b/crates/figscale/tests/session_golden.rs
@@ -17,12 +17,18 @@
 use figscale_types::jobs;
 use session::Session;
 
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
 const EXAMPLE: &str = include_str!("../../../examples/fraser-reach.jsonc");
 const CHANGE: &str = "019b0000-0000-7000-8000-000000000001";
 const OTHER_CHANGE: &str = "019b0000-0000-7000-8000-000000000002";
+/// Changes after the first one: edited, against an old revision, rolled back.
+const EDIT: &str = "019b0000-0000-7000-8000-000000000003";
+const STALE: &str = "019b0000-0000-7000-8000-000000000004";
+const ROLLBACK: &str = "019b0000-0000-7000-8000-000000000005";
 /// Shard of both runners.
 const RUNNERS: &str = "runner/hullrate/lm-2/rack-1";
 const JOB: &str = "repricing-1";
+const EXAMPLE_JOB: &str = "first-job";
 const JOB_SPEC: &str = r#"{
   // Two tasks that run long enough to be seen running.
   "entry": "fleet-repricing",
@@ -38,9 +44,11 @@
     let mut session = Session::start();
     settings(&mut session);
     catalogue(&mut session).await;
+    edit_catalogue(&mut session).await;
     requests(&mut session).await;
     refused_requests(&mut session).await;
     job(&mut session).await;
+    example_job(&mut session).await;
     session.heading("Planned stop");
     session.stop().await;
     insta::assert_snapshot!(session.transcript());
@@ -87,20 +95,54 @@
     session.figscale(0, &apply(CHANGE, "alice"));
     session.figscale(1, &apply(CHANGE, "alice"));
     session.figscale(1, &apply(OTHER_CHANGE, "bob"));
+    wait_for_revision(session, 1).await;
+    session.figscale(1, &["catalogue", "status"]);
+    let lines = session.operator(0).history().await.unwrap();
+    session.redact(lines[0].accepted_unix_ms.to_string(), "TIME");
+    session.figscale(0, &["catalogue", "history"]);
+}
+
+/// Waits until both entry instances have this revision in force.
+async fn wait_for_revision(session: &Session, revision: u64) {
     for index in [0, 1] {
         let operator = session.operator(index);
-        harness::wait_until("revision 1", || async {
-            operator
-                .in_force()
-                .await
-                .is_ok_and(|r| r == ids::Revision(1))
+        harness::wait_until("revision in force", || async {
+            let in_force = operator.in_force().await;
+            in_force.is_ok_and(|r| r == ids::Revision(revision))
         })
         .await;
     }
+}
+
+async fn edit_catalogue(session: &mut Session) {
+    session.heading("Catalogue, edited and rolled back");
+    session.redact(EXAMPLES, "EXAMPLES");
+    let example = format!("{EXAMPLES}/fraser-reach.jsonc");
+    session.figscale(0, &["catalogue", "check", &example]);
+    let edited = EXAMPLE.replace("\"concurrency\": 200", "\"concurrency\": 300");
+    let edited = session.file("edited.jsonc", &edited);
+    session.figscale(1, &["catalogue", "diff", &edited]);
+    let by_ann = |words: &[&'static str], change| {
+        let who = ["--author", "ann", "--change", change];
+        [words, who.as_slice()].concat()
+    };
+    let apply = |change| {
+        let mut words = by_ann(&["catalogue", "apply", "--base", "1"], change);
+        words.push(&edited);
+        words
+    };
+    session.figscale(1, &apply(EDIT));
+    wait_for_revision(session, 2).await;
+    session.figscale(0, &apply(STALE));
+    let rollback = ["catalogue", "rollback", "1", "--base", "2"];
+    session.figscale(0, &by_ann(&rollback, ROLLBACK));
+    wait_for_revision(session, 3).await;
     session.figscale(1, &["catalogue", "status"]);
-    let lines = session.operator(0).history().await.unwrap();
-    session.redact(lines[0].accepted_unix_ms.to_string(), "TIME");
-    session.figscale(0, &["catalogue", "history"]);
+    for line in session.operator(1).history().await.unwrap() {
+        session.redact(line.accepted_unix_ms.to_string(), "TIME");
+    }
+    session.figscale(1, &["catalogue", "history"]);
+    session.figscale(1, &["catalogue", "show", "--at", "9"]);
 }
 
 async fn requests(session: &mut Session) {
@@ -117,6 +159,8 @@
     for index in [0, 1] {
         session.redact(format!("runner-{index}"), "RUNNER");
     }
+    let fields = |_: &str| vec![(headers::OWNER, "brokers".to_owned())];
+    run(session, 0, "/v1/run/cover-check", fields, "hello").await;
     let holders = holders(session).await;
     session.note(&format!("\ndispatched by the holder of: {holders:?}"));
 }
@@ -134,24 +178,38 @@
     .await;
 }
 
-/// Sends a request that is not idempotent. In the first moments shards have no
-/// holder and homes of ids refuse what may be older than they are, so only the
-/// first one that is run is written down.
+/// Sends a request that is not idempotent, until it is run.
 async fn quote(session: &mut Session, index: usize, body: &str) -> (String, client::Answer) {
+    let fields = |id: &str| {
+        vec![
+            (headers::OWNER, "brokers".to_owned()),
+            (headers::REQUEST_ID, id.to_owned()),
+            (headers::BUDGET_MS, "20000".to_owned()),
+        ]
+    };
+    let (id, answer) = run(session, index, "/v1/run/quote", fields, body).await;
+    session.redact(&id, &format!("REQUEST-{index}"));
+    (id, answer)
+}
+
+/// Sends requests of new ids until one is run, and returns its id. In the first
+/// moments shards have no holder and homes of ids refuse what may be older than
+/// they are, so only the one that is run is written down.
+async fn run(
+    session: &mut Session,
+    index: usize,
+    path: &str,
+    fields: impl Fn(&str) -> Vec<(&'static str, String)>,
+    body: &str,
+) -> (String, client::Answer) {
     let began = time::Instant::now();
     loop {
         let before = session.mark();
         let id = uuid::Uuid::now_v7().to_string();
-        let headers = [
-            (headers::OWNER, "brokers"),
-            (headers::REQUEST_ID, id.as_str()),
-            (headers::BUDGET_MS, "20000"),
-        ];
-        let answer = session
-            .request(index, "/v1/run/quote", &headers, body)
-            .await;
+        let fields = fields(&id);
+        let fields: Vec<_> = fields.iter().map(|(name, v)| (*name, v.as_str())).collect();
+        let answer = session.request(index, path, &fields, body).await;
         if answer.status.is_success() {
-            session.redact(&id, &format!("REQUEST-{index}"));
             return (id, answer);
         }
         assert!(began.elapsed() < harness::PATIENCE, "{}", answer.text());
@@ -203,13 +261,13 @@
     }
     session.figscale(0, &["job", "submit", &file, "--id", JOB]);
     session.figscale(1, &["job", "submit", &file, "--id", JOB]);
-    wait_for_job(session, |job| {
+    wait_for_job(session, JOB, |job| {
         let running = |task: &jobs::TaskStatus| task.state == jobs::JobState::Running;
         job.tasks.len() == 2 && job.tasks.iter().all(running)
     })
     .await;
     session.figscale(1, &["job", "status", JOB]);
-    wait_for_job(session, |job| job.state == jobs::JobState::Done).await;
+    wait_for_job(session, JOB, |job| job.state == jobs::JobState::Done).await;
     session.figscale(1, &["job", "status", JOB]);
     session.figscale(0, &["job", "list"]);
     let unknown = JOB_SPEC.replace("fleet-repricing", "no-such-entry");
@@ -217,9 +275,25 @@
     session.figscale(0, &["job", "submit", &unknown, "--id", "unknown-1"]);
 }
 
-async fn wait_for_job(session: &Session, done: impl Fn(&jobs::JobStatus) -> bool) {
+/// The job of the examples, whose submission is repeated after its end.
+async fn example_job(session: &mut Session) {
+    session.heading("The job of the examples");
+    let file = format!("{EXAMPLES}/jobs/fleet-repricing.jsonc");
+    let submit = ["job", "submit", &file, "--id", EXAMPLE_JOB];
+    session.figscale(0, &submit);
+    wait_for_job(session, EXAMPLE_JOB, |job| {
+        job.state == jobs::JobState::Done
+    })
+    .await;
+    session.figscale(1, &["job", "status", EXAMPLE_JOB]);
+    session.figscale(0, &submit);
+    session.figscale(0, &["job", "cancel", "no-such-job"]);
+    session.figscale(1, &["job", "list"]);
+}
+
+async fn wait_for_job(session: &Session, job: &str, done: impl Fn(&jobs::JobStatus) -> bool) {
     let operator = session.operator(0);
-    let id: ids::JobId = JOB.parse().unwrap();
+    let id: ids::JobId = job.parse().unwrap();
     harness::wait_until("state of the job", || async {
         operator.job(&id).await.is_ok_and(|job| done(&job))
     })
