--- a/crates/figscale/src/claims/calls.rs
+++ b/crates/figscale/src/claims/calls.rs
@@ -225,7 +225,7 @@
                 match calls.context.store.instances().await {
                     Ok(list) => {
                         delays.reset();
-                        let input = core::Input::Instances(sync::Arc::new(list));
+                        let input = core::Input::Instances(list);
                         let _ = calls.inputs.send(input).await;
                         tokio::time::sleep(pause).await;
                     }
