--- a/crates/figscale/tests/jobs_takeover.rs
+++ b/crates/figscale/tests/jobs_takeover.rs
@@ -1,6 +1,8 @@
 //! Running tasks outlive their holder: with the default lease of tasks, longer
 //! than a takeover takes, a killed entry instance stops none.
 
+#![expect(clippy::unwrap_used, reason = "A test may panic.")]
+
 mod harness;
 mod jobs_support;
 
