--- a/crates/figscale/src/claims/publish.rs
+++ b/crates/figscale/src/claims/publish.rs
@@ -89,10 +89,7 @@
             me: old.me.clone(),
             revision,
             claims,
-            held: held
-                .into_iter()
-                .map(|(id, held)| (id, shown(held)))
-                .collect(),
+            held,
             instances: self.instances.clone(),
             by_shard: self.by_shard.clone(),
         };
@@ -153,12 +150,3 @@
         crate::event!(events::SHARDS_GIVEN, shards = given, held = held.len());
     }
 }
-
-fn shown(held: core::Held) -> state::Held {
-    state::Held {
-        epoch: held.epoch,
-        taken_at: held.taken_at,
-        last_foreign_dispatch: held.last_foreign_dispatch,
-        clean: held.clean,
-    }
-}
--- a/crates/figscale/src/state.rs
+++ b/crates/figscale/src/state.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic;
 use std::time;
 
+pub use figscale_core::claims::Held;
 use figscale_types::catalogue;
 use figscale_types::claims;
 use figscale_types::ids;
@@ -60,19 +61,6 @@
     }
 }
 
-/// A shard that this process holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Held {
-    /// Epoch under which it is held.
-    pub epoch: ids::Epoch,
-    /// When this process came to hold it.
-    pub taken_at: time::Instant,
-    /// Latest moment at which an earlier holder can have dispatched.
-    pub last_foreign_dispatch: time::Instant,
-    /// Whether the earlier holder left nothing in progress.
-    pub clean: bool,
-}
-
 /// What the claims service knows.
 #[derive(Clone, Debug)]
 pub struct ClaimsView {
