--- a/crates/figscale/src/claims/publish.rs
+++ b/crates/figscale/src/claims/publish.rs
@@ -40,7 +40,8 @@
 
     /// Takes in the instance list.
     pub(super) fn instances(&mut self, list: sync::Arc<instances::InstanceList>) {
-        if *list != *self.instances {
+        // The very same list is handed on while it does not change.
+        if !sync::Arc::ptr_eq(&list, &self.instances) && *list != *self.instances {
             self.by_shard = core::by_shard(&list);
             self.instances = list;
             self.listed = true;
@@ -88,10 +89,7 @@
             me: old.me.clone(),
             revision,
             claims,
-            held: held
-                .into_iter()
-                .map(|(id, held)| (id, shown(held)))
-                .collect(),
+            held,
             instances: self.instances.clone(),
             by_shard: self.by_shard.clone(),
         };
@@ -152,12 +150,3 @@
         crate::event!(events::SHARDS_GIVEN, shards = given, held = held.len());
     }
 }
-
-fn shown(held: core::Held) -> state::Held {
-    state::Held {
-        epoch: held.epoch,
-        taken_at: held.taken_at,
-        last_foreign_dispatch: held.last_foreign_dispatch,
-        clean: held.clean,
-    }
-}
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug)]
 struct Listed {
     entity_tag: String,
-    list: instances::InstanceList,
+    list: sync::Arc<instances::InstanceList>,
 }
 
 impl Store {
@@ -180,7 +180,9 @@
     }
 
     /// Reads the instance list, whole only when it has changed since the last read.
-    pub async fn instances(&self) -> Result<instances::InstanceList, StoreError> {
+    ///
+    /// An unchanged list is the very same one.
+    pub async fn instances(&self) -> Result<sync::Arc<instances::InstanceList>, StoreError> {
         let known = lock(&self.listed).clone();
         let mut request = http::Request::read("/v1/instances".to_owned());
         if let Some(known) = &known {
@@ -193,9 +195,12 @@
         }
     }
 
-    fn listed(&self, answer: http::Answer) -> Result<instances::InstanceList, StoreError> {
+    fn listed(
+        &self,
+        answer: http::Answer,
+    ) -> Result<sync::Arc<instances::InstanceList>, StoreError> {
         let entity_tag = answer.entity_tag();
-        let list: instances::InstanceList = answer.json()?;
+        let list: sync::Arc<instances::InstanceList> = sync::Arc::new(answer.json()?);
         let tagged = entity_tag.map(|entity_tag| Listed {
             entity_tag,
             list: list.clone(),
--- a/crates/figscale/tests/jobs_support/mod.rs
+++ b/crates/figscale/tests/jobs_support/mod.rs
@@ -112,7 +112,7 @@
 /// What the entry instances that answer know of homes and placers.
 async fn dumps(cell: &harness::Cell) -> String {
     let mut all = String::new();
-    for index in 0..cell.entries() {
+    for index in 0..cell.len() {
         let dump = cell.operator(index).dump().await;
         let jobs = dump.map(|dump| dump["jobs"].clone());
         all += &format!("entry-{index}: {jobs:#?}\n");
