Write the list of witnesses at once when it names nobody else

Cause: the first member of a cell takes all shards with itself as its only witness, and writes the others onto its list with its next change or after a heartbeat and more. If it dies before, nobody can release it, and its shards wait until the platform no more lists it. Change: a member whose written list names only itself beside other members writes it at once. Who may write and what is counted stays as it was. Test: a_first_holder_that_dies_soon_is_survived failed first at its first moment (nobody took over in 10 s); claims_check and claims_faults pass.

--- a/crates/figscale-core/src/claims/machine/plan.rs
+++ b/crates/figscale-core/src/claims/machine/plan.rs
@@ -160,7 +160,11 @@
         let mine = members.iter().position(|key| *key == self.me).unwrap_or(0);
         let turn = self.config.settle * u32::try_from(mine).unwrap_or(u32::MAX);
         let late = now >= self.members_changed_at + self.config.heartbeat + turn;
-        if claims != document || late {
+        // Nobody can release a member that has no witness but itself: should it
+        // die, its shards would wait until the platform no more lists it.
+        let written = super::promise::witnesses_of(document, &self.me);
+        let alone = members.len() > 1 && written.iter().all(|key| *key == self.me);
+        if *claims != *document || late || alone {
             claims.witnesses.insert(self.me.id.clone(), members);
             claims.witnesses.sort_keys();
         }
--- a/crates/figscale-core/tests/claims_faults.rs
+++ b/crates/figscale-core/tests/claims_faults.rs
@@ -361,3 +361,30 @@
     assert!(world.users(&shard).is_empty());
     assert!(time_to_users(&mut world, 1_000) > 0);
 }
+
+/// The first member takes all shards and dies soon after others joined, while
+/// the platform's list still names it: its shards come into use again.
+#[test]
+fn a_first_holder_that_dies_soon_is_survived() {
+    for moment in 0..40 {
+        let mut world = World::new(moment, claims_world::config());
+        world.add();
+        world.run(1_000 + moment * 7);
+        assert!(world.all_in_use(), "moment {moment}");
+        world.add();
+        world.add();
+        let members = |world: &World| {
+            let machine = world.nodes[0].machine.as_ref();
+            let document = machine.and_then(core::Machine::document);
+            document.map_or(0, |(_, claims)| claims.members.len())
+        };
+        while members(&world) < 3 {
+            world.run(5);
+        }
+        world.run(150);
+        world.kill_listed(0);
+        world.run(10_000);
+        assert!(world.violation.is_none(), "moment {moment}");
+        assert!(world.all_in_use(), "moment {moment}: nobody took over");
+    }
+}
--- a/crates/figscale-core/tests/claims_world/mod.rs
+++ b/crates/figscale-core/tests/claims_world/mod.rs
@@ -196,6 +196,12 @@
         node.died_ms.get_or_insert(now_ms);
     }
 
+    /// Kills a node that the platform's list goes on to name.
+    pub fn kill_listed(&mut self, index: usize) {
+        self.kill(index);
+        self.nodes[index].died_ms = None;
+    }
+
     pub fn is_running(&self, index: usize) -> bool {
         self.nodes[index].machine.is_some()
     }
