--- a/crates/figscale/tests/jobs_faults.rs
+++ b/crates/figscale/tests/jobs_faults.rs
@@ -43,6 +43,23 @@
     judge(&cell);
 }
 
+/// Tasks whose use, ten times what they declare, is seen while they run: what
+/// does not fit is stopped, what was learned is reserved, and all end.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_that_use_ten_times_their_size_all_end() {
+    let cell = start(plan(2, 3)).await;
+    let mut greedy = spec("tides", 8, 1_200, true);
+    greedy.task.cpu_millis.0 = 4_000;
+    greedy.command = "use=10".to_owned();
+    for number in 0..6 {
+        accept(&cell, number % 2, &format!("greedy-{number}"), &greedy).await;
+    }
+    for number in 0..6 {
+        wait_for(&cell, 0, &format!("greedy-{number}"), jobs::JobState::Done).await;
+    }
+    judge(&cell);
+}
+
 /// The store is away while an entry instance dies and a worker is cut off:
 /// nothing runs twice, and every accepted job ends once the store is back.
 #[tokio::test(flavor = "multi_thread")]
