--- a/crates/figscale-core/src/claims/hash.rs
+++ b/crates/figscale-core/src/claims/hash.rs
@@ -1,19 +1,11 @@
-//! A hash that is the same in every process and version.
+//! A hash of several words that is the same in every process and version.
 
-/// Offset basis of 64-bit FNV-1a.
-const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-/// Prime of 64-bit FNV-1a.
-const PRIME: u64 = 0x0000_0100_0000_01b3;
+use figscale_types::hash;
 
 /// Hashes the parts in order; well mixed in all bits.
 pub(super) fn hash(parts: &[&str]) -> u64 {
-    let mut state = OFFSET;
-    for part in parts {
-        for byte in part.bytes().chain([0]) {
-            state = (state ^ u64::from(byte)).wrapping_mul(PRIME);
-        }
-    }
-    mix(state)
+    let bytes = parts.iter().flat_map(|part| part.bytes().chain([0]));
+    mix(hash::fnv1a(bytes))
 }
 
 /// Finalizer of splitmix64, since FNV-1a mixes the high bits badly.
--- a/crates/figscale-core/src/job/home/submit.rs
+++ b/crates/figscale-core/src/job/home/submit.rs
@@ -1,7 +1,6 @@
 //! What owners ask: submit, status, cancel, list.
 
-use std::time;
-
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
@@ -127,7 +126,7 @@
                 operator::ErrorKind::Unavailable,
                 "the store does not answer, so nothing can be accepted",
             );
-            error.retry_after_ms = Some(millis(retry));
+            error.retry_after_ms = Some(clock::millis(retry));
             return Err(error);
         }
         Ok(())
@@ -195,7 +194,3 @@
 fn unknown_job(id: &ids::JobId) -> operator::OperatorError {
     operator::OperatorError::new(operator::ErrorKind::NotFound, format!("no job {id}"))
 }
-
-pub(super) fn millis(time: time::Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/figscale-core/src/job/home/write.rs
+++ b/crates/figscale-core/src/job/home/write.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::jobs;
 use figscale_types::operator;
@@ -287,7 +288,7 @@
 
     /// Submissions that were not written are not accepted.
     fn give_up_submissions(&mut self, mut batch: Batch) -> Batch {
-        let retry = super::submit::millis(self.config.store_retry);
+        let retry = clock::millis(self.config.store_retry);
         let submitted = std::mem::take(&mut batch.submitted);
         for (id, tickets) in submitted {
             let doubted = self
@@ -316,7 +317,7 @@
 
     /// Whoever waits for a write without an outcome is told so.
     fn doubt_askers(&mut self, mut batch: Batch) -> Batch {
-        let retry = super::submit::millis(self.config.store_retry);
+        let retry = clock::millis(self.config.store_retry);
         let mut told = Vec::new();
         for (id, tickets) in &mut batch.submitted {
             if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/figscale-core/src/job/placement/learn.rs
+++ b/crates/figscale-core/src/job/placement/learn.rs
@@ -11,6 +11,7 @@
 
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::sizes;
 use indexmap::IndexMap;
@@ -156,7 +157,7 @@
         seen.cpu_millis.add(peak.cpu_millis.0, fade);
         seen.memory_bytes.add(peak.memory_bytes.0, fade);
         if let Some(run) = run {
-            let run_ms = u64::try_from(run.as_millis()).unwrap_or(u64::MAX);
+            let run_ms = clock::millis(run);
             seen.run_ms.add(run_ms, fade);
         }
     }
--- a/crates/figscale-core/src/job/placer/orders.rs
+++ b/crates/figscale-core/src/job/placer/orders.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::worker;
 
@@ -220,7 +221,7 @@
                 attempt: task.attempt,
                 epoch,
                 home_epoch: task.home_epoch,
-                lease_ms: millis(lease),
+                lease_ms: clock::millis(lease),
                 resources: order.resources,
                 max_run_ms: order.max_run_ms,
                 run_ms: order.run_ms,
@@ -309,8 +310,3 @@
             .collect()
     }
 }
-
-/// Whole milliseconds, as the workers' protocol has them.
-pub(super) fn millis(time: time::Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/figscale-core/src/job/placer/poll.rs
+++ b/crates/figscale-core/src/job/placer/poll.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::worker;
 use indexmap::IndexMap;
@@ -9,7 +10,6 @@
 
 use super::Action;
 use super::Placer;
-use super::orders;
 use super::task;
 use crate::job::message;
 
@@ -142,7 +142,7 @@
             bound,
             renew: worker::Renew {
                 epoch,
-                lease_ms: orders::millis(self.config.lease),
+                lease_ms: clock::millis(self.config.lease),
                 tasks,
                 forget: session.forget.iter().cloned().collect(),
                 not_after,
--- a/crates/figscale-core/src/job/placer/session.rs
+++ b/crates/figscale-core/src/job/placer/session.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::instances;
 use figscale_types::worker;
@@ -110,7 +111,7 @@
     pub(super) fn clock_at(&self, bound: time::Instant) -> Option<worker::WorkerClock> {
         let reading = self.reading?;
         let ahead = bound.saturating_duration_since(reading.answered_at);
-        let ahead_ms = u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX);
+        let ahead_ms = clock::millis(ahead);
         Some(worker::WorkerClock {
             life: reading.clock.life,
             elapsed_ms: reading.clock.elapsed_ms.saturating_add(ahead_ms),
--- a/crates/figscale-core/src/request/once.rs
+++ b/crates/figscale-core/src/request/once.rs
@@ -20,6 +20,7 @@
 use std::time;
 
 use figscale_types::claims;
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::verdict::Verdict;
 use serde::Deserialize;
@@ -109,7 +110,7 @@
     /// The floor leaves room for both clocks: the earlier home's may have been
     /// ahead by the tolerance when it let an id through that was itself ahead.
     pub fn new(config: OnceConfig, taken_unix_ms: u64) -> Self {
-        let tolerance_ms = millis(config.tolerance);
+        let tolerance_ms = clock::millis(config.tolerance);
         Self {
             config,
             floor_ms: taken_unix_ms.saturating_add(2 * tolerance_ms),
@@ -187,7 +188,7 @@
     /// floor goes first: below it an earlier home with a clock ahead of ours
     /// may have let through what is in the future here.
     fn refused(&self, stamp_ms: u64, now_unix_ms: u64) -> Option<Begin> {
-        let latest_ms = now_unix_ms.saturating_add(millis(self.config.tolerance));
+        let latest_ms = now_unix_ms.saturating_add(clock::millis(self.config.tolerance));
         if stamp_ms <= self.floor_ms {
             Some(Begin::Forgotten)
         } else if stamp_ms > latest_ms {
@@ -229,7 +230,7 @@
     }
 
     fn forget_old(&mut self, now_unix_ms: u64) {
-        let oldest_ms = now_unix_ms.saturating_sub(millis(self.config.keep));
+        let oldest_ms = now_unix_ms.saturating_sub(clock::millis(self.config.keep));
         while let Some(entry) = self.ids.first_entry() {
             let stamp_ms = stamp_ms(ids::RequestId(*entry.key())).unwrap_or(0);
             let full = self.ids.len() >= self.config.capacity.max(1);
@@ -256,7 +257,3 @@
     let number = id.0.as_u128() % u128::from(claims::ID_SHARDS);
     claims::id_shard(u32::try_from(number).ok()?)
 }
-
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/figscale-standin/src/lib.rs
+++ b/crates/figscale-standin/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod experiment;
 mod http_server;
 pub mod load;
-mod mutex;
 pub mod platform;
 pub mod ports;
 pub mod proxy;
--- a/crates/figscale-standin/src/load/report.rs
+++ b/crates/figscale-standin/src/load/report.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::verdict::Verdict;
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
@@ -146,7 +147,7 @@
             .map(|(entry, outcomes)| (entry, ClassReport::of(&outcomes)))
             .collect();
         Self {
-            took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+            took_ms: clock::millis(took),
             all: ClassReport::of(&outcomes.iter().collect::<Vec<_>>()),
             classes: reports,
             outcomes,
--- a/crates/figscale-standin/src/platform/api.rs
+++ b/crates/figscale-standin/src/platform/api.rs
@@ -18,6 +18,7 @@
 use axum::routing;
 use bytes::Bytes;
 use figscale_types::ids;
+use figscale_types::mutex;
 use figscale_types::platform;
 use http::HeaderMap;
 use http::StatusCode;
@@ -31,7 +32,6 @@
 use super::counts;
 use super::store;
 use crate::http_server;
-use crate::mutex;
 use crate::runner;
 
 type SharedState = State<sync::Arc<Shared>>;
--- a/crates/figscale-standin/src/platform/control.rs
+++ b/crates/figscale-standin/src/platform/control.rs
@@ -7,11 +7,11 @@
 use axum::extract::State;
 use axum::routing;
 use figscale_types::instances;
+use figscale_types::mutex;
 
 use super::Faults;
 use super::Shared;
 use super::counts;
-use crate::mutex;
 
 type SharedState = State<sync::Arc<Shared>>;
 
--- a/crates/figscale-standin/src/platform/list.rs
+++ b/crates/figscale-standin/src/platform/list.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::instances;
 
@@ -26,7 +27,7 @@
     pub(crate) fn new(instances: Vec<instances::Instance>, lag: time::Duration) -> Self {
         let shown = instances::InstanceList {
             revision: ids::Revision(1),
-            lag_ms: millis(lag),
+            lag_ms: clock::millis(lag),
             instances,
         };
         Self {
@@ -38,7 +39,7 @@
 
     pub(crate) fn set_lag(&mut self, lag: time::Duration) {
         self.lag = lag;
-        self.shown.lag_ms = millis(lag);
+        self.shown.lag_ms = clock::millis(lag);
     }
 
     pub(crate) fn change(
@@ -72,7 +73,3 @@
         }
     }
 }
-
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/figscale-standin/src/platform/mod.rs
+++ b/crates/figscale-standin/src/platform/mod.rs
@@ -29,6 +29,7 @@
 use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::instances;
+use figscale_types::mutex;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,7 +37,6 @@
 use tokio::task;
 
 use crate::http_server;
-use crate::mutex;
 
 pub use counts::CallKind;
 pub use counts::Counts;
--- a/crates/figscale-standin/src/ports.rs
+++ b/crates/figscale-standin/src/ports.rs
@@ -13,7 +13,7 @@
 use std::process;
 use std::sync;
 
-use crate::mutex;
+use figscale_types::mutex;
 
 const FIRST: u32 = 10_000;
 const COUNT: u32 = 22_000;
--- a/crates/figscale-standin/src/proxy/mod.rs
+++ b/crates/figscale-standin/src/proxy/mod.rs
@@ -21,6 +21,7 @@
 use std::sync::atomic;
 use std::time;
 
+use figscale_types::clock;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -67,7 +68,7 @@
 
     /// Adds this time to every byte in both directions.
     pub fn delay_both(&mut self, delay: time::Duration) {
-        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        let delay_ms = clock::millis(delay);
         self.to_target.delay_ms = delay_ms;
         self.to_client.delay_ms = delay_ms;
     }
--- a/crates/figscale-standin/src/runner/api.rs
+++ b/crates/figscale-standin/src/runner/api.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use figscale_types::headers;
 use figscale_types::instances;
+use figscale_types::mutex;
 
 use futures_util::stream;
 use http::HeaderMap;
@@ -30,7 +31,6 @@
 use super::Shared;
 use super::answer;
 use super::ledger;
-use crate::mutex;
 
 /// Longest filling of an answer, in bytes.
 const MAX_FILLING_BYTES: usize = 64 << 20;
--- a/crates/figscale-standin/src/runner/ledger.rs
+++ b/crates/figscale-standin/src/runner/ledger.rs
@@ -12,12 +12,11 @@
 
 use figscale_types::error;
 use figscale_types::ids;
+use figscale_types::mutex;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::mutex;
-
 /// Who dispatched a request, as the header `x-figscale-holder` tells.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Holder {
--- a/crates/figscale-standin/src/runner/mod.rs
+++ b/crates/figscale-standin/src/runner/mod.rs
@@ -21,8 +21,10 @@
 use std::sync;
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::instances;
+use figscale_types::mutex;
 use rand::SeedableRng as _;
 use rand::rngs;
 use serde::Deserialize;
@@ -31,7 +33,6 @@
 use tokio::task;
 
 use crate::http_server;
-use crate::mutex;
 
 pub use answer::RunAnswer;
 pub use answer::checksum;
@@ -219,7 +220,7 @@
         instances::RunnerUsage {
             busy: usage.busy,
             slots: self.slots,
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: clock::millis(age),
             leaving: self.faults.borrow().leaving,
         }
     }
--- a/crates/figscale-standin/src/worker/ledger.rs
+++ b/crates/figscale-standin/src/worker/ledger.rs
@@ -10,12 +10,11 @@
 use std::time;
 
 use figscale_types::ids;
+use figscale_types::mutex;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::mutex;
-
 /// A stretch of time in which a worker worked on a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
--- a/crates/figscale-standin/src/worker/mod.rs
+++ b/crates/figscale-standin/src/worker/mod.rs
@@ -24,6 +24,7 @@
 
 use figscale_types::clock;
 use figscale_types::ids;
+use figscale_types::mutex;
 use figscale_types::sizes;
 use figscale_types::worker::WorkerReport;
 use serde::Deserialize;
@@ -31,7 +32,6 @@
 use tokio::sync::watch;
 
 use crate::http_server;
-use crate::mutex;
 
 pub use behaviour::Behaviour;
 pub use ledger::Run;
--- a/crates/figscale-standin/src/worker/tasks.rs
+++ b/crates/figscale-standin/src/worker/tasks.rs
@@ -7,6 +7,7 @@
 
 use std::time;
 
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::sizes;
 use figscale_types::worker;
@@ -160,7 +161,7 @@
     fn clock(&self, now: time::Instant) -> worker::WorkerClock {
         worker::WorkerClock {
             life: self.life,
-            elapsed_ms: millis(now.saturating_duration_since(self.started)),
+            elapsed_ms: clock::millis(now.saturating_duration_since(self.started)),
         }
     }
 
@@ -309,7 +310,7 @@
             phase: task.phase,
             reserved: task.reserved,
             used: task.reported_use(now, self.usage_lag),
-            ran_ms: millis(
+            ran_ms: clock::millis(
                 task.stopped
                     .unwrap_or(now)
                     .saturating_duration_since(task.started),
@@ -347,7 +348,3 @@
         self.overused = overused;
     }
 }
-
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/figscale-types/src/clock.rs
+++ b/crates/figscale-types/src/clock.rs
@@ -8,6 +8,14 @@
 use std::sync;
 use std::time;
 
+use crate::mutex;
+
+/// Whole milliseconds of a time, as messages and settings have them; the
+/// largest number for one that is too long.
+pub fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Source of monotonic and wall-clock time.
 pub trait Clock: Send + Sync {
     /// Monotonic time; goes on while the process is stopped.
@@ -57,9 +65,7 @@
     }
 
     fn elapsed(&self) -> sync::MutexGuard<'_, time::Duration> {
-        self.elapsed
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.elapsed)
     }
 }
 
--- a/crates/figscale-types/src/jobs.rs
+++ b/crates/figscale-types/src/jobs.rs
@@ -6,6 +6,7 @@
 
 use crate::catalogue;
 use crate::claims;
+use crate::hash;
 use crate::ids;
 use crate::sizes;
 use crate::verdict;
@@ -165,15 +166,9 @@
     pub jobs: IndexMap<ids::JobId, JobRecord>,
 }
 
-/// Offset basis and prime of the 64-bit FNV-1a hash.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
 /// The job shard that keeps a job.
 pub fn shard_of(job: &ids::JobId) -> Option<ids::ShardId> {
-    let hash = job.as_str().bytes().fold(FNV_OFFSET, |hash, b| {
-        (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME)
-    });
+    let hash = hash::fnv1a(job.as_str().bytes());
     // The low bits of short names differ little; the high ones are mixed in.
     let number = (hash ^ (hash >> 32)) % u64::from(claims::JOB_SHARDS);
     claims::job_shard(u32::try_from(number).unwrap_or(0))
--- a/crates/figscale-standin/src/mutex.rs
+++ b/crates/figscale-types/src/mutex.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
-pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+/// Locks the mutex, also when a thread panicked while it held the lock.
+pub fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
--- a/crates/figscale/src/catalogue/apply.rs
+++ b/crates/figscale/src/catalogue/apply.rs
@@ -7,6 +7,7 @@
 use figscale_core::catalogue::apply;
 use figscale_core::catalogue::history;
 use figscale_types::catalogue;
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::operator;
 use figscale_types::verdict::Verdict;
@@ -65,7 +66,7 @@
         .clock
         .wall()
         .duration_since(time::UNIX_EPOCH);
-    u64::try_from(since_epoch.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+    clock::millis(since_epoch.unwrap_or_default())
 }
 
 async fn carry_out(
--- a/crates/figscale/src/claims/dump.rs
+++ b/crates/figscale/src/claims/dump.rs
@@ -4,6 +4,7 @@
 
 use figscale_core::claims as core;
 use figscale_types::claims;
+use figscale_types::clock;
 use figscale_types::ids;
 use indexmap::IndexMap;
 use serde::Serialize;
@@ -35,11 +36,11 @@
 pub(super) fn dump(machine: &core::Machine, now: time::Instant) -> serde_json::Value {
     let left_ms = |until: Option<time::Instant>| {
         let left = until.map(|until| until.saturating_duration_since(now));
-        millis(left.unwrap_or_default())
+        clock::millis(left.unwrap_or_default())
     };
     let shown = |held: &core::Held| HeldDump {
         epoch: held.epoch,
-        held_ms: millis(now.saturating_duration_since(held.taken_at)),
+        held_ms: clock::millis(now.saturating_duration_since(held.taken_at)),
         clean: held.clean,
     };
     let status = machine.status();
@@ -63,7 +64,3 @@
     };
     serde_json::to_value(dump).unwrap_or_else(|error| error.to_string().into())
 }
-
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/figscale/src/jobs/service.rs
+++ b/crates/figscale/src/jobs/service.rs
@@ -6,6 +6,7 @@
 use figscale_core::job::message;
 use figscale_core::job::placer;
 use figscale_types::catalogue;
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::jobs;
 use indexmap::IndexMap;
@@ -156,7 +157,7 @@
         let since = wall.duration_since(time::UNIX_EPOCH).unwrap_or_default();
         home::Now {
             at: self.context.clock.now(),
-            unix_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            unix_ms: clock::millis(since),
         }
     }
 
--- a/crates/figscale/src/kernel.rs
+++ b/crates/figscale/src/kernel.rs
@@ -17,6 +17,7 @@
 use std::sync;
 
 use figscale_types::ids;
+use figscale_types::mutex;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -123,13 +124,13 @@
     pub fn register<M: Send + 'static>(&self, name: &'static str) -> Inbox<M> {
         let (sender, receiver) = mpsc::channel(MAILBOX_LEN);
         let address = Address { name, sender };
-        lock(&self.addresses).insert(name, Box::new(address));
+        mutex::lock(&self.addresses).insert(name, Box::new(address));
         receiver
     }
 
     /// Finds a service by its name and the type of its messages.
     pub fn find<M: Send + 'static>(&self, name: &'static str) -> Result<Address<M>, Unavailable> {
-        lock(&self.addresses)
+        mutex::lock(&self.addresses)
             .get(name)
             .and_then(|address| address.downcast_ref::<Address<M>>())
             .cloned()
@@ -142,12 +143,12 @@
         name: &'static str,
         dump: impl Fn() -> BoxFuture<serde_json::Value> + Send + Sync + 'static,
     ) {
-        lock(&self.dumps).insert(name, sync::Arc::new(dump));
+        mutex::lock(&self.dumps).insert(name, sync::Arc::new(dump));
     }
 
     /// Dumps every service that offers it.
     pub async fn dump(&self) -> serde_json::Value {
-        let dumps = lock(&self.dumps).clone();
+        let dumps = mutex::lock(&self.dumps).clone();
         let mut all = serde_json::Map::new();
         for (name, dump) in dumps {
             all.insert(name.to_owned(), dump().await);
@@ -164,12 +165,12 @@
         name: &'static str,
         report: impl Fn() -> BoxFuture<()> + Send + Sync + 'static,
     ) {
-        lock(&self.reports).insert(name, sync::Arc::new(report));
+        mutex::lock(&self.reports).insert(name, sync::Arc::new(report));
     }
 
     /// Brings the gauges of every service up to date.
     pub async fn report(&self) {
-        let reports = lock(&self.reports).clone();
+        let reports = mutex::lock(&self.reports).clone();
         for report in reports.values() {
             report().await;
         }
@@ -181,14 +182,14 @@
         prefix: &'static str,
         drain: impl Fn(ids::ShardId) -> BoxFuture<Drained> + Send + Sync + 'static,
     ) {
-        lock(&self.drains).insert(prefix, sync::Arc::new(drain));
+        mutex::lock(&self.drains).insert(prefix, sync::Arc::new(drain));
     }
 
     /// Stops the use of a shard and waits until nothing of it is in progress.
     ///
     /// A shard that nobody uses is clean.
     pub async fn drain(&self, shard: ids::ShardId) -> Drained {
-        let drain = lock(&self.drains)
+        let drain = mutex::lock(&self.drains)
             .iter()
             .find(|(prefix, _)| shard.as_str().starts_with(**prefix))
             .map(|(_, drain)| drain.clone());
@@ -198,7 +199,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/figscale/src/operator/process.rs
+++ b/crates/figscale/src/operator/process.rs
@@ -6,6 +6,7 @@
 use axum::response;
 use axum::response::IntoResponse as _;
 use axum::routing;
+use figscale_types::clock;
 use figscale_types::ids;
 use serde_json::json;
 
@@ -38,7 +39,7 @@
             json!({
                 "version": env!("CARGO_PKG_VERSION"),
                 "member": shared.claims_now().me,
-                "uptime_ms": u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX),
+                "uptime_ms": clock::millis(uptime),
                 "leaving": *shared.leaving.borrow(),
                 "catalogue_revision": shared.catalogue_now().revision,
                 "claims_revision": shared.claims_now().revision,
--- a/crates/figscale/src/peer/client.rs
+++ b/crates/figscale/src/peer/client.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use figscale_types::ids;
+use figscale_types::mutex;
 use figscale_types::verdict::Verdict;
 use h2::client;
 use indexmap::IndexMap;
@@ -215,9 +216,7 @@
     }
 
     fn links(&self) -> sync::MutexGuard<'_, IndexMap<(net::SocketAddr, Lane), Link>> {
-        self.links
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.links)
     }
 }
 
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -22,6 +22,7 @@
 use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::instances;
+use figscale_types::mutex;
 use figscale_types::platform;
 
 pub use budget::Budget;
@@ -86,12 +87,12 @@
 
     /// Tells how many entry instances share the budget.
     pub fn share_among(&self, members: usize) {
-        lock(&self.budget).share_among(members, self.clock.now());
+        mutex::lock(&self.budget).share_among(members, self.clock.now());
     }
 
     /// Calls and bytes so far, by kind.
     pub fn counts(&self) -> Counts {
-        lock(&self.counts).clone()
+        mutex::lock(&self.counts).clone()
     }
 
     /// Reads a key; `None` when absent.
@@ -154,7 +155,7 @@
 
     /// Makes a lease.
     pub async fn grant(&self, ttl: time::Duration) -> Result<ids::LeaseId, StoreError> {
-        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let ttl_ms = clock::millis(ttl);
         let body = serde_json::to_vec(&platform::LeaseRequest { ttl_ms })
             .map_err(|e| StoreError::away(e.to_string()))?;
         let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned())
@@ -183,7 +184,7 @@
     ///
     /// An unchanged list is the very same one.
     pub async fn instances(&self) -> Result<sync::Arc<instances::InstanceList>, StoreError> {
-        let known = lock(&self.listed).clone();
+        let known = mutex::lock(&self.listed).clone();
         let mut request = http::Request::read("/v1/instances".to_owned());
         if let Some(known) = &known {
             request = request.header("if-none-match", &known.entity_tag);
@@ -205,7 +206,7 @@
             entity_tag,
             list: list.clone(),
         });
-        *lock(&self.listed) = tagged;
+        *mutex::lock(&self.listed) = tagged;
         Ok(list)
     }
 
@@ -221,7 +222,7 @@
         let result = self.http.send(request, timeout).await;
         let received_bytes = result.as_ref().map_or(0, http::Answer::len);
         let failed = result.is_err();
-        lock(&self.counts).add(kind, sent_bytes, received_bytes, failed);
+        mutex::lock(&self.counts).add(kind, sent_bytes, received_bytes, failed);
         result
     }
 
@@ -229,10 +230,10 @@
         let now = self.clock.now();
         let wait = match kind {
             Call::Grant | Call::Renew | Call::Revoke => {
-                lock(&self.budget).charge(now);
+                mutex::lock(&self.budget).charge(now);
                 return Ok(());
             }
-            _ => lock(&self.budget).reserve(now, self.timeout),
+            _ => mutex::lock(&self.budget).reserve(now, self.timeout),
         };
         match wait {
             Some(wait) if wait.is_zero() => Ok(()),
@@ -244,7 +245,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/figscale/src/traffic/answer.rs
+++ b/crates/figscale/src/traffic/answer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use figscale_core::request::admission;
 use figscale_core::request::once;
+use figscale_types::clock;
 use figscale_types::headers;
 use figscale_types::ids;
 use figscale_types::verdict::Verdict;
@@ -245,7 +246,7 @@
     /// Status, headers and JSON body, for a request with this verdict.
     pub(super) fn parts(&self, verdict: Verdict) -> (StatusCode, HeaderMap, Bytes) {
         let come_back = self.come_back();
-        let millis = come_back.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+        let millis = come_back.map(clock::millis);
         let body = ErrorBody {
             error: self.word(),
             message: self.message(),
--- a/crates/figscale/src/traffic/fence.rs
+++ b/crates/figscale/src/traffic/fence.rs
@@ -15,6 +15,7 @@
 use std::sync::atomic;
 use std::task;
 
+use figscale_types::mutex;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -35,7 +36,7 @@
 impl Gate {
     /// Before each request: nothing of it is written yet, and `right` decides.
     pub(super) fn arm(&self, right: Right) {
-        *lock(&self.right) = Some(right);
+        *mutex::lock(&self.right) = Some(right);
         self.begun.store(false, atomic::Ordering::SeqCst);
         self.refused.store(false, atomic::Ordering::SeqCst);
         self.late.store(false, atomic::Ordering::SeqCst);
@@ -57,7 +58,9 @@
     }
 
     fn is_open(&self) -> bool {
-        lock(&self.right).as_ref().is_some_and(|right| right())
+        mutex::lock(&self.right)
+            .as_ref()
+            .is_some_and(|right| right())
     }
 
     fn before(&self) -> io::Result<()> {
@@ -76,10 +79,6 @@
     }
 }
 
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
 /// A socket behind a [`Gate`].
 pub(super) struct Fenced {
     socket: TcpStream,
--- a/crates/figscale/src/traffic/forward.rs
+++ b/crates/figscale/src/traffic/forward.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use figscale_core::request::admission;
 use figscale_core::request::dispatcher;
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::verdict::Verdict;
 use h2::client;
@@ -148,7 +149,7 @@
             owner: call.owner.clone(),
             id: call.id,
             idempotent: call.idempotent,
-            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            left_ms: clock::millis(left),
             avoid: self.avoid.clone(),
             headers: wire::from_map(&call.headers),
             body_bytes: call.body.len() as u64,
--- a/crates/figscale/src/traffic/homes.rs
+++ b/crates/figscale/src/traffic/homes.rs
@@ -9,7 +9,9 @@
 use std::time;
 
 use figscale_core::request::once;
+use figscale_types::clock;
 use figscale_types::ids;
+use figscale_types::mutex;
 use figscale_types::verdict::Verdict;
 use indexmap::IndexMap;
 use serde::Deserialize;
@@ -101,26 +103,26 @@
     /// Lets no id through any more under the present holding of a shard, and
     /// keeps its memory for the next home.
     fn give_up(&self, shard: &ids::ShardId, epoch: ids::Epoch) {
-        lock(&self.given_up).insert(shard.clone(), epoch);
-        let home = lock(&self.homes).swap_remove(shard);
+        mutex::lock(&self.given_up).insert(shard.clone(), epoch);
+        let home = mutex::lock(&self.homes).swap_remove(shard);
         if let Some(home) = home.filter(|home| home.epoch == epoch) {
             let passed = Passed {
                 shard: shard.clone(),
                 given_up: epoch,
                 kept: home.memory.pass_on(),
             };
-            lock(&self.leaving).insert(shard.clone(), passed);
+            mutex::lock(&self.leaving).insert(shard.clone(), passed);
         }
     }
 
     /// Memories that are not yet with the next home.
     pub(super) fn leaving(&self) -> Vec<Passed> {
-        lock(&self.leaving).values().cloned().collect()
+        mutex::lock(&self.leaving).values().cloned().collect()
     }
 
     /// Keeps a memory no longer for the next home.
     pub(super) fn forget_leaving(&self, passed: &Passed) {
-        let mut leaving = lock(&self.leaving);
+        let mut leaving = mutex::lock(&self.leaving);
         let same = leaving.get(&passed.shard).map(|p| p.given_up) == Some(passed.given_up);
         if same {
             leaving.swap_remove(&passed.shard);
@@ -129,7 +131,7 @@
 
     /// Takes in a memory that an earlier home passed on.
     pub(super) fn arrive(&self, passed: Passed) {
-        lock(&self.arrived).insert(passed.shard.clone(), passed);
+        mutex::lock(&self.arrived).insert(passed.shard.clone(), passed);
     }
 
     /// The memory to begin with under a new holding; `None` while an earlier
@@ -149,14 +151,14 @@
     }
 
     fn take_arrived(&self, shard: &ids::ShardId, epoch: ids::Epoch) -> Option<Passed> {
-        let mut arrived = lock(&self.arrived);
+        let mut arrived = mutex::lock(&self.arrived);
         let fits = arrived.get(shard)?.given_up.next() == epoch;
         fits.then(|| arrived.swap_remove(shard)).flatten()
     }
 
     /// Ids remembered by shard, for a dump.
     pub(super) fn sizes(&self) -> Vec<(ids::ShardId, usize, u64)> {
-        let homes = lock(&self.homes);
+        let homes = mutex::lock(&self.homes);
         homes
             .iter()
             .map(|(shard, home)| (shard.clone(), home.memory.len(), home.memory.floor_ms()))
@@ -183,7 +185,7 @@
 
     fn home_epoch(&self, shard: &ids::ShardId) -> Option<ids::Epoch> {
         let epoch = self.context.shared.claims.borrow().held.get(shard)?.epoch;
-        let given_up = lock(&self.homes.given_up).get(shard) == Some(&epoch);
+        let given_up = mutex::lock(&self.homes.given_up).get(shard) == Some(&epoch);
         (self.has_authority() && !given_up).then_some(epoch)
     }
 
@@ -194,7 +196,7 @@
         question: Question,
     ) -> once::Begin {
         let now_ms = self.unix_ms();
-        let mut homes = lock(&self.homes.homes);
+        let mut homes = mutex::lock(&self.homes.homes);
         let known = homes.get(shard).is_some_and(|home| home.epoch == epoch);
         if !known {
             let Some(home) = self.new_home(shard, epoch, now_ms) else {
@@ -232,7 +234,7 @@
         let now_ms = self.unix_ms();
         let ids = (view.held.iter()).filter(|(id, _)| id.as_str().starts_with(HOMES));
         let mut waiting = 0;
-        let mut homes = lock(&self.homes.homes);
+        let mut homes = mutex::lock(&self.homes.homes);
         for (shard, held) in ids {
             let known = homes
                 .get(shard)
@@ -263,7 +265,7 @@
 
     fn unix_ms(&self) -> u64 {
         let since = self.context.clock.wall().duration_since(time::UNIX_EPOCH);
-        u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+        clock::millis(since.unwrap_or_default())
     }
 
     /// Asks the home of an id to let it through, within `limit`.
@@ -343,7 +345,3 @@
         async move { Ok(traffic.ask_here(question)) }
     });
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -34,6 +34,7 @@
 use figscale_core::request::queue;
 use figscale_core::request::retry;
 use figscale_types::ids;
+use figscale_types::mutex;
 use figscale_types::verdict::Verdict;
 use indexmap::IndexMap;
 use rand::SeedableRng as _;
@@ -144,9 +145,7 @@
     }
 
     fn decide(&self) -> sync::MutexGuard<'_, Decisions> {
-        self.decisions
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.decisions)
     }
 
     fn has_authority(&self) -> bool {
--- a/crates/figscale/src/traffic/peer_side.rs
+++ b/crates/figscale/src/traffic/peer_side.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use figscale_core::request::dispatcher;
 use figscale_types::catalogue;
+use figscale_types::clock;
 use figscale_types::verdict::Verdict;
 use h2::server;
 
@@ -164,7 +165,7 @@
 ) -> eyre::Result<()> {
     let message = wire::Reply::Refused {
         refused: wire::Refused::from(refusal.reason),
-        backlog_ms: u64::try_from(refusal.backlog.as_millis()).unwrap_or(u64::MAX),
+        backlog_ms: clock::millis(refusal.backlog),
     };
     reply(sender, &message, true).await
 }
--- a/crates/figscale/src/traffic/pool.rs
+++ b/crates/figscale/src/traffic/pool.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use figscale_types::ids;
+use figscale_types::mutex;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -91,7 +92,7 @@
     }
 
     fn idle(&self, runner: &ids::InstanceId) -> Option<Connection> {
-        let mut runners = lock(&self.runners);
+        let mut runners = mutex::lock(&self.runners);
         let idle = &mut runners.get_mut(runner)?.idle;
         idle.retain(|connection| !connection.sender.is_closed());
         // One that is not ready has just been given back and will be at once.
@@ -105,7 +106,7 @@
     }
 
     fn permits(&self, runner: &ids::InstanceId, limit: u32) -> sync::Arc<Semaphore> {
-        let mut runners = lock(&self.runners);
+        let mut runners = mutex::lock(&self.runners);
         let runner = runners.entry(runner.clone()).or_default();
         let new = || sync::Arc::new(Semaphore::new(limit as usize));
         runner.permits.get_or_insert_with(new).clone()
@@ -117,7 +118,7 @@
         if connection.sender.is_closed() {
             return;
         }
-        let mut runners = lock(&self.runners);
+        let mut runners = mutex::lock(&self.runners);
         // A runner that was forgotten meanwhile gets its connection closed.
         if let Some(runner) = runners.get_mut(runner) {
             runner.idle.push(connection);
@@ -126,7 +127,7 @@
 
     /// Closes idle connections to runners that are held no more.
     pub(super) fn retain(&self, is_held: impl Fn(&ids::InstanceId) -> bool) {
-        let mut runners = lock(&self.runners);
+        let mut runners = mutex::lock(&self.runners);
         for (id, runner) in runners.iter_mut() {
             if !is_held(id) {
                 runner.idle.clear();
@@ -138,7 +139,3 @@
         });
     }
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -14,6 +14,7 @@
 use figscale_core::request::retry;
 use figscale_types::catalogue;
 use figscale_types::ids;
+use figscale_types::mutex;
 use figscale_types::verdict::Verdict;
 use hyper::body;
 use rand::RngExt as _;
@@ -85,9 +86,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, ProgressState> {
-        self.state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        mutex::lock(&self.state)
     }
 }
 
