--- a/crates/figscale-core/tests/job_sim/main.rs
+++ b/crates/figscale-core/tests/job_faults/main.rs
@@ -1,12 +1,12 @@
-//! Homes and placers under faults, on a simulated clock.
+//! Homes and placers under faults, on a held clock.
 //!
-//! Judged at the simulated workers: no task runs on two of them, none holds
+//! Judged at the fake workers: no task runs on two of them, none holds
 //! more than it can, a task that may not run twice starts once, a refused job
-//! never starts, an accepted one ends. Seeds are fixed; `JOB_SIM_SEEDS=A..B`
+//! never starts, an accepted one ends. Seeds are fixed; `JOB_FAULTS_SEEDS=A..B`
 //! runs others.
 
+mod cell;
 mod worker;
-mod world;
 
 use std::time;
 
@@ -15,8 +15,8 @@
 use figscale_types::jobs;
 use rstest::rstest;
 
-use world::Faults;
-use world::World;
+use cell::Cell;
+use cell::Faults;
 
 const SECOND: time::Duration = time::Duration::from_secs(1);
 
@@ -25,7 +25,7 @@
         entry: "tides".parse().expect("a legal name"),
         owner: "council".parse().expect("a legal name"),
         tasks,
-        task: world::resources(cpu_millis),
+        task: cell::resources(cpu_millis),
         run_ms,
         deadline_ms: None,
         idempotent,
@@ -63,191 +63,187 @@
 }
 
 fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("JOB_SIM_SEEDS") else {
+    let Ok(text) = std::env::var("JOB_FAULTS_SEEDS") else {
         return (1..=4).collect();
     };
-    let (low, high) = text.split_once("..").expect("JOB_SIM_SEEDS=A..B");
+    let (low, high) = text.split_once("..").expect("JOB_FAULTS_SEEDS=A..B");
     (low.parse().expect("a number")..high.parse().expect("a number")).collect()
 }
 
 #[test]
 fn a_job_is_written_placed_run_and_done() {
-    let mut world = World::new(1, 2, 4);
-    world.run(SECOND);
+    let mut cell = Cell::new(1, 2, 4);
+    cell.run(SECOND);
     let id = name("job", 1);
-    world.submit(
+    cell.submit(
         &id,
         spec(8, 1_000, 500, true),
         terms(catalogue::JobClass::Batch),
     );
-    world.run(4 * SECOND);
+    cell.run(4 * SECOND);
     let id = id.parse().expect("a legal name");
-    let status = world.status(&id).expect("a status");
+    let status = cell.status(&id).expect("a status");
     assert_eq!(status.state, jobs::JobState::Done, "{status:?}");
-    assert_eq!(world.starts.len(), 8);
-    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(cell.starts.len(), 8);
+    assert_eq!(cell.violations, Vec::<String>::new());
 }
 
-fn state(world: &World, name: &str) -> Option<jobs::JobState> {
+fn state(cell: &Cell, name: &str) -> Option<jobs::JobState> {
     let id: ids::JobId = name.parse().expect("a legal name");
-    world.status(&id).map(|status| status.state)
+    cell.status(&id).map(|status| status.state)
 }
 
 /// A worker that leaves gets nothing new; what can be saved is saved and goes
 /// on elsewhere, a service is started elsewhere, the rest runs to its end.
 #[test]
 fn a_leaving_worker_is_emptied() {
-    let mut world = World::new(2, 1, 2);
-    world.run(SECOND);
+    let mut cell = Cell::new(2, 1, 2);
+    cell.run(SECOND);
     let (saved, served) = (name("saved", 1), name("served", 1));
     let mut job = spec(2, 1_000, 60_000, false);
     job.checkpointable = true;
-    world.submit(&saved, job, terms(catalogue::JobClass::Batch));
+    cell.submit(&saved, job, terms(catalogue::JobClass::Batch));
     let service = spec(2, 500, 1_000_000, true);
-    world.submit(&served, service, terms(catalogue::JobClass::Service));
-    world.run(3 * SECOND);
-    let busy = (0..2).find(|index| world.workers[*index].used(world.now).cpu_millis.0 > 0);
+    cell.submit(&served, service, terms(catalogue::JobClass::Service));
+    cell.run(3 * SECOND);
+    let busy = (0..2).find(|index| cell.workers[*index].used(cell.now).cpu_millis.0 > 0);
     let busy = busy.expect("a busy worker");
-    world.workers[busy].leaving = true;
-    world.run(SECOND);
-    let before = world.starts_on(busy);
-    world.run(10 * SECOND);
-    assert_eq!(world.starts_on(busy), before);
-    assert_eq!(world.workers[busy].used(world.now).cpu_millis.0, 0);
-    assert_eq!(world.workers[1 - busy].used(world.now).cpu_millis.0, 3_000);
+    cell.workers[busy].leaving = true;
+    cell.run(SECOND);
+    let before = cell.starts_on(busy);
+    cell.run(10 * SECOND);
+    assert_eq!(cell.starts_on(busy), before);
+    assert_eq!(cell.workers[busy].used(cell.now).cpu_millis.0, 0);
+    assert_eq!(cell.workers[1 - busy].used(cell.now).cpu_millis.0, 3_000);
 }
 
 /// Tasks of a service are started again whenever they end.
 #[test]
 fn a_service_is_kept_running() {
-    let mut world = World::new(3, 2, 4);
-    world.run(SECOND);
+    let mut cell = Cell::new(3, 2, 4);
+    cell.run(SECOND);
     let served = name("served", 1);
-    world.submit(
+    cell.submit(
         &served,
         spec(3, 500, 2_000, true),
         terms(catalogue::JobClass::Service),
     );
-    world.run(20 * SECOND);
-    assert_eq!(state(&world, &served), Some(jobs::JobState::Running));
+    cell.run(20 * SECOND);
+    assert_eq!(state(&cell, &served), Some(jobs::JobState::Running));
     assert!(
-        world.starts.values().all(|starts| *starts >= 4),
+        cell.starts.values().all(|starts| *starts >= 4),
         "{:?}",
-        world.starts
+        cell.starts
     );
-    world.cancel(&served);
-    world.run(3 * SECOND);
-    assert_eq!(state(&world, &served), Some(jobs::JobState::Cancelled));
-    assert_eq!(world.violations, Vec::<String>::new());
+    cell.cancel(&served);
+    cell.run(3 * SECOND);
+    assert_eq!(state(&cell, &served), Some(jobs::JobState::Cancelled));
+    assert_eq!(cell.violations, Vec::<String>::new());
 }
 
 /// Urgent work gets the room of less urgent work that may be stopped for it.
 #[test]
 fn urgent_work_takes_the_room_of_preemptible_work() {
-    let mut world = World::new(4, 1, 2);
-    world.run(SECOND);
+    let mut cell = Cell::new(4, 1, 2);
+    cell.run(SECOND);
     let patient = jobs::JobTerms {
         preemptible: true,
         ..jobs::JobTerms::default()
     };
     let (low, high) = (name("low", 1), name("high", 1));
-    world.submit(&low, spec(7, 1_000, 20_000, true), patient);
-    world.run(2 * SECOND);
+    cell.submit(&low, spec(7, 1_000, 20_000, true), patient);
+    cell.run(2 * SECOND);
     let urgent = jobs::JobTerms {
         urgency: catalogue::Urgency::Interactive,
         ..jobs::JobTerms::default()
     };
-    world.submit(&high, spec(1, 3_000, 1_000, true), urgent);
-    world.run(6 * SECOND);
-    assert_eq!(state(&world, &high), Some(jobs::JobState::Done));
-    world.run(60 * SECOND);
-    assert_eq!(state(&world, &low), Some(jobs::JobState::Done));
-    assert_eq!(world.violations, Vec::<String>::new());
+    cell.submit(&high, spec(1, 3_000, 1_000, true), urgent);
+    cell.run(6 * SECOND);
+    assert_eq!(state(&cell, &high), Some(jobs::JobState::Done));
+    cell.run(60 * SECOND);
+    assert_eq!(state(&cell, &low), Some(jobs::JobState::Done));
+    assert_eq!(cell.violations, Vec::<String>::new());
 }
 
 /// A worker that fails everything is set aside after few losses, and the jobs
 /// that it failed end well elsewhere.
 #[test]
 fn a_worker_that_fails_everything_is_set_aside() {
-    let mut world = World::new(5, 1, 4);
-    world.run(SECOND);
-    world.workers[0].fails = true;
+    let mut cell = Cell::new(5, 1, 4);
+    cell.run(SECOND);
+    cell.workers[0].fails = true;
     let names: Vec<_> = (0..40).map(|number| name("job", number)).collect();
     for name in &names {
-        world.submit(
+        cell.submit(
             name,
             spec(2, 1_000, 300, true),
             terms(catalogue::JobClass::Batch),
         );
-        world.run(SECOND / 10);
+        cell.run(SECOND / 10);
     }
-    world.run(20 * SECOND);
+    cell.run(20 * SECOND);
     for name in &names {
-        assert_eq!(state(&world, name), Some(jobs::JobState::Done), "{name}");
+        assert_eq!(state(&cell, name), Some(jobs::JobState::Done), "{name}");
     }
-    assert!(world.starts_on(0) < 20, "{} losses", world.starts_on(0));
+    assert!(cell.starts_on(0) < 20, "{} losses", cell.starts_on(0));
 }
 
 /// One owner's long queue does not hold up another owner's first tasks.
 #[test]
 fn owners_take_turns() {
-    let mut world = World::new(7, 1, 2);
-    world.run(SECOND);
+    let mut cell = Cell::new(7, 1, 2);
+    cell.run(SECOND);
     let many = name("many", 1);
-    world.submit(
+    cell.submit(
         &many,
         spec(400, 1_000, 1_000, true),
         terms(catalogue::JobClass::Batch),
     );
-    world.run(3 * SECOND);
+    cell.run(3 * SECOND);
     let few = same_shard("few", &many);
     let mut other = spec(4, 1_000, 1_000, true);
     other.owner = "harbour".parse().expect("a legal name");
-    world.submit(&few, other, terms(catalogue::JobClass::Batch));
-    world.run(6 * SECOND);
-    assert_eq!(state(&world, &few), Some(jobs::JobState::Done));
-    assert_eq!(state(&world, &many), Some(jobs::JobState::Running));
+    cell.submit(&few, other, terms(catalogue::JobClass::Batch));
+    cell.run(6 * SECOND);
+    assert_eq!(state(&cell, &few), Some(jobs::JobState::Done));
+    assert_eq!(state(&cell, &many), Some(jobs::JobState::Running));
 }
 
 /// A wave of 10,000 cancelled tasks costs a few grouped writes, and what comes
 /// after it runs at once.
 #[test]
 fn ten_thousand_cancellations_leave_placements_flowing() {
-    let mut world = World::new(6, 2, 4);
-    world.run(SECOND);
+    let mut cell = Cell::new(6, 2, 4);
+    cell.run(SECOND);
     let names: Vec<_> = (0..100).map(|number| name("wave", number)).collect();
     for name in &names {
-        world.submit(
+        cell.submit(
             name,
             spec(100, 4_000, 600_000, true),
             terms(catalogue::JobClass::Batch),
         );
     }
-    world.run(2 * SECOND);
-    let writes = world.writes;
+    cell.run(2 * SECOND);
+    let writes = cell.writes;
     for name in &names {
-        world.cancel(name);
+        cell.cancel(name);
     }
     let after = name("after", 1);
-    world.submit(
+    cell.submit(
         &after,
         spec(4, 500, 100, true),
         terms(catalogue::JobClass::Batch),
     );
-    world.run(3 * SECOND);
-    assert_eq!(state(&world, &after), Some(jobs::JobState::Done));
+    cell.run(3 * SECOND);
+    assert_eq!(state(&cell, &after), Some(jobs::JobState::Done));
     for name in &names {
         assert_eq!(
-            state(&world, name),
+            state(&cell, name),
             Some(jobs::JobState::Cancelled),
             "{name}"
         );
     }
-    assert!(
-        world.writes - writes < 80,
-        "{} writes",
-        world.writes - writes
-    );
+    assert!(cell.writes - writes < 80, "{} writes", cell.writes - writes);
 }
 
 #[rstest]
@@ -277,36 +273,36 @@
 }
 
 fn run_under(seed: u64, faults: Faults) {
-    let mut world = World::new(seed, 3, 6);
-    world.run(SECOND);
-    world.faults = faults;
+    let mut cell = Cell::new(seed, 3, 6);
+    cell.run(SECOND);
+    cell.faults = faults;
     for number in 0..60 {
-        let kind = world.draw(4);
-        let tasks = 1 + world.draw(5) as u32;
-        let cpu_millis = 250 * (1 + world.draw(8));
-        let run_ms = 100 + world.draw(4_000);
+        let kind = cell.draw(4);
+        let tasks = 1 + cell.draw(5) as u32;
+        let cpu_millis = 250 * (1 + cell.draw(8));
+        let run_ms = 100 + cell.draw(4_000);
         let class = match kind {
             0 => catalogue::JobClass::Gang,
             _ => catalogue::JobClass::Batch,
         };
         let spec = spec(tasks, cpu_millis, run_ms, kind != 1);
-        world.submit(&name("job", number), spec, terms(class));
-        world.run(SECOND / 3);
+        cell.submit(&name("job", number), spec, terms(class));
+        cell.run(SECOND / 3);
     }
-    world.faults = Faults::default();
-    world.run(90 * SECOND);
-    assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
-    let accepted = world.accepted();
+    cell.faults = Faults::default();
+    cell.run(90 * SECOND);
+    assert_eq!(cell.violations, Vec::<String>::new(), "seed {seed}");
+    let accepted = cell.accepted();
     assert!(
         accepted.len() >= 5,
         "seed {seed}: {} accepted",
         accepted.len()
     );
     for id in &accepted {
-        let status = world.status(id);
+        let status = cell.status(id);
         let ended = status.as_ref().is_some_and(|status| match status.state {
             jobs::JobState::Done => true,
-            jobs::JobState::MayHaveRun => !world.specs[id].idempotent,
+            jobs::JobState::MayHaveRun => !cell.specs[id].idempotent,
             _ => false,
         });
         assert!(ended, "seed {seed}: {id} is {status:?}");
