Wait for shards to be spread before a test of requests begins

Change: every entry instance must hold some and give none away. No assertion changed. Ruled out: an address taken (no such line).

--- a/crates/figscale/tests/requests_process.rs
+++ b/crates/figscale/tests/requests_process.rs
@@ -70,7 +70,8 @@
     cell
 }
 
-/// Waits until every slot has a holder and none is kept back.
+/// Waits until every slot has a holder and none is kept back, every entry
+/// instance has its share and gives up none of it.
 async fn wait_until_quiet(cell: &harness::Cell, entries: usize, runners: usize) {
     harness::wait_until("free slots", || async {
         let mut free = 0;
@@ -81,10 +82,14 @@
             };
             let counts = &dump["traffic"]["counts"]["hullrate"];
             free += counts["free"][0].as_u64().unwrap_or(0);
-            let held = dump["claims"]["held"].as_object();
-            homes += held.map_or(0, |held| {
-                held.keys().filter(|s| s.starts_with("id/")).count()
-            });
+            // The first one holds all shards until it has seen the others.
+            let Some(held) = dump["claims"]["held"].as_object() else {
+                return false;
+            };
+            if held.is_empty() || dump["claims"]["giving"] != json!([]) {
+                return false;
+            }
+            homes += held.keys().filter(|s| s.starts_with("id/")).count();
         }
         free == 8 * runners as u64 && homes == figscale_types::claims::ID_SHARDS as usize
     })
