Send on h2 streams in one way

peer::client::send_all and traffic::wire::send spelt out the same loop over the peer's flow control. Now peer::send, which send_all ends with.

--- a/crates/figscale/src/peer/client.rs
+++ b/crates/figscale/src/peer/client.rs
@@ -223,18 +223,27 @@
 /// Sends a whole body within the peer's flow control and ends the stream.
 pub(super) async fn send_all(
     sender: &mut h2::SendStream<Bytes>,
-    mut body: Bytes,
+    body: Bytes,
 ) -> Result<(), h2::Error> {
-    while !body.is_empty() {
-        sender.reserve_capacity(body.len());
+    send(sender, body).await?;
+    sender.send_data(Bytes::new(), true)
+}
+
+/// Sends bytes within the peer's flow control; the stream goes on.
+pub(crate) async fn send(
+    sender: &mut h2::SendStream<Bytes>,
+    mut bytes: Bytes,
+) -> Result<(), h2::Error> {
+    while !bytes.is_empty() {
+        sender.reserve_capacity(bytes.len());
         let room = match std::future::poll_fn(|cx| sender.poll_capacity(cx)).await {
             Some(room) => room?,
             None => return Err(h2::Reason::CANCEL.into()),
         };
-        let part = body.split_to(room.min(body.len()));
+        let part = bytes.split_to(room.min(bytes.len()));
         sender.send_data(part, false)?;
     }
-    sender.send_data(Bytes::new(), true)
+    Ok(())
 }
 
 /// Reads a whole body, at most [`codec::MAX_MESSAGE_BYTES`].
--- a/crates/figscale/src/peer/mod.rs
+++ b/crates/figscale/src/peer/mod.rs
@@ -22,6 +22,7 @@
 pub use client::Lane;
 pub use client::PeerError;
 pub use client::Peers;
+pub(crate) use client::send;
 pub use codec::MAX_MESSAGE_BYTES;
 pub use codec::decode;
 pub use codec::encode;
--- a/crates/figscale/src/traffic/forward.rs
+++ b/crates/figscale/src/traffic/forward.rs
@@ -27,6 +27,7 @@
 use super::answer::Part;
 use super::call::Call;
 use super::wire;
+use crate::peer;
 
 /// Parts of a streamed answer that wait for a slow reader.
 const PARTS_AHEAD: usize = 4;
@@ -136,7 +137,7 @@
         let opening = peers.open_stream(self.holder.address, wire::STREAM);
         let (reply, mut sender) = opening.await.map_err(|_| link_broke())?;
         let head = wire::frame(&self.head()).map_err(|_| link_broke())?;
-        let sent = wire::send(&mut sender, head).await;
+        let sent = peer::send(&mut sender, head).await;
         sent.map_err(|_| link_broke())?;
         Ok((reply, sender))
     }
@@ -190,7 +191,7 @@
 }
 
 async fn send_body(sender: &mut h2::SendStream<Bytes>, body: Bytes) -> Result<(), h2::Error> {
-    wire::send(sender, body).await?;
+    peer::send(sender, body).await?;
     sender.send_data(Bytes::new(), true)
 }
 
--- a/crates/figscale/src/traffic/peer_side.rs
+++ b/crates/figscale/src/traffic/peer_side.rs
@@ -175,7 +175,7 @@
     message: &wire::Reply,
     last: bool,
 ) -> eyre::Result<()> {
-    wire::send(sender, wire::frame(message)?).await?;
+    peer::send(sender, wire::frame(message)?).await?;
     if last {
         sender.send_data(Bytes::new(), true)?;
     }
@@ -195,14 +195,14 @@
     };
     reply(sender, &head, false).await?;
     match answer.body {
-        AnswerBody::Whole(bytes) => wire::send(sender, bytes).await?,
+        AnswerBody::Whole(bytes) => peer::send(sender, bytes).await?,
         AnswerBody::Streamed {
             first, mut rest, ..
         } => {
-            wire::send(sender, first).await?;
+            peer::send(sender, first).await?;
             loop {
                 match rest.recv().await {
-                    Some(Part::Data(part)) => wire::send(sender, part).await?,
+                    Some(Part::Data(part)) => peer::send(sender, part).await?,
                     Some(Part::End) => break,
                     None => {
                         sender.send_reset(h2::Reason::INTERNAL_ERROR);
--- a/crates/figscale/src/traffic/wire.rs
+++ b/crates/figscale/src/traffic/wire.rs
@@ -141,23 +141,6 @@
     Ok(all.freeze())
 }
 
-/// Sends bytes within the peer's flow control.
-pub(super) async fn send(
-    sender: &mut h2::SendStream<Bytes>,
-    mut bytes: Bytes,
-) -> Result<(), h2::Error> {
-    while !bytes.is_empty() {
-        sender.reserve_capacity(bytes.len());
-        let room = match std::future::poll_fn(|cx| sender.poll_capacity(cx)).await {
-            Some(room) => room?,
-            None => return Err(h2::Reason::CANCEL.into()),
-        };
-        let part = bytes.split_to(room.min(bytes.len()));
-        sender.send_data(part, false)?;
-    }
-    Ok(())
-}
-
 /// Reads frames, then raw bytes, from a stream.
 pub(super) struct Reader {
     stream: h2::RecvStream,
