One list of the kinds of call of the platform's protocol

The store's client and the stand-in platform each had the nine kinds. They are the protocol's, and stand now with it: figscale_types::platform::CallKind. Names in dumps and metrics are unchanged.

--- a/crates/figscale-standin/src/platform/api.rs
+++ b/crates/figscale-standin/src/platform/api.rs
@@ -67,7 +67,7 @@
     request: Request,
     next: middleware::Next,
 ) -> Response {
-    let Some(kind) = counts::CallKind::of(request.method(), request.uri().path()) else {
+    let Some(kind) = counts::kind_of(request.method(), request.uri().path()) else {
         return StatusCode::NOT_FOUND.into_response();
     };
     let client = client_name(request.headers());
@@ -97,7 +97,7 @@
 impl Layer {
     async fn answer(
         &self,
-        kind: counts::CallKind,
+        kind: super::CallKind,
         request: Request,
         next: middleware::Next,
     ) -> Response {
@@ -130,7 +130,7 @@
     }
 
     /// Loses the answer to a write that took effect, if so ordered.
-    fn lose(&self, kind: counts::CallKind, response: Response) -> Response {
+    fn lose(&self, kind: super::CallKind, response: Response) -> Response {
         if !kind.is_write() || !response.status().is_success() {
             return response;
         }
--- a/crates/figscale-standin/src/platform/counts.rs
+++ b/crates/figscale-standin/src/platform/counts.rs
@@ -1,58 +1,25 @@
 //! Calls and bytes, counted by client and kind of call.
 
+use figscale_types::platform;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Kinds of call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum CallKind {
-    /// Read of a key.
-    Get,
-    /// Write of a key.
-    Put,
-    /// Deletion of a key.
-    Delete,
-    /// Waiting read.
-    Watch,
-    /// List of keys.
-    Keys,
-    /// A new lease.
-    Grant,
-    /// Renewal of a lease.
-    Renew,
-    /// End of a lease.
-    Revoke,
-    /// Read of the instance list.
-    Instances,
-}
-
-impl CallKind {
-    /// The kind of an HTTP call; `None` for what the protocol does not know.
-    pub(crate) fn of(method: &http::Method, path: &str) -> Option<Self> {
-        let rest = path.strip_prefix("/v1/")?;
-        let part = rest.split('/').next()?;
-        match (part, method.as_str()) {
-            ("kv", "GET") => Some(Self::Get),
-            ("kv", "PUT") => Some(Self::Put),
-            ("kv", "DELETE") => Some(Self::Delete),
-            ("watch", "GET") => Some(Self::Watch),
-            ("keys", "GET") => Some(Self::Keys),
-            ("leases", "POST") => Some(Self::Grant),
-            ("leases", "PUT") => Some(Self::Renew),
-            ("leases", "DELETE") => Some(Self::Revoke),
-            ("instances", "GET") => Some(Self::Instances),
-            _ => None,
-        }
-    }
-
-    /// Whether it counts against the rate of writes.
-    pub fn is_write(self) -> bool {
-        match self {
-            Self::Put | Self::Delete | Self::Grant | Self::Renew | Self::Revoke => true,
-            Self::Get | Self::Watch | Self::Keys | Self::Instances => false,
-        }
+/// The kind of an HTTP call; `None` for what the protocol does not know.
+pub(crate) fn kind_of(method: &http::Method, path: &str) -> Option<platform::CallKind> {
+    let rest = path.strip_prefix("/v1/")?;
+    let part = rest.split('/').next()?;
+    match (part, method.as_str()) {
+        ("kv", "GET") => Some(platform::CallKind::Get),
+        ("kv", "PUT") => Some(platform::CallKind::Put),
+        ("kv", "DELETE") => Some(platform::CallKind::Delete),
+        ("watch", "GET") => Some(platform::CallKind::Watch),
+        ("keys", "GET") => Some(platform::CallKind::Keys),
+        ("leases", "POST") => Some(platform::CallKind::Grant),
+        ("leases", "PUT") => Some(platform::CallKind::Renew),
+        ("leases", "DELETE") => Some(platform::CallKind::Revoke),
+        ("instances", "GET") => Some(platform::CallKind::Instances),
+        _ => None,
     }
 }
 
@@ -85,4 +52,4 @@
 }
 
 /// Counters by client, then by kind.
-pub(crate) type CountsByClient = IndexMap<String, IndexMap<CallKind, Counts>>;
+pub(crate) type CountsByClient = IndexMap<String, IndexMap<platform::CallKind, Counts>>;
--- a/crates/figscale-standin/src/platform/mod.rs
+++ b/crates/figscale-standin/src/platform/mod.rs
@@ -38,8 +38,8 @@
 
 use crate::http_server;
 
-pub use counts::CallKind;
 pub use counts::Counts;
+pub use figscale_types::platform::CallKind;
 
 /// Time between looks for lapsed leases.
 const TICK: time::Duration = time::Duration::from_millis(10);
--- a/crates/figscale-types/src/platform.rs
+++ b/crates/figscale-types/src/platform.rs
@@ -34,6 +34,40 @@
 /// Header with the name of the caller, by which a stand-in counts; optional.
 pub const CLIENT: &str = "x-client";
 
+/// Kinds of call of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallKind {
+    /// Read of a key.
+    Get,
+    /// Write of a key.
+    Put,
+    /// Deletion of a key.
+    Delete,
+    /// Waiting read.
+    Watch,
+    /// List of keys.
+    Keys,
+    /// A new lease.
+    Grant,
+    /// Renewal of a lease.
+    Renew,
+    /// End of a lease.
+    Revoke,
+    /// Read of the instance list.
+    Instances,
+}
+
+impl CallKind {
+    /// Whether it counts against the rate of writes.
+    pub fn is_write(self) -> bool {
+        match self {
+            Self::Put | Self::Delete | Self::Grant | Self::Renew | Self::Revoke => true,
+            Self::Get | Self::Watch | Self::Keys | Self::Instances => false,
+        }
+    }
+}
+
 /// Asks for a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRequest {
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -12,6 +12,7 @@
 
 use figscale_types::catalogue;
 use figscale_types::ids;
+use figscale_types::platform;
 use figscale_types::verdict;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics;
@@ -238,7 +239,7 @@
     }
 }
 
-fn kind(call: store::Call) -> KeyValue {
+fn kind(call: platform::CallKind) -> KeyValue {
     KeyValue::new("kind", format!("{call:?}").to_lowercase())
 }
 
--- a/crates/figscale/src/store/count.rs
+++ b/crates/figscale/src/store/count.rs
@@ -1,32 +1,9 @@
 //! Counts of calls and bytes by kind of call.
 
+use figscale_types::platform;
 use indexmap::IndexMap;
 use serde::Serialize;
 
-/// Kinds of call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Call {
-    /// Reads of a key.
-    Get,
-    /// Writes of a key.
-    Put,
-    /// Deletions of a key.
-    Delete,
-    /// Watches, each counted once however long it waits.
-    Watch,
-    /// Listings of keys.
-    Keys,
-    /// New leases.
-    Grant,
-    /// Renewals of a lease.
-    Renew,
-    /// Ends of a lease.
-    Revoke,
-    /// Reads of the instance list.
-    Instances,
-}
-
 /// Use of one kind of call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Usage {
@@ -44,21 +21,27 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 #[serde(transparent)]
 pub struct Counts {
-    by_call: IndexMap<Call, Usage>,
+    by_call: IndexMap<platform::CallKind, Usage>,
 }
 
 impl Counts {
     /// Use of one kind of call.
-    pub fn of(&self, call: Call) -> Usage {
+    pub fn of(&self, call: platform::CallKind) -> Usage {
         self.by_call.get(&call).copied().unwrap_or_default()
     }
 
     /// Each kind of call that was used.
-    pub fn iter(&self) -> impl Iterator<Item = (Call, Usage)> {
+    pub fn iter(&self) -> impl Iterator<Item = (platform::CallKind, Usage)> {
         self.by_call.iter().map(|(call, usage)| (*call, *usage))
     }
 
-    pub(super) fn add(&mut self, call: Call, sent: usize, received: usize, failed: bool) {
+    pub(super) fn add(
+        &mut self,
+        call: platform::CallKind,
+        sent: usize,
+        received: usize,
+        failed: bool,
+    ) {
         let usage = self.by_call.entry(call).or_default();
         usage.calls += 1;
         usage.failed += u64::from(failed);
--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -26,7 +26,6 @@
 use figscale_types::platform;
 
 pub use budget::Budget;
-pub use count::Call;
 pub use count::Counts;
 pub use count::Usage;
 pub use error::StoreError;
@@ -98,7 +97,9 @@
     /// Reads a key; `None` when absent.
     pub async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
         let request = http::Request::read(format!("/v1/kv/{key}"));
-        let answer = self.call(Call::Get, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Get, request, self.timeout)
+            .await?;
         answer.versioned()
     }
 
@@ -119,7 +120,9 @@
         if let Some(lease) = lease {
             request = request.header(platform::LEASE, lease.0);
         }
-        let answer = self.call(Call::Put, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Put, request, self.timeout)
+            .await?;
         answer.written()
     }
 
@@ -127,7 +130,9 @@
     pub async fn delete(&self, key: &str, expected: ids::Revision) -> Result<(), StoreError> {
         let request = http::Request::write(hyper::Method::DELETE, format!("/v1/kv/{key}"))
             .header(platform::IF_REVISION, expected.0);
-        let answer = self.call(Call::Delete, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Delete, request, self.timeout)
+            .await?;
         answer.done()
     }
 
@@ -142,14 +147,18 @@
         let path = format!("/v1/watch/{key}?after={after}&wait_ms={wait_ms}");
         let timeout = wait + self.timeout;
         let request = http::Request::read(path);
-        let answer = self.call(Call::Watch, request, timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Watch, request, timeout)
+            .await?;
         answer.versioned()
     }
 
     /// Lists the keys under a prefix.
     pub async fn keys(&self, prefix: &str) -> Result<platform::KeyList, StoreError> {
         let request = http::Request::read(format!("/v1/keys?prefix={prefix}"));
-        let answer = self.call(Call::Keys, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Keys, request, self.timeout)
+            .await?;
         answer.json()
     }
 
@@ -161,7 +170,9 @@
         let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned())
             .header("content-type", "application/json")
             .body(body);
-        let answer = self.call(Call::Grant, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Grant, request, self.timeout)
+            .await?;
         let granted: platform::LeaseAnswer = answer.json()?;
         Ok(granted.lease)
     }
@@ -169,14 +180,18 @@
     /// Renews a lease.
     pub async fn renew(&self, lease: ids::LeaseId) -> Result<(), StoreError> {
         let request = http::Request::write(hyper::Method::PUT, format!("/v1/leases/{lease}"));
-        let answer = self.call(Call::Renew, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Renew, request, self.timeout)
+            .await?;
         answer.done()
     }
 
     /// Ends a lease and deletes its keys.
     pub async fn revoke(&self, lease: ids::LeaseId) -> Result<(), StoreError> {
         let request = http::Request::write(hyper::Method::DELETE, format!("/v1/leases/{lease}"));
-        let answer = self.call(Call::Revoke, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Revoke, request, self.timeout)
+            .await?;
         answer.done()
     }
 
@@ -189,7 +204,9 @@
         if let Some(known) = &known {
             request = request.header("if-none-match", &known.entity_tag);
         }
-        let answer = self.call(Call::Instances, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Instances, request, self.timeout)
+            .await?;
         match known {
             Some(known) if answer.is_unchanged() => Ok(known.list),
             _ => self.listed(answer),
@@ -212,7 +229,7 @@
 
     async fn call(
         &self,
-        kind: Call,
+        kind: platform::CallKind,
         request: http::Request,
         timeout: time::Duration,
     ) -> Result<http::Answer, StoreError> {
@@ -226,10 +243,10 @@
         result
     }
 
-    async fn wait_for_budget(&self, kind: Call) -> Result<(), StoreError> {
+    async fn wait_for_budget(&self, kind: platform::CallKind) -> Result<(), StoreError> {
         let now = self.clock.now();
         let wait = match kind {
-            Call::Grant | Call::Renew | Call::Revoke => {
+            platform::CallKind::Grant | platform::CallKind::Renew | platform::CallKind::Revoke => {
                 mutex::lock(&self.budget).charge(now);
                 return Ok(());
             }
--- a/crates/figscale/tests/claims_store.rs
+++ b/crates/figscale/tests/claims_store.rs
@@ -104,7 +104,7 @@
         "GET /v1/keys?prefix=a/",
     ];
     assert_eq!(lines, expected);
-    assert_eq!(store.counts().of(store::Call::Get).calls, 2);
+    assert_eq!(store.counts().of(platform::CallKind::Get).calls, 2);
 }
 
 #[tokio::test]
