--- a/crates/figscale/src/jobs/service.rs
+++ b/crates/figscale/src/jobs/service.rs
@@ -72,6 +72,8 @@
     next_ticket: u64,
     /// When peers were last told what owners use here.
     usage_told_at: Option<time::Instant>,
+    /// Tasks found running twice that were logged.
+    duplicates_told: u64,
     /// Peers as of the last claims.
     peers: IndexSet<ids::MemberId>,
     draining: Vec<Draining>,
@@ -147,6 +149,7 @@
             askers: IndexMap::new(),
             next_ticket: 0,
             usage_told_at: None,
+            duplicates_told: 0,
             peers: IndexSet::new(),
             draining: Vec::new(),
         }
@@ -479,10 +482,23 @@
         for action in self.placer.poll(now.at, valid_until) {
             self.carry_out_placer(now, action);
         }
+        self.tell_duplicates();
         self.finish_drains();
         self.tell_usage(now);
     }
 
+    /// Logs tasks that were found running although they have room elsewhere.
+    fn tell_duplicates(&mut self) {
+        let found = self.placer.duplicates();
+        if found > self.duplicates_told {
+            crate::event!(
+                events::jobs::TASK_DUPLICATE,
+                tasks = found - self.duplicates_told
+            );
+            self.duplicates_told = found;
+        }
+    }
+
     fn carry_out_home(&mut self, key: message::HomeKey, action: home::Action) {
         match action {
             home::Action::Read => self.calls.read(key),
