--- a/crates/figscale/src/store/mod.rs
+++ b/crates/figscale/src/store/mod.rs
@@ -22,10 +22,10 @@
 use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::instances;
+use figscale_types::mutex;
 use figscale_types::platform;
 
 pub use budget::Budget;
-pub use count::Call;
 pub use count::Counts;
 pub use count::Usage;
 pub use error::StoreError;
@@ -86,18 +86,20 @@
 
     /// Tells how many entry instances share the budget.
     pub fn share_among(&self, members: usize) {
-        lock(&self.budget).share_among(members, self.clock.now());
+        mutex::lock(&self.budget).share_among(members, self.clock.now());
     }
 
     /// Calls and bytes so far, by kind.
     pub fn counts(&self) -> Counts {
-        lock(&self.counts).clone()
+        mutex::lock(&self.counts).clone()
     }
 
     /// Reads a key; `None` when absent.
     pub async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
         let request = http::Request::read(format!("/v1/kv/{key}"));
-        let answer = self.call(Call::Get, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Get, request, self.timeout)
+            .await?;
         answer.versioned()
     }
 
@@ -118,7 +120,9 @@
         if let Some(lease) = lease {
             request = request.header(platform::LEASE, lease.0);
         }
-        let answer = self.call(Call::Put, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Put, request, self.timeout)
+            .await?;
         answer.written()
     }
 
@@ -126,7 +130,9 @@
     pub async fn delete(&self, key: &str, expected: ids::Revision) -> Result<(), StoreError> {
         let request = http::Request::write(hyper::Method::DELETE, format!("/v1/kv/{key}"))
             .header(platform::IF_REVISION, expected.0);
-        let answer = self.call(Call::Delete, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Delete, request, self.timeout)
+            .await?;
         answer.done()
     }
 
@@ -141,26 +147,32 @@
         let path = format!("/v1/watch/{key}?after={after}&wait_ms={wait_ms}");
         let timeout = wait + self.timeout;
         let request = http::Request::read(path);
-        let answer = self.call(Call::Watch, request, timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Watch, request, timeout)
+            .await?;
         answer.versioned()
     }
 
     /// Lists the keys under a prefix.
     pub async fn keys(&self, prefix: &str) -> Result<platform::KeyList, StoreError> {
         let request = http::Request::read(format!("/v1/keys?prefix={prefix}"));
-        let answer = self.call(Call::Keys, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Keys, request, self.timeout)
+            .await?;
         answer.json()
     }
 
     /// Makes a lease.
     pub async fn grant(&self, ttl: time::Duration) -> Result<ids::LeaseId, StoreError> {
-        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let ttl_ms = clock::millis(ttl);
         let body = serde_json::to_vec(&platform::LeaseRequest { ttl_ms })
             .map_err(|e| StoreError::away(e.to_string()))?;
         let request = http::Request::write(hyper::Method::POST, "/v1/leases".to_owned())
             .header("content-type", "application/json")
             .body(body);
-        let answer = self.call(Call::Grant, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Grant, request, self.timeout)
+            .await?;
         let granted: platform::LeaseAnswer = answer.json()?;
         Ok(granted.lease)
     }
@@ -168,14 +180,18 @@
     /// Renews a lease.
     pub async fn renew(&self, lease: ids::LeaseId) -> Result<(), StoreError> {
         let request = http::Request::write(hyper::Method::PUT, format!("/v1/leases/{lease}"));
-        let answer = self.call(Call::Renew, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Renew, request, self.timeout)
+            .await?;
         answer.done()
     }
 
     /// Ends a lease and deletes its keys.
     pub async fn revoke(&self, lease: ids::LeaseId) -> Result<(), StoreError> {
         let request = http::Request::write(hyper::Method::DELETE, format!("/v1/leases/{lease}"));
-        let answer = self.call(Call::Revoke, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Revoke, request, self.timeout)
+            .await?;
         answer.done()
     }
 
@@ -183,12 +199,14 @@
     ///
     /// An unchanged list is the very same one.
     pub async fn instances(&self) -> Result<sync::Arc<instances::InstanceList>, StoreError> {
-        let known = lock(&self.listed).clone();
+        let known = mutex::lock(&self.listed).clone();
         let mut request = http::Request::read("/v1/instances".to_owned());
         if let Some(known) = &known {
             request = request.header("if-none-match", &known.entity_tag);
         }
-        let answer = self.call(Call::Instances, request, self.timeout).await?;
+        let answer = self
+            .call(platform::CallKind::Instances, request, self.timeout)
+            .await?;
         match known {
             Some(known) if answer.is_unchanged() => Ok(known.list),
             _ => self.listed(answer),
@@ -205,13 +223,13 @@
             entity_tag,
             list: list.clone(),
         });
-        *lock(&self.listed) = tagged;
+        *mutex::lock(&self.listed) = tagged;
         Ok(list)
     }
 
     async fn call(
         &self,
-        kind: Call,
+        kind: platform::CallKind,
         request: http::Request,
         timeout: time::Duration,
     ) -> Result<http::Answer, StoreError> {
@@ -221,18 +239,18 @@
         let result = self.http.send(request, timeout).await;
         let received_bytes = result.as_ref().map_or(0, http::Answer::len);
         let failed = result.is_err();
-        lock(&self.counts).add(kind, sent_bytes, received_bytes, failed);
+        mutex::lock(&self.counts).add(kind, sent_bytes, received_bytes, failed);
         result
     }
 
-    async fn wait_for_budget(&self, kind: Call) -> Result<(), StoreError> {
+    async fn wait_for_budget(&self, kind: platform::CallKind) -> Result<(), StoreError> {
         let now = self.clock.now();
         let wait = match kind {
-            Call::Grant | Call::Renew | Call::Revoke => {
-                lock(&self.budget).charge(now);
+            platform::CallKind::Grant | platform::CallKind::Renew | platform::CallKind::Revoke => {
+                mutex::lock(&self.budget).charge(now);
                 return Ok(());
             }
-            _ => lock(&self.budget).reserve(now, self.timeout),
+            _ => mutex::lock(&self.budget).reserve(now, self.timeout),
         };
         match wait {
             Some(wait) if wait.is_zero() => Ok(()),
@@ -244,7 +262,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
