--- a/crates/figscale-core/tests/job_faults/cell/claims.rs
+++ b/crates/figscale-core/tests/job_faults/cell/claims.rs
@@ -46,11 +46,17 @@
     pub(super) fn take_over_from(&mut self, index: usize) {
         let last = self.entries[index].renewed_at + ENTRY_LEASE;
         let entry = &self.entries[index];
-        // A process that finds itself out comes back as a new member.
+        // A process that finds itself out comes back as the member it was, with
+        // all that it knew, or started anew.
         if entry.alive && entry.frozen_until.is_none() {
-            let incarnation = entry.key.incarnation.0 + 1;
-            let entry = self.new_entry(index, incarnation);
-            self.entries[index] = entry;
+            let incarnation = entry.key.incarnation.0;
+            if self.rng.random_bool(0.5) {
+                self.entries[index] = self.new_entry(index, incarnation + 1);
+            }
+            let now = self.now;
+            let entry = &mut self.entries[index];
+            entry.renewed_at = now;
+            entry.valid_until = now + ENTRY_LEASE - ENTRY_MARGIN;
         }
         let valid: Vec<_> = (0..self.entries.len())
             .filter(|other| self.entries[*other].alive)
@@ -110,7 +116,8 @@
         let own_worker_shards = self
             .shards
             .iter()
-            .filter(|(id, shard)| shard.holder == index && id.as_str().starts_with("worker/"));
+            .filter(|(id, shard)| shard.holder == index && id.as_str().starts_with("worker/"))
+            .filter(|(_, shard)| shard.draining_to.is_none());
         let held = own_worker_shards
             .map(|(id, shard)| {
                 let held = placer::HeldShard {
@@ -152,7 +159,10 @@
             if !mine || known.is_some_and(|epoch| epoch != shard.epoch) {
                 entry.homes.swap_remove(&id);
             }
-            if mine && !entry.homes.contains_key(&id) {
+            if let Some(home) = entry.homes.get_mut(&id) {
+                home.pause(shard.draining_to.is_some());
+            }
+            if mine && shard.draining_to.is_none() && !entry.homes.contains_key(&id) {
                 let config = home::Config {
                     vanish: time::Duration::from_secs(8),
                     ..home::Config::default()
--- a/crates/figscale-core/tests/job_faults/cell/faults.rs
+++ b/crates/figscale-core/tests/job_faults/cell/faults.rs
@@ -69,13 +69,18 @@
     pub(super) fn hand_over(&mut self, shard: usize, to: usize) {
         let (id, shard) = self.shards.get_index_mut(shard).expect("a shard");
         let (from, id) = (shard.holder, id.clone());
-        if from == to || !self.entries[to].alive || !self.entries[from].alive {
+        if !self.entries[to].alive || !self.entries[from].alive {
             return;
         }
         if self.entries[from].frozen_until.is_some() {
             return;
         }
+        if shard.draining_to.is_some() {
+            return;
+        }
         shard.draining_to = Some(to);
+        // The shard is taken off the held ones before it is drained.
+        self.push_view(from);
         let entry = &mut self.entries[from];
         entry.placer.drain(&id);
         if let Some(home) = entry.homes.get_mut(&id) {
--- a/crates/figscale-core/tests/job_faults/cell/mod.rs
+++ b/crates/figscale-core/tests/job_faults/cell/mod.rs
@@ -216,6 +216,7 @@
             epoch: ids::Epoch(0),
             leaving: false,
             fails: false,
+            use_factor: 1,
             frozen_until: None,
             cut_until: None,
             tasks: IndexMap::new(),
