Cut nothing off at a planned stop, serve nothing before a catalogue

(2) A new process took callers before it knew a catalogue and told them 404 unknown-entry, or may-have-run, as it knew no home to ask.

Change: callers' address is bound at the start and listened on once claims and catalogue are known. At a stop no connection is taken any more; on those that there are the next request is served and its answer ends the connection; what stays silent for 1 s is closed. The refusal as leaving is gone, as nothing needs it. Event 4010 when the kept address cannot be listened on.

--- a/crates/figscale-core/src/request/admission.rs
+++ b/crates/figscale-core/src/request/admission.rs
@@ -61,8 +61,6 @@
     Expired,
     /// Nobody holds a runner of the service.
     NoHolder,
-    /// The entry instance is leaving.
-    Leaving,
 }
 
 impl Reason {
@@ -79,7 +77,6 @@
             Self::Unreachable => "deadline-unreachable",
             Self::Expired => "deadline-passed",
             Self::NoHolder => "no-runner",
-            Self::Leaving => "leaving",
         }
     }
 
--- a/crates/figscale/src/events/requests.rs
+++ b/crates/figscale/src/events/requests.rs
@@ -12,4 +12,5 @@
     4007 SHARD_DRAINED Info "A shard is given up in order; nothing of it is in progress.";
     4008 SHARD_DRAIN_UNCLEAN Warn "A shard is given up though a request of it may still be in progress.";
     4009 REPEAT_REFUSED Info "A non-idempotent request was asked again and refused.";
+    4010 LISTEN_FAILED Error "The callers' address was kept from the start but cannot be listened on; no caller is served.";
 }
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -5,6 +5,7 @@
 //! anything else, so that a wrong address fails the start and not the first
 //! request.
 
+use std::io;
 use std::net;
 use std::sync;
 use std::thread;
@@ -14,6 +15,7 @@
 use figscale_types::clock;
 use figscale_types::ids;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::watch;
 
 use crate::catalogue;
@@ -40,7 +42,8 @@
 }
 
 struct Listeners {
-    caller: TcpListener,
+    /// Bound, and listened on once there is something to say.
+    caller: TcpSocket,
     peer: TcpListener,
     operator: TcpListener,
 }
@@ -96,13 +99,28 @@
             .await
             .wrap_err_with(|| format!("{field}: cannot listen on {address}"))
     }
+    let caller = settings.caller_address;
+    let bound =
+        bind_only(caller).wrap_err_with(|| format!("caller_address: cannot listen on {caller}"));
     Ok(Listeners {
-        caller: one("caller_address", settings.caller_address).await?,
+        caller: bound?,
         peer: one("peer_address", settings.peer_address).await?,
         operator: one("operator_address", settings.operator_address).await?,
     })
 }
 
+/// Keeps an address without listening on it yet.
+fn bind_only(address: net::SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // As listeners have it, so that a new process can follow at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 fn control_thread(
     settings: settings::Settings,
     clock: clock::SharedClock,
--- a/crates/figscale/src/traffic/answer.rs
+++ b/crates/figscale/src/traffic/answer.rs
@@ -279,8 +279,7 @@
         admission::Reason::Expired => StatusCode::GATEWAY_TIMEOUT,
         admission::Reason::QueueFull
         | admission::Reason::Unreachable
-        | admission::Reason::NoHolder
-        | admission::Reason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        | admission::Reason::NoHolder => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -26,6 +26,7 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
@@ -47,6 +48,15 @@
 /// Time to wait after an accept that failed, most likely for want of descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Time in which a connection that was made before the stop shows itself.
+const LAST_ACCEPT: time::Duration = time::Duration::from_millis(5);
+/// Longest time that silent connections are left open at a stop.
+const LAST_REQUESTS: time::Duration = time::Duration::from_secs(1);
+/// Time between two looks whether all connections have ended.
+const LOOK: time::Duration = time::Duration::from_millis(10);
+
 /// An answer's body on its way to the caller, with what it keeps counted.
 struct Outgoing {
     first: Option<Bytes>,
@@ -105,50 +115,111 @@
 }
 
 /// Serves callers until the first message, which says to stop.
+///
+/// Nobody can connect before the claims and a catalogue are known: a balancer
+/// then goes elsewhere, where an answer could only be a wrong one.
 pub(super) async fn serve(
     traffic: &sync::Arc<Traffic>,
-    listener: TcpListener,
+    socket: TcpSocket,
     inbox: &mut kernel::Inbox<Message>,
 ) -> Option<Message> {
-    let shutdown = graceful::GracefulShutdown::new();
-    let permits = sync::Arc::new(Semaphore::new(traffic.settings().max_connections));
+    tokio::select! {
+        () = until_informed(traffic) => {}
+        message = inbox.recv() => return message,
+    }
+    let listener = match socket.listen(BACKLOG) {
+        Ok(listener) => listener,
+        Err(error) => {
+            crate::event!(crate::events::requests::LISTEN_FAILED, error = error);
+            return inbox.recv().await;
+        }
+    };
+    let callers = Callers {
+        traffic,
+        shutdown: graceful::GracefulShutdown::new(),
+        permits: sync::Arc::new(Semaphore::new(traffic.settings().max_connections)),
+    };
     let message = loop {
         tokio::select! {
-            accepted = accept(&listener, &permits) => {
-                let Some((socket, permit)) = accepted else {
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                };
-                let connection = shutdown.watch(connection(traffic, socket));
-                tokio::spawn(async move {
-                    let _ = connection.await;
-                    drop(permit);
-                });
-            }
+            accepted = callers.accept(&listener) => match accepted {
+                Some(accepted) => callers.begin(accepted),
+                None => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
             message = inbox.recv() => break message,
         }
     };
-    drop(listener);
-    shutdown.shutdown().await;
+    callers.end(listener).await;
     message
 }
 
+/// Waits until the claims and a catalogue are known.
+async fn until_informed(traffic: &Traffic) {
+    let shared = &traffic.context.shared;
+    let unread = ids::Revision(0);
+    let mut claims = shared.claims.subscribe();
+    let _ = claims.wait_for(|view| view.revision != unread).await;
+    let mut catalogue = shared.catalogue.subscribe();
+    let _ = catalogue.wait_for(|now| now.revision != unread).await;
+}
+
+type Accepted = (TcpStream, tokio::sync::OwnedSemaphorePermit);
+
+/// The connections of callers.
+struct Callers<'a> {
+    traffic: &'a sync::Arc<Traffic>,
+    shutdown: graceful::GracefulShutdown,
+    permits: sync::Arc<Semaphore>,
+}
+
+impl Callers<'_> {
+    async fn accept(&self, listener: &TcpListener) -> Option<Accepted> {
+        let permit = self.permits.clone().acquire_owned().await.ok()?;
+        let (socket, _) = listener.accept().await.ok()?;
+        let _ = socket.set_nodelay(true);
+        Some((socket, permit))
+    }
+
+    fn begin(&self, (socket, permit): Accepted) {
+        let connection = self.shutdown.watch(connection(self.traffic, socket));
+        tokio::spawn(async move {
+            let _ = connection.await;
+            drop(permit);
+        });
+    }
+
+    /// Takes no more connections, and ends those that there are.
+    ///
+    /// A connection that looks idle may have a request on its way, which would
+    /// be cut off. So each is ended by the answer to its next request, which is
+    /// served like any other, and only those that stay silent are closed from
+    /// here.
+    async fn end(self, listener: TcpListener) {
+        for _ in 0..BACKLOG {
+            let last = tokio::time::timeout(LAST_ACCEPT, self.accept(&listener)).await;
+            let Ok(Some(accepted)) = last else {
+                break;
+            };
+            self.begin(accepted);
+        }
+        drop(listener);
+        let whole_stop = self.traffic.context.settings.shutdown_ms;
+        let silence = LAST_REQUESTS.min(time::Duration::from_millis(whole_stop / 4));
+        let _ = tokio::time::timeout(silence, async {
+            while self.shutdown.count() > 0 {
+                tokio::time::sleep(LOOK).await;
+            }
+        })
+        .await;
+        self.shutdown.shutdown().await;
+    }
+}
+
 /// Waits until the requests in progress have their answers.
 pub(super) async fn finish(traffic: &Traffic) {
     let mut in_progress = traffic.in_progress.subscribe();
     let _ = in_progress.wait_for(|count| *count == 0).await;
 }
 
-async fn accept(
-    listener: &TcpListener,
-    permits: &sync::Arc<Semaphore>,
-) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-    let permit = permits.clone().acquire_owned().await.ok()?;
-    let (socket, _) = listener.accept().await.ok()?;
-    let _ = socket.set_nodelay(true);
-    Some((socket, permit))
-}
-
 fn connection(
     traffic: &sync::Arc<Traffic>,
     socket: TcpStream,
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -38,7 +38,7 @@
 use indexmap::IndexMap;
 use rand::SeedableRng as _;
 use rand::rngs;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -183,7 +183,7 @@
 }
 
 /// Registers what it answers to peers, then serves callers on the traffic threads.
-pub fn start(context: &state::Context, handlers: &mut peer::Handlers, listener: TcpListener) {
+pub fn start(context: &state::Context, handlers: &mut peer::Handlers, callers: TcpSocket) {
     let traffic = sync::Arc::new(Traffic::new(context));
     let runtime = context.traffic.clone();
     peer_side::register(&traffic, handlers);
@@ -198,16 +198,12 @@
     runtime.spawn(push::keep_pushing(traffic.clone()));
     runtime.spawn(pass_on::keep_passing(traffic.clone()));
     let inbox = context.kernel.register::<Message>(NAME);
-    runtime.spawn(run(traffic, listener, inbox));
+    runtime.spawn(run(traffic, callers, inbox));
 }
 
 /// Serves callers until asked to stop, then helps the next homes.
-async fn run(
-    traffic: sync::Arc<Traffic>,
-    listener: TcpListener,
-    mut inbox: kernel::Inbox<Message>,
-) {
-    let mut message = front::serve(&traffic, listener, &mut inbox).await;
+async fn run(traffic: sync::Arc<Traffic>, callers: TcpSocket, mut inbox: kernel::Inbox<Message>) {
+    let mut message = front::serve(&traffic, callers, &mut inbox).await;
     while let Some(asked) = message {
         match asked {
             Message::Drain(reply) => {
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -144,9 +144,6 @@
         let parts = self.context.shared.claims.borrow().claims.members.len();
         let parts = u32::try_from(parts).unwrap_or(u32::MAX);
         let mut decisions = self.decide();
-        if self.is_leaving() {
-            return Err(refused(&mut decisions, admission::Reason::Leaving));
-        }
         let catalogue = &accepted.catalogue;
         let entered = decisions
             .admission
--- a/crates/figscale/tests/replace_all.rs
+++ b/crates/figscale/tests/replace_all.rs
@@ -2,7 +2,7 @@
 //! then all at once by force. Judged at the runners and at the workers' ledger.
 //!
 //! Callers behave as a balancer does: they go to the next address only when a
-//! connection is refused or the entry instance says that it is leaving.
+//! connection is refused.
 
 #![expect(clippy::unwrap_used, reason = "A test may panic.")]
 
