--- a/crates/figscale-core/src/request/admission.rs
+++ b/crates/figscale-core/src/request/admission.rs
@@ -17,6 +17,9 @@
 use indexmap::IndexMap;
 use rand::RngExt as _;
 
+/// Times to come back are drawn from one to so many times the shortest.
+const SPREAD: u32 = 3;
+
 /// Settings of admission.
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionConfig {
@@ -197,9 +200,17 @@
 
     /// When a refused caller should come back, given the time that the backlog
     /// needs.
+    ///
+    /// A backlog near the longest return or above it still leaves a range to
+    /// draw from, so that nobody is told the same time as everybody else.
     pub fn come_back(&self, backlog: time::Duration, rng: &mut impl rand::Rng) -> time::Duration {
-        let least = self.config.shortest_return.max(backlog);
-        let spread: f64 = rng.random_range(1.0..3.0);
-        least.mul_f64(spread).min(self.config.longest_return)
+        let longest = self.config.longest_return;
+        let least = self
+            .config
+            .shortest_return
+            .max(backlog)
+            .min(longest / SPREAD);
+        let spread: f64 = rng.random_range(1.0..f64::from(SPREAD));
+        least.mul_f64(spread).min(longest)
     }
 }
--- a/crates/figscale-core/src/request/service_time.rs
+++ b/crates/figscale-core/src/request/service_time.rs
@@ -27,7 +27,7 @@
     /// Takes in the run time of one request that ran to its end.
     pub fn add(&mut self, service: &ids::ServiceName, entry: &ids::EntryName, ran: time::Duration) {
         let secs = ran.as_secs_f64();
-        if self.by_entry.len() < MAX_ENTRIES {
+        if self.by_entry.len() < MAX_ENTRIES || self.by_entry.contains_key(entry) {
             blend(self.by_entry.entry(entry.clone()).or_insert(secs), secs);
         }
         blend(self.by_service.entry(service.clone()).or_insert(secs), secs);
--- /dev/null
+++ b/crates/figscale-core/tests/request_admission.rs
@@ -0,0 +1,134 @@
+//! Limits of owners, and when the refused come back.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::time;
+
+use figscale_core::request::admission;
+use figscale_core::request::admission::Reason;
+use figscale_types::catalogue;
+use rand::SeedableRng as _;
+use rand::rngs;
+use rstest::rstest;
+
+const CATALOGUE: &str = r#"{
+    "owners": {
+        "desk": {},
+        "brokers": { "rate_per_s": 10.0 },
+        "harbour": { "concurrency": 5 },
+        "slow": { "rate_per_s": 0.5 }
+    },
+    "entries": {
+        "quote": { "owner": "desk", "policy": { "requests": { "service": "hullrate", "urgency": "deadline" } } },
+        "closed": { "owner": "desk", "callers": ["brokers"],
+            "policy": { "requests": { "service": "hullrate", "urgency": "deadline" } } },
+        "fleet": { "owner": "desk", "policy": { "tasks": { "class": "batch", "urgency": "deadline" } } }
+    }
+}"#;
+
+fn catalogue() -> catalogue::Catalogue {
+    serde_json::from_str(CATALOGUE).unwrap()
+}
+
+fn enter(
+    admission: &mut admission::Admission,
+    entry: &str,
+    owner: &str,
+    parts: u32,
+    now: time::Instant,
+) -> Result<(), Reason> {
+    let entry = entry.parse().unwrap();
+    let owner = owner.parse().unwrap();
+    let entered = admission.enter(&catalogue(), &entry, &owner, parts, now);
+    entered.map(drop)
+}
+
+fn admission() -> admission::Admission {
+    admission::Admission::new(admission::AdmissionConfig::default())
+}
+
+#[rstest]
+#[case::anybody("quote", "brokers", Ok(()))]
+#[case::named("closed", "brokers", Ok(()))]
+#[case::its_owner("closed", "desk", Ok(()))]
+#[case::not_named("closed", "harbour", Err(Reason::OwnerNotAllowed))]
+#[case::no_entry("nothing", "desk", Err(Reason::UnknownEntry))]
+#[case::no_owner("quote", "nobody", Err(Reason::UnknownOwner))]
+#[case::for_jobs("fleet", "desk", Err(Reason::NotForRequests))]
+fn who_may(#[case] entry: &str, #[case] owner: &str, #[case] expected: Result<(), Reason>) {
+    let now = time::Instant::now();
+    assert_eq!(enter(&mut admission(), entry, owner, 1, now), expected);
+}
+
+/// Requests let in at once, and in the ten seconds after, of 50 asked each second.
+#[rstest]
+#[case::alone("brokers", 1, 10, 100)]
+#[case::one_of_two("brokers", 2, 5, 50)]
+#[case::below_one_a_second("slow", 1, 1, 5)]
+fn a_rate(#[case] owner: &str, #[case] parts: u32, #[case] at_once: usize, #[case] later: usize) {
+    let start = time::Instant::now();
+    let mut admission = admission();
+    let mut ask = |now| {
+        let let_in = (0..50).filter(|_| enter(&mut admission, "quote", owner, parts, now).is_ok());
+        let_in.count()
+    };
+    assert_eq!(ask(start), at_once);
+    let seconds = (1..=10).map(time::Duration::from_secs);
+    assert_eq!(
+        seconds.map(|passed| ask(start + passed)).sum::<usize>(),
+        later
+    );
+}
+
+/// Time without requests saves no more than the burst.
+#[test]
+fn a_rest_saves_one_second_of_the_rate() {
+    let start = time::Instant::now();
+    let mut admission = admission();
+    enter(&mut admission, "quote", "brokers", 1, start).unwrap();
+    let later = start + time::Duration::from_secs(3_600);
+    let let_in = (0..50).filter(|_| enter(&mut admission, "quote", "brokers", 1, later).is_ok());
+    assert_eq!(let_in.count(), 10);
+}
+
+#[rstest]
+#[case::alone(1, 5)]
+#[case::rounded_up(2, 3)]
+#[case::more_parts_than_requests(9, 1)]
+fn a_number_in_progress(#[case] parts: u32, #[case] expected: usize) {
+    let now = time::Instant::now();
+    let mut admission = admission();
+    let ask =
+        |admission: &mut admission::Admission| enter(admission, "quote", "harbour", parts, now);
+    for _ in 0..expected {
+        assert_eq!(ask(&mut admission), Ok(()));
+    }
+    assert_eq!(ask(&mut admission), Err(Reason::OverConcurrency));
+    admission.leave(&"harbour".parse().unwrap());
+    assert_eq!(ask(&mut admission), Ok(()));
+    assert_eq!(ask(&mut admission), Err(Reason::OverConcurrency));
+}
+
+/// However long the backlog, the refused do not return together.
+#[rstest]
+#[case::none(0, 1_000, 3_000)]
+#[case::short(4_000, 4_000, 12_000)]
+#[case::long(20_000, 10_000, 30_000)]
+#[case::without_end(600_000, 10_000, 30_000)]
+fn returns_are_spread(#[case] backlog_ms: u64, #[case] least_ms: u128, #[case] most_ms: u128) {
+    let mut rng = rngs::StdRng::seed_from_u64(1);
+    let admission = admission();
+    let backlog = time::Duration::from_millis(backlog_ms);
+    let mut times: Vec<_> = (0..100)
+        .map(|_| admission.come_back(backlog, &mut rng).as_millis())
+        .collect();
+    times.sort_unstable();
+    assert!(times[0] >= least_ms && times[99] <= most_ms, "{times:?}");
+    // Half of the time that there is lies between the quarters.
+    assert!(
+        times[75] - times[25] > (most_ms - least_ms) / 3,
+        "{times:?}"
+    );
+    times.dedup();
+    assert!(times.len() > 80, "{times:?}");
+}
