Sharpen the tests of given up homes and removed headers

a_home_given_up_lets_nothing_through is new: with the check for homes given up taken out, it alone of requests_homes failed (the other files were not run with that guard out). The test of made-up headers also looks at those of a runner's answer; with the removal of x-figscale-* taken out it failed.

--- a/crates/figscale/tests/requests_homes.rs
+++ b/crates/figscale/tests/requests_homes.rs
@@ -80,6 +80,35 @@
     assert_eq!(cell.ledger.violations(), []);
 }
 
+/// Between the giving up of a home and the next one nobody lets an id through,
+/// neither where the home was nor through another entry instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_given_up_lets_nothing_through() {
+    let cell = cell().await;
+    let ran = (200, "ran".to_owned());
+    assert_eq!(run(&cell, 0, new_id()).await, ran);
+    for number in 0..claims::ID_SHARDS {
+        let shard = claims::id_shard(number).unwrap();
+        let kernel = &cell.entries[cell.holder(&shard)].context.kernel;
+        kernel.drain(shard).await;
+    }
+    let asked: Vec<_> = (0..20).map(|_| new_id()).collect();
+    for (number, id) in asked.iter().enumerate() {
+        let call = cell.call(number % 2, QUOTE);
+        let call = call.header(headers::REQUEST_ID, id);
+        let answer = cell.send(call.header(headers::BUDGET_MS, 100)).await;
+        assert_ne!(answer.status, 200, "{id} was let through");
+    }
+    assert_eq!(cell.ledger.requests().len(), 1);
+    for number in 0..claims::ID_SHARDS {
+        cell.give(claims::id_shard(number).unwrap(), 1, true);
+    }
+    cell.publish();
+    for id in asked {
+        assert_eq!(run(&cell, 0, id).await, ran);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_home_that_died_leaves_fresh_ids_in_doubt() {
     let cell = cell().await;
--- a/crates/figscale/tests/requests_whole.rs
+++ b/crates/figscale/tests/requests_whole.rs
@@ -248,7 +248,8 @@
     )
 }
 
-/// Only the holder's own words about a request reach a runner.
+/// Only the holder's own words about a request reach a runner, and none that a
+/// runner made up come back.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_runner_hears_nothing_that_a_caller_made_up(#[values(0, 1)] entry: usize) {
@@ -258,7 +259,11 @@
     };
     let cell = Cell::start(shape).await;
     let heads = Heads::default();
-    let whole = script("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", false);
+    let whole = script(
+        "HTTP/1.1 200 OK\r\nx-figscale-made-up: 1\r\nx-peer-from: a\r\nconnection: x-named\r\n\
+         x-named: 1\r\nx-kept: 1\r\ncontent-length: 5\r\n\r\nwhole",
+        false,
+    );
     let address = raw_runner(whole, heads.clone()).await;
     cell.runners[0].proxy.set_target(address);
     let call = cell
@@ -269,7 +274,12 @@
         .header("connection", "x-named")
         .header("x-named", "1")
         .header("x-kept", "1");
-    assert_eq!(cell.send(call).await.status, 200);
+    let answer = cell.send(call).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("x-kept"), "1");
+    for gone in ["x-figscale-made-up", "x-peer-from", "x-named"] {
+        assert_eq!(answer.header(gone), "", "{gone} in the answer");
+    }
     let heads = heads.lock().unwrap().clone();
     assert!(heads.contains("x-kept: 1"), "{heads}");
     for gone in ["made-up", "x-peer", headers::LEAVING, "x-named"] {
