--- a/crates/figscale/tests/replace_support/mod.rs
+++ b/crates/figscale/tests/replace_support/mod.rs
@@ -311,6 +311,10 @@
         let error = body["error"].as_str().unwrap();
         let word = format!("{verdict} {error}");
         self.note(word.as_str());
+        // The request is good, and whoever does not know better says nothing.
+        if [400, 403, 404].contains(&answer.status.as_u16()) {
+            self.wrong.push(format!("{id}: {word}"));
+        }
         match verdict {
             Verdict::NotRun => End::NotRun,
             Verdict::MayHaveRun | Verdict::Ran => End::CutOff(word),
--- a/crates/figscale/tests/requests_cell/mod.rs
+++ b/crates/figscale/tests/requests_cell/mod.rs
@@ -30,6 +30,7 @@
 use indexmap::IndexMap;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 
 /// Path of the entry that tests use, unless they say otherwise.
 pub const QUOTE: &str = "/v1/run/hullrate/quote";
@@ -179,9 +180,14 @@
         cell
     }
 
-    /// Waits until every entry instance knows the counts of every other.
+    /// Waits until every entry instance takes callers and knows the counts of
+    /// every other.
     pub async fn settle(&self) {
         for entry in &self.entries {
+            wait_for("a caller's connection", || async {
+                TcpStream::connect(entry.caller).await.is_ok()
+            })
+            .await;
             let others = self.entries.len() - 1;
             wait_for("the counts of the others", || async {
                 let dump = entry.context.kernel.dump().await;
