--- a/crates/figscale/src/traffic/peer_side.rs
+++ b/crates/figscale/src/traffic/peer_side.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use figscale_core::request::dispatcher;
 use figscale_types::catalogue;
+use figscale_types::clock;
 use figscale_types::verdict::Verdict;
 use h2::server;
 
@@ -164,7 +165,7 @@
 ) -> eyre::Result<()> {
     let message = wire::Reply::Refused {
         refused: wire::Refused::from(refusal.reason),
-        backlog_ms: u64::try_from(refusal.backlog.as_millis()).unwrap_or(u64::MAX),
+        backlog_ms: clock::millis(refusal.backlog),
     };
     reply(sender, &message, true).await
 }
@@ -174,7 +175,7 @@
     message: &wire::Reply,
     last: bool,
 ) -> eyre::Result<()> {
-    wire::send(sender, wire::frame(message)?).await?;
+    peer::send(sender, wire::frame(message)?).await?;
     if last {
         sender.send_data(Bytes::new(), true)?;
     }
@@ -194,14 +195,14 @@
     };
     reply(sender, &head, false).await?;
     match answer.body {
-        AnswerBody::Whole(bytes) => wire::send(sender, bytes).await?,
+        AnswerBody::Whole(bytes) => peer::send(sender, bytes).await?,
         AnswerBody::Streamed {
             first, mut rest, ..
         } => {
-            wire::send(sender, first).await?;
+            peer::send(sender, first).await?;
             loop {
                 match rest.recv().await {
-                    Some(Part::Data(part)) => wire::send(sender, part).await?,
+                    Some(Part::Data(part)) => peer::send(sender, part).await?,
                     Some(Part::End) => break,
                     None => {
                         sender.send_reset(h2::Reason::INTERNAL_ERROR);
