Open a home of request ids in one place

Cause: asking a home and opening homes after a change of the claims each had their own copy of 'known under this epoch, else made and kept'. Ruled out: dropping the opening on demand (a question may come first). Change: open_home serves both; behaviour as before.

--- a/crates/figscale/src/traffic/homes.rs
+++ b/crates/figscale/src/traffic/homes.rs
@@ -197,14 +197,10 @@
     ) -> once::Begin {
         let now_ms = self.unix_ms();
         let mut homes = mutex::lock(&self.homes.homes);
-        let known = homes.get(shard).is_some_and(|home| home.epoch == epoch);
-        if !known {
-            let Some(home) = self.new_home(shard, epoch, now_ms) else {
-                return once::Begin::NotHome;
-            };
-            homes.insert(shard.clone(), home);
-        }
-        let memory = &mut homes[shard].memory;
+        let Some(home) = self.open_home(&mut homes, shard, epoch, now_ms) else {
+            return once::Begin::NotHome;
+        };
+        let memory = &mut home.memory;
         match question.asked {
             Asked::Begin => memory.begin(question.id, question.attempt, now_ms),
             Asked::Peek => memory.peek(question.id, question.attempt, now_ms),
@@ -215,6 +211,22 @@
         }
     }
 
+    /// The home under this epoch, opened if need be; `None` while it has to wait
+    /// for the memory of an earlier one.
+    fn open_home<'a>(
+        &self,
+        homes: &'a mut IndexMap<ids::ShardId, Home>,
+        shard: &ids::ShardId,
+        epoch: ids::Epoch,
+        now_ms: u64,
+    ) -> Option<&'a mut Home> {
+        let known = homes.get(shard).is_some_and(|home| home.epoch == epoch);
+        if !known {
+            homes.insert(shard.clone(), self.new_home(shard, epoch, now_ms)?);
+        }
+        homes.get_mut(shard)
+    }
+
     fn new_home(&self, shard: &ids::ShardId, epoch: ids::Epoch, now_ms: u64) -> Option<Home> {
         let view = self.context.shared.claims_now();
         let held = view.held.get(shard).filter(|held| held.epoch == epoch)?;
@@ -236,16 +248,8 @@
         let mut waiting = 0;
         let mut homes = mutex::lock(&self.homes.homes);
         for (shard, held) in ids {
-            let known = homes
-                .get(shard)
-                .is_some_and(|home| home.epoch == held.epoch);
-            if known {
-                continue;
-            }
-            match self.new_home(shard, held.epoch, now_ms) {
-                Some(home) => drop(homes.insert(shard.clone(), home)),
-                None => waiting += 1,
-            }
+            let opened = self.open_home(&mut homes, shard, held.epoch, now_ms);
+            waiting += usize::from(opened.is_none());
         }
         waiting
     }
