--- /dev/null
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -0,0 +1,65 @@
+//! Which jobs are refused: those that would only end when nobody pays for them.
+//!
+//! A job that ends after three times its latency objective is worth nothing to
+//! its caller, and its work is taken from jobs that are. So a job is refused
+//! at once, with the time to come back, when the work in front of it will last
+//! longer than that. What is in front is the work of jobs of its priority and
+//! above, over the processors in use; a rough figure that errs on taking jobs.
+
+use std::time;
+
+use super::job;
+use super::scheduler;
+
+/// Largest part of the useful time that may pass in waiting, in percent.
+const MAX_WAIT_PERCENT: u64 = 100;
+/// Bounds of the time told to callers, so that they neither hammer nor vanish.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+const MAX_RETRY_AFTER: time::Duration = time::Duration::from_secs(8);
+
+/// What becomes of a submitted job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is taken once its record is written.
+    Accepted,
+    /// It was taken earlier.
+    Known,
+    /// It is not taken and never runs.
+    Refused {
+        /// When a repeat may be taken.
+        retry_after: time::Duration,
+    },
+}
+
+impl scheduler::Scheduler {
+    /// When to come back, for a job that is not worth taking.
+    pub(crate) fn refusal(&self, job: &job::Job, now: time::Instant) -> Option<time::Duration> {
+        if job.description.occurrences > 0 || job.description.steps.iter().any(|step| step.long_running) {
+            return None;
+        }
+        let wait = self.wait_before(job);
+        let objective = job.objective_at.saturating_duration_since(now);
+        let allowed = objective * u32::try_from(MAX_WAIT_PERCENT).unwrap_or(100) / 100;
+        if wait <= allowed {
+            return None;
+        }
+        Some((wait - allowed).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
+    }
+
+    /// Time that the work in front of a job takes on all processors.
+    fn wait_before(&self, job: &job::Job) -> time::Duration {
+        let service = &job.queue.service;
+        let of_service = self.workers.values().filter(|worker| &worker.entry.service == service);
+        let usable = of_service.filter(|worker| worker.listed && !worker.entry.draining);
+        let capacity_millis: u64 = usable.map(|worker| worker.entry.room.cpu_millis).sum();
+        if capacity_millis == 0 {
+            return time::Duration::ZERO;
+        }
+        let open = self.open.iter().filter_map(|id| self.jobs.get(id));
+        let in_front = open.filter(|other| {
+            &other.queue.service == service && other.queue.priority <= job.queue.priority
+        });
+        let work_core_ms: u64 = in_front.map(job::Job::remaining_core_ms).sum();
+        time::Duration::from_millis(work_core_ms * 1_000 / capacity_millis)
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -0,0 +1,113 @@
+//! What outlives a leader: a record for each job and one for its progress.
+//!
+//! The record of a job is written before its caller hears that it is accepted.
+//! Progress is a record of its own, so that a few bytes and not the whole job
+//! are written again when tasks end. At the end of a job both are replaced by
+//! a short record of its outcome, which answers late repeats and questions.
+
+use std::error;
+use std::fmt;
+
+use figscale_types::fleet;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// First byte of each record, for records of other layouts to come.
+const LAYOUT: u8 = 1;
+
+/// Which record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RecordKey {
+    /// A job, or its outcome.
+    Job(fleet::JobId),
+    /// Progress of a job.
+    Progress(fleet::JobId),
+    /// The workers that may run something.
+    Workers,
+}
+
+/// A record to be written, or removed where there are no bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Which.
+    pub key: RecordKey,
+    /// Its bytes.
+    pub bytes: Option<Vec<u8>>,
+}
+
+/// Records that are to be written together with what depends on them.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// The records; jobs that callers wait for come first.
+    pub records: Vec<Record>,
+    /// Jobs that may be told as accepted once the records are written.
+    pub(crate) created: Vec<fleet::JobId>,
+    /// Workers that may be used once the records are written.
+    pub(crate) recorded: Vec<fleet::WorkerId>,
+    /// Ends of workers that may be acknowledged then.
+    pub(crate) acknowledge: Vec<(fleet::WorkerId, u64)>,
+}
+
+/// A record that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordError(String);
+
+impl fmt::Display for RecordError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "unreadable record: {}", self.0)
+    }
+}
+
+impl error::Error for RecordError {}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum JobRecord {
+    Open {
+        queue: fleet::Queue,
+        description: fleet::JobDescription,
+        submitted_wall_ms: u64,
+    },
+    Ended {
+        queue_name: String,
+        state: fleet::JobState,
+        submitted_wall_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct TaskProgress {
+    pub(crate) done: bool,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: String,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct StepProgress {
+    pub(crate) tasks: Vec<TaskProgress>,
+    pub(crate) gang_failures: u32,
+    pub(crate) gang_failed_attempt: u32,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ProgressRecord {
+    pub(crate) rounds: Vec<Vec<StepProgress>>,
+}
+
+pub(crate) fn encode<T: Serialize>(record: &T) -> Vec<u8> {
+    let mut bytes = vec![LAYOUT];
+    let config = bincode::config::standard();
+    // Plain data written to memory cannot fail; an empty record is refused
+    // when it is read.
+    if let Ok(body) = bincode::serde::encode_to_vec(record, config) {
+        bytes.extend(body);
+    }
+    bytes
+}
+
+pub(crate) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, RecordError> {
+    let Some((&LAYOUT, body)) = bytes.split_first() else {
+        return Err(RecordError("another layout".to_owned()));
+    };
+    let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
+    decoded.map(|(record, _)| record).map_err(|error| RecordError(error.to_string()))
+}
--- /dev/null
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -0,0 +1,262 @@
+//! A job in progress: occurrences, steps and tasks.
+
+use std::sync;
+use std::time;
+
+use figscale_types::fleet;
+use indexmap::IndexMap;
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// It runs nowhere.
+    #[default]
+    Waiting,
+    /// It was ordered to a worker and has not ended there.
+    Placed {
+        worker: fleet::WorkerId,
+        attempt: u32,
+    },
+    /// It ended well.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Task {
+    pub(crate) state: TaskState,
+    /// Runs that failed.
+    pub(crate) failures: u32,
+    /// Highest attempt ordered.
+    pub(crate) attempt: u32,
+    /// From where it can resume; empty for from the beginning.
+    pub(crate) checkpoint: String,
+    /// Where it failed last.
+    pub(crate) failed_on: Option<fleet::WorkerId>,
+    /// It may still run on a worker that has not reported in this term.
+    pub(crate) suspect: bool,
+}
+
+impl Task {
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.state == TaskState::Waiting
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.state == TaskState::Done
+    }
+
+    /// Whether this run is the one that the task stands on.
+    pub(crate) fn runs_as(&self, worker: &fleet::WorkerId, attempt: u32) -> bool {
+        matches!(&self.state, TaskState::Placed { worker: w, attempt: a } if w == worker && *a == attempt)
+    }
+}
+
+/// A ticket with its end.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldTicket {
+    pub(crate) token: String,
+    pub(crate) valid_until: time::Instant,
+}
+
+/// What the advisory service said of a step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepAdvice {
+    /// Whether a worker may run the step; that never changes.
+    pub(crate) verdicts: IndexMap<fleet::WorkerId, bool>,
+    /// Tickets held.
+    pub(crate) tickets: IndexMap<fleet::WorkerId, HeldTicket>,
+    /// A question is on its way.
+    pub(crate) asking: bool,
+    /// No question before this time, after one that was not answered.
+    pub(crate) not_before: Option<time::Instant>,
+}
+
+/// Progress of one step of one occurrence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Step {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) advice: StepAdvice,
+    /// Failed runs of the step as a gang.
+    pub(crate) gang_failures: u32,
+    /// Last run of the gang that was counted as failed.
+    pub(crate) gang_failed_attempt: u32,
+}
+
+impl Step {
+    pub(crate) fn is_done(&self) -> bool {
+        self.tasks.iter().all(Task::is_done)
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.tasks.iter().filter(|task| task.is_waiting()).count()
+    }
+}
+
+/// One occurrence of a job.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Round {
+    pub(crate) steps: Vec<Step>,
+}
+
+impl Round {
+    pub(crate) fn new(description: &fleet::JobDescription) -> Self {
+        let tasks = |step: &fleet::StepDescription| vec![Task::default(); step.count as usize];
+        let steps = description.steps.iter();
+        Self {
+            steps: steps.map(|step| Step { tasks: tasks(step), ..Step::default() }).collect(),
+        }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+
+    /// Whether all steps that a step waits for are done.
+    pub(crate) fn is_ready(&self, description: &fleet::JobDescription, step: usize) -> bool {
+        description.steps[step].after.iter().all(|after| self.steps[*after as usize].is_done())
+    }
+
+    /// Longest chain of estimates of what is not done.
+    pub(crate) fn remaining_ms(&self, description: &fleet::JobDescription) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (progress, step) in self.steps.iter().zip(&description.steps) {
+            let start = step.after.iter().map(|after| ends[*after as usize]).max().unwrap_or(0);
+            let own = if progress.is_done() { 0 } else { step.estimate_ms };
+            ends.push(start + own);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+}
+
+/// A job in progress, or a finished one that callers may still ask about.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) id: fleet::JobId,
+    pub(crate) queue: sync::Arc<fleet::Queue>,
+    pub(crate) description: sync::Arc<fleet::JobDescription>,
+    /// Since 1970; kept in the store.
+    pub(crate) submitted_wall_ms: u64,
+    pub(crate) submitted: time::Instant,
+    /// Ending later earns less.
+    pub(crate) objective_at: time::Instant,
+    pub(crate) rounds: Vec<Round>,
+    /// Some task has started.
+    pub(crate) started: bool,
+    pub(crate) end: Option<fleet::JobState>,
+    /// The caller may be told that it is accepted, and tasks may start.
+    pub(crate) stored: bool,
+    /// The store holds a record of progress.
+    pub(crate) progress_stored: bool,
+}
+
+impl Job {
+    pub(crate) fn new(
+        id: fleet::JobId,
+        queue: sync::Arc<fleet::Queue>,
+        description: fleet::JobDescription,
+        submitted_wall_ms: u64,
+        submitted: time::Instant,
+    ) -> Self {
+        let objective_at = submitted + objective(&queue, &description);
+        let rounds = match description.occurrences {
+            0 => vec![Round::new(&description)],
+            _ => Vec::new(),
+        };
+        Self {
+            id,
+            queue,
+            description: sync::Arc::new(description),
+            submitted_wall_ms,
+            submitted,
+            objective_at,
+            rounds,
+            started: false,
+            end: None,
+            stored: false,
+            progress_stored: false,
+        }
+    }
+
+    pub(crate) fn state(&self) -> fleet::JobState {
+        match self.end {
+            Some(end) => end,
+            None if self.started => fleet::JobState::Running,
+            None => fleet::JobState::Queued,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Whether every occurrence has come and is done.
+    pub(crate) fn all_done(&self) -> bool {
+        let occurrences = self.description.occurrences.max(1) as usize;
+        self.rounds.len() >= occurrences && self.rounds.iter().all(Round::is_done)
+    }
+
+    /// Adds the occurrences that are due; true if there were any.
+    pub(crate) fn add_due_rounds(&mut self, wall_ms: u64) -> bool {
+        let before = self.rounds.len();
+        while self.rounds.len() < self.description.occurrences as usize {
+            let passed = self.description.interval_ms.saturating_mul(self.rounds.len() as u64);
+            if wall_ms < self.description.first_due_ms.saturating_add(passed) {
+                break;
+            }
+            self.rounds.push(Round::new(&self.description));
+        }
+        self.rounds.len() > before
+    }
+
+    pub(crate) fn task(&self, id: &fleet::TaskId) -> Option<&Task> {
+        let round = self.rounds.get(id.occurrence as usize)?;
+        round.steps.get(id.step as usize)?.tasks.get(id.index as usize)
+    }
+
+    pub(crate) fn task_mut(&mut self, id: &fleet::TaskId) -> Option<&mut Task> {
+        self.step_mut(id)?.tasks.get_mut(id.index as usize)
+    }
+
+    pub(crate) fn step_mut(&mut self, id: &fleet::TaskId) -> Option<&mut Step> {
+        let round = self.rounds.get_mut(id.occurrence as usize)?;
+        round.steps.get_mut(id.step as usize)
+    }
+
+    pub(crate) fn step_description(&self, id: &fleet::TaskId) -> Option<&fleet::StepDescription> {
+        self.description.steps.get(id.step as usize)
+    }
+
+    /// Processor time, in core milliseconds, that is still to be done.
+    pub(crate) fn remaining_core_ms(&self) -> u64 {
+        let of_step = |(progress, step): (&Step, &fleet::StepDescription)| {
+            let left = progress.tasks.iter().filter(|task| !task.is_done()).count() as u64;
+            left * step.room.cpu_millis * step.estimate_ms / 1_000
+        };
+        let rounds = self.rounds.iter();
+        rounds.flat_map(|round| round.steps.iter().zip(&self.description.steps)).map(of_step).sum()
+    }
+
+    /// Ends the job; what runs of it is the caller's to stop.
+    pub(crate) fn finish(&mut self, end: fleet::JobState) {
+        self.end = Some(end);
+        self.rounds = Vec::new();
+        self.description = sync::Arc::default();
+    }
+}
+
+/// Workers that the objective allows one question about, a step.
+const ADVISED_WORKERS: usize = 30;
+
+/// Time from the first send in which a job should end: its own length, with the
+/// advice that its steps need, stretched, and the queue's constant part.
+pub(crate) fn objective(queue: &fleet::Queue, job: &fleet::JobDescription) -> time::Duration {
+    let advice_ms = queue.advice.map_or(0.0, |advice| advice.duration_ms(ADVISED_WORKERS));
+    let mut ends: Vec<f64> = Vec::with_capacity(job.steps.len());
+    for step in &job.steps {
+        let start = step.after.iter().map(|after| ends[*after as usize]).fold(0.0, f64::max);
+        ends.push(start + advice_ms + step.estimate_ms as f64);
+    }
+    let chain_ms = ends.into_iter().fold(0.0, f64::max);
+    time::Duration::from_millis((queue.stretch * chain_ms) as u64 + queue.target_latency_ms)
+}
--- /dev/null
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -0,0 +1,42 @@
+//! The scheduler of a fleet of workers: jobs in, orders out.
+//!
+//! One entry instance leads at a time and runs one [`Scheduler`] for its term.
+//! The scheduler is a state machine: it is told what callers, workers, the
+//! advisory service and the store said, with the time, and leaves [`Action`]s
+//! to be carried out. It knows no socket and no clock.
+//!
+//! What it believes of workers comes from their own reports, so nothing of a
+//! placement is written anywhere: a new leader asks every worker, under its
+//! own higher epoch, and takes the lists as the truth. What must outlive a
+//! leader (jobs, ends that were acknowledged to workers) is in [`durable`]
+//! records. An end is acknowledged only after its record is in the store.
+//!
+//! One memory for all workers decides better and serves gangs without
+//! agreement between placers; the price is that its processor bounds the rate
+//! of starts, and that a takeover reads everything again.
+
+mod admission;
+mod advice;
+mod durable;
+mod health;
+mod job;
+mod lease;
+mod plan;
+mod recovery;
+mod report;
+mod scheduler;
+mod submit;
+mod worker;
+
+pub use admission::Admission;
+pub use durable::Record;
+pub use durable::RecordError;
+pub use durable::RecordKey;
+pub use durable::Records;
+pub use scheduler::Action;
+pub use scheduler::Config;
+pub use scheduler::Counts;
+pub use scheduler::Note;
+pub use scheduler::Question;
+pub use scheduler::Scheduler;
+pub use worker::ReportDue;
--- /dev/null
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -0,0 +1,407 @@
+//! One pass over everything that waits: who goes first, and where.
+//!
+//! Steps are ranked: jobs that can still meet their objective before those that
+//! cannot, quick queues (priority 0) before others, then by the time that is
+//! left before they must start. Within a step a task goes to the fullest worker
+//! that holds it, so that large holes stay for wide gangs. A gang that finds no
+//! room keeps the emptiest workers free of later work that would last.
+
+use std::time;
+
+use figscale_types::fleet;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use super::job;
+use super::report;
+use super::scheduler;
+use super::scheduler::Action;
+use super::worker;
+
+/// Gangs that may keep workers free at the same time; more would leave most
+/// workers waiting.
+const MAX_RESERVING: usize = 2;
+/// Work that is over sooner may use workers that are kept free.
+const SHORT_WORK_MS: u64 = 1_200;
+/// Attempts of one term; the next term's numbers begin above them.
+const ATTEMPTS_PER_EPOCH: u64 = 1_000;
+
+/// Order of steps; less goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    late: bool,
+    class: u8,
+    slack_ms: i64,
+}
+
+/// A step with tasks that could start.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    /// First task of the step.
+    pub(crate) task: fleet::TaskId,
+    rank: Rank,
+}
+
+/// Whether a worker could ever run a step of a queue.
+pub(crate) fn suits(
+    worker: &worker::Worker,
+    queue: &fleet::Queue,
+    step: &fleet::StepDescription,
+) -> bool {
+    let label = step.required_label.as_ref();
+    worker.entry.service == queue.service
+        && label.is_none_or(|label| worker.entry.labels.contains(label))
+}
+
+/// State of one pass.
+struct Pass {
+    now: time::Instant,
+    usable: IndexSet<fleet::WorkerId>,
+    /// Workers kept free for a gang that goes first.
+    kept: IndexSet<fleet::WorkerId>,
+    reserving: usize,
+    wanting: Vec<Candidate>,
+}
+
+/// A worker that a task could go to; less is better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Fit {
+    failed_here: bool,
+    unproven: bool,
+    far: bool,
+    left_cpu_millis: u64,
+}
+
+impl scheduler::Scheduler {
+    /// Places what can be placed and asks for advice.
+    pub fn plan(&mut self, now: time::Instant) {
+        let candidates = self.candidates(now);
+        if candidates.is_empty() {
+            return;
+        }
+        let silence = self.config.max_silence;
+        let usable = self.workers.iter().filter(|(_, worker)| worker.is_usable(silence, now));
+        let mut pass = Pass {
+            now,
+            usable: usable.map(|(id, _)| id.clone()).collect(),
+            kept: IndexSet::new(),
+            reserving: 0,
+            wanting: Vec::new(),
+        };
+        for candidate in candidates {
+            let whole = self.place_step(&candidate, &mut pass);
+            if !whole {
+                pass.wanting.push(candidate);
+            }
+        }
+        let wanting = pass.wanting;
+        self.ask_for(&wanting, now);
+    }
+
+    fn candidates(&self, now: time::Instant) -> Vec<Candidate> {
+        let mut all = Vec::new();
+        for id in &self.open {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            for (occurrence, round) in job.rounds.iter().enumerate() {
+                let rank = rank(job, round, now);
+                for (step, progress) in round.steps.iter().enumerate() {
+                    let description = &job.description.steps[step];
+                    if may_start(progress, description) && round.is_ready(&job.description, step) {
+                        let task = first_task(*id, occurrence, step);
+                        all.push(Candidate { task, rank });
+                    }
+                }
+            }
+        }
+        all.sort_by_key(|candidate| candidate.rank);
+        all
+    }
+
+    /// Places what it can of a step; true if nothing of it waits any more.
+    fn place_step(&mut self, candidate: &Candidate, pass: &mut Pass) -> bool {
+        let Some(job) = self.jobs.get(&candidate.task.job) else {
+            return true;
+        };
+        if !job.stored {
+            return false;
+        }
+        let Some(description) = job.step_description(&candidate.task).cloned() else {
+            return true;
+        };
+        match description.gang {
+            true => self.place_gang(candidate, &description, pass),
+            false => self.place_tasks(candidate, &description, pass),
+        }
+    }
+
+    fn place_tasks(
+        &mut self,
+        candidate: &Candidate,
+        description: &fleet::StepDescription,
+        pass: &Pass,
+    ) -> bool {
+        for index in 0..description.count {
+            let id = fleet::TaskId { index, ..candidate.task };
+            let task = self.jobs.get(&id.job).and_then(|job| job.task(&id));
+            let ready = task.is_some_and(|task| task.is_waiting() && !task.suspect);
+            if !ready {
+                continue;
+            }
+            let Some(worker) = self.best_worker(&id, description, candidate.rank, pass) else {
+                return false;
+            };
+            self.start(&id, &worker, self.next_attempt(&id), pass.now);
+        }
+        true
+    }
+
+    fn place_gang(
+        &mut self,
+        candidate: &Candidate,
+        description: &fleet::StepDescription,
+        pass: &mut Pass,
+    ) -> bool {
+        let Some(workers) = self.gang_workers(candidate, description, pass) else {
+            self.keep_free(candidate, description, pass);
+            return false;
+        };
+        let members = (0..description.count).map(|index| fleet::TaskId { index, ..candidate.task });
+        let members: Vec<fleet::TaskId> = members.collect();
+        let attempt = members.iter().map(|id| self.next_attempt(id)).max().unwrap_or(1);
+        for (id, worker) in members.iter().zip(workers) {
+            self.start(id, &worker, attempt, pass.now);
+        }
+        true
+    }
+
+    /// A worker for each member, or none if one finds no room.
+    fn gang_workers(
+        &self,
+        candidate: &Candidate,
+        description: &fleet::StepDescription,
+        pass: &Pass,
+    ) -> Option<Vec<fleet::WorkerId>> {
+        let open = self.open_workers(&candidate.task, description, candidate.rank, pass);
+        if !description.same_rack {
+            return fill(open, description, description.count);
+        }
+        let mut by_rack: IndexMap<String, Vec<Place>> = IndexMap::new();
+        for place in &open {
+            by_rack.entry(place.rack.clone()).or_default().push(place.clone());
+        }
+        let in_one = by_rack.into_values().find_map(|rack| fill(rack, description, description.count));
+        in_one.or_else(|| fill(open, description, description.count))
+    }
+
+    /// Keeps the emptiest workers free of lasting work until a gang fits.
+    fn keep_free(
+        &self,
+        candidate: &Candidate,
+        description: &fleet::StepDescription,
+        pass: &mut Pass,
+    ) {
+        if pass.reserving >= MAX_RESERVING || candidate.rank.late {
+            return;
+        }
+        let Some(job) = self.jobs.get(&candidate.task.job) else {
+            return;
+        };
+        let step = &job.rounds[candidate.task.occurrence as usize].steps[candidate.task.step as usize];
+        let mut emptiest: Vec<(u64, u64, &fleet::WorkerId)> = Vec::new();
+        for (id, worker) in &self.workers {
+            let bad = step.advice.verdicts.get(id) == Some(&false);
+            let unknown = job.queue.advice.is_some() && !step.advice.verdicts.contains_key(id);
+            if bad || unknown || !pass.usable.contains(id) || pass.kept.contains(id) {
+                continue;
+            }
+            let slots = worker.entry.room.times(&description.room, u64::from(description.count));
+            emptiest.push((worker.free().cpu_millis, slots, id));
+        }
+        emptiest.sort_by_key(|(free, ..)| std::cmp::Reverse(*free));
+        let mut needed = u64::from(description.count);
+        for (_, slots, id) in emptiest {
+            if needed == 0 {
+                break;
+            }
+            needed = needed.saturating_sub(slots);
+            pass.kept.insert(id.clone());
+        }
+        pass.reserving += 1;
+    }
+
+    /// Workers that may run a step now, with what is free there.
+    fn open_workers(
+        &self,
+        task: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        rank: Rank,
+        pass: &Pass,
+    ) -> Vec<Place> {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return Vec::new();
+        };
+        let step = &job.rounds[task.occurrence as usize].steps[task.step as usize];
+        let respects_kept = rank.class > 0 && description.estimate_ms > SHORT_WORK_MS;
+        let need = report::occupied(description);
+        let mut places = Vec::new();
+        for id in &pass.usable {
+            let Some(worker) = self.workers.get(id) else {
+                continue;
+            };
+            let ticket = step.advice.tickets.get(id);
+            let ticketed = ticket.is_some_and(|ticket| ticket.valid_until > pass.now);
+            if job.queue.advice.is_some() && !ticketed {
+                continue;
+            }
+            if !suits(worker, &job.queue, description) || !worker.free().holds(&need) {
+                continue;
+            }
+            if respects_kept && pass.kept.contains(id) {
+                continue;
+            }
+            let most = description.max_per_worker.map_or(u64::MAX, u64::from);
+            let here = worker.runs_of_step(task) as u64;
+            if here >= most || !worker.health.admits(worker.runs.len(), pass.now) {
+                continue;
+            }
+            places.push(Place {
+                id: id.clone(),
+                free: worker.free(),
+                most: most - here,
+                rack: worker.entry.rack.clone(),
+                proven: worker.health.is_proven(),
+            });
+        }
+        places
+    }
+
+    fn best_worker(
+        &self,
+        id: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        rank: Rank,
+        pass: &Pass,
+    ) -> Option<fleet::WorkerId> {
+        let task = self.jobs.get(&id.job)?.task(id)?;
+        let places = self.open_workers(id, description, rank, pass);
+        let need = report::occupied(description);
+        let fit = |place: &Place| Fit {
+            failed_here: task.failed_on.as_ref() == Some(&place.id),
+            unproven: task.failures > 0 && !place.proven,
+            far: description.data_rack.as_ref().is_some_and(|rack| *rack != place.rack),
+            left_cpu_millis: place.free.minus(&need).cpu_millis,
+        };
+        places.into_iter().min_by_key(fit).map(|place| place.id)
+    }
+
+    fn next_attempt(&self, id: &fleet::TaskId) -> u32 {
+        let first = self.config.epoch.0.saturating_sub(1) * ATTEMPTS_PER_EPOCH + 1;
+        let first = u32::try_from(first).unwrap_or(u32::MAX);
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        task.map_or(first, |task| first.max(task.attempt + 1))
+    }
+
+    fn start(
+        &mut self,
+        id: &fleet::TaskId,
+        worker_id: &fleet::WorkerId,
+        attempt: u32,
+        now: time::Instant,
+    ) {
+        let expiry_ms = super::lease::millis(self.config.start_expiry);
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some(description) = job.description.steps.get(id.step as usize) else {
+            return;
+        };
+        let room = report::occupied(description);
+        let spec = job.description.spec.clone();
+        let Some(step) = job.step_mut(id) else {
+            return;
+        };
+        let ticket = step.advice.tickets.get(worker_id).map(|ticket| ticket.token.clone());
+        let Some(task) = step.tasks.get_mut(id.index as usize) else {
+            return;
+        };
+        let expires_clock_ms = worker.lease.clock_ms(now).unwrap_or(0) + expiry_ms;
+        worker.lease.sent(expires_clock_ms);
+        task.attempt = attempt;
+        task.state = job::TaskState::Placed { worker: worker_id.clone(), attempt };
+        let order = fleet::StartOrder {
+            task: *id,
+            attempt,
+            spec,
+            expires_clock_ms,
+            checkpoint: task.checkpoint.clone(),
+            ticket,
+        };
+        let run = worker::Run {
+            room,
+            expires_clock_ms,
+            confirmed_clock_ms: None,
+            ordered_at: now,
+            stop_ordered: None,
+            idle_since: None,
+        };
+        worker.add_run((*id, attempt), run);
+        self.actions.push(Action::Start { worker: worker_id.clone(), order });
+    }
+}
+
+/// A worker with room, during the placing of a gang.
+#[derive(Clone, Debug)]
+struct Place {
+    id: fleet::WorkerId,
+    free: fleet::Room,
+    /// Further tasks of the step that may go there.
+    most: u64,
+    rack: String,
+    proven: bool,
+}
+
+/// Puts `count` tasks on the given workers, the fullest first that holds one.
+fn fill(
+    mut places: Vec<Place>,
+    description: &fleet::StepDescription,
+    count: u32,
+) -> Option<Vec<fleet::WorkerId>> {
+    let need = report::occupied(description);
+    places.sort_by_key(|place| place.free.cpu_millis);
+    let mut chosen = Vec::new();
+    for place in &mut places {
+        while chosen.len() < count as usize && place.most > 0 && place.free.holds(&need) {
+            place.free = place.free.minus(&need);
+            place.most -= 1;
+            chosen.push(place.id.clone());
+        }
+    }
+    (chosen.len() == count as usize).then_some(chosen)
+}
+
+fn first_task(job: fleet::JobId, occurrence: usize, step: usize) -> fleet::TaskId {
+    let number = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    fleet::TaskId { job, occurrence: number(occurrence), step: number(step), index: 0 }
+}
+
+/// Whether some task of a step could start; of a gang, all of them.
+fn may_start(step: &job::Step, description: &fleet::StepDescription) -> bool {
+    let ready = |task: &job::Task| task.is_waiting() && !task.suspect;
+    match description.gang {
+        true => step.tasks.iter().all(ready),
+        false => step.tasks.iter().any(ready),
+    }
+}
+
+fn rank(job: &job::Job, round: &job::Round, now: time::Instant) -> Rank {
+    let remaining_ms = i64::try_from(round.remaining_ms(&job.description)).unwrap_or(i64::MAX);
+    let left = job.objective_at.saturating_duration_since(now);
+    let left_ms = i64::try_from(super::lease::millis(left)).unwrap_or(i64::MAX);
+    let slack_ms = left_ms - remaining_ms;
+    Rank { late: slack_ms < 0, class: u8::from(job.queue.priority > 0), slack_ms }
+}
--- /dev/null
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -0,0 +1,231 @@
+//! Records of jobs, and how a new leader takes up where the last one ended.
+//!
+//! Tasks of loaded jobs may still run on any worker. Until every worker of the
+//! last term has reported, or its lease is surely over, a task that was not
+//! found stays where it is: it may run on a worker that has not been heard.
+//! Jobs submitted in this term do not wait for that.
+
+use std::sync;
+use std::time;
+
+use figscale_types::fleet;
+
+use super::durable;
+use super::durable::RecordKey;
+use super::job;
+use super::scheduler;
+
+impl scheduler::Scheduler {
+    pub(crate) fn add_records(&mut self, id: fleet::JobId, records: &mut durable::Records) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            for key in [RecordKey::Job(id), RecordKey::Progress(id)] {
+                records.records.push(durable::Record { key, bytes: None });
+            }
+            return;
+        };
+        if !job.stored {
+            records.created.push(id);
+        }
+        if job.stored && job.is_open() {
+            let bytes = Some(durable::encode(&progress_record(job)));
+            job.progress_stored = true;
+            records.records.push(durable::Record { key: RecordKey::Progress(id), bytes });
+            return;
+        }
+        let bytes = Some(durable::encode(&job_record(job)));
+        records.records.push(durable::Record { key: RecordKey::Job(id), bytes });
+        if job.progress_stored && !job.is_open() {
+            job.progress_stored = false;
+            records.records.push(durable::Record { key: RecordKey::Progress(id), bytes: None });
+        }
+    }
+
+    /// Takes in the record of a job that an earlier leader wrote.
+    pub fn load_job(
+        &mut self,
+        id: fleet::JobId,
+        bytes: &[u8],
+        now: time::Instant,
+        wall_ms: u64,
+    ) -> Result<(), durable::RecordError> {
+        let job = match durable::decode(bytes)? {
+            durable::JobRecord::Open { queue, description, submitted_wall_ms } => {
+                let age_ms = wall_ms.saturating_sub(submitted_wall_ms);
+                let age = time::Duration::from_millis(age_ms);
+                let submitted = now.checked_sub(age).unwrap_or(now);
+                let queue = sync::Arc::new(queue);
+                job::Job::new(id, queue, description, submitted_wall_ms, submitted)
+            }
+            durable::JobRecord::Ended { queue_name, state, submitted_wall_ms } => {
+                let queue = ended_queue(queue_name);
+                let description = fleet::JobDescription::default();
+                let mut job = job::Job::new(id, queue, description, submitted_wall_ms, now);
+                job.finish(state);
+                job
+            }
+        };
+        if job.is_open() {
+            self.open.insert(id);
+        }
+        self.jobs.insert(id, job::Job { stored: true, ..job });
+        Ok(())
+    }
+
+    /// Takes in the record of a loaded job's progress.
+    pub fn load_progress(
+        &mut self,
+        id: fleet::JobId,
+        bytes: &[u8],
+    ) -> Result<(), durable::RecordError> {
+        let record: durable::ProgressRecord = durable::decode(bytes)?;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return Ok(());
+        };
+        job.progress_stored = true;
+        if !job.is_open() {
+            return Ok(());
+        }
+        job.started = true;
+        for (number, steps) in record.rounds.into_iter().enumerate() {
+            if job.rounds.len() <= number {
+                job.rounds.push(job::Round::new(&job.description));
+            }
+            for (step, progress) in job.rounds[number].steps.iter_mut().zip(steps) {
+                load_step(step, progress);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the record of workers that may run something.
+    pub fn recorded_workers(bytes: &[u8]) -> Result<Vec<fleet::WorkerId>, durable::RecordError> {
+        durable::decode(bytes)
+    }
+
+    /// Ends the loading: tasks that have not ended may run on any of
+    /// `workers`, each until its lease of the last term is over.
+    pub fn begin_recovery(&mut self, workers: Vec<fleet::WorkerId>, now: time::Instant) {
+        // A lease sent at the very end, on a slow clock, and the kill after it.
+        let until = now + self.config.lease * 11 / 10 + self.config.stop_limit;
+        self.unheard = workers.into_iter().map(|worker| (worker, until)).collect();
+        self.recovering = true;
+        for id in &self.open {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let steps = job.rounds.iter_mut().flat_map(|round| &mut round.steps);
+            for task in steps.flat_map(|step| &mut step.tasks) {
+                task.suspect = !task.is_done();
+            }
+        }
+    }
+
+    /// Frees the tasks that surely run nowhere once nobody is unheard.
+    pub(crate) fn check_recovery(&mut self, now: time::Instant) {
+        self.unheard.retain(|_, until| now < *until);
+        if !self.recovering || !self.unheard.is_empty() {
+            return;
+        }
+        self.recovering = false;
+        let open: Vec<fleet::JobId> = self.open.iter().copied().collect();
+        for id in &open {
+            if let Some(job) = self.jobs.get_mut(id) {
+                let steps = job.rounds.iter_mut().flat_map(|round| &mut round.steps);
+                for task in steps.flat_map(|step| &mut step.tasks) {
+                    task.suspect = false;
+                }
+            }
+        }
+        let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
+        let note = scheduler::Note::Recovered { open_jobs: open.len(), runs };
+        self.actions.push(scheduler::Action::Tell(note));
+        self.stop_partial_gangs(now);
+    }
+
+    /// A gang that the last leader had not started whole begins again.
+    fn stop_partial_gangs(&mut self, now: time::Instant) {
+        let mut partial = Vec::new();
+        for id in &self.open {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let steps = job.rounds.iter().flat_map(|round| round.steps.iter().zip(&job.description.steps));
+            let gangs = steps.filter(|(_, description)| description.gang).map(|(step, _)| step);
+            for step in gangs {
+                let placed = step.tasks.iter().filter_map(|task| match &task.state {
+                    job::TaskState::Placed { worker, attempt } => Some((worker.clone(), *attempt)),
+                    _ => None,
+                });
+                let placed: Vec<_> = placed.collect();
+                if !placed.is_empty() && placed.len() < step.tasks.len() {
+                    partial.extend(placed.into_iter().map(|(worker, attempt)| (*id, worker, attempt)));
+                }
+            }
+        }
+        for (id, worker, attempt) in partial {
+            let runs = self.workers.get(&worker).map(|worker| worker.runs.keys().copied());
+            let keys: Vec<_> = runs.into_iter().flatten().collect();
+            for key in keys.into_iter().filter(|(task, number)| task.job == id && *number == attempt) {
+                self.order_stop(&worker, key, Some(now));
+            }
+        }
+    }
+}
+
+fn ended_queue(name: String) -> sync::Arc<fleet::Queue> {
+    sync::Arc::new(fleet::Queue {
+        name,
+        host: String::new(),
+        prefix: String::new(),
+        service: String::new(),
+        priority: 0,
+        max_attempts: 1,
+        stretch: 1.0,
+        target_latency_ms: 0,
+        advice: None,
+    })
+}
+
+fn job_record(job: &job::Job) -> durable::JobRecord {
+    match job.end {
+        Some(state) => durable::JobRecord::Ended {
+            queue_name: job.queue.name.clone(),
+            state,
+            submitted_wall_ms: job.submitted_wall_ms,
+        },
+        None => durable::JobRecord::Open {
+            queue: (*job.queue).clone(),
+            description: (*job.description).clone(),
+            submitted_wall_ms: job.submitted_wall_ms,
+        },
+    }
+}
+
+fn progress_record(job: &job::Job) -> durable::ProgressRecord {
+    let task = |task: &job::Task| durable::TaskProgress {
+        done: task.is_done(),
+        failures: task.failures,
+        checkpoint: if task.is_done() { String::new() } else { task.checkpoint.clone() },
+    };
+    let step = |step: &job::Step| durable::StepProgress {
+        tasks: step.tasks.iter().map(task).collect(),
+        gang_failures: step.gang_failures,
+        gang_failed_attempt: step.gang_failed_attempt,
+    };
+    let rounds = job.rounds.iter();
+    durable::ProgressRecord {
+        rounds: rounds.map(|round| round.steps.iter().map(step).collect()).collect(),
+    }
+}
+
+fn load_step(step: &mut job::Step, progress: durable::StepProgress) {
+    step.gang_failures = progress.gang_failures;
+    step.gang_failed_attempt = progress.gang_failed_attempt;
+    for (task, known) in step.tasks.iter_mut().zip(progress.tasks) {
+        task.failures = known.failures;
+        task.checkpoint = known.checkpoint;
+        if known.done {
+            task.state = job::TaskState::Done;
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -0,0 +1,404 @@
+//! What workers say: reports, and answers to starts.
+
+use std::time;
+
+use figscale_types::fleet;
+use indexmap::IndexSet;
+
+use super::job;
+use super::scheduler;
+use super::scheduler::Action;
+use super::scheduler::Note;
+use super::worker;
+
+/// Pause after a worker had no room although it should have had.
+const NO_ROOM_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Pause after a worker refused as unhealthy.
+const UNHEALTHY_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+
+impl scheduler::Scheduler {
+    /// What the next call for a worker's report should carry; `None` for one
+    /// that is unknown or replaced. The lease is reckoned as sent.
+    pub fn report_due(&mut self, id: &fleet::WorkerId, now: time::Instant) -> Option<worker::ReportDue> {
+        let lease_ms = super::lease::millis(self.config.lease);
+        let worker = self.workers.get_mut(id)?;
+        if worker.replaced {
+            return None;
+        }
+        let lease_until_clock_ms = worker.lease.clock_ms(now).map(|clock_ms| clock_ms + lease_ms);
+        if let Some(until) = lease_until_clock_ms {
+            worker.lease.sent(until);
+        }
+        Some(worker::ReportDue { acknowledged: worker.acknowledged, lease_until_clock_ms })
+    }
+
+    /// A worker's report has arrived.
+    pub fn worker_reported(
+        &mut self,
+        id: &fleet::WorkerId,
+        report: &fleet::WorkerReport,
+        now: time::Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.lease.read(report.clock_ms, now);
+        let first = !worker.reported;
+        worker.reported = true;
+        if first {
+            // What it held before may go on as long as any lease ever sent.
+            let lease_ms = super::lease::millis(self.config.lease);
+            worker.lease.sent(report.clock_ms + lease_ms);
+        }
+        for run in &report.finished {
+            self.take_in_end(id, run, now);
+        }
+        self.take_in_running(id, report, now);
+        self.drop_missing(id, report);
+        if self.unheard.swap_remove(id).is_some() {
+            self.check_recovery(now);
+        }
+    }
+
+    fn take_in_end(&mut self, id: &fleet::WorkerId, run: &fleet::FinishedRun, now: time::Instant) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if run.number <= worker.taken_in {
+            return;
+        }
+        worker.taken_in = run.number;
+        let key = (run.task, run.attempt);
+        worker.remove_run(&key);
+        match run.end {
+            fleet::End::Done => worker.health.succeeded(),
+            fleet::End::Failed if worker.health.failed(run.task.job, now) => {
+                let note = Note::WorkerSetAside { worker: id.clone(), cause: "failures in a row" };
+                self.actions.push(Action::Tell(note));
+            }
+            _ => (),
+        }
+        if run.end != fleet::End::Done {
+            self.actions.push(Action::Tell(Note::RunEnded {
+                task: run.task,
+                attempt: run.attempt,
+                worker: id.clone(),
+                end: run.end,
+            }));
+        }
+        self.apply_end(id, run, now);
+    }
+
+    fn apply_end(&mut self, id: &fleet::WorkerId, run: &fleet::FinishedRun, now: time::Instant) {
+        let Some(job) = self.jobs.get_mut(&run.task.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let Some(description) = job.step_description(&run.task) else {
+            return;
+        };
+        let (is_gang, long_running) = (description.gang, description.long_running);
+        job.started = true;
+        keep_checkpoint(job, run, is_gang);
+        self.dirty.insert(run.task.job);
+        match run.end {
+            fleet::End::Done if !long_running => self.task_done(id, run, is_gang, now),
+            fleet::End::Failed if !long_running => self.task_failed(id, run, is_gang, now),
+            _ => self.task_free_again(id, &(run.task, run.attempt)),
+        }
+    }
+
+    /// A task has ended well; in a gang that stands for all members.
+    fn task_done(
+        &mut self,
+        id: &fleet::WorkerId,
+        run: &fleet::FinishedRun,
+        is_gang: bool,
+        now: time::Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(&run.task) else {
+            return;
+        };
+        let runs_elsewhere =
+            matches!(task.state, job::TaskState::Placed { .. }) && !task.runs_as(id, run.attempt);
+        if runs_elsewhere {
+            // Given up when its worker's lease was over; the later run counts.
+            return;
+        }
+        task.state = job::TaskState::Done;
+        if is_gang && let Some(step) = job.step_mut(&run.task) {
+            for member in &mut step.tasks {
+                member.state = job::TaskState::Done;
+            }
+        }
+        if job.all_done() {
+            self.end_job(run.task.job, fleet::JobState::Completed, now);
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        id: &fleet::WorkerId,
+        run: &fleet::FinishedRun,
+        is_gang: bool,
+        now: time::Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let max_attempts = job.queue.max_attempts;
+        let mut failures = 0;
+        if let Some(task) = job.task_mut(&run.task) {
+            task.failures += 1;
+            task.failed_on = Some(id.clone());
+            failures = task.failures;
+        }
+        if is_gang && let Some(step) = job.step_mut(&run.task) {
+            if step.gang_failed_attempt != run.attempt {
+                step.gang_failed_attempt = run.attempt;
+                step.gang_failures += 1;
+            }
+            failures = failures.max(step.gang_failures);
+        }
+        self.task_free_again(id, &(run.task, run.attempt));
+        if failures >= max_attempts {
+            self.end_job(run.task.job, fleet::JobState::Failed, now);
+        }
+    }
+
+    /// Confirms known runs, adopts those of an earlier term, stops the rest.
+    fn take_in_running(
+        &mut self,
+        id: &fleet::WorkerId,
+        report: &fleet::WorkerReport,
+        now: time::Instant,
+    ) {
+        for running in &report.running {
+            let key = (running.task, running.attempt);
+            let known = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&key));
+            match known {
+                Some(run) => {
+                    let confirmed = run.confirmed_clock_ms.unwrap_or(0);
+                    run.confirmed_clock_ms = Some(confirmed.max(report.clock_ms));
+                    self.note_progress(id, running, now);
+                }
+                None => self.find_run(id, running, report.clock_ms, now),
+            }
+            if !self.is_wanted(id, key) {
+                self.order_stop(id, key, Some(now));
+            }
+        }
+    }
+
+    fn note_progress(
+        &mut self,
+        id: &fleet::WorkerId,
+        running: &fleet::RunningTask,
+        now: time::Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&running.task.job) else {
+            return;
+        };
+        job.started = true;
+        let watched = job
+            .step_description(&running.task)
+            .is_some_and(|step| !step.long_running && !step.filler && step.room.cpu_millis > 0);
+        if !running.checkpoint.is_empty()
+            && let Some(task) = job.task_mut(&running.task)
+            && task.runs_as(id, running.attempt)
+        {
+            task.checkpoint.clone_from(&running.checkpoint);
+        }
+        if watched && let Some(used) = running.used_cpu_millis {
+            self.note_use(id, (running.task, running.attempt), used, now);
+        }
+    }
+
+    /// A run that this term did not order.
+    fn find_run(
+        &mut self,
+        id: &fleet::WorkerId,
+        running: &fleet::RunningTask,
+        clock_ms: u64,
+        now: time::Instant,
+    ) {
+        let job = self.jobs.get_mut(&running.task.job);
+        let mut room = fleet::Room::default();
+        if let Some(job) = job.filter(|job| job.is_open())
+            && let Some(step) = job.step_description(&running.task)
+        {
+            room = occupied(step);
+            job.started = true;
+            if let Some(task) = job.task_mut(&running.task)
+                && task.is_waiting()
+                && running.attempt >= task.attempt
+            {
+                task.attempt = running.attempt;
+                task.state =
+                    job::TaskState::Placed { worker: id.clone(), attempt: running.attempt };
+            }
+        }
+        let run = worker::Run {
+            room,
+            expires_clock_ms: 0,
+            confirmed_clock_ms: Some(clock_ms),
+            ordered_at: now,
+            stop_ordered: None,
+            idle_since: None,
+        };
+        let key = (running.task, running.attempt);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.add_run(key, run);
+        }
+        if !self.is_wanted(id, key) {
+            self.actions.push(Action::Tell(Note::StrayRun {
+                task: running.task,
+                attempt: running.attempt,
+                worker: id.clone(),
+            }));
+        }
+    }
+
+    fn is_wanted(&self, id: &fleet::WorkerId, key: worker::RunKey) -> bool {
+        let job = self.jobs.get(&key.0.job).filter(|job| job.is_open());
+        let task = job.and_then(|job| job.task(&key.0));
+        task.is_some_and(|task| task.runs_as(id, key.1))
+    }
+
+    /// Runs that a report lacks have ended, or were never started.
+    ///
+    /// A report may be older than a start that overtook it, so a run is only
+    /// missed once the report's clock is past the run's own.
+    fn drop_missing(&mut self, id: &fleet::WorkerId, report: &fleet::WorkerReport) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let running: IndexSet<worker::RunKey> =
+            report.running.iter().map(|run| (run.task, run.attempt)).collect();
+        let missing = |(key, run): (&worker::RunKey, &worker::Run)| {
+            let known_clock_ms = run.confirmed_clock_ms.unwrap_or(run.expires_clock_ms);
+            (!running.contains(key) && report.clock_ms > known_clock_ms).then_some(*key)
+        };
+        let keys: Vec<worker::RunKey> = worker.runs.iter().filter_map(missing).collect();
+        for key in &keys {
+            worker.remove_run(key);
+        }
+        for key in &keys {
+            self.task_free_again(id, key);
+        }
+    }
+
+    /// A start was answered, or not.
+    pub fn start_answered(
+        &mut self,
+        id: &fleet::WorkerId,
+        task: fleet::TaskId,
+        attempt: u32,
+        outcome: fleet::StartOutcome,
+        now: time::Instant,
+    ) {
+        match outcome {
+            fleet::StartOutcome::Started { clock_ms } => {
+                self.start_confirmed(id, (task, attempt), clock_ms, now);
+            }
+            fleet::StartOutcome::Refused(refusal) => {
+                self.start_refused(id, (task, attempt), refusal, now);
+            }
+            // Its room stays taken until a report tells what became of it.
+            fleet::StartOutcome::Unknown => (),
+        }
+    }
+
+    fn start_confirmed(
+        &mut self,
+        id: &fleet::WorkerId,
+        key: worker::RunKey,
+        clock_ms: u64,
+        now: time::Instant,
+    ) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lease.read(clock_ms, now);
+            if let Some(run) = worker.runs.get_mut(&key) {
+                let known = run.confirmed_clock_ms.unwrap_or(0);
+                run.confirmed_clock_ms = Some(known.max(clock_ms));
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&key.0.job) {
+            job.started = true;
+        }
+        if !self.is_wanted(id, key) {
+            self.order_stop(id, key, Some(now));
+        }
+    }
+
+    fn start_refused(
+        &mut self,
+        id: &fleet::WorkerId,
+        key: worker::RunKey,
+        refusal: fleet::StartRefusal,
+        now: time::Instant,
+    ) {
+        self.actions.push(Action::Tell(Note::StartRefused {
+            task: key.0,
+            attempt: key.1,
+            worker: id.clone(),
+            refusal,
+        }));
+        let confirmed = |run: &worker::Run| run.confirmed_clock_ms.is_some();
+        if let Some(worker) = self.workers.get_mut(id) {
+            if worker.runs.get(&key).is_some_and(confirmed) {
+                return;
+            }
+            worker.remove_run(&key);
+        }
+        self.task_free_again(id, &key);
+        match refusal {
+            fleet::StartRefusal::StaleEpoch => self.actions.push(Action::StepDown),
+            fleet::StartRefusal::OtherLife => self.worker_replaced(id),
+            fleet::StartRefusal::Ticket => self.drop_ticket(id, &key.0),
+            fleet::StartRefusal::NoRoom => self.pause_worker(id, NO_ROOM_PAUSE, now),
+            fleet::StartRefusal::Unhealthy | fleet::StartRefusal::Invalid => {
+                self.pause_worker(id, UNHEALTHY_PAUSE, now);
+            }
+            fleet::StartRefusal::OldAttempt | fleet::StartRefusal::Expired => (),
+        }
+    }
+
+    fn pause_worker(&mut self, id: &fleet::WorkerId, time: time::Duration, now: time::Instant) {
+        if let Some(health) = self.health(id) {
+            health.pause(time, now);
+        }
+    }
+
+    fn drop_ticket(&mut self, id: &fleet::WorkerId, task: &fleet::TaskId) {
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(task)) {
+            step.advice.tickets.swap_remove(id);
+        }
+    }
+}
+
+/// The newest checkpoint; one member's is good for its whole gang.
+fn keep_checkpoint(job: &mut job::Job, run: &fleet::FinishedRun, is_gang: bool) {
+    if run.checkpoint.is_empty() {
+        return;
+    }
+    let Some(step) = job.step_mut(&run.task) else {
+        return;
+    };
+    for (index, task) in step.tasks.iter_mut().enumerate() {
+        if is_gang || index == run.task.index as usize {
+            task.checkpoint.clone_from(&run.checkpoint);
+        }
+    }
+}
+
+/// What a task of a step takes from a worker's room.
+pub(crate) fn occupied(step: &fleet::StepDescription) -> fleet::Room {
+    match step.filler {
+        true => fleet::Room { cpu_millis: 0, ..step.room },
+        false => step.room,
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -0,0 +1,111 @@
+//! A worker as the leader knows it: room, runs, lease and health.
+
+use std::time;
+
+use figscale_types::fleet;
+use indexmap::IndexMap;
+
+use super::health;
+use super::lease;
+
+/// A run that was ordered, or found, on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) room: fleet::Room,
+    /// The worker refuses the start after this reading of its clock.
+    pub(crate) expires_clock_ms: u64,
+    /// Reading at which it was known to have started.
+    pub(crate) confirmed_clock_ms: Option<u64>,
+    pub(crate) ordered_at: time::Instant,
+    /// When a stop was last ordered.
+    pub(crate) stop_ordered: Option<time::Instant>,
+    /// Since when it has used no processor.
+    pub(crate) idle_since: Option<time::Instant>,
+}
+
+/// One start of one task.
+pub(crate) type RunKey = (fleet::TaskId, u32);
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) entry: fleet::WorkerEntry,
+    /// The platform lists it.
+    pub(crate) listed: bool,
+    /// Another life of it has come; this one never returns.
+    pub(crate) replaced: bool,
+    /// The store names it among the workers that may run something.
+    pub(crate) recorded: bool,
+    /// It has reported in this term.
+    pub(crate) reported: bool,
+    pub(crate) lease: lease::Lease,
+    pub(crate) health: health::Health,
+    pub(crate) runs: IndexMap<RunKey, Run>,
+    /// Highest number of an end that was taken in.
+    pub(crate) taken_in: u64,
+    /// Highest number of an end whose effects are in the store.
+    pub(crate) acknowledged: u64,
+    used: fleet::Room,
+}
+
+/// What the next call for a worker's report should carry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportDue {
+    /// Ends up to this number need not be told again.
+    pub acknowledged: u64,
+    /// Reading of the worker's clock up to which everything may go on.
+    pub lease_until_clock_ms: Option<u64>,
+}
+
+impl Worker {
+    pub(crate) fn new(entry: fleet::WorkerEntry) -> Self {
+        Self {
+            entry,
+            listed: true,
+            replaced: false,
+            recorded: false,
+            reported: false,
+            lease: lease::Lease::default(),
+            health: health::Health::default(),
+            runs: IndexMap::new(),
+            taken_in: 0,
+            acknowledged: 0,
+            used: fleet::Room::default(),
+        }
+    }
+
+    /// Room that nothing uses; what is being stopped still counts.
+    pub(crate) fn free(&self) -> fleet::Room {
+        self.entry.room.minus(&self.used)
+    }
+
+    pub(crate) fn add_run(&mut self, key: RunKey, run: Run) {
+        self.used = self.used.plus(&run.room);
+        if let Some(old) = self.runs.insert(key, run) {
+            self.used = self.used.minus(&old.room);
+        }
+    }
+
+    pub(crate) fn remove_run(&mut self, key: &RunKey) -> Option<Run> {
+        let run = self.runs.swap_remove(key)?;
+        self.used = self.used.minus(&run.room);
+        Some(run)
+    }
+
+    /// Whether new work may be sent; `max_silence` is how old the last reading
+    /// may be.
+    pub(crate) fn is_usable(&self, max_silence: time::Duration, now: time::Instant) -> bool {
+        let heard = self.lease.silent_for(now).is_some_and(|silent| silent <= max_silence);
+        let known = self.listed && self.recorded && self.reported;
+        let open = known && !self.entry.draining && !self.replaced;
+        heard && open && self.health.admits(self.runs.len(), now)
+    }
+
+    /// Runs of one step of one occurrence here.
+    pub(crate) fn runs_of_step(&self, task: &fleet::TaskId) -> usize {
+        let same = |key: &&RunKey| {
+            key.0.job == task.job && key.0.occurrence == task.occurrence && key.0.step == task.step
+        };
+        self.runs.keys().filter(same).count()
+    }
+}
--- a/crates/figscale-core/src/lib.rs
+++ b/crates/figscale-core/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod backoff;
 pub mod catalogue;
 pub mod claims;
+pub mod fleet;
 pub mod job;
 pub mod request;
--- /dev/null
+++ b/crates/figscale-types/src/fleet/queue.rs
@@ -0,0 +1,74 @@
+//! Queues and services, as the operators configure them.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How long the advisory service of a queue thinks.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AdvicePolicy {
+    /// Time for any question.
+    pub base_ms: f64,
+    /// Further time for each worker asked about.
+    pub per_worker_ms: f64,
+    /// Life of a ticket.
+    pub valid_ms: u64,
+}
+
+impl AdvicePolicy {
+    /// Time of a question about so many workers.
+    pub fn duration_ms(&self, workers: usize) -> f64 {
+        self.base_ms + self.per_worker_ms * workers as f64
+    }
+}
+
+/// A queue that callers submit jobs to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Queue {
+    /// Its name, new with each life of the platform.
+    pub name: String,
+    /// Host that callers address.
+    pub host: String,
+    /// Path that job ids follow.
+    pub prefix: String,
+    /// Pool of workers that runs its tasks.
+    pub service: String,
+    /// 0 goes first.
+    pub priority: u32,
+    /// Failed runs of one task after which its job has failed.
+    pub max_attempts: u32,
+    /// Factor on a job's own length in its latency objective.
+    pub stretch: f64,
+    /// Constant part of the latency objective.
+    pub target_latency_ms: u64,
+    /// Present where only some workers may run a step.
+    pub advice: Option<AdvicePolicy>,
+}
+
+/// A pool of workers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Its workers refuse what they have no room for.
+    pub workers_check_room: bool,
+}
+
+/// One version of the operators' configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct QueueTable {
+    /// Rises with each change, not always by one.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Pools of workers.
+    pub services: Vec<Service>,
+}
+
+impl QueueTable {
+    /// The queue of a host with the longest prefix of a path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
+        let matches = |queue: &&Queue| queue.host == host && path.starts_with(&queue.prefix);
+        let fitting = self.queues.iter().filter(matches);
+        fitting.max_by_key(|queue| queue.prefix.len())
+    }
+}
--- a/crates/figscale-types/src/lib.rs
+++ b/crates/figscale-types/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod claims;
 pub mod clock;
 pub mod error;
+pub mod fleet;
 pub mod hash;
 pub mod headers;
 pub mod ids;
--- a/crates/figscale/src/cli/serve.rs
+++ b/crates/figscale/src/cli/serve.rs
@@ -22,6 +22,10 @@
 
 fn serve_until_signal(settings: settings::Settings) -> eyre::Result<()> {
     let _logger = logs::start(&settings.log)?;
+    if let Some(fleet) = settings.fleet.clone() {
+        let clock = sync::Arc::new(clock::SystemClock);
+        return crate::fleet::serve_until_signal(settings, fleet, clock);
+    }
     let signals = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/crates/figscale/src/events/mod.rs
+++ b/crates/figscale/src/events/mod.rs
@@ -3,13 +3,14 @@
 //! Each event has a number that never changes its meaning, a name, a level and
 //! a line of help. docs/EVENTS.md lists them all, and a test holds the page
 //! against this table. Numbers go by area: 1000 process, 2000 claims and store,
-//! 3000 catalogue, 4000 requests, 5000 jobs.
+//! 3000 catalogue, 4000 requests, 5000 jobs, 6000 the fleet.
 //!
 //! Use [`crate::event!`] to log one, with fields as `name = value` pairs that
 //! are written by `Display`.
 
 pub mod catalogue;
 pub mod claims;
+pub mod fleet;
 pub mod jobs;
 pub mod process;
 pub mod requests;
@@ -54,6 +55,7 @@
         catalogue::ALL,
         requests::ALL,
         jobs::ALL,
+        fleet::ALL,
     ]
     .concat()
 }
--- /dev/null
+++ b/crates/figscale/src/fleet/calls.rs
@@ -0,0 +1,53 @@
+//! What entry instances say to their leader, and its answers.
+
+use std::net;
+
+use figscale_types::fleet;
+use figscale_types::ids;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Name of the leader's service among peers.
+pub(super) const LEADER_SERVICE: &str = "fleet-leader";
+/// Name of the service that asks for advice among peers.
+pub(super) const ADVICE_SERVICE: &str = "fleet-advice";
+
+/// A call to the leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum LeaderCall {
+    /// Take a job.
+    Submit {
+        job: fleet::JobId,
+        queue: fleet::Queue,
+        description: fleet::JobDescription,
+    },
+    /// How does a job stand?
+    State { job: fleet::JobId },
+    /// Cancel a job.
+    Cancel { job: fleet::JobId },
+    /// How many jobs of a queue wait?
+    Pending { queue: String },
+    /// An entry instance is there, and can ask for advice.
+    Hello { member: ids::MemberId, address: net::SocketAddr },
+}
+
+/// The leader's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) enum LeaderAnswer {
+    /// This instance does not lead; nothing was done.
+    NotLeader,
+    /// The term ended meanwhile; the call may have been acted on.
+    Unknown,
+    /// The job is taken and kept.
+    Accepted,
+    /// The job is not taken and never runs.
+    Refused { retry_after_ms: u64 },
+    /// The store could not be asked; nothing was done and nothing will be.
+    StoreAway { retry_after_ms: u64 },
+    /// A job's state, if there is such a job.
+    State(Option<fleet::JobState>),
+    /// Number of waiting jobs.
+    Pending(u64),
+    /// The other instances that the leader has heard from.
+    Welcome { peers: Vec<net::SocketAddr> },
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/election.rs
@@ -0,0 +1,302 @@
+//! Who leads, and how an instance comes to lead.
+//!
+//! The key of the leader lives by its lease and is only a sign of life. What
+//! decides is the head of the ledger: whoever changes it, on the condition that
+//! it is as it was read, leads the next term. So a takeover is safe at any
+//! moment, also beside a leader that still runs: its writes fail from then on,
+//! and workers that have heard the new leader refuse its orders.
+//!
+//! An instance stands when the leader's key is gone, or when the leader's
+//! process is known to have ended. It does not while the leader still answers:
+//! a lease can end by the store's own trouble, and the leader names itself
+//! anew within one renewal.
+
+use std::net;
+use std::time;
+
+use figscale_platform::CallError;
+use figscale_platform::store;
+use figscale_types::fleet;
+use figscale_types::ids;
+use figscale_types::verdict::Verdict;
+use rand::RngExt as _;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use super::Context;
+use super::keys;
+use super::ledger;
+use super::membership;
+use super::term;
+use crate::events;
+use crate::peer;
+
+/// How long one watch of the leader's key waits.
+const WATCH_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Candidates spread over this time, so that most see that one has won.
+const SPREAD: time::Duration = time::Duration::from_millis(40);
+/// Time given to a leader that still answers to renew its key.
+const ANSWERING_GRACE: time::Duration = time::Duration::from_millis(800);
+/// How long a candidate tries to learn what became of its transaction.
+const MAX_STANDING: time::Duration = time::Duration::from_secs(3);
+/// After giving leadership up for want of reach, an instance lets others lead.
+pub(super) const STAND_OFF: time::Duration = time::Duration::from_secs(4);
+
+/// The leader, as its key names it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Leader {
+    /// The life of the entry instance that leads.
+    pub(crate) member: ids::MemberKey,
+    /// Where peers reach it.
+    pub(crate) address: net::SocketAddr,
+    /// Its term.
+    pub(crate) epoch: fleet::Epoch,
+}
+
+/// What this instance knows of leadership.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Leadership {
+    /// Who leads, as far as known.
+    pub(crate) leader: Option<Leader>,
+    /// Revision of the leader's key; 0 while there is none.
+    pub(crate) key_revision: u64,
+    /// The key has been read.
+    pub(crate) key_known: bool,
+    /// This instance leads and its scheduler answers.
+    pub(crate) leading: bool,
+    /// Revision of a leader's key whose process has ended.
+    pub(crate) ended_revision: Option<u64>,
+    /// When the leader last answered.
+    pub(crate) answered_at: Option<time::Instant>,
+}
+
+/// A term that was won.
+pub(super) struct Won {
+    pub(super) head: ledger::Head,
+    pub(super) head_revision: u64,
+    pub(super) lease: store::LeaseId,
+    pub(super) leader: Leader,
+}
+
+/// Starts to watch and to stand.
+pub(super) fn start(context: &Context, handlers: &mut peer::Handlers) {
+    membership::start(context, handlers);
+    tokio::spawn(observe(context.clone()));
+    tokio::spawn(stand_and_lead(context.clone()));
+}
+
+/// Keeps the leader's key in view.
+async fn observe(context: Context) {
+    let mut connected = true;
+    loop {
+        if let Err(error) = follow(&context, &mut connected).await {
+            if connected {
+                crate::event!(events::fleet::LEADER_STORE_LOST, error = error);
+                connected = false;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn follow(context: &Context, connected: &mut bool) -> Result<(), CallError> {
+    let listing = context.store.list(keys::LEAD).await?;
+    if !*connected {
+        crate::event!(events::fleet::LEADER_STORE_BACK, revision = listing.revision);
+        *connected = true;
+    }
+    see(context, listing.items.iter().find(|item| item.key == keys::LEAD));
+    let mut revision = listing.revision;
+    loop {
+        match context.store.watch(keys::LEAD, revision, WATCH_WAIT).await? {
+            store::Watched::Compacted => return Ok(()),
+            store::Watched::Events { events, revision: newer } => {
+                for event in &events {
+                    match event {
+                        store::Event::Written(item) if item.key == keys::LEAD => {
+                            see(context, Some(item));
+                        }
+                        store::Event::Removed { key, .. } if key == keys::LEAD => see(context, None),
+                        _ => (),
+                    }
+                }
+                revision = revision.max(newer);
+            }
+        }
+    }
+}
+
+fn see(context: &Context, item: Option<&store::Item>) {
+    let leader: Option<Leader> = item.and_then(|item| serde_json::from_slice(&item.value).ok());
+    context.leadership.send_modify(|known| {
+        known.key_known = true;
+        known.key_revision = item.map_or(0, |item| item.revision);
+        if let Some(leader) = leader {
+            adopt(known, leader);
+        }
+    });
+}
+
+/// Takes note of a leader of a later term than the one known.
+pub(super) fn adopt(known: &mut Leadership, leader: Leader) {
+    let older = known.leader.as_ref().is_some_and(|old| old.epoch >= leader.epoch);
+    if older {
+        return;
+    }
+    crate::event!(
+        events::fleet::LEADER_KNOWN,
+        leader = leader.member,
+        address = leader.address,
+        epoch = leader.epoch
+    );
+    known.leader = Some(leader);
+    known.answered_at = None;
+}
+
+async fn stand_and_lead(context: Context) {
+    let mut stand_off_until = context.clock.now();
+    loop {
+        wait_for_vacancy(&context).await;
+        let now = context.clock.now();
+        if *context.leaving.borrow() || now < stand_off_until {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        match stand(&context).await {
+            Ok(Some(won)) => {
+                if term::lead(&context, won).await == term::Ended::OutOfReach {
+                    stand_off_until = context.clock.now() + STAND_OFF;
+                }
+            }
+            Ok(None) => (),
+            Err(error) => {
+                crate::event!(events::fleet::ELECTION_FAILED, error = error);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits until nobody leads, as far as can be known from here.
+async fn wait_for_vacancy(context: &Context) {
+    let mut changes = context.leadership.subscribe();
+    loop {
+        let vacant = vacancy(&changes, context.clock.now());
+        match vacant {
+            Vacancy::Now => break,
+            Vacancy::In(wait) => {
+                let _ = tokio::time::timeout(wait, changes.changed()).await;
+            }
+            Vacancy::Unknown => {
+                let _ = changes.changed().await;
+            }
+        }
+    }
+    let spread_us = rand::rng().random_range(0..SPREAD.as_micros() as u64);
+    tokio::time::sleep(time::Duration::from_micros(spread_us)).await;
+}
+
+enum Vacancy {
+    Now,
+    In(time::Duration),
+    Unknown,
+}
+
+fn vacancy(changes: &watch::Receiver<Leadership>, now: time::Instant) -> Vacancy {
+    let known = changes.borrow();
+    if !known.key_known {
+        return Vacancy::Unknown;
+    }
+    if known.key_revision > 0 {
+        let ended = known.ended_revision == Some(known.key_revision);
+        return if ended { Vacancy::Now } else { Vacancy::Unknown };
+    }
+    let answers_until = known.answered_at.map(|at| at + ANSWERING_GRACE);
+    match answers_until.filter(|until| now < *until) {
+        Some(until) => Vacancy::In(until - now),
+        None => Vacancy::Now,
+    }
+}
+
+/// Tries to lead the next term; `None` if another was faster.
+async fn stand(context: &Context) -> Result<Option<Won>, CallError> {
+    let head_item = context.store.get(keys::HEAD).await?;
+    let key_revision = context.leadership.borrow().key_revision;
+    let known = head_item.as_ref().and_then(ledger::decode_head);
+    let last = known.map_or(fleet::Epoch(0), |head| head.epoch);
+    let epoch = fleet::Epoch(last.0 + 1);
+    let head = ledger::Head { epoch, leader: context.me.clone(), sequence: 0 };
+    let leader = Leader {
+        member: context.me.clone(),
+        address: context.settings.peer_address,
+        epoch,
+    };
+    let ttl = time::Duration::from_millis(context.fleet.leader_lease_ms);
+    let lease = context.store.grant(ttl).await?;
+    let transaction = store::Transaction {
+        expected: vec![
+            (keys::LEAD.to_owned(), key_revision),
+            (keys::HEAD.to_owned(), head_item.map_or(0, |item| item.revision)),
+        ],
+        writes: vec![
+            (keys::LEAD.to_owned(), ledger::encode(&leader), Some(lease)),
+            (keys::HEAD.to_owned(), ledger::encode(&head), None),
+        ],
+        removals: Vec::new(),
+    };
+    let won = commit(context, &transaction, &head).await?;
+    crate::event!(
+        events::fleet::ELECTION_ENDED,
+        epoch = epoch,
+        won = won.is_some(),
+        key_revision = key_revision
+    );
+    match won {
+        Some(head_revision) => Ok(Some(Won { head, head_revision, lease, leader })),
+        None => {
+            // Nothing lives by it; it would end by itself as well.
+            let _ = context.store.revoke(lease).await;
+            refresh(context).await?;
+            Ok(None)
+        }
+    }
+}
+
+/// Reads the leader's key again, so that a lost election is not repeated on
+/// an old reading of it.
+async fn refresh(context: &Context) -> Result<(), CallError> {
+    let item = context.store.get(keys::LEAD).await?;
+    see(context, item.as_ref());
+    Ok(())
+}
+
+/// Commits until it is known what became of it; the head's revision if won.
+async fn commit(
+    context: &Context,
+    transaction: &store::Transaction,
+    head: &ledger::Head,
+) -> Result<Option<u64>, CallError> {
+    let started = context.clock.now();
+    let mut in_doubt = false;
+    loop {
+        let error = match context.store.commit(transaction).await {
+            Ok(store::Committed::Done { revision }) => return Ok(Some(revision)),
+            Ok(store::Committed::Conflict { current }) => {
+                let item = current.iter().find(|item| item.key == keys::HEAD);
+                let own = item.filter(|item| ledger::decode_head(item).as_ref() == Some(head));
+                return Ok(own.map(|item| item.revision));
+            }
+            Ok(store::Committed::LeaseEnded) => return Ok(None),
+            Err(error) => error,
+        };
+        in_doubt |= error.verdict != Verdict::NotRun;
+        let passed = context.clock.now().saturating_duration_since(started);
+        if !in_doubt || passed > MAX_STANDING {
+            return Err(error);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/follow.rs
@@ -0,0 +1,94 @@
+//! Follows the operators' configuration.
+//!
+//! A watch brings a new version within milliseconds. It is asked again every
+//! second, since a connection can go silent and only the missing answer shows
+//! it; after any doubt the document is read whole. A version never goes back.
+
+use std::sync;
+use std::time;
+
+use figscale_platform::config;
+use figscale_platform::store;
+
+use super::Context;
+use crate::events;
+
+/// How long one watch waits. A change must be in force within 2 s of the
+/// operators' write, and a silent connection costs one wait and a timeout.
+const WATCH_WAIT: time::Duration = time::Duration::from_millis(700);
+/// Pause after a failed read.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(120);
+
+/// Starts following.
+pub(super) fn start(context: &Context) {
+    let context = context.clone();
+    tokio::spawn(async move {
+        let mut connected = true;
+        loop {
+            match follow(&context, &mut connected).await {
+                Ok(()) => (),
+                Err(error) => {
+                    if connected {
+                        crate::event!(events::fleet::CONFIG_STORE_LOST, error = error);
+                    }
+                    connected = false;
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    });
+}
+
+/// Reads the document, then watches it until its history is gone.
+async fn follow(
+    context: &Context,
+    connected: &mut bool,
+) -> Result<(), figscale_platform::CallError> {
+    let listing = context.store.list(config::KEY).await?;
+    if !*connected {
+        crate::event!(events::fleet::CONFIG_STORE_BACK, revision = listing.revision);
+        *connected = true;
+    }
+    for item in listing.items {
+        adopt(context, &item);
+    }
+    let mut revision = listing.revision;
+    loop {
+        match context.store.watch(config::KEY, revision, WATCH_WAIT).await? {
+            store::Watched::Compacted => return Ok(()),
+            store::Watched::Events { events, revision: newer } => {
+                for event in events {
+                    if let store::Event::Written(item) = event {
+                        adopt(context, &item);
+                    }
+                }
+                revision = revision.max(newer);
+            }
+        }
+    }
+}
+
+fn adopt(context: &Context, item: &store::Item) {
+    if item.key != config::KEY {
+        return;
+    }
+    let table = match config::decode(&item.value) {
+        Ok(table) => table,
+        Err(error) => {
+            crate::event!(events::fleet::CONFIG_INVALID, revision = item.revision, error = error);
+            return;
+        }
+    };
+    let known = context.queues.borrow().version;
+    if table.version <= known {
+        return;
+    }
+    crate::event!(
+        events::fleet::CONFIG_IN_FORCE,
+        version = table.version,
+        before = known,
+        revision = item.revision,
+        queues = table.queues.len()
+    );
+    context.queues.send_replace(sync::Arc::new(table));
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -0,0 +1,150 @@
+//! The leader's writes: a chain of transactions.
+//!
+//! Every transaction expects the head as the last one left it and changes it,
+//! so one that was given up can never be executed after a later one, and a
+//! leader that was replaced can write nothing. A transaction that got no
+//! answer is sent again as it was: either is executed, never both, and the
+//! head tells which. The price is one transaction at a time; each carries many
+//! records.
+
+use std::time;
+
+use figscale_core::fleet::Record;
+use figscale_platform::CallError;
+use figscale_platform::store;
+use figscale_types::fleet;
+use figscale_types::ids;
+use figscale_types::verdict::Verdict;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::keys;
+
+/// Pause before a transaction is sent again.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(80);
+/// How long a transaction that was surely not executed is tried.
+const MAX_TRYING: time::Duration = time::Duration::from_millis(400);
+/// Records that fit beside the head, which is expected and written.
+pub(super) const MAX_RECORDS: usize = store::MAX_TRANSACTION_ENTRIES - 2;
+
+/// The head: who made the last change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Head {
+    /// Term of leadership.
+    pub(super) epoch: fleet::Epoch,
+    /// The life of the entry instance that leads, or led.
+    pub(super) leader: ids::MemberKey,
+    /// Rises with each change of the term.
+    pub(super) sequence: u64,
+}
+
+/// Why records were not written.
+#[derive(Debug)]
+pub(super) enum WriteError {
+    /// Another leader has changed the head: this term is over.
+    Deposed,
+    /// The store is away; nothing was written and nothing will be.
+    NotWritten(CallError),
+}
+
+/// The chain of one term.
+#[derive(Clone, Debug)]
+pub(super) struct Ledger {
+    store: store::Store,
+    head: Head,
+    /// Revision of the head's last change.
+    revision: u64,
+}
+
+impl Ledger {
+    /// Continues after the head that was written at `revision`.
+    pub(super) fn new(store: store::Store, head: Head, revision: u64) -> Self {
+        Self { store, head, revision }
+    }
+
+    /// Writes records, and names the leader anew where a lease is given.
+    pub(super) async fn write(
+        &mut self,
+        records: &[Record],
+        lead: Option<(Vec<u8>, store::LeaseId)>,
+        clock: &figscale_types::clock::SharedClock,
+    ) -> Result<(), WriteError> {
+        let next = Head { sequence: self.head.sequence + 1, ..self.head.clone() };
+        let transaction = self.transaction(&next, records, lead);
+        let started = clock.now();
+        let mut in_doubt = false;
+        loop {
+            match self.store.commit(&transaction).await {
+                Ok(store::Committed::Done { revision }) => return self.advance(next, revision),
+                Ok(store::Committed::Conflict { current }) => return self.settle(next, &current),
+                Ok(store::Committed::LeaseEnded) if !in_doubt => {
+                    let error = CallError {
+                        verdict: Verdict::NotRun,
+                        refused: false,
+                        cause: "the lease has ended".to_owned(),
+                    };
+                    return Err(WriteError::NotWritten(error));
+                }
+                Ok(store::Committed::LeaseEnded) => (),
+                Err(error) => {
+                    in_doubt |= error.verdict != Verdict::NotRun;
+                    let passed = clock.now().saturating_duration_since(started);
+                    if !in_doubt && passed > MAX_TRYING {
+                        return Err(WriteError::NotWritten(error));
+                    }
+                }
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn advance(&mut self, head: Head, revision: u64) -> Result<(), WriteError> {
+        self.head = head;
+        self.revision = revision;
+        Ok(())
+    }
+
+    /// The head is not as expected: by this very transaction, or by another.
+    fn settle(&mut self, next: Head, current: &[store::Item]) -> Result<(), WriteError> {
+        let item = current.iter().find(|item| item.key == keys::HEAD);
+        match item.map(|item| (decode_head(item), item.revision)) {
+            Some((Some(head), revision)) if head == next => self.advance(next, revision),
+            _ => Err(WriteError::Deposed),
+        }
+    }
+
+    fn transaction(
+        &self,
+        next: &Head,
+        records: &[Record],
+        lead: Option<(Vec<u8>, store::LeaseId)>,
+    ) -> store::Transaction {
+        let mut transaction = store::Transaction {
+            expected: vec![(keys::HEAD.to_owned(), self.revision)],
+            writes: vec![(keys::HEAD.to_owned(), encode(next), None)],
+            removals: Vec::new(),
+        };
+        if let Some((value, lease)) = lead {
+            transaction.writes.push((keys::LEAD.to_owned(), value, Some(lease)));
+        }
+        for record in records {
+            let key = keys::of_record(record.key);
+            match &record.bytes {
+                Some(bytes) => transaction.writes.push((key, bytes.clone(), None)),
+                None => transaction.removals.push(key),
+            }
+        }
+        transaction
+    }
+}
+
+/// Reads the head.
+pub(super) fn decode_head(item: &store::Item) -> Option<Head> {
+    serde_json::from_slice(&item.value).ok()
+}
+
+/// Writes one of the small documents beside the records.
+pub(super) fn encode<T: Serialize>(document: &T) -> Vec<u8> {
+    // Plain data written to memory cannot fail.
+    serde_json::to_vec(document).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/membership.rs
@@ -0,0 +1,157 @@
+//! Greets the leader, and notices when its process has ended.
+//!
+//! A greeting tells the leader that this instance can ask for advice, and
+//! brings back where the others are. A refused connection proves that nobody
+//! listens there any more, and an answer that it does not lead proves that its
+//! term is over; both are quicker than the end of a lease. Silence proves
+//! nothing, and is left to the lease.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use figscale_types::mutex;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Context;
+use super::calls;
+use super::election;
+use crate::events;
+use crate::peer;
+
+/// Time between greetings.
+const HELLO_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Time for the answer to a greeting.
+const HELLO_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// How long an instance may say that it does not lead before its term is
+/// taken as over; a winner reads the store before it answers.
+const NOT_LEADING_LIMIT: time::Duration = time::Duration::from_millis(2_500);
+/// Name of the service that tells who leads.
+const WHO_LEADS: &str = "fleet-who-leads";
+
+/// An empty question.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WhoLeads;
+
+/// Starts greeting, and answers peers that ask who leads.
+pub(super) fn start(context: &Context, handlers: &mut peer::Handlers) {
+    let known = context.leadership.clone();
+    handlers.on_call(WHO_LEADS, move |_from, _: WhoLeads| {
+        let leader = known.borrow().leader.clone();
+        async move { Ok(leader) }
+    });
+    tokio::spawn(greet(context.clone()));
+}
+
+async fn greet(context: Context) {
+    let peers: sync::Mutex<Vec<net::SocketAddr>> = sync::Mutex::default();
+    let mut not_leading_since = None;
+    let mut changes = context.leadership.subscribe();
+    loop {
+        let known = changes.borrow_and_update().clone();
+        match known.leader {
+            Some(leader) if leader.member != context.me => {
+                let outcome = hello(&context, &leader).await;
+                if outcome != Outcome::NotLeading {
+                    not_leading_since = None;
+                }
+                match outcome {
+                    Outcome::Welcome(others) => {
+                        *mutex::lock(&peers) = others;
+                        let now = context.clock.now();
+                        context.leadership.send_if_modified(|known| {
+                            known.answered_at = Some(now);
+                            false
+                        });
+                    }
+                    Outcome::Ended => ended(&context, &leader, known.key_revision),
+                    Outcome::NotLeading => {
+                        let now = context.clock.now();
+                        let since = *not_leading_since.get_or_insert(now);
+                        if now > since + NOT_LEADING_LIMIT {
+                            ended(&context, &leader, known.key_revision);
+                        }
+                        ask_peers(&context, &peers).await;
+                    }
+                    Outcome::Silent => ask_peers(&context, &peers).await,
+                }
+            }
+            _ => (),
+        }
+        // A new leader is greeted at once.
+        let _ = tokio::time::timeout(HELLO_PAUSE, changes.changed()).await;
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Outcome {
+    Welcome(Vec<net::SocketAddr>),
+    NotLeading,
+    Ended,
+    Silent,
+}
+
+async fn hello(context: &Context, leader: &election::Leader) -> Outcome {
+    let call = calls::LeaderCall::Hello {
+        member: context.me.id.clone(),
+        address: context.settings.peer_address,
+    };
+    // A link can have broken long ago, so a failure is tried once more.
+    for _ in 0..2 {
+        let service = calls::LEADER_SERVICE;
+        let answer = context.peers.call(leader.address, service, &call, HELLO_TIMEOUT).await;
+        match answer {
+            Ok(calls::LeaderAnswer::Welcome { peers }) => return Outcome::Welcome(peers),
+            Ok(_) => return Outcome::NotLeading,
+            Err(error) => {
+                context.peers.forget(leader.address);
+                if is_refused(&error) {
+                    return Outcome::Ended;
+                }
+            }
+        }
+    }
+    Outcome::Silent
+}
+
+/// Whether nobody listens at a peer's address.
+pub(super) fn is_refused(error: &peer::PeerError) -> bool {
+    let cause = error.cause.downcast_ref::<io::Error>();
+    cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+fn ended(context: &Context, leader: &election::Leader, key_revision: u64) {
+    context.leadership.send_if_modified(|known| {
+        let same = known.leader.as_ref() == Some(leader) && known.key_revision == key_revision;
+        if !same || known.ended_revision == Some(key_revision) {
+            return false;
+        }
+        crate::event!(events::fleet::LEADER_ENDED, leader = leader.member, epoch = leader.epoch);
+        known.ended_revision = Some(key_revision);
+        known.answered_at = None;
+        true
+    });
+}
+
+/// Where the store cannot be read, a peer may know of a new leader.
+async fn ask_peers(context: &Context, peers: &sync::Mutex<Vec<net::SocketAddr>>) {
+    let others = mutex::lock(peers).clone();
+    for other in others {
+        if other == context.settings.peer_address {
+            continue;
+        }
+        let answer: Result<Option<election::Leader>, _> =
+            context.peers.call(other, WHO_LEADS, &WhoLeads, HELLO_TIMEOUT / 2).await;
+        if let Ok(Some(leader)) = answer {
+            let newer = |known: &election::Leadership| {
+                known.leader.as_ref().is_none_or(|old| old.epoch < leader.epoch)
+            };
+            if newer(&context.leadership.borrow()) {
+                context.leadership.send_modify(|known| election::adopt(known, leader.clone()));
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/mod.rs
@@ -0,0 +1,169 @@
+//! Scheduling on the workers of the users' platform.
+//!
+//! An entry instance with the `fleet` section in its settings runs these
+//! services in place of claims, catalogue, jobs and traffic:
+//!
+//! - [`follow`] keeps the queues that the operators configured;
+//! - [`election`] knows who leads, and stands for leadership;
+//! - [`term`] runs the scheduler while this instance leads;
+//! - [`entry`] answers callers, passing on to the leader what it decides;
+//! - [`advice`] asks the advisory service on the leader's behalf.
+//!
+//! Everything runs on one thread: these machines have a quarter of a core, on
+//! which a second thread would only add switches.
+
+mod advice;
+mod calls;
+mod election;
+mod entry;
+mod follow;
+mod keys;
+mod ledger;
+mod membership;
+mod operators;
+mod outcome;
+mod term;
+mod workers;
+
+use std::sync;
+use std::time;
+
+use eyre::WrapErr as _;
+use figscale_platform::Client;
+use figscale_platform::store;
+use figscale_types::clock;
+use figscale_types::fleet;
+use figscale_types::ids;
+use tokio::net::TcpListener;
+use tokio::signal::unix;
+use tokio::sync::watch;
+
+use crate::events;
+use crate::kernel;
+use crate::metrics;
+use crate::peer;
+use crate::settings;
+
+/// Time to wait for one answer of the store; it takes some 4 ms, and up to
+/// sixty times that when it is slow.
+const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+/// After a stop was asked for, callers are served for so long while the
+/// balancer finds out; it needs two looks, a second apart.
+const STOP_NOTICE: time::Duration = time::Duration::from_millis(2_600);
+/// Then open connections have so long to finish; the platform kills 6 s after
+/// it asked.
+const STOP_LIMIT: time::Duration = time::Duration::from_millis(2_600);
+
+/// What every service is given at its start.
+#[derive(Clone)]
+pub(crate) struct Context {
+    pub(crate) settings: sync::Arc<settings::Settings>,
+    pub(crate) fleet: settings::FleetSettings,
+    pub(crate) clock: clock::SharedClock,
+    pub(crate) kernel: sync::Arc<kernel::Kernel>,
+    pub(crate) peers: sync::Arc<peer::Peers>,
+    pub(crate) client: sync::Arc<Client>,
+    pub(crate) store: store::Store,
+    pub(crate) metrics: sync::Arc<metrics::Metrics>,
+    /// This life of this entry instance.
+    pub(crate) me: ids::MemberKey,
+    pub(crate) queues: sync::Arc<watch::Sender<sync::Arc<fleet::QueueTable>>>,
+    pub(crate) leadership: sync::Arc<watch::Sender<election::Leadership>>,
+    pub(crate) leaving: sync::Arc<watch::Sender<bool>>,
+}
+
+impl Context {
+    /// Milliseconds since 1970, for what is kept in the store.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        let since = self.clock.wall().duration_since(time::UNIX_EPOCH);
+        clock::millis(since.unwrap_or_default())
+    }
+}
+
+/// Runs until a signal asks for a planned stop.
+pub fn serve_until_signal(
+    settings: settings::Settings,
+    fleet: settings::FleetSettings,
+    clock: clock::SharedClock,
+) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let handle = runtime.handle().clone();
+    runtime.block_on(serve(settings, fleet, clock, handle))
+}
+
+async fn serve(
+    settings: settings::Settings,
+    fleet: settings::FleetSettings,
+    clock: clock::SharedClock,
+    runtime: tokio::runtime::Handle,
+) -> eyre::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    let callers = bind("caller_address", settings.caller_address).await?;
+    let ready = bind("fleet.ready_address", fleet.ready_address).await?;
+    let peers = bind("peer_address", settings.peer_address).await?;
+    let operators = bind("operator_address", settings.operator_address).await?;
+    let context = context(settings, fleet, clock, runtime);
+
+    let mut handlers = peer::Handlers::default();
+    advice::start(&context, &mut handlers);
+    term::start(&context, &mut handlers);
+    election::start(&context, &mut handlers);
+    follow::start(&context);
+    tokio::spawn(peer::listen(peers, context.settings.peer_token.clone(), handlers));
+    let mut served = entry::start(&context, callers, ready);
+    operators::start(&context, operators);
+    crate::event!(events::process::PROCESS_STARTED, member = context.me);
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => {
+                crate::event!(events::fleet::SETTINGS_CHANGED, member = context.me);
+            }
+        }
+    }
+    crate::event!(events::process::PROCESS_LEAVING, member = context.me);
+    context.leaving.send_replace(true);
+    tokio::time::sleep(STOP_NOTICE).await;
+    served.stop();
+    let _ = tokio::time::timeout(STOP_LIMIT, served.ended()).await;
+    crate::event!(events::process::PROCESS_ENDED, member = context.me);
+    Ok(())
+}
+
+async fn bind(field: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.wrap_err_with(|| format!("{field}: cannot listen on {address}"))
+}
+
+fn context(
+    settings: settings::Settings,
+    fleet: settings::FleetSettings,
+    clock: clock::SharedClock,
+    runtime: tokio::runtime::Handle,
+) -> Context {
+    let me = ids::MemberKey {
+        id: settings.member.clone(),
+        incarnation: crate::serve::new_incarnation(&clock),
+    };
+    let client = sync::Arc::new(Client::default());
+    let store = store::Store::new(client.clone(), settings.platform_address, STORE_TIMEOUT);
+    let peers = peer::Peers::new(me.clone(), settings.peer_token.clone(), runtime);
+    Context {
+        settings: sync::Arc::new(settings),
+        fleet,
+        clock,
+        kernel: sync::Arc::new(kernel::Kernel::default()),
+        peers: sync::Arc::new(peers),
+        client,
+        store,
+        metrics: sync::Arc::new(metrics::Metrics::default()),
+        me,
+        queues: sync::Arc::new(watch::Sender::new(sync::Arc::default())),
+        leadership: sync::Arc::new(watch::Sender::new(election::Leadership::default())),
+        leaving: sync::Arc::new(watch::Sender::new(false)),
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/operators.rs
@@ -0,0 +1,56 @@
+//! The operators' address: metrics, a dump of the state, liveness, readiness.
+
+use std::future::IntoFuture as _;
+
+use axum::Json;
+use axum::Router;
+use axum::extract;
+use axum::response;
+use axum::response::IntoResponse as _;
+use axum::routing;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use super::Context;
+use super::entry;
+
+/// Serves operators until the process ends.
+pub(super) fn start(context: &Context, listener: TcpListener) {
+    let app = Router::new()
+        .route("/metrics", routing::get(metrics))
+        .route("/v1/dump", routing::get(dump))
+        .route("/livez", routing::get(|| async { "live\n" }))
+        .route("/readyz", routing::get(ready))
+        .with_state(context.clone());
+    tokio::spawn(axum::serve(listener, app).into_future());
+}
+
+async fn metrics(extract::State(context): extract::State<Context>) -> String {
+    context.kernel.report().await;
+    context.metrics.render()
+}
+
+async fn ready(extract::State(context): extract::State<Context>) -> response::Response {
+    match entry::why_not_ready(&context) {
+        None => "ready\n".into_response(),
+        Some(why) => (http::StatusCode::SERVICE_UNAVAILABLE, why).into_response(),
+    }
+}
+
+async fn dump(extract::State(context): extract::State<Context>) -> Json<serde_json::Value> {
+    let leadership = context.leadership.borrow().clone();
+    let counts = context.client.counts();
+    Json(json!({
+        "version": env!("CARGO_PKG_VERSION"),
+        "member": context.me,
+        "leaving": *context.leaving.borrow(),
+        "settings": context.settings.without_secrets(),
+        "configuration_version": context.queues.borrow().version,
+        "leading": leadership.leading,
+        "leader": leadership.leader,
+        "platform_calls": counts.calls,
+        "platform_calls_unanswered": counts.unanswered,
+        "platform_connections": counts.connections,
+        "services": context.kernel.dump().await,
+    }))
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/workers.rs
@@ -0,0 +1,265 @@
+//! Links to workers: one waiting call for a report each, and orders beside it.
+//!
+//! A call for a report extends the lease, acknowledges ends and waits for the
+//! next end, all in one. After ends came, the next call waits until they are in
+//! the store, since a worker repeats at once what was not acknowledged.
+
+use std::time;
+
+use figscale_core::fleet::Scheduler;
+use figscale_platform::CallError;
+use figscale_platform::store;
+use figscale_platform::workers;
+use figscale_types::fleet;
+use indexmap::IndexMap;
+
+use super::Context;
+use super::term;
+use super::term::Message;
+use crate::events;
+
+/// Time for a worker's answer, on top of the wait asked for.
+pub(super) const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+/// How long a report waits for an end. Leases and what is known of a worker are
+/// at most this old.
+const REPORT_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// Pause after a worker did not answer.
+const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// Pause after another life of a worker answered.
+const REPLACED_PAUSE: time::Duration = time::Duration::from_secs(3);
+/// With the store away, a worker is asked this often without acknowledgement.
+const UNACKNOWLEDGED_PAUSE: time::Duration = time::Duration::from_millis(600);
+/// Tries of a stop order; the scheduler repeats it as well.
+const STOP_TRIES: u32 = 2;
+/// How long one watch of the workers' entries waits.
+const WATCH_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// Pause after a failed read of the entries.
+const WATCH_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+#[derive(Clone, Copy, Debug)]
+enum Next {
+    /// A call is on its way.
+    Calling,
+    /// Call at this time.
+    At(time::Instant),
+    /// Call once ends are acknowledged, or at this time.
+    Acknowledged(time::Instant),
+}
+
+struct Link {
+    address: workers::WorkerAddress,
+    next: Next,
+    answers: bool,
+    first: bool,
+}
+
+/// Links of one term.
+pub(super) struct Links {
+    context: Context,
+    calls: workers::Workers,
+    epoch: fleet::Epoch,
+    messages: term::Messages,
+    links: IndexMap<fleet::WorkerId, Link>,
+}
+
+impl Links {
+    pub(super) fn new(context: &Context, epoch: fleet::Epoch, messages: term::Messages) -> Self {
+        Self {
+            context: context.clone(),
+            calls: term::worker_calls(context),
+            epoch,
+            messages,
+            links: IndexMap::new(),
+        }
+    }
+
+    /// A worker is to be asked from now on.
+    pub(super) fn add(&mut self, entry: &fleet::WorkerEntry) {
+        let address =
+            workers::WorkerAddress { id: entry.id.clone(), address: entry.address };
+        let now = self.context.clock.now();
+        let link = Link { address, next: Next::At(now), answers: true, first: true };
+        self.links.entry(entry.id.clone()).or_insert(link);
+    }
+
+    /// Calls every worker whose turn it is; forgets those that are unknown.
+    pub(super) fn call_due(&mut self, scheduler: &mut Scheduler, now: time::Instant) {
+        let due = |(id, link): (&fleet::WorkerId, &Link)| match link.next {
+            Next::Calling => None,
+            Next::At(at) => (now >= at).then(|| id.clone()),
+            Next::Acknowledged(latest) => {
+                let ready = now >= latest || !scheduler.has_unacknowledged(id);
+                ready.then(|| id.clone())
+            }
+        };
+        let ids: Vec<fleet::WorkerId> = self.links.iter().filter_map(due).collect();
+        for id in ids {
+            self.call(&id, scheduler, now);
+        }
+    }
+
+    fn call(&mut self, id: &fleet::WorkerId, scheduler: &mut Scheduler, now: time::Instant) {
+        let Some(due) = scheduler.report_due(id, now) else {
+            self.links.swap_remove(id);
+            return;
+        };
+        let Some(link) = self.links.get_mut(id) else {
+            return;
+        };
+        link.next = Next::Calling;
+        let quick = link.first || !link.answers || scheduler.has_unacknowledged(id);
+        let request = workers::ReportRequest {
+            epoch: self.epoch,
+            acknowledged: due.acknowledged,
+            lease_until_clock_ms: due.lease_until_clock_ms,
+            wait: if quick { time::Duration::ZERO } else { REPORT_WAIT },
+        };
+        let (calls, address) = (self.calls.clone(), link.address.clone());
+        let messages = self.messages.clone();
+        tokio::spawn(async move {
+            let report = calls.report(&address, request).await;
+            let _ = messages.send(Message::Reported(address.id, report)).await;
+        });
+    }
+
+    /// A call for a report has ended; ends may wait to be acknowledged.
+    pub(super) fn reported(
+        &mut self,
+        id: &fleet::WorkerId,
+        report: &Result<workers::ReportOutcome, CallError>,
+        unacknowledged: bool,
+        now: time::Instant,
+    ) {
+        let Some(link) = self.links.get_mut(id) else {
+            return;
+        };
+        link.first = false;
+        if report.is_ok() != link.answers {
+            link.answers = report.is_ok();
+            match report {
+                Ok(_) => crate::event!(events::fleet::WORKER_ANSWERS, worker = id),
+                Err(error) => {
+                    crate::event!(events::fleet::WORKER_SILENT, worker = id, error = error);
+                }
+            }
+        }
+        link.next = match report {
+            Ok(workers::ReportOutcome::Report(_)) if unacknowledged => {
+                Next::Acknowledged(now + UNACKNOWLEDGED_PAUSE)
+            }
+            Ok(workers::ReportOutcome::Report(_)) => Next::At(now),
+            Ok(workers::ReportOutcome::OtherLife) => Next::At(now + REPLACED_PAUSE),
+            Ok(_) | Err(_) => Next::At(now + SILENCE_PAUSE),
+        };
+    }
+
+    /// Orders a start.
+    pub(super) fn start(&self, worker: fleet::WorkerId, order: fleet::StartOrder) {
+        let messages = self.messages.clone();
+        let (task, attempt) = (order.task, order.attempt);
+        let Some(link) = self.links.get(&worker) else {
+            return;
+        };
+        let (calls, address, epoch) = (self.calls.clone(), link.address.clone(), self.epoch);
+        tokio::spawn(async move {
+            let outcome = match calls.start(&address, epoch, &order).await {
+                Ok(outcome) => outcome,
+                Err(error) => unanswered(&worker, task, attempt, &error),
+            };
+            if let fleet::StartOutcome::Started { clock_ms } = outcome {
+                crate::event!(
+                    events::fleet::TASK_STARTED,
+                    task = task,
+                    attempt = attempt,
+                    worker = worker,
+                    clock_ms = clock_ms
+                );
+            }
+            let answer = Message::StartAnswered { worker, task, attempt, outcome };
+            let _ = messages.send(answer).await;
+        });
+    }
+
+    /// Orders a stop.
+    pub(super) fn stop(&self, worker: fleet::WorkerId, task: fleet::TaskId, attempt: u32) {
+        let Some(link) = self.links.get(&worker) else {
+            return;
+        };
+        let (calls, address, epoch) = (self.calls.clone(), link.address.clone(), self.epoch);
+        tokio::spawn(async move {
+            for _ in 0..STOP_TRIES {
+                if calls.stop(&address, epoch, task, attempt).await.is_ok() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// A start that surely did not reach the worker was refused, in effect.
+fn unanswered(
+    worker: &fleet::WorkerId,
+    task: fleet::TaskId,
+    attempt: u32,
+    error: &CallError,
+) -> fleet::StartOutcome {
+    crate::event!(
+        events::fleet::START_UNANSWERED,
+        task = task,
+        attempt = attempt,
+        worker = worker,
+        error = error
+    );
+    match error.verdict {
+        figscale_types::verdict::Verdict::NotRun => {
+            fleet::StartOutcome::Refused(fleet::StartRefusal::Unhealthy)
+        }
+        _ => fleet::StartOutcome::Unknown,
+    }
+}
+
+/// Follows the workers' entries in the store for a term.
+pub(super) async fn watch(context: Context, messages: term::Messages) {
+    loop {
+        if follow(&context, &messages).await.is_err() {
+            tokio::time::sleep(WATCH_PAUSE).await;
+        }
+    }
+}
+
+async fn follow(context: &Context, messages: &term::Messages) -> Result<(), CallError> {
+    let listing = context.store.list(workers::PREFIX).await?;
+    let entries = listing.items.iter().filter_map(entry).collect();
+    let _ = messages.send(Message::Listing(entries)).await;
+    let mut revision = listing.revision;
+    loop {
+        match context.store.watch(workers::PREFIX, revision, WATCH_WAIT).await? {
+            store::Watched::Compacted => return Ok(()),
+            store::Watched::Events { events, revision: newer } => {
+                for event in &events {
+                    if let Some(message) = message(event) {
+                        let _ = messages.send(message).await;
+                    }
+                }
+                revision = revision.max(newer);
+            }
+        }
+    }
+}
+
+fn message(event: &store::Event) -> Option<Message> {
+    match event {
+        store::Event::Written(item) => entry(item).map(Message::Listed),
+        store::Event::Removed { key, .. } => workers::id_of(key).map(Message::Unlisted),
+    }
+}
+
+fn entry(item: &store::Item) -> Option<fleet::WorkerEntry> {
+    match workers::decode_entry(item) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            crate::event!(events::fleet::RECORD_INVALID, key = item.key, error = error);
+            None
+        }
+    }
+}
--- a/crates/figscale/src/lib.rs
+++ b/crates/figscale/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod claims;
 pub mod cli;
 pub mod events;
+pub mod fleet;
 pub mod jobs;
 pub mod kernel;
 pub mod logs;
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -140,7 +140,7 @@
 
 /// A number for this life: later starts get larger ones, unless the wall clock
 /// went back, which the claims service notices.
-fn new_incarnation(clock: &clock::SharedClock) -> ids::Incarnation {
+pub(crate) fn new_incarnation(clock: &clock::SharedClock) -> ids::Incarnation {
     let since_epoch = clock.wall().duration_since(time::UNIX_EPOCH);
     let micros = since_epoch.unwrap_or_default().as_micros();
     ids::Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
--- /dev/null
+++ b/crates/figscale/src/settings/fleet.rs
@@ -0,0 +1,49 @@
+//! Settings of an entry instance that schedules a fleet of workers.
+
+use std::net;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Problems;
+
+/// Scheduling on the workers of the users' platform.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Where the platform's balancer asks whether to send new connections.
+    pub ready_address: net::SocketAddr,
+    /// Where the advisory service is, for queues that have one.
+    #[serde(default)]
+    pub advice_address: Option<net::SocketAddr>,
+    /// Longest lease that workers grant. Default 6,000, 1,000 to 600,000.
+    #[serde(default = "default_max_worker_lease_ms")]
+    pub max_worker_lease_ms: u64,
+    /// Longest time that a worker takes to end a task. Default 400, 1 to 60,000.
+    #[serde(default = "default_stop_limit_ms")]
+    pub stop_limit_ms: u64,
+    /// Life of the leader's lease after each renewal. Default 1,500, 1,000 to 60,000.
+    #[serde(default = "default_leader_lease_ms")]
+    pub leader_lease_ms: u64,
+}
+
+fn default_max_worker_lease_ms() -> u64 {
+    6_000
+}
+
+fn default_stop_limit_ms() -> u64 {
+    400
+}
+
+fn default_leader_lease_ms() -> u64 {
+    1_500
+}
+
+impl FleetSettings {
+    pub(super) fn check(&self, problems: &mut Problems) {
+        let leases = self.max_worker_lease_ms;
+        problems.bound("fleet.max_worker_lease_ms", leases, 1_000, 600_000);
+        problems.bound("fleet.stop_limit_ms", self.stop_limit_ms, 1, 60_000);
+        problems.bound("fleet.leader_lease_ms", self.leader_lease_ms, 1_000, 60_000);
+    }
+}
--- a/crates/figscale/src/settings/mod.rs
+++ b/crates/figscale/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod claims;
 pub mod document;
 mod duplicates;
+mod fleet;
 mod jobs;
 mod log;
 mod operator;
@@ -22,6 +23,7 @@
 pub use claims::CatalogueSettings;
 pub use claims::ClaimsSettings;
 pub use claims::StoreSettings;
+pub use fleet::FleetSettings;
 pub use jobs::JobSettings;
 pub use log::LogLevel;
 pub use log::LogSettings;
@@ -71,6 +73,9 @@
     /// Operators' calls.
     #[serde(default)]
     pub operator: OperatorSettings,
+    /// Present where the instance schedules the workers of the users' platform.
+    #[serde(default)]
+    pub fleet: Option<FleetSettings>,
     /// The log.
     #[serde(default)]
     pub log: LogSettings,
@@ -144,6 +149,9 @@
         self.traffic.check(&mut problems);
         self.jobs.check(&mut problems);
         self.operator.check(&mut problems);
+        if let Some(fleet) = &self.fleet {
+            fleet.check(&mut problems);
+        }
         problems
     }
 
