Tell callers only of jobs that were part of the write

Cause: all waiting callers were answered by whatever write came next, also those whose job did not fit into that transaction. After a failed write they heard 503 and the job ran later (REFUSED), or 200 and it was gone (LOST). Also a vacancy of leadership was counted from the last answer of a leader that the store refused, so nobody stood while it answered. Ruled out: late execution of a write (the head forbids it).

--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -50,7 +50,7 @@
     fn wait_before(&self, job: &job::Job) -> time::Duration {
         let service = &job.queue.service;
         let of_service = self.workers.values().filter(|worker| &worker.entry.service == service);
-        let usable = of_service.filter(|worker| worker.listed && !worker.entry.draining);
+        let usable = of_service.filter(|worker| worker.unlisted_at.is_none() && !worker.entry.draining);
         let capacity_millis: u64 = usable.map(|worker| worker.entry.room.cpu_millis).sum();
         if capacity_millis == 0 {
             return time::Duration::ZERO;
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -232,7 +232,7 @@
         match self.workers.get_mut(&entry.id) {
             Some(worker) => {
                 worker.entry = entry;
-                worker.listed = true;
+                worker.unlisted_at = None;
             }
             None => {
                 self.workers.insert(entry.id.clone(), worker::Worker::new(entry));
@@ -242,7 +242,7 @@
 
     /// Workers that the platform lists, as far as known.
     pub fn listed_workers(&self) -> Vec<fleet::WorkerId> {
-        let listed = self.workers.iter().filter(|(_, worker)| worker.listed);
+        let listed = self.workers.iter().filter(|(_, worker)| worker.unlisted_at.is_none());
         listed.map(|(id, _)| id.clone()).collect()
     }
 
@@ -251,7 +251,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.listed = false;
+        worker.unlisted_at = Some(now);
         self.drop_if_over(id, now);
     }
 
@@ -292,7 +292,7 @@
         if over && !never_ordered {
             self.give_up_runs(id);
         }
-        let gone = self.workers.get(id).is_some_and(|worker| !worker.listed);
+        let gone = self.workers.get(id).is_some_and(|worker| worker.unlisted_at.is_some());
         if gone && (over || never_ordered) {
             self.workers.swap_remove(id);
         }
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -63,6 +63,11 @@
         self.jobs.get(&id).is_some_and(|job| job.stored)
     }
 
+    /// Whether a change of a job waits to be written.
+    pub fn is_dirty(&self, id: fleet::JobId) -> bool {
+        self.dirty.contains(&id)
+    }
+
     /// Accepted jobs of a queue of which no task has started.
     pub fn pending(&self, queue_name: &str) -> u64 {
         let open = self.open.iter().filter_map(|id| self.jobs.get(id));
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -8,6 +8,10 @@
 use super::health;
 use super::lease;
 
+/// How long a worker that is listed no more, and still answers, gets work:
+/// entries that lapse while the store is away are back within two seconds.
+const UNLISTED_GRACE: time::Duration = time::Duration::from_millis(2_500);
+
 /// A run that was ordered, or found, on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -30,8 +34,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) entry: fleet::WorkerEntry,
-    /// The platform lists it.
-    pub(crate) listed: bool,
+    /// Since when the platform lists it no more.
+    pub(crate) unlisted_at: Option<time::Instant>,
     /// Another life of it has come; this one never returns.
     pub(crate) replaced: bool,
     /// The store names it among the workers that may run something.
@@ -61,7 +65,7 @@
     pub(crate) fn new(entry: fleet::WorkerEntry) -> Self {
         Self {
             entry,
-            listed: true,
+            unlisted_at: None,
             replaced: false,
             recorded: false,
             reported: false,
@@ -96,7 +100,8 @@
     /// may be.
     pub(crate) fn is_usable(&self, max_silence: time::Duration, now: time::Instant) -> bool {
         let heard = self.lease.silent_for(now).is_some_and(|silent| silent <= max_silence);
-        let known = self.listed && self.recorded && self.reported;
+        let listed = self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE);
+        let known = listed && self.recorded && self.reported;
         let open = known && !self.entry.draining && !self.replaced;
         heard && open && self.health.admits(self.runs.len(), now)
     }
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -71,6 +71,8 @@
     pub(crate) ended_revision: Option<u64>,
     /// When the leader last answered.
     pub(crate) answered_at: Option<time::Instant>,
+    /// Since when the leader's key is gone.
+    pub(crate) vacant_since: Option<time::Instant>,
 }
 
 /// A term that was won.
@@ -131,8 +133,13 @@
 
 fn see(context: &Context, item: Option<&store::Item>) {
     let leader: Option<Leader> = item.and_then(|item| serde_json::from_slice(&item.value).ok());
+    let now = context.clock.now();
     context.leadership.send_modify(|known| {
         known.key_known = true;
+        match item {
+            Some(_) => known.vacant_since = None,
+            None => known.vacant_since = known.vacant_since.or(Some(now)),
+        }
         known.key_revision = item.map_or(0, |item| item.revision);
         if let Some(leader) = leader {
             adopt(known, leader);
@@ -214,8 +221,9 @@
         let ended = known.ended_revision == Some(known.key_revision);
         return if ended { Vacancy::Now } else { Vacancy::Unknown };
     }
-    let answers_until = known.answered_at.map(|at| at + ANSWERING_GRACE);
-    match answers_until.filter(|until| now < *until) {
+    let answers = known.answered_at.is_some_and(|at| now < at + ANSWERING_GRACE);
+    let until = known.vacant_since.filter(|_| answers).map(|since| since + ANSWERING_GRACE);
+    match until.filter(|until| now < *until) {
         Some(until) => Vacancy::In(until - now),
         None => Vacancy::Now,
     }
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -21,9 +21,10 @@
 use super::keys;
 
 /// Pause before a transaction is sent again.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(80);
-/// How long a transaction that was surely not executed is tried.
-const MAX_TRYING: time::Duration = time::Duration::from_millis(400);
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// How long a transaction that was surely not executed is tried. Callers wait
+/// some 500 ms for the outcome.
+const MAX_TRYING: time::Duration = time::Duration::from_millis(120);
 /// Records that fit beside the head, which is expected and written.
 pub(super) const MAX_RECORDS: usize = store::MAX_TRANSACTION_ENTRIES - 2;
 
--- a/crates/figscale/src/fleet/term.rs
+++ b/crates/figscale/src/fleet/term.rs
@@ -51,9 +51,14 @@
 /// Shortest time between writes that only workers wait for.
 const WRITE_PAUSE: time::Duration = time::Duration::from_millis(120);
 /// A write that takes longer shows that the store is away.
-const SLOW_WRITE: time::Duration = time::Duration::from_millis(700);
+const SLOW_WRITE: time::Duration = time::Duration::from_millis(400);
 /// When a caller should come back after the store was away.
 const STORE_RETRY_AFTER_MS: u64 = 1_000;
+/// The answer while the store is away.
+const STORE_AWAY: LeaderAnswer =
+    LeaderAnswer::StoreAway { retry_after_ms: STORE_RETRY_AFTER_MS };
+/// Pause between writes that try whether the store is back.
+const AWAY_WRITE_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// An instance that has not greeted for so long is gone.
 const MEMBER_SILENCE: time::Duration = time::Duration::from_millis(1_600);
 /// A leader without most of its peers for so long gives up.
@@ -111,16 +116,24 @@
     LeaseGranted(store::LeaseId),
 }
 
-/// An answer that waits for a write.
+/// What a caller waits for.
+#[derive(Clone, Copy, Debug)]
+enum Awaited {
+    /// The record of a new job.
+    Submitted(fleet::JobId),
+    /// The record of a job's outcome, which is to be told.
+    Cancelled(fleet::JobId, fleet::JobState),
+}
+
+/// A caller that waits for a write.
 struct Waiting {
     reply: kernel::Reply<LeaderAnswer>,
-    answer: LeaderAnswer,
+    awaited: Awaited,
 }
 
 /// A write on its way.
 struct Writing {
     records: Records,
-    waiting: Vec<Waiting>,
     started: time::Instant,
 }
 
@@ -139,6 +152,8 @@
     writing: Option<Writing>,
     last_write: time::Instant,
     waiting: Vec<Waiting>,
+    /// The last write was not taken.
+    store_away: bool,
     new_lease: Option<store::LeaseId>,
     lease: store::LeaseId,
     workers: workers::Links,
@@ -318,6 +333,7 @@
             writing: None,
             last_write: now,
             waiting: Vec::new(),
+            store_away: false,
             new_lease: None,
             lease: won.lease,
             members: IndexMap::new(),
@@ -516,9 +532,10 @@
         self.members.insert(member, Member { address, heard });
     }
 
+    /// Whether a job taken now would most likely not be written in time.
     fn store_is_away(&self) -> bool {
         let now = self.now();
-        self.writing.as_ref().is_some_and(|writing| now > writing.started + SLOW_WRITE)
+        self.store_away || self.writing.as_ref().is_some_and(|writing| now > writing.started + SLOW_WRITE)
     }
 
     fn on_submit(
@@ -532,14 +549,14 @@
         if !known && self.store_is_away() {
             let cause = "the store is away";
             crate::event!(events::fleet::JOB_REFUSED, job = job, queue = queue.name, cause = cause);
-            reply.send(LeaderAnswer::StoreAway { retry_after_ms: STORE_RETRY_AFTER_MS });
+            reply.send(STORE_AWAY);
             return;
         }
         let (now, wall_ms) = (self.now(), self.context.wall_ms());
         match self.scheduler.submit(job, queue, description, now, wall_ms) {
             Admission::Known => reply.send(LeaderAnswer::Accepted),
             Admission::Accepted => {
-                self.waiting.push(Waiting { reply, answer: LeaderAnswer::Accepted });
+                self.waiting.push(Waiting { reply, awaited: Awaited::Submitted(job) });
             }
             Admission::Refused { retry_after } => {
                 let retry_after_ms = figscale_types::clock::millis(retry_after);
@@ -565,7 +582,7 @@
                     job = job,
                     state = format_args!("{state:?}")
                 );
-                self.waiting.push(Waiting { reply, answer: LeaderAnswer::State(Some(state)) });
+                self.waiting.push(Waiting { reply, awaited: Awaited::Cancelled(job, state) });
             }
         }
     }
@@ -594,8 +611,12 @@
 
     fn write_if_due(&mut self, now: time::Instant) {
         let urgent = !self.waiting.is_empty() || self.scheduler.has_urgent_records();
-        let pause = if urgent { URGENT_WRITE_PAUSE } else { WRITE_PAUSE };
-        let wanted = urgent || self.new_lease.is_some() || self.scheduler.has_records();
+        let pause = match urgent {
+            _ if self.store_away => AWAY_WRITE_PAUSE,
+            true => URGENT_WRITE_PAUSE,
+            false => WRITE_PAUSE,
+        };
+        let wanted = urgent || self.store_away || self.new_lease.is_some() || self.scheduler.has_records();
         if !wanted || now < self.last_write + pause {
             return;
         }
@@ -604,16 +625,16 @@
         };
         self.last_write = now;
         let records = self.scheduler.take_records(ledger::MAX_RECORDS);
-        let waiting = std::mem::take(&mut self.waiting);
         let lease = self.new_lease.take();
-        if records.records.is_empty() && waiting.is_empty() && lease.is_none() {
+        if records.records.is_empty() && !self.store_away && lease.is_none() {
             // Ends without consequences need no write to be acknowledged.
             self.scheduler.records_written(&records);
             self.ledger = Some(ledger);
+            self.answer_waiting();
             return;
         }
         self.spawn_write(ledger, &records, lease);
-        self.writing = Some(Writing { records, waiting, started: now });
+        self.writing = Some(Writing { records, started: now });
     }
 
     fn spawn_write(
@@ -643,19 +664,51 @@
         };
         match result {
             Ok(()) => {
+                self.store_away = false;
                 self.scheduler.records_written(&writing.records);
-                for waiting in writing.waiting {
-                    waiting.reply.send(waiting.answer);
-                }
+                self.answer_waiting();
             }
             Err(ledger::WriteError::Deposed) => self.ended = Some(Ended::Deposed),
             Err(ledger::WriteError::NotWritten(error)) => {
                 crate::event!(events::fleet::RECORDS_NOT_WRITTEN, error = error);
+                self.store_away = true;
                 self.scheduler.records_not_written(&writing.records);
-                for waiting in writing.waiting {
-                    let away = LeaderAnswer::StoreAway { retry_after_ms: STORE_RETRY_AFTER_MS };
-                    waiting.reply.send(away);
+                self.refuse_waiting();
+            }
+        }
+    }
+
+    /// Answers the callers whose records are in the store now.
+    fn answer_waiting(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            match waiting.awaited {
+                Awaited::Submitted(job) if self.scheduler.is_stored(job) => {
+                    waiting.reply.send(LeaderAnswer::Accepted);
+                }
+                Awaited::Submitted(job) if self.scheduler.state(job).is_none() => {
+                    waiting.reply.send(STORE_AWAY);
+                }
+                Awaited::Cancelled(job, state) if !self.scheduler.is_dirty(job) => {
+                    waiting.reply.send(LeaderAnswer::State(Some(state)));
+                }
+                Awaited::Submitted(_) | Awaited::Cancelled(..) => self.waiting.push(waiting),
+            }
+        }
+    }
+
+    /// Refuses all jobs that are not in the store, whether or not they were
+    /// part of the write that failed; cancellations are written later.
+    fn refuse_waiting(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            match waiting.awaited {
+                Awaited::Submitted(job) if self.scheduler.is_stored(job) => {
+                    waiting.reply.send(LeaderAnswer::Accepted);
+                }
+                Awaited::Submitted(job) => {
+                    self.scheduler.withdraw(job);
+                    waiting.reply.send(STORE_AWAY);
                 }
+                Awaited::Cancelled(..) => self.waiting.push(waiting),
             }
         }
     }
