--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -34,7 +34,9 @@
 impl scheduler::Scheduler {
     /// When to come back, for a job that is not worth taking.
     pub(crate) fn refusal(&self, job: &job::Job, now: time::Instant) -> Option<time::Duration> {
-        if job.description.occurrences > 0 || job.description.steps.iter().any(|step| step.long_running) {
+        if job.description.occurrences > 0
+            || job.description.steps.iter().any(|step| step.long_running)
+        {
             return None;
         }
         let wait = self.wait_before(job);
@@ -49,8 +51,12 @@
     /// Time that the work in front of a job takes on all processors.
     fn wait_before(&self, job: &job::Job) -> time::Duration {
         let service = &job.queue.service;
-        let of_service = self.workers.values().filter(|worker| &worker.entry.service == service);
-        let usable = of_service.filter(|worker| worker.unlisted_at.is_none() && !worker.entry.draining);
+        let of_service = self
+            .workers
+            .values()
+            .filter(|worker| &worker.entry.service == service);
+        let usable =
+            of_service.filter(|worker| worker.unlisted_at.is_none() && !worker.entry.draining);
         let capacity_millis: u64 = usable.map(|worker| worker.entry.room.cpu_millis).sum();
         if capacity_millis == 0 {
             return time::Duration::ZERO;
--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -59,7 +59,10 @@
 
 impl Lanes {
     fn good_part(&self, queue: &str) -> f64 {
-        self.good_parts.get(queue).copied().unwrap_or(FIRST_GOOD_PART)
+        self.good_parts
+            .get(queue)
+            .copied()
+            .unwrap_or(FIRST_GOOD_PART)
     }
 
     fn learn(&mut self, queue: &str, part: f64) {
@@ -133,7 +136,10 @@
         let valid_ms = queue.advice.map_or(0, |advice| advice.valid_ms);
         let valid = time::Duration::from_millis(valid_ms).saturating_sub(TICKET_MARGIN);
         let asked = question.workers.len().max(1) as f64;
-        let unknown = question.workers.iter().filter(|id| !step.advice.verdicts.contains_key(*id));
+        let unknown = question
+            .workers
+            .iter()
+            .filter(|id| !step.advice.verdicts.contains_key(*id));
         let fresh = unknown.count() == question.workers.len();
         for worker in &question.workers {
             step.advice.verdicts.insert(worker.clone(), false);
@@ -141,7 +147,10 @@
         let part = good.len() as f64 / asked;
         for ticket in good {
             step.advice.verdicts.insert(ticket.worker.clone(), true);
-            let held = job::HeldTicket { token: ticket.token, valid_until: now + valid };
+            let held = job::HeldTicket {
+                token: ticket.token,
+                valid_until: now + valid,
+            };
             step.advice.tickets.insert(ticket.worker, held);
         }
         if fresh {
@@ -183,23 +192,30 @@
     fn draft(&self, candidate: &plan::Candidate, now: time::Instant) -> Option<Draft> {
         let job = self.jobs.get(&candidate.task.job)?;
         let policy = job.queue.advice?;
-        let step = &job.rounds[candidate.task.occurrence as usize].steps[candidate.task.step as usize];
+        let step =
+            &job.rounds[candidate.task.occurrence as usize].steps[candidate.task.step as usize];
         if step.advice.asking || step.advice.not_before.is_some_and(|at| now < at) {
             return None;
         }
         let description = job.step_description(&candidate.task)?;
-        let most = description.max_per_worker.map_or(u64::from(description.count), u64::from);
+        let most = description
+            .max_per_worker
+            .map_or(u64::from(description.count), u64::from);
         let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = Vec::new();
         for (id, worker) in &self.workers {
             let verdict = step.advice.verdicts.get(id).copied();
-            let holds = step.advice.tickets.get(id).is_some_and(|ticket| ticket.valid_until > now);
+            let holds = step
+                .advice
+                .tickets
+                .get(id)
+                .is_some_and(|ticket| ticket.valid_until > now);
             if verdict == Some(false) || holds || !plan::suits(worker, &job.queue, description) {
                 continue;
             }
             if !worker.is_usable(self.config.max_silence, now) {
                 continue;
             }
-            let slots = worker.free().times(&super::report::occupied(description), most);
+            let slots = worker.free().times(&job::occupied(description), most);
             workers.push((slots, verdict == Some(true), id));
         }
         workers.sort_by_key(|(slots, good, _)| std::cmp::Reverse((*slots > 0, *good, *slots)));
@@ -220,6 +236,9 @@
         }
         let expected_ms = policy.duration_ms(asked.len());
         let expected = time::Duration::from_micros((expected_ms * 1_000.0) as u64);
-        Some(Draft { workers: asked, expected })
+        Some(Draft {
+            workers: asked,
+            expected,
+        })
     }
 }
--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -71,22 +71,21 @@
         queue_name: String,
         state: fleet::JobState,
         submitted_wall_ms: u64,
+        rooms: Vec<fleet::Room>,
     },
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct TaskProgress {
     pub(crate) done: bool,
-    pub(crate) failures: u32,
-    pub(crate) failed_attempt: u32,
+    pub(crate) failed_attempts: Vec<u32>,
     pub(crate) checkpoint: String,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct StepProgress {
     pub(crate) tasks: Vec<TaskProgress>,
-    pub(crate) gang_failures: u32,
-    pub(crate) gang_failed_attempt: u32,
+    pub(crate) gang_failed_attempts: Vec<u32>,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -110,5 +109,7 @@
         return Err(RecordError("another layout".to_owned()));
     };
     let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
-    decoded.map(|(record, _)| record).map_err(|error| RecordError(error.to_string()))
+    decoded
+        .map(|(record, _)| record)
+        .map_err(|error| RecordError(error.to_string()))
 }
--- a/crates/figscale-core/src/fleet/health.rs
+++ b/crates/figscale-core/src/fleet/health.rs
@@ -44,7 +44,11 @@
         if !self.failed_jobs.contains(&job) {
             self.failed_jobs.push(job);
         }
-        let enough = if self.on_trial { 1 } else { MAX_FAILURES_IN_A_ROW };
+        let enough = if self.on_trial {
+            1
+        } else {
+            MAX_FAILURES_IN_A_ROW
+        };
         if self.failed_jobs.len() < enough || self.is_set_aside(now) {
             return false;
         }
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -25,11 +25,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub(crate) state: TaskState,
-    /// Runs that failed.
-    pub(crate) failures: u32,
-    /// Last run that was counted as failed. A worker tells an end again that was
-    /// counted, and written, but not acknowledged before the leader changed.
-    pub(crate) failed_attempt: u32,
+    /// Runs that failed, by attempt. Workers tell an end again to each leader
+    /// until it is acknowledged, and ends of different workers in any order.
+    pub(crate) failed_attempts: Vec<u32>,
     /// Highest attempt ordered.
     pub(crate) attempt: u32,
     /// From where it can resume; empty for from the beginning.
@@ -80,10 +78,8 @@
 pub(crate) struct Step {
     pub(crate) tasks: Vec<Task>,
     pub(crate) advice: StepAdvice,
-    /// Failed runs of the step as a gang.
-    pub(crate) gang_failures: u32,
-    /// Last run of the gang that was counted as failed.
-    pub(crate) gang_failed_attempt: u32,
+    /// Failed runs of the step as a gang, by attempt.
+    pub(crate) gang_failed_attempts: Vec<u32>,
 }
 
 impl Step {
@@ -96,6 +92,13 @@
     }
 }
 
+/// Adds an attempt that failed, unless it is known.
+pub(crate) fn note_failed(attempts: &mut Vec<u32>, attempt: u32) {
+    if !attempts.contains(&attempt) {
+        attempts.push(attempt);
+    }
+}
+
 /// One occurrence of a job.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Round {
@@ -107,7 +110,12 @@
         let tasks = |step: &fleet::StepDescription| vec![Task::default(); step.count as usize];
         let steps = description.steps.iter();
         Self {
-            steps: steps.map(|step| Step { tasks: tasks(step), ..Step::default() }).collect(),
+            steps: steps
+                .map(|step| Step {
+                    tasks: tasks(step),
+                    ..Step::default()
+                })
+                .collect(),
         }
     }
 
@@ -117,15 +125,27 @@
 
     /// Whether all steps that a step waits for are done.
     pub(crate) fn is_ready(&self, description: &fleet::JobDescription, step: usize) -> bool {
-        description.steps[step].after.iter().all(|after| self.steps[*after as usize].is_done())
+        description.steps[step]
+            .after
+            .iter()
+            .all(|after| self.steps[*after as usize].is_done())
     }
 
     /// Longest chain of estimates of what is not done.
     pub(crate) fn remaining_ms(&self, description: &fleet::JobDescription) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for (progress, step) in self.steps.iter().zip(&description.steps) {
-            let start = step.after.iter().map(|after| ends[*after as usize]).max().unwrap_or(0);
-            let own = if progress.is_done() { 0 } else { step.estimate_ms };
+            let start = step
+                .after
+                .iter()
+                .map(|after| ends[*after as usize])
+                .max()
+                .unwrap_or(0);
+            let own = if progress.is_done() {
+                0
+            } else {
+                step.estimate_ms
+            };
             ends.push(start + own);
         }
         ends.into_iter().max().unwrap_or(0)
@@ -147,6 +167,9 @@
     /// Some task has started.
     pub(crate) started: bool,
     pub(crate) end: Option<fleet::JobState>,
+    /// What a task of each step occupies, also after the job's end: what is
+    /// being stopped still takes room.
+    pub(crate) rooms: Vec<fleet::Room>,
     /// The caller may be told that it is accepted, and tasks may start.
     pub(crate) stored: bool,
     /// The store holds a record of progress.
@@ -166,8 +189,10 @@
             0 => vec![Round::new(&description)],
             _ => Vec::new(),
         };
+        let rooms = description.steps.iter().map(occupied).collect();
         Self {
             id,
+            rooms,
             queue,
             description: sync::Arc::new(description),
             submitted_wall_ms,
@@ -203,7 +228,10 @@
     pub(crate) fn add_due_rounds(&mut self, wall_ms: u64) -> bool {
         let before = self.rounds.len();
         while self.rounds.len() < self.description.occurrences as usize {
-            let passed = self.description.interval_ms.saturating_mul(self.rounds.len() as u64);
+            let passed = self
+                .description
+                .interval_ms
+                .saturating_mul(self.rounds.len() as u64);
             if wall_ms < self.description.first_due_ms.saturating_add(passed) {
                 break;
             }
@@ -214,7 +242,11 @@
 
     pub(crate) fn task(&self, id: &fleet::TaskId) -> Option<&Task> {
         let round = self.rounds.get(id.occurrence as usize)?;
-        round.steps.get(id.step as usize)?.tasks.get(id.index as usize)
+        round
+            .steps
+            .get(id.step as usize)?
+            .tasks
+            .get(id.index as usize)
     }
 
     pub(crate) fn task_mut(&mut self, id: &fleet::TaskId) -> Option<&mut Task> {
@@ -237,7 +269,10 @@
             left * step.room.cpu_millis * step.estimate_ms / 1_000
         };
         let rounds = self.rounds.iter();
-        rounds.flat_map(|round| round.steps.iter().zip(&self.description.steps)).map(of_step).sum()
+        rounds
+            .flat_map(|round| round.steps.iter().zip(&self.description.steps))
+            .map(of_step)
+            .sum()
     }
 
     /// Ends the job; what runs of it is the caller's to stop.
@@ -248,16 +283,33 @@
     }
 }
 
+/// What a task of a step takes from a worker's room.
+pub(crate) fn occupied(step: &fleet::StepDescription) -> fleet::Room {
+    match step.filler {
+        true => fleet::Room {
+            cpu_millis: 0,
+            ..step.room
+        },
+        false => step.room,
+    }
+}
+
 /// Workers that the objective allows one question about, a step.
 const ADVISED_WORKERS: usize = 30;
 
 /// Time from the first send in which a job should end: its own length, with the
 /// advice that its steps need, stretched, and the queue's constant part.
 pub(crate) fn objective(queue: &fleet::Queue, job: &fleet::JobDescription) -> time::Duration {
-    let advice_ms = queue.advice.map_or(0.0, |advice| advice.duration_ms(ADVISED_WORKERS));
+    let advice_ms = queue
+        .advice
+        .map_or(0.0, |advice| advice.duration_ms(ADVISED_WORKERS));
     let mut ends: Vec<f64> = Vec::with_capacity(job.steps.len());
     for step in &job.steps {
-        let start = step.after.iter().map(|after| ends[*after as usize]).fold(0.0, f64::max);
+        let start = step
+            .after
+            .iter()
+            .map(|after| ends[*after as usize])
+            .fold(0.0, f64::max);
         ends.push(start + advice_ms + step.estimate_ms as f64);
     }
     let chain_ms = ends.into_iter().fold(0.0, f64::max);
--- a/crates/figscale-core/src/fleet/lease.rs
+++ b/crates/figscale-core/src/fleet/lease.rs
@@ -38,6 +38,11 @@
         Some(reading_ms + passed * SLOWEST_RATE_PERCENT / 100)
     }
 
+    /// The worker's clock when it was last read.
+    pub(crate) fn last_reading_ms(&self) -> Option<u64> {
+        self.reading.map(|(reading_ms, _)| reading_ms)
+    }
+
     /// Whether the lease and `grace` after it are surely over.
     pub(crate) fn is_over(&self, grace: time::Duration, now: time::Instant) -> bool {
         let end_ms = self.until_clock_ms + millis(grace);
@@ -46,7 +51,8 @@
 
     /// Time since the last reading.
     pub(crate) fn silent_for(&self, now: time::Instant) -> Option<time::Duration> {
-        self.reading.map(|(_, at)| now.saturating_duration_since(at))
+        self.reading
+            .map(|(_, at)| now.saturating_duration_since(at))
     }
 }
 
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -13,7 +13,6 @@
 use indexmap::IndexSet;
 
 use super::job;
-use super::report;
 use super::scheduler;
 use super::scheduler::Action;
 use super::worker;
@@ -80,7 +79,10 @@
             return;
         }
         let silence = self.config.max_silence;
-        let usable = self.workers.iter().filter(|(_, worker)| worker.is_usable(silence, now));
+        let usable = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_usable(silence, now));
         let mut pass = Pass {
             now,
             usable: usable.map(|(id, _)| id.clone()).collect(),
@@ -143,7 +145,10 @@
         pass: &Pass,
     ) -> bool {
         for index in 0..description.count {
-            let id = fleet::TaskId { index, ..candidate.task };
+            let id = fleet::TaskId {
+                index,
+                ..candidate.task
+            };
             let task = self.jobs.get(&id.job).and_then(|job| job.task(&id));
             let ready = task.is_some_and(|task| task.is_waiting() && !task.suspect);
             if !ready {
@@ -167,9 +172,16 @@
             self.keep_free(candidate, description, pass);
             return false;
         };
-        let members = (0..description.count).map(|index| fleet::TaskId { index, ..candidate.task });
+        let members = (0..description.count).map(|index| fleet::TaskId {
+            index,
+            ..candidate.task
+        });
         let members: Vec<fleet::TaskId> = members.collect();
-        let attempt = members.iter().map(|id| self.next_attempt(id)).max().unwrap_or(1);
+        let attempt = members
+            .iter()
+            .map(|id| self.next_attempt(id))
+            .max()
+            .unwrap_or(1);
         for (id, worker) in members.iter().zip(workers) {
             self.start(id, &worker, attempt, pass.now);
         }
@@ -189,9 +201,14 @@
         }
         let mut by_rack: IndexMap<String, Vec<Place>> = IndexMap::new();
         for place in &open {
-            by_rack.entry(place.rack.clone()).or_default().push(place.clone());
+            by_rack
+                .entry(place.rack.clone())
+                .or_default()
+                .push(place.clone());
         }
-        let in_one = by_rack.into_values().find_map(|rack| fill(rack, description, description.count));
+        let in_one = by_rack
+            .into_values()
+            .find_map(|rack| fill(rack, description, description.count));
         in_one.or_else(|| fill(open, description, description.count))
     }
 
@@ -208,7 +225,8 @@
         let Some(job) = self.jobs.get(&candidate.task.job) else {
             return;
         };
-        let step = &job.rounds[candidate.task.occurrence as usize].steps[candidate.task.step as usize];
+        let step =
+            &job.rounds[candidate.task.occurrence as usize].steps[candidate.task.step as usize];
         let mut emptiest: Vec<(u64, u64, &fleet::WorkerId)> = Vec::new();
         for (id, worker) in &self.workers {
             let bad = step.advice.verdicts.get(id) == Some(&false);
@@ -216,7 +234,10 @@
             if bad || unknown || !pass.usable.contains(id) || pass.kept.contains(id) {
                 continue;
             }
-            let slots = worker.entry.room.times(&description.room, u64::from(description.count));
+            let slots = worker
+                .entry
+                .room
+                .times(&description.room, u64::from(description.count));
             emptiest.push((worker.free().cpu_millis, slots, id));
         }
         emptiest.sort_by_key(|(free, ..)| std::cmp::Reverse(*free));
@@ -244,7 +265,7 @@
         };
         let step = &job.rounds[task.occurrence as usize].steps[task.step as usize];
         let respects_kept = rank.class > 0 && description.estimate_ms > SHORT_WORK_MS;
-        let need = report::occupied(description);
+        let need = job::occupied(description);
         let mut places = Vec::new();
         for id in &pass.usable {
             let Some(worker) = self.workers.get(id) else {
@@ -286,11 +307,14 @@
     ) -> Option<fleet::WorkerId> {
         let task = self.jobs.get(&id.job)?.task(id)?;
         let places = self.open_workers(id, description, rank, pass);
-        let need = report::occupied(description);
+        let need = job::occupied(description);
         let fit = |place: &Place| Fit {
             failed_here: task.failed_on.as_ref() == Some(&place.id),
-            unproven: task.failures > 0 && !place.proven,
-            far: description.data_rack.as_ref().is_some_and(|rack| *rack != place.rack),
+            unproven: !task.failed_attempts.is_empty() && !place.proven,
+            far: description
+                .data_rack
+                .as_ref()
+                .is_some_and(|rack| *rack != place.rack),
             left_cpu_millis: place.free.minus(&need).cpu_millis,
         };
         places.into_iter().min_by_key(fit).map(|place| place.id)
@@ -320,19 +344,26 @@
         let Some(description) = job.description.steps.get(id.step as usize) else {
             return;
         };
-        let room = report::occupied(description);
+        let room = job::occupied(description);
         let spec = job.description.spec.clone();
         let Some(step) = job.step_mut(id) else {
             return;
         };
-        let ticket = step.advice.tickets.get(worker_id).map(|ticket| ticket.token.clone());
+        let ticket = step
+            .advice
+            .tickets
+            .get(worker_id)
+            .map(|ticket| ticket.token.clone());
         let Some(task) = step.tasks.get_mut(id.index as usize) else {
             return;
         };
         let expires_clock_ms = worker.lease.clock_ms(now).unwrap_or(0) + expiry_ms;
         worker.lease.sent(expires_clock_ms);
         task.attempt = attempt;
-        task.state = job::TaskState::Placed { worker: worker_id.clone(), attempt };
+        task.state = job::TaskState::Placed {
+            worker: worker_id.clone(),
+            attempt,
+        };
         let order = fleet::StartOrder {
             task: *id,
             attempt,
@@ -350,7 +381,10 @@
             idle_since: None,
         };
         worker.add_run((*id, attempt), run);
-        self.actions.push(Action::Start { worker: worker_id.clone(), order });
+        self.actions.push(Action::Start {
+            worker: worker_id.clone(),
+            order,
+        });
     }
 }
 
@@ -371,7 +405,7 @@
     description: &fleet::StepDescription,
     count: u32,
 ) -> Option<Vec<fleet::WorkerId>> {
-    let need = report::occupied(description);
+    let need = job::occupied(description);
     places.sort_by_key(|place| place.free.cpu_millis);
     let mut chosen = Vec::new();
     for place in &mut places {
@@ -386,7 +420,12 @@
 
 fn first_task(job: fleet::JobId, occurrence: usize, step: usize) -> fleet::TaskId {
     let number = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
-    fleet::TaskId { job, occurrence: number(occurrence), step: number(step), index: 0 }
+    fleet::TaskId {
+        job,
+        occurrence: number(occurrence),
+        step: number(step),
+        index: 0,
+    }
 }
 
 /// Whether some task of a step could start; of a gang, all of them.
@@ -403,5 +442,9 @@
     let left = job.objective_at.saturating_duration_since(now);
     let left_ms = i64::try_from(super::lease::millis(left)).unwrap_or(i64::MAX);
     let slack_ms = left_ms - remaining_ms;
-    Rank { late: slack_ms < 0, class: u8::from(job.queue.priority > 0), slack_ms }
+    Rank {
+        late: slack_ms < 0,
+        class: u8::from(job.queue.priority > 0),
+        slack_ms,
+    }
 }
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -29,14 +29,23 @@
         if job.stored && job.is_open() {
             let bytes = Some(durable::encode(&progress_record(job)));
             job.progress_stored = true;
-            records.records.push(durable::Record { key: RecordKey::Progress(id), bytes });
+            records.records.push(durable::Record {
+                key: RecordKey::Progress(id),
+                bytes,
+            });
             return;
         }
         let bytes = Some(durable::encode(&job_record(job)));
-        records.records.push(durable::Record { key: RecordKey::Job(id), bytes });
+        records.records.push(durable::Record {
+            key: RecordKey::Job(id),
+            bytes,
+        });
         if job.progress_stored && !job.is_open() {
             job.progress_stored = false;
-            records.records.push(durable::Record { key: RecordKey::Progress(id), bytes: None });
+            records.records.push(durable::Record {
+                key: RecordKey::Progress(id),
+                bytes: None,
+            });
         }
     }
 
@@ -49,25 +58,41 @@
         wall_ms: u64,
     ) -> Result<(), durable::RecordError> {
         let job = match durable::decode(bytes)? {
-            durable::JobRecord::Open { queue, description, submitted_wall_ms } => {
+            durable::JobRecord::Open {
+                queue,
+                description,
+                submitted_wall_ms,
+            } => {
                 let age_ms = wall_ms.saturating_sub(submitted_wall_ms);
                 let age = time::Duration::from_millis(age_ms);
                 let submitted = now.checked_sub(age).unwrap_or(now);
                 let queue = sync::Arc::new(queue);
                 job::Job::new(id, queue, description, submitted_wall_ms, submitted)
             }
-            durable::JobRecord::Ended { queue_name, state, submitted_wall_ms } => {
+            durable::JobRecord::Ended {
+                queue_name,
+                state,
+                submitted_wall_ms,
+                rooms,
+            } => {
                 let queue = ended_queue(queue_name);
                 let description = fleet::JobDescription::default();
                 let mut job = job::Job::new(id, queue, description, submitted_wall_ms, now);
                 job.finish(state);
+                job.rooms = rooms;
                 job
             }
         };
         if job.is_open() {
             self.open.insert(id);
         }
-        self.jobs.insert(id, job::Job { stored: true, ..job });
+        self.jobs.insert(
+            id,
+            job::Job {
+                stored: true,
+                ..job
+            },
+        );
         Ok(())
     }
 
@@ -137,7 +162,10 @@
             }
         }
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
-        let note = scheduler::Note::Recovered { open_jobs: open.len(), runs };
+        let note = scheduler::Note::Recovered {
+            open_jobs: open.len(),
+            runs,
+        };
         self.actions.push(scheduler::Action::Tell(note));
         self.stop_partial_gangs(now);
     }
@@ -149,8 +177,13 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            let steps = job.rounds.iter().flat_map(|round| round.steps.iter().zip(&job.description.steps));
-            let gangs = steps.filter(|(_, description)| description.gang).map(|(step, _)| step);
+            let steps = job
+                .rounds
+                .iter()
+                .flat_map(|round| round.steps.iter().zip(&job.description.steps));
+            let gangs = steps
+                .filter(|(_, description)| description.gang)
+                .map(|(step, _)| step);
             for step in gangs {
                 let placed = step.tasks.iter().filter_map(|task| match &task.state {
                     job::TaskState::Placed { worker, attempt } => Some((worker.clone(), *attempt)),
@@ -158,14 +191,24 @@
                 });
                 let placed: Vec<_> = placed.collect();
                 if !placed.is_empty() && placed.len() < step.tasks.len() {
-                    partial.extend(placed.into_iter().map(|(worker, attempt)| (*id, worker, attempt)));
+                    partial.extend(
+                        placed
+                            .into_iter()
+                            .map(|(worker, attempt)| (*id, worker, attempt)),
+                    );
                 }
             }
         }
         for (id, worker, attempt) in partial {
-            let runs = self.workers.get(&worker).map(|worker| worker.runs.keys().copied());
+            let runs = self
+                .workers
+                .get(&worker)
+                .map(|worker| worker.runs.keys().copied());
             let keys: Vec<_> = runs.into_iter().flatten().collect();
-            for key in keys.into_iter().filter(|(task, number)| task.job == id && *number == attempt) {
+            for key in keys
+                .into_iter()
+                .filter(|(task, number)| task.job == id && *number == attempt)
+            {
                 self.order_stop(&worker, key, Some(now));
             }
         }
@@ -192,6 +235,7 @@
             queue_name: job.queue.name.clone(),
             state,
             submitted_wall_ms: job.submitted_wall_ms,
+            rooms: job.rooms.clone(),
         },
         None => durable::JobRecord::Open {
             queue: (*job.queue).clone(),
@@ -204,27 +248,29 @@
 fn progress_record(job: &job::Job) -> durable::ProgressRecord {
     let task = |task: &job::Task| durable::TaskProgress {
         done: task.is_done(),
-        failures: task.failures,
-        failed_attempt: task.failed_attempt,
-        checkpoint: if task.is_done() { String::new() } else { task.checkpoint.clone() },
+        failed_attempts: task.failed_attempts.clone(),
+        checkpoint: if task.is_done() {
+            String::new()
+        } else {
+            task.checkpoint.clone()
+        },
     };
     let step = |step: &job::Step| durable::StepProgress {
         tasks: step.tasks.iter().map(task).collect(),
-        gang_failures: step.gang_failures,
-        gang_failed_attempt: step.gang_failed_attempt,
+        gang_failed_attempts: step.gang_failed_attempts.clone(),
     };
     let rounds = job.rounds.iter();
     durable::ProgressRecord {
-        rounds: rounds.map(|round| round.steps.iter().map(step).collect()).collect(),
+        rounds: rounds
+            .map(|round| round.steps.iter().map(step).collect())
+            .collect(),
     }
 }
 
 fn load_step(step: &mut job::Step, progress: durable::StepProgress) {
-    step.gang_failures = progress.gang_failures;
-    step.gang_failed_attempt = progress.gang_failed_attempt;
+    step.gang_failed_attempts = progress.gang_failed_attempts;
     for (task, known) in step.tasks.iter_mut().zip(progress.tasks) {
-        task.failures = known.failures;
-        task.failed_attempt = known.failed_attempt;
+        task.failed_attempts = known.failed_attempts;
         task.checkpoint = known.checkpoint;
         if known.done {
             task.state = job::TaskState::Done;
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -19,17 +19,25 @@
 impl scheduler::Scheduler {
     /// What the next call for a worker's report should carry; `None` for one
     /// that is unknown or replaced. The lease is reckoned as sent.
-    pub fn report_due(&mut self, id: &fleet::WorkerId, now: time::Instant) -> Option<worker::ReportDue> {
+    ///
+    /// The lease counts from the worker's last reading and not from now. So a
+    /// silent worker's is not extended by calls that might still reach it, and
+    /// what runs there can be given up in the end.
+    pub fn report_due(&mut self, id: &fleet::WorkerId) -> Option<worker::ReportDue> {
         let lease_ms = super::lease::millis(self.config.lease);
         let worker = self.workers.get_mut(id)?;
         if worker.replaced {
             return None;
         }
-        let lease_until_clock_ms = worker.lease.clock_ms(now).map(|clock_ms| clock_ms + lease_ms);
+        let reading_ms = worker.lease.last_reading_ms();
+        let lease_until_clock_ms = reading_ms.map(|clock_ms| clock_ms + lease_ms);
         if let Some(until) = lease_until_clock_ms {
             worker.lease.sent(until);
         }
-        Some(worker::ReportDue { acknowledged: worker.acknowledged, lease_until_clock_ms })
+        Some(worker::ReportDue {
+            acknowledged: worker.acknowledged,
+            lease_until_clock_ms,
+        })
     }
 
     /// A worker's report has arrived.
@@ -73,7 +81,10 @@
         match run.end {
             fleet::End::Done => worker.health.succeeded(),
             fleet::End::Failed if worker.health.failed(run.task.job, now) => {
-                let note = Note::WorkerSetAside { worker: id.clone(), cause: "failures in a row" };
+                let note = Note::WorkerSetAside {
+                    worker: id.clone(),
+                    cause: "failures in a row",
+                };
                 self.actions.push(Action::Tell(note));
             }
             _ => (),
@@ -151,22 +162,16 @@
         let max_attempts = job.queue.max_attempts;
         let mut failures = 0;
         if let Some(task) = job.task_mut(&run.task) {
-            if run.attempt > task.failed_attempt {
-                task.failed_attempt = run.attempt;
-                task.failures += 1;
-            }
+            job::note_failed(&mut task.failed_attempts, run.attempt);
             task.failed_on = Some(id.clone());
-            failures = task.failures;
+            failures = task.failed_attempts.len();
         }
         if is_gang && let Some(step) = job.step_mut(&run.task) {
-            if run.attempt > step.gang_failed_attempt {
-                step.gang_failed_attempt = run.attempt;
-                step.gang_failures += 1;
-            }
-            failures = failures.max(step.gang_failures);
+            job::note_failed(&mut step.gang_failed_attempts, run.attempt);
+            failures = failures.max(step.gang_failed_attempts.len());
         }
         self.task_free_again(id, &(run.task, run.attempt));
-        if failures >= max_attempts {
+        if failures >= max_attempts as usize {
             self.end_job(run.task.job, fleet::JobState::Failed, now);
         }
     }
@@ -180,7 +185,10 @@
     ) {
         for running in &report.running {
             let key = (running.task, running.attempt);
-            let known = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&key));
+            let known = self
+                .workers
+                .get_mut(id)
+                .and_then(|worker| worker.runs.get_mut(&key));
             match known {
                 Some(run) => {
                     let confirmed = run.confirmed_clock_ms.unwrap_or(0);
@@ -227,20 +235,26 @@
         clock_ms: u64,
         now: time::Instant,
     ) {
+        let step = running.task.step as usize;
+        let known_room = self
+            .jobs
+            .get(&running.task.job)
+            .and_then(|job| job.rooms.get(step));
+        let all = self.workers.get(id).map(|worker| worker.entry.room);
+        // Of a job that nobody knows: nothing else goes there until it ended.
+        let room = known_room.copied().or(all).unwrap_or_default();
         let job = self.jobs.get_mut(&running.task.job);
-        let mut room = fleet::Room::default();
-        if let Some(job) = job.filter(|job| job.is_open())
-            && let Some(step) = job.step_description(&running.task)
-        {
-            room = occupied(step);
+        if let Some(job) = job.filter(|job| job.is_open()) {
             job.started = true;
             if let Some(task) = job.task_mut(&running.task)
                 && task.is_waiting()
                 && running.attempt >= task.attempt
             {
                 task.attempt = running.attempt;
-                task.state =
-                    job::TaskState::Placed { worker: id.clone(), attempt: running.attempt };
+                task.state = job::TaskState::Placed {
+                    worker: id.clone(),
+                    attempt: running.attempt,
+                };
             }
         }
         let run = worker::Run {
@@ -278,8 +292,11 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let running: IndexSet<worker::RunKey> =
-            report.running.iter().map(|run| (run.task, run.attempt)).collect();
+        let running: IndexSet<worker::RunKey> = report
+            .running
+            .iter()
+            .map(|run| (run.task, run.attempt))
+            .collect();
         let missing = |(key, run): (&worker::RunKey, &worker::Run)| {
             let known_clock_ms = run.confirmed_clock_ms.unwrap_or(run.expires_clock_ms);
             (!running.contains(key) && report.clock_ms > known_clock_ms).then_some(*key)
@@ -397,11 +414,3 @@
         }
     }
 }
-
-/// What a task of a step takes from a worker's room.
-pub(crate) fn occupied(step: &fleet::StepDescription) -> fleet::Room {
-    match step.filler {
-        true => fleet::Room { cpu_millis: 0, ..step.room },
-        false => step.room,
-    }
-}
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -35,9 +35,9 @@
     fn default() -> Self {
         Self {
             epoch: fleet::Epoch(1),
-            // Longer than finding a dead leader and reading its state, so that
-            // tasks outlive it.
-            lease: time::Duration::from_millis(4_000),
+            // Reports come each second, and finding a dead leader and reading
+            // its state takes some 2 s, which tasks are to outlive.
+            lease: time::Duration::from_millis(4_500),
             stop_limit: time::Duration::from_millis(400),
             // A start that was not answered keeps its room for so long.
             start_expiry: time::Duration::from_millis(1_500),
@@ -235,14 +235,18 @@
                 worker.unlisted_at = None;
             }
             None => {
-                self.workers.insert(entry.id.clone(), worker::Worker::new(entry));
+                self.workers
+                    .insert(entry.id.clone(), worker::Worker::new(entry));
             }
         }
     }
 
     /// Workers that the platform lists, as far as known.
     pub fn listed_workers(&self) -> Vec<fleet::WorkerId> {
-        let listed = self.workers.iter().filter(|(_, worker)| worker.unlisted_at.is_none());
+        let listed = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.unlisted_at.is_none());
         listed.map(|(id, _)| id.clone()).collect()
     }
 
@@ -298,7 +302,10 @@
         if over && !never_ordered {
             self.give_up_runs(id);
         }
-        let gone = self.workers.get(id).is_some_and(|worker| worker.unlisted_at.is_some());
+        let gone = self
+            .workers
+            .get(id)
+            .is_some_and(|worker| worker.unlisted_at.is_some());
         if gone && (over || never_ordered) {
             self.workers.swap_remove(id);
         }
@@ -318,7 +325,10 @@
         for key in &keys {
             self.task_free_again(id, key);
         }
-        let note = Note::WorkerLost { worker: id.clone(), runs: keys.len() };
+        let note = Note::WorkerLost {
+            worker: id.clone(),
+            runs: keys.len(),
+        };
         self.actions.push(Action::Tell(note));
     }
 
@@ -344,7 +354,8 @@
         let mut rest = Vec::new();
         for (worker_id, worker) in &self.workers {
             for (run, number) in worker.runs.keys() {
-                let same = run.job == id.job && run.occurrence == id.occurrence && run.step == id.step;
+                let same =
+                    run.job == id.job && run.occurrence == id.occurrence && run.step == id.step;
                 if same && *number == attempt {
                     rest.push((worker_id.clone(), (*run, *number)));
                 }
@@ -362,7 +373,10 @@
         key: worker::RunKey,
         now: Option<time::Instant>,
     ) {
-        let run = self.workers.get_mut(worker).and_then(|worker| worker.runs.get_mut(&key));
+        let run = self
+            .workers
+            .get_mut(worker)
+            .and_then(|worker| worker.runs.get_mut(&key));
         let Some(run) = run else {
             return;
         };
@@ -373,13 +387,20 @@
         }
         run.stop_ordered = Some(at);
         let (task, attempt) = key;
-        self.actions.push(Action::Stop { worker: worker.clone(), task, attempt });
+        self.actions.push(Action::Stop {
+            worker: worker.clone(),
+            task,
+            attempt,
+        });
     }
 
     fn repeat_stops(&mut self, now: time::Instant) {
         let mut again = Vec::new();
         for (id, worker) in &self.workers {
-            let stopping = worker.runs.iter().filter(|(_, run)| run.stop_ordered.is_some());
+            let stopping = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.stop_ordered.is_some());
             again.extend(stopping.map(|(key, _)| (id.clone(), *key)));
         }
         for (worker, key) in again {
@@ -454,7 +475,10 @@
         used_cpu_millis: u64,
         now: time::Instant,
     ) {
-        let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&key));
+        let run = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.runs.get_mut(&key));
         let Some(run) = run else {
             return;
         };
@@ -484,7 +508,10 @@
             return;
         }
         worker.health.set_aside(now);
-        let note = Note::WorkerSetAside { worker: id.clone(), cause };
+        let note = Note::WorkerSetAside {
+            worker: id.clone(),
+            cause,
+        };
         self.actions.push(Action::Tell(note));
     }
 
@@ -511,8 +538,13 @@
             self.add_records(id, &mut records);
         }
         if self.dirty.is_empty() {
-            let ends = self.workers.iter().filter(|(_, worker)| worker.taken_in > worker.acknowledged);
-            records.acknowledge = ends.map(|(id, worker)| (id.clone(), worker.taken_in)).collect();
+            let ends = self
+                .workers
+                .iter()
+                .filter(|(_, worker)| worker.taken_in > worker.acknowledged);
+            records.acknowledge = ends
+                .map(|(id, worker)| (id.clone(), worker.taken_in))
+                .collect();
         }
         records
     }
@@ -525,7 +557,10 @@
         }
         let ids: Vec<fleet::WorkerId> = self.workers.keys().cloned().collect();
         let bytes = Some(durable::encode(&ids));
-        records.records.push(durable::Record { key: durable::RecordKey::Workers, bytes });
+        records.records.push(durable::Record {
+            key: durable::RecordKey::Workers,
+            bytes,
+        });
         records.recorded = ids;
     }
 
@@ -540,12 +575,17 @@
     pub fn has_records(&self) -> bool {
         let unacknowledged = |worker: &worker::Worker| worker.taken_in > worker.acknowledged;
         !self.dirty.is_empty()
-            || self.workers.values().any(|worker| unacknowledged(worker) || !worker.recorded)
+            || self
+                .workers
+                .values()
+                .any(|worker| unacknowledged(worker) || !worker.recorded)
     }
 
     /// Whether ends of a worker wait to be acknowledged.
     pub fn has_unacknowledged(&self, id: &fleet::WorkerId) -> bool {
-        self.workers.get(id).is_some_and(|worker| worker.taken_in > worker.acknowledged)
+        self.workers
+            .get(id)
+            .is_some_and(|worker| worker.taken_in > worker.acknowledged)
     }
 
     /// All of `records` are in the store.
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -99,7 +99,10 @@
     /// Whether new work may be sent; `max_silence` is how old the last reading
     /// may be.
     pub(crate) fn is_usable(&self, max_silence: time::Duration, now: time::Instant) -> bool {
-        let heard = self.lease.silent_for(now).is_some_and(|silent| silent <= max_silence);
+        let heard = self
+            .lease
+            .silent_for(now)
+            .is_some_and(|silent| silent <= max_silence);
         let listed = self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE);
         let known = listed && self.recorded && self.reported;
         let open = known && !self.entry.draining && !self.replaced;
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -0,0 +1,429 @@
+//! A scheduler between workers, a store and an advisory service in memory.
+
+use std::time;
+
+use figscale_core::fleet::Action;
+use figscale_core::fleet::Admission;
+use figscale_core::fleet::Config;
+use figscale_core::fleet::Note;
+use figscale_core::fleet::Question;
+use figscale_core::fleet::Record;
+use figscale_core::fleet::RecordKey;
+use figscale_core::fleet::Records;
+use figscale_core::fleet::Scheduler;
+use figscale_types::fleet;
+use figscale_types::fleet::StartOutcome;
+use indexmap::IndexMap;
+
+pub(crate) const MOST_RECORDS: usize = 30;
+const FIRST_CLOCK_MS: u64 = 100_000;
+const WALL_MS: u64 = 1_700_000_000_000;
+
+pub(crate) fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+pub(crate) fn job_id(number: u64) -> fleet::JobId {
+    fleet::JobId(number)
+}
+
+pub(crate) fn task(job: u64, step: u32, index: u32) -> fleet::TaskId {
+    fleet::TaskId {
+        job: job_id(job),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+pub(crate) fn worker_id(number: usize) -> fleet::WorkerId {
+    format!("w-{number}").parse().unwrap()
+}
+
+pub(crate) fn queue(priority: u32) -> fleet::Queue {
+    fleet::Queue {
+        name: format!("queue-{priority}"),
+        host: "host".to_owned(),
+        prefix: "/q/".to_owned(),
+        service: "pool".to_owned(),
+        priority,
+        max_attempts: 2,
+        stretch: 2.0,
+        target_latency_ms: 1_000,
+        advice: None,
+    }
+}
+
+pub(crate) fn advised(priority: u32) -> fleet::Queue {
+    let advice = fleet::AdvicePolicy {
+        base_ms: 10.0,
+        per_worker_ms: 1.0,
+        valid_ms: 2_500,
+    };
+    fleet::Queue {
+        advice: Some(advice),
+        ..queue(priority)
+    }
+}
+
+pub(crate) fn step(count: u32, cores: u64) -> fleet::StepDescription {
+    fleet::StepDescription {
+        count,
+        room: fleet::Room {
+            cpu_millis: cores * 1_000,
+            memory_mb: 1_024,
+            accelerators: 0,
+        },
+        estimate_ms: 1_000,
+        ..Default::default()
+    }
+}
+
+pub(crate) fn gang(count: u32, cores: u64) -> fleet::StepDescription {
+    fleet::StepDescription {
+        gang: true,
+        ..step(count, cores)
+    }
+}
+
+pub(crate) fn job(steps: Vec<fleet::StepDescription>) -> fleet::JobDescription {
+    fleet::JobDescription {
+        spec: "work".to_owned(),
+        steps,
+        ..Default::default()
+    }
+}
+
+/// A worker that starts what it is told to and ends it when the test says so.
+pub(crate) struct FakeWorker {
+    pub(crate) entry: fleet::WorkerEntry,
+    pub(crate) running: IndexMap<(fleet::TaskId, u32), fleet::RunningTask>,
+    pub(crate) finished: Vec<fleet::FinishedRun>,
+    pub(crate) orders: Vec<fleet::StartOrder>,
+    pub(crate) reachable: bool,
+    /// What a start is answered with, in place of success.
+    pub(crate) answer: Option<StartOutcome>,
+    ended: u64,
+}
+
+/// Everything around one scheduler.
+pub(crate) struct Cell {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) now: time::Instant,
+    pub(crate) wall_ms: u64,
+    pub(crate) workers: IndexMap<fleet::WorkerId, FakeWorker>,
+    pub(crate) store: IndexMap<RecordKey, Vec<u8>>,
+    pub(crate) questions: Vec<Question>,
+    pub(crate) notes: Vec<Note>,
+    pub(crate) stops: Vec<(fleet::WorkerId, fleet::TaskId, u32)>,
+    pub(crate) stepped_down: bool,
+    begun: time::Instant,
+}
+
+impl Cell {
+    /// So many workers of 64 cores, in racks of four.
+    pub(crate) fn new(workers: usize) -> Self {
+        Self::with_cores(workers, 64)
+    }
+
+    pub(crate) fn with_cores(workers: usize, cores: u64) -> Self {
+        let now = time::Instant::now();
+        let mut cell = Self {
+            scheduler: Scheduler::new(Config::default()),
+            now,
+            wall_ms: WALL_MS,
+            workers: IndexMap::new(),
+            store: IndexMap::new(),
+            questions: Vec::new(),
+            notes: Vec::new(),
+            stops: Vec::new(),
+            stepped_down: false,
+            begun: now,
+        };
+        cell.scheduler.member_joined(&"entry-1".parse().unwrap());
+        for number in 0..workers {
+            cell.add_worker(number, cores);
+        }
+        cell.settle();
+        cell
+    }
+
+    pub(crate) fn add_worker(&mut self, number: usize, cores: u64) {
+        let rack = format!("r1-{}", number / 4);
+        let entry = fleet::WorkerEntry {
+            id: worker_id(number),
+            service: "pool".to_owned(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            draining: false,
+            room: fleet::Room {
+                cpu_millis: cores * 1_000,
+                memory_mb: 131_072,
+                accelerators: 0,
+            },
+            labels: vec!["a".to_owned(), rack.clone()],
+            rack,
+        };
+        self.scheduler.worker_listed(entry.clone());
+        let worker = FakeWorker {
+            entry,
+            running: IndexMap::new(),
+            finished: Vec::new(),
+            orders: Vec::new(),
+            reachable: true,
+            answer: None,
+            ended: 0,
+        };
+        self.workers.insert(worker_id(number), worker);
+    }
+
+    pub(crate) fn worker(&mut self, number: usize) -> &mut FakeWorker {
+        self.workers.get_mut(&worker_id(number)).unwrap()
+    }
+
+    pub(crate) fn clock_ms(&self) -> u64 {
+        let passed = self.now.duration_since(self.begun);
+        FIRST_CLOCK_MS + u64::try_from(passed.as_millis()).unwrap()
+    }
+
+    pub(crate) fn submit(
+        &mut self,
+        number: u64,
+        queue: &fleet::Queue,
+        description: fleet::JobDescription,
+    ) -> Admission {
+        self.scheduler
+            .submit(job_id(number), queue, description, self.now, self.wall_ms)
+    }
+
+    /// Submits, writes and places.
+    pub(crate) fn run(
+        &mut self,
+        number: u64,
+        queue: &fleet::Queue,
+        steps: Vec<fleet::StepDescription>,
+    ) {
+        assert_eq!(self.submit(number, queue, job(steps)), Admission::Accepted);
+        self.settle();
+    }
+
+    pub(crate) fn state(&self, number: u64) -> Option<fleet::JobState> {
+        self.scheduler.state(job_id(number))
+    }
+
+    pub(crate) fn write(&mut self) -> Records {
+        let records = self.scheduler.take_records(MOST_RECORDS);
+        self.keep(&records.records);
+        self.scheduler.records_written(&records);
+        records
+    }
+
+    pub(crate) fn keep(&mut self, records: &[Record]) {
+        for record in records {
+            match &record.bytes {
+                Some(bytes) => {
+                    self.store.insert(record.key, bytes.clone());
+                }
+                None => {
+                    self.store.swap_remove(&record.key);
+                }
+            }
+        }
+    }
+
+    /// Reports, writes, plans and carries out until nothing changes.
+    pub(crate) fn settle(&mut self) {
+        for _ in 0..8 {
+            self.report_all();
+            while self.scheduler.has_records() {
+                self.write();
+            }
+            self.scheduler.plan(self.now);
+            if !self.carry_out() {
+                break;
+            }
+        }
+    }
+
+    /// Lets time pass in small parts, with reports as they come.
+    pub(crate) fn pass(&mut self, time_ms: u64) {
+        for _ in 0..time_ms.div_ceil(100) {
+            self.now += ms(100);
+            self.wall_ms += 100;
+            self.scheduler.tick(self.now, self.wall_ms);
+            self.settle();
+        }
+    }
+
+    pub(crate) fn report_all(&mut self) {
+        let ids: Vec<fleet::WorkerId> = self.workers.keys().cloned().collect();
+        for id in ids {
+            self.report(&id);
+        }
+    }
+
+    pub(crate) fn report(&mut self, id: &fleet::WorkerId) {
+        let clock_ms = self.clock_ms();
+        let due = self.scheduler.report_due(id);
+        let worker = self.workers.get_mut(id).unwrap();
+        if !worker.reachable {
+            return;
+        }
+        if let Some(due) = due {
+            worker.finished.retain(|run| run.number > due.acknowledged);
+        }
+        let report = fleet::WorkerReport {
+            clock_ms,
+            running: worker.running.values().cloned().collect(),
+            finished: worker.finished.clone(),
+        };
+        self.scheduler.worker_reported(id, &report, self.now);
+    }
+
+    /// Carries out actions; true if there were any.
+    pub(crate) fn carry_out(&mut self) -> bool {
+        let actions = self.scheduler.take_actions();
+        let any = !actions.is_empty();
+        for action in actions {
+            match action {
+                Action::Start { worker, order } => self.start(&worker, order),
+                Action::Stop {
+                    worker,
+                    task,
+                    attempt,
+                } => self.stop(worker, task, attempt),
+                Action::Ask(question) => self.questions.push(question),
+                Action::StepDown => self.stepped_down = true,
+                Action::Tell(note) => self.notes.push(note),
+            }
+        }
+        any
+    }
+
+    fn start(&mut self, id: &fleet::WorkerId, order: fleet::StartOrder) {
+        let clock_ms = self.clock_ms();
+        let worker = self.workers.get_mut(id).unwrap();
+        worker.orders.push(order.clone());
+        let outcome = match (worker.reachable, worker.answer) {
+            (false, _) => StartOutcome::Unknown,
+            (true, Some(answer)) => answer,
+            (true, None) => StartOutcome::Started { clock_ms },
+        };
+        if matches!(outcome, StartOutcome::Started { .. }) {
+            worker.begin(&order);
+        }
+        self.scheduler
+            .start_answered(id, order.task, order.attempt, outcome, self.now);
+    }
+
+    fn stop(&mut self, id: fleet::WorkerId, task: fleet::TaskId, attempt: u32) {
+        self.stops.push((id.clone(), task, attempt));
+        let worker = self.workers.get_mut(&id).unwrap();
+        if worker.reachable {
+            worker.end(task, attempt, fleet::End::Stopped);
+        }
+    }
+
+    /// Where a task runs, with the attempt.
+    pub(crate) fn placed(&self, task: fleet::TaskId) -> Vec<(fleet::WorkerId, u32)> {
+        let mut found = Vec::new();
+        for (id, worker) in &self.workers {
+            let runs = worker
+                .running
+                .keys()
+                .filter(|(running, _)| *running == task);
+            found.extend(runs.map(|(_, attempt)| (id.clone(), *attempt)));
+        }
+        found
+    }
+
+    /// Ends a task wherever it runs.
+    pub(crate) fn end(&mut self, task: fleet::TaskId, end: fleet::End) {
+        let placed = self.placed(task);
+        assert_eq!(placed.len(), 1, "{task} runs at {placed:?}");
+        let (worker, attempt) = placed[0].clone();
+        self.workers
+            .get_mut(&worker)
+            .unwrap()
+            .end(task, attempt, end);
+        self.settle();
+    }
+
+    pub(crate) fn starts(&self) -> usize {
+        self.workers
+            .values()
+            .map(|worker| worker.orders.len())
+            .sum()
+    }
+
+    /// Answers the oldest question; `good` says who may run the step.
+    pub(crate) fn advise(&mut self, good: impl Fn(&fleet::WorkerId) -> bool) -> Question {
+        let question = self.questions.remove(0);
+        let good = question.workers.iter().filter(|id| good(id));
+        let tickets = good.map(|id| fleet::Ticket {
+            worker: id.clone(),
+            token: format!("t-{id}"),
+        });
+        let tickets = tickets.collect();
+        self.scheduler
+            .advice_answered(&question, Some(tickets), self.now);
+        self.settle();
+        question
+    }
+
+    /// A new leader over the same store and workers.
+    pub(crate) fn take_over(&mut self, epoch: u64) {
+        let config = Config {
+            epoch: fleet::Epoch(epoch),
+            ..Config::default()
+        };
+        let mut scheduler = Scheduler::new(config);
+        for (key, bytes) in &self.store {
+            if let RecordKey::Job(id) = key {
+                scheduler
+                    .load_job(*id, bytes, self.now, self.wall_ms)
+                    .unwrap();
+            }
+        }
+        let mut recorded = Vec::new();
+        for (key, bytes) in &self.store {
+            match key {
+                RecordKey::Progress(id) => scheduler.load_progress(*id, bytes).unwrap(),
+                RecordKey::Workers => recorded = Scheduler::recorded_workers(bytes).unwrap(),
+                RecordKey::Job(_) => (),
+            }
+        }
+        scheduler.begin_recovery(recorded, self.now);
+        scheduler.member_joined(&"entry-2".parse().unwrap());
+        for worker in self.workers.values() {
+            scheduler.worker_listed(worker.entry.clone());
+        }
+        self.scheduler = scheduler;
+    }
+}
+
+impl FakeWorker {
+    pub(crate) fn begin(&mut self, order: &fleet::StartOrder) {
+        let running = fleet::RunningTask {
+            task: order.task,
+            attempt: order.attempt,
+            checkpoint: order.checkpoint.clone(),
+            pace_percent: 100,
+            used_cpu_millis: Some(1_000),
+        };
+        self.running.insert((order.task, order.attempt), running);
+    }
+
+    pub(crate) fn end(&mut self, task: fleet::TaskId, attempt: u32, end: fleet::End) {
+        let Some(running) = self.running.swap_remove(&(task, attempt)) else {
+            return;
+        };
+        self.ended += 1;
+        self.finished.push(fleet::FinishedRun {
+            number: self.ended,
+            task,
+            attempt,
+            end,
+            checkpoint: running.checkpoint,
+        });
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -0,0 +1,13 @@
+//! The scheduler of a fleet, with workers and a store that are plain memory.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod advice;
+mod callers;
+mod ends;
+mod gangs;
+mod kit;
+mod placing;
+mod records;
+mod recovery;
+mod trouble;
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/records.rs
@@ -0,0 +1,95 @@
+//! What is written, and what hangs on it.
+
+use figscale_core::fleet::RecordKey;
+use figscale_types::fleet;
+
+use crate::kit;
+use crate::kit::Cell;
+
+#[test]
+fn a_job_left_out_of_a_transaction_is_neither_stored_nor_refused() {
+    let mut cell = Cell::new(1);
+    for number in 1..=20 {
+        cell.submit(number, &kit::queue(1), kit::job(vec![kit::step(1, 0)]));
+    }
+    let records = cell.scheduler.take_records(12);
+    cell.keep(&records.records);
+    cell.scheduler.records_written(&records);
+    let stored = |number: &u64| cell.scheduler.is_stored(kit::job_id(*number));
+    let written = (1..=20).filter(stored).count();
+    assert!(
+        written > 0 && written < 20,
+        "{written} of 20 in a transaction of 12 records"
+    );
+    let kept = |number: &u64| {
+        cell.store
+            .contains_key(&RecordKey::Job(kit::job_id(*number)))
+    };
+    for number in 1..=20 {
+        assert_eq!(stored(&number), kept(&number), "job {number}");
+        assert!(cell.scheduler.state(kit::job_id(number)).is_some());
+    }
+}
+
+#[test]
+fn a_job_whose_write_failed_never_runs() {
+    let mut cell = Cell::new(1);
+    cell.submit(1, &kit::queue(1), kit::job(vec![kit::step(1, 1)]));
+    let records = cell.scheduler.take_records(kit::MOST_RECORDS);
+    cell.scheduler.records_not_written(&records);
+    cell.settle();
+    assert_eq!(cell.state(1), None);
+    assert_eq!(cell.starts(), 0);
+    assert!(!cell.store.contains_key(&RecordKey::Job(kit::job_id(1))));
+}
+
+#[test]
+fn ends_are_acknowledged_after_their_write_only() {
+    let mut cell = Cell::new(1);
+    cell.run(1, &kit::queue(1), vec![kit::step(2, 1)]);
+    let id = kit::worker_id(0);
+    let (_, attempt) = cell.placed(kit::task(1, 0, 0))[0].clone();
+    cell.worker(0)
+        .end(kit::task(1, 0, 0), attempt, fleet::End::Done);
+    cell.report(&id);
+    let acknowledged = |cell: &mut Cell| cell.scheduler.report_due(&id).unwrap().acknowledged;
+    assert_eq!(acknowledged(&mut cell), 0);
+    let records = cell.scheduler.take_records(kit::MOST_RECORDS);
+    assert_eq!(acknowledged(&mut cell), 0);
+    cell.scheduler.records_not_written(&records);
+    assert_eq!(acknowledged(&mut cell), 0);
+    cell.write();
+    assert_eq!(acknowledged(&mut cell), 1);
+}
+
+#[test]
+fn ends_beyond_a_full_transaction_are_not_acknowledged() {
+    let mut cell = Cell::new(1);
+    for number in 1..=20 {
+        cell.run(number, &kit::queue(1), vec![kit::step(2, 0)]);
+    }
+    for number in 1..=20 {
+        let (_, attempt) = cell.placed(kit::task(number, 0, 0))[0].clone();
+        cell.worker(0)
+            .end(kit::task(number, 0, 0), attempt, fleet::End::Done);
+    }
+    cell.report_all();
+    let records = cell.scheduler.take_records(10);
+    cell.scheduler.records_written(&records);
+    let due = cell.scheduler.report_due(&kit::worker_id(0)).unwrap();
+    assert_eq!(due.acknowledged, 0);
+}
+
+#[test]
+fn a_worker_is_recorded_before_it_gets_work() {
+    let mut cell = Cell::new(0);
+    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
+    cell.add_worker(0, 64);
+    cell.report_all();
+    cell.scheduler.plan(cell.now);
+    cell.carry_out();
+    assert_eq!(cell.starts(), 0);
+    cell.settle();
+    assert_eq!(cell.starts(), 1);
+    assert!(cell.store.contains_key(&RecordKey::Workers));
+}
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/recovery.rs
@@ -0,0 +1,104 @@
+//! A new leader over what the last one left.
+
+use figscale_types::fleet::End;
+use figscale_types::fleet::JobState;
+
+use crate::kit;
+use crate::kit::Cell;
+
+#[test]
+fn running_tasks_go_on_under_the_next_leader() {
+    let mut cell = Cell::new(3);
+    cell.run(1, &kit::queue(1), vec![kit::step(4, 1)]);
+    cell.take_over(2);
+    cell.settle();
+    cell.pass(500);
+    assert_eq!(cell.starts(), 4);
+    for index in 0..4 {
+        cell.end(kit::task(1, 0, index), End::Done);
+    }
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn a_done_task_never_starts_again() {
+    let mut cell = Cell::new(1);
+    cell.run(1, &kit::queue(1), vec![kit::step(2, 1)]);
+    cell.end(kit::task(1, 0, 0), End::Done);
+    cell.take_over(2);
+    cell.pass(6_000);
+    assert_eq!(cell.starts(), 2);
+    cell.end(kit::task(1, 0, 1), End::Done);
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+}
+
+/// The worker that runs the task does not answer the new leader.
+#[test]
+fn a_task_that_is_not_found_waits_for_every_lease() {
+    let mut cell = Cell::new(3);
+    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
+    let (home, _) = cell.placed(kit::task(1, 0, 0))[0].clone();
+    cell.workers.get_mut(&home).unwrap().reachable = false;
+    cell.take_over(2);
+    cell.pass(4_000);
+    assert_eq!(cell.starts(), 1, "started while its first run may go on");
+    cell.pass(1_500);
+    assert_eq!(cell.starts(), 2);
+}
+
+#[test]
+fn new_jobs_do_not_wait_for_silent_workers() {
+    let mut cell = Cell::new(3);
+    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
+    cell.worker(0).reachable = false;
+    cell.take_over(2);
+    cell.settle();
+    cell.run(2, &kit::queue(1), vec![kit::step(1, 1)]);
+    assert_eq!(cell.placed(kit::task(2, 0, 0)).len(), 1);
+}
+
+#[test]
+fn attempts_rise_over_terms() {
+    let mut cell = Cell::new(1);
+    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
+    cell.take_over(2);
+    cell.settle();
+    cell.end(kit::task(1, 0, 0), End::Stopped);
+    let attempts: Vec<u32> = cell
+        .worker(0)
+        .orders
+        .iter()
+        .map(|order| order.attempt)
+        .collect();
+    assert_eq!(attempts, [1, 1_001]);
+}
+
+#[test]
+fn a_gang_started_in_part_begins_again() {
+    let mut cell = Cell::with_cores(2, 10);
+    cell.run(1, &kit::queue(1), vec![kit::gang(2, 8)]);
+    let lost = cell.placed(kit::task(1, 0, 1))[0].clone();
+    cell.workers[&lost.0].running.clear();
+    cell.take_over(2);
+    cell.pass(1_000);
+    let attempts: Vec<u32> = (0..2)
+        .map(|index| cell.placed(kit::task(1, 0, index))[0].1)
+        .collect();
+    assert_eq!(attempts, [1_001, 1_001]);
+}
+
+/// What ran for a job that nobody knows is stopped, and takes all room until
+/// it has ended.
+#[test]
+fn runs_of_unknown_jobs_are_stopped() {
+    let mut cell = Cell::new(1);
+    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
+    cell.store
+        .shift_remove(&figscale_core::fleet::RecordKey::Job(kit::job_id(1)));
+    cell.store
+        .shift_remove(&figscale_core::fleet::RecordKey::Progress(kit::job_id(1)));
+    cell.take_over(2);
+    cell.settle();
+    assert_eq!(cell.stops.len(), 1);
+    assert!(cell.placed(kit::task(1, 0, 0)).is_empty());
+}
--- a/crates/figscale-types/src/fleet/ids.rs
+++ b/crates/figscale-types/src/fleet/ids.rs
@@ -49,7 +49,12 @@
 
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { job, occurrence, step, index } = self;
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
         write!(f, "{job}.{occurrence}.{step}.{index}")
     }
 }
@@ -61,14 +66,24 @@
         let bad = || error::ParseError::new("task id", text, "JOB.OCCURRENCE.STEP.INDEX");
         let mut parts = text.split('.');
         let job = parts.next().ok_or_else(bad)?.parse()?;
-        let mut number = || parts.next().and_then(|part| part.parse().ok()).ok_or_else(bad);
+        let mut number = || {
+            parts
+                .next()
+                .and_then(|part| part.parse().ok())
+                .ok_or_else(bad)
+        };
         let occurrence = number()?;
         let step = number()?;
         let index = number()?;
         if parts.next().is_some() {
             return Err(bad());
         }
-        Ok(Self { job, occurrence, step, index })
+        Ok(Self {
+            job,
+            occurrence,
+            step,
+            index,
+        })
     }
 }
 
@@ -95,7 +110,11 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         if text.is_empty() || text.chars().any(char::is_whitespace) {
-            return Err(error::ParseError::new("worker id", text, "visible characters"));
+            return Err(error::ParseError::new(
+                "worker id",
+                text,
+                "visible characters",
+            ));
         }
         Ok(Self(text.to_owned()))
     }
--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -222,7 +222,11 @@
             }
             cause = why;
         }
-        Err(CallError { verdict, refused: false, cause })
+        Err(CallError {
+            verdict,
+            refused: false,
+            cause,
+        })
     }
 }
 
--- a/crates/figscale/src/fleet/advice.rs
+++ b/crates/figscale/src/fleet/advice.rs
@@ -17,7 +17,14 @@
     let context = context.clone();
     let answer = move |_from, (question, expected_ms): (advice::Question, u64)| {
         let context = context.clone();
-        async move { ask(&context, &question, time::Duration::from_millis(expected_ms)).await }
+        async move {
+            ask(
+                &context,
+                &question,
+                time::Duration::from_millis(expected_ms),
+            )
+            .await
+        }
     };
     handlers.on_call(calls::ADVICE_SERVICE, answer);
 }
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -28,7 +28,10 @@
     /// How many jobs of a queue wait?
     Pending { queue: String },
     /// An entry instance is there, and can ask for advice.
-    Hello { member: ids::MemberId, address: net::SocketAddr },
+    Hello {
+        member: ids::MemberId,
+        address: net::SocketAddr,
+    },
 }
 
 /// The leader's answer.
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -104,18 +104,30 @@
 /// a peer, and then stands for the watch.
 async fn follow(context: &Context) -> Result<(), CallError> {
     let listing = context.store.list(keys::LEAD).await?;
-    see(context, listing.items.iter().find(|item| item.key == keys::LEAD));
+    see(
+        context,
+        listing.items.iter().find(|item| item.key == keys::LEAD),
+    );
     let mut revision = listing.revision;
     loop {
-        match context.store.watch(keys::LEAD, revision, WATCH_WAIT).await? {
+        match context
+            .store
+            .watch(keys::LEAD, revision, WATCH_WAIT)
+            .await?
+        {
             store::Watched::Compacted => return Ok(()),
-            store::Watched::Events { events, revision: newer } => {
+            store::Watched::Events {
+                events,
+                revision: newer,
+            } => {
                 for event in &events {
                     match event {
                         store::Event::Written(item) if item.key == keys::LEAD => {
                             see(context, Some(item));
                         }
-                        store::Event::Removed { key, .. } if key == keys::LEAD => see(context, None),
+                        store::Event::Removed { key, .. } if key == keys::LEAD => {
+                            see(context, None)
+                        }
                         _ => (),
                     }
                 }
@@ -143,7 +155,10 @@
 
 /// Takes note of a leader of a later term than the one known.
 pub(super) fn adopt(known: &mut Leadership, leader: Leader) {
-    let older = known.leader.as_ref().is_some_and(|old| old.epoch >= leader.epoch);
+    let older = known
+        .leader
+        .as_ref()
+        .is_some_and(|old| old.epoch >= leader.epoch);
     if older {
         return;
     }
@@ -216,10 +231,19 @@
     }
     if known.key_revision > 0 {
         let ended = known.ended_revision == Some(known.key_revision);
-        return if ended { Vacancy::Now(known.key_revision) } else { Vacancy::Unknown };
+        return if ended {
+            Vacancy::Now(known.key_revision)
+        } else {
+            Vacancy::Unknown
+        };
     }
-    let answers = known.answered_at.is_some_and(|at| now < at + ANSWERING_GRACE);
-    let until = known.vacant_since.filter(|_| answers).map(|since| since + ANSWERING_GRACE);
+    let answers = known
+        .answered_at
+        .is_some_and(|at| now < at + ANSWERING_GRACE);
+    let until = known
+        .vacant_since
+        .filter(|_| answers)
+        .map(|since| since + ANSWERING_GRACE);
     match until.filter(|until| now < *until) {
         Some(until) => Vacancy::In(until - now),
         None => Vacancy::Now(0),
@@ -233,7 +257,11 @@
     let known = head_item.as_ref().and_then(ledger::decode_head);
     let last = known.map_or(fleet::Epoch(0), |head| head.epoch);
     let epoch = fleet::Epoch(last.0 + 1);
-    let head = ledger::Head { epoch, leader: context.me.clone(), sequence: 0 };
+    let head = ledger::Head {
+        epoch,
+        leader: context.me.clone(),
+        sequence: 0,
+    };
     let leader = Leader {
         member: context.me.clone(),
         address: context.settings.peer_address,
@@ -244,7 +272,10 @@
     let transaction = store::Transaction {
         expected: vec![
             (keys::LEAD.to_owned(), key_revision),
-            (keys::HEAD.to_owned(), head_item.map_or(0, |item| item.revision)),
+            (
+                keys::HEAD.to_owned(),
+                head_item.map_or(0, |item| item.revision),
+            ),
         ],
         writes: vec![
             (keys::LEAD.to_owned(), ledger::encode(&leader), Some(lease)),
@@ -260,7 +291,12 @@
         key_revision = key_revision
     );
     match won {
-        Some(head_revision) => Ok(Some(Won { head, head_revision, lease, leader })),
+        Some(head_revision) => Ok(Some(Won {
+            head,
+            head_revision,
+            lease,
+            leader,
+        })),
         None => {
             // Nothing lives by it; it would end by itself as well.
             let _ = context.store.revoke(lease).await;
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -86,7 +86,10 @@
     let until = async move {
         let _ = stopped.wait_for(|stop| *stop).await;
     };
-    let _ = axum::serve(listener, app).with_graceful_shutdown(until).into_future().await;
+    let _ = axum::serve(listener, app)
+        .with_graceful_shutdown(until)
+        .into_future()
+        .await;
 }
 
 /// Ready with a configuration and a leader, and not while leaving.
@@ -144,21 +147,31 @@
     let header = headers.get(ingress::DEADLINE_HEADER);
     let text = header.and_then(|value| value.to_str().ok());
     let wait_ms = text.and_then(|text| text.trim().parse::<f64>().ok());
-    wait_ms.map_or(STANDARD_DEADLINE, |ms| time::Duration::from_millis(ms.max(0.0) as u64))
+    wait_ms.map_or(STANDARD_DEADLINE, |ms| {
+        time::Duration::from_millis(ms.max(0.0) as u64)
+    })
 }
 
 /// The host that the caller named, without a port.
 fn host_of(head: &http::request::Parts) -> String {
     let header = head.headers.get(http::header::HOST);
-    let named = header.and_then(|value| value.to_str().ok()).or_else(|| head.uri.host());
+    let named = header
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| head.uri.host());
     let host = named.unwrap_or_default();
-    host.split(':').next().unwrap_or_default().to_ascii_lowercase()
+    host.split(':')
+        .next()
+        .unwrap_or_default()
+        .to_ascii_lowercase()
 }
 
 async fn dispatch(context: &Context, call: Call) -> response::Response {
     let table = context.queues.borrow().clone();
     if table.version == 0 {
-        return refuse(http::StatusCode::SERVICE_UNAVAILABLE, LEADERLESS_RETRY_AFTER_MS);
+        return refuse(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            LEADERLESS_RETRY_AFTER_MS,
+        );
     }
     let Some(queue) = table.find(&call.host, &call.path).cloned() else {
         return not_found(&call, "no such queue");
@@ -194,7 +207,12 @@
 }
 
 fn json(status: http::StatusCode, body: bytes::Bytes) -> response::Response {
-    (status, [(http::header::CONTENT_TYPE, "application/json")], body).into_response()
+    (
+        status,
+        [(http::header::CONTENT_TYPE, "application/json")],
+        body,
+    )
+        .into_response()
 }
 
 async fn submit(
@@ -211,7 +229,11 @@
         }
     };
     let queue_name = queue.name.clone();
-    let question = LeaderCall::Submit { job, queue, description };
+    let question = LeaderCall::Submit {
+        job,
+        queue,
+        description,
+    };
     let started = context.clock.now();
     let (answer, verdict) = ask_leader(context, &question, call.deadline).await;
     let waited_ms = clock::millis(context.clock.now().saturating_duration_since(started));
@@ -233,8 +255,16 @@
         }
         _ if verdict == Verdict::NotRun => {
             let cause = "no leader";
-            crate::event!(events::fleet::JOB_REFUSED, job = job, queue = queue_name, cause = cause);
-            refuse(http::StatusCode::SERVICE_UNAVAILABLE, LEADERLESS_RETRY_AFTER_MS)
+            crate::event!(
+                events::fleet::JOB_REFUSED,
+                job = job,
+                queue = queue_name,
+                cause = cause
+            );
+            refuse(
+                http::StatusCode::SERVICE_UNAVAILABLE,
+                LEADERLESS_RETRY_AFTER_MS,
+            )
         }
         _ => {
             crate::event!(
@@ -286,7 +316,10 @@
         method = call.method,
         path = call.path
     );
-    refuse(http::StatusCode::SERVICE_UNAVAILABLE, LEADERLESS_RETRY_AFTER_MS)
+    refuse(
+        http::StatusCode::SERVICE_UNAVAILABLE,
+        LEADERLESS_RETRY_AFTER_MS,
+    )
 }
 
 /// Asks whoever leads until there is an answer or the caller's time is up; with
@@ -326,7 +359,9 @@
     let leadership = context.leadership.borrow().clone();
     if leadership.leading {
         let answer = term::call_here(context, call.clone());
-        return tokio::time::timeout(timeout, answer).await.map_err(|_| Verdict::MayHaveRun);
+        return tokio::time::timeout(timeout, answer)
+            .await
+            .map_err(|_| Verdict::MayHaveRun);
     }
     let Some(leader) = leadership.leader else {
         return Err(Verdict::NotRun);
@@ -335,7 +370,10 @@
         return Err(Verdict::NotRun);
     }
     let service = calls::LEADER_SERVICE;
-    let answer = context.peers.call(leader.address, service, call, timeout).await;
+    let answer = context
+        .peers
+        .call(leader.address, service, call, timeout)
+        .await;
     answer.map_err(|error| {
         if error.verdict != Verdict::NotRun || membership::is_refused(&error) {
             context.peers.forget(leader.address);
--- a/crates/figscale/src/fleet/follow.rs
+++ b/crates/figscale/src/fleet/follow.rs
@@ -41,9 +41,16 @@
     }
     let mut revision = listing.revision;
     loop {
-        match context.store.watch(config::KEY, revision, WATCH_WAIT).await? {
+        match context
+            .store
+            .watch(config::KEY, revision, WATCH_WAIT)
+            .await?
+        {
             store::Watched::Compacted => return Ok(()),
-            store::Watched::Events { events, revision: newer } => {
+            store::Watched::Events {
+                events,
+                revision: newer,
+            } => {
                 for event in events {
                     if let store::Event::Written(item) = event {
                         adopt(context, &item);
@@ -62,7 +69,11 @@
     let table = match config::decode(&item.value) {
         Ok(table) => table,
         Err(error) => {
-            crate::event!(events::fleet::CONFIG_INVALID, revision = item.revision, error = error);
+            crate::event!(
+                events::fleet::CONFIG_INVALID,
+                revision = item.revision,
+                error = error
+            );
             return;
         }
     };
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -62,7 +62,11 @@
 impl Ledger {
     /// Continues after the head that was written at `revision`.
     pub(super) fn new(store: sync::Arc<access::Access>, head: Head, revision: u64) -> Self {
-        Self { store, head, revision }
+        Self {
+            store,
+            head,
+            revision,
+        }
     }
 
     /// Writes records, and names the leader anew where a lease is given.
@@ -72,7 +76,10 @@
         lead: Option<(Vec<u8>, store::LeaseId)>,
         clock: &figscale_types::clock::SharedClock,
     ) -> Result<(), WriteError> {
-        let next = Head { sequence: self.head.sequence + 1, ..self.head.clone() };
+        let next = Head {
+            sequence: self.head.sequence + 1,
+            ..self.head.clone()
+        };
         let transaction = self.transaction(&next, records, lead);
         let started = clock.now();
         let mut in_doubt = false;
@@ -128,7 +135,9 @@
             removals: Vec::new(),
         };
         if let Some((value, lease)) = lead {
-            transaction.writes.push((keys::LEAD.to_owned(), value, Some(lease)));
+            transaction
+                .writes
+                .push((keys::LEAD.to_owned(), value, Some(lease)));
         }
         for record in records {
             let key = keys::of_record(record.key);
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -99,7 +99,10 @@
     // A link can have broken long ago, so a failure is tried once more.
     for _ in 0..2 {
         let service = calls::LEADER_SERVICE;
-        let answer = context.peers.call(leader.address, service, &call, HELLO_TIMEOUT).await;
+        let answer = context
+            .peers
+            .call(leader.address, service, &call, HELLO_TIMEOUT)
+            .await;
         match answer {
             Ok(calls::LeaderAnswer::Welcome { peers }) => return Outcome::Welcome(peers),
             Ok(_) => return Outcome::NotLeading,
@@ -126,7 +129,11 @@
         if !same || known.ended_revision == Some(key_revision) {
             return false;
         }
-        crate::event!(events::fleet::LEADER_ENDED, leader = leader.member, epoch = leader.epoch);
+        crate::event!(
+            events::fleet::LEADER_ENDED,
+            leader = leader.member,
+            epoch = leader.epoch
+        );
         known.ended_revision = Some(key_revision);
         known.answered_at = None;
         true
@@ -136,14 +143,21 @@
 /// Where the store cannot be read, a peer may know of a new leader.
 async fn ask_peers(context: &Context) {
     for other in context.store.roster() {
-        let answer: Result<Option<election::Leader>, _> =
-            context.peers.call(other, WHO_LEADS, &WhoLeads, HELLO_TIMEOUT / 2).await;
+        let answer: Result<Option<election::Leader>, _> = context
+            .peers
+            .call(other, WHO_LEADS, &WhoLeads, HELLO_TIMEOUT / 2)
+            .await;
         if let Ok(Some(leader)) = answer {
             let newer = |known: &election::Leadership| {
-                known.leader.as_ref().is_none_or(|old| old.epoch < leader.epoch)
+                known
+                    .leader
+                    .as_ref()
+                    .is_none_or(|old| old.epoch < leader.epoch)
             };
             if newer(&context.leadership.borrow()) {
-                context.leadership.send_modify(|known| election::adopt(known, leader.clone()));
+                context
+                    .leadership
+                    .send_modify(|known| election::adopt(known, leader.clone()));
                 return;
             }
         }
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -88,7 +88,9 @@
     fleet: settings::FleetSettings,
     clock: clock::SharedClock,
 ) -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let handle = runtime.handle().clone();
     runtime.block_on(serve(settings, fleet, clock, handle))
 }
@@ -114,7 +116,11 @@
     term::start(&context, &mut handlers);
     election::start(&context, &mut handlers);
     follow::start(&context);
-    tokio::spawn(peer::listen(peers, context.settings.peer_token.clone(), handlers));
+    tokio::spawn(peer::listen(
+        peers,
+        context.settings.peer_token.clone(),
+        handlers,
+    ));
     let mut served = entry::start(&context, callers, ready);
     operators::start(&context, operators);
     crate::event!(events::process::PROCESS_STARTED, member = context.me);
--- a/crates/figscale/src/fleet/outcome.rs
+++ b/crates/figscale/src/fleet/outcome.rs
@@ -7,7 +7,12 @@
 /// Logs a note of the scheduler.
 pub(super) fn log(note: &Note) {
     match note {
-        Note::JobEnded { job, state, after, late } => {
+        Note::JobEnded {
+            job,
+            state,
+            after,
+            late,
+        } => {
             crate::event!(
                 events::JOB_ENDED,
                 job = job,
@@ -16,7 +21,12 @@
                 late = late
             );
         }
-        Note::RunEnded { task, attempt, worker, end } => {
+        Note::RunEnded {
+            task,
+            attempt,
+            worker,
+            end,
+        } => {
             crate::event!(
                 events::RUN_ENDED,
                 task = task,
@@ -25,7 +35,12 @@
                 end = format_args!("{end:?}")
             );
         }
-        Note::StartRefused { task, attempt, worker, refusal } => {
+        Note::StartRefused {
+            task,
+            attempt,
+            worker,
+            refusal,
+        } => {
             crate::event!(
                 events::START_REFUSED,
                 task = task,
@@ -40,8 +55,17 @@
         Note::WorkerLost { worker, runs } => {
             crate::event!(events::WORKER_LOST, worker = worker, runs = runs);
         }
-        Note::StrayRun { task, attempt, worker } => {
-            crate::event!(events::STRAY_RUN, task = task, attempt = attempt, worker = worker);
+        Note::StrayRun {
+            task,
+            attempt,
+            worker,
+        } => {
+            crate::event!(
+                events::STRAY_RUN,
+                task = task,
+                attempt = attempt,
+                worker = worker
+            );
         }
         Note::Recovered { open_jobs, runs } => {
             crate::event!(events::RECOVERED, open_jobs = open_jobs, runs = runs);
--- a/crates/figscale/src/fleet/term.rs
+++ b/crates/figscale/src/fleet/term.rs
@@ -55,8 +55,9 @@
 /// When a caller should come back after the store was away.
 const STORE_RETRY_AFTER_MS: u64 = 1_000;
 /// The answer while the store is away.
-const STORE_AWAY: LeaderAnswer =
-    LeaderAnswer::StoreAway { retry_after_ms: STORE_RETRY_AFTER_MS };
+const STORE_AWAY: LeaderAnswer = LeaderAnswer::StoreAway {
+    retry_after_ms: STORE_RETRY_AFTER_MS,
+};
 /// Pause between writes that try whether the store is back.
 const AWAY_WRITE_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// An instance that has not greeted for so long is gone.
@@ -94,7 +95,10 @@
     /// All workers, as the platform lists them.
     Listing(Vec<fleet::WorkerEntry>),
     /// A worker's report, or why there is none.
-    Reported(fleet::WorkerId, Result<platform_workers::ReportOutcome, CallError>),
+    Reported(
+        fleet::WorkerId,
+        Result<platform_workers::ReportOutcome, CallError>,
+    ),
     /// A start was answered, or not.
     StartAnswered {
         worker: fleet::WorkerId,
@@ -181,9 +185,9 @@
     match address.call(|reply| LeaderMessage { call, reply }).await {
         Ok(answer) => answer,
         Err(kernel::Unavailable::Gone(_)) => LeaderAnswer::Unknown,
-        Err(kernel::Unavailable::Full(_)) => {
-            LeaderAnswer::Refused { retry_after_ms: STORE_RETRY_AFTER_MS }
-        }
+        Err(kernel::Unavailable::Full(_)) => LeaderAnswer::Refused {
+            retry_after_ms: STORE_RETRY_AFTER_MS,
+        },
         Err(kernel::Unavailable::Unknown(_)) => LeaderAnswer::NotLeader,
     }
 }
@@ -220,8 +224,14 @@
     let ended = term.run(&mut inbox, &mut received).await;
     watching.abort();
     renewal.abort();
-    context.leadership.send_modify(|known| known.leading = false);
-    crate::event!(events::fleet::TERM_ENDED, epoch = epoch, how = format_args!("{ended:?}"));
+    context
+        .leadership
+        .send_modify(|known| known.leading = false);
+    crate::event!(
+        events::fleet::TERM_ENDED,
+        epoch = epoch,
+        how = format_args!("{ended:?}")
+    );
     if ended != Ended::Deposed {
         // Tells the others at once; if it gets lost, the lease ends by itself.
         let _ = context.store.revoke(term.lease).await;
@@ -292,7 +302,9 @@
             log_invalid(&item.key, scheduler.load_progress(id, &item.value));
         }
     }
-    let ids = recorded.map(|item| Scheduler::recorded_workers(&item.value)).transpose();
+    let ids = recorded
+        .map(|item| Scheduler::recorded_workers(&item.value))
+        .transpose();
     let ids = match ids {
         Ok(ids) => ids.unwrap_or_default(),
         Err(error) => {
@@ -388,7 +400,11 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Start { worker, order } => self.workers.start(worker, order),
-            Action::Stop { worker, task, attempt } => self.workers.stop(worker, task, attempt),
+            Action::Stop {
+                worker,
+                task,
+                attempt,
+            } => self.workers.stop(worker, task, attempt),
             Action::Ask(question) => self.ask(question),
             Action::StepDown => self.ended = Some(Ended::Deposed),
             Action::Tell(note) => outcome::log(&note),
@@ -434,8 +450,14 @@
         match message {
             Message::Listing(entries) => self.on_listing(entries, now),
             Message::Reported(id, report) => self.on_report(&id, report, now),
-            Message::StartAnswered { worker, task, attempt, outcome } => {
-                self.scheduler.start_answered(&worker, task, attempt, outcome, now);
+            Message::StartAnswered {
+                worker,
+                task,
+                attempt,
+                outcome,
+            } => {
+                self.scheduler
+                    .start_answered(&worker, task, attempt, outcome, now);
             }
             Message::Advised(question, good) => {
                 self.scheduler.advice_answered(&question, good, now);
@@ -500,7 +522,11 @@
     fn on_call(&mut self, message: LeaderMessage) {
         let LeaderMessage { call, reply } = message;
         match call {
-            LeaderCall::Submit { job, queue, description } => {
+            LeaderCall::Submit {
+                job,
+                queue,
+                description,
+            } => {
                 self.on_submit(job, &queue, description, reply);
             }
             LeaderCall::State { job } => reply.send(LeaderAnswer::State(self.told_state(job))),
@@ -518,7 +544,9 @@
 
     /// A job that is not in the store yet may still come to nothing.
     fn told_state(&self, job: fleet::JobId) -> Option<fleet::JobState> {
-        self.scheduler.state(job).filter(|_| self.scheduler.is_stored(job))
+        self.scheduler
+            .state(job)
+            .filter(|_| self.scheduler.is_stored(job))
     }
 
     fn on_hello(&mut self, member: ids::MemberId, address: std::net::SocketAddr) {
@@ -532,7 +560,11 @@
     /// Whether a job taken now would most likely not be written in time.
     fn store_is_away(&self) -> bool {
         let now = self.now();
-        self.store_away || self.writing.as_ref().is_some_and(|writing| now > writing.started + SLOW_WRITE)
+        self.store_away
+            || self
+                .writing
+                .as_ref()
+                .is_some_and(|writing| now > writing.started + SLOW_WRITE)
     }
 
     fn on_submit(
@@ -545,7 +577,12 @@
         let known = self.scheduler.state(job).is_some();
         if !known && self.store_is_away() {
             let cause = "the store is away";
-            crate::event!(events::fleet::JOB_REFUSED, job = job, queue = queue.name, cause = cause);
+            crate::event!(
+                events::fleet::JOB_REFUSED,
+                job = job,
+                queue = queue.name,
+                cause = cause
+            );
             reply.send(STORE_AWAY);
             return;
         }
@@ -553,7 +590,10 @@
         match self.scheduler.submit(job, queue, description, now, wall_ms) {
             Admission::Known => reply.send(LeaderAnswer::Accepted),
             Admission::Accepted => {
-                self.waiting.push(Waiting { reply, awaited: Awaited::Submitted(job) });
+                self.waiting.push(Waiting {
+                    reply,
+                    awaited: Awaited::Submitted(job),
+                });
             }
             Admission::Refused { retry_after } => {
                 let retry_after_ms = figscale_types::clock::millis(retry_after);
@@ -579,7 +619,10 @@
                     job = job,
                     state = format_args!("{state:?}")
                 );
-                self.waiting.push(Waiting { reply, awaited: Awaited::Cancelled(job, state) });
+                self.waiting.push(Waiting {
+                    reply,
+                    awaited: Awaited::Cancelled(job, state),
+                });
             }
         }
     }
@@ -587,7 +630,10 @@
     fn ask(&self, question: Question) {
         let context = self.context.clone();
         let messages = self.messages.clone();
-        let address = self.members.get(&question.member).map(|member| member.address);
+        let address = self
+            .members
+            .get(&question.member)
+            .map(|member| member.address);
         tokio::spawn(async move {
             let asked = advice::Question {
                 task: question.task,
@@ -613,7 +659,8 @@
             true => URGENT_WRITE_PAUSE,
             false => WRITE_PAUSE,
         };
-        let wanted = urgent || self.store_away || self.new_lease.is_some() || self.scheduler.has_records();
+        let wanted =
+            urgent || self.store_away || self.new_lease.is_some() || self.scheduler.has_records();
         if !wanted || now < self.last_write + pause {
             return;
         }
@@ -631,7 +678,10 @@
             return;
         }
         self.spawn_write(ledger, &records, lease);
-        self.writing = Some(Writing { records, started: now });
+        self.writing = Some(Writing {
+            records,
+            started: now,
+        });
     }
 
     fn spawn_write(
@@ -650,11 +700,7 @@
         });
     }
 
-    fn on_written(
-        &mut self,
-        result: Result<(), ledger::WriteError>,
-        ledger: Box<ledger::Ledger>,
-    ) {
+    fn on_written(&mut self, result: Result<(), ledger::WriteError>, ledger: Box<ledger::Ledger>) {
         self.ledger = Some(ledger);
         let Some(writing) = self.writing.take() else {
             return;
--- a/crates/figscale/src/fleet/workers.rs
+++ b/crates/figscale/src/fleet/workers.rs
@@ -74,10 +74,17 @@
 
     /// A worker is to be asked from now on.
     pub(super) fn add(&mut self, entry: &fleet::WorkerEntry) {
-        let address =
-            workers::WorkerAddress { id: entry.id.clone(), address: entry.address };
+        let address = workers::WorkerAddress {
+            id: entry.id.clone(),
+            address: entry.address,
+        };
         let now = self.context.clock.now();
-        let link = Link { address, next: Next::At(now), answers: true, first: true };
+        let link = Link {
+            address,
+            next: Next::At(now),
+            answers: true,
+            first: true,
+        };
         self.links.entry(entry.id.clone()).or_insert(link);
     }
 
@@ -93,12 +100,12 @@
         };
         let ids: Vec<fleet::WorkerId> = self.links.iter().filter_map(due).collect();
         for id in ids {
-            self.call(&id, scheduler, now);
+            self.call(&id, scheduler);
         }
     }
 
-    fn call(&mut self, id: &fleet::WorkerId, scheduler: &mut Scheduler, now: time::Instant) {
-        let Some(due) = scheduler.report_due(id, now) else {
+    fn call(&mut self, id: &fleet::WorkerId, scheduler: &mut Scheduler) {
+        let Some(due) = scheduler.report_due(id) else {
             self.links.swap_remove(id);
             return;
         };
@@ -111,7 +118,11 @@
             epoch: self.epoch,
             acknowledged: due.acknowledged,
             lease_until_clock_ms: due.lease_until_clock_ms,
-            wait: if quick { time::Duration::ZERO } else { REPORT_WAIT },
+            wait: if quick {
+                time::Duration::ZERO
+            } else {
+                REPORT_WAIT
+            },
         };
         let (calls, address) = (self.calls.clone(), link.address.clone());
         let messages = self.messages.clone();
@@ -174,7 +185,12 @@
                     clock_ms = clock_ms
                 );
             }
-            let answer = Message::StartAnswered { worker, task, attempt, outcome };
+            let answer = Message::StartAnswered {
+                worker,
+                task,
+                attempt,
+                outcome,
+            };
             let _ = messages.send(answer).await;
         });
     }
