--- /dev/null
+++ b/crates/figscale/tests/fleet_process.rs
@@ -0,0 +1,231 @@
+//! Jobs over the users' platform, by real entry instances as processes.
+//!
+//! The platform is a stand-in in the test's process; entry instances are
+//! `figscale serve` with the `fleet` section. What must hold is judged by what
+//! the workers saw and by what callers were told.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet_support;
+
+use std::time;
+
+use fleet_support::Fleet;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_runs_through_any_instance() {
+    let fleet = Fleet::start(3, 2, true).await;
+    assert_eq!(fleet.submit(0, 0xa1, 2, "50").await, 200);
+    assert_eq!(fleet.submit(1, 0xa1, 2, "50").await, 200, "a repeat is the same job");
+    fleet.wait_for_state(2, 0xa1, "completed").await;
+    assert_eq!(fleet.platform.ledger.done(), 2);
+    assert_eq!(fleet.platform.ledger.runs().len(), 2);
+    assert!(fleet.platform.advice.questions() > 0);
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_told_what_there_is() {
+    let fleet = Fleet::start(2, 1, false).await;
+    assert_eq!(fleet.get(0, "/jobs/00000000000000ff").await.status, 410);
+    assert_eq!(fleet.get(0, "/other/00000000000000ff").await.status, 404);
+    assert_eq!(fleet.get(0, "/jobs/not-an-id").await.status, 404);
+    assert_eq!(fleet.get(0, "/jobs/").await.text(), r#"{"pending":0}"#);
+    assert_eq!(fleet.post(0, "/jobs/00000000000000ff", "{").await.status, 400);
+    assert_eq!(fleet.submit(0, 0xb1, 1, "60000").await, 200);
+    fleet.wait_for_state(1, 0xb1, "running").await;
+    assert_eq!(fleet.cancel(1, 0xb1).await, 200);
+    fleet.wait_for_state(0, 0xb1, "cancelled").await;
+    fleet
+        .wait("the run to be stopped", || {
+            fleet.platform.ledger.runs().iter().all(|run| run.end.as_deref() == Some("stopped"))
+        })
+        .await;
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failing_job_fails_after_its_attempts() {
+    let fleet = Fleet::start(1, 3, false).await;
+    assert_eq!(fleet.submit(0, 0xc1, 1, "fail").await, 200);
+    fleet.wait_for_state(0, 0xc1, "failed").await;
+    assert_eq!(fleet.platform.ledger.runs().len(), 2);
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_goes_on_after_the_leader_was_killed() {
+    let mut fleet = Fleet::start(3, 3, true).await;
+    for number in 0..6 {
+        assert_eq!(fleet.submit(0, 0xd00 + number, 2, "1500").await, 200);
+    }
+    let leader = fleet.leader().await;
+    fleet.kill(leader);
+    let other = (leader + 1) % 3;
+    let begun = time::Instant::now();
+    fleet.submit_until_taken(other, 0xdff, 1, "50").await;
+    assert!(begun.elapsed() < time::Duration::from_secs(10), "{:?}", begun.elapsed());
+    for number in 0..6 {
+        fleet.wait_for_state(other, 0xd00 + number, "completed").await;
+    }
+    fleet.wait_for_state(other, 0xdff, "completed").await;
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_leader_does_no_harm_when_it_wakes() {
+    let mut fleet = Fleet::start(3, 3, false).await;
+    for number in 0..6 {
+        assert_eq!(fleet.submit(0, 0xe00 + number, 2, "1000").await, 200);
+    }
+    let leader = fleet.leader().await;
+    fleet.signal(leader, "STOP");
+    let other = (leader + 1) % 3;
+    fleet.submit_until_taken(other, 0xeff, 1, "50").await;
+    fleet.signal(leader, "CONT");
+    for number in 0..6 {
+        fleet.wait_for_state(leader, 0xe00 + number, "completed").await;
+    }
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_instances_killed_lose_no_job() {
+    let mut fleet = Fleet::start(2, 2, false).await;
+    for number in 0..4 {
+        assert_eq!(fleet.submit(0, 0xf00 + number, 1, "800").await, 200);
+    }
+    for instance in 0..2 {
+        fleet.kill(instance);
+    }
+    for instance in 0..2 {
+        fleet.launch(instance);
+    }
+    for number in 0..4 {
+        fleet.wait_for_state(1, 0xf00 + number, "completed").await;
+    }
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_store_jobs_are_refused_and_running_work_goes_on() {
+    let fleet = Fleet::start(2, 2, false).await;
+    assert_eq!(fleet.submit(0, 0x101, 1, "2000").await, 200);
+    fleet.wait_for_state(0, 0x101, "running").await;
+    fleet.platform.store.change_faults(|faults| faults.busy = true);
+    let refused = fleet.submit_answer(0, 0x102, 1, "50").await;
+    assert_eq!(refused.status, 503);
+    assert!(!refused.header("retry-after").is_empty());
+    fleet
+        .wait("the running task to end", || fleet.platform.ledger.done() == 1)
+        .await;
+    fleet.platform.store.change_faults(|faults| faults.busy = false);
+    fleet.wait_for_state(0, 0x101, "completed").await;
+    let never = fleet.platform.ledger.runs().iter().all(|run| !run.task.contains("102."));
+    assert!(never, "a refused job ran");
+    fleet.submit_until_taken(0, 0x103, 1, "50").await;
+    fleet.wait_for_state(1, 0x103, "completed").await;
+    fleet.check();
+}
+
+/// Transactions are executed without an answer, some of them later.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_store_run_nothing_twice() {
+    let fleet = Fleet::start(2, 3, false).await;
+    fleet.platform.store.change_faults(|faults| {
+        faults.lost_part = 0.3;
+        faults.executed_after = time::Duration::from_millis(1_200);
+    });
+    for number in 0..8 {
+        fleet.submit_until_taken(0, 0x200 + number, 1, "50").await;
+    }
+    fleet.platform.store.change_faults(|faults| faults.lost_part = 0.0);
+    for number in 0..8 {
+        fleet.wait_for_state(1, 0x200 + number, "completed").await;
+    }
+    fleet.check();
+}
+
+/// Starts are left unanswered and carried out when they are long given up.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_carried_out_late_run_nothing_twice() {
+    let fleet = Fleet::start(1, 4, false).await;
+    for worker in &fleet.platform.workers {
+        worker.change_faults(|faults| {
+            faults.late_part = 0.3;
+            faults.late_by = time::Duration::from_millis(2_500);
+        });
+    }
+    for number in 0..10 {
+        fleet.submit_until_taken(0, 0x300 + number, 2, "100").await;
+    }
+    for number in 0..10 {
+        fleet.wait_for_state(0, 0x300 + number, "completed").await;
+    }
+    tokio::time::sleep(time::Duration::from_secs(3)).await;
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_of_a_silent_worker_start_elsewhere() {
+    let fleet = Fleet::start(1, 2, false).await;
+    assert_eq!(fleet.submit(0, 0x401, 1, "3000").await, 200);
+    fleet.wait_for_state(0, 0x401, "running").await;
+    let home = fleet.platform.ledger.runs()[0].worker.clone();
+    let worker = fleet.platform.workers.iter().find(|worker| worker.plan.id == home).unwrap();
+    worker.change_faults(|faults| faults.silent = true);
+    fleet.wait_for_state(0, 0x401, "completed").await;
+    assert!(fleet.platform.ledger.runs().len() >= 2);
+    fleet.check();
+}
+
+/// The leader hands over, callers are served to the end, and the stop fits
+/// into the time that the platform gives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_hands_over() {
+    let mut fleet = Fleet::start(2, 2, false).await;
+    assert_eq!(fleet.submit(0, 0x501, 1, "4000").await, 200);
+    let leader = fleet.leader().await;
+    let begun = time::Instant::now();
+    fleet.signal(leader, "TERM");
+    fleet.wait_until_not_ready(leader).await;
+    let through_the_leaving = fleet.submit_answer(leader, 0x502, 1, "50").await;
+    assert_eq!(through_the_leaving.status, 200);
+    assert_eq!(fleet.exit_code(leader), Some(0));
+    assert!(begun.elapsed() < time::Duration::from_secs(6), "{:?}", begun.elapsed());
+    let other = 1 - leader;
+    fleet.wait_for_state(other, 0x501, "completed").await;
+    fleet.wait_for_state(other, 0x502, "completed").await;
+    assert_eq!(fleet.platform.ledger.runs().len(), 2, "the hand-over stopped a task");
+    fleet.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_everywhere_and_never_goes_back() {
+    let fleet = Fleet::start(3, 1, false).await;
+    fleet.platform.configure(20, "pool", "/renamed/", false);
+    for instance in 0..3 {
+        fleet.wait_for_status(instance, "/renamed/", 200).await;
+        assert_eq!(fleet.get(instance, "/jobs/").await.status, 404);
+    }
+    fleet.platform.store.compact();
+    fleet.platform.configure(15, "pool", "/jobs/", false);
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    for instance in 0..3 {
+        assert_eq!(fleet.get(instance, "/jobs/").await.status, 404);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_whose_lease_was_taken_leads_on_or_is_replaced() {
+    let fleet = Fleet::start(3, 2, false).await;
+    assert_eq!(fleet.submit(0, 0x601, 4, "1500").await, 200);
+    for _ in 0..3 {
+        fleet.platform.store.end_leases();
+        tokio::time::sleep(time::Duration::from_millis(400)).await;
+    }
+    fleet.wait_for_state(0, 0x601, "completed").await;
+    fleet.submit_until_taken(1, 0x602, 1, "50").await;
+    fleet.wait_for_state(2, 0x602, "completed").await;
+    fleet.check();
+}
--- /dev/null
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -0,0 +1,286 @@
+//! Entry instances as processes around a stand-in of the users' platform.
+
+use std::fs;
+use std::net;
+use std::process;
+use std::time;
+
+use figscale_platform_standin as standin;
+use figscale_standin::client;
+use figscale_standin::ports;
+use serde_json::json;
+
+/// Longest wait for a condition; real time, on a machine that may be busy.
+const PATIENCE: time::Duration = time::Duration::from_secs(40);
+const POLL: time::Duration = time::Duration::from_millis(40);
+const HOST: &str = "jobs.example";
+
+struct Instance {
+    caller: net::SocketAddr,
+    ready: net::SocketAddr,
+    operator: net::SocketAddr,
+    settings: std::path::PathBuf,
+    log: std::path::PathBuf,
+    child: Option<process::Child>,
+}
+
+/// A platform with entry instances on it.
+pub(crate) struct Fleet {
+    pub(crate) platform: standin::Platform,
+    instances: Vec<Instance>,
+    directory: tempfile::TempDir,
+    client: client::Client,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for instance in &mut self.instances {
+            if let Some(mut child) = instance.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if std::thread::panicking() {
+            self.print_logs();
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts everything; returns once all instances are ready.
+    pub(crate) async fn start(instances: usize, workers: usize, advised: bool) -> Self {
+        let platform = standin::Platform::start(workers, "pool").await.unwrap();
+        platform.configure(10, "pool", "/jobs/", advised);
+        let mut fleet = Self {
+            platform,
+            instances: Vec::new(),
+            directory: tempfile::tempdir().unwrap(),
+            client: client::Client::default(),
+        };
+        for number in 0..instances {
+            fleet.add(number);
+            fleet.launch(number);
+        }
+        for number in 0..instances {
+            fleet.wait_until_ready(number).await;
+        }
+        fleet
+    }
+
+    fn add(&mut self, number: usize) {
+        let mut address = || ports::free_address().unwrap();
+        let [caller, ready, operator, peer] = std::array::from_fn(|_| address());
+        let settings = json!({
+            "member": format!("entry-{number}"),
+            "failure_domain": "z-1",
+            "caller_address": caller,
+            "peer_address": peer,
+            "operator_address": operator,
+            "platform_address": self.platform.store.address,
+            "peer_token": "0123456789abcdef",
+            "log": {"target": "stdout", "level": "debug"},
+            "fleet": {
+                "ready_address": ready,
+                "advice_address": self.platform.advice.address,
+            },
+        });
+        let file = self.directory.path().join(format!("entry-{number}.json"));
+        fs::write(&file, settings.to_string()).unwrap();
+        self.instances.push(Instance {
+            caller,
+            ready,
+            operator,
+            settings: file,
+            log: self.directory.path().join(format!("entry-{number}.log")),
+            child: None,
+        });
+    }
+
+    pub(crate) fn launch(&mut self, number: usize) {
+        let instance = &mut self.instances[number];
+        let log = fs::OpenOptions::new().create(true).append(true).open(&instance.log).unwrap();
+        let child = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+            .arg("serve")
+            .arg("--settings")
+            .arg(&instance.settings)
+            .stdout(log)
+            .spawn()
+            .unwrap();
+        instance.child = Some(child);
+    }
+
+    /// Kills an instance.
+    pub(crate) fn kill(&mut self, number: usize) {
+        let mut child = self.instances[number].child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    pub(crate) fn signal(&mut self, number: usize, signal: &str) {
+        let child = self.instances[number].child.as_ref().unwrap();
+        let status = process::Command::new("kill")
+            .args(["-s", signal, &child.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the end of an instance.
+    pub(crate) fn exit_code(&mut self, number: usize) -> Option<i32> {
+        let mut child = self.instances[number].child.take().unwrap();
+        let begun = time::Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(POLL);
+        }
+        let _ = child.kill();
+        panic!("still running");
+    }
+
+    pub(crate) async fn wait(&self, what: &str, done: impl Fn() -> bool) {
+        let begun = time::Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if done() {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("waited in vain for {what}");
+    }
+
+    async fn ready_status(&self, number: usize) -> u16 {
+        let call = client::Call::get(self.instances[number].ready, "/ready");
+        self.client.send(call).await.map_or(0, |answer| answer.status.as_u16())
+    }
+
+    async fn wait_for_ready_status(&self, number: usize, ready: bool) {
+        let begun = time::Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if (self.ready_status(number).await == 200) == ready {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("entry-{number} is not ready: {}", !ready);
+    }
+
+    async fn wait_until_ready(&self, number: usize) {
+        self.wait_for_ready_status(number, true).await;
+    }
+
+    pub(crate) async fn wait_until_not_ready(&self, number: usize) {
+        self.wait_for_ready_status(number, false).await;
+    }
+
+    async fn send(&self, call: client::Call) -> client::Answer {
+        let call = call.header("host", HOST).header("figscale-deadline-ms", 3_000);
+        self.client.send(call).await.unwrap()
+    }
+
+    pub(crate) async fn get(&self, number: usize, path: &str) -> client::Answer {
+        self.send(client::Call::get(self.instances[number].caller, path)).await
+    }
+
+    pub(crate) async fn post(&self, number: usize, path: &str, body: &str) -> client::Answer {
+        let call = client::Call::post(self.instances[number].caller, path);
+        self.send(call.body(body.to_owned())).await
+    }
+
+    pub(crate) async fn submit_answer(
+        &self,
+        number: usize,
+        job: u64,
+        tasks: u32,
+        spec: &str,
+    ) -> client::Answer {
+        let step = json!({"count": tasks, "cpu": 1_000, "mem_mb": 64, "estimate_ms": 200});
+        let body = json!({"spec": spec, "phases": [step]}).to_string();
+        self.post(number, &format!("/jobs/{job:016x}"), &body).await
+    }
+
+    pub(crate) async fn submit(&self, number: usize, job: u64, tasks: u32, spec: &str) -> u16 {
+        self.submit_answer(number, job, tasks, spec).await.status.as_u16()
+    }
+
+    /// Submits under the same id until the job is taken.
+    pub(crate) async fn submit_until_taken(
+        &self,
+        number: usize,
+        job: u64,
+        tasks: u32,
+        spec: &str,
+    ) {
+        let begun = time::Instant::now();
+        while begun.elapsed() < PATIENCE {
+            match self.submit(number, job, tasks, spec).await {
+                200 => return,
+                429 | 503 | 504 => tokio::time::sleep(POLL).await,
+                status => panic!("submitted: {status}"),
+            }
+        }
+        panic!("never taken");
+    }
+
+    pub(crate) async fn cancel(&self, number: usize, job: u64) -> u16 {
+        let path = format!("/jobs/{job:016x}");
+        let call = client::Call::delete(self.instances[number].caller, path);
+        self.send(call).await.status.as_u16()
+    }
+
+    pub(crate) async fn wait_for_status(&self, number: usize, path: &str, status: u16) {
+        let begun = time::Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if self.get(number, path).await.status == status {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("{path} never answered {status}");
+    }
+
+    pub(crate) async fn wait_for_state(&self, number: usize, job: u64, state: &str) {
+        let begun = time::Instant::now();
+        let path = format!("/jobs/{job:016x}");
+        let expected = json!({"state": state}).to_string();
+        let mut last = String::new();
+        while begun.elapsed() < PATIENCE {
+            let answer = self.get(number, &path).await;
+            assert_ne!(answer.status, 410, "job {job:x} is not known");
+            last = answer.text();
+            if last == expected {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("job {job:x} is {last} and never {state}");
+    }
+
+    /// Which instance leads.
+    pub(crate) async fn leader(&self) -> usize {
+        for (number, instance) in self.instances.iter().enumerate() {
+            let call = client::Call::get(instance.operator, "/v1/dump");
+            let dump: serde_json::Value = self.client.send(call).await.unwrap().json().unwrap();
+            if dump["leading"] == true {
+                return number;
+            }
+        }
+        panic!("nobody leads");
+    }
+
+    /// Nothing that must never happen was seen by a worker.
+    pub(crate) fn check(&self) {
+        let faults = self.platform.ledger.faults();
+        assert!(faults.is_empty(), "{faults:#?}");
+    }
+
+    fn print_logs(&self) {
+        for (number, instance) in self.instances.iter().enumerate() {
+            let log = fs::read_to_string(&instance.log).unwrap_or_default();
+            for line in log.lines() {
+                println!("entry-{number} {line}");
+            }
+        }
+    }
+}
