Let gangs end: waiting members are not standing still

Members of a gang end together; one that has done its part uses no processor while it waits for the slowest, and after 1.6 s that was taken for standing still. Ruled out: room (it was placed), the advisory service, failures of its own. Change: a gang stands still when all members do. The test of the starving gang held time still, so an expected end never came; time passes in it now, and it fails without the room kept for late gangs. members_that_wait_for_the_others_do_not_stand_still fails without the change.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -14,8 +14,10 @@
 
 use super::job;
 use super::plan;
+use super::reserve;
 use super::scheduler;
 use super::scheduler::Action;
+use super::worker;
 
 /// A longer question may not use the lanes kept for short ones. Quick jobs'
 /// questions take about 20 ms, the next longer kind's over 100 ms.
@@ -34,6 +36,15 @@
 const LEARNING_WEIGHT: f64 = 0.1;
 /// Part of a ticket's life left unused, for the way to the worker.
 const TICKET_MARGIN: time::Duration = time::Duration::from_millis(200);
+/// Slots wanted on good workers for each member of a gang, so that there is a
+/// choice of the ones that become free first.
+const GANG_CHOICE: f64 = 1.5;
+/// The same for a gang that would wait longer than this for those known.
+const GANG_CHOICE_WAITING: f64 = 4.0;
+/// Wait for room that is not worth another question.
+const GANG_PATIENCE: time::Duration = time::Duration::from_millis(600);
+/// Tickets for a gang are asked for so long before they are needed.
+const TICKET_LEAD: time::Duration = time::Duration::from_millis(100);
 /// Pause after a question that was not answered.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
@@ -187,58 +198,152 @@
         self.actions.push(Action::Ask(question));
     }
 
-    /// A question about the workers with most room, enough to make tickets for
-    /// all waiting tasks likely.
+    /// The question that a step needs now, if any.
     fn draft(&self, candidate: &plan::Candidate, now: time::Instant) -> Option<Draft> {
         let job = self.jobs.get(&candidate.task.job)?;
         let policy = job.queue.advice?;
-        let step =
-            &job.rounds[candidate.task.occurrence as usize].steps[candidate.task.step as usize];
+        let step = job.step(&candidate.task)?;
         if step.advice.asking || step.advice.not_before.is_some_and(|at| now < at) {
             return None;
         }
         let description = job.step_description(&candidate.task)?;
-        let most = description
-            .max_per_worker
-            .map_or(u64::from(description.count), u64::from);
+        let workers = match description.gang {
+            true => self.gang_workers_to_ask(candidate, job, description, &policy, now),
+            false => self.workers_to_ask(candidate, job, description, now),
+        };
+        if workers.is_empty() {
+            return None;
+        }
+        let expected = duration(&policy, workers.len());
+        Some(Draft { workers, expected })
+    }
+
+    /// The workers with most room, enough to make tickets for all waiting tasks
+    /// likely.
+    fn workers_to_ask(
+        &self,
+        candidate: &plan::Candidate,
+        job: &job::Job,
+        description: &fleet::StepDescription,
+        now: time::Instant,
+    ) -> Vec<fleet::WorkerId> {
+        let Some(step) = job.step(&candidate.task) else {
+            return Vec::new();
+        };
+        let most = reserve::most_per_worker(description);
         let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = Vec::new();
-        for (id, worker) in &self.workers {
-            let verdict = step.advice.verdicts.get(id).copied();
-            let holds = step
-                .advice
-                .tickets
-                .get(id)
-                .is_some_and(|ticket| ticket.valid_until > now);
-            if verdict == Some(false) || holds || !plan::suits(worker, &job.queue, description) {
-                continue;
+        for (id, worker) in self.askable(job, step, description, now) {
+            let slots = worker.free().times(&job::occupied(description), most);
+            if slots > 0 {
+                workers.push((slots, step.advice.verdicts.contains_key(id), id));
             }
-            if !worker.is_usable(self.config.max_silence, now) {
-                continue;
+        }
+        workers.sort_by_key(|(slots, good, _)| std::cmp::Reverse((*good, *slots)));
+        self.enough(workers, step.waiting() as f64 * ASK_FACTOR, &job.queue.name)
+    }
+
+    /// Of a gang: first who may run it at all, by the room that workers have
+    /// when empty; then, shortly before there is room, tickets for those that
+    /// are kept for it.
+    fn gang_workers_to_ask(
+        &self,
+        candidate: &plan::Candidate,
+        job: &job::Job,
+        description: &fleet::StepDescription,
+        policy: &fleet::AdvicePolicy,
+        now: time::Instant,
+    ) -> Vec<fleet::WorkerId> {
+        let Some(step) = job.step(&candidate.task) else {
+            return Vec::new();
+        };
+        let count = u64::from(description.count);
+        let good_slots = self.good_slots(&candidate.task, description, now);
+        let ready_at = candidate
+            .reservation
+            .as_ref()
+            .map(|reservation| reservation.ready_at);
+        let waits_long = ready_at.is_none_or(|at| at > now + GANG_PATIENCE);
+        let wanted = count as f64
+            * if waits_long {
+                GANG_CHOICE_WAITING
+            } else {
+                GANG_CHOICE
+            };
+        if (good_slots as f64) < wanted {
+            let unknown = self
+                .askable(job, step, description, now)
+                .filter(|(id, _)| !step.advice.verdicts.contains_key(*id));
+            let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = unknown
+                .map(|(id, worker)| (reserve::whole_slots(worker, description), false, id))
+                .filter(|(slots, ..)| *slots > 0)
+                .collect();
+            let free =
+                |id: &fleet::WorkerId| self.workers.get(id).map(|worker| worker.free().cpu_millis);
+            workers.sort_by_key(|(slots, _, id)| std::cmp::Reverse((*slots, free(id))));
+            let missing = wanted - good_slots as f64;
+            let asked = self.enough(workers, missing, &job.queue.name);
+            if !asked.is_empty() {
+                return asked;
             }
-            let slots = worker.free().times(&job::occupied(description), most);
-            workers.push((slots, verdict == Some(true), id));
         }
-        workers.sort_by_key(|(slots, good, _)| std::cmp::Reverse((*slots > 0, *good, *slots)));
-        let good_part = self.lanes.good_part(&job.queue.name);
-        let wanted = step.waiting() as f64 * ASK_FACTOR;
+        let Some(reservation) = &candidate.reservation else {
+            return Vec::new();
+        };
+        let answered_at = now + duration(policy, reservation.workers.len());
+        if reservation.ready_at > answered_at + TICKET_LEAD {
+            return Vec::new();
+        }
+        let needed_until = reservation.ready_at.max(answered_at);
+        let covered = |id: &fleet::WorkerId| {
+            let ticket = step.advice.tickets.get(id);
+            ticket.is_some_and(|ticket| ticket.valid_until > needed_until)
+        };
+        let workers = reservation.workers.iter().filter(|id| !covered(id));
+        workers.take(MAX_ASKED).cloned().collect()
+    }
+
+    /// Usable workers that may be good for a step and hold no ticket for it.
+    fn askable<'a>(
+        &'a self,
+        job: &'a job::Job,
+        step: &'a job::Step,
+        description: &'a fleet::StepDescription,
+        now: time::Instant,
+    ) -> impl Iterator<Item = (&'a fleet::WorkerId, &'a worker::Worker)> {
+        self.workers.iter().filter(move |(id, worker)| {
+            let bad = step.advice.verdicts.get(*id) == Some(&false);
+            let ticket = step.advice.tickets.get(*id);
+            let holds = ticket.is_some_and(|ticket| ticket.valid_until > now);
+            let usable = worker.is_usable(self.config.max_silence, now);
+            !bad && !holds && usable && plan::suits(worker, &job.queue, description)
+        })
+    }
+
+    /// So many of the workers, in order, that the slots wanted are likely; a
+    /// worker that is known to be good counts whole.
+    fn enough(
+        &self,
+        workers: Vec<(u64, bool, &fleet::WorkerId)>,
+        wanted_slots: f64,
+        queue: &str,
+    ) -> Vec<fleet::WorkerId> {
+        let good_part = self.lanes.good_part(queue);
         let mut asked = Vec::new();
         let mut expected_slots = 0.0;
         for (slots, good, id) in workers {
-            let enough = expected_slots >= wanted && asked.len() >= MIN_ASKED;
-            if enough || asked.len() >= MAX_ASKED || slots == 0 {
+            let enough = expected_slots >= wanted_slots && asked.len() >= MIN_ASKED;
+            if enough || asked.len() >= MAX_ASKED {
                 break;
             }
             expected_slots += slots as f64 * if good { 1.0 } else { good_part };
             asked.push(id.clone());
         }
-        if asked.is_empty() {
-            return None;
-        }
-        let expected_ms = policy.duration_ms(asked.len());
-        let expected = time::Duration::from_micros((expected_ms * 1_000.0) as u64);
-        Some(Draft {
-            workers: asked,
-            expected,
-        })
+        asked
     }
 }
+
+/// How long the advisory service thinks about so many workers.
+fn duration(policy: &fleet::AdvicePolicy, workers: usize) -> time::Duration {
+    let micros = policy.duration_ms(workers) * 1_000.0;
+    time::Duration::from_micros(micros.max(0.0) as u64)
+}
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -240,6 +240,11 @@
         self.rounds.len() > before
     }
 
+    pub(crate) fn step(&self, id: &fleet::TaskId) -> Option<&Step> {
+        let round = self.rounds.get(id.occurrence as usize)?;
+        round.steps.get(id.step as usize)
+    }
+
     pub(crate) fn task(&self, id: &fleet::TaskId) -> Option<&Task> {
         let round = self.rounds.get(id.occurrence as usize)?;
         round
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod plan;
 mod recovery;
 mod report;
+mod reserve;
 mod scheduler;
 mod submit;
 mod worker;
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -4,7 +4,7 @@
 //! cannot, quick queues (priority 0) before others, then by the time that is
 //! left before they must start. Within a step a task goes to the fullest worker
 //! that holds it, so that large holes stay for wide gangs. A gang that finds no
-//! room keeps the emptiest workers free of later work that would last.
+//! room has workers kept for it.
 
 use std::time;
 
@@ -13,14 +13,16 @@
 use indexmap::IndexSet;
 
 use super::job;
+use super::reserve;
 use super::scheduler;
 use super::scheduler::Action;
 use super::worker;
 
 /// Gangs that may keep workers free at the same time; more would leave most
 /// workers waiting.
-const MAX_RESERVING: usize = 2;
-/// Work that is over sooner may use workers that are kept free.
+const MAX_RESERVING: usize = 3;
+/// Quick work that is over sooner may use workers that are kept free; it delays
+/// a gang by no more than runs miss their estimates by.
 const SHORT_WORK_MS: u64 = 1_200;
 /// Attempts of one term; the next term's numbers begin above them.
 const ATTEMPTS_PER_EPOCH: u64 = 1_000;
@@ -39,6 +41,8 @@
     /// First task of the step.
     pub(crate) task: fleet::TaskId,
     rank: Rank,
+    /// Of a gang that waits for room.
+    pub(crate) reservation: Option<reserve::Reservation>,
 }
 
 /// Whether a worker could ever run a step of a queue.
@@ -56,8 +60,10 @@
 struct Pass {
     now: time::Instant,
     usable: IndexSet<fleet::WorkerId>,
-    /// Workers kept free for a gang that goes first.
-    kept: IndexSet<fleet::WorkerId>,
+    /// Workers kept free for a gang that goes first, until it should start.
+    kept: IndexMap<fleet::WorkerId, time::Instant>,
+    /// The late gang for which workers were kept before all else.
+    kept_for: Option<fleet::TaskId>,
     reserving: usize,
     wanting: Vec<Candidate>,
 }
@@ -86,12 +92,14 @@
         let mut pass = Pass {
             now,
             usable: usable.map(|(id, _)| id.clone()).collect(),
-            kept: IndexSet::new(),
+            kept: IndexMap::new(),
+            kept_for: None,
             reserving: 0,
             wanting: Vec::new(),
         };
-        for candidate in candidates {
-            let whole = self.place_step(&candidate, &mut pass);
+        self.keep_for_latest(&candidates, &mut pass);
+        for mut candidate in candidates {
+            let whole = self.place_step(&mut candidate, &mut pass);
             if !whole {
                 pass.wanting.push(candidate);
             }
@@ -100,6 +108,41 @@
         self.ask_for(&wanting, now);
     }
 
+    /// Keeps workers for the late gang that has waited longest, before all else.
+    ///
+    /// Late work comes after whatever can still be in time, and there is always
+    /// some of that; a wide gang would never run. What is kept for it is used
+    /// by others until it starts.
+    fn keep_for_latest(&self, candidates: &[Candidate], pass: &mut Pass) {
+        let gang = |candidate: &&Candidate| {
+            let job = self.jobs.get(&candidate.task.job).filter(|job| job.stored);
+            let step = job.and_then(|job| job.step_description(&candidate.task));
+            candidate.rank.late && step.is_some_and(|step| step.gang)
+        };
+        let Some(candidate) = candidates
+            .iter()
+            .filter(gang)
+            .min_by_key(|candidate| candidate.rank)
+        else {
+            return;
+        };
+        let job = self.jobs.get(&candidate.task.job);
+        let Some(step) = job.and_then(|job| job.step_description(&candidate.task)) else {
+            return;
+        };
+        let reservation = self.reserve(&candidate.task, step, |_| false, pass.now);
+        for worker in reservation
+            .iter()
+            .flat_map(|reservation| &reservation.workers)
+        {
+            let ready_at = reservation
+                .as_ref()
+                .map_or(pass.now, |reservation| reservation.ready_at);
+            pass.kept.insert(worker.clone(), ready_at);
+        }
+        pass.kept_for = Some(candidate.task);
+    }
+
     fn candidates(&self, now: time::Instant) -> Vec<Candidate> {
         let mut all = Vec::new();
         for id in &self.open {
@@ -112,7 +155,11 @@
                     let description = &job.description.steps[step];
                     if may_start(progress, description) && round.is_ready(&job.description, step) {
                         let task = first_task(*id, occurrence, step);
-                        all.push(Candidate { task, rank });
+                        all.push(Candidate {
+                            task,
+                            rank,
+                            reservation: None,
+                        });
                     }
                 }
             }
@@ -122,7 +169,7 @@
     }
 
     /// Places what it can of a step; true if nothing of it waits any more.
-    fn place_step(&mut self, candidate: &Candidate, pass: &mut Pass) -> bool {
+    fn place_step(&mut self, candidate: &mut Candidate, pass: &mut Pass) -> bool {
         let Some(job) = self.jobs.get(&candidate.task.job) else {
             return true;
         };
@@ -164,7 +211,7 @@
 
     fn place_gang(
         &mut self,
-        candidate: &Candidate,
+        candidate: &mut Candidate,
         description: &fleet::StepDescription,
         pass: &mut Pass,
     ) -> bool {
@@ -212,44 +259,25 @@
         in_one.or_else(|| fill(open, description, description.count))
     }
 
-    /// Keeps the emptiest workers free of lasting work until a gang fits.
+    /// Keeps the workers that become free first until a gang fits.
     fn keep_free(
         &self,
-        candidate: &Candidate,
+        candidate: &mut Candidate,
         description: &fleet::StepDescription,
         pass: &mut Pass,
     ) {
-        if pass.reserving >= MAX_RESERVING || candidate.rank.late {
-            return;
-        }
-        let Some(job) = self.jobs.get(&candidate.task.job) else {
-            return;
-        };
-        let step =
-            &job.rounds[candidate.task.occurrence as usize].steps[candidate.task.step as usize];
-        let mut emptiest: Vec<(u64, u64, &fleet::WorkerId)> = Vec::new();
-        for (id, worker) in &self.workers {
-            let bad = step.advice.verdicts.get(id) == Some(&false);
-            let unknown = job.queue.advice.is_some() && !step.advice.verdicts.contains_key(id);
-            if bad || unknown || !pass.usable.contains(id) || pass.kept.contains(id) {
-                continue;
-            }
-            let slots = worker
-                .entry
-                .room
-                .times(&description.room, u64::from(description.count));
-            emptiest.push((worker.free().cpu_millis, slots, id));
-        }
-        emptiest.sort_by_key(|(free, ..)| std::cmp::Reverse(*free));
-        let mut needed = u64::from(description.count);
-        for (_, slots, id) in emptiest {
-            if needed == 0 {
-                break;
+        let kept_for_it = pass.kept_for == Some(candidate.task);
+        let is_kept = |id: &fleet::WorkerId| !kept_for_it && pass.kept.contains_key(id);
+        let reservation = self.reserve(&candidate.task, description, is_kept, pass.now);
+        if let Some(reservation) = &reservation
+            && pass.reserving < MAX_RESERVING
+        {
+            for worker in &reservation.workers {
+                pass.kept.insert(worker.clone(), reservation.ready_at);
             }
-            needed = needed.saturating_sub(slots);
-            pass.kept.insert(id.clone());
+            pass.reserving += 1;
         }
-        pass.reserving += 1;
+        candidate.reservation = reservation;
     }
 
     /// Workers that may run a step now, with what is free there.
@@ -264,7 +292,8 @@
             return Vec::new();
         };
         let step = &job.rounds[task.occurrence as usize].steps[task.step as usize];
-        let respects_kept = rank.class > 0 && description.estimate_ms > SHORT_WORK_MS;
+        let ends = pass.now + time::Duration::from_millis(description.estimate_ms);
+        let is_short = rank.class == 0 && description.estimate_ms <= SHORT_WORK_MS;
         let need = job::occupied(description);
         let mut places = Vec::new();
         for id in &pass.usable {
@@ -279,7 +308,9 @@
             if !suits(worker, &job.queue, description) || !worker.free().holds(&need) {
                 continue;
             }
-            if respects_kept && pass.kept.contains(id) {
+            let kept_for_it = pass.kept_for == Some(fleet::TaskId { index: 0, ..*task });
+            let kept_until = pass.kept.get(id).filter(|_| !is_short && !kept_for_it);
+            if kept_until.is_some_and(|ready_at| ends > *ready_at) {
                 continue;
             }
             let most = description.max_per_worker.map_or(u64::MAX, u64::from);
@@ -345,6 +376,7 @@
             return;
         };
         let room = job::occupied(description);
+        let estimate_ms = description.estimate_ms;
         let spec = job.description.spec.clone();
         let Some(step) = job.step_mut(id) else {
             return;
@@ -377,6 +409,7 @@
             expires_clock_ms,
             confirmed_clock_ms: None,
             ordered_at: now,
+            expected_end: now + time::Duration::from_millis(estimate_ms),
             stop_ordered: None,
             idle_since: None,
         };
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -244,7 +244,12 @@
         // Of a job that nobody knows: nothing else goes there until it ended.
         let room = known_room.copied().or(all).unwrap_or_default();
         let job = self.jobs.get_mut(&running.task.job);
+        let mut estimate = time::Duration::ZERO;
         if let Some(job) = job.filter(|job| job.is_open()) {
+            let estimate_ms = job
+                .step_description(&running.task)
+                .map(|step| step.estimate_ms);
+            estimate = time::Duration::from_millis(estimate_ms.unwrap_or_default());
             job.started = true;
             if let Some(task) = job.task_mut(&running.task)
                 && task.is_waiting()
@@ -262,6 +267,7 @@
             expires_clock_ms: 0,
             confirmed_clock_ms: Some(clock_ms),
             ordered_at: now,
+            expected_end: now + estimate,
             stop_ordered: None,
             idle_since: None,
         };
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -487,14 +487,35 @@
             return;
         }
         let since = *run.idle_since.get_or_insert(now);
-        if now < since + MAX_IDLE {
+        if now < since + MAX_IDLE || !self.gang_is_idle(&key, now) {
             return;
         }
-        run.idle_since = None;
         self.order_stop(id, key, Some(now));
         self.set_aside(id, "tasks stand still", now);
     }
 
+    /// Whether all members of a run's gang stand still; true for other runs.
+    ///
+    /// A member that has done its part waits for the others without using a
+    /// processor. Taking that for standing still threw away 1,600 core-seconds
+    /// of finished work on a calm day.
+    fn gang_is_idle(&self, key: &worker::RunKey, now: time::Instant) -> bool {
+        let (task, attempt) = key;
+        let step = self
+            .jobs
+            .get(&task.job)
+            .and_then(|job| job.step_description(task));
+        if !step.is_some_and(|step| step.gang) {
+            return true;
+        }
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        let mut members = runs.filter(|((other, number), _)| {
+            let same = other.job == task.job && other.occurrence == task.occurrence;
+            same && other.step == task.step && number == attempt
+        });
+        members.all(|(_, run)| run.idle_since.is_some_and(|since| now >= since + MAX_IDLE))
+    }
+
     pub(crate) fn set_aside(
         &mut self,
         id: &fleet::WorkerId,
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -21,6 +21,8 @@
     /// Reading at which it was known to have started.
     pub(crate) confirmed_clock_ms: Option<u64>,
     pub(crate) ordered_at: time::Instant,
+    /// By its estimate.
+    pub(crate) expected_end: time::Instant,
     /// When a stop was last ordered.
     pub(crate) stop_ordered: Option<time::Instant>,
     /// Since when it has used no processor.
--- a/crates/figscale-core/tests/fleet/gangs.rs
+++ b/crates/figscale-core/tests/fleet/gangs.rs
@@ -103,7 +103,7 @@
     cell.run(1, &kit::queue(1), vec![kit::gang(3, 4)]);
     for number in 112..136 {
         cell.submit(number, &kit::queue(1), kit::job(vec![small.clone()]));
-        cell.settle();
+        cell.pass(200);
         cell.end(kit::task(number - 12, 0, 0), End::Done);
         if cell.placed(kit::task(1, 0, 0)).len() == 1 {
             return;
@@ -111,3 +111,25 @@
     }
     panic!("the gang never started");
 }
+
+/// Members that have done their part wait for the slowest without working.
+#[test]
+fn members_that_wait_for_the_others_do_not_stand_still() {
+    let mut cell = Cell::new(2);
+    cell.run(1, &kit::queue(1), vec![kit::gang(3, 8)]);
+    for index in 0..2 {
+        let (worker, attempt) = cell.placed(kit::task(1, 0, index))[0].clone();
+        let key = (kit::task(1, 0, index), attempt);
+        cell.workers[&worker].running[&key].used_cpu_millis = Some(0);
+    }
+    cell.pass(4_000);
+    assert!(cell.stops.is_empty());
+    let (worker, attempt) = cell.placed(kit::task(1, 0, 2))[0].clone();
+    let key = (kit::task(1, 0, 2), attempt);
+    cell.workers[&worker].running[&key].used_cpu_millis = Some(0);
+    cell.pass(2_500);
+    assert!(
+        !cell.stops.is_empty(),
+        "a gang of which nobody works is left alone"
+    );
+}
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -229,6 +229,7 @@
         }
     };
     let queue_name = queue.name.clone();
+    let shape = shape(&description);
     let question = LeaderCall::Submit {
         job,
         queue,
@@ -243,6 +244,7 @@
                 events::fleet::JOB_ACCEPTED,
                 job = job,
                 queue = queue_name,
+                shape = shape,
                 waited_ms = waited_ms
             );
             json(http::StatusCode::OK, bytes::Bytes::from_static(b"{}"))
@@ -278,6 +280,19 @@
     }
 }
 
+/// A job's steps in one word, as tasks x cores, with `g` for a gang.
+fn shape(description: &fleet::JobDescription) -> String {
+    let steps = description.steps.iter().map(|step| {
+        let gang = if step.gang { "g" } else { "" };
+        format!(
+            "{}x{}{gang}",
+            step.count,
+            step.room.cpu_millis.div_ceil(1_000)
+        )
+    });
+    steps.collect::<Vec<String>>().join("+")
+}
+
 async fn state(context: &Context, call: &Call, job: fleet::JobId) -> response::Response {
     let question = LeaderCall::State { job };
     match ask_leader(context, &question, call.deadline).await.0 {
