--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -28,12 +28,14 @@
     Refused {
         /// When a repeat may be taken.
         retry_after: time::Duration,
+        /// How long the work in front of it lasts.
+        wait: time::Duration,
     },
 }
 
 impl scheduler::Scheduler {
-    /// When to come back, for a job that is not worth taking.
-    pub(crate) fn refusal(&self, job: &job::Job, now: time::Instant) -> Option<time::Duration> {
+    /// The refusal of a job that is not worth taking.
+    pub(crate) fn refusal(&self, job: &job::Job, now: time::Instant) -> Option<Admission> {
         if job.description.occurrences > 0
             || job.description.steps.iter().any(|step| step.long_running)
         {
@@ -45,7 +47,8 @@
         if wait <= allowed {
             return None;
         }
-        Some((wait - allowed).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
+        let retry_after = (wait - allowed).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        Some(Admission::Refused { retry_after, wait })
     }
 
     /// Time that the work in front of a job takes on all processors.
--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -156,6 +156,12 @@
             step.advice.verdicts.insert(worker.clone(), false);
         }
         let part = good.len() as f64 / asked;
+        let note = scheduler::Note::AdviceGiven {
+            task: question.task,
+            member: question.member.clone(),
+            asked: question.workers.len(),
+            good: good.len(),
+        };
         for ticket in good {
             step.advice.verdicts.insert(ticket.worker.clone(), true);
             let held = job::HeldTicket {
@@ -164,6 +170,7 @@
             };
             step.advice.tickets.insert(ticket.worker, held);
         }
+        self.actions.push(Action::Tell(note));
         if fresh {
             self.lanes.learn(&queue.name, part);
         }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -68,6 +68,22 @@
     wanting: Vec<Candidate>,
 }
 
+/// Tasks of one step that were placed in one pass.
+#[derive(Clone, Debug, Default)]
+struct Placed {
+    tasks: usize,
+    workers: IndexSet<fleet::WorkerId>,
+    attempt: u32,
+}
+
+impl Placed {
+    fn add(&mut self, worker: fleet::WorkerId, attempt: u32) {
+        self.tasks += 1;
+        self.workers.insert(worker);
+        self.attempt = attempt;
+    }
+}
+
 /// A worker that a task could go to; less is better.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
@@ -191,6 +207,7 @@
         description: &fleet::StepDescription,
         pass: &Pass,
     ) -> bool {
+        let mut placed = Placed::default();
         for index in 0..description.count {
             let id = fleet::TaskId {
                 index,
@@ -202,13 +219,32 @@
                 continue;
             }
             let Some(worker) = self.best_worker(&id, description, candidate.rank, pass) else {
+                self.tell_placed(&candidate.task, &placed, pass.now);
                 return false;
             };
-            self.start(&id, &worker, self.next_attempt(&id), pass.now);
+            let attempt = self.next_attempt(&id);
+            self.start(&id, &worker, attempt, pass.now);
+            placed.add(worker, attempt);
         }
+        self.tell_placed(&candidate.task, &placed, pass.now);
         true
     }
 
+    fn tell_placed(&mut self, task: &fleet::TaskId, placed: &Placed, now: time::Instant) {
+        let Some(job) = self.jobs.get(&task.job).filter(|_| placed.tasks > 0) else {
+            return;
+        };
+        let note = scheduler::Note::StepPlaced {
+            task: *task,
+            tasks: placed.tasks,
+            workers: placed.workers.len(),
+            attempt: placed.attempt,
+            after: now.saturating_duration_since(job.submitted),
+            slack: job.objective_at.checked_duration_since(now),
+        };
+        self.actions.push(Action::Tell(note));
+    }
+
     fn place_gang(
         &mut self,
         candidate: &mut Candidate,
@@ -229,9 +265,12 @@
             .map(|id| self.next_attempt(id))
             .max()
             .unwrap_or(1);
+        let mut placed = Placed::default();
         for (id, worker) in members.iter().zip(workers) {
             self.start(id, &worker, attempt, pass.now);
+            placed.add(worker, attempt);
         }
+        self.tell_placed(&candidate.task, &placed, pass.now);
         true
     }
 
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -382,7 +382,7 @@
         self.task_free_again(id, &key);
         match refusal {
             fleet::StartRefusal::StaleEpoch => self.actions.push(Action::StepDown),
-            fleet::StartRefusal::OtherLife => self.worker_replaced(id),
+            fleet::StartRefusal::OtherLife => self.worker_replaced(id, now),
             fleet::StartRefusal::Ticket => self.drop_ticket(id, &key.0),
             fleet::StartRefusal::NoRoom => self.pause_worker(id, NO_ROOM_PAUSE, now),
             fleet::StartRefusal::Unhealthy | fleet::StartRefusal::Invalid => {
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -102,6 +102,43 @@
         /// Against its latency objective.
         late: bool,
     },
+    /// Tasks of a step were ordered to workers.
+    StepPlaced {
+        /// First task of the step.
+        task: fleet::TaskId,
+        /// Tasks ordered now.
+        tasks: usize,
+        /// Workers that they go to.
+        workers: usize,
+        /// Attempt of the last of them.
+        attempt: u32,
+        /// Since the job's submission.
+        after: time::Duration,
+        /// Until the job is late; none if it is.
+        slack: Option<time::Duration>,
+    },
+    /// The advisory service said who may run a step.
+    AdviceGiven {
+        /// First task of the step.
+        task: fleet::TaskId,
+        /// Entry instance that asked.
+        member: ids::MemberId,
+        /// Workers asked about.
+        asked: usize,
+        /// Of these good.
+        good: usize,
+    },
+    /// A run on a silent or replaced worker is taken as ended.
+    RunGivenUp {
+        /// Which.
+        task: fleet::TaskId,
+        /// Which start of it.
+        attempt: u32,
+        /// Where.
+        worker: fleet::WorkerId,
+        /// How long the worker has been silent.
+        silent: time::Duration,
+    },
     /// A run of a task ended other than well.
     RunEnded {
         /// Which.
@@ -266,9 +303,9 @@
     }
 
     /// Another life of the worker has taken its place, so nothing runs there.
-    pub fn worker_replaced(&mut self, id: &fleet::WorkerId) {
+    pub fn worker_replaced(&mut self, id: &fleet::WorkerId, now: time::Instant) {
         self.unheard.swap_remove(id);
-        self.give_up_runs(id);
+        self.give_up_runs(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.replaced = true;
         }
@@ -300,7 +337,7 @@
         let never_ordered = worker.runs.is_empty();
         let over = worker.lease.is_over(grace, now);
         if over && !never_ordered {
-            self.give_up_runs(id);
+            self.give_up_runs(id, now);
         }
         let gone = self
             .workers
@@ -311,7 +348,7 @@
         }
     }
 
-    pub(crate) fn give_up_runs(&mut self, id: &fleet::WorkerId) {
+    pub(crate) fn give_up_runs(&mut self, id: &fleet::WorkerId, now: time::Instant) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -322,7 +359,14 @@
         if keys.is_empty() {
             return;
         }
+        let silent = worker.lease.silent_for(now).unwrap_or_default();
         for key in &keys {
+            self.actions.push(Action::Tell(Note::RunGivenUp {
+                task: key.0,
+                attempt: key.1,
+                worker: id.clone(),
+                silent,
+            }));
             self.task_free_again(id, key);
         }
         let note = Note::WorkerLost {
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -27,8 +27,8 @@
         }
         let queue = sync::Arc::new(queue.clone());
         let job = job::Job::new(id, queue, description, wall_ms, now);
-        if let Some(retry_after) = self.refusal(&job, now) {
-            return admission::Admission::Refused { retry_after };
+        if let Some(refused) = self.refusal(&job, now) {
+            return refused;
         }
         self.open.insert(id);
         self.jobs.insert(id, job);
--- a/crates/figscale-core/tests/fleet/callers.rs
+++ b/crates/figscale-core/tests/fleet/callers.rs
@@ -73,7 +73,7 @@
     let mut cell = Cell::with_cores(1, 8);
     for number in 0..20 {
         let admission = cell.submit(number, &kit::queue(1), kit::job(vec![kit::step(8, 8)]));
-        if let Admission::Refused { retry_after } = admission {
+        if let Admission::Refused { retry_after, .. } = admission {
             assert!(number > 0, "an empty cell refused");
             assert!(retry_after >= kit::ms(1_000));
             assert_eq!(cell.state(number), None);
--- a/crates/figscale-core/tests/fleet/trouble.rs
+++ b/crates/figscale-core/tests/fleet/trouble.rs
@@ -54,7 +54,7 @@
     let (home, _) = cell.placed(kit::task(1, 0, 0))[0].clone();
     cell.workers.get_mut(&home).unwrap().reachable = false;
     cell.workers.get_mut(&home).unwrap().running.clear();
-    cell.scheduler.worker_replaced(&home);
+    cell.scheduler.worker_replaced(&home, cell.now);
     cell.settle();
     assert_eq!(cell.starts(), 2);
     assert_ne!(cell.placed(kit::task(1, 0, 0))[0].0, home);
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -24,6 +24,7 @@
     6205 JOB_CANCELLED Info "A job was cancelled by a caller.";
     6206 CALL_FAILED Warn "A caller's question got no answer from a leader in time.";
     6207 CALL_REJECTED Info "A caller's request names no queue or is malformed.";
+    6208 STEP_PLACED Info "Tasks of a step were ordered to workers; the line tells how long the job had waited and how much time it has left.";
     6301 TASK_STARTED Debug "A worker confirmed the start of a task.";
     6302 START_REFUSED Info "A worker refused the start of a task.";
     6303 START_UNANSWERED Warn "A worker did not answer a start; its room stays taken until a report tells.";
@@ -35,8 +36,10 @@
     6309 WORKER_LOST Warn "What ran on a worker has ended unseen; its tasks start elsewhere.";
     6310 WORKER_SILENT Warn "A worker does not answer.";
     6311 WORKER_ANSWERS Info "A worker answers again.";
+    6312 RUN_GIVEN_UP Warn "A run on a silent or replaced worker is taken as ended; its task starts elsewhere.";
     6401 RECORDS_NOT_WRITTEN Warn "The store took no records; new jobs are refused, the rest is tried again.";
     6402 RECORD_INVALID Error "A record in the store cannot be read; its job is not known here.";
     6403 ADVICE_FAILED Warn "The advisory service gave no answer.";
+    6405 ADVICE_GIVEN Info "The advisory service said which workers may run a step.";
     6404 LINES_DROPPED Warn "So many lines were not written, to bound the log.";
 }
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -136,11 +136,26 @@
     let call = Call {
         host: host_of(&head),
         path: head.uri.path().to_owned(),
-        method: head.method,
+        method: head.method.clone(),
         deadline: arrived + wait,
         body,
     };
-    dispatch(&context, call).await
+    let answer = dispatch(&context, call).await;
+    let took = context.clock.now().saturating_duration_since(arrived);
+    let status = answer.status().as_u16();
+    let method = method_label(&head.method);
+    context.metrics.fleet_call_answered(method, status, took);
+    answer
+}
+
+/// Labels are bounded, whatever callers send.
+fn method_label(method: &http::Method) -> &'static str {
+    match *method {
+        http::Method::POST => "POST",
+        http::Method::GET => "GET",
+        http::Method::DELETE => "DELETE",
+        _ => "other",
+    }
 }
 
 fn deadline_of(headers: &http::HeaderMap) -> time::Duration {
@@ -253,6 +268,14 @@
             refuse(http::StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
         }
         Some(LeaderAnswer::StoreAway { retry_after_ms }) if verdict == Verdict::NotRun => {
+            let cause = "the store is away";
+            crate::event!(
+                events::fleet::JOB_REFUSED,
+                job = job,
+                queue = queue_name,
+                cause = cause,
+                waited_ms = waited_ms
+            );
             refuse(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
         }
         _ if verdict == Verdict::NotRun => {
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -164,6 +164,16 @@
     let direct = store::Store::new(client.clone(), settings.platform_address, STORE_TIMEOUT);
     let address = settings.peer_address;
     let store = access::Access::new(direct, peers.clone(), address, clock.clone());
+    let metrics = metrics::Metrics::default();
+    let counted = client.clone();
+    metrics.observe_platform(move || {
+        let counts = counted.counts();
+        [
+            ("sent", counts.calls),
+            ("unanswered", counts.unanswered),
+            ("connections", counts.connections),
+        ]
+    });
     Context {
         settings: sync::Arc::new(settings),
         fleet,
@@ -172,7 +182,7 @@
         peers,
         client,
         store: sync::Arc::new(store),
-        metrics: sync::Arc::new(metrics::Metrics::default()),
+        metrics: sync::Arc::new(metrics),
         me,
         queues: sync::Arc::new(watch::Sender::new(sync::Arc::default())),
         leadership: sync::Arc::new(watch::Sender::new(election::Leadership::default())),
--- a/crates/figscale/src/fleet/outcome.rs
+++ b/crates/figscale/src/fleet/outcome.rs
@@ -1,8 +1,36 @@
-//! Log lines for what the scheduler decided.
+//! Log lines and counts for what the scheduler decided.
 
 use figscale_core::fleet::Note;
+use figscale_types::fleet;
 
 use crate::events::fleet as events;
+use crate::metrics;
+
+/// Counts what a note of the scheduler tells.
+pub(super) fn count(metrics: &metrics::Metrics, note: &Note) {
+    match note {
+        Note::JobEnded {
+            state, after, late, ..
+        } => {
+            metrics.fleet_job_ended(state_label(*state), *late, *after);
+        }
+        Note::StepPlaced { tasks, .. } => {
+            for _ in 0..*tasks {
+                metrics.task_start_sent();
+            }
+        }
+        _ => (),
+    }
+}
+
+fn state_label(state: fleet::JobState) -> &'static str {
+    match state {
+        fleet::JobState::Completed => "completed",
+        fleet::JobState::Failed => "failed",
+        fleet::JobState::Cancelled => "cancelled",
+        fleet::JobState::Queued | fleet::JobState::Running => "open",
+    }
+}
 
 /// Logs a note of the scheduler.
 pub(super) fn log(note: &Note) {
@@ -21,6 +49,52 @@
                 late = late
             );
         }
+        Note::StepPlaced {
+            task,
+            tasks,
+            workers,
+            attempt,
+            after,
+            slack,
+        } => {
+            crate::event!(
+                events::STEP_PLACED,
+                task = task,
+                tasks = tasks,
+                workers = workers,
+                attempt = attempt,
+                after_ms = after.as_millis(),
+                slack_ms = slack.map_or(0, |slack| slack.as_millis())
+            );
+        }
+        Note::AdviceGiven {
+            task,
+            member,
+            asked,
+            good,
+        } => {
+            crate::event!(
+                events::ADVICE_GIVEN,
+                task = task,
+                member = member,
+                asked = asked,
+                good = good
+            );
+        }
+        Note::RunGivenUp {
+            task,
+            attempt,
+            worker,
+            silent,
+        } => {
+            crate::event!(
+                events::RUN_GIVEN_UP,
+                task = task,
+                attempt = attempt,
+                worker = worker,
+                silent_ms = silent.as_millis()
+            );
+        }
         Note::RunEnded {
             task,
             attempt,
--- /dev/null
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -0,0 +1,119 @@
+//! What callers ask of the leader, as entry instances pass it on.
+
+use figscale_core::fleet::Admission;
+use figscale_core::fleet::RecordKey;
+use figscale_types::clock;
+use figscale_types::fleet;
+
+use super::LeaderMessage;
+use super::Term;
+use super::writes;
+use super::writes::Awaited;
+use super::writes::Waiting;
+use crate::events;
+use crate::fleet::calls::LeaderAnswer;
+use crate::fleet::calls::LeaderCall;
+use crate::fleet::keys;
+use crate::kernel;
+
+impl Term {
+    pub(super) fn on_call(&mut self, message: LeaderMessage) {
+        let LeaderMessage { call, reply } = message;
+        match call {
+            LeaderCall::Submit {
+                job,
+                queue,
+                description,
+            } => {
+                self.on_submit(job, &queue, description, reply);
+            }
+            LeaderCall::State { job } => match self.told_state(job) {
+                Some(state) => reply.send(LeaderAnswer::State(Some(state))),
+                None => self.ask_store(job, reply),
+            },
+            LeaderCall::Cancel { job } => self.on_cancel(job, reply),
+            LeaderCall::Pending { queue } => {
+                reply.send(LeaderAnswer::Pending(self.scheduler.pending(&queue)));
+            }
+            LeaderCall::Hello { member, address } => {
+                self.on_hello(member, address);
+                let peers = self.members.values().map(|member| member.address).collect();
+                reply.send(LeaderAnswer::Welcome { peers });
+            }
+        }
+    }
+
+    /// A job that is not in the store yet may still come to nothing.
+    fn told_state(&self, job: fleet::JobId) -> Option<fleet::JobState> {
+        self.scheduler
+            .state(job)
+            .filter(|_| self.scheduler.is_stored(job))
+    }
+
+    /// Answers for a job that is not known here. A later leader may have taken
+    /// it without this one having noticed, so only the store can deny it.
+    fn ask_store(&self, job: fleet::JobId, reply: kernel::Reply<LeaderAnswer>) {
+        let store = self.context.store.clone();
+        tokio::spawn(async move {
+            let key = keys::of_record(RecordKey::Job(job));
+            match store.get(&key).await {
+                Ok(None) => reply.send(LeaderAnswer::State(None)),
+                Ok(Some(_)) | Err(_) => reply.send(LeaderAnswer::Unknown),
+            }
+        });
+    }
+
+    fn on_submit(
+        &mut self,
+        job: fleet::JobId,
+        queue: &fleet::Queue,
+        description: fleet::JobDescription,
+        reply: kernel::Reply<LeaderAnswer>,
+    ) {
+        let known = self.scheduler.state(job).is_some();
+        if !known && self.store_is_away() {
+            reply.send(writes::STORE_AWAY);
+            return;
+        }
+        let (now, wall_ms) = (self.now(), self.context.wall_ms());
+        match self.scheduler.submit(job, queue, description, now, wall_ms) {
+            Admission::Known => reply.send(LeaderAnswer::Accepted),
+            Admission::Accepted => {
+                self.waiting.push(Waiting {
+                    reply,
+                    awaited: Awaited::Submitted(job),
+                });
+            }
+            Admission::Refused { retry_after, wait } => {
+                let retry_after_ms = clock::millis(retry_after);
+                crate::event!(
+                    events::fleet::JOB_REFUSED,
+                    job = job,
+                    queue = queue.name,
+                    cause = "the work in front of it would last too long",
+                    wait_ms = wait.as_millis(),
+                    retry_after_ms = retry_after_ms
+                );
+                reply.send(LeaderAnswer::Refused { retry_after_ms });
+            }
+        }
+    }
+
+    fn on_cancel(&mut self, job: fleet::JobId, reply: kernel::Reply<LeaderAnswer>) {
+        let now = self.now();
+        match self.scheduler.cancel(job, now) {
+            None => self.ask_store(job, reply),
+            Some(state) => {
+                crate::event!(
+                    events::fleet::JOB_CANCELLED,
+                    job = job,
+                    state = format_args!("{state:?}")
+                );
+                self.waiting.push(Waiting {
+                    reply,
+                    awaited: Awaited::Cancelled(job, state),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -0,0 +1,84 @@
+//! What earlier leaders kept, read at the beginning of a term.
+
+use std::time;
+
+use figscale_core::fleet::Config;
+use figscale_core::fleet::RecordError;
+use figscale_core::fleet::Scheduler;
+use figscale_platform::CallError;
+use figscale_types::fleet;
+
+use crate::events;
+use crate::fleet::Context;
+use crate::fleet::keys;
+
+/// Pause after a failed read of the records.
+const LOAD_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// A winner that cannot read the records for so long gives up.
+const MAX_LOADING: time::Duration = time::Duration::from_secs(4);
+
+/// Reads the records, for a while also over failures of the store.
+pub(super) async fn load_within_limit(
+    context: &Context,
+    epoch: fleet::Epoch,
+) -> Result<Scheduler, CallError> {
+    let started = context.clock.now();
+    loop {
+        let error = match load(context, epoch).await {
+            Ok(scheduler) => return Ok(scheduler),
+            Err(error) => error,
+        };
+        if context.clock.now().saturating_duration_since(started) > MAX_LOADING {
+            return Err(error);
+        }
+        tokio::time::sleep(LOAD_PAUSE).await;
+    }
+}
+
+/// Reads what earlier leaders kept.
+async fn load(context: &Context, epoch: fleet::Epoch) -> Result<Scheduler, CallError> {
+    let longest = time::Duration::from_millis(context.fleet.max_worker_lease_ms);
+    let standard = Config::default();
+    let config = Config {
+        epoch,
+        lease: standard.lease.min(longest),
+        stop_limit: time::Duration::from_millis(context.fleet.stop_limit_ms),
+        ..standard
+    };
+    let mut scheduler = Scheduler::new(config);
+    let jobs = context.store.list(keys::JOBS).await?;
+    let progress = context.store.list(keys::PROGRESS).await?;
+    let recorded = context.store.get(keys::WORKERS).await?;
+    let now = context.clock.now();
+    let wall_ms = context.wall_ms();
+    for item in &jobs.items {
+        if let Some(id) = keys::job_of(&item.key, keys::JOBS) {
+            let loaded = scheduler.load_job(id, &item.value, now, wall_ms);
+            log_invalid(&item.key, loaded);
+        }
+    }
+    for item in &progress.items {
+        if let Some(id) = keys::job_of(&item.key, keys::PROGRESS) {
+            log_invalid(&item.key, scheduler.load_progress(id, &item.value));
+        }
+    }
+    let ids = recorded
+        .map(|item| Scheduler::recorded_workers(&item.value))
+        .transpose();
+    let ids = match ids {
+        Ok(ids) => ids.unwrap_or_default(),
+        Err(error) => {
+            log_invalid(keys::WORKERS, Err(error));
+            Vec::new()
+        }
+    };
+    scheduler.begin_recovery(ids, now);
+    scheduler.member_joined(&context.me.id);
+    Ok(scheduler)
+}
+
+fn log_invalid(key: &str, result: Result<(), RecordError>) {
+    if let Err(error) = result {
+        crate::event!(events::fleet::RECORD_INVALID, key = key, error = error);
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -0,0 +1,414 @@
+//! One term of leadership: the scheduler with everything that it talks to.
+//!
+//! The term owns the scheduler and is its only caller. Calls to workers, the
+//! store, the advisory service and peers run as tasks of their own, whose
+//! results come back as messages, so nothing here waits for anybody. After each
+//! batch of messages the scheduler plans once, and its actions are carried out.
+
+use std::time;
+
+use figscale_core::fleet::Action;
+use figscale_core::fleet::Question;
+use figscale_core::fleet::Scheduler;
+use figscale_platform::CallError;
+use figscale_platform::store;
+use figscale_platform::workers as platform_workers;
+use figscale_types::fleet;
+use figscale_types::ids;
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+
+mod advice;
+mod callers;
+mod load;
+mod members;
+mod writes;
+
+use super::Context;
+use super::calls;
+use super::calls::LeaderAnswer;
+use super::calls::LeaderCall;
+use super::election;
+use super::ledger;
+use super::outcome;
+use super::workers;
+use crate::events;
+use crate::kernel;
+use crate::peer;
+
+/// Name of the term's mailbox.
+const SERVICE: &str = "fleet-leader";
+/// Messages that wait for the term at most.
+const MAX_MESSAGES: usize = 8_192;
+/// Time between looks at what only time changes.
+const TICK: time::Duration = time::Duration::from_millis(25);
+/// Time between updates of the gauges.
+const COUNT_PAUSE: time::Duration = time::Duration::from_secs(1);
+/// Shortest time between two passes of placement; it batches what arrives
+/// together and adds this much to a wait at most.
+const PLAN_PAUSE: time::Duration = time::Duration::from_millis(4);
+/// When a caller should come back after the store was away.
+const STORE_RETRY_AFTER_MS: u64 = 1_000;
+/// Renewals of the leader's lease in one life of it.
+const RENEWALS_PER_LEASE: u32 = 4;
+
+/// How a term ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ended {
+    /// Another leader came.
+    Deposed,
+    /// Most peers could not reach this instance.
+    OutOfReach,
+    /// A planned stop.
+    Leaving,
+    /// The records could not be read.
+    Failed,
+}
+
+/// A call to the leader, with where the answer goes.
+pub(super) struct LeaderMessage {
+    call: LeaderCall,
+    reply: kernel::Reply<LeaderAnswer>,
+}
+
+/// What comes back to a term.
+pub(super) enum Message {
+    /// All workers, as the platform lists them.
+    Listing(Vec<fleet::WorkerEntry>),
+    /// A worker's report, or why there is none.
+    Reported(
+        fleet::WorkerId,
+        Result<platform_workers::ReportOutcome, CallError>,
+    ),
+    /// A start was answered, or not.
+    StartAnswered {
+        worker: fleet::WorkerId,
+        task: fleet::TaskId,
+        attempt: u32,
+        outcome: fleet::StartOutcome,
+    },
+    /// The advisory service answered, or not.
+    Advised(Question, Option<Vec<fleet::Ticket>>),
+    /// A write has ended.
+    Written(Result<(), ledger::WriteError>, Box<ledger::Ledger>),
+    /// The leader's lease has ended at the store.
+    LeaseEnded,
+    /// A new lease for the leader.
+    LeaseGranted(store::LeaseId),
+}
+
+struct Term {
+    context: Context,
+    scheduler: Scheduler,
+    leader: election::Leader,
+    /// Away while a write is on its way.
+    ledger: Option<Box<ledger::Ledger>>,
+    writing: Option<writes::Writing>,
+    last_write: time::Instant,
+    waiting: Vec<writes::Waiting>,
+    /// The last write was not taken.
+    store_away: bool,
+    new_lease: Option<store::LeaseId>,
+    lease: store::LeaseId,
+    workers: workers::Links,
+    members: IndexMap<ids::MemberId, members::Member>,
+    most_members: usize,
+    alone_since: Option<time::Instant>,
+    planned: time::Instant,
+    counted: time::Instant,
+    messages: mpsc::Sender<Message>,
+    ended: Option<Ended>,
+}
+
+/// Answers peers' calls to the leader.
+pub(super) fn start(context: &Context, handlers: &mut peer::Handlers) {
+    let context = context.clone();
+    handlers.on_call(calls::LEADER_SERVICE, move |_from, call: LeaderCall| {
+        let context = context.clone();
+        async move { Ok(call_here(&context, call).await) }
+    });
+}
+
+/// Calls the leader in this process.
+pub(super) async fn call_here(context: &Context, call: LeaderCall) -> LeaderAnswer {
+    if !context.leadership.borrow().leading {
+        return LeaderAnswer::NotLeader;
+    }
+    let Ok(address) = context.kernel.find::<LeaderMessage>(SERVICE) else {
+        return LeaderAnswer::NotLeader;
+    };
+    match address.call(|reply| LeaderMessage { call, reply }).await {
+        Ok(answer) => answer,
+        Err(kernel::Unavailable::Gone(_)) => LeaderAnswer::Unknown,
+        Err(kernel::Unavailable::Full(_)) => LeaderAnswer::Refused {
+            retry_after_ms: STORE_RETRY_AFTER_MS,
+        },
+        Err(kernel::Unavailable::Unknown(_)) => LeaderAnswer::NotLeader,
+    }
+}
+
+/// Leads until the term is over.
+pub(super) async fn lead(context: &Context, won: election::Won) -> Ended {
+    let epoch = won.leader.epoch;
+    let lease = won.lease;
+    let (messages, mut received) = mpsc::channel(MAX_MESSAGES);
+    let renewal = tokio::spawn(renew(context.clone(), lease, messages.clone()));
+    let scheduler = match load::load_within_limit(context, epoch).await {
+        Ok(scheduler) => scheduler,
+        Err(error) => {
+            crate::event!(events::fleet::TERM_FAILED, epoch = epoch, error = error);
+            renewal.abort();
+            let _ = context.store.revoke(lease).await;
+            return Ended::Failed;
+        }
+    };
+    let mut inbox = context.kernel.register::<LeaderMessage>(SERVICE);
+    let mut term = Term::new(context, won, scheduler, messages);
+    context.leadership.send_modify(|known| {
+        election::adopt(known, term.leader.clone());
+        known.leading = true;
+    });
+    let counts = term.scheduler.counts(context.clock.now());
+    crate::event!(
+        events::fleet::TERM_BEGUN,
+        epoch = epoch,
+        open_jobs = counts.open_jobs,
+        workers = counts.workers
+    );
+    let watching = tokio::spawn(workers::follow(context.clone(), term.messages.clone()));
+    let ended = term.run(&mut inbox, &mut received).await;
+    watching.abort();
+    renewal.abort();
+    context
+        .leadership
+        .send_modify(|known| known.leading = false);
+    crate::event!(
+        events::fleet::TERM_ENDED,
+        epoch = epoch,
+        how = format_args!("{ended:?}")
+    );
+    if ended != Ended::Deposed {
+        // Tells the others at once; if it gets lost, the lease ends by itself.
+        let _ = context.store.revoke(term.lease).await;
+    }
+    ended
+}
+
+async fn renew(context: Context, first: store::LeaseId, messages: mpsc::Sender<Message>) {
+    let pause = time::Duration::from_millis(context.fleet.leader_lease_ms) / RENEWALS_PER_LEASE;
+    let mut lease = first;
+    loop {
+        tokio::time::sleep(pause).await;
+        match context.store.renew(lease).await {
+            Ok(true) | Err(_) => continue,
+            Ok(false) => (),
+        }
+        if messages.send(Message::LeaseEnded).await.is_err() {
+            return;
+        }
+        let ttl = time::Duration::from_millis(context.fleet.leader_lease_ms);
+        if let Ok(granted) = context.store.grant(ttl).await {
+            lease = granted;
+            if messages.send(Message::LeaseGranted(granted)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+impl Term {
+    fn new(
+        context: &Context,
+        won: election::Won,
+        scheduler: Scheduler,
+        messages: mpsc::Sender<Message>,
+    ) -> Self {
+        let now = context.clock.now();
+        let ledger = ledger::Ledger::new(context.store.clone(), won.head, won.head_revision);
+        Self {
+            context: context.clone(),
+            scheduler,
+            workers: workers::Links::new(context, won.leader.epoch, messages.clone()),
+            leader: won.leader,
+            ledger: Some(Box::new(ledger)),
+            writing: None,
+            last_write: now,
+            waiting: Vec::new(),
+            store_away: false,
+            new_lease: None,
+            lease: won.lease,
+            members: IndexMap::new(),
+            most_members: 0,
+            alone_since: None,
+            planned: now,
+            counted: now,
+            messages,
+            ended: None,
+        }
+    }
+
+    async fn run(
+        &mut self,
+        inbox: &mut kernel::Inbox<LeaderMessage>,
+        received: &mut mpsc::Receiver<Message>,
+    ) -> Ended {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(message) = received.recv() => self.on_message(message),
+                Some(message) = inbox.recv() => self.on_call(message),
+                _ = tick.tick() => self.on_tick(),
+            }
+            while let Ok(message) = received.try_recv() {
+                self.on_message(message);
+            }
+            while let Ok(message) = inbox.try_recv() {
+                self.on_call(message);
+            }
+            self.advance();
+            if let Some(ended) = self.ended {
+                return ended;
+            }
+        }
+    }
+
+    fn now(&self) -> time::Instant {
+        self.context.clock.now()
+    }
+
+    /// Plans, carries out what was decided, and writes.
+    fn advance(&mut self) {
+        let now = self.now();
+        if now >= self.planned + PLAN_PAUSE {
+            self.planned = now;
+            self.scheduler.plan(now);
+        }
+        for action in self.scheduler.take_actions() {
+            self.carry_out(action);
+        }
+        self.workers.call_due(&mut self.scheduler, now);
+        self.write_if_due(now);
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Start { worker, order } => self.workers.start(worker, order),
+            Action::Stop {
+                worker,
+                task,
+                attempt,
+            } => self.workers.stop(worker, task, attempt),
+            Action::Ask(question) => self.ask(question),
+            Action::StepDown => self.ended = Some(Ended::Deposed),
+            Action::Tell(note) => {
+                outcome::count(&self.context.metrics, &note);
+                outcome::log(&note);
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.now();
+        let wall_ms = self.context.wall_ms();
+        self.scheduler.tick(now, wall_ms);
+        self.drop_silent_members(now);
+        if now >= self.counted + COUNT_PAUSE {
+            self.counted = now;
+            self.count(now);
+        }
+        if *self.context.leaving.borrow() && self.writing.is_none() && self.waiting.is_empty() {
+            self.ended = Some(Ended::Leaving);
+        }
+    }
+
+    fn count(&self, now: time::Instant) {
+        let counts = self.scheduler.counts(now);
+        let metrics = &self.context.metrics;
+        metrics.fleet_knows("open_jobs", counts.open_jobs);
+        metrics.fleet_knows("queued_jobs", counts.queued_jobs);
+        metrics.fleet_knows("runs", counts.runs);
+        metrics.fleet_knows("usable_workers", counts.usable_workers);
+        metrics.fleet_knows("workers", counts.workers);
+        metrics.fleet_knows("members", self.members.len());
+    }
+
+    fn on_message(&mut self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Listing(entries) => self.on_listing(entries, now),
+            Message::Reported(id, report) => self.on_report(&id, report, now),
+            Message::StartAnswered {
+                worker,
+                task,
+                attempt,
+                outcome,
+            } => {
+                self.scheduler
+                    .start_answered(&worker, task, attempt, outcome, now);
+            }
+            Message::Advised(question, good) => {
+                self.scheduler.advice_answered(&question, good, now);
+            }
+            Message::Written(result, ledger) => self.on_written(result, ledger),
+            Message::LeaseEnded => {
+                crate::event!(events::fleet::LEASE_RENEWED_LATE, epoch = self.leader.epoch);
+            }
+            Message::LeaseGranted(lease) => {
+                self.lease = lease;
+                self.new_lease = Some(lease);
+            }
+        }
+    }
+
+    fn on_listing(&mut self, entries: Vec<fleet::WorkerEntry>, now: time::Instant) {
+        let listed: indexmap::IndexSet<fleet::WorkerId> =
+            entries.iter().map(|entry| entry.id.clone()).collect();
+        for id in self.scheduler.listed_workers() {
+            if !listed.contains(&id) {
+                crate::event!(events::fleet::WORKER_UNLISTED, worker = id);
+                self.scheduler.worker_unlisted(&id, now);
+            }
+        }
+        for entry in entries {
+            self.on_listed(entry);
+        }
+    }
+
+    fn on_listed(&mut self, entry: fleet::WorkerEntry) {
+        if self.scheduler.is_listed_as(&entry) {
+            return;
+        }
+        crate::event!(
+            events::fleet::WORKER_LISTED,
+            worker = entry.id,
+            address = entry.address,
+            draining = entry.draining
+        );
+        self.workers.add(&entry);
+        self.scheduler.worker_listed(entry);
+    }
+
+    fn on_report(
+        &mut self,
+        id: &fleet::WorkerId,
+        report: Result<platform_workers::ReportOutcome, CallError>,
+        now: time::Instant,
+    ) {
+        match &report {
+            Ok(platform_workers::ReportOutcome::Report(report)) => {
+                self.scheduler.worker_reported(id, report, now);
+            }
+            Ok(platform_workers::ReportOutcome::StaleEpoch) => self.ended = Some(Ended::Deposed),
+            Ok(platform_workers::ReportOutcome::OtherLife) => {
+                self.scheduler.worker_replaced(id, now)
+            }
+            Ok(platform_workers::ReportOutcome::Unhealthy) | Err(_) => (),
+        }
+        let waits = self.scheduler.has_unacknowledged(id);
+        self.workers.reported(id, &report, waits, now);
+    }
+}
+
+/// Where results of calls go.
+pub(super) type Messages = mpsc::Sender<Message>;
--- a/crates/figscale/src/fleet/workers.rs
+++ b/crates/figscale/src/fleet/workers.rs
@@ -19,7 +19,7 @@
 use crate::events;
 
 /// Time for a worker's answer, on top of the wait asked for.
-pub(super) const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// How long a report waits for an end. Leases and what is known of a worker are
 /// at most this old.
 const REPORT_WAIT: time::Duration = time::Duration::from_millis(1_000);
@@ -65,7 +65,7 @@
     pub(super) fn new(context: &Context, epoch: fleet::Epoch, messages: term::Messages) -> Self {
         Self {
             context: context.clone(),
-            calls: term::worker_calls(context),
+            calls: workers::Workers::new(context.client.clone(), CALL_TIMEOUT),
             epoch,
             messages,
             links: IndexMap::new(),
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -29,6 +29,9 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.3, 10.0,
 ];
 
+/// Bounds of the histogram of jobs' times, in seconds.
+const JOB_BOUNDS_S: [f64; 9] = [0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0];
+
 /// Slots of a service's runners that this process hands out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Slots {
@@ -51,6 +54,11 @@
     tasks: metrics::Gauge<u64>,
     task_starts: metrics::Counter<u64>,
     catalogue_revision: metrics::Gauge<u64>,
+    fleet_calls: metrics::Counter<u64>,
+    fleet_call_time: metrics::Histogram<f64>,
+    fleet_jobs: metrics::Counter<u64>,
+    fleet_job_time: metrics::Histogram<f64>,
+    fleet_state: metrics::Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -89,6 +97,22 @@
                 "figscale_catalogue_revision",
                 "Catalogue revision in force here.",
             ),
+            fleet_calls: counter("figscale_fleet_calls", "Callers' requests answered."),
+            fleet_call_time: seconds(
+                "figscale_fleet_call_seconds",
+                "Time from a caller's request to its answer.",
+                &WAIT_BOUNDS_S,
+            ),
+            fleet_jobs: counter("figscale_fleet_jobs", "Jobs that reached their end here."),
+            fleet_job_time: seconds(
+                "figscale_fleet_job_seconds",
+                "Time from a job's submission to its end.",
+                &JOB_BOUNDS_S,
+            ),
+            fleet_state: gauge(
+                "figscale_fleet_state",
+                "What the leader knows: jobs, runs, workers; nothing elsewhere.",
+            ),
             registry,
             provider,
         }
@@ -233,6 +257,48 @@
         self.task_starts.add(1, &[]);
     }
 
+    /// A caller of the fleet got its answer.
+    pub fn fleet_call_answered(&self, method: &str, status: u16, took: time::Duration) {
+        let labels = [
+            KeyValue::new("method", method.to_owned()),
+            KeyValue::new("status", i64::from(status)),
+        ];
+        self.fleet_calls.add(1, &labels);
+        self.fleet_call_time
+            .record(took.as_secs_f64(), &labels[..1]);
+    }
+
+    /// A job of the fleet reached its end, after its submission so long ago.
+    pub fn fleet_job_ended(&self, state: &'static str, late: bool, after: time::Duration) {
+        let labels = [KeyValue::new("state", state), KeyValue::new("late", late)];
+        self.fleet_jobs.add(1, &labels);
+        self.fleet_job_time
+            .record(after.as_secs_f64(), &labels[..1]);
+    }
+
+    /// The leader of the fleet knows of so many things of a kind now.
+    pub fn fleet_knows(&self, kind: &'static str, number: usize) {
+        self.fleet_state
+            .record(count(number), &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Has calls to the users' platform read from its client's own counts.
+    pub fn observe_platform(
+        &self,
+        counts: impl Fn() -> [(&'static str, u64); 3] + Send + Sync + 'static,
+    ) {
+        self.provider
+            .meter(SCOPE)
+            .u64_observable_counter("figscale_platform_calls")
+            .with_description("Calls to the users' platform, those unanswered, connections opened.")
+            .with_callback(move |out| {
+                for (kind, number) in counts() {
+                    out.observe(number, &[KeyValue::new("kind", kind)]);
+                }
+            })
+            .build();
+    }
+
     /// A catalogue came into force here.
     pub fn catalogue_adopted(&self, revision: ids::Revision) {
         self.catalogue_revision.record(revision.0, &[]);
--- a/crates/figscale/tests/events_page.rs
+++ b/crates/figscale/tests/events_page.rs
@@ -63,6 +63,7 @@
         (3_000, events::catalogue::ALL),
         (4_000, events::requests::ALL),
         (5_000, events::jobs::ALL),
+        (6_000, events::fleet::ALL),
     ];
     let mut codes = BTreeSet::new();
     let mut names = BTreeSet::new();
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -1,5 +1,7 @@
 //! Entry instances as processes around a stand-in of the users' platform.
 
+#![expect(dead_code, reason = "each test binary uses a part")]
+
 use std::fs;
 use std::net;
 use std::process;
@@ -288,6 +290,17 @@
         assert!(faults.is_empty(), "{faults:#?}");
     }
 
+    /// All lines logged so far by all instances.
+    pub(crate) fn log_lines(&self) -> Vec<serde_json::Value> {
+        let logs = self
+            .instances
+            .iter()
+            .map(|instance| fs::read_to_string(&instance.log).unwrap());
+        let parse = |line: &str| serde_json::from_str(line).unwrap();
+        logs.flat_map(|log| log.lines().map(parse).collect::<Vec<_>>())
+            .collect()
+    }
+
     fn print_logs(&self) {
         for (number, instance) in self.instances.iter().enumerate() {
             let log = fs::read_to_string(&instance.log).unwrap_or_default();
