--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -142,6 +142,7 @@
             std::thread::sleep(POLL);
         }
         let _ = child.kill();
+        let _ = child.wait();
         panic!("still running");
     }
 
