Hand leadership over at once at a planned stop

Questions also went on to an instance whose address refused connections (72 in a second). Change: a leader that closes takes nothing new and ends after its last write; an instance that cannot be reached is no lane until it greets; instances that have just started stand first, so that leadership moves less in restarts.

--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 //! What it believes of workers comes from their own reports, so nothing of a
 //! placement is written anywhere: a new leader asks every worker, under its
 //! own higher epoch, and takes the lists as the truth. What must outlive a
-//! leader (jobs, ends that were acknowledged to workers) is in [`durable`]
+//! leader (jobs, ends that were acknowledged to workers) is in `durable`
 //! records. An end is acknowledged only after its record is in the store.
 //!
 //! One memory for all workers decides better and serves gangs without
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -38,6 +38,9 @@
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Candidates spread over this time, so that most see that one has won.
 const SPREAD: time::Duration = time::Duration::from_millis(40);
+/// An instance is fresh for so long after its start; restarts in turn take
+/// a second or two each.
+const FRESH: time::Duration = time::Duration::from_secs(20);
 /// Time given to a leader that still answers to renew its key.
 const ANSWERING_GRACE: time::Duration = time::Duration::from_millis(800);
 /// How long a candidate tries to learn what became of its transaction.
@@ -212,11 +215,26 @@
             }
         }
     };
-    let spread_us = rand::rng().random_range(0..SPREAD.as_micros() as u64);
-    tokio::time::sleep(time::Duration::from_micros(spread_us)).await;
+    tokio::time::sleep(spread(context)).await;
     key_revision
 }
 
+/// A little time, so that candidates do not all stand at once.
+///
+/// Instances that have just started go first: when all are restarted in turn,
+/// the others are still to be, and leadership would move with each.
+fn spread(context: &Context) -> time::Duration {
+    let uptime = context
+        .clock
+        .now()
+        .saturating_duration_since(context.started);
+    let part = rand::rng().random_range(0.0..1.0);
+    match uptime < FRESH {
+        true => SPREAD.mul_f64(part / 4.0),
+        false => SPREAD.mul_f64(part * 0.75 + 0.25),
+    }
+}
+
 enum Vacancy {
     /// Nobody leads while the key has this revision.
     Now(u64),
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -3,12 +3,12 @@
 //! An entry instance with the `fleet` section in its settings runs these
 //! services in place of claims, catalogue, jobs and traffic:
 //!
-//! - [`access`] reaches the store, through a peer if need be;
-//! - [`follow`] keeps the queues that the operators configured;
-//! - [`election`] knows who leads, and stands for leadership;
-//! - [`term`] runs the scheduler while this instance leads;
-//! - [`entry`] answers callers, passing on to the leader what it decides;
-//! - [`advice`] asks the advisory service on the leader's behalf.
+//! - `access` reaches the store, through a peer if need be;
+//! - `follow` keeps the queues that the operators configured;
+//! - `election` knows who leads, and stands for leadership;
+//! - `term` runs the scheduler while this instance leads;
+//! - `entry` answers callers, passing on to the leader what it decides;
+//! - `advice` asks the advisory service on the leader's behalf.
 //!
 //! Everything runs on one thread: these machines have a quarter of a core, on
 //! which a second thread would only add switches.
@@ -67,6 +67,8 @@
     pub(crate) client: sync::Arc<Client>,
     pub(crate) store: sync::Arc<access::Access>,
     pub(crate) metrics: sync::Arc<metrics::Metrics>,
+    /// When this process started.
+    pub(crate) started: time::Instant,
     /// This life of this entry instance.
     pub(crate) me: ids::MemberKey,
     pub(crate) queues: sync::Arc<watch::Sender<sync::Arc<fleet::QueueTable>>>,
@@ -175,6 +177,7 @@
         ]
     });
     Context {
+        started: clock.now(),
         settings: sync::Arc::new(settings),
         fleet,
         clock,
--- a/crates/figscale/src/fleet/term/advice.rs
+++ b/crates/figscale/src/fleet/term/advice.rs
@@ -7,6 +7,7 @@
 use figscale_platform::advice;
 use figscale_types::clock;
 use figscale_types::fleet;
+use figscale_types::verdict::Verdict;
 
 use super::Message;
 use super::Term;
@@ -14,6 +15,7 @@
 use crate::fleet::Context;
 use crate::fleet::advice as adviser;
 use crate::fleet::calls;
+use crate::peer;
 
 /// Time for the way to a peer and back, and its own wait for the service.
 const PEER_SLACK: time::Duration = time::Duration::from_millis(900);
@@ -39,12 +41,23 @@
                     member = question.member,
                     error = format_args!("{error:#}")
                 );
+                if is_gone(error) {
+                    let gone = Message::MemberGone(question.member.clone());
+                    let _ = messages.send(gone).await;
+                }
             }
             let _ = messages.send(Message::Advised(question, answer.ok())).await;
         });
     }
 }
 
+/// Whether a peer never got the question: its process has ended, most likely,
+/// and every further question would fail like this one.
+fn is_gone(error: &eyre::Report) -> bool {
+    let error = error.downcast_ref::<peer::PeerError>();
+    error.is_some_and(|error| error.verdict == Verdict::NotRun)
+}
+
 /// Asks through another entry instance, or from here.
 async fn ask_through(
     context: &Context,
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -19,6 +19,11 @@
 impl Term {
     pub(super) fn on_call(&mut self, message: LeaderMessage) {
         let LeaderMessage { call, reply } = message;
+        if self.closing {
+            // Nothing was done: whoever leads next is asked again.
+            reply.send(LeaderAnswer::NotLeader);
+            return;
+        }
         match call {
             LeaderCall::Submit {
                 job,
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -31,6 +31,12 @@
         self.context.store.set_roster(known.collect());
     }
 
+    /// An instance is gone until it greets again; nothing is asked through it.
+    pub(super) fn drop_member(&mut self, id: &ids::MemberId) {
+        self.members.swap_remove(id);
+        self.scheduler.member_left(id);
+    }
+
     pub(super) fn drop_silent_members(&mut self, now: time::Instant) {
         let silent = |member: &Member| now > member.heard + MEMBER_SILENCE;
         let gone: Vec<ids::MemberId> = self
@@ -40,8 +46,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in gone {
-            self.members.swap_remove(&id);
-            self.scheduler.member_left(&id);
+            self.drop_member(&id);
         }
         self.most_members = self.most_members.max(self.members.len());
         let enough = self.members.len() * 2 >= self.most_members;
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -89,6 +89,8 @@
     },
     /// The advisory service answered, or not.
     Advised(Question, Option<Vec<fleet::Ticket>>),
+    /// An entry instance could not be reached at all.
+    MemberGone(ids::MemberId),
     /// A write has ended.
     Written(Result<(), ledger::WriteError>, Box<ledger::Ledger>),
     /// The leader's lease has ended at the store.
@@ -117,6 +119,8 @@
     planned: time::Instant,
     counted: time::Instant,
     messages: mpsc::Sender<Message>,
+    /// Handing over.
+    closing: bool,
     ended: Option<Ended>,
 }
 
@@ -243,6 +247,7 @@
             planned: now,
             counted: now,
             messages,
+            closing: false,
             ended: None,
         }
     }
@@ -280,7 +285,7 @@
     /// Plans, carries out what was decided, and writes.
     fn advance(&mut self) {
         let now = self.now();
-        if now >= self.planned + PLAN_PAUSE {
+        if now >= self.planned + PLAN_PAUSE && !self.closing {
             self.planned = now;
             self.scheduler.plan(now);
         }
@@ -289,6 +294,9 @@
         }
         self.workers.call_due(&mut self.scheduler, now);
         self.write_if_due(now);
+        if self.closing && self.writing.is_none() && self.waiting.is_empty() {
+            self.ended = Some(Ended::Leaving);
+        }
     }
 
     fn carry_out(&mut self, action: Action) {
@@ -317,11 +325,22 @@
             self.counted = now;
             self.count(now);
         }
-        if *self.context.leaving.borrow() && self.writing.is_none() && self.waiting.is_empty() {
-            self.ended = Some(Ended::Leaving);
+        if *self.context.leaving.borrow() && !self.closing {
+            self.close();
         }
     }
 
+    /// Begins to hand over: nothing new is taken, what callers wait for is
+    /// still written. Under load a write is always on its way, so without this
+    /// the term would go on until the process ends, and the others would find
+    /// out only then.
+    fn close(&mut self) {
+        self.closing = true;
+        self.context
+            .leadership
+            .send_modify(|known| known.leading = false);
+    }
+
     fn count(&self, now: time::Instant) {
         let counts = self.scheduler.counts(now);
         let metrics = &self.context.metrics;
@@ -350,6 +369,7 @@
             Message::Advised(question, good) => {
                 self.scheduler.advice_answered(&question, good, now);
             }
+            Message::MemberGone(member) => self.drop_member(&member),
             Message::Written(result, ledger) => self.on_written(result, ledger),
             Message::LeaseEnded => {
                 crate::event!(events::fleet::LEASE_RENEWED_LATE, epoch = self.leader.epoch);
--- a/crates/figscale/tests/fleet_process.rs
+++ b/crates/figscale/tests/fleet_process.rs
@@ -278,3 +278,28 @@
     fleet.wait_for_state(2, 0x602, "completed").await;
     fleet.check();
 }
+
+/// While callers keep coming there is always something being written.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_under_load_hands_over_at_once() {
+    let mut fleet = Fleet::start(2, 4, false).await;
+    let leader = fleet.leader().await;
+    let other = 1 - leader;
+    let begun = time::Instant::now();
+    fleet.signal(leader, "TERM");
+    let mut number = 0;
+    while !fleet.leads(other).await {
+        number += 1;
+        let job = 0x1000 + number;
+        let _ = tokio::join!(
+            fleet.submit(other, job, 1, "20"),
+            fleet.submit(other, 0x2000 + number, 1, "20"),
+        );
+        assert!(
+            begun.elapsed() < time::Duration::from_millis(2_000),
+            "no hand-over in 2 s"
+        );
+    }
+    assert_eq!(fleet.exit_code(leader), Some(0));
+    fleet.check();
+}
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -275,16 +275,20 @@
 
     /// Which instance leads.
     pub(crate) async fn leader(&self) -> usize {
-        for (number, instance) in self.instances.iter().enumerate() {
-            let call = client::Call::get(instance.operator, "/v1/dump");
-            let dump: serde_json::Value = self.client.send(call).await.unwrap().json().unwrap();
-            if dump["leading"] == true {
+        for number in 0..self.instances.len() {
+            if self.leads(number).await {
                 return number;
             }
         }
         panic!("nobody leads");
     }
 
+    pub(crate) async fn leads(&self, number: usize) -> bool {
+        let call = client::Call::get(self.instances[number].operator, "/v1/dump");
+        let dump: serde_json::Value = self.client.send(call).await.unwrap().json().unwrap();
+        dump["leading"] == true
+    }
+
     /// Nothing that must never happen was seen by a worker.
     pub(crate) fn check(&self) {
         let faults = self.platform.ledger.faults();
