--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -48,6 +48,13 @@
     pub(crate) acknowledge: Vec<(fleet::WorkerId, u64)>,
 }
 
+impl Records {
+    /// Whether a job is among those that may be told as accepted afterwards.
+    pub fn creates(&self, job: fleet::JobId) -> bool {
+        self.created.contains(&job)
+    }
+}
+
 /// A record that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordError(String);
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -74,6 +74,8 @@
     pub(crate) ended_revision: Option<u64>,
     /// When the leader last answered.
     pub(crate) answered_at: Option<time::Instant>,
+    /// The head as a leader left it that ended in order.
+    pub(super) last_head: Option<(ledger::Head, u64)>,
     /// Since when the leader's key is gone.
     pub(crate) vacant_since: Option<time::Instant>,
 }
@@ -271,9 +273,11 @@
 /// Tries to lead the next term, as long as the leader's key is as it was when
 /// nobody led; `None` if another was faster.
 async fn stand(context: &Context, key_revision: u64) -> Result<Option<Won>, CallError> {
-    let head_item = context.store.get(keys::HEAD).await?;
-    let known = head_item.as_ref().and_then(ledger::decode_head);
-    let last = known.map_or(fleet::Epoch(0), |head| head.epoch);
+    let ttl = time::Duration::from_millis(context.fleet.leader_lease_ms);
+    let (known, lease) = tokio::try_join!(last_head(context), context.store.grant(ttl))?;
+    let last = known
+        .as_ref()
+        .map_or(fleet::Epoch(0), |(head, _)| head.epoch);
     let epoch = fleet::Epoch(last.0 + 1);
     let head = ledger::Head {
         epoch,
@@ -285,14 +289,12 @@
         address: context.settings.peer_address,
         epoch,
     };
-    let ttl = time::Duration::from_millis(context.fleet.leader_lease_ms);
-    let lease = context.store.grant(ttl).await?;
     let transaction = store::Transaction {
         expected: vec![
             (keys::LEAD.to_owned(), key_revision),
             (
                 keys::HEAD.to_owned(),
-                head_item.map_or(0, |item| item.revision),
+                known.map_or(0, |(_, revision)| revision),
             ),
         ],
         writes: vec![
@@ -324,6 +326,21 @@
     }
 }
 
+/// The head as it is now: as the last leader told at its end, or as read.
+async fn last_head(context: &Context) -> Result<Option<(ledger::Head, u64)>, CallError> {
+    let mut told = None;
+    // Used once: if it is out of date, the next try reads.
+    context.leadership.send_if_modified(|known| {
+        told = known.last_head.take();
+        false
+    });
+    if told.is_some() {
+        return Ok(told);
+    }
+    let item = context.store.get(keys::HEAD).await?;
+    Ok(item.and_then(|item| Some((ledger::decode_head(&item)?, item.revision))))
+}
+
 /// Reads the leader's key again, so that a lost election is not repeated on
 /// an old reading of it.
 async fn refresh(context: &Context) -> Result<(), CallError> {
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// The head as this term left it, with its revision.
+    pub(super) fn head(&self) -> (Head, u64) {
+        (self.head.clone(), self.revision)
+    }
+
     /// Writes records, and names the leader anew where a lease is given.
     pub(super) async fn write(
         &mut self,
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -16,6 +16,7 @@
 use super::Context;
 use super::calls;
 use super::election;
+use super::ledger;
 use crate::events;
 use crate::peer;
 
@@ -29,6 +30,19 @@
 /// Name of the service that tells who leads.
 const WHO_LEADS: &str = "fleet-who-leads";
 
+/// Name of the service that hears of a leader's end.
+const ENDED_SERVICE: &str = "fleet-leader-ended";
+/// Time for telling the others of it; the lease ends by itself if it fails.
+const ENDED_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
+/// A leader ended its term in order.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct EndedInOrder {
+    leader: election::Leader,
+    head: ledger::Head,
+    head_revision: u64,
+}
+
 /// An empty question.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct WhoLeads;
@@ -40,9 +54,54 @@
         let leader = known.borrow().leader.clone();
         async move { Ok(leader) }
     });
+    let hearing = context.clone();
+    handlers.on_call(ENDED_SERVICE, move |_from, end: EndedInOrder| {
+        let context = hearing.clone();
+        async move {
+            hear_end(&context, end);
+            Ok(())
+        }
+    });
     tokio::spawn(greet(context.clone()));
 }
 
+fn hear_end(context: &Context, end: EndedInOrder) {
+    let key_revision = context.leadership.borrow().key_revision;
+    context.leadership.send_modify(|known| {
+        known.last_head = Some((end.head, end.head_revision));
+    });
+    ended(context, &end.leader, key_revision);
+}
+
+/// Tells the others that this instance leads no more; true if any heard it.
+///
+/// They stand at once, on the key as it is, so it must not be removed then.
+pub(super) async fn tell_end(
+    context: &Context,
+    leader: &election::Leader,
+    (head, head_revision): (ledger::Head, u64),
+) -> bool {
+    let end = EndedInOrder {
+        leader: leader.clone(),
+        head,
+        head_revision,
+    };
+    let calls = context.store.roster().into_iter().map(|peer| {
+        let (context, end) = (context.clone(), end.clone());
+        tokio::spawn(async move {
+            let told = context.peers.call(peer, ENDED_SERVICE, &end, ENDED_TIMEOUT);
+            let heard: Result<(), peer::PeerError> = told.await;
+            heard.is_ok()
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut any = false;
+    for call in calls {
+        any |= call.await.unwrap_or(false);
+    }
+    any
+}
+
 async fn greet(context: Context) {
     let mut not_leading_since = None;
     let mut changes = context.leadership.subscribe();
--- a/crates/figscale/src/fleet/term/load.rs
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -46,9 +46,13 @@
         ..standard
     };
     let mut scheduler = Scheduler::new(config);
-    let jobs = context.store.list(keys::JOBS).await?;
-    let progress = context.store.list(keys::PROGRESS).await?;
-    let recorded = context.store.get(keys::WORKERS).await?;
+    // At once: with a slow store each of these takes several round trips of a
+    // quarter of a second, and nobody leads meanwhile.
+    let (jobs, progress, recorded) = tokio::try_join!(
+        context.store.list(keys::JOBS),
+        context.store.list(keys::PROGRESS),
+        context.store.get(keys::WORKERS),
+    )?;
     let now = context.clock.now();
     let wall_ms = context.wall_ms();
     for item in &jobs.items {
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -30,6 +30,7 @@
 use super::calls::LeaderCall;
 use super::election;
 use super::ledger;
+use super::membership;
 use super::outcome;
 use super::workers;
 use crate::events;
@@ -192,12 +193,23 @@
         how = format_args!("{ended:?}")
     );
     if ended != Ended::Deposed {
-        // Tells the others at once; if it gets lost, the lease ends by itself.
-        let _ = context.store.revoke(term.lease).await;
+        give_way(context, &term).await;
     }
     ended
 }
 
+/// Lets the others lead at once; if they hear nothing, the lease ends by
+/// itself.
+async fn give_way(context: &Context, term: &Term) {
+    let head = term.ledger.as_ref().map(|ledger| ledger.head());
+    if let Some(head) = head
+        && membership::tell_end(context, &term.leader, head).await
+    {
+        return;
+    }
+    let _ = context.store.revoke(term.lease).await;
+}
+
 async fn renew(context: Context, first: store::LeaseId, messages: mpsc::Sender<Message>) {
     let pause = time::Duration::from_millis(context.fleet.leader_lease_ms) / RENEWALS_PER_LEASE;
     let mut lease = first;
@@ -293,9 +305,10 @@
             self.carry_out(action);
         }
         self.workers.call_due(&mut self.scheduler, now);
-        self.write_if_due(now);
-        if self.closing && self.writing.is_none() && self.waiting.is_empty() {
-            self.ended = Some(Ended::Leaving);
+        match self.closing {
+            true if self.writing.is_none() => self.ended = Some(Ended::Leaving),
+            true => (),
+            false => self.write_if_due(now),
         }
     }
 
@@ -330,15 +343,16 @@
         }
     }
 
-    /// Begins to hand over: nothing new is taken, what callers wait for is
-    /// still written. Under load a write is always on its way, so without this
-    /// the term would go on until the process ends, and the others would find
-    /// out only then.
+    /// Begins to hand over: nothing new is taken or written, and the term ends
+    /// with the write that is on its way. Under load there is always one, so
+    /// without this the term would go on until the process ends, and the others
+    /// would find out only then.
     fn close(&mut self) {
         self.closing = true;
         self.context
             .leadership
             .send_modify(|known| known.leading = false);
+        self.send_on_waiting();
     }
 
     fn count(&self, now: time::Instant) {
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -155,6 +155,26 @@
         }
     }
 
+    /// Sends the callers on to the next leader that the write on its way does
+    /// not answer. Their jobs were never sent to the store.
+    pub(super) fn send_on_waiting(&mut self) {
+        for waiting in mem::take(&mut self.waiting) {
+            let writing = self.writing.as_ref();
+            match waiting.awaited {
+                Awaited::Submitted(job)
+                    if writing.is_some_and(|writing| writing.records.creates(job)) =>
+                {
+                    self.waiting.push(waiting);
+                }
+                Awaited::Submitted(job) => {
+                    self.scheduler.withdraw(job);
+                    waiting.reply.send(LeaderAnswer::NotLeader);
+                }
+                Awaited::Cancelled(..) => waiting.reply.send(LeaderAnswer::NotLeader),
+            }
+        }
+    }
+
     /// Refuses all jobs that are not in the store, whether or not they were
     /// part of the write that failed; cancellations are written later.
     pub(super) fn refuse_waiting(&mut self) {
