Take workers that have gone off the list that a new leader asks

Cause: the list in the store was written when a worker came and not when one had gone, so a new leader waited for the lease of workers that had left long before, and with it every task that it had not found. Test: recovery::a_worker_that_left_is_not_waited_for fails without the change.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -321,7 +321,7 @@
             let bad = step.advice.verdicts.get(*id) == Some(&false);
             let ticket = step.advice.tickets.get(*id);
             let holds = ticket.is_some_and(|ticket| ticket.valid_until > now);
-            let usable = worker.is_usable(self.config.max_silence, now);
+            let usable = self.is_usable(worker, now);
             !bad && !holds && usable && plan::suits(worker, &job.queue, description)
         })
     }
--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 
 use figscale_types::fleet;
+use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -42,8 +43,9 @@
     pub records: Vec<Record>,
     /// Jobs that may be told as accepted once the records are written.
     pub(crate) created: Vec<fleet::JobId>,
-    /// Workers that may be used once the records are written.
-    pub(crate) recorded: Vec<fleet::WorkerId>,
+    /// Workers that may be used once the records are written; `None` where
+    /// that does not change.
+    pub(crate) recorded: Option<IndexSet<fleet::WorkerId>>,
     /// Ends of workers that may be acknowledged then.
     pub(crate) acknowledge: Vec<(fleet::WorkerId, u64)>,
 }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -100,11 +100,10 @@
         if candidates.is_empty() {
             return;
         }
-        let silence = self.config.max_silence;
         let usable = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.is_usable(silence, now));
+            .filter(|(_, worker)| self.is_usable(worker, now));
         let mut pass = Pass {
             now,
             usable: usable.map(|(id, _)| id.clone()).collect(),
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -132,6 +132,7 @@
     pub fn begin_recovery(&mut self, workers: Vec<fleet::WorkerId>, now: time::Instant) {
         // A lease sent at the very end, on a slow clock, and the kill after it.
         let until = now + self.config.lease * 11 / 10 + self.config.stop_limit;
+        self.recorded = workers.iter().cloned().collect();
         self.unheard = workers.into_iter().map(|worker| (worker, until)).collect();
         self.recovering = true;
         for id in &self.open {
@@ -147,7 +148,16 @@
 
     /// Frees the tasks that surely run nowhere once nobody is unheard.
     pub(crate) fn check_recovery(&mut self, now: time::Instant) {
-        self.unheard.retain(|_, until| now < *until);
+        let over =
+            |(id, until): (&fleet::WorkerId, &time::Instant)| (now >= *until).then(|| id.clone());
+        let waited_for: Vec<fleet::WorkerId> = self.unheard.iter().filter_map(over).collect();
+        for worker in waited_for {
+            self.unheard.swap_remove(&worker);
+            self.actions
+                .push(scheduler::Action::Tell(scheduler::Note::WorkerUnheard {
+                    worker,
+                }));
+        }
         if !self.recovering || !self.unheard.is_empty() {
             return;
         }
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -44,7 +44,7 @@
         let mut slots: Vec<(time::Instant, &fleet::WorkerId)> = Vec::new();
         for (id, worker) in &self.workers {
             let good = !advised || step.advice.verdicts.get(id) == Some(&true);
-            let usable = worker.is_usable(self.config.max_silence, now);
+            let usable = self.is_usable(worker, now);
             if good && usable && plan::suits(worker, &job.queue, description) && !is_kept(id) {
                 let times = slot_times(worker, description, now);
                 slots.extend(times.into_iter().map(|time| (time, id)));
@@ -76,8 +76,7 @@
             let step = job.step(task);
             step.is_some_and(|step| step.advice.verdicts.get(id) == Some(&true))
         };
-        let silence = self.config.max_silence;
-        let usable = |worker: &worker::Worker| worker.is_usable(silence, now);
+        let usable = |worker: &worker::Worker| self.is_usable(worker, now);
         let workers = self
             .workers
             .iter()
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -175,6 +175,11 @@
         /// Runs that are given up.
         runs: usize,
     },
+    /// A worker of an earlier term never reported; its lease is over now.
+    WorkerUnheard {
+        /// Which.
+        worker: fleet::WorkerId,
+    },
     /// A run is stopped since nobody wants it.
     StrayRun {
         /// Which.
@@ -226,6 +231,8 @@
     /// Workers that may run something of an earlier term, until when at most.
     pub(crate) unheard: IndexMap<fleet::WorkerId, time::Instant>,
     pub(crate) recovering: bool,
+    /// Workers that the store names as those that may run something.
+    pub(crate) recorded: IndexSet<fleet::WorkerId>,
     pub(crate) dirty: IndexSet<fleet::JobId>,
     pub(crate) actions: Vec<Action>,
 }
@@ -241,6 +248,7 @@
             lanes: advice::Lanes::default(),
             unheard: IndexMap::new(),
             recovering: false,
+            recorded: IndexSet::new(),
             dirty: IndexSet::new(),
             actions: Vec::new(),
         }
@@ -254,7 +262,7 @@
     /// Numbers for metrics and dumps.
     pub fn counts(&self, now: time::Instant) -> Counts {
         let open = || self.open.iter().filter_map(|id| self.jobs.get(id));
-        let usable = |worker: &&worker::Worker| worker.is_usable(self.config.max_silence, now);
+        let usable = |worker: &&worker::Worker| self.is_usable(worker, now);
         Counts {
             open_jobs: open().count(),
             queued_jobs: open().filter(|job| !job.started).count(),
@@ -278,6 +286,12 @@
         }
     }
 
+    /// Whether new work may be sent to a worker.
+    pub(crate) fn is_usable(&self, worker: &worker::Worker, now: time::Instant) -> bool {
+        let recorded = self.recorded.contains(&worker.entry.id);
+        recorded && worker.is_usable(self.config.max_silence, now)
+    }
+
     /// Workers that the platform lists, as far as known.
     pub fn listed_workers(&self) -> Vec<fleet::WorkerId> {
         let listed = self
@@ -615,35 +629,45 @@
     }
 
     /// Before a worker is used for the first time, its id is written, so that
-    /// the next leader knows whom to ask.
+    /// the next leader knows whom to ask; and after it has gone, so that the
+    /// next leader does not wait for its lease.
     fn add_workers_record(&mut self, records: &mut durable::Records) {
-        if self.workers.values().all(|worker| worker.recorded) {
+        if !self.workers_record_differs() {
             return;
         }
-        let ids: Vec<fleet::WorkerId> = self.workers.keys().cloned().collect();
-        let bytes = Some(durable::encode(&ids));
+        let ids = self.workers.keys().chain(self.unheard.keys());
+        let ids: IndexSet<fleet::WorkerId> = ids.cloned().collect();
+        let bytes = Some(durable::encode(&ids.iter().collect::<Vec<_>>()));
         records.records.push(durable::Record {
             key: durable::RecordKey::Workers,
             bytes,
         });
-        records.recorded = ids;
+        records.recorded = Some(ids);
+    }
+
+    fn workers_record_differs(&self) -> bool {
+        let gone =
+            |id: &fleet::WorkerId| !self.workers.contains_key(id) && !self.unheard.contains_key(id);
+        self.has_unrecorded_workers() || self.recorded.iter().any(gone)
+    }
+
+    fn has_unrecorded_workers(&self) -> bool {
+        self.workers.keys().any(|id| !self.recorded.contains(id))
     }
 
     /// Whether records wait that somebody waits for: callers, or workers that
     /// cannot be used yet.
     pub fn has_urgent_records(&self) -> bool {
         let unstored = |id: &fleet::JobId| self.jobs.get(id).is_some_and(|job| !job.stored);
-        self.dirty.iter().any(unstored) || self.workers.values().any(|worker| !worker.recorded)
+        self.dirty.iter().any(unstored) || self.has_unrecorded_workers()
     }
 
     /// Whether anything waits to be written or acknowledged.
     pub fn has_records(&self) -> bool {
         let unacknowledged = |worker: &worker::Worker| worker.taken_in > worker.acknowledged;
         !self.dirty.is_empty()
-            || self
-                .workers
-                .values()
-                .any(|worker| unacknowledged(worker) || !worker.recorded)
+            || self.workers.values().any(unacknowledged)
+            || self.workers_record_differs()
     }
 
     /// Whether ends of a worker wait to be acknowledged.
@@ -660,10 +684,8 @@
                 job.stored = true;
             }
         }
-        for id in &records.recorded {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.recorded = true;
-            }
+        if let Some(recorded) = &records.recorded {
+            self.recorded.clone_from(recorded);
         }
         for (id, number) in &records.acknowledge {
             if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -40,8 +40,6 @@
     pub(crate) unlisted_at: Option<time::Instant>,
     /// Another life of it has come; this one never returns.
     pub(crate) replaced: bool,
-    /// The store names it among the workers that may run something.
-    pub(crate) recorded: bool,
     /// It has reported in this term.
     pub(crate) reported: bool,
     pub(crate) lease: lease::Lease,
@@ -69,7 +67,6 @@
             entry,
             unlisted_at: None,
             replaced: false,
-            recorded: false,
             reported: false,
             lease: lease::Lease::default(),
             health: health::Health::default(),
@@ -106,7 +103,7 @@
             .silent_for(now)
             .is_some_and(|silent| silent <= max_silence);
         let listed = self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE);
-        let known = listed && self.recorded && self.reported;
+        let known = listed && self.reported;
         let open = known && !self.entry.draining && !self.replaced;
         heard && open && self.health.admits(self.runs.len(), now)
     }
--- a/crates/figscale-core/tests/fleet/recovery.rs
+++ b/crates/figscale-core/tests/fleet/recovery.rs
@@ -102,3 +102,29 @@
     assert_eq!(cell.stops.len(), 1);
     assert!(cell.placed(kit::task(1, 0, 0)).is_empty());
 }
+
+/// A worker that left under the last leader would never answer the next.
+#[test]
+fn a_worker_that_left_is_not_waited_for() {
+    let mut cell = Cell::new(3);
+    cell.run(1, &kit::queue(1), vec![kit::step(2, 1)]);
+    let idle = (0..3)
+        .find(|number| cell.worker(*number).running.is_empty())
+        .unwrap();
+    let left = kit::worker_id(idle);
+    cell.worker(idle).reachable = false;
+    cell.scheduler.worker_unlisted(&left, cell.now);
+    cell.workers.swap_remove(&left);
+    cell.settle();
+    let (home, attempt) = cell.placed(kit::task(1, 0, 0))[0].clone();
+    cell.workers[&home]
+        .running
+        .swap_remove(&(kit::task(1, 0, 0), attempt));
+    cell.take_over(2);
+    cell.pass(500);
+    assert_eq!(
+        cell.placed(kit::task(1, 0, 0)).len(),
+        1,
+        "waits for a lease that is long over"
+    );
+}
--- a/crates/figscale/src/fleet/outcome.rs
+++ b/crates/figscale/src/fleet/outcome.rs
@@ -141,6 +141,9 @@
                 worker = worker
             );
         }
+        Note::WorkerUnheard { worker } => {
+            crate::event!(events::WORKER_UNHEARD, worker = worker);
+        }
         Note::Recovered { open_jobs, runs } => {
             crate::event!(events::RECOVERED, open_jobs = open_jobs, runs = runs);
         }
