Split the scheduler by what it does; one way to follow a key

The two loops that followed a key of the store are one. Filling steps, which need pace, are refused with the reason rather than run without it.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -12,11 +12,14 @@
 use figscale_types::ids;
 use indexmap::IndexMap;
 
+use super::action::Action;
+use super::action::Note;
+use super::action::Question;
 use super::job;
+use super::places;
 use super::plan;
 use super::reserve;
 use super::scheduler;
-use super::scheduler::Action;
 use super::worker;
 
 /// A longer question may not use the lanes kept for short ones. Quick jobs'
@@ -123,7 +126,7 @@
     /// A question was answered, or not (`None`).
     pub fn advice_answered(
         &mut self,
-        question: &scheduler::Question,
+        question: &Question,
         good: Option<Vec<fleet::Ticket>>,
         now: time::Instant,
     ) {
@@ -156,7 +159,7 @@
             step.advice.verdicts.insert(worker.clone(), false);
         }
         let part = good.len() as f64 / asked;
-        let note = scheduler::Note::AdviceGiven {
+        let note = Note::AdviceGiven {
             task: question.task,
             member: question.member.clone(),
             asked: question.workers.len(),
@@ -185,7 +188,7 @@
             if let Some(draft) = self.draft(candidate, now)
                 && let Some(member) = self.lanes.free(draft.expected > LONG_QUESTION)
             {
-                self.send_question(scheduler::Question {
+                self.send_question(Question {
                     member,
                     task: candidate.task,
                     workers: draft.workers,
@@ -195,7 +198,7 @@
         }
     }
 
-    fn send_question(&mut self, question: scheduler::Question) {
+    fn send_question(&mut self, question: Question) {
         if let Some(lane) = self.lanes.lanes.get_mut(&question.member) {
             lane.asked = Some(question.task);
         }
@@ -322,7 +325,7 @@
             let ticket = step.advice.tickets.get(*id);
             let holds = ticket.is_some_and(|ticket| ticket.valid_until > now);
             let usable = self.is_usable(worker, now);
-            !bad && !holds && usable && plan::suits(worker, &job.queue, description)
+            !bad && !holds && usable && places::suits(worker, &job.queue, description)
         })
     }
 
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -15,29 +15,33 @@
 //! agreement between placers; the price is that its processor bounds the rate
 //! of starts, and that a takeover reads everything again.
 
+mod action;
 mod admission;
 mod advice;
 mod durable;
 mod health;
 mod job;
 mod lease;
+mod places;
 mod plan;
+mod records;
 mod recovery;
 mod report;
 mod reserve;
 mod scheduler;
+mod stops;
 mod submit;
 mod worker;
 
+pub use action::Action;
+pub use action::Note;
+pub use action::Question;
 pub use admission::Admission;
 pub use durable::Record;
 pub use durable::RecordError;
 pub use durable::RecordKey;
 pub use durable::Records;
-pub use scheduler::Action;
 pub use scheduler::Config;
 pub use scheduler::Counts;
-pub use scheduler::Note;
-pub use scheduler::Question;
 pub use scheduler::Scheduler;
 pub use worker::ReportDue;
--- /dev/null
+++ b/crates/figscale-core/src/fleet/places.rs
@@ -0,0 +1,137 @@
+//! Where the tasks of a step could go now, and which place is best.
+
+use std::time;
+
+use figscale_types::fleet;
+
+use super::job;
+use super::plan;
+use super::scheduler;
+use super::worker;
+
+/// Quick work that is over sooner may use workers that are kept free; it delays
+/// a gang by no more than runs miss their estimates by.
+const SHORT_WORK_MS: u64 = 1_200;
+
+/// Whether a worker could ever run a step of a queue.
+pub(crate) fn suits(
+    worker: &worker::Worker,
+    queue: &fleet::Queue,
+    step: &fleet::StepDescription,
+) -> bool {
+    let label = step.required_label.as_ref();
+    worker.entry.service == queue.service
+        && label.is_none_or(|label| worker.entry.labels.contains(label))
+}
+
+/// A worker that a task could go to; less is better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Fit {
+    failed_here: bool,
+    unproven: bool,
+    far: bool,
+    left_cpu_millis: u64,
+}
+
+impl scheduler::Scheduler {
+    /// Workers that may run a step now, with what is free there.
+    pub(crate) fn open_workers(
+        &self,
+        task: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        rank: plan::Rank,
+        pass: &plan::Pass,
+    ) -> Vec<Place> {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return Vec::new();
+        };
+        let step = &job.rounds[task.occurrence as usize].steps[task.step as usize];
+        let ends = pass.now + time::Duration::from_millis(description.estimate_ms);
+        let is_short = rank.class == 0 && description.estimate_ms <= SHORT_WORK_MS;
+        let need = job::occupied(description);
+        let mut places = Vec::new();
+        for id in &pass.usable {
+            let Some(worker) = self.workers.get(id) else {
+                continue;
+            };
+            let ticket = step.advice.tickets.get(id);
+            let ticketed = ticket.is_some_and(|ticket| ticket.valid_until > pass.now);
+            if job.queue.advice.is_some() && !ticketed {
+                continue;
+            }
+            if !suits(worker, &job.queue, description) || !worker.free().holds(&need) {
+                continue;
+            }
+            let kept_for_it = pass.kept_for == Some(fleet::TaskId { index: 0, ..*task });
+            let kept_until = pass.kept.get(id).filter(|_| !is_short && !kept_for_it);
+            if kept_until.is_some_and(|ready_at| ends > *ready_at) {
+                continue;
+            }
+            let most = description.max_per_worker.map_or(u64::MAX, u64::from);
+            let here = worker.runs_of_step(task) as u64;
+            if here >= most || !worker.health.admits(worker.runs.len(), pass.now) {
+                continue;
+            }
+            places.push(Place {
+                id: id.clone(),
+                free: worker.free(),
+                most: most - here,
+                rack: worker.entry.rack.clone(),
+                proven: worker.health.is_proven(),
+            });
+        }
+        places
+    }
+
+    pub(crate) fn best_worker(
+        &self,
+        id: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        rank: plan::Rank,
+        pass: &plan::Pass,
+    ) -> Option<fleet::WorkerId> {
+        let task = self.jobs.get(&id.job)?.task(id)?;
+        let places = self.open_workers(id, description, rank, pass);
+        let need = job::occupied(description);
+        let fit = |place: &Place| Fit {
+            failed_here: task.failed_on.as_ref() == Some(&place.id),
+            unproven: !task.failed_attempts.is_empty() && !place.proven,
+            far: description
+                .data_rack
+                .as_ref()
+                .is_some_and(|rack| *rack != place.rack),
+            left_cpu_millis: place.free.minus(&need).cpu_millis,
+        };
+        places.into_iter().min_by_key(fit).map(|place| place.id)
+    }
+}
+
+/// A worker with room, during the placing of a gang.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) id: fleet::WorkerId,
+    free: fleet::Room,
+    /// Further tasks of the step that may go there.
+    most: u64,
+    pub(crate) rack: String,
+    proven: bool,
+}
+
+/// Puts `count` tasks on the given workers, the fullest first that holds one.
+pub(crate) fn fill(
+    mut places: Vec<Place>,
+    description: &fleet::StepDescription,
+    count: u32,
+) -> Option<Vec<fleet::WorkerId>> {
+    let need = job::occupied(description);
+    places.sort_by_key(|place| place.free.cpu_millis);
+    let mut chosen = Vec::new();
+    for place in &mut places {
+        while chosen.len() < count as usize && place.most > 0 && place.free.holds(&need) {
+            place.free = place.free.minus(&need);
+            place.most -= 1;
+            chosen.push(place.id.clone());
+        }
+    }
+    (chosen.len() == count as usize).then_some(chosen)
+}
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -12,18 +12,17 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use super::action::Action;
+use super::action::Note;
 use super::job;
+use super::places;
 use super::reserve;
 use super::scheduler;
-use super::scheduler::Action;
 use super::worker;
 
 /// Gangs that may keep workers free at the same time; more would leave most
 /// workers waiting.
 const MAX_RESERVING: usize = 3;
-/// Quick work that is over sooner may use workers that are kept free; it delays
-/// a gang by no more than runs miss their estimates by.
-const SHORT_WORK_MS: u64 = 1_200;
 /// Attempts of one term; the next term's numbers begin above them.
 const ATTEMPTS_PER_EPOCH: u64 = 1_000;
 
@@ -31,7 +30,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
     late: bool,
-    class: u8,
+    pub(crate) class: u8,
     slack_ms: i64,
 }
 
@@ -45,25 +44,14 @@
     pub(crate) reservation: Option<reserve::Reservation>,
 }
 
-/// Whether a worker could ever run a step of a queue.
-pub(crate) fn suits(
-    worker: &worker::Worker,
-    queue: &fleet::Queue,
-    step: &fleet::StepDescription,
-) -> bool {
-    let label = step.required_label.as_ref();
-    worker.entry.service == queue.service
-        && label.is_none_or(|label| worker.entry.labels.contains(label))
-}
-
 /// State of one pass.
-struct Pass {
-    now: time::Instant,
-    usable: IndexSet<fleet::WorkerId>,
+pub(crate) struct Pass {
+    pub(crate) now: time::Instant,
+    pub(crate) usable: IndexSet<fleet::WorkerId>,
     /// Workers kept free for a gang that goes first, until it should start.
-    kept: IndexMap<fleet::WorkerId, time::Instant>,
+    pub(crate) kept: IndexMap<fleet::WorkerId, time::Instant>,
     /// The late gang for which workers were kept before all else.
-    kept_for: Option<fleet::TaskId>,
+    pub(crate) kept_for: Option<fleet::TaskId>,
     reserving: usize,
     wanting: Vec<Candidate>,
 }
@@ -84,15 +72,6 @@
     }
 }
 
-/// A worker that a task could go to; less is better.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Fit {
-    failed_here: bool,
-    unproven: bool,
-    far: bool,
-    left_cpu_millis: u64,
-}
-
 impl scheduler::Scheduler {
     /// Places what can be placed and asks for advice.
     pub fn plan(&mut self, now: time::Instant) {
@@ -233,7 +212,7 @@
         let Some(job) = self.jobs.get(&task.job).filter(|_| placed.tasks > 0) else {
             return;
         };
-        let note = scheduler::Note::StepPlaced {
+        let note = Note::StepPlaced {
             task: *task,
             tasks: placed.tasks,
             workers: placed.workers.len(),
@@ -282,9 +261,9 @@
     ) -> Option<Vec<fleet::WorkerId>> {
         let open = self.open_workers(&candidate.task, description, candidate.rank, pass);
         if !description.same_rack {
-            return fill(open, description, description.count);
+            return places::fill(open, description, description.count);
         }
-        let mut by_rack: IndexMap<String, Vec<Place>> = IndexMap::new();
+        let mut by_rack: IndexMap<String, Vec<places::Place>> = IndexMap::new();
         for place in &open {
             by_rack
                 .entry(place.rack.clone())
@@ -293,8 +272,8 @@
         }
         let in_one = by_rack
             .into_values()
-            .find_map(|rack| fill(rack, description, description.count));
-        in_one.or_else(|| fill(open, description, description.count))
+            .find_map(|rack| places::fill(rack, description, description.count));
+        in_one.or_else(|| places::fill(open, description, description.count))
     }
 
     /// Keeps the workers that become free first until a gang fits.
@@ -318,77 +297,6 @@
         candidate.reservation = reservation;
     }
 
-    /// Workers that may run a step now, with what is free there.
-    fn open_workers(
-        &self,
-        task: &fleet::TaskId,
-        description: &fleet::StepDescription,
-        rank: Rank,
-        pass: &Pass,
-    ) -> Vec<Place> {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return Vec::new();
-        };
-        let step = &job.rounds[task.occurrence as usize].steps[task.step as usize];
-        let ends = pass.now + time::Duration::from_millis(description.estimate_ms);
-        let is_short = rank.class == 0 && description.estimate_ms <= SHORT_WORK_MS;
-        let need = job::occupied(description);
-        let mut places = Vec::new();
-        for id in &pass.usable {
-            let Some(worker) = self.workers.get(id) else {
-                continue;
-            };
-            let ticket = step.advice.tickets.get(id);
-            let ticketed = ticket.is_some_and(|ticket| ticket.valid_until > pass.now);
-            if job.queue.advice.is_some() && !ticketed {
-                continue;
-            }
-            if !suits(worker, &job.queue, description) || !worker.free().holds(&need) {
-                continue;
-            }
-            let kept_for_it = pass.kept_for == Some(fleet::TaskId { index: 0, ..*task });
-            let kept_until = pass.kept.get(id).filter(|_| !is_short && !kept_for_it);
-            if kept_until.is_some_and(|ready_at| ends > *ready_at) {
-                continue;
-            }
-            let most = description.max_per_worker.map_or(u64::MAX, u64::from);
-            let here = worker.runs_of_step(task) as u64;
-            if here >= most || !worker.health.admits(worker.runs.len(), pass.now) {
-                continue;
-            }
-            places.push(Place {
-                id: id.clone(),
-                free: worker.free(),
-                most: most - here,
-                rack: worker.entry.rack.clone(),
-                proven: worker.health.is_proven(),
-            });
-        }
-        places
-    }
-
-    fn best_worker(
-        &self,
-        id: &fleet::TaskId,
-        description: &fleet::StepDescription,
-        rank: Rank,
-        pass: &Pass,
-    ) -> Option<fleet::WorkerId> {
-        let task = self.jobs.get(&id.job)?.task(id)?;
-        let places = self.open_workers(id, description, rank, pass);
-        let need = job::occupied(description);
-        let fit = |place: &Place| Fit {
-            failed_here: task.failed_on.as_ref() == Some(&place.id),
-            unproven: !task.failed_attempts.is_empty() && !place.proven,
-            far: description
-                .data_rack
-                .as_ref()
-                .is_some_and(|rack| *rack != place.rack),
-            left_cpu_millis: place.free.minus(&need).cpu_millis,
-        };
-        places.into_iter().min_by_key(fit).map(|place| place.id)
-    }
-
     fn next_attempt(&self, id: &fleet::TaskId) -> u32 {
         let first = self.config.epoch.0.saturating_sub(1) * ATTEMPTS_PER_EPOCH + 1;
         let first = u32::try_from(first).unwrap_or(u32::MAX);
@@ -459,36 +367,6 @@
     }
 }
 
-/// A worker with room, during the placing of a gang.
-#[derive(Clone, Debug)]
-struct Place {
-    id: fleet::WorkerId,
-    free: fleet::Room,
-    /// Further tasks of the step that may go there.
-    most: u64,
-    rack: String,
-    proven: bool,
-}
-
-/// Puts `count` tasks on the given workers, the fullest first that holds one.
-fn fill(
-    mut places: Vec<Place>,
-    description: &fleet::StepDescription,
-    count: u32,
-) -> Option<Vec<fleet::WorkerId>> {
-    let need = job::occupied(description);
-    places.sort_by_key(|place| place.free.cpu_millis);
-    let mut chosen = Vec::new();
-    for place in &mut places {
-        while chosen.len() < count as usize && place.most > 0 && place.free.holds(&need) {
-            place.free = place.free.minus(&need);
-            place.most -= 1;
-            chosen.push(place.id.clone());
-        }
-    }
-    (chosen.len() == count as usize).then_some(chosen)
-}
-
 fn first_task(job: fleet::JobId, occurrence: usize, step: usize) -> fleet::TaskId {
     let number = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
     fleet::TaskId {
--- /dev/null
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -0,0 +1,125 @@
+//! Which records are to be written, and what hangs on their writing.
+//!
+//! A transaction holds so many records; what does not fit waits for the next.
+//! A job may start, a worker be used, an end be acknowledged only after the
+//! records that say so are in the store.
+
+use std::mem;
+
+use figscale_types::fleet;
+use indexmap::IndexSet;
+
+use super::durable;
+use super::scheduler;
+use super::worker;
+
+impl scheduler::Scheduler {
+    /// At most `most` records of what has changed, for one transaction; jobs to
+    /// be told as accepted first. They must be written and then confirmed, or
+    /// given back.
+    pub fn take_records(&mut self, most: usize) -> durable::Records {
+        let mut records = durable::Records::default();
+        self.add_workers_record(&mut records);
+        let dirty = mem::take(&mut self.dirty);
+        let is_new = |id: &fleet::JobId| self.jobs.get(id).is_some_and(|job| !job.stored);
+        let (new, changed): (Vec<fleet::JobId>, Vec<fleet::JobId>) =
+            dirty.into_iter().partition(is_new);
+        for id in new.into_iter().chain(changed) {
+            // A job has two records at most.
+            if records.records.len() + 2 > most {
+                self.dirty.insert(id);
+                continue;
+            }
+            self.add_records(id, &mut records);
+        }
+        if self.dirty.is_empty() {
+            let ends = self
+                .workers
+                .iter()
+                .filter(|(_, worker)| worker.taken_in > worker.acknowledged);
+            records.acknowledge = ends
+                .map(|(id, worker)| (id.clone(), worker.taken_in))
+                .collect();
+        }
+        records
+    }
+
+    /// Before a worker is used for the first time, its id is written, so that
+    /// the next leader knows whom to ask; and after it has gone, so that the
+    /// next leader does not wait for its lease.
+    fn add_workers_record(&mut self, records: &mut durable::Records) {
+        if !self.workers_record_differs() {
+            return;
+        }
+        let ids = self.workers.keys().chain(self.unheard.keys());
+        let ids: IndexSet<fleet::WorkerId> = ids.cloned().collect();
+        let bytes = Some(durable::encode(&ids.iter().collect::<Vec<_>>()));
+        records.records.push(durable::Record {
+            key: durable::RecordKey::Workers,
+            bytes,
+        });
+        records.recorded = Some(ids);
+    }
+
+    fn workers_record_differs(&self) -> bool {
+        let gone =
+            |id: &fleet::WorkerId| !self.workers.contains_key(id) && !self.unheard.contains_key(id);
+        self.has_unrecorded_workers() || self.recorded.iter().any(gone)
+    }
+
+    fn has_unrecorded_workers(&self) -> bool {
+        self.workers.keys().any(|id| !self.recorded.contains(id))
+    }
+
+    /// Whether records wait that somebody waits for: callers, or workers that
+    /// cannot be used yet.
+    pub fn has_urgent_records(&self) -> bool {
+        let unstored = |id: &fleet::JobId| self.jobs.get(id).is_some_and(|job| !job.stored);
+        self.dirty.iter().any(unstored) || self.has_unrecorded_workers()
+    }
+
+    /// Whether anything waits to be written or acknowledged.
+    pub fn has_records(&self) -> bool {
+        let unacknowledged = |worker: &worker::Worker| worker.taken_in > worker.acknowledged;
+        !self.dirty.is_empty()
+            || self.workers.values().any(unacknowledged)
+            || self.workers_record_differs()
+    }
+
+    /// Whether ends of a worker wait to be acknowledged.
+    pub fn has_unacknowledged(&self, id: &fleet::WorkerId) -> bool {
+        self.workers
+            .get(id)
+            .is_some_and(|worker| worker.taken_in > worker.acknowledged)
+    }
+
+    /// All of `records` are in the store.
+    pub fn records_written(&mut self, records: &durable::Records) {
+        for id in &records.created {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.stored = true;
+            }
+        }
+        if let Some(recorded) = &records.recorded {
+            self.recorded.clone_from(recorded);
+        }
+        for (id, number) in &records.acknowledge {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.acknowledged = worker.acknowledged.max(*number);
+            }
+        }
+    }
+
+    /// None of `records` is in the store or ever will be. Jobs that would have
+    /// been created are forgotten; the rest is written with the next records.
+    pub fn records_not_written(&mut self, records: &durable::Records) {
+        for record in &records.records {
+            if let durable::RecordKey::Job(id) | durable::RecordKey::Progress(id) = record.key {
+                self.dirty.insert(id);
+            }
+        }
+        for id in &records.created {
+            self.withdraw(*id);
+        }
+    }
+}
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -10,6 +10,8 @@
 
 use figscale_types::fleet;
 
+use super::action::Action;
+use super::action::Note;
 use super::durable;
 use super::durable::RecordKey;
 use super::job;
@@ -154,9 +156,7 @@
         for worker in waited_for {
             self.unheard.swap_remove(&worker);
             self.actions
-                .push(scheduler::Action::Tell(scheduler::Note::WorkerUnheard {
-                    worker,
-                }));
+                .push(Action::Tell(Note::WorkerUnheard { worker }));
         }
         if !self.recovering || !self.unheard.is_empty() {
             return;
@@ -172,11 +172,11 @@
             }
         }
         let runs = self.workers.values().map(|worker| worker.runs.len()).sum();
-        let note = scheduler::Note::Recovered {
+        let note = Note::Recovered {
             open_jobs: open.len(),
             runs,
         };
-        self.actions.push(scheduler::Action::Tell(note));
+        self.actions.push(Action::Tell(note));
         self.stop_partial_gangs(now);
     }
 
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -5,10 +5,10 @@
 use figscale_types::fleet;
 use indexmap::IndexSet;
 
+use super::action::Action;
+use super::action::Note;
 use super::job;
 use super::scheduler;
-use super::scheduler::Action;
-use super::scheduler::Note;
 use super::worker;
 
 /// Pause after a worker had no room although it should have had.
--- /dev/null
+++ b/crates/figscale-core/src/fleet/stops.rs
@@ -0,0 +1,176 @@
+//! Ending runs: by order, with their gang, and where tasks stand still.
+
+use std::time;
+
+use figscale_types::fleet;
+
+use super::action::Action;
+use super::action::Note;
+use super::job;
+use super::scheduler;
+use super::worker;
+
+/// Time between repeats of a stop that has not taken effect.
+const STOP_REPEAT: time::Duration = time::Duration::from_millis(700);
+/// How long a run may use no processor before it counts as standing still;
+/// tasks start up within half a second and reports come each second.
+const MAX_IDLE: time::Duration = time::Duration::from_millis(1_600);
+
+impl scheduler::Scheduler {
+    /// A run has ended without finishing its task.
+    pub(crate) fn task_free_again(&mut self, worker: &fleet::WorkerId, key: &worker::RunKey) {
+        let (id, attempt) = key;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let is_gang = job.step_description(id).is_some_and(|step| step.gang);
+        if let Some(task) = job.task_mut(id)
+            && task.runs_as(worker, *attempt)
+        {
+            task.state = job::TaskState::Waiting;
+        }
+        if is_gang {
+            self.stop_rest_of_gang(id, *attempt);
+        }
+    }
+
+    /// Stops what still runs of an attempt of a gang that has lost a member.
+    fn stop_rest_of_gang(&mut self, id: &fleet::TaskId, attempt: u32) {
+        let mut rest = Vec::new();
+        for (worker_id, worker) in &self.workers {
+            for (run, number) in worker.runs.keys() {
+                let same =
+                    run.job == id.job && run.occurrence == id.occurrence && run.step == id.step;
+                if same && *number == attempt {
+                    rest.push((worker_id.clone(), (*run, *number)));
+                }
+            }
+        }
+        for (worker, key) in rest {
+            self.order_stop(&worker, key, None);
+        }
+    }
+
+    /// Orders a stop unless one was ordered just now.
+    pub(crate) fn order_stop(
+        &mut self,
+        worker: &fleet::WorkerId,
+        key: worker::RunKey,
+        now: Option<time::Instant>,
+    ) {
+        let run = self
+            .workers
+            .get_mut(worker)
+            .and_then(|worker| worker.runs.get_mut(&key));
+        let Some(run) = run else {
+            return;
+        };
+        let at = now.unwrap_or(run.ordered_at);
+        let lately = run.stop_ordered.is_some_and(|last| at < last + STOP_REPEAT);
+        if lately {
+            return;
+        }
+        run.stop_ordered = Some(at);
+        let (task, attempt) = key;
+        self.actions.push(Action::Stop {
+            worker: worker.clone(),
+            task,
+            attempt,
+        });
+    }
+
+    pub(crate) fn repeat_stops(&mut self, now: time::Instant) {
+        let mut again = Vec::new();
+        for (id, worker) in &self.workers {
+            let stopping = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.stop_ordered.is_some());
+            again.extend(stopping.map(|(key, _)| (id.clone(), *key)));
+        }
+        for (worker, key) in again {
+            self.order_stop(&worker, key, Some(now));
+        }
+    }
+
+    /// Orders stops for all that runs of a job.
+    pub(crate) fn stop_job(&mut self, job: fleet::JobId, now: time::Instant) {
+        let mut runs = Vec::new();
+        for (id, worker) in &self.workers {
+            let of_job = worker.runs.keys().filter(|(task, _)| task.job == job);
+            runs.extend(of_job.map(|key| (id.clone(), *key)));
+        }
+        for (worker, key) in runs {
+            self.order_stop(&worker, key, Some(now));
+        }
+    }
+
+    /// A worker on which a task stands still is set aside, the task moved.
+    pub(crate) fn note_use(
+        &mut self,
+        id: &fleet::WorkerId,
+        key: worker::RunKey,
+        used_cpu_millis: u64,
+        now: time::Instant,
+    ) {
+        let run = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.runs.get_mut(&key));
+        let Some(run) = run else {
+            return;
+        };
+        if used_cpu_millis > 0 || run.stop_ordered.is_some() {
+            run.idle_since = None;
+            return;
+        }
+        let since = *run.idle_since.get_or_insert(now);
+        if now < since + MAX_IDLE || !self.gang_is_idle(&key, now) {
+            return;
+        }
+        self.order_stop(id, key, Some(now));
+        self.set_aside(id, "tasks stand still", now);
+    }
+
+    /// Whether all members of a run's gang stand still; true for other runs.
+    ///
+    /// A member that has done its part waits for the others without using a
+    /// processor. Taking that for standing still threw away 1,600 core-seconds
+    /// of finished work on a calm day.
+    fn gang_is_idle(&self, key: &worker::RunKey, now: time::Instant) -> bool {
+        let (task, attempt) = key;
+        let step = self
+            .jobs
+            .get(&task.job)
+            .and_then(|job| job.step_description(task));
+        if !step.is_some_and(|step| step.gang) {
+            return true;
+        }
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        let mut members = runs.filter(|((other, number), _)| {
+            let same = other.job == task.job && other.occurrence == task.occurrence;
+            same && other.step == task.step && number == attempt
+        });
+        members.all(|(_, run)| run.idle_since.is_some_and(|since| now >= since + MAX_IDLE))
+    }
+
+    pub(crate) fn set_aside(
+        &mut self,
+        id: &fleet::WorkerId,
+        cause: &'static str,
+        now: time::Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.health.is_set_aside(now) {
+            return;
+        }
+        worker.health.set_aside(now);
+        let note = Note::WorkerSetAside {
+            worker: id.clone(),
+            cause,
+        };
+        self.actions.push(Action::Tell(note));
+    }
+}
--- a/crates/figscale-core/tests/fleet/ends.rs
+++ b/crates/figscale-core/tests/fleet/ends.rs
@@ -54,13 +54,7 @@
     let mut cell = Cell::new(1);
     cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
     cell.end(kit::task(1, 0, 0), End::Stopped);
-    let attempts: Vec<u32> = cell
-        .worker(0)
-        .orders
-        .iter()
-        .map(|order| order.attempt)
-        .collect();
-    assert_eq!(attempts, [1, 2]);
+    assert_eq!(cell.attempts_at(0), [1, 2]);
 }
 
 #[test]
--- a/crates/figscale-core/tests/fleet/kit.rs
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -348,6 +348,12 @@
         self.settle();
     }
 
+    /// Attempts under which a task was ordered to a worker.
+    pub(crate) fn attempts_at(&mut self, number: usize) -> Vec<u32> {
+        let orders = self.worker(number).orders.iter();
+        orders.map(|order| order.attempt).collect()
+    }
+
     pub(crate) fn starts(&self) -> usize {
         self.workers
             .values()
--- a/crates/figscale-core/tests/fleet/recovery.rs
+++ b/crates/figscale-core/tests/fleet/recovery.rs
@@ -64,13 +64,7 @@
     cell.take_over(2);
     cell.settle();
     cell.end(kit::task(1, 0, 0), End::Stopped);
-    let attempts: Vec<u32> = cell
-        .worker(0)
-        .orders
-        .iter()
-        .map(|order| order.attempt)
-        .collect();
-    assert_eq!(attempts, [1, 1_001]);
+    assert_eq!(cell.attempts_at(0), [1, 1_001]);
 }
 
 #[test]
--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -154,8 +154,45 @@
         self.call(Call::Revoke(lease)).await.map(|_| ())
     }
 
+    /// Follows a key: `see` gets the item as it is and after each change, or
+    /// `None` where there is none. Ends with an error, or without when the
+    /// history is gone; then it is to be called again.
+    ///
+    /// The first reading may go through a peer, so calling it again and again
+    /// stands for the watch while the store does not answer here.
+    pub(super) async fn follow_key(
+        &self,
+        key: &str,
+        wait: time::Duration,
+        mut see: impl FnMut(Option<&store::Item>),
+    ) -> Result<(), CallError> {
+        let listing = self.list(key).await?;
+        see(listing.items.iter().find(|item| item.key == key));
+        let mut revision = listing.revision;
+        loop {
+            match self.watch(key, revision, wait).await? {
+                store::Watched::Compacted => return Ok(()),
+                store::Watched::Events {
+                    events,
+                    revision: newer,
+                } => {
+                    for event in &events {
+                        match event {
+                            store::Event::Written(item) if item.key == key => see(Some(item)),
+                            store::Event::Removed { key: removed, .. } if removed == key => {
+                                see(None);
+                            }
+                            _ => (),
+                        }
+                    }
+                    revision = revision.max(newer);
+                }
+            }
+        }
+    }
+
     /// Watches a prefix; only directly, since a peer has its own watches.
-    pub(super) async fn watch(
+    async fn watch(
         &self,
         prefix: &str,
         after_revision: u64,
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -98,50 +98,15 @@
 /// Keeps the leader's key in view.
 async fn observe(context: Context) {
     loop {
+        let seen = |item: Option<&store::Item>| see(&context, item);
+        let followed = context.store.follow_key(keys::LEAD, WATCH_WAIT, seen).await;
         // The reason is logged where the store is called.
-        if follow(&context).await.is_err() {
+        if followed.is_err() {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-/// Reads the key, then watches it until that fails. The reading may go through
-/// a peer, and then stands for the watch.
-async fn follow(context: &Context) -> Result<(), CallError> {
-    let listing = context.store.list(keys::LEAD).await?;
-    see(
-        context,
-        listing.items.iter().find(|item| item.key == keys::LEAD),
-    );
-    let mut revision = listing.revision;
-    loop {
-        match context
-            .store
-            .watch(keys::LEAD, revision, WATCH_WAIT)
-            .await?
-        {
-            store::Watched::Compacted => return Ok(()),
-            store::Watched::Events {
-                events,
-                revision: newer,
-            } => {
-                for event in &events {
-                    match event {
-                        store::Event::Written(item) if item.key == keys::LEAD => {
-                            see(context, Some(item));
-                        }
-                        store::Event::Removed { key, .. } if key == keys::LEAD => {
-                            see(context, None)
-                        }
-                        _ => (),
-                    }
-                }
-                revision = revision.max(newer);
-            }
-        }
-    }
-}
-
 fn see(context: &Context, item: Option<&store::Item>) {
     let leader: Option<Leader> = item.and_then(|item| serde_json::from_slice(&item.value).ok());
     let now = context.clock.now();
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -236,7 +236,8 @@
     job: fleet::JobId,
     queue: fleet::Queue,
 ) -> response::Response {
-    let description = match ingress::decode_job(&call.body) {
+    let decoded = ingress::decode_job(&call.body);
+    let description = match decoded.and_then(supported) {
         Ok(description) => description,
         Err(fault) => {
             crate::event!(events::fleet::CALL_REJECTED, job = job, cause = fault);
@@ -303,6 +304,16 @@
     }
 }
 
+/// Refuses what is not built, rather than run it in another way than asked.
+fn supported(job: fleet::JobDescription) -> Result<fleet::JobDescription, String> {
+    // Tasks that use what others leave disturb those that serve, and would have
+    // to be slowed down by the moment.
+    match job.steps.iter().position(|step| step.filler) {
+        Some(step) => Err(format!("step {step}: tasks that fill are not supported")),
+        None => Ok(job),
+    }
+}
+
 /// A job's steps in one word, as tasks x cores, with `g` for a gang.
 fn shape(description: &fleet::JobDescription) -> String {
     let steps = description.steps.iter().map(|step| {
--- a/crates/figscale/src/fleet/follow.rs
+++ b/crates/figscale/src/fleet/follow.rs
@@ -24,48 +24,21 @@
     let context = context.clone();
     tokio::spawn(async move {
         loop {
+            let see = |item: Option<&store::Item>| {
+                if let Some(item) = item {
+                    adopt(&context, item);
+                }
+            };
+            let followed = context.store.follow_key(config::KEY, WATCH_WAIT, see).await;
             // The reason is logged where the store is called.
-            if follow(&context).await.is_err() {
+            if followed.is_err() {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     });
 }
 
-/// Reads the document, then watches it until that fails or its history is
-/// gone. The reading may go through a peer, and then stands for the watch.
-async fn follow(context: &Context) -> Result<(), figscale_platform::CallError> {
-    let listing = context.store.list(config::KEY).await?;
-    for item in listing.items {
-        adopt(context, &item);
-    }
-    let mut revision = listing.revision;
-    loop {
-        match context
-            .store
-            .watch(config::KEY, revision, WATCH_WAIT)
-            .await?
-        {
-            store::Watched::Compacted => return Ok(()),
-            store::Watched::Events {
-                events,
-                revision: newer,
-            } => {
-                for event in events {
-                    if let store::Event::Written(item) = event {
-                        adopt(context, &item);
-                    }
-                }
-                revision = revision.max(newer);
-            }
-        }
-    }
-}
-
 fn adopt(context: &Context, item: &store::Item) {
-    if item.key != config::KEY {
-        return;
-    }
     let table = match config::decode(&item.value) {
         Ok(table) => table,
         Err(error) => {
--- a/crates/figscale/tests/fleet_process.rs
+++ b/crates/figscale/tests/fleet_process.rs
@@ -39,6 +39,14 @@
         fleet.post(0, "/jobs/00000000000000ff", "{").await.status,
         400
     );
+    let filling = r#"{"spec":"1","phases":[{"count":1,"cpu":100,"fills":true}]}"#;
+    let refused = fleet.post(0, "/jobs/00000000000000fe", filling).await;
+    assert_eq!(refused.status, 400);
+    assert!(
+        refused.text().contains("not supported"),
+        "{}",
+        refused.text()
+    );
     assert_eq!(fleet.submit(0, 0xb1, 1, "60000").await, 200);
     fleet.wait_for_state(1, 0xb1, "running").await;
     assert_eq!(fleet.cancel(1, 0xb1).await, 200);
@@ -205,16 +213,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_of_a_silent_worker_start_elsewhere() {
     let fleet = Fleet::start(1, 2, false).await;
-    assert_eq!(fleet.submit(0, 0x401, 1, "3000").await, 200);
-    fleet.wait_for_state(0, 0x401, "running").await;
-    let home = fleet.platform.ledger.runs()[0].worker.clone();
-    let worker = fleet
-        .platform
-        .workers
-        .iter()
-        .find(|worker| worker.plan.id == home)
-        .unwrap();
-    worker.change_faults(|faults| faults.silent = true);
+    fleet.silence_the_worker_of(0x401, "3000").await;
     fleet.wait_for_state(0, 0x401, "completed").await;
     assert!(fleet.platform.ledger.runs().len() >= 2);
     fleet.check();
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -146,6 +146,17 @@
         panic!("still running");
     }
 
+    /// Submits a job of one task, waits until it runs, and silences its worker.
+    pub(crate) async fn silence_the_worker_of(&self, job: u64, spec: &str) -> String {
+        assert_eq!(self.submit(0, job, 1, spec).await, 200);
+        self.wait_for_state(0, job, "running").await;
+        let home = self.platform.ledger.runs()[0].worker.clone();
+        let mut workers = self.platform.workers.iter();
+        let worker = workers.find(|worker| worker.plan.id == home).unwrap();
+        worker.change_faults(|faults| faults.silent = true);
+        home
+    }
+
     pub(crate) async fn wait(&self, what: &str, done: impl Fn() -> bool) {
         let begun = time::Instant::now();
         while begun.elapsed() < PATIENCE {
--- a/crates/figscale/tests/fleet_trace.rs
+++ b/crates/figscale/tests/fleet_trace.rs
@@ -68,16 +68,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_lost_to_a_worker_leads_to_that_worker() {
     let fleet = Fleet::start(1, 2, false).await;
-    assert_eq!(fleet.submit(0, 0x901, 1, "4000").await, 200);
-    fleet.wait_for_state(0, 0x901, "running").await;
-    let home = fleet.platform.ledger.runs()[0].worker.clone();
-    let worker = fleet
-        .platform
-        .workers
-        .iter()
-        .find(|worker| worker.plan.id == home)
-        .unwrap();
-    worker.change_faults(|faults| faults.silent = true);
+    let home = fleet.silence_the_worker_of(0x901, "4000").await;
     fleet.wait_for_state(0, 0x901, "completed").await;
     let lines = fleet.log_lines();
     let given_up = of_job(&lines, 0x901);
