Ask about more workers where that is cheap

A question named four workers; the room that it was asked for was gone when the answer came, so the next four were asked. Most of a question's time is its base (12 ms against 0.17 ms a worker). Change: a question names as many workers as add a third to its time. The log's bound goes to 1,000 lines a second, since a leader came to 597.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -31,6 +31,10 @@
 const MAX_ASKED: usize = 30;
 /// Workers that one question names at least, if there are so many.
 const MIN_ASKED: usize = 4;
+/// A question names more than it needs while that adds no more than this part
+/// to its time. Room is often gone when the answer comes; a question about few
+/// workers is then asked again, up to 400 times a second on a busy day.
+const CHEAP_PART: f64 = 1.0 / 3.0;
 /// Slots asked about for each slot needed, over the part expected good.
 const ASK_FACTOR: f64 = 1.6;
 /// Part of workers assumed good before any answer came.
@@ -244,12 +248,13 @@
         let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = Vec::new();
         for (id, worker) in self.askable(job, step, description, now) {
             let slots = worker.free().times(&job::occupied(description), most);
-            if slots > 0 {
-                workers.push((slots, step.advice.verdicts.contains_key(id), id));
-            }
+            workers.push((slots, step.advice.verdicts.contains_key(id), id));
+        }
+        if workers.iter().all(|(slots, ..)| *slots == 0) {
+            return Vec::new();
         }
-        workers.sort_by_key(|(slots, good, _)| std::cmp::Reverse((*good, *slots)));
-        self.enough(workers, step.waiting() as f64 * ASK_FACTOR, &job.queue.name)
+        workers.sort_by_key(|(slots, good, _)| std::cmp::Reverse((*slots > 0, *good, *slots)));
+        self.enough(workers, step.waiting() as f64 * ASK_FACTOR, &job.queue)
     }
 
     /// Of a gang: first who may run it at all, by the room that workers have
@@ -291,7 +296,7 @@
                 |id: &fleet::WorkerId| self.workers.get(id).map(|worker| worker.free().cpu_millis);
             workers.sort_by_key(|(slots, _, id)| std::cmp::Reverse((*slots, free(id))));
             let missing = wanted - good_slots as f64;
-            let asked = self.enough(workers, missing, &job.queue.name);
+            let asked = self.enough(workers, missing, &job.queue);
             if !asked.is_empty() {
                 return asked;
             }
@@ -335,13 +340,14 @@
         &self,
         workers: Vec<(u64, bool, &fleet::WorkerId)>,
         wanted_slots: f64,
-        queue: &str,
+        queue: &fleet::Queue,
     ) -> Vec<fleet::WorkerId> {
-        let good_part = self.lanes.good_part(queue);
+        let good_part = self.lanes.good_part(&queue.name);
+        let at_least = queue.advice.as_ref().map_or(MIN_ASKED, cheap_workers);
         let mut asked = Vec::new();
         let mut expected_slots = 0.0;
         for (slots, good, id) in workers {
-            let enough = expected_slots >= wanted_slots && asked.len() >= MIN_ASKED;
+            let enough = expected_slots >= wanted_slots && asked.len() >= at_least;
             if enough || asked.len() >= MAX_ASKED {
                 break;
             }
@@ -352,6 +358,12 @@
     }
 }
 
+/// Workers that a question may name for little more than its base time.
+fn cheap_workers(policy: &fleet::AdvicePolicy) -> usize {
+    let workers = policy.base_ms * CHEAP_PART / policy.per_worker_ms.max(f64::MIN_POSITIVE);
+    (workers as usize).clamp(MIN_ASKED, MAX_ASKED)
+}
+
 /// How long the advisory service thinks about so many workers.
 fn duration(policy: &fleet::AdvicePolicy, workers: usize) -> time::Duration {
     let micros = policy.duration_ms(workers) * 1_000.0;
--- a/crates/figscale-core/tests/fleet/advice.rs
+++ b/crates/figscale-core/tests/fleet/advice.rs
@@ -110,3 +110,31 @@
     assert_eq!(cell.questions.len(), 1);
     assert_ne!(cell.questions[0].member, question.member);
 }
+
+/// More jobs than fit, and few workers good for each: one question about the
+/// few with room finds none that is good, so the next is asked, and so on. Most
+/// of a question's time is its base, so one should cover many workers.
+#[test]
+fn a_full_fleet_is_not_asked_about_again_and_again() {
+    let mut cell = Cell::with_cores(24, 4);
+    let mut quick = kit::advised(0);
+    quick.advice = Some(fleet::AdvicePolicy {
+        base_ms: 12.0,
+        per_worker_ms: 0.17,
+        valid_ms: 2_500,
+    });
+    let mut questions = 0;
+    for number in 1..=40 {
+        cell.submit(number, &quick, kit::job(vec![kit::step(2, 2)]));
+    }
+    for _ in 0..30 {
+        cell.pass(100);
+        while !cell.questions.is_empty() {
+            questions += 1;
+            cell.advise(|id| id.as_str().ends_with('3'));
+        }
+    }
+    let good_rooms = 6;
+    assert!(cell.starts() >= good_rooms, "{} starts", cell.starts());
+    assert!(questions <= 44, "{questions} questions for 40 jobs");
+}
--- a/crates/figscale/src/logs.rs
+++ b/crates/figscale/src/logs.rs
@@ -34,11 +34,11 @@
 
 /// Target of every numbered event.
 const EVENT_TARGET: &str = "figscale";
-/// Lines written in any one second at most. A leader on a busy day writes some
-/// 200; at 300 bytes a line this is 180 KB a second.
-pub const MAX_LINES_PER_S: u32 = 600;
+/// Lines written in any one second at most. A leader wrote 597 lines of 118 KB
+/// together in the busiest second of a day with a burst and a slow store.
+pub const MAX_LINES_PER_S: u32 = 1_000;
 /// Lines that wait for the writing thread at most, about two seconds of them.
-const MAX_WAITING_LINES: usize = 1_200;
+const MAX_WAITING_LINES: usize = 2_000;
 /// Longest wait for the last lines when the process ends.
 const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(300);
 
