--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -34,6 +34,16 @@
     },
 }
 
+impl LeaderCall {
+    /// The job that the call is about.
+    pub(super) fn job(&self) -> Option<fleet::JobId> {
+        match self {
+            Self::Submit { job, .. } | Self::State { job } | Self::Cancel { job } => Some(*job),
+            Self::Pending { .. } | Self::Hello { .. } => None,
+        }
+    }
+}
+
 /// The leader's answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum LeaderAnswer {
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -100,25 +100,38 @@
     LeaseGranted(store::LeaseId),
 }
 
+/// A term in progress.
 struct Term {
     context: Context,
     scheduler: Scheduler,
+    /// This instance, as its key names it.
     leader: election::Leader,
     /// Away while a write is on its way.
     ledger: Option<Box<ledger::Ledger>>,
+    /// The write on its way.
     writing: Option<writes::Writing>,
+    /// When a write was last begun.
     last_write: time::Instant,
+    /// Callers that wait for a write.
     waiting: Vec<writes::Waiting>,
     /// The last write was not taken.
     store_away: bool,
+    /// A lease under which the leader's key is to be written anew.
     new_lease: Option<store::LeaseId>,
+    /// The lease that the leader's key lives by.
     lease: store::LeaseId,
     workers: workers::Links,
+    /// Instances that greet, this one not among them.
     members: IndexMap<ids::MemberId, members::Member>,
+    /// Most that have greeted at the same time.
     most_members: usize,
+    /// Since when fewer than half of these greet.
     alone_since: Option<time::Instant>,
+    /// When placement last ran.
     planned: time::Instant,
+    /// When the gauges were last updated.
     counted: time::Instant,
+    /// Where results of calls come back.
     messages: mpsc::Sender<Message>,
     /// Handing over.
     closing: bool,
@@ -142,12 +155,21 @@
     let Ok(address) = context.kernel.find::<LeaderMessage>(SERVICE) else {
         return LeaderAnswer::NotLeader;
     };
+    let job = call.job();
     match address.call(|reply| LeaderMessage { call, reply }).await {
         Ok(answer) => answer,
         Err(kernel::Unavailable::Gone(_)) => LeaderAnswer::Unknown,
-        Err(kernel::Unavailable::Full(_)) => LeaderAnswer::Refused {
-            retry_after_ms: STORE_RETRY_AFTER_MS,
-        },
+        Err(kernel::Unavailable::Full(_)) => {
+            let job = job.map_or_else(String::new, |job| job.to_string());
+            crate::event!(
+                events::fleet::CALL_REJECTED,
+                job = job,
+                cause = "the leader is overloaded"
+            );
+            LeaderAnswer::Refused {
+                retry_after_ms: STORE_RETRY_AFTER_MS,
+            }
+        }
         Err(kernel::Unavailable::Unknown(_)) => LeaderAnswer::NotLeader,
     }
 }
--- a/crates/figscale/src/fleet/workers.rs
+++ b/crates/figscale/src/fleet/workers.rs
@@ -20,8 +20,8 @@
 
 /// Time for a worker's answer, on top of the wait asked for.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
-/// How long a report waits for an end. Leases and what is known of a worker are
-/// at most this old.
+/// How long a report waits for an end, half of what workers allow. Leases and
+/// what is known of a worker are at most this old.
 const REPORT_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// Pause after a worker did not answer.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(200);
