Bound what one job may ask for, and check it in the product

Cause, seen on reading: a body with a count of four billion, or repeats of as many, made the leader set up an entry for each task. The check of a job also stood in the adapter, which decides nothing. Change: 64 steps and 20,000 tasks over all occurrences at most, checked in the core.

--- /dev/null
+++ b/crates/figscale-core/src/fleet/check.rs
@@ -0,0 +1,47 @@
+//! Whether a described job makes sense, and is built.
+//!
+//! Whatever callers send is bounded before anything is made of it: a leader
+//! keeps an entry for each task, and one job must not take its memory.
+
+use figscale_types::fleet;
+
+/// Most steps of a job; the users' have four at most.
+const MAX_STEPS: usize = 64;
+/// Most tasks of a job, over all occurrences. An entry takes some 200 bytes, so
+/// one job takes 4 MB at most.
+const MAX_TASKS: u64 = 20_000;
+
+/// The first fault of a job, in words for its caller.
+pub fn fault_of(job: &fleet::JobDescription) -> Option<String> {
+    if job.steps.is_empty() || job.steps.len() > MAX_STEPS {
+        let steps = job.steps.len();
+        return Some(format!("{steps} steps: expected 1 to {MAX_STEPS}"));
+    }
+    let faults = job.steps.iter().enumerate();
+    let of_step = faults
+        .filter_map(|(number, step)| fault_of_step(number, step))
+        .next();
+    of_step.or_else(|| too_many_tasks(job))
+}
+
+fn fault_of_step(number: usize, step: &fleet::StepDescription) -> Option<String> {
+    if step.count == 0 {
+        return Some(format!("step {number} has no tasks"));
+    }
+    let earlier = |after: &u32| usize::try_from(*after).is_ok_and(|after| after < number);
+    if !step.after.iter().all(earlier) {
+        return Some(format!(
+            "step {number} waits for a step that is not before it"
+        ));
+    }
+    // Tasks that use what others leave disturb those that serve, and would have
+    // to be slowed down by the moment.
+    step.filler
+        .then(|| format!("step {number}: tasks that fill are not supported"))
+}
+
+fn too_many_tasks(job: &fleet::JobDescription) -> Option<String> {
+    let once: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
+    let tasks = once.saturating_mul(u64::from(job.occurrences.max(1)));
+    (tasks > MAX_TASKS).then(|| format!("{tasks} tasks: expected {MAX_TASKS} at most"))
+}
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod action;
 mod admission;
 mod advice;
+mod check;
 mod durable;
 mod health;
 mod job;
@@ -37,6 +38,7 @@
 pub use action::Note;
 pub use action::Question;
 pub use admission::Admission;
+pub use check::fault_of;
 pub use durable::Record;
 pub use durable::RecordError;
 pub use durable::RecordKey;
--- a/crates/figscale-core/tests/fleet/callers.rs
+++ b/crates/figscale-core/tests/fleet/callers.rs
@@ -1,7 +1,10 @@
 //! What callers are told.
 
 use figscale_core::fleet::Admission;
+use figscale_core::fleet::fault_of;
 use figscale_types::fleet::JobState;
+use figscale_types::fleet::StepDescription;
+use rstest::rstest;
 
 use crate::kit;
 use crate::kit::Cell;
@@ -98,3 +101,33 @@
             .contains_key(&figscale_core::fleet::RecordKey::Job(kit::job_id(1)))
     );
 }
+
+#[rstest]
+#[case::no_steps(vec![], "0 steps")]
+#[case::no_tasks(vec![kit::step(0, 1)], "no tasks")]
+#[case::waits_for_itself(vec![after(0)], "not before it")]
+#[case::waits_for_none(vec![kit::step(1, 1), after(4)], "not before it")]
+#[case::too_many_steps(vec![kit::step(1, 1); 65], "65 steps")]
+#[case::too_many_tasks(vec![kit::step(u32::MAX, 1)], "4294967295 tasks")]
+#[case::fills(vec![StepDescription { filler: true, ..kit::step(1, 1) }], "not supported")]
+fn a_wrong_job_is_told_why(#[case] steps: Vec<StepDescription>, #[case] why: &str) {
+    let fault = fault_of(&kit::job(steps)).unwrap();
+    assert!(fault.contains(why), "{fault}");
+}
+
+#[test]
+fn a_job_that_repeats_for_ever_is_refused() {
+    let repeated = figscale_types::fleet::JobDescription {
+        occurrences: u32::MAX,
+        ..kit::job(vec![kit::step(1, 1)])
+    };
+    assert!(fault_of(&repeated).is_some());
+    assert!(fault_of(&kit::job(vec![kit::step(60, 1), after(0)])).is_none());
+}
+
+fn after(step: u32) -> StepDescription {
+    StepDescription {
+        after: vec![step],
+        ..kit::step(1, 1)
+    }
+}
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -14,6 +14,7 @@
 use axum::response;
 use axum::response::IntoResponse as _;
 use axum::routing;
+use figscale_core::fleet as scheduling;
 use figscale_platform::ingress;
 use figscale_types::clock;
 use figscale_types::fleet;
@@ -237,7 +238,7 @@
     queue: fleet::Queue,
 ) -> response::Response {
     let decoded = ingress::decode_job(&call.body);
-    let description = match decoded.and_then(supported) {
+    let description = match decoded.and_then(checked) {
         Ok(description) => description,
         Err(fault) => {
             crate::event!(events::fleet::CALL_REJECTED, job = job, cause = fault);
@@ -304,12 +305,10 @@
     }
 }
 
-/// Refuses what is not built, rather than run it in another way than asked.
-fn supported(job: fleet::JobDescription) -> Result<fleet::JobDescription, String> {
-    // Tasks that use what others leave disturb those that serve, and would have
-    // to be slowed down by the moment.
-    match job.steps.iter().position(|step| step.filler) {
-        Some(step) => Err(format!("step {step}: tasks that fill are not supported")),
+/// The job itself unless it has a fault.
+fn checked(job: fleet::JobDescription) -> Result<fleet::JobDescription, String> {
+    match scheduling::fault_of(&job) {
+        Some(fault) => Err(fault),
         None => Ok(job),
     }
 }
