A leader's new lease survives its write, and its write the lease

Cause: found on the last read of the diff. (1) A transaction of 30 records that also names the leader anew had 33 entries, one over the store's 32. (2) term/writes took the new lease out for the write and lost it when the write was not taken: the leader's key stayed away for the rest of the term. (3) Found by the test of these: a write in doubt whose lease ended was sent again for ever, since the store answers that the lease has ended each time; all jobs were refused until another instance led. Ruled out: harm to records: the head and the fences hold in all three. Change: the bound counts the leader's key; the lease goes back to the term when the write was not taken; a transaction whose lease has ended goes on without the leader's key, under the same head. Tests: a_lease_outlives_the_write_that_failed and a_write_in_doubt_outlives_its_lease failed first (40 s without the key, 40 s without an accepted job); a_full_write_names_the_leader_anew passed before too, since records come in pairs, and stays as cover.

--- a/crates/figscale-types/src/fleet/queue.rs
+++ b/crates/figscale-types/src/fleet/queue.rs
@@ -49,8 +49,6 @@
 pub struct Service {
     /// Its name.
     pub name: String,
-    /// Its workers refuse what they have no room for.
-    pub workers_check_room: bool,
 }
 
 /// One version of the operators' configuration.
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -27,8 +27,12 @@
 /// How long a transaction that was surely not executed is tried. Callers wait
 /// some 500 ms for the outcome.
 const MAX_TRYING: time::Duration = time::Duration::from_millis(120);
-/// Records that fit beside the head, which is expected and written.
-pub(super) const MAX_RECORDS: usize = store::MAX_TRANSACTION_ENTRIES - 2;
+/// The head is expected and written.
+const HEAD_ENTRIES: usize = 2;
+/// The leader's key may be written along.
+const LEAD_ENTRIES: usize = 1;
+/// Records that fit into any transaction.
+pub(super) const MAX_RECORDS: usize = store::MAX_TRANSACTION_ENTRIES - HEAD_ENTRIES - LEAD_ENTRIES;
 
 /// The head: who made the last change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,29 +89,26 @@
             sequence: self.head.sequence + 1,
             ..self.head.clone()
         };
-        let transaction = self.transaction(&next, records, lead);
+        let mut transaction = self.transaction(&next, records, lead);
         let started = clock.now();
         let mut in_doubt = false;
         loop {
-            match self.store.commit(&transaction).await {
+            let error = match self.store.commit(&transaction).await {
                 Ok(store::Committed::Done { revision }) => return self.advance(next, revision),
                 Ok(store::Committed::Conflict { current }) => return self.settle(next, &current),
-                Ok(store::Committed::LeaseEnded) if !in_doubt => {
-                    let error = CallError {
-                        verdict: Verdict::NotRun,
-                        refused: false,
-                        cause: "the lease has ended".to_owned(),
-                    };
-                    return Err(WriteError::NotWritten(error));
-                }
-                Ok(store::Committed::LeaseEnded) => (),
-                Err(error) => {
-                    in_doubt |= error.verdict != Verdict::NotRun;
-                    let passed = clock.now().saturating_duration_since(started);
-                    if !in_doubt && passed > MAX_TRYING {
-                        return Err(WriteError::NotWritten(error));
-                    }
+                Ok(store::Committed::LeaseEnded) => {
+                    // The records matter more than the leader's key, which the
+                    // next lease brings back. The head is the same, so at most
+                    // one of the two transactions is executed.
+                    transaction.writes.retain(|(key, ..)| key != keys::LEAD);
+                    lease_ended()
                 }
+                Err(error) => error,
+            };
+            in_doubt |= error.verdict != Verdict::NotRun;
+            let passed = clock.now().saturating_duration_since(started);
+            if !in_doubt && passed > MAX_TRYING {
+                return Err(WriteError::NotWritten(error));
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -155,6 +156,14 @@
     }
 }
 
+fn lease_ended() -> CallError {
+    CallError {
+        verdict: Verdict::NotRun,
+        refused: false,
+        cause: "the lease has ended".to_owned(),
+    }
+}
+
 /// Reads the head.
 pub(super) fn decode_head(item: &store::Item) -> Option<Head> {
     serde_json::from_slice(&item.value).ok()
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -50,6 +50,8 @@
 /// A write on its way.
 pub(super) struct Writing {
     records: Records,
+    /// The lease under which it names the leader anew.
+    lease: Option<store::LeaseId>,
     started: time::Instant,
 }
 
@@ -92,6 +94,7 @@
         self.spawn_write(ledger, &records, lease);
         self.writing = Some(Writing {
             records,
+            lease,
             started: now,
         });
     }
@@ -131,6 +134,8 @@
             Err(ledger::WriteError::NotWritten(error)) => {
                 crate::event!(events::fleet::RECORDS_NOT_WRITTEN, error = error);
                 self.store_away = true;
+                // A lease granted in the meantime is the better one.
+                self.new_lease = self.new_lease.or(writing.lease);
                 self.scheduler.records_not_written(&writing.records);
                 self.refuse_waiting();
             }
--- a/crates/figscale/tests/fleet_process.rs
+++ b/crates/figscale/tests/fleet_process.rs
@@ -278,6 +278,78 @@
     fleet.check();
 }
 
+/// Long enough for a leader to find its lease ended and to get another.
+const NEW_LEASE: time::Duration = time::Duration::from_millis(1_500);
+
+/// The write that names the leader anew is as full of records as any.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_write_names_the_leader_anew() {
+    let fleet = Fleet::start(1, 2, false).await;
+    let slow = time::Duration::from_millis(200);
+    fleet
+        .platform
+        .store
+        .change_faults(|faults| faults.slow = slow);
+    for round in 1..=3 {
+        fleet.platform.store.end_leases();
+        let jobs = (0..150).map(|job| fleet.submit_until_taken(0, round << 16 | job, 1, "20"));
+        futures_util::future::join_all(jobs).await;
+    }
+    fleet
+        .wait("the leader's key", || fleet.names_a_leader())
+        .await;
+    assert_eq!(fleet.count_events("RECORDS_NOT_WRITTEN"), 0);
+    assert_eq!(fleet.count_events("TERM_BEGUN"), 1);
+    fleet.check();
+}
+
+/// A store that takes no transaction while the leader gets a new lease: the
+/// next write that it takes names the leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lease_outlives_the_write_that_failed() {
+    let fleet = Fleet::start(1, 2, false).await;
+    let store = &fleet.platform.store;
+    store.change_faults(|faults| faults.no_transactions = true);
+    store.end_leases();
+    tokio::time::sleep(NEW_LEASE).await;
+    store.change_faults(|faults| faults.no_transactions = false);
+    let begun = time::Instant::now();
+    fleet
+        .wait("the leader's key", || fleet.names_a_leader())
+        .await;
+    assert!(begun.elapsed() < 2 * NEW_LEASE, "{:?}", begun.elapsed());
+    fleet.submit_until_taken(0, 0x901, 1, "20").await;
+    fleet.wait_for_state(0, 0x901, "completed").await;
+    assert_eq!(fleet.count_events("TERM_BEGUN"), 1);
+}
+
+/// The lease ends while the write that names the leader is without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_in_doubt_outlives_its_lease() {
+    let fleet = Fleet::start(1, 2, false).await;
+    // Nothing else is left to write.
+    fleet.submit_until_taken(0, 0xa00, 1, "20").await;
+    fleet.wait_for_state(0, 0xa00, "completed").await;
+    tokio::time::sleep(NEW_LEASE).await;
+    let store = &fleet.platform.store;
+    store.change_faults(|faults| {
+        faults.lost_part = 1.0;
+        faults.executed_after = time::Duration::from_secs(60);
+    });
+    store.end_leases();
+    tokio::time::sleep(NEW_LEASE).await;
+    store.end_leases();
+    store.change_faults(|faults| faults.lost_part = 0.0);
+    let begun = time::Instant::now();
+    fleet.submit_until_taken(0, 0xa01, 1, "20").await;
+    assert!(begun.elapsed() < 4 * NEW_LEASE, "{:?}", begun.elapsed());
+    fleet.wait_for_state(0, 0xa01, "completed").await;
+    fleet
+        .wait("the leader's key", || fleet.names_a_leader())
+        .await;
+    fleet.check();
+}
+
 /// While callers keep coming there is always something being written.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leader_under_load_hands_over_at_once() {
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -1,6 +1,6 @@
 //! Entry instances as processes around a stand-in of the users' platform.
 
-#![expect(dead_code, reason = "each test binary uses a part")]
+#![allow(dead_code, reason = "Each test binary uses a part, one of them all.")]
 
 use std::fs;
 use std::net;
@@ -306,6 +306,17 @@
         assert!(faults.is_empty(), "{faults:#?}");
     }
 
+    /// Whether the store names a leader.
+    pub(crate) fn names_a_leader(&self) -> bool {
+        self.platform.store.get("figscale/lead").is_some()
+    }
+
+    /// Lines of an event logged so far.
+    pub(crate) fn count_events(&self, name: &str) -> usize {
+        let lines = self.log_lines();
+        lines.iter().filter(|line| line["name"] == name).count()
+    }
+
     /// All lines logged so far by all instances.
     pub(crate) fn log_lines(&self) -> Vec<serde_json::Value> {
         let logs = self
