Another life at the leader's address ends the wait for its lease

Ruled out: the election itself (45 ms), loading (115 ms), readiness. Change: a greeting names the life it is meant for; another life answers that it is another, which proves the end. An instance whose own earlier life is named needs no greeting. Test: a_restarted_leader_is_known_to_be_another_life, 1.54 s before, under 0.9 s after.

--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -29,6 +29,8 @@
     Pending { queue: String },
     /// An entry instance is there, and can ask for advice.
     Hello {
+        /// The life that is taken for the leader.
+        leader: ids::MemberKey,
         member: ids::MemberId,
         address: net::SocketAddr,
     },
@@ -49,6 +51,8 @@
 pub(super) enum LeaderAnswer {
     /// This instance does not lead; nothing was done.
     NotLeader,
+    /// The life that was greeted is over; another has its address.
+    OtherLife,
     /// The term ended meanwhile; the call may have been acted on.
     Unknown,
     /// The job is taken and kept.
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -2,9 +2,9 @@
 //!
 //! A greeting tells the leader that this instance can ask for advice, and
 //! brings back where the others are. A refused connection proves that nobody
-//! listens there any more, and an answer that it does not lead proves that its
-//! term is over; both are quicker than the end of a lease. Silence proves
-//! nothing, and is left to the lease.
+//! listens there any more, an answer of another life that its process is gone,
+//! and an answer that it does not lead that its term is over; all are quicker
+//! than the end of a lease. Silence proves nothing, and is left to the lease.
 
 use std::io;
 use std::net;
@@ -151,7 +151,12 @@
 }
 
 async fn hello(context: &Context, leader: &election::Leader) -> Outcome {
+    if leader.member.id == context.me.id {
+        // An earlier life of this very instance.
+        return Outcome::Ended;
+    }
     let call = calls::LeaderCall::Hello {
+        leader: leader.member.clone(),
         member: context.me.id.clone(),
         address: context.settings.peer_address,
     };
@@ -164,6 +169,7 @@
             .await;
         match answer {
             Ok(calls::LeaderAnswer::Welcome { peers }) => return Outcome::Welcome(peers),
+            Ok(calls::LeaderAnswer::OtherLife) => return Outcome::Ended,
             Ok(_) => return Outcome::NotLeading,
             Err(error) => {
                 context.peers.forget(leader.address);
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -40,7 +40,9 @@
             LeaderCall::Pending { queue } => {
                 reply.send(LeaderAnswer::Pending(self.scheduler.pending(&queue)));
             }
-            LeaderCall::Hello { member, address } => {
+            LeaderCall::Hello {
+                member, address, ..
+            } => {
                 self.on_hello(member, address);
                 let peers = self.members.values().map(|member| member.address).collect();
                 reply.send(LeaderAnswer::Welcome { peers });
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -149,6 +149,11 @@
 
 /// Calls the leader in this process.
 pub(super) async fn call_here(context: &Context, call: LeaderCall) -> LeaderAnswer {
+    if let LeaderCall::Hello { leader, .. } = &call
+        && *leader != context.me
+    {
+        return LeaderAnswer::OtherLife;
+    }
     if !context.leadership.borrow().leading {
         return LeaderAnswer::NotLeader;
     }
--- a/crates/figscale/tests/fleet_process.rs
+++ b/crates/figscale/tests/fleet_process.rs
@@ -135,6 +135,25 @@
     fleet.check();
 }
 
+/// Nobody waits for the lease of a leader whose address another process has.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_leader_is_known_to_be_another_life() {
+    let mut fleet = Fleet::start(3, 2, false).await;
+    for instance in 0..3 {
+        fleet.kill(instance);
+    }
+    let begun = time::Instant::now();
+    for instance in 0..3 {
+        fleet.launch(instance);
+    }
+    fleet
+        .wait("a second term", || fleet.count_events("TERM_BEGUN") == 2)
+        .await;
+    // The lease of the first leader lasts 1.1 s at least after its death.
+    let took = begun.elapsed();
+    assert!(took < time::Duration::from_millis(900), "{took:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn without_the_store_jobs_are_refused_and_running_work_goes_on() {
     let fleet = Fleet::start(2, 2, false).await;
