Send a write again once a later read is answered

Ruled out: the pause between tries of a store that refuses (0.25 s), the callers' return (one try a second). Change: a write without an answer for 0.1 s is accompanied by a read each 0.1 s; when one is answered the write is sent again as it was, which the head allows. Tests: a_lost_answer_costs_less_than_a_timeout, six lost answers 3.37 s before, under 2.1 s after; a_silent_store_that_returns_is_noticed_at_once, 0.66 and 0.68 s for three returns before, 0.49 and 0.44 s after: it passed before too and stays as a bound.

--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -106,6 +106,13 @@
         others
     }
 
+    /// Whether the store itself answers a read of a key.
+    pub(super) async fn probe(&self, key: &str) -> bool {
+        let answered = self.direct.get(key).await.is_ok();
+        self.note(answered);
+        answered
+    }
+
     /// Reads a key.
     pub(super) async fn get(&self, key: &str) -> Result<Option<store::Item>, CallError> {
         match self.call(Call::Get(key.to_owned())).await? {
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -16,17 +16,24 @@
 use figscale_types::fleet;
 use figscale_types::ids;
 use figscale_types::verdict::Verdict;
+use futures_util::StreamExt as _;
+use futures_util::stream;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::access;
 use super::keys;
 
-/// Pause before a transaction is sent again.
+/// Time between two attempts at least.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// How long a transaction that was surely not executed is tried. Callers wait
 /// some 500 ms for the outcome.
 const MAX_TRYING: time::Duration = time::Duration::from_millis(120);
+/// A transaction that takes longer is doubted. The store answers within 4 ms,
+/// or 0.25 s on its slow days, when its answers to reads take as long.
+const DOUBT_AFTER: time::Duration = time::Duration::from_millis(100);
+/// Time between reads that try whether the store answers.
+const PROBE_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// The head is expected and written.
 const HEAD_ENTRIES: usize = 2;
 /// The leader's key may be written along.
@@ -93,7 +100,8 @@
         let started = clock.now();
         let mut in_doubt = false;
         loop {
-            let error = match self.store.commit(&transaction).await {
+            let pause = tokio::time::sleep(RETRY_PAUSE);
+            let error = match self.attempt(&transaction).await {
                 Ok(store::Committed::Done { revision }) => return self.advance(next, revision),
                 Ok(store::Committed::Conflict { current }) => return self.settle(next, &current),
                 Ok(store::Committed::LeaseEnded) => {
@@ -110,7 +118,43 @@
             if !in_doubt && passed > MAX_TRYING {
                 return Err(WriteError::NotWritten(error));
             }
-            tokio::time::sleep(RETRY_PAUSE).await;
+            pause.await;
+        }
+    }
+
+    /// Sends a transaction, and gives the attempt up when a read that was sent
+    /// later is answered first: the answer is lost then, or the store is back.
+    /// With a third of the answers lost this saves 0.4 s of each lost one, the
+    /// rest of its timeout; after a silence of the store 0.4 s on average.
+    async fn attempt(
+        &self,
+        transaction: &store::Transaction,
+    ) -> Result<store::Committed, CallError> {
+        tokio::select! {
+            outcome = self.store.commit(transaction) => outcome,
+            () = self.a_later_answer() => Err(CallError {
+                verdict: Verdict::MayHaveRun,
+                refused: false,
+                cause: "a later call was answered".to_owned(),
+            }),
+        }
+    }
+
+    async fn a_later_answer(&self) {
+        tokio::time::sleep(DOUBT_AFTER).await;
+        let mut probes = stream::FuturesUnordered::new();
+        loop {
+            probes.push(self.store.probe(keys::HEAD));
+            let pause = tokio::time::sleep(PROBE_PAUSE);
+            tokio::pin!(pause);
+            loop {
+                tokio::select! {
+                    Some(answered) = probes.next() => if answered {
+                        return;
+                    },
+                    () = &mut pause => break,
+                }
+            }
         }
     }
 
--- a/crates/figscale/tests/fleet_process.rs
+++ b/crates/figscale/tests/fleet_process.rs
@@ -403,6 +403,51 @@
     assert_eq!(fleet.count_events("TERM_BEGUN"), 1);
 }
 
+/// A write without an answer is sent again once the store answers a later call,
+/// and not only when its timeout of 0.5 s is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_costs_less_than_a_timeout() {
+    let fleet = Fleet::start(1, 2, false).await;
+    let store = &fleet.platform.store;
+    let rounds = 6;
+    let begun = time::Instant::now();
+    for round in 0..rounds {
+        store.change_faults(|faults| faults.lost_next = 1);
+        fleet.submit_until_taken(0, 0xd00 + round, 1, "20").await;
+    }
+    let took = begun.elapsed();
+    assert!(
+        took < time::Duration::from_millis(350) * rounds as u32,
+        "{took:?}"
+    );
+    fleet.check();
+}
+
+/// Jobs are taken as soon as a store that was silent answers again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_store_that_returns_is_noticed_at_once() {
+    let fleet = Fleet::start(3, 2, false).await;
+    fleet.submit_until_taken(0, 0xe00, 1, "20").await;
+    let mut waited = time::Duration::ZERO;
+    let rounds = 3;
+    for round in 0..rounds {
+        let store = &fleet.platform.store;
+        store.change_faults(|faults| faults.slow = time::Duration::from_secs(30));
+        let lost = fleet.submit(0, 0xe10 + round, 1, "20").await;
+        assert_ne!(lost, 200);
+        tokio::time::sleep(NEW_LEASE).await;
+        store.change_faults(|faults| faults.slow = time::Duration::ZERO);
+        let begun = time::Instant::now();
+        fleet.submit_until_taken(0, 0xe20 + round, 1, "20").await;
+        waited += begun.elapsed();
+    }
+    assert!(
+        waited < time::Duration::from_millis(400) * rounds as u32,
+        "{waited:?}"
+    );
+    fleet.check();
+}
+
 /// The lease ends while the write that names the leader is without an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_write_in_doubt_outlives_its_lease() {
