Placement and catalogue modules depend on each other one way

Eleven files of job/placement imported each other in a circle through what the cluster keeps (its settings, a promise, wanted accelerators) and the number of a gang's try; these stand in modules of their own now (config, kept, work). catalogue/service told peers through catalogue/follow, which reads it; follow watches what comes into force instead, and the pause after a failed call stands where the store is called. No behaviour changes but one: two catalogues adopted in the same instant are told to peers once. Tests: placement (51), job_faults (18), the four catalogue suites.

--- a/crates/figscale-core/src/job/placement/cluster.rs
+++ b/crates/figscale-core/src/job/placement/cluster.rs
@@ -18,8 +18,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use super::place;
-use super::promise;
+use super::config;
+use super::kept;
 use super::work;
 use super::worker;
 
@@ -60,7 +60,7 @@
 /// The workers held here, with their room.
 #[derive(Clone, Debug, Default)]
 pub struct Cluster {
-    pub(super) config: place::Config,
+    pub(super) config: config::Config,
     pub(super) workers: IndexMap<ids::InstanceId, worker::Worker>,
     pub(super) holdings: IndexMap<ids::TaskId, work::Holding>,
     pub(super) spreads: IndexMap<ids::JobId, Spread>,
@@ -71,14 +71,14 @@
     pub(super) counted: sizes::Resources,
     pub(super) examined: u64,
     /// The most urgent work that waits for accelerators.
-    pub(super) accelerators_wanted: Option<promise::Wanted>,
+    pub(super) accelerators_wanted: Option<kept::Wanted>,
     /// The worker promised to a job.
-    pub(super) promise: Option<promise::Promise>,
+    pub(super) promise: Option<kept::Promise>,
 }
 
 impl Cluster {
     /// A cluster without workers.
-    pub fn new(config: place::Config) -> Self {
+    pub fn new(config: config::Config) -> Self {
         Self {
             config,
             ..Self::default()
@@ -86,7 +86,7 @@
     }
 
     /// Replaces what placement weighs; the catalogue may change at any time.
-    pub fn set_config(&mut self, config: place::Config) {
+    pub fn set_config(&mut self, config: config::Config) {
         self.config = config;
     }
 
--- a/crates/figscale-core/src/job/placement/gang.rs
+++ b/crates/figscale-core/src/job/placement/gang.rs
@@ -53,18 +53,13 @@
     }
 }
 
-/// Number of a try to find room for a gang. A later try has a higher one, also
-/// after the gang's home has moved.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct TryNumber(pub u64);
-
 /// A request of a gang's home to a holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
     /// The holder.
     pub to: ids::MemberId,
     /// The try that it belongs to.
-    pub number: TryNumber,
+    pub number: work::TryNumber,
     /// Tasks by their position within the job.
     pub tasks: Vec<u32>,
 }
@@ -118,7 +113,7 @@
 #[derive(Clone, Debug)]
 pub struct Gang {
     config: GangConfig,
-    number: TryNumber,
+    number: work::TryNumber,
     state: State,
     parts: Vec<Part>,
     /// The part that was asked last.
@@ -133,7 +128,7 @@
     /// Begins a try for `tasks` with these holders, in whatever order given.
     pub fn start(
         config: GangConfig,
-        number: TryNumber,
+        number: work::TryNumber,
         tasks: Vec<u32>,
         mut holders: Vec<ids::MemberId>,
         now: time::Instant,
@@ -297,7 +292,7 @@
     pub fn hold_gang(
         &mut self,
         asks: &[work::Ask],
-        number: TryNumber,
+        number: work::TryNumber,
         now: time::Instant,
         expires: time::Instant,
     ) -> Vec<pass::Placement> {
@@ -326,7 +321,7 @@
     pub fn commit_gang(
         &mut self,
         tasks: &[ids::TaskId],
-        number: TryNumber,
+        number: work::TryNumber,
         expires: time::Instant,
     ) -> bool {
         let of_try = |task: &ids::TaskId| {
@@ -343,7 +338,7 @@
     }
 
     /// Releases the room of a gang's tasks unless a later try has it.
-    pub fn release_gang(&mut self, tasks: &[ids::TaskId], number: TryNumber) {
+    pub fn release_gang(&mut self, tasks: &[ids::TaskId], number: work::TryNumber) {
         for task in tasks {
             let holding = self.holdings.get(task);
             if holding.is_some_and(|h| h.gang_try.is_some_and(|known| known <= number)) {
--- a/crates/figscale-core/src/job/placement/mod.rs
+++ b/crates/figscale-core/src/job/placement/mod.rs
@@ -17,9 +17,11 @@
 //! cell may be passed by what is placed within that second.
 
 mod cluster;
+mod config;
 pub mod fault;
 pub mod feasibility;
 pub mod gang;
+mod kept;
 pub mod learn;
 mod line;
 mod no_room;
@@ -37,11 +39,11 @@
 
 pub use cluster::Cluster;
 pub use cluster::ReserveError;
+pub use config::Config;
 pub use offer::Offer;
 pub use pass::PassInput;
 pub use pass::PassOutcome;
 pub use pass::Placement;
-pub use place::Config;
 pub use place::NoPlace;
 pub use queue::Level;
 pub use queue::Pending;
@@ -54,6 +56,7 @@
 pub use work::Ask;
 pub use work::Guard;
 pub use work::Holding;
+pub use work::TryNumber;
 pub use worker::Readiness;
 pub use worker::Standing;
 pub use worker::Worker;
--- a/crates/figscale-core/src/job/placement/promise.rs
+++ b/crates/figscale-core/src/job/placement/promise.rs
@@ -16,6 +16,7 @@
 use figscale_types::ids;
 
 use super::cluster;
+use super::kept;
 use super::place;
 use super::work;
 use super::worker;
@@ -25,28 +26,6 @@
 /// Time for which accelerators count as wanted after work found none.
 const WANTED: time::Duration = time::Duration::from_secs(5);
 
-/// A worker promised to a job.
-#[derive(Clone, Debug)]
-pub(super) struct Promise {
-    job: ids::JobId,
-    urgency: catalogue::Urgency,
-    worker: ids::InstanceId,
-    until: time::Instant,
-}
-
-impl Promise {
-    fn binds(&self, ask: &work::Ask) -> bool {
-        self.job != ask.task.job && self.urgency <= ask.urgency
-    }
-}
-
-/// Accelerators that work waits for.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Wanted {
-    pub(super) urgency: catalogue::Urgency,
-    until: time::Instant,
-}
-
 impl cluster::Cluster {
     /// Places a task: filter, score, commit.
     ///
@@ -92,7 +71,7 @@
         now: time::Instant,
     ) {
         let until = now + WANTED;
-        self.accelerators_wanted = urgency.map(|urgency| Wanted { urgency, until });
+        self.accelerators_wanted = urgency.map(|urgency| kept::Wanted { urgency, until });
     }
 
     fn want_accelerators(&mut self, ask: &work::Ask, now: time::Instant) {
@@ -113,7 +92,7 @@
             return;
         }
         let soonest = self.soonest(ask).map(|worker| worker.id.clone());
-        self.promise = soonest.map(|worker| Promise {
+        self.promise = soonest.map(|worker| kept::Promise {
             job: ask.task.job.clone(),
             urgency: ask.urgency,
             worker,
--- a/crates/figscale-core/src/job/placement/work.rs
+++ b/crates/figscale-core/src/job/placement/work.rs
@@ -5,8 +5,8 @@
 use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::sizes;
-
-use super::gang;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// What may be done to a task while it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,7 +106,7 @@
     /// Whether it was asked to end.
     pub ending: bool,
     /// The try of its gang that the room belongs to.
-    pub gang_try: Option<gang::TryNumber>,
+    pub gang_try: Option<TryNumber>,
 }
 
 impl Holding {
@@ -115,3 +115,8 @@
         self.ask.size.larger(&self.used)
     }
 }
+
+/// Number of a try to find room for a gang. A later try has a higher one, also
+/// after the gang's home has moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TryNumber(pub u64);
--- a/crates/figscale-core/tests/placement/gangs.rs
+++ b/crates/figscale-core/tests/placement/gangs.rs
@@ -73,7 +73,7 @@
         self.tries += 1;
         let tasks = (0..self.sizes[home]).collect();
         let holders = self.holders.keys().rev().cloned().collect();
-        let number = gang::TryNumber(self.tries.into());
+        let number = placement::TryNumber(self.tries.into());
         gang::Gang::start(self.config, number, tasks, holders, self.now, &mut self.rng)
     }
 
@@ -201,7 +201,7 @@
     let mut cluster = kit::cluster(1);
     let asks = [Net::ask(0, 0), Net::ask(0, 1)];
     let tasks = [asks[0].task.clone(), asks[1].task.clone()];
-    let (first, second) = (gang::TryNumber(1), gang::TryNumber(2));
+    let (first, second) = (placement::TryNumber(1), placement::TryNumber(2));
     assert_eq!(cluster.hold_gang(&asks, first, now, later).len(), 2);
     assert_eq!(cluster.hold_gang(&asks, second, now, later).len(), 2);
     assert_eq!(cluster.hold_gang(&asks, first, now, later).len(), 0);
--- a/crates/figscale/src/catalogue/apply.rs
+++ b/crates/figscale/src/catalogue/apply.rs
@@ -13,7 +13,6 @@
 use figscale_types::verdict::Verdict;
 use rand::RngExt as _;
 
-use super::follow;
 use super::service;
 use crate::events::catalogue as events;
 use crate::store;
@@ -52,7 +51,7 @@
         return Err(operator::OperatorError {
             kind: operator::ErrorKind::Unavailable,
             message: "too many changes are being decided here; nothing was done".to_owned(),
-            retry_after_ms: Some(follow::RETRY_MS),
+            retry_after_ms: Some(service::RETRY_MS),
         });
     };
     let mut apply = apply::Apply::new(change, unix_ms(service))?;
--- a/crates/figscale/src/catalogue/follow.rs
+++ b/crates/figscale/src/catalogue/follow.rs
@@ -24,8 +24,6 @@
 
 use super::service;
 
-/// Pause after a watch that failed, before jitter.
-pub(super) const RETRY_MS: u64 = 500;
 /// Time to wait for a peer.
 const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
@@ -72,7 +70,7 @@
         };
         match result {
             Ok(()) => known = true,
-            Err(_) => pause(RETRY_MS).await,
+            Err(_) => pause(service::RETRY_MS).await,
         }
     }
 }
@@ -91,7 +89,7 @@
     } else if service.context.clock.now() < began + wait / 2 {
         // Not the end of its time, so the key was deleted.
         service.read(service::Source::Watch).await?;
-        pause(RETRY_MS).await;
+        pause(service::RETRY_MS).await;
     }
     Ok(())
 }
@@ -133,8 +131,16 @@
     }
 }
 
+/// Tells peers of each catalogue that comes into force here.
+pub(super) async fn tell_adopted(service: rc::Rc<service::Service>) {
+    let mut adopted = service.context.shared.catalogue.subscribe();
+    while adopted.changed().await.is_ok() {
+        tell_peers(&service);
+    }
+}
+
 /// Tells the revision in force to every peer, without waiting for them.
-pub(super) fn tell_peers(service: &rc::Rc<service::Service>) {
+fn tell_peers(service: &rc::Rc<service::Service>) {
     for address in peers(service).into_values() {
         let service = service.clone();
         tokio::task::spawn_local(async move { exchange(&service, address).await });
--- a/crates/figscale/src/catalogue/mod.rs
+++ b/crates/figscale/src/catalogue/mod.rs
@@ -72,6 +72,7 @@
     });
     let service = rc::Rc::new(service::Service::new(context.clone()));
     tokio::task::spawn_local(follow::watch(service.clone()));
+    tokio::task::spawn_local(follow::tell_adopted(service.clone()));
     tokio::task::spawn_local(follow::poll_store(service.clone()));
     tokio::task::spawn_local(follow::poll_peers(service.clone()));
     tokio::task::spawn_local(answer_all(service, inbox));
--- a/crates/figscale/src/catalogue/service.rs
+++ b/crates/figscale/src/catalogue/service.rs
@@ -16,11 +16,12 @@
 use figscale_types::ids;
 use figscale_types::operator;
 
-use super::follow;
 use crate::events::catalogue as events;
 use crate::state;
 use crate::store;
 
+/// Pause after a call of the store that failed, before jitter.
+pub(super) const RETRY_MS: u64 = 500;
 /// Longest wait for the store where an answer without it is possible too.
 const REFRESH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
@@ -229,7 +230,6 @@
                     revision = revision,
                     source = source
                 );
-                follow::tell_peers(self);
             }
             book::Adoption::Older if source == Source::Peer => {}
             book::Adoption::Older => {
@@ -263,7 +263,7 @@
     operator::OperatorError {
         kind: operator::ErrorKind::Unavailable,
         message: "no catalogue is known here yet: the store has not answered".to_owned(),
-        retry_after_ms: Some(follow::RETRY_MS),
+        retry_after_ms: Some(RETRY_MS),
     }
 }
 
