--- a/crates/figscale-core/tests/fleet/placing.rs
+++ b/crates/figscale-core/tests/fleet/placing.rs
@@ -65,6 +65,19 @@
     assert_eq!(cell.starts(), starts);
 }
 
+#[rstest]
+#[case::of_its_service("pool", 1)]
+#[case::of_another_service("other-pool", 0)]
+fn a_queue_runs_on_its_service_only(#[case] service: &str, #[case] starts: usize) {
+    let mut cell = Cell::new(1);
+    let queue = fleet::Queue {
+        service: service.to_owned(),
+        ..kit::queue(1)
+    };
+    cell.run(1, &queue, vec![kit::step(1, 1)]);
+    assert_eq!(cell.starts(), starts);
+}
+
 #[test]
 fn tasks_that_must_be_apart_are() {
     let mut cell = Cell::new(3);
