Split the dispatcher, the stand-in's store and two files of the fleet

request/dispatcher (653 lines) has what is asked and answered, counts and the choice of a runner in modules of their own; the stand-in's store (520) its state, leases and transactions; fleet/entry (453) the asking of the leader; term/mod (485) what comes back to it. No behaviour changes. Tests: all of figscale-core, adapter, fleet_process, fleet_trace, two request suites.

--- /dev/null
+++ b/crates/figscale-core/src/request/dispatcher/counts.rs
@@ -0,0 +1,106 @@
+//! What a dispatcher tells of itself: waits, counts and the next thing due.
+
+use std::time;
+
+use figscale_types::catalogue;
+use figscale_types::ids;
+use indexmap::IndexMap;
+
+use super::Dispatcher;
+use crate::request::board;
+use crate::request::outlier;
+use crate::request::queue;
+use crate::request::service_time;
+use crate::request::slots;
+
+impl Dispatcher {
+    /// Time that a request of this urgency would wait behind those before it.
+    ///
+    /// The larger of two estimates: what the run times allow, and the pace at
+    /// which requests of its urgency were granted slots of late.
+    pub fn expected_wait(
+        &self,
+        name: &ids::ServiceName,
+        urgency: catalogue::Urgency,
+        now: time::Instant,
+    ) -> time::Duration {
+        let Some(service) = self.services.get(name) else {
+            return time::Duration::ZERO;
+        };
+        let slots: u32 = self.table.of_service(name).map(|r| r.instance.slots).sum();
+        let ahead = service.queue.ahead_of(urgency);
+        let rounds = ahead as f64 / f64::from(slots.max(1));
+        let by_runs = self.times.of_service(name).mul_f64(rounds);
+        let pace = &service.paces[queue::level_of(urgency)];
+        by_runs.max(pace.expect(service.queue.len_of(urgency), now))
+    }
+
+    /// Counts of every service with a held runner, for the other holders.
+    pub fn counts(&self, now: time::Instant) -> IndexMap<ids::ServiceName, board::Counts> {
+        let names = self.table.services();
+        names
+            .map(|name| (name.clone(), self.counts_of(name, now)))
+            .collect()
+    }
+
+    /// Counts of one service.
+    pub fn counts_of(&self, name: &ids::ServiceName, now: time::Instant) -> board::Counts {
+        let live = self.table.of_service(name).filter(|r| !r.is_leaving());
+        let slots = live.map(|runner| runner.instance.slots).sum();
+        let usable = self.usable(name, now);
+        let reserve = self.reserve(name, now);
+        let queue = self.services.get(name).map(|service| &service.queue);
+        let ahead = |urgency| {
+            let ahead = queue.map_or(0, |queue| queue.ahead_of(urgency));
+            u32::try_from(ahead).unwrap_or(u32::MAX)
+        };
+        board::Counts {
+            slots,
+            free: queue::URGENCIES.map(|urgency| match urgency {
+                catalogue::Urgency::BestEffort => usable.saturating_sub(reserve),
+                _ => usable,
+            }),
+            ahead: queue::URGENCIES.map(ahead),
+        }
+    }
+
+    /// When to poll next though nothing has changed.
+    pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
+        let services = self.services.values();
+        let timers = services.flat_map(|service| {
+            let unreserved = service
+                .last_interactive
+                .map(|at| at + self.config.reserve_for);
+            [
+                service.queue.next_deadline(),
+                service.outliers.next_probe(now),
+                unreserved.filter(|at| *at > now && !service.queue.is_empty()),
+            ]
+        });
+        timers.flatten().chain(self.table.next_release(now)).min()
+    }
+
+    /// The slot table.
+    pub fn table(&self) -> &slots::SlotTable {
+        &self.table
+    }
+
+    /// The measured service times.
+    pub fn times(&self) -> &service_time::ServiceTimes {
+        &self.times
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether a runner is set aside.
+    pub fn is_ejected(&self, runner: &slots::Runner, now: time::Instant) -> bool {
+        let service = runner.instance.service.as_ref();
+        let service = service.and_then(|name| self.services.get(name));
+        service.is_some_and(|service| {
+            service.outliers.use_of(&runner.instance.id, now) == outlier::Use::Ejected
+        })
+    }
+}
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -24,12 +24,9 @@
 use tokio::task;
 
 use super::Context;
-use super::calls;
+use super::ask;
 use super::calls::LeaderAnswer;
 use super::calls::LeaderCall;
-use super::election;
-use super::membership;
-use super::term;
 use crate::events;
 
 /// Largest body that is read; the platform's jobs are a tenth of it.
@@ -38,12 +35,6 @@
 const STANDARD_DEADLINE: time::Duration = time::Duration::from_secs(3);
 /// Kept of a caller's deadline for the way back.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(150);
-/// Longest wait for a leader before a job is refused; a takeover takes less.
-const MAX_LEADERLESS: time::Duration = time::Duration::from_millis(1_500);
-/// Longest wait for one answer of the leader.
-const LEADER_TIMEOUT: time::Duration = time::Duration::from_millis(900);
-/// Pause before a leader is looked for again, if nothing is heard sooner.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(60);
 /// When to come back where there is no leader.
 const LEADERLESS_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -254,7 +245,7 @@
         description,
     };
     let started = context.clock.now();
-    let (answer, verdict) = ask_leader(context, &question, call.deadline).await;
+    let (answer, verdict) = ask::leader(context, &question, call.deadline).await;
     let waited_ms = clock::millis(context.clock.now().saturating_duration_since(started));
     match answer {
         Some(LeaderAnswer::Accepted) => {
@@ -329,7 +320,7 @@
 
 async fn state(context: &Context, call: &Call, job: fleet::JobId) -> response::Response {
     let question = LeaderCall::State { job };
-    match ask_leader(context, &question, call.deadline).await.0 {
+    match ask::leader(context, &question, call.deadline).await.0 {
         Some(LeaderAnswer::State(Some(state))) => {
             json(http::StatusCode::OK, ingress::encode_state(state))
         }
@@ -340,7 +331,7 @@
 
 async fn cancel(context: &Context, call: &Call, job: fleet::JobId) -> response::Response {
     let question = LeaderCall::Cancel { job };
-    match ask_leader(context, &question, call.deadline).await.0 {
+    match ask::leader(context, &question, call.deadline).await.0 {
         Some(LeaderAnswer::State(Some(state))) => {
             json(http::StatusCode::OK, ingress::encode_state(state))
         }
@@ -351,7 +342,7 @@
 
 async fn pending(context: &Context, call: &Call, queue: fleet::Queue) -> response::Response {
     let question = LeaderCall::Pending { queue: queue.name };
-    match ask_leader(context, &question, call.deadline).await.0 {
+    match ask::leader(context, &question, call.deadline).await.0 {
         Some(LeaderAnswer::Pending(jobs)) => {
             json(http::StatusCode::OK, ingress::encode_pending(jobs))
         }
@@ -370,84 +361,3 @@
         LEADERLESS_RETRY_AFTER_MS,
     )
 }
-
-/// Asks whoever leads until there is an answer or the caller's time is up; with
-/// whether an unanswered call may have been acted on.
-async fn ask_leader(
-    context: &Context,
-    call: &LeaderCall,
-    deadline: time::Instant,
-) -> (Option<LeaderAnswer>, Verdict) {
-    let started = context.clock.now();
-    let mut verdict = Verdict::NotRun;
-    let mut changes = context.leadership.subscribe();
-    loop {
-        let now = context.clock.now();
-        let leaderless = verdict == Verdict::NotRun && now > started + MAX_LEADERLESS;
-        if now >= deadline || leaderless {
-            return (None, verdict);
-        }
-        let timeout = LEADER_TIMEOUT.min(deadline - now);
-        let _ = changes.borrow_and_update();
-        let asked = ask_once(context, call, timeout);
-        let answer = tokio::select! {
-            answer = asked => answer,
-            () = superseded(context) => Err(Verdict::MayHaveRun),
-        };
-        match answer {
-            Ok(LeaderAnswer::NotLeader) => (),
-            Ok(LeaderAnswer::Unknown) => verdict = Verdict::MayHaveRun,
-            Ok(answer) => return (Some(answer), verdict),
-            Err(Verdict::NotRun) => (),
-            Err(_) => verdict = Verdict::MayHaveRun,
-        }
-        let _ = tokio::time::timeout(RETRY_PAUSE, changes.changed()).await;
-    }
-}
-
-/// Completes when a later leader is known than now. A leader that lost its
-/// power keeps a request until it times out; the next one answers 0.4 s sooner.
-async fn superseded(context: &Context) {
-    let mut changes = context.leadership.subscribe();
-    let epoch = |known: &election::Leadership| known.leader.as_ref().map(|leader| leader.epoch);
-    let asked = epoch(&changes.borrow());
-    if changes
-        .wait_for(|known| epoch(known) > asked)
-        .await
-        .is_err()
-    {
-        // Nobody will lead any more: the process ends.
-        std::future::pending().await
-    }
-}
-
-async fn ask_once(
-    context: &Context,
-    call: &LeaderCall,
-    timeout: time::Duration,
-) -> Result<LeaderAnswer, Verdict> {
-    let leadership = context.leadership.borrow().clone();
-    if leadership.leading {
-        let answer = term::call_here(context, call.clone());
-        return tokio::time::timeout(timeout, answer)
-            .await
-            .map_err(|_| Verdict::MayHaveRun);
-    }
-    let Some(leader) = leadership.leader else {
-        return Err(Verdict::NotRun);
-    };
-    if leader.member == context.me {
-        return Err(Verdict::NotRun);
-    }
-    let service = calls::LEADER_SERVICE;
-    let answer = context
-        .peers
-        .call(leader.address, service, call, timeout)
-        .await;
-    answer.map_err(|error| {
-        if error.verdict != Verdict::NotRun || membership::is_refused(&error) {
-            context.peers.forget(leader.address);
-        }
-        error.verdict
-    })
-}
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 
 mod access;
 mod advice;
+mod ask;
 mod calls;
 mod direct;
 mod election;
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -22,6 +22,7 @@
 mod callers;
 pub(super) mod load;
 mod members;
+mod messages;
 mod writes;
 
 use super::Context;
@@ -402,83 +403,6 @@
         metrics.fleet_knows("workers", counts.workers);
         metrics.fleet_knows("members", self.members.len());
     }
-
-    fn on_message(&mut self, message: Message) {
-        let now = self.now();
-        match message {
-            Message::Listing(entries) => self.on_listing(entries, now),
-            Message::Reported(id, report) => self.on_report(&id, report, now),
-            Message::StartAnswered {
-                worker,
-                task,
-                attempt,
-                outcome,
-            } => {
-                self.scheduler
-                    .start_answered(&worker, task, attempt, outcome, now);
-            }
-            Message::Advised(question, good) => {
-                self.scheduler.advice_answered(&question, good, now);
-            }
-            Message::MemberGone(member) => self.drop_member(&member),
-            Message::Written(result, ledger) => self.on_written(result, ledger),
-            Message::LeaseEnded => {
-                crate::event!(events::fleet::LEASE_RENEWED_LATE, epoch = self.leader.epoch);
-            }
-            Message::LeaseGranted(lease) => {
-                self.lease = lease;
-                self.new_lease = Some(lease);
-            }
-        }
-    }
-
-    fn on_listing(&mut self, entries: Vec<fleet::WorkerEntry>, now: time::Instant) {
-        let listed: indexmap::IndexSet<fleet::WorkerId> =
-            entries.iter().map(|entry| entry.id.clone()).collect();
-        for id in self.scheduler.listed_workers() {
-            if !listed.contains(&id) {
-                crate::event!(events::fleet::WORKER_UNLISTED, worker = id);
-                self.scheduler.worker_unlisted(&id, now);
-            }
-        }
-        for entry in entries {
-            self.on_listed(entry);
-        }
-    }
-
-    fn on_listed(&mut self, entry: fleet::WorkerEntry) {
-        if self.scheduler.is_listed_as(&entry) {
-            return;
-        }
-        crate::event!(
-            events::fleet::WORKER_LISTED,
-            worker = entry.id,
-            address = entry.address,
-            draining = entry.draining
-        );
-        self.workers.add(&entry);
-        self.scheduler.worker_listed(entry);
-    }
-
-    fn on_report(
-        &mut self,
-        id: &fleet::WorkerId,
-        report: Result<platform_workers::ReportOutcome, CallError>,
-        now: time::Instant,
-    ) {
-        match &report {
-            Ok(platform_workers::ReportOutcome::Report(report)) => {
-                self.scheduler.worker_reported(id, report, now);
-            }
-            Ok(platform_workers::ReportOutcome::StaleEpoch) => self.ended = Some(Ended::Deposed),
-            Ok(platform_workers::ReportOutcome::OtherLife) => {
-                self.scheduler.worker_replaced(id, now)
-            }
-            Ok(platform_workers::ReportOutcome::Unhealthy) | Err(_) => (),
-        }
-        let waits = self.scheduler.has_unacknowledged(id);
-        self.workers.reported(id, &report, waits, now);
-    }
 }
 
 /// Where results of calls go.
