--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -9,7 +9,7 @@
     6006 STORE_LOST Warn "The store does not take calls from here; peers pass them on.";
     6007 STORE_BACK Info "The store takes calls from here again.";
     6101 LEADER_KNOWN Info "Another entry instance, or this one, leads a new term.";
-    6102 LEADER_ENDED Warn "The leader has ended its term in order, or its process has ended; others stand at once.";
+    6102 LEADER_ENDED Warn "The leader has ended its term in order, its process has ended, or most peers miss it; others stand at once.";
     6105 ELECTION_ENDED Info "This instance stood for leadership; the line says whether it won.";
     6106 ELECTION_FAILED Warn "This instance could not stand for leadership; it tries again.";
     6107 TERM_BEGUN Info "This instance leads: it has read all records and asks the workers.";
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -131,43 +131,51 @@
     let mut changes = context.leadership.subscribe();
     loop {
         let known = changes.borrow_and_update().clone();
-        match known.leader {
-            Some(leader) if leader.member != context.me => {
-                let outcome = hello(&context, &leader).await;
-                if outcome != Outcome::NotLeading {
-                    not_leading_since = None;
-                }
-                match outcome {
-                    Outcome::Welcome(mut others) => {
-                        others.push(leader.address);
-                        context.store.set_roster(others);
-                        heard(&context, true);
-                    }
-                    Outcome::Ended => ended(&context, &leader, known.key_revision),
-                    Outcome::NotLeading => {
-                        heard(&context, false);
-                        let now = context.clock.now();
-                        let since = *not_leading_since.get_or_insert(now);
-                        if now > since + NOT_LEADING_LIMIT {
-                            ended(&context, &leader, known.key_revision);
-                        }
-                        ask_peers(&context, &leader).await;
-                    }
-                    Outcome::Silent => {
-                        let views = ask_peers(&context, &leader).await;
-                        if is_lost(&context, &leader, &views) {
-                            ended(&context, &leader, known.key_revision);
-                        }
-                    }
-                }
+        if let Some(leader) = known.leader
+            && leader.member != context.me
+        {
+            let outcome = hello(&context, &leader).await;
+            if outcome != Outcome::NotLeading {
+                not_leading_since = None;
+            }
+            if is_over(&context, &leader, outcome, &mut not_leading_since).await {
+                ended(&context, &leader, known.key_revision);
             }
-            _ => (),
         }
         // A new leader is greeted at once.
         let _ = tokio::time::timeout(HELLO_PAUSE, changes.changed()).await;
     }
 }
 
+/// Takes in how a greeting ended; whether the leader's term is over.
+async fn is_over(
+    context: &Context,
+    leader: &election::Leader,
+    outcome: Outcome,
+    not_leading_since: &mut Option<time::Instant>,
+) -> bool {
+    match outcome {
+        Outcome::Welcome(mut others) => {
+            others.push(leader.address);
+            context.store.set_roster(others);
+            heard(context, true);
+            false
+        }
+        Outcome::Ended => true,
+        Outcome::NotLeading => {
+            heard(context, false);
+            ask_peers(context, leader).await;
+            let now = context.clock.now();
+            let since = *not_leading_since.get_or_insert(now);
+            now > since + NOT_LEADING_LIMIT
+        }
+        Outcome::Silent => {
+            let views = ask_peers(context, leader).await;
+            is_lost(context, leader, &views)
+        }
+    }
+}
+
 /// Notes that the leader's process answered, and whether it leads.
 fn heard(context: &Context, leads: bool) {
     let now = context.clock.now();
