A repeated end no longer counts for a later attempt

A home dealt with the lapse of attempt 1, placed attempt 2 and gave its shard on before the placer had the acknowledgement; the next placer told of the same end again, and the next home, which does not know where the task is, took it for the end of the present attempt and placed attempt 2 once more. Ruled out: the lapse of a taken shard (counted from its taking), the last write of a giving home (lists asked and unknown tasks), load alone. Change: in that state a home leaves aside what concerns attempts that its document has dealt with; the placers' inventories decide. Test: job_home::an_end_that_was_dealt_with_places_nothing_again failed first; the_end_of_a_later_attempt_places_the_next holds before and after.

--- a/crates/figscale-core/src/job/home/news.rs
+++ b/crates/figscale-core/src/job/home/news.rs
@@ -51,9 +51,16 @@
             Some(_) => Take::Settled,
             None => Take::Stray,
         };
+        // A later attempt may run somewhere, which only the placers' inventories
+        // tell. Taken for the end of the present attempt, one that was told
+        // again after a change of homes had its task run on two workers.
+        let known_end = self.has_dealt_with(&event.attempt);
         let Some(task) = self.task_mut(id) else {
             return foreign;
         };
+        if known_end && matches!(task.life, job::Life::Unknown { .. }) {
+            return self.on_stale(event, foreign);
+        }
         let unknown = matches!(task.life, job::Life::Unknown { .. });
         if unknown && event.attempt.number >= task.attempt {
             task.attempt = event.attempt.number;
@@ -83,6 +90,14 @@
         Take::Taken
     }
 
+    /// Whether the document says that an attempt has ended and was followed up.
+    fn has_dealt_with(&self, attempt: &message::Attempt) -> bool {
+        let job = self.jobs.get(&attempt.task.job);
+        let record = job.and_then(|job| job.record.tasks.get(&attempt.task.index));
+        // With a start mark the number is that of the attempt under way.
+        record.is_some_and(|record| !record.started && attempt.number <= record.attempts)
+    }
+
     /// News of an attempt that is not the present one, or of a task that ended.
     fn on_stale(&self, event: &message::TaskEvent, foreign: Take) -> Take {
         // An end whose write is under way is acknowledged after it.
--- /dev/null
+++ b/crates/figscale-core/tests/job_home.rs
@@ -0,0 +1,128 @@
+//! A home that takes a job over, told of attempts that an earlier home knew.
+
+#![expect(clippy::unwrap_used, reason = "A test may panic.")]
+
+use std::time;
+
+use figscale_core::job::home;
+use figscale_core::job::message;
+use figscale_types::ids;
+use figscale_types::jobs;
+use figscale_types::sizes;
+use indexmap::IndexMap;
+
+const JOB: &str = "repricing";
+
+fn now() -> home::Now {
+    home::Now {
+        at: time::Instant::now(),
+        unix_ms: 1,
+    }
+}
+
+/// A job of one task whose first attempt has ended, as the document says.
+fn document() -> jobs::JobDocument {
+    let spec = jobs::JobSpec {
+        entry: "tides".parse().unwrap(),
+        owner: "council".parse().unwrap(),
+        tasks: 1,
+        task: sizes::Resources::default(),
+        run_ms: 1_000,
+        deadline_ms: None,
+        idempotent: true,
+        checkpointable: false,
+        command: String::new(),
+    };
+    let dealt_with = jobs::TaskRecord {
+        attempts: 1,
+        ..jobs::TaskRecord::default()
+    };
+    let record = jobs::JobRecord {
+        spec,
+        accepted_unix_ms: 1,
+        cancelled: false,
+        reason: None,
+        ended: None,
+        tasks: IndexMap::from([(0, dealt_with)]),
+        ended_unix_ms: 0,
+        terms: jobs::JobTerms::default(),
+    };
+    jobs::JobDocument {
+        epoch: ids::Epoch(3),
+        sequence: 7,
+        placed: None,
+        jobs: IndexMap::from([(JOB.parse().unwrap(), record)]),
+    }
+}
+
+fn placer() -> ids::MemberKey {
+    ids::MemberKey {
+        id: "entry-1".parse().unwrap(),
+        incarnation: ids::Incarnation(1),
+    }
+}
+
+/// The next home of the job, with its first write done.
+fn next_home() -> home::Home {
+    let shard = jobs::shard_of(&JOB.parse().unwrap()).unwrap();
+    let key = message::HomeKey {
+        shard,
+        epoch: ids::Epoch(4),
+    };
+    let mut home = home::Home::new(home::Config::default(), key);
+    let holder = home::ShardHolder {
+        holder: Some(placer()),
+        epoch: ids::Epoch(2),
+    };
+    let shards = IndexMap::from([("worker/fd/rack-0".parse().unwrap(), holder)]);
+    home.set_shards(now(), &placer(), &shards);
+    home.poll(now());
+    home.on_read(now(), home::ReadOutcome::Read(ids::Revision(9), document()));
+    home.poll(now());
+    home.on_write(now(), home::WriteOutcome::Written(ids::Revision(10)));
+    home.poll(now());
+    home
+}
+
+fn event(number: u32, state: message::TaskState) -> message::TaskEvent {
+    message::TaskEvent {
+        attempt: message::Attempt {
+            task: ids::TaskId {
+                job: JOB.parse().unwrap(),
+                index: 0,
+            },
+            number,
+        },
+        place: message::Place {
+            shard: "worker/fd/rack-0".parse().unwrap(),
+            worker: "worker-0".parse().unwrap(),
+        },
+        state,
+    }
+}
+
+fn places(actions: &[home::Action]) -> usize {
+    let place = |action: &&home::Action| {
+        matches!(action, home::Action::Call(_, message::Question::Place(..)))
+    };
+    actions.iter().filter(place).count()
+}
+
+/// The earlier home has dealt with the end of attempt 1, and may have placed
+/// attempt 2, which runs somewhere: being told of that end again says nothing.
+#[test]
+fn an_end_that_was_dealt_with_places_nothing_again() {
+    let mut home = next_home();
+    let lapsed = message::TaskState::Ended(message::End::Lapsed);
+    home.on_tell(now(), &placer(), &[event(1, lapsed)]);
+    assert_eq!(places(&home.poll(now())), 0);
+}
+
+/// The end of the attempt that may have been under way is taken.
+#[test]
+fn the_end_of_a_later_attempt_places_the_next() {
+    let mut home = next_home();
+    let lapsed = message::TaskState::Ended(message::End::Lapsed);
+    home.on_tell(now(), &placer(), &[event(2, lapsed)]);
+    assert_eq!(places(&home.poll(now())), 1);
+}
