--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -319,19 +319,16 @@
 }
 
 async fn state(context: &Context, call: &Call, job: fleet::JobId) -> response::Response {
-    let question = LeaderCall::State { job };
-    match ask::leader(context, &question, call.deadline).await.0 {
-        Some(LeaderAnswer::State(Some(state))) => {
-            json(http::StatusCode::OK, ingress::encode_state(state))
-        }
-        Some(LeaderAnswer::State(None)) => http::StatusCode::GONE.into_response(),
-        _ => unanswered(call),
-    }
+    tell_state(context, call, &LeaderCall::State { job }).await
 }
 
 async fn cancel(context: &Context, call: &Call, job: fleet::JobId) -> response::Response {
-    let question = LeaderCall::Cancel { job };
-    match ask::leader(context, &question, call.deadline).await.0 {
+    tell_state(context, call, &LeaderCall::Cancel { job }).await
+}
+
+/// Tells how a job stands after a question that is answered with its state.
+async fn tell_state(context: &Context, call: &Call, question: &LeaderCall) -> response::Response {
+    match ask::leader(context, question, call.deadline).await.0 {
         Some(LeaderAnswer::State(Some(state))) => {
             json(http::StatusCode::OK, ingress::encode_state(state))
         }
