Let a call wait a moment for a store that is away

Ruled out: a shorter time to come back (whole seconds are what the header can say); keeping jobs in the scheduler meanwhile (a probing write without an answer would make 'not run' unknown).

Change: a submission waits at the leader until the store takes records again, 0.75 s at most and half of what its caller still waits, then it is refused as before. Calls of one job are given up together, also by a cancellation, since a refusal says that the job never runs.

Also: the test kit reads only whole lines of a log.

--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -180,7 +180,7 @@
     pub(crate) fn new(
         id: fleet::JobId,
         queue: sync::Arc<fleet::Queue>,
-        description: fleet::JobDescription,
+        description: sync::Arc<fleet::JobDescription>,
         submitted_wall_ms: u64,
         submitted: time::Instant,
     ) -> Self {
@@ -194,7 +194,7 @@
             id,
             rooms,
             queue,
-            description: sync::Arc::new(description),
+            description,
             submitted_wall_ms,
             submitted,
             objective_at,
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -69,7 +69,7 @@
                 let age = time::Duration::from_millis(age_ms);
                 let submitted = now.checked_sub(age).unwrap_or(now);
                 let queue = sync::Arc::new(queue);
-                job::Job::new(id, queue, description, submitted_wall_ms, submitted)
+                job::Job::new(id, queue, description.into(), submitted_wall_ms, submitted)
             }
             durable::JobRecord::Ended {
                 queue_name,
@@ -79,7 +79,7 @@
             } => {
                 let queue = ended_queue(queue_name);
                 let description = fleet::JobDescription::default();
-                let mut job = job::Job::new(id, queue, description, submitted_wall_ms, now);
+                let mut job = job::Job::new(id, queue, description.into(), submitted_wall_ms, now);
                 job.finish(state);
                 job.rooms = rooms;
                 job
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -15,7 +15,7 @@
         &mut self,
         id: fleet::JobId,
         queue: &fleet::Queue,
-        description: fleet::JobDescription,
+        description: impl Into<sync::Arc<fleet::JobDescription>>,
         now: time::Instant,
         wall_ms: u64,
     ) -> admission::Admission {
@@ -26,7 +26,7 @@
             };
         }
         let queue = sync::Arc::new(queue.clone());
-        let job = job::Job::new(id, queue, description, wall_ms, now);
+        let job = job::Job::new(id, queue, description.into(), wall_ms, now);
         if let Some(refused) = self.refusal(&job, now) {
             return refused;
         }
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod ends;
 mod gangs;
+mod hold;
 mod kit;
 mod placing;
 mod records;
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -239,12 +239,13 @@
     };
     let queue_name = queue.name.clone();
     let shape = shape(&description);
+    let started = context.clock.now();
     let question = LeaderCall::Submit {
         job,
         queue,
         description,
+        patience: call.deadline.saturating_duration_since(started),
     };
-    let started = context.clock.now();
     let (answer, verdict) = ask::leader(context, &question, call.deadline).await;
     let waited_ms = clock::millis(context.clock.now().saturating_duration_since(started));
     match answer {
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -1,14 +1,16 @@
 //! What callers ask of the leader, as entry instances pass it on.
 
+use std::sync;
+
 use figscale_core::fleet::Admission;
 use figscale_core::fleet::RecordKey;
+use figscale_core::fleet::hold_limit;
 use figscale_types::clock;
 use figscale_types::fleet;
 
 use super::LeaderMessage;
 use super::Term;
-use super::writes;
-use super::writes::Awaited;
+use super::held;
 use super::writes::Waiting;
 use crate::events;
 use crate::fleet::calls::LeaderAnswer;
@@ -29,8 +31,16 @@
                 job,
                 queue,
                 description,
+                patience,
             } => {
-                self.on_submit(job, &queue, description, reply);
+                let submission = held::Submission {
+                    job,
+                    queue,
+                    description: sync::Arc::new(description),
+                    hold_until: self.now() + hold_limit(patience),
+                    reply,
+                };
+                self.on_submit(submission);
             }
             LeaderCall::State { job } => match self.told_state(job) {
                 Some(state) => reply.send(LeaderAnswer::State(Some(state))),
@@ -70,44 +80,39 @@
         });
     }
 
-    fn on_submit(
-        &mut self,
-        job: fleet::JobId,
-        queue: &fleet::Queue,
-        description: fleet::JobDescription,
-        reply: kernel::Reply<LeaderAnswer>,
-    ) {
-        let known = self.scheduler.state(job).is_some();
+    pub(super) fn on_submit(&mut self, submission: held::Submission) {
+        let known = self.scheduler.state(submission.job).is_some();
         if !known && self.store_is_away() {
-            reply.send(writes::STORE_AWAY);
+            self.hold(submission);
             return;
         }
         let (now, wall_ms) = (self.now(), self.context.wall_ms());
-        match self.scheduler.submit(job, queue, description, now, wall_ms) {
-            Admission::Known => reply.send(LeaderAnswer::Accepted),
-            Admission::Accepted => {
-                self.waiting.push(Waiting {
-                    reply,
-                    awaited: Awaited::Submitted(job),
-                });
-            }
+        let description = submission.description.clone();
+        let admission =
+            self.scheduler
+                .submit(submission.job, &submission.queue, description, now, wall_ms);
+        match admission {
+            Admission::Known => submission.reply.send(LeaderAnswer::Accepted),
+            Admission::Accepted => self.waiting.push(Waiting::Submitted(submission)),
             Admission::Refused { retry_after, wait } => {
                 let retry_after_ms = clock::millis(retry_after);
                 crate::event!(
                     events::fleet::JOB_REFUSED,
-                    job = job,
-                    queue = queue.name,
+                    job = submission.job,
+                    queue = submission.queue.name,
                     cause = "the work in front of it would last too long",
                     wait_ms = wait.as_millis(),
                     retry_after_ms = retry_after_ms
                 );
-                reply.send(LeaderAnswer::Refused { retry_after_ms });
+                let refused = LeaderAnswer::Refused { retry_after_ms };
+                submission.reply.send(refused);
             }
         }
     }
 
     fn on_cancel(&mut self, job: fleet::JobId, reply: kernel::Reply<LeaderAnswer>) {
         let now = self.now();
+        self.refuse_held_job(job);
         match self.scheduler.cancel(job, now) {
             None => self.ask_store(job, reply),
             Some(state) => {
@@ -116,10 +121,7 @@
                     job = job,
                     state = format_args!("{state:?}")
                 );
-                self.waiting.push(Waiting {
-                    reply,
-                    awaited: Awaited::Cancelled(job, state),
-                });
+                self.waiting.push(Waiting::Cancelled { job, state, reply });
             }
         }
     }
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use figscale_core::fleet::Action;
+use figscale_core::fleet::Held;
 use figscale_core::fleet::Question;
 use figscale_core::fleet::Scheduler;
 use figscale_platform::CallError;
@@ -20,6 +21,7 @@
 
 mod advice;
 mod callers;
+mod held;
 pub(super) mod load;
 mod members;
 mod messages;
@@ -49,8 +51,8 @@
 /// Shortest time between two passes of placement; it batches what arrives
 /// together and adds this much to a wait at most.
 const PLAN_PAUSE: time::Duration = time::Duration::from_millis(4);
-/// When a caller should come back after the store was away.
-const STORE_RETRY_AFTER_MS: u64 = 1_000;
+/// When a caller should come back whose call found the leader's mailbox full.
+const OVERLOADED_RETRY_AFTER_MS: u64 = 1_000;
 /// Renewals of the leader's lease in one life of it.
 const RENEWALS_PER_LEASE: u32 = 4;
 
@@ -117,6 +119,8 @@
     last_written: time::Instant,
     /// Callers that wait for a write.
     waiting: Vec<writes::Waiting>,
+    /// Callers that wait for the store to come back.
+    held: Held<held::Submission>,
     /// The last write was not taken.
     store_away: bool,
     /// A lease under which the leader's key is to be written anew.
@@ -175,7 +179,7 @@
                 cause = "the leader is overloaded"
             );
             LeaderAnswer::Refused {
-                retry_after_ms: STORE_RETRY_AFTER_MS,
+                retry_after_ms: OVERLOADED_RETRY_AFTER_MS,
             }
         }
         Err(kernel::Unavailable::Unknown(_)) => LeaderAnswer::NotLeader,
@@ -216,6 +220,7 @@
     );
     let watching = tokio::spawn(workers::follow(context.clone(), term.messages.clone()));
     let ended = term.run(&mut inbox, &mut received).await;
+    term.send_on_held();
     watching.abort();
     renewal.abort();
     context
@@ -288,6 +293,7 @@
             last_write: now,
             last_written: now,
             waiting: Vec::new(),
+            held: Held::default(),
             store_away: false,
             new_lease: None,
             lease: won.lease,
@@ -372,6 +378,7 @@
         let wall_ms = self.context.wall_ms();
         self.scheduler.tick(now, wall_ms);
         self.drop_silent_members(now);
+        self.refuse_overdue();
         if now >= self.counted + COUNT_PAUSE {
             self.counted = now;
             self.count(now);
@@ -391,6 +398,7 @@
             .leadership
             .send_modify(|known| known.leading = false);
         self.send_on_waiting();
+        self.send_on_held();
     }
 
     fn count(&self, now: time::Instant) {
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -14,6 +14,7 @@
 use super::Ended;
 use super::Message;
 use super::Term;
+use super::held;
 use crate::events;
 use crate::fleet::calls::LeaderAnswer;
 use crate::fleet::ledger;
@@ -26,10 +27,6 @@
 /// A store that has taken no write for so long, while one was on its way, is
 /// away. A single one takes up to 0.48 s beside a slow store.
 const SLOW_WRITE: time::Duration = time::Duration::from_millis(400);
-/// The answer while the store is away.
-pub(super) const STORE_AWAY: LeaderAnswer = LeaderAnswer::StoreAway {
-    retry_after_ms: super::STORE_RETRY_AFTER_MS,
-};
 /// Pause between writes that try whether the store is back.
 const AWAY_WRITE_PAUSE: time::Duration = time::Duration::from_millis(250);
 
@@ -37,19 +34,16 @@
 /// for new jobs.
 const PATIENT_CHAINS: usize = 3;
 
-/// What a caller waits for.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Awaited {
-    /// The record of a new job.
-    Submitted(fleet::JobId),
-    /// The record of a job's outcome, which is to be told.
-    Cancelled(fleet::JobId, fleet::JobState),
-}
-
 /// A caller that waits for a write.
-pub(super) struct Waiting {
-    pub(super) reply: kernel::Reply<LeaderAnswer>,
-    pub(super) awaited: Awaited,
+pub(super) enum Waiting {
+    /// For the record of a new job.
+    Submitted(held::Submission),
+    /// For the record of a job's outcome, which is to be told.
+    Cancelled {
+        job: fleet::JobId,
+        state: fleet::JobState,
+        reply: kernel::Reply<LeaderAnswer>,
+    },
 }
 
 /// A write on its way.
@@ -108,10 +102,10 @@
     /// Whether callers, or workers that cannot be used yet, wait for a write
     /// that has not been sent.
     fn has_urgent_records(&self) -> bool {
-        let unsent = |waiting: &Waiting| match waiting.awaited {
-            Awaited::Submitted(_) => false,
-            Awaited::Cancelled(job, _) => {
-                self.scheduler.is_unsaved(job) && !self.scheduler.is_being_written(job)
+        let unsent = |waiting: &Waiting| match waiting {
+            Waiting::Submitted(_) => false,
+            Waiting::Cancelled { job, .. } => {
+                self.scheduler.is_unsaved(*job) && !self.scheduler.is_being_written(*job)
             }
         };
         self.scheduler.has_urgent_records() || self.waiting.iter().any(unsent)
@@ -170,6 +164,7 @@
                 self.last_written = self.now();
                 self.scheduler.records_written(&writing.records);
                 self.answer_waiting();
+                self.submit_held();
             }
             Err(ledger::WriteError::Deposed) => self.ended = Some(Ended::Deposed),
             Err(ledger::WriteError::NotWritten(error)) => {
@@ -178,7 +173,7 @@
                 // A lease granted in the meantime is the better one.
                 self.new_lease = self.new_lease.or(writing.lease);
                 self.scheduler.records_not_written(&writing.records);
-                self.refuse_waiting();
+                self.hold_waiting();
             }
         }
     }
@@ -186,17 +181,14 @@
     /// Answers the callers whose records are in the store now.
     pub(super) fn answer_waiting(&mut self) {
         for waiting in mem::take(&mut self.waiting) {
-            match waiting.awaited {
-                Awaited::Submitted(job) if self.scheduler.is_stored(job) => {
-                    waiting.reply.send(LeaderAnswer::Accepted);
-                }
-                Awaited::Submitted(job) if self.scheduler.state(job).is_none() => {
-                    waiting.reply.send(STORE_AWAY);
+            match waiting {
+                Waiting::Submitted(submission) if self.scheduler.is_stored(submission.job) => {
+                    submission.reply.send(LeaderAnswer::Accepted);
                 }
-                Awaited::Cancelled(job, state) if !self.scheduler.is_unsaved(job) => {
-                    waiting.reply.send(LeaderAnswer::State(Some(state)));
+                Waiting::Cancelled { job, state, reply } if !self.scheduler.is_unsaved(job) => {
+                    reply.send(LeaderAnswer::State(Some(state)));
                 }
-                Awaited::Submitted(_) | Awaited::Cancelled(..) => self.waiting.push(waiting),
+                Waiting::Submitted(_) | Waiting::Cancelled { .. } => self.waiting.push(waiting),
             }
         }
     }
@@ -205,33 +197,37 @@
     /// Their jobs were never sent to the store.
     pub(super) fn send_on_waiting(&mut self) {
         for waiting in mem::take(&mut self.waiting) {
-            match waiting.awaited {
-                Awaited::Submitted(job) if self.scheduler.is_being_written(job) => {
-                    self.waiting.push(waiting);
+            match waiting {
+                Waiting::Submitted(submission)
+                    if self.scheduler.is_being_written(submission.job) =>
+                {
+                    self.waiting.push(Waiting::Submitted(submission));
                 }
-                Awaited::Submitted(job) => {
-                    self.scheduler.withdraw(job);
-                    waiting.reply.send(LeaderAnswer::NotLeader);
+                Waiting::Submitted(submission) => {
+                    self.scheduler.withdraw(submission.job);
+                    submission.reply.send(LeaderAnswer::NotLeader);
                 }
-                Awaited::Cancelled(..) => waiting.reply.send(LeaderAnswer::NotLeader),
+                Waiting::Cancelled { reply, .. } => reply.send(LeaderAnswer::NotLeader),
             }
         }
     }
 
-    /// Refuses all jobs that are not in the store or on their way there, whether
-    /// or not they were part of the write that failed; cancellations are written
-    /// later.
-    pub(super) fn refuse_waiting(&mut self) {
+    /// Withdraws all jobs that are not in the store or on their way there,
+    /// whether or not they were part of the write that failed, and lets their
+    /// callers wait; cancellations are written later.
+    pub(super) fn hold_waiting(&mut self) {
         for waiting in mem::take(&mut self.waiting) {
-            match waiting.awaited {
-                Awaited::Submitted(job) if self.scheduler.is_stored(job) => {
-                    waiting.reply.send(LeaderAnswer::Accepted);
+            match waiting {
+                Waiting::Submitted(submission) if self.scheduler.is_stored(submission.job) => {
+                    submission.reply.send(LeaderAnswer::Accepted);
                 }
-                Awaited::Submitted(job) if !self.scheduler.is_being_written(job) => {
-                    self.scheduler.withdraw(job);
-                    waiting.reply.send(STORE_AWAY);
+                Waiting::Submitted(submission)
+                    if !self.scheduler.is_being_written(submission.job) =>
+                {
+                    self.scheduler.withdraw(submission.job);
+                    self.hold(submission);
                 }
-                Awaited::Submitted(_) | Awaited::Cancelled(..) => self.waiting.push(waiting),
+                Waiting::Submitted(_) | Waiting::Cancelled { .. } => self.waiting.push(waiting),
             }
         }
     }
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -236,6 +236,16 @@
     }
 
     /// Submits under the same id until the job is taken.
+    /// Submits new jobs, numbered from `first` on, until one is answered so.
+    pub(crate) async fn submit_until(&self, number: usize, first: u64, status: u16) {
+        let begun = time::Instant::now();
+        let mut job = first;
+        while self.submit(number, job, 1, "50").await != status {
+            assert!(begun.elapsed() < PATIENCE, "{status} never came");
+            job += 1;
+        }
+    }
+
     pub(crate) async fn submit_until_taken(&self, number: usize, job: u64, tasks: u32, spec: &str) {
         let begun = time::Instant::now();
         while begun.elapsed() < PATIENCE {
@@ -315,6 +325,18 @@
         self.platform.store.get("figscale/lead").is_some()
     }
 
+    /// Waits until any instance has logged an event of a job.
+    pub(crate) async fn wait_for_event_of(&self, name: &str, job: u64) {
+        let job = format!("{job:016x}");
+        let told = || {
+            let lines = self.log_lines();
+            lines
+                .iter()
+                .any(|line| line["name"] == name && line["job"] == job.as_str())
+        };
+        self.wait(name, told).await;
+    }
+
     /// Lines of an event logged so far.
     pub(crate) fn count_events(&self, name: &str) -> usize {
         let lines = self.log_lines();
@@ -328,7 +350,9 @@
             .iter()
             .map(|instance| fs::read_to_string(&instance.log).unwrap());
         let parse = |line: &str| serde_json::from_str(line).unwrap();
-        logs.flat_map(|log| log.lines().map(parse).collect::<Vec<_>>())
+        // The last line may be half written yet.
+        let whole = |log: &str| log.rfind('\n').map_or(0, |end| end + 1);
+        logs.flat_map(|log| log[..whole(&log)].lines().map(parse).collect::<Vec<_>>())
             .collect()
     }
 
