Only a leader says that a job was not taken

Cause: an instance that found nobody who leads answered 503, 'not accepted and never runs'. It only knew that this try did nothing: an earlier one under the same id may have been taken through another instance. The same held for 429 from a leader whose mailbox was full, before it looked at the call.

Ruled out: remembering at each instance which ids it has passed on (tries go to any instance); asking the store from the entry instance (a write of the last leader may still be on its way until the next election).

--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -58,6 +58,9 @@
     OtherLife,
     /// The term ended meanwhile; the call may have been acted on.
     Unknown,
+    /// So many calls wait that this one was not looked at; an earlier one for
+    /// the same job may have been acted on.
+    Overloaded,
     /// The job is taken and kept.
     Accepted,
     /// The job is not taken and never runs.
--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -3,7 +3,8 @@
 //! Any instance takes any call. A call that the leader did not answer is sent
 //! again, to whoever leads then, as long as the caller waits: the id makes a
 //! repeated submission the same job. A caller is told 503 or 429 only where
-//! its job surely was not taken, and 504 where nobody knows.
+//! its job surely was not taken, which only a leader can know: an earlier try
+//! may have gone through another instance. Where nobody knows it is 504.
 
 use std::future::IntoFuture as _;
 use std::time;
@@ -279,27 +280,12 @@
             );
             refuse(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
         }
-        _ if verdict == Verdict::NotRun => {
-            let cause = match context.clock.now() < call.deadline {
-                true => "no leader",
-                false => "the caller's time was over",
-            };
-            crate::event!(
-                events::fleet::JOB_REFUSED,
-                job = job,
-                queue = queue_name,
-                cause = cause
-            );
-            refuse(
-                http::StatusCode::SERVICE_UNAVAILABLE,
-                LEADERLESS_RETRY_AFTER_MS,
-            )
-        }
-        _ => {
+        answer => {
             crate::event!(
                 events::fleet::JOB_UNANSWERED,
                 job = job,
                 queue = queue_name,
+                cause = why_unanswered(answer.as_ref(), verdict),
                 waited_ms = waited_ms
             );
             http::StatusCode::GATEWAY_TIMEOUT.into_response()
@@ -307,6 +293,18 @@
     }
 }
 
+/// Why nobody can say whether a job was taken. Where this try did nothing an
+/// earlier one may have: any instance takes any try, and only a leader knows
+/// all jobs.
+fn why_unanswered(answer: Option<&LeaderAnswer>, verdict: Verdict) -> &'static str {
+    match answer {
+        Some(LeaderAnswer::Overloaded) => "the leader is overloaded",
+        Some(_) => "an earlier call of the leader had no answer",
+        None if verdict == Verdict::NotRun => "no leader in time",
+        None => "the leader did not answer in time",
+    }
+}
+
 /// The job itself unless it has a fault.
 fn checked(job: fleet::JobDescription) -> Result<fleet::JobDescription, String> {
     match scheduling::fault_of(&job) {
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -51,8 +51,6 @@
 /// Shortest time between two passes of placement; it batches what arrives
 /// together and adds this much to a wait at most.
 const PLAN_PAUSE: time::Duration = time::Duration::from_millis(4);
-/// When a caller should come back whose call found the leader's mailbox full.
-const OVERLOADED_RETRY_AFTER_MS: u64 = 1_000;
 /// Renewals of the leader's lease in one life of it.
 const RENEWALS_PER_LEASE: u32 = 4;
 
@@ -178,9 +176,7 @@
                 job = job,
                 cause = "the leader is overloaded"
             );
-            LeaderAnswer::Refused {
-                retry_after_ms: OVERLOADED_RETRY_AFTER_MS,
-            }
+            LeaderAnswer::Overloaded
         }
         Err(kernel::Unavailable::Unknown(_)) => LeaderAnswer::NotLeader,
     }
--- a/crates/figscale/tests/fleet_process.rs
+++ b/crates/figscale/tests/fleet_process.rs
@@ -308,6 +308,24 @@
     panic!("32 callers who wait {wait:?} were refused");
 }
 
+/// An instance that finds nobody who leads cannot know what became of an
+/// earlier try, so it must not say that the job never runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_leader_nobody_is_told_that_a_job_was_not_taken() {
+    let mut fleet = Fleet::start(2, 2, false).await;
+    assert_eq!(fleet.submit(0, 0x150, 1, "1500").await, 200);
+    let store = fleet.platform.store.clone();
+    let leader = fleet.leader().await;
+    // Nobody can be elected.
+    store.change_faults(|faults| faults.busy = true);
+    fleet.kill(leader);
+    let again = fleet.submit(1 - leader, 0x150, 1, "1500").await;
+    assert_eq!(again, 504, "the job runs");
+    store.change_faults(|faults| faults.busy = false);
+    fleet.wait_for_state(1 - leader, 0x150, "completed").await;
+    fleet.check();
+}
+
 /// Whoever cancels a job whose call still waits is sure that it never runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_waiting_job_that_is_cancelled_is_refused() {
--- a/crates/figscale/tests/fleet_trace.rs
+++ b/crates/figscale/tests/fleet_trace.rs
@@ -36,11 +36,14 @@
         .change_faults(|faults| faults.busy = true);
     assert_eq!(fleet.submit(0, 0x701, 1, "50").await, 503);
     let lines = fleet.log_lines();
-    let refused = of_job(&lines, 0x701);
-    assert!(!refused.is_empty(), "nothing is logged of the job");
+    let mut of_job = of_job(&lines, 0x701);
+    let refused = of_job.pop().expect("nothing is logged of the job");
+    assert_eq!(refused["name"], "JOB_REFUSED");
+    assert_eq!(refused["cause"], "the store is away");
+    // Before that it waited for the store, and nothing else was done with it.
     assert!(
-        refused.iter().all(|line| line["name"] == "JOB_REFUSED"),
-        "{refused:#?}"
+        of_job.iter().all(|line| line["name"] == "JOB_HELD"),
+        "{of_job:#?}"
     );
     let cause = &lines
         .iter()
