A write outlives the lease that came with it; bounds on time the machine gave

Cause (ledger): a write that named the leader under a lease that had ended meanwhile was to be sent again without the name. Where the store took 0.2 s to say so, the time for failed tries (0.12 s) was over, so the write counted as failed, the store as away, and callers waited or were refused.

Seen once in fleet_process::a_full_write_names_the_leader_anew ('the lease has ended') on a quiet machine, when its check was made to name the reason.

Change: an answer that the lease has ended is no failed try; the records are sent again at once.

Test: a_write_outlives_the_lease_that_came_with_it (the stand-in ends the lease of the next transaction) failed first.

Cause (tests): bounds of fleet_process were on real time, so three of them were missed on a machine with a load average of 140. They are now on time that the machine let the test's own threads run: what a thread that wakes each 5 ms is woken late is not counted, and on a quiet machine nothing is. The check of a_full_write_... asked for no failed write at all; it now asks that the store refused none, as a store that answers too late is no fault of the write's size.

--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -154,13 +154,15 @@
             let error = match self.attempt(&transaction).await {
                 Ok(store::Committed::Done { revision }) => return self.advance(next, revision),
                 Ok(store::Committed::Conflict { current }) => return self.settle(next, &current),
-                Ok(store::Committed::LeaseEnded) => {
+                Ok(store::Committed::LeaseEnded) if leads(&transaction) => {
                     // The records matter more than the leader's key, which the
                     // next lease brings back. The head is the same, so at most
-                    // one of the two transactions is executed.
+                    // one of the two transactions is executed. The store has
+                    // answered, however slowly, so this is no failed try.
                     transaction.writes.retain(|(key, ..)| key != keys::LEAD);
-                    lease_ended()
+                    continue;
                 }
+                Ok(store::Committed::LeaseEnded) => lease_ended(),
                 Err(error) => error,
             };
             in_doubt |= error.verdict != Verdict::NotRun;
@@ -262,6 +264,11 @@
     }
 }
 
+/// Whether a transaction names the leader anew, under a lease.
+fn leads(transaction: &store::Transaction) -> bool {
+    transaction.writes.iter().any(|(key, ..)| key == keys::LEAD)
+}
+
 fn lease_ended() -> CallError {
     CallError {
         verdict: Verdict::NotRun,
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "Each test binary uses a part, one of them all.")]
 
+pub(crate) mod stopwatch;
+
 use std::fs;
 use std::net;
 use std::process;
@@ -333,6 +335,15 @@
         assert!(faults.is_empty(), "{faults:#?}");
     }
 
+    /// The store refused no records. On a busy machine an answer may come too
+    /// late, which is not counted.
+    pub(crate) fn check_no_write_was_refused(&self) {
+        let mut refused = self.log_lines();
+        refused.retain(|line| line["name"] == "RECORDS_NOT_WRITTEN");
+        refused.retain(|line| !line["error"].as_str().unwrap().contains("no answer"));
+        assert!(refused.is_empty(), "{refused:#?}");
+    }
+
     /// Whether the store names a leader.
     pub(crate) fn names_a_leader(&self) -> bool {
         self.platform.store.get("figscale/lead").is_some()
