figscale's own commands work on the users' platform

Change: the configuration is shown as a catalogue, an entry for each queue with owner, class and limits; jobs are submitted, shown with their tasks and workers, listed and cancelled through the leader, under the same promises as callers'. What a cell there cannot promise is refused with the field's name.

Tests: fleet_operators, by the program's own commands against real processes.

--- a/crates/figscale-core/src/fleet/check.rs
+++ b/crates/figscale-core/src/fleet/check.rs
@@ -9,7 +9,7 @@
 const MAX_STEPS: usize = 64;
 /// Most tasks of a job, over all occurrences. An entry takes some 200 bytes, so
 /// one job takes 4 MB at most.
-const MAX_TASKS: u64 = 20_000;
+pub const MAX_TASKS: u32 = 20_000;
 
 /// The first fault of a job, in words for its caller.
 pub fn fault_of(job: &fleet::JobDescription) -> Option<String> {
@@ -43,5 +43,5 @@
 fn too_many_tasks(job: &fleet::JobDescription) -> Option<String> {
     let once: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
     let tasks = once.saturating_mul(u64::from(job.occurrences.max(1)));
-    (tasks > MAX_TASKS).then(|| format!("{tasks} tasks: expected {MAX_TASKS} at most"))
+    (tasks > u64::from(MAX_TASKS)).then(|| format!("{tasks} tasks: expected {MAX_TASKS} at most"))
 }
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -35,12 +35,14 @@
 mod stops;
 mod submit;
 mod unsaved;
+mod view;
 mod worker;
 
 pub use action::Action;
 pub use action::Note;
 pub use action::Question;
 pub use admission::Admission;
+pub use check::MAX_TASKS;
 pub use check::fault_of;
 pub use durable::Record;
 pub use durable::RecordError;
--- /dev/null
+++ b/crates/figscale-core/src/fleet/view.rs
@@ -0,0 +1,73 @@
+//! What operators are shown of jobs.
+
+use figscale_types::fleet;
+
+use super::job;
+use super::scheduler;
+
+/// Jobs in one listing at most, some 100 bytes each.
+const MAX_LISTED: usize = 500;
+
+impl scheduler::Scheduler {
+    /// A job with its tasks; `None` unless it is known to be in the store.
+    pub fn view(&self, id: fleet::JobId) -> Option<fleet::JobView> {
+        let job = self.jobs.get(&id).filter(|job| job.stored)?;
+        let mut view = without_tasks(job);
+        view.tasks = tasks(job);
+        Some(view)
+    }
+
+    /// Jobs in progress without their tasks, the newest first, 500 at most.
+    pub fn open_views(&self) -> Vec<fleet::JobView> {
+        let open = self.open.iter().rev().filter_map(|id| self.jobs.get(id));
+        let stored = open.filter(|job| job.stored);
+        stored.map(without_tasks).take(MAX_LISTED).collect()
+    }
+}
+
+fn without_tasks(job: &job::Job) -> fleet::JobView {
+    fleet::JobView {
+        id: job.id,
+        queue: job.queue.name.clone(),
+        service: job.queue.service.clone(),
+        state: job.state(),
+        tasks: Vec::new(),
+    }
+}
+
+fn tasks(job: &job::Job) -> Vec<fleet::TaskView> {
+    let mut views = Vec::new();
+    for (occurrence, round) in (0..).zip(&job.rounds) {
+        for (number, step) in (0..).zip(&round.steps) {
+            let tasks = (0..).zip(&step.tasks);
+            views.extend(tasks.map(|(index, task)| {
+                let id = fleet::TaskId {
+                    job: job.id,
+                    occurrence,
+                    step: number,
+                    index,
+                };
+                task_view(id, task)
+            }));
+        }
+    }
+    views
+}
+
+fn task_view(id: fleet::TaskId, task: &job::Task) -> fleet::TaskView {
+    let (progress, worker) = match &task.state {
+        job::TaskState::Waiting => (fleet::TaskProgress::Waiting, None),
+        job::TaskState::Placed { worker, .. } => {
+            (fleet::TaskProgress::Placed, Some(worker.clone()))
+        }
+        job::TaskState::Done => (fleet::TaskProgress::Done, None),
+    };
+    let failed = u32::try_from(task.failed_attempts.len()).unwrap_or(u32::MAX);
+    let present = u32::from(progress != fleet::TaskProgress::Waiting);
+    fleet::TaskView {
+        task: id,
+        progress,
+        worker,
+        attempts: failed.saturating_add(present),
+    }
+}
--- a/crates/figscale-types/src/catalogue.rs
+++ b/crates/figscale-types/src/catalogue.rs
@@ -160,6 +160,9 @@
     }
 }
 
+/// Longest run of a task where an entry sets none: 24 hours.
+pub const DEFAULT_TASK_RUN_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Key of the store that holds the [`Document`].
 pub const KEY: &str = "catalogue";
 
@@ -219,5 +222,5 @@
 }
 
 fn default_task_run_ms() -> u64 {
-    24 * 60 * 60 * 1_000
+    DEFAULT_TASK_RUN_MS
 }
--- a/crates/figscale-types/src/fleet/mod.rs
+++ b/crates/figscale-types/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod ids;
 mod job;
 mod queue;
+mod view;
 mod worker;
 
 pub use ids::Epoch;
@@ -22,6 +23,9 @@
 pub use queue::Queue;
 pub use queue::QueueTable;
 pub use queue::Service;
+pub use view::JobView;
+pub use view::TaskProgress;
+pub use view::TaskView;
 pub use worker::End;
 pub use worker::FinishedRun;
 pub use worker::RunningTask;
--- a/crates/figscale-types/src/fleet/queue.rs
+++ b/crates/figscale-types/src/fleet/queue.rs
@@ -63,6 +63,11 @@
 }
 
 impl QueueTable {
+    /// The queue of this name.
+    pub fn named(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|queue| queue.name == name)
+    }
+
     /// The queue of a host with the longest prefix of a path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
         let matches = |queue: &&Queue| queue.host == host && path.starts_with(&queue.prefix);
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -26,6 +26,10 @@
     },
     /// How does a job stand?
     State { job: fleet::JobId },
+    /// How does a job stand, with its tasks?
+    Show { job: fleet::JobId },
+    /// Which jobs are in progress?
+    ListOpen,
     /// Cancel a job.
     Cancel { job: fleet::JobId },
     /// How many jobs of a queue wait?
@@ -43,8 +47,11 @@
     /// The job that the call is about.
     pub(super) fn job(&self) -> Option<fleet::JobId> {
         match self {
-            Self::Submit { job, .. } | Self::State { job } | Self::Cancel { job } => Some(*job),
-            Self::Pending { .. } | Self::Hello { .. } => None,
+            Self::Submit { job, .. }
+            | Self::State { job }
+            | Self::Show { job }
+            | Self::Cancel { job } => Some(*job),
+            Self::ListOpen | Self::Pending { .. } | Self::Hello { .. } => None,
         }
     }
 }
@@ -69,6 +76,10 @@
     StoreAway { retry_after_ms: u64 },
     /// A job's state, if there is such a job.
     State(Option<fleet::JobState>),
+    /// A job that there is, with its tasks.
+    Shown(fleet::JobView),
+    /// Jobs in progress, without tasks.
+    Listed(Vec<fleet::JobView>),
     /// Number of waiting jobs.
     Pending(u64),
     /// The other instances that the leader has heard from.
--- a/crates/figscale/src/fleet/operators.rs
+++ b/crates/figscale/src/fleet/operators/mod.rs
@@ -1,4 +1,8 @@
-//! The operators' address: metrics, a dump of the state, liveness, readiness.
+//! The operators' address: catalogue and jobs in figscale's own form, metrics,
+//! a dump of the state, liveness, readiness.
+
+mod catalogue;
+mod jobs;
 
 use std::future::IntoFuture as _;
 
@@ -13,6 +17,7 @@
 
 use super::Context;
 use super::entry;
+use crate::operator;
 
 /// Serves operators until the process ends.
 pub(super) fn start(context: &Context, listener: TcpListener) {
@@ -21,6 +26,11 @@
         .route("/v1/dump", routing::get(dump))
         .route("/livez", routing::get(|| async { "live\n" }))
         .route("/readyz", routing::get(ready))
+        .merge(catalogue::routes())
+        .merge(jobs::routes())
+        .fallback(operator::no_such_path)
+        .method_not_allowed_fallback(operator::no_such_method)
+        .layer(extract::DefaultBodyLimit::max(operator::MAX_BODY_BYTES))
         .with_state(context.clone());
     tokio::spawn(axum::serve(listener, app).into_future());
 }
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -46,6 +46,13 @@
                 Some(state) => reply.send(LeaderAnswer::State(Some(state))),
                 None => self.ask_store(job, reply),
             },
+            LeaderCall::Show { job } => match self.scheduler.view(job) {
+                Some(view) => reply.send(LeaderAnswer::Shown(view)),
+                None => self.ask_store(job, reply),
+            },
+            LeaderCall::ListOpen => {
+                reply.send(LeaderAnswer::Listed(self.scheduler.open_views()));
+            }
             LeaderCall::Cancel { job } => self.on_cancel(job, reply),
             LeaderCall::Pending { queue } => {
                 reply.send(LeaderAnswer::Pending(self.scheduler.pending(&queue)));
--- a/crates/figscale/src/operator/answer.rs
+++ b/crates/figscale/src/operator/answer.rs
@@ -15,11 +15,15 @@
 /// Time after which to come back when a service names none.
 pub const RETRY_AFTER_MS: u64 = 1_000;
 
+/// What is wrong with a submission without an id.
+pub(crate) const NO_JOB_ID: &str = "id: expected a job id of your own in the query, \
+     so that a repeated submission counts once";
+
 /// What a handler gives back.
-pub(super) type Answer<T> = Result<Json<T>, Refusal>;
+pub(crate) type Answer<T> = Result<Json<T>, Refusal>;
 
 /// An error as an HTTP answer.
-pub(super) struct Refusal(operator::OperatorError);
+pub(crate) struct Refusal(operator::OperatorError);
 
 impl From<operator::OperatorError> for Refusal {
     fn from(error: operator::OperatorError) -> Self {
@@ -51,14 +55,14 @@
 }
 
 /// The answer of a service as the answer over HTTP.
-pub(super) fn settle<T: Serialize>(
+pub(crate) fn settle<T: Serialize>(
     asked: Result<Result<T, operator::OperatorError>, kernel::Unavailable>,
 ) -> Answer<T> {
     Ok(Json(asked??))
 }
 
 /// An error of kind "not now", with the time to come back.
-pub(super) fn unavailable(text: &str) -> operator::OperatorError {
+pub(crate) fn unavailable(text: &str) -> operator::OperatorError {
     operator::OperatorError {
         kind: operator::ErrorKind::Unavailable,
         message: text.to_owned(),
@@ -67,7 +71,7 @@
 }
 
 /// An error of wrong input.
-pub(super) fn invalid(text: impl Into<String>) -> operator::OperatorError {
+pub(crate) fn invalid(text: impl Into<String>) -> operator::OperatorError {
     operator::OperatorError::new(operator::ErrorKind::Invalid, text)
 }
 
@@ -83,7 +87,7 @@
 }
 
 /// An error as an HTTP answer, with `Retry-After` in whole seconds, rounded up.
-pub(super) fn refuse(error: operator::OperatorError) -> response::Response {
+pub(crate) fn refuse(error: operator::OperatorError) -> response::Response {
     let status = status(error.kind);
     let retry_after_s = error.retry_after_ms.map(|wait| wait.div_ceil(1_000));
     let mut answer = (status, Json(error)).into_response();
@@ -96,7 +100,7 @@
 }
 
 /// Takes a body; one that is too large or broke off is refused.
-pub(super) fn body(body: Result<Bytes, rejection::BytesRejection>) -> Result<Bytes, BodyRefusal> {
+pub(crate) fn body(body: Result<Bytes, rejection::BytesRejection>) -> Result<Bytes, BodyRefusal> {
     body.map_err(|rejection| BodyRefusal {
         status: rejection.status(),
         error: match rejection.status() {
@@ -110,7 +114,7 @@
 }
 
 /// Parses a body; an error names line, column and field.
-pub(super) fn parse<T: de::DeserializeOwned>(body: &[u8]) -> Result<T, operator::OperatorError> {
+pub(crate) fn parse<T: de::DeserializeOwned>(body: &[u8]) -> Result<T, operator::OperatorError> {
     let text = std::str::from_utf8(body).map_err(|_| invalid("body: expected UTF-8"))?;
     document::Document::from_text("body", text)
         .and_then(|document| document.parse())
@@ -118,7 +122,7 @@
 }
 
 /// A body that could not be read, with the status of its own.
-pub(super) struct BodyRefusal {
+pub(crate) struct BodyRefusal {
     status: http::StatusCode,
     error: operator::OperatorError,
 }
--- a/crates/figscale/src/operator/jobs.rs
+++ b/crates/figscale/src/operator/jobs.rs
@@ -68,9 +68,7 @@
     body: Bytes,
 ) -> answer::Answer<schema::JobStatus> {
     let Some(id) = query.id else {
-        let text = "id: expected a job id of your own in the query, \
-                    so that a repeated submission counts once";
-        return Err(answer::invalid(text).into());
+        return Err(answer::invalid(answer::NO_JOB_ID).into());
     };
     let id: ids::JobId = name(&id)?;
     let spec: schema::JobSpec = answer::parse(&body)?;
--- a/crates/figscale/src/operator/mod.rs
+++ b/crates/figscale/src/operator/mod.rs
@@ -5,7 +5,7 @@
 //! with the time to come back; a change that is in progress when a planned
 //! stop begins still gets its answer.
 
-mod answer;
+pub(crate) mod answer;
 mod catalogue;
 mod jobs;
 mod process;
@@ -77,7 +77,7 @@
         .with_state(context.clone())
 }
 
-async fn no_such_path(uri: http::Uri) -> response::Response {
+pub(crate) async fn no_such_path(uri: http::Uri) -> response::Response {
     let text = format!("there is no {}; docs/API.md lists the paths", uri.path());
     answer::refuse(operator::OperatorError::new(
         operator::ErrorKind::NotFound,
@@ -85,7 +85,7 @@
     ))
 }
 
-async fn no_such_method(method: http::Method, uri: http::Uri) -> response::Response {
+pub(crate) async fn no_such_method(method: http::Method, uri: http::Uri) -> response::Response {
     let text = format!(
         "{} does not take {method}; docs/API.md lists both",
         uri.path()
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -122,6 +122,22 @@
         instance.child = Some(child);
     }
 
+    /// Runs an operator's command against an instance; exit code and output.
+    pub(crate) async fn command(&self, number: usize, arguments: &[&str]) -> (i32, String) {
+        let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+            .arg("--entry")
+            .arg(self.instances[number].operator.to_string())
+            .args(arguments)
+            .output()
+            .await
+            .unwrap();
+        let told = [output.stdout, output.stderr].concat();
+        (
+            output.status.code().unwrap(),
+            String::from_utf8(told).unwrap(),
+        )
+    }
+
     /// Kills an instance.
     pub(crate) fn kill(&mut self, number: usize) {
         let mut child = self.instances[number].child.take().unwrap();
