The next attempt starts once the end of the last one is written

A home placed attempt 2 before it had written that attempt 1 had ended; a home that died in between left no record, and its successor, told of that end again, would have placed attempt 2 once more.

Ruled out: letting the next home ask all placers before it takes any end (it does, and an end told before their answers is the case in question); waiting before the order (room would be found a write later).

Change: a task with an end that is not written yet gets its room reserved and starts when the write is known to have taken effect, as tasks with a start mark do. Costs a retry one write, 0.2 s at most; while the store is away retries wait for it.

--- a/crates/figscale-core/src/job/home/job.rs
+++ b/crates/figscale-core/src/job/home/job.rs
@@ -22,7 +22,8 @@
         /// Whether the call ended without an answer and is to be repeated.
         unanswered: bool,
     },
-    /// Room is reserved; the start waits for the mark or for the rest of a gang.
+    /// Room is reserved; the start waits for the mark, for the rest of a gang, or
+    /// for the end of the last attempt to be written.
     Held {
         placer: ids::MemberKey,
         place: message::Place,
@@ -61,6 +62,8 @@
     pub(super) worker: Option<ids::InstanceId>,
     pub(super) avoid: Vec<ids::InstanceId>,
     pub(super) checkpointed: bool,
+    /// Whether its present attempt is reserved first and starts when told to.
+    pub(super) hold: bool,
     /// Whether its end is to be a cancellation.
     pub(super) stopping: bool,
     /// When its placer was last asked to stop it.
@@ -77,6 +80,7 @@
             worker: None,
             avoid: Vec::new(),
             checkpointed: false,
+            hold: false,
             stopping: false,
             stop_sent: None,
         }
--- a/crates/figscale-core/src/job/home/queue.rs
+++ b/crates/figscale-core/src/job/home/queue.rs
@@ -169,7 +169,7 @@
             idempotent: job.may_repeat(),
             checkpointable: spec.checkpointable,
             preemptible: terms.preemptible,
-            hold: job.holds(),
+            hold: job.holds() || self.document.has_end_of(id),
             avoid: task.avoid.clone(),
         })
     }
@@ -178,6 +178,7 @@
         for order in &orders {
             if let Some(task) = self.task_mut(&order.attempt.task) {
                 task.attempt = order.attempt.number;
+                task.hold = order.hold;
                 task.life = job::Life::Asked {
                     placer: placer.clone(),
                     asked_at: now.at,
--- a/crates/figscale-core/src/job/home/recover.rs
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -161,7 +161,7 @@
                         late_gangs.insert(id.job.clone());
                     } else if !self.placers.contains_key(&placer) || task.stopping {
                         self.release(now, &placer, &id);
-                    } else if self.may_go(now, &id, marked) {
+                    } else if self.may_go(&id, marked) {
                         going.entry(placer).or_default().push(attempt);
                     } else if !marked && self.wants_mark(&id) {
                         marks.push(id);
@@ -208,6 +208,7 @@
         };
         if let Some(task) = self.task_mut(id) {
             order.attempt.number = task.attempt;
+            order.hold = task.hold;
             task.life = job::Life::Asked {
                 placer: placer.clone(),
                 asked_at: now.at,
@@ -221,11 +222,16 @@
     }
 
     /// Whether a reserved task may start now.
-    fn may_go(&self, _now: Now, id: &ids::TaskId, marked: bool) -> bool {
+    ///
+    /// The end of its last attempt must be written first, which costs a retry
+    /// one write, 0.2 s at most: a home that died in between would leave no
+    /// record of it, and its successor, told of that end again, would start the
+    /// task a second time.
+    fn may_go(&self, id: &ids::TaskId, marked: bool) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
-        if !job.may_repeat() && !marked {
+        if !job.may_repeat() && !marked || self.document.has_end_of(id) {
             return false;
         }
         !job.is_gang() || job.gang_is_complete()
--- a/crates/figscale-core/src/job/home/write.rs
+++ b/crates/figscale-core/src/job/home/write.rs
@@ -131,11 +131,20 @@
 
     /// Whether an end waits for its write.
     pub(super) fn has_end(&self, attempt: &message::Attempt) -> bool {
+        self.unwritten_ends().any(|known| known == attempt)
+    }
+
+    /// Whether an end of any attempt of a task waits for its write.
+    pub(super) fn has_end_of(&self, task: &ids::TaskId) -> bool {
+        self.unwritten_ends().any(|known| known.task == *task)
+    }
+
+    fn unwritten_ends(&self) -> impl Iterator<Item = &message::Attempt> {
         let doubted = self.in_doubt.as_ref().map(|(_, batch)| batch);
         [Some(&self.pending), self.in_flight.as_ref(), doubted]
             .into_iter()
             .flatten()
-            .any(|batch| batch.ends.iter().any(|(_, known)| known == attempt))
+            .flat_map(|batch| batch.ends.iter().map(|(_, attempt)| attempt))
     }
 
     pub(super) fn touch(&mut self) {
--- a/crates/figscale-core/tests/job_home.rs
+++ b/crates/figscale-core/tests/job_home.rs
@@ -118,6 +118,59 @@
     assert_eq!(places(&home.poll(now())), 0);
 }
 
+fn later(than: home::Now, by_ms: u64) -> home::Now {
+    home::Now {
+        at: than.at + time::Duration::from_millis(by_ms),
+        ..than
+    }
+}
+
+fn goes(actions: &[home::Action]) -> usize {
+    let go =
+        |action: &&home::Action| matches!(action, home::Action::Call(_, message::Question::Go(..)));
+    actions.iter().filter(go).count()
+}
+
+fn writes(actions: &[home::Action]) -> usize {
+    let write = |action: &&home::Action| matches!(action, home::Action::Write { .. });
+    actions.iter().filter(write).count()
+}
+
+/// A home that dies before it wrote that an attempt has ended must not have
+/// started the next one: its successor would be told of that end again, and
+/// start the next one too.
+#[test]
+fn the_next_attempt_starts_once_the_end_of_the_last_is_written() {
+    let mut home = next_home();
+    let begun = later(now(), 1_000);
+    let lapsed = message::TaskState::Ended(message::End::Lapsed);
+    home.on_tell(begun, &placer(), &[event(2, lapsed)]);
+    let actions = home.poll(begun);
+    assert_eq!(writes(&actions), 1);
+    let place = actions.into_iter().find_map(|action| match action {
+        home::Action::Call(_, question @ message::Question::Place(..)) => Some(question),
+        _ => None,
+    });
+    let place = place.unwrap();
+    let message::Question::Place(_, _, orders) = &place else {
+        unreachable!()
+    };
+    assert!(orders[0].hold, "it is only reserved");
+    let reserved = message::OrderAnswer::Placed(event(3, lapsed).place);
+    let answer = message::Answer::Place(vec![reserved], message::Summary::default());
+    home.on_call(begun, &placer(), begun.at, place, Ok(answer));
+    assert_eq!(
+        goes(&home.poll(later(begun, 10))),
+        0,
+        "its end is not written"
+    );
+    home.on_write(
+        later(begun, 20),
+        home::WriteOutcome::Written(ids::Revision(11)),
+    );
+    assert_eq!(goes(&home.poll(later(begun, 30))), 1);
+}
+
 /// The end of the attempt that may have been under way is taken.
 #[test]
 fn the_end_of_a_later_attempt_places_the_next() {
