Split answers to starts, attempts, reserved tasks, loading and the lease's renewal

What operators say in a query stood twice since their calls are answered on the users' platform; it stands once.

--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -32,6 +32,7 @@
 mod reserve;
 mod scheduler;
 mod silence;
+mod starts;
 mod stops;
 mod submit;
 mod unsaved;
--- /dev/null
+++ b/crates/figscale-core/src/fleet/starts.rs
@@ -0,0 +1,109 @@
+//! What workers answer to starts.
+//!
+//! A start without an answer may have been executed, so the run stays in the
+//! books, with its room, until a report tells.
+
+use std::time;
+
+use figscale_types::fleet;
+
+use super::action::Action;
+use super::action::Note;
+use super::scheduler;
+use super::worker;
+
+/// Pause after a worker had no room although it should have had.
+const NO_ROOM_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Pause after a worker refused as unhealthy.
+const UNHEALTHY_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+
+impl scheduler::Scheduler {
+    /// A start was answered, or not.
+    pub fn start_answered(
+        &mut self,
+        id: &fleet::WorkerId,
+        task: fleet::TaskId,
+        attempt: u32,
+        outcome: fleet::StartOutcome,
+        now: time::Instant,
+    ) {
+        match outcome {
+            fleet::StartOutcome::Started { clock_ms } => {
+                self.start_confirmed(id, (task, attempt), clock_ms, now);
+            }
+            fleet::StartOutcome::Refused(refusal) => {
+                self.start_refused(id, (task, attempt), refusal, now);
+            }
+            // Its room stays taken until a report tells what became of it.
+            fleet::StartOutcome::Unknown => (),
+        }
+    }
+
+    fn start_confirmed(
+        &mut self,
+        id: &fleet::WorkerId,
+        key: worker::RunKey,
+        clock_ms: u64,
+        now: time::Instant,
+    ) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lease.read(clock_ms, now);
+            if let Some(run) = worker.runs.get_mut(&key) {
+                let known = run.confirmed_clock_ms.unwrap_or(0);
+                run.confirmed_clock_ms = Some(known.max(clock_ms));
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&key.0.job) {
+            job.started = true;
+        }
+        if !self.is_wanted(id, key) {
+            self.order_stop(id, key, Some(now));
+        }
+    }
+
+    fn start_refused(
+        &mut self,
+        id: &fleet::WorkerId,
+        key: worker::RunKey,
+        refusal: fleet::StartRefusal,
+        now: time::Instant,
+    ) {
+        self.actions.push(Action::Tell(Note::StartRefused {
+            task: key.0,
+            attempt: key.1,
+            worker: id.clone(),
+            refusal,
+        }));
+        let confirmed = |run: &worker::Run| run.confirmed_clock_ms.is_some();
+        if let Some(worker) = self.workers.get_mut(id) {
+            if worker.runs.get(&key).is_some_and(confirmed) {
+                return;
+            }
+            worker.remove_run(&key);
+        }
+        self.task_free_again(id, &key);
+        match refusal {
+            fleet::StartRefusal::StaleEpoch => self.actions.push(Action::StepDown),
+            fleet::StartRefusal::OtherLife => self.worker_replaced(id, now),
+            fleet::StartRefusal::Ticket => self.drop_ticket(id, &key.0),
+            fleet::StartRefusal::NoRoom => self.pause_worker(id, NO_ROOM_PAUSE, now),
+            fleet::StartRefusal::Unhealthy | fleet::StartRefusal::Invalid => {
+                self.pause_worker(id, UNHEALTHY_PAUSE, now);
+            }
+            fleet::StartRefusal::OldAttempt | fleet::StartRefusal::Expired => (),
+        }
+    }
+
+    fn pause_worker(&mut self, id: &fleet::WorkerId, time: time::Duration, now: time::Instant) {
+        if let Some(health) = self.health(id) {
+            health.pause(time, now);
+        }
+    }
+
+    fn drop_ticket(&mut self, id: &fleet::WorkerId, task: &fleet::TaskId) {
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(task)) {
+            step.advice.tickets.swap_remove(id);
+        }
+    }
+}
--- a/crates/figscale-core/src/job/home/mod.rs
+++ b/crates/figscale-core/src/job/home/mod.rs
@@ -15,11 +15,13 @@
 
 mod gang;
 mod job;
+mod load;
 mod news;
 mod outline;
 mod placers;
 mod queue;
 mod recover;
+mod reserved;
 mod submit;
 mod turns;
 mod write;
--- a/crates/figscale-core/src/job/home/recover.rs
+++ b/crates/figscale-core/src/job/home/recover.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use figscale_types::ids;
-use figscale_types::jobs;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
@@ -49,29 +48,6 @@
 }
 
 impl Home {
-    /// Takes over what the document holds of an earlier home.
-    pub(super) fn load(&mut self, now: Now, document: jobs::JobDocument) {
-        self.jobs.clear();
-        self.queue.clear();
-        self.watched.clear();
-        let mut ready = Vec::new();
-        let placed = document.placed.map(IndexSet::from_iter);
-        for (id, record) in document.jobs {
-            let job = load_job(now, &id, record, placed.as_ref());
-            for (index, task) in &job.tasks {
-                if matches!(task.life, job::Life::Queued { .. }) {
-                    ready.push((id.clone(), *index));
-                }
-            }
-            self.jobs.insert(id, job);
-        }
-        for (id, index) in ready {
-            self.enqueue(now, &id, index, now.at);
-        }
-        // The first write makes the document this home's own.
-        self.document.touch();
-    }
-
     /// Takes over the worker shards and their holders, as the claims have them.
     pub fn set_shards(
         &mut self,
@@ -221,77 +197,6 @@
         self.send_orders(placer, vec![order], true);
     }
 
-    /// Whether a reserved task may start now.
-    ///
-    /// The end of its last attempt must be written first, which costs a retry
-    /// one write, 0.2 s at most: a home that died in between would leave no
-    /// record of it, and its successor, told of that end again, would start the
-    /// task a second time.
-    fn may_go(&self, id: &ids::TaskId, marked: bool) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return false;
-        };
-        if !job.may_repeat() && !marked || self.document.has_end_of(id) {
-            return false;
-        }
-        !job.is_gang() || job.gang_is_complete()
-    }
-
-    /// Whether a reserved task waits for nothing but its mark.
-    fn wants_mark(&self, id: &ids::TaskId) -> bool {
-        self.jobs.get(&id.job).is_some_and(|job| {
-            !job.may_repeat()
-                && (!job.is_gang() || job.gang_is_complete())
-                && !job.record.tasks.get(&id.index).is_some_and(|record| {
-                    record.started
-                        && job
-                            .tasks
-                            .get(&id.index)
-                            .is_some_and(|task| task.attempt == record.attempts)
-                })
-        })
-    }
-
-    fn write_marks(&mut self, marks: Vec<ids::TaskId>) {
-        for id in marks {
-            let Some(job) = self.jobs.get_mut(&id.job) else {
-                continue;
-            };
-            let attempt = job.tasks.get(&id.index).map_or(0, |task| task.attempt);
-            let record = job.task_record(id.index);
-            record.started = true;
-            record.attempts = attempt;
-            self.document.mark(id);
-        }
-    }
-
-    fn send_go(&mut self, now: Now, placer: &ids::MemberKey, attempts: Vec<message::Attempt>) {
-        for attempt in &attempts {
-            let Some(task) = self.task_mut(&attempt.task) else {
-                continue;
-            };
-            if let job::Life::Held { place, .. } | job::Life::Going { place, .. } = &task.life {
-                task.life = job::Life::Going {
-                    placer: placer.clone(),
-                    place: place.clone(),
-                    asked_at: now.at,
-                    in_flight: true,
-                };
-            }
-        }
-        let question = message::Question::Go(self.key.clone(), attempts);
-        self.actions.push(Action::Call(placer.clone(), question));
-    }
-
-    /// Gives back a reservation that was never told to start.
-    fn release(&mut self, now: Now, placer: &ids::MemberKey, id: &ids::TaskId) {
-        if self.placers.contains_key(placer) {
-            let question = message::Question::Stop(self.key.clone(), vec![id.clone()]);
-            self.actions.push(Action::Call(placer.clone(), question));
-        }
-        self.on_end(now, id, message::End::NotStarted);
-    }
-
     /// Asks holders for inventories, and decides what those that came tell.
     pub(super) fn poll_shards(&mut self, now: Now) {
         self.drop_vanished(now);
@@ -466,49 +371,3 @@
         }
     }
 }
-
-fn load_job(
-    now: Now,
-    id: &ids::JobId,
-    record: jobs::JobRecord,
-    placed: Option<&IndexSet<ids::TaskId>>,
-) -> job::Job {
-    let bytes = super::submit::record_bytes(&record.spec);
-    let mut job = job::Job {
-        record,
-        tasks: IndexMap::new(),
-        written: true,
-        doubted: false,
-        waits_for: None,
-        gang_tries: 0,
-        gang_pause_until: None,
-        bytes,
-    };
-    for index in 0..job.record.spec.tasks {
-        let id = ids::TaskId {
-            job: id.clone(),
-            index,
-        };
-        let may_be_placed = placed.is_none_or(|placed| placed.contains(&id));
-        let task = load_task(now, &job, index, may_be_placed);
-        job.tasks.insert(index, task);
-    }
-    job
-}
-
-fn load_task(now: Now, job: &job::Job, index: u32, may_be_placed: bool) -> job::Task {
-    let mut task = job::Task::new(now.at);
-    let record = job.record.tasks.get(&index).cloned().unwrap_or_default();
-    task.attempt = record.attempts;
-    task.checkpointed = record.checkpointed;
-    task.stopping = job.record.cancelled;
-    // Without its mark a task that may not run twice was never started.
-    let marked = record.started || job.may_repeat();
-    task.life = match (record.ended, job.record.ended) {
-        (Some(state), _) | (None, Some(state)) => job::Life::Ended(state),
-        _ if marked && may_be_placed => job::Life::Unknown { since: now.at },
-        _ if task.stopping => job::Life::Ended(jobs::JobState::Cancelled),
-        _ => job::Life::Queued { not_before: now.at },
-    };
-    task
-}
--- a/crates/figscale/src/fleet/operators/jobs.rs
+++ b/crates/figscale/src/fleet/operators/jobs.rs
@@ -5,7 +5,6 @@
 //! that it names the same job in every call. Tasks of a queue run again after a
 //! failure, so a job that may not is refused.
 
-use std::str;
 use std::time;
 
 use axum::Json;
@@ -17,7 +16,6 @@
 use axum::routing;
 use bytes::Bytes;
 use figscale_core::fleet as scheduling;
-use figscale_types::error;
 use figscale_types::fleet;
 use figscale_types::hash;
 use figscale_types::ids;
@@ -25,13 +23,13 @@
 use figscale_types::operator;
 use figscale_types::sizes;
 use figscale_types::verdict::Verdict;
-use serde::Deserialize;
 
 use crate::fleet::Context;
 use crate::fleet::ask;
 use crate::fleet::calls::LeaderAnswer;
 use crate::fleet::calls::LeaderCall;
 use crate::operator::answer;
+use crate::operator::query;
 
 pub(super) fn routes() -> Router<Context> {
     Router::new()
@@ -40,27 +38,9 @@
         .route("/v1/jobs/{id}/cancel", routing::post(cancel))
 }
 
-#[derive(Deserialize)]
-struct SubmitQuery {
-    id: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct ListQuery {
-    owner: Option<String>,
-}
-
-fn parsed<T>(text: &str) -> Result<T, operator::OperatorError>
-where
-    T: str::FromStr<Err = error::ParseError>,
-{
-    text.parse()
-        .map_err(|error: error::ParseError| answer::invalid(error.to_string()))
-}
-
 /// The platform's id of a job.
 fn job_id(text: &str) -> Result<fleet::JobId, operator::OperatorError> {
-    let name: ids::JobId = parsed(text)?;
+    let name: ids::JobId = query::parse(text)?;
     let hashed = || fleet::JobId(hash::fnv1a(name.as_str().bytes()));
     Ok(name.as_str().parse().unwrap_or_else(|_| hashed()))
 }
@@ -103,9 +83,9 @@
 
 async fn list(
     extract::State(context): extract::State<Context>,
-    extract::Query(query): extract::Query<ListQuery>,
+    extract::Query(asked): extract::Query<query::Listing>,
 ) -> answer::Answer<Vec<schema::JobStatus>> {
-    let owner: Option<ids::OwnerName> = query.owner.as_deref().map(parsed).transpose()?;
+    let owner: Option<ids::OwnerName> = asked.owner.as_deref().map(query::parse).transpose()?;
     let Some(LeaderAnswer::Listed(views)) = ask_leader(&context, &LeaderCall::ListOpen).await.0
     else {
         return Err(answer::unavailable("no leader answered").into());
@@ -118,23 +98,21 @@
 
 async fn submit(
     extract::State(context): extract::State<Context>,
-    extract::Query(query): extract::Query<SubmitQuery>,
+    extract::Query(asked): extract::Query<query::Submission>,
     body: Result<Bytes, rejection::BytesRejection>,
 ) -> response::Response {
     match answer::body(body) {
-        Ok(body) => accept(context, query, body).await.into_response(),
+        Ok(body) => accept(context, asked, body).await.into_response(),
         Err(refusal) => refusal.into_response(),
     }
 }
 
 async fn accept(
     context: Context,
-    query: SubmitQuery,
+    asked: query::Submission,
     body: Bytes,
 ) -> answer::Answer<schema::JobStatus> {
-    let Some(id) = query.id else {
-        return Err(answer::invalid(answer::NO_JOB_ID).into());
-    };
+    let id = asked.id()?;
     let job = job_id(&id)?;
     let spec: schema::JobSpec = answer::parse(&body)?;
     let queue = queue_of(&context, &spec)?;
@@ -209,9 +187,9 @@
 fn status_of(view: &fleet::JobView) -> Result<schema::JobStatus, operator::OperatorError> {
     let tasks: Result<Vec<schema::TaskStatus>, _> = (0..).zip(&view.tasks).map(task_of).collect();
     Ok(schema::JobStatus {
-        id: parsed(&view.id.to_string())?,
-        owner: parsed(&view.service)?,
-        entry: parsed(&view.queue)?,
+        id: query::parse(&view.id.to_string())?,
+        owner: query::parse(&view.service)?,
+        entry: query::parse(&view.queue)?,
         state: state_of(view.state),
         verdict: verdict_of(view),
         reason: None,
@@ -222,7 +200,10 @@
 fn task_of(
     (index, view): (u32, &fleet::TaskView),
 ) -> Result<schema::TaskStatus, operator::OperatorError> {
-    let worker = view.worker.as_ref().map(|worker| parsed(worker.as_str()));
+    let worker = view
+        .worker
+        .as_ref()
+        .map(|worker| query::parse(worker.as_str()));
     Ok(schema::TaskStatus {
         index,
         state: match view.progress {
--- /dev/null
+++ b/crates/figscale/src/fleet/term/lease.rs
@@ -0,0 +1,39 @@
+//! Keeps the leader's lease at the store, and takes another when it has ended.
+
+use std::time;
+
+use figscale_platform::store;
+use tokio::sync::mpsc;
+
+use super::Message;
+use crate::fleet::Context;
+
+/// Renewals of the leader's lease in one life of it.
+const RENEWALS_PER_LEASE: u32 = 4;
+
+/// Renews until the term is over; tells it of each lease that ended or came.
+pub(super) async fn renew(
+    context: Context,
+    first: store::LeaseId,
+    messages: mpsc::Sender<Message>,
+) {
+    let pause = time::Duration::from_millis(context.fleet.leader_lease_ms) / RENEWALS_PER_LEASE;
+    let mut lease = first;
+    loop {
+        tokio::time::sleep(pause).await;
+        match context.store.renew(lease).await {
+            Ok(true) | Err(_) => continue,
+            Ok(false) => (),
+        }
+        if messages.send(Message::LeaseEnded).await.is_err() {
+            return;
+        }
+        let ttl = time::Duration::from_millis(context.fleet.leader_lease_ms);
+        if let Ok(granted) = context.store.grant(ttl).await {
+            lease = granted;
+            if messages.send(Message::LeaseGranted(granted)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -22,6 +22,7 @@
 mod advice;
 mod callers;
 mod held;
+mod lease;
 pub(super) mod load;
 mod members;
 mod messages;
@@ -51,9 +52,6 @@
 /// Shortest time between two passes of placement; it batches what arrives
 /// together and adds this much to a wait at most.
 const PLAN_PAUSE: time::Duration = time::Duration::from_millis(4);
-/// Renewals of the leader's lease in one life of it.
-const RENEWALS_PER_LEASE: u32 = 4;
-
 /// How a term ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Ended {
@@ -187,7 +185,7 @@
     let epoch = won.leader.epoch;
     let lease = won.lease;
     let (messages, mut received) = mpsc::channel(MAX_MESSAGES);
-    let renewal = tokio::spawn(renew(context.clone(), lease, messages.clone()));
+    let renewal = tokio::spawn(lease::renew(context.clone(), lease, messages.clone()));
     let loaded = match won.loaded.take() {
         Some(loaded) => Ok(loaded),
         None => load::load_within_limit(context, epoch).await,
@@ -244,28 +242,6 @@
     let _ = context.store.revoke(term.lease).await;
 }
 
-async fn renew(context: Context, first: store::LeaseId, messages: mpsc::Sender<Message>) {
-    let pause = time::Duration::from_millis(context.fleet.leader_lease_ms) / RENEWALS_PER_LEASE;
-    let mut lease = first;
-    loop {
-        tokio::time::sleep(pause).await;
-        match context.store.renew(lease).await {
-            Ok(true) | Err(_) => continue,
-            Ok(false) => (),
-        }
-        if messages.send(Message::LeaseEnded).await.is_err() {
-            return;
-        }
-        let ttl = time::Duration::from_millis(context.fleet.leader_lease_ms);
-        if let Ok(granted) = context.store.grant(ttl).await {
-            lease = granted;
-            if messages.send(Message::LeaseGranted(granted)).await.is_err() {
-                return;
-            }
-        }
-    }
-}
-
 impl Term {
     fn new(
         context: &Context,
--- a/crates/figscale/src/operator/answer.rs
+++ b/crates/figscale/src/operator/answer.rs
@@ -15,10 +15,6 @@
 /// Time after which to come back when a service names none.
 pub const RETRY_AFTER_MS: u64 = 1_000;
 
-/// What is wrong with a submission without an id.
-pub(crate) const NO_JOB_ID: &str = "id: expected a job id of your own in the query, \
-     so that a repeated submission counts once";
-
 /// What a handler gives back.
 pub(crate) type Answer<T> = Result<Json<T>, Refusal>;
 
--- a/crates/figscale/src/operator/mod.rs
+++ b/crates/figscale/src/operator/mod.rs
@@ -9,6 +9,7 @@
 mod catalogue;
 mod jobs;
 mod process;
+pub(crate) mod query;
 
 use std::future::IntoFuture as _;
 use std::time;
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 //! over at most a few hundred runners.
 
 mod answer;
+mod attempts;
 mod call;
 mod dump;
 mod exchange;
@@ -19,6 +20,7 @@
 mod pass_on;
 mod peer_side;
 mod pool;
+mod progress;
 mod push;
 mod route;
 mod shards;
