--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -8,6 +8,8 @@
     6003 CONFIG_INVALID Error "The operators' configuration cannot be read; the last one stays in force.";
     6006 STORE_LOST Warn "The store does not take calls from here; peers pass them on.";
     6007 STORE_BACK Info "The store takes calls from here again.";
+    6008 STORE_SLOW Warn "Three answers of the store in a row took over 0.08 s; each new job waits for one.";
+    6009 STORE_QUICK Info "The store answers as quickly as usual again.";
     6101 LEADER_KNOWN Info "Another entry instance, or this one, leads a new term.";
     6102 LEADER_ENDED Warn "The leader has ended its term in order, its process has ended, or most peers miss it; others stand at once.";
     6105 ELECTION_ENDED Info "This instance stood for leadership; the line says whether it won.";
--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -23,6 +23,7 @@
 use serde::Serialize;
 
 use super::direct;
+use crate::metrics;
 use crate::peer;
 
 /// Name of the service that passes calls on, among peers.
@@ -70,9 +71,10 @@
         direct: store::Store,
         peers: sync::Arc<peer::Peers>,
         own_address: net::SocketAddr,
+        metrics: sync::Arc<metrics::Metrics>,
     ) -> Self {
         Self {
-            direct: sync::Arc::new(direct::Direct::new(direct)),
+            direct: sync::Arc::new(direct::Direct::new(direct, metrics)),
             peers,
             own_address,
             roster: sync::Mutex::default(),
@@ -208,9 +210,7 @@
     async fn call(&self, call: Call) -> Result<Answer, CallError> {
         let mut here = None;
         if self.direct.answers() {
-            let answer = make(self.direct.store(), &call).await;
-            self.direct.note(&answer);
-            match answer {
+            match call_directly(&self.direct, &call).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => here = Some(error),
             }
@@ -278,8 +278,20 @@
             cause: format!("the store does not answer the peer either: {failure}"),
         });
     }
+    call_directly(direct, call).await
+}
+
+/// Makes a call from here, and notes how it went and how long it took.
+async fn call_directly(
+    direct: &sync::Arc<direct::Direct>,
+    call: &Call,
+) -> Result<Answer, CallError> {
+    let begun = tokio::time::Instant::now();
     let answer = make(direct.store(), call).await;
     direct.note(&answer);
+    if answer.is_ok() {
+        direct.answered_after(begun.elapsed());
+    }
     answer
 }
 
--- a/crates/figscale/src/fleet/direct.rs
+++ b/crates/figscale/src/fleet/direct.rs
@@ -18,22 +18,59 @@
 
 use super::keys;
 use crate::events;
+use crate::metrics;
 
 /// Time between probes; each waits for its own answer.
 const PROBE_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// An answer that takes longer is told of; the platform's take 4 ms, and a
+/// quick job has some 0.4 s to spare, of which its record takes one answer.
+const SLOW_ANSWER: time::Duration = time::Duration::from_millis(80);
+/// Answers of one kind in a row that make it slow, or usual again: one alone
+/// may have met a busy moment of this instance.
+const ANSWERS_IN_A_ROW: u32 = 3;
+
 /// The store, and whether it answers.
 pub(super) struct Direct {
     store: store::Store,
+    metrics: sync::Arc<metrics::Metrics>,
     /// Why the last call failed; `None` while it answers.
     failure: sync::Mutex<Option<String>>,
+    speed: sync::Mutex<Speed>,
+}
+
+/// How quickly the store answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Speed {
+    slow: bool,
+    /// Answers in a row that say otherwise.
+    otherwise: u32,
+}
+
+impl Speed {
+    /// Takes in an answer; true if it is slow now and was not, or the reverse.
+    fn turns(&mut self, took: time::Duration) -> bool {
+        if (took > SLOW_ANSWER) == self.slow {
+            self.otherwise = 0;
+            return false;
+        }
+        self.otherwise += 1;
+        if self.otherwise < ANSWERS_IN_A_ROW {
+            return false;
+        }
+        self.otherwise = 0;
+        self.slow = !self.slow;
+        true
+    }
 }
 
 impl Direct {
-    pub(super) fn new(store: store::Store) -> Self {
+    pub(super) fn new(store: store::Store, metrics: sync::Arc<metrics::Metrics>) -> Self {
         Self {
             store,
+            metrics,
             failure: sync::Mutex::default(),
+            speed: sync::Mutex::default(),
         }
     }
 
@@ -65,6 +102,22 @@
         }
     }
 
+    /// Notes how long an answer took.
+    pub(super) fn answered_after(&self, took: time::Duration) {
+        self.metrics.fleet_store_answered(took);
+        let speed = {
+            let mut speed = mutex::lock(&self.speed);
+            if !speed.turns(took) {
+                return;
+            }
+            *speed
+        };
+        match speed.slow {
+            true => crate::event!(events::fleet::STORE_SLOW, took_ms = took.as_millis()),
+            false => crate::event!(events::fleet::STORE_QUICK, took_ms = took.as_millis()),
+        }
+    }
+
     /// Asks the store something small.
     pub(super) async fn probe(self: &sync::Arc<Self>) -> bool {
         let answer = self.store.get(keys::LEAD).await;
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -167,8 +167,8 @@
     let peers = sync::Arc::new(peers);
     let direct = store::Store::new(client.clone(), settings.platform_address, STORE_TIMEOUT);
     let address = settings.peer_address;
-    let store = access::Access::new(direct, peers.clone(), address);
-    let metrics = metrics::Metrics::default();
+    let metrics = sync::Arc::new(metrics::Metrics::default());
+    let store = access::Access::new(direct, peers.clone(), address, metrics.clone());
     let counted = client.clone();
     metrics.observe_platform(move || {
         let counts = counted.counts();
@@ -187,7 +187,7 @@
         peers,
         client,
         store: sync::Arc::new(store),
-        metrics: sync::Arc::new(metrics),
+        metrics,
         me,
         queues: sync::Arc::new(watch::Sender::new(sync::Arc::default())),
         leadership: sync::Arc::new(watch::Sender::new(election::Leadership::default())),
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -59,6 +59,7 @@
     fleet_jobs: metrics::Counter<u64>,
     fleet_job_time: metrics::Histogram<f64>,
     fleet_state: metrics::Gauge<u64>,
+    fleet_store_time: metrics::Histogram<f64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -113,6 +114,11 @@
                 "figscale_fleet_state",
                 "What the leader knows: jobs, runs, workers; nothing elsewhere.",
             ),
+            fleet_store_time: seconds(
+                "figscale_fleet_store_seconds",
+                "Time from a call of the platform's store to its answer.",
+                &WAIT_BOUNDS_S,
+            ),
             registry,
             provider,
         }
@@ -282,6 +288,11 @@
             .record(count(number), &[KeyValue::new("kind", kind)]);
     }
 
+    /// The platform's store answered a call of this instance.
+    pub fn fleet_store_answered(&self, took: time::Duration) {
+        self.fleet_store_time.record(took.as_secs_f64(), &[]);
+    }
+
     /// Has calls to the users' platform read from its client's own counts.
     pub fn observe_platform(
         &self,
--- a/crates/figscale/tests/fleet_trace.rs
+++ b/crates/figscale/tests/fleet_trace.rs
@@ -7,6 +7,8 @@
 
 mod fleet_support;
 
+use std::time;
+
 use fleet_support::Fleet;
 use serde_json::Value;
 
@@ -68,6 +70,38 @@
     assert_eq!(accepted["shape"], "1x1");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_taken_late_leads_to_a_slow_store() {
+    let fleet = Fleet::start(1, 1, false).await;
+    let slow = time::Duration::from_millis(250);
+    fleet
+        .platform
+        .store
+        .change_faults(|faults| faults.slow = slow);
+    fleet
+        .wait("a line of the slow store", || {
+            fleet.count_events("STORE_SLOW") == 1
+        })
+        .await;
+    fleet.submit_until_taken(0, 0x901, 1, "20").await;
+    let accepted = of_job(&fleet.log_lines(), 0x901);
+    let waited_ms: u128 = named(&accepted, "JOB_ACCEPTED")["waited_ms"]
+        .as_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(waited_ms >= slow.as_millis(), "{waited_ms}");
+    fleet
+        .platform
+        .store
+        .change_faults(|faults| faults.slow = time::Duration::ZERO);
+    fleet
+        .wait("a line of its return", || {
+            fleet.count_events("STORE_QUICK") >= 1
+        })
+        .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_lost_to_a_worker_leads_to_that_worker() {
     let fleet = Fleet::start(1, 2, false).await;
