Refuse jobs that would end after twice their objective

Ruled out: the leader's processor (0.15 of 0.25 cores at most).

Change: twice the objective; a percentage in the scheduler's settings.

--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -1,15 +1,21 @@
-//! Which jobs are refused: those that would only end when nobody pays for them.
+//! Which jobs are refused: those that would end so late that taking them costs
+//! others more than it gives their callers.
 //!
-//! A job that ends after three times its latency objective is worth nothing to
-//! its caller, and its work is taken from jobs that are. So a job is refused
-//! at once, with the time to come back, when it would end later than that
-//! behind the work in front of it. What is in front is the work of jobs of its
-//! priority and above, over the processors in use. That errs on the long side,
-//! since work that can no longer be in time makes way for work that can, so
-//! the bound must not be drawn closer. Two peaks on a busy fleet (the pattern of
-//! `tests/fleet/load`, six seeds) earn 0.93 of what was asked for; with jobs
-//! refused that would only be late they earn 0.86, and 13 of 1,000 jobs are
-//! refused, none of which had to be.
+//! A late job gives its caller a fifth of its worth, and after three times its
+//! latency objective nothing. So a job is refused at once, with the time to
+//! come back, when it would end after twice its objective behind the work in
+//! front of it. What is in front is the work of jobs of its priority and above,
+//! over the processors in use. That errs on the long side, since work that can
+//! no longer be in time makes way for work that can.
+//!
+//! The bound was chosen by what was earned of what was asked for. Two peaks on
+//! a busy fleet (the pattern of `tests/fleet/load`, six seeds): 0.86 with the
+//! objective itself as the bound and 13 of 1,000 jobs refused in vain, 0.93 with
+//! twice or three times the objective and none refused. Three times the usual
+//! traffic for 8 s, twice, at the two users, one run each: 0.50 and 0.43 with
+//! once, 0.58 and 0.48 with 1.5 times, 0.60 and 0.37 with twice, 0.59 and 0.31
+//! with three times. After ordinary peaks 1.5 times lost 0.02 to 0.03 against
+//! twice.
 
 use std::time;
 
@@ -45,7 +51,7 @@
             return None;
         }
         let wait = self.wait_before(job);
-        let allowed = self.longest_useful_wait(job, now);
+        let allowed = self.longest_wait(job, now);
         if wait <= allowed {
             return None;
         }
@@ -53,16 +59,15 @@
         Some(Admission::Refused { retry_after, wait })
     }
 
-    /// How late a job may begin and still be worth something to its caller.
-    fn longest_useful_wait(&self, job: &job::Job, now: time::Instant) -> time::Duration {
+    /// How late a job may begin and still be taken.
+    fn longest_wait(&self, job: &job::Job, now: time::Instant) -> time::Duration {
         let objective = job.objective_at.saturating_duration_since(job.submitted);
-        let useful_until = job.submitted + objective * self.config.useful_objectives;
+        let longest = objective * self.config.max_of_objective_percent / 100;
+        let end_by = job.submitted + longest;
         let rounds = job.rounds.iter();
         let remaining = rounds.map(|round| round.remaining_ms(&job.description));
         let own = time::Duration::from_millis(remaining.max().unwrap_or(0));
-        useful_until
-            .saturating_duration_since(now)
-            .saturating_sub(own)
+        end_by.saturating_duration_since(now).saturating_sub(own)
     }
 
     /// Time that the work in front of a job takes on all processors.
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -30,9 +30,9 @@
     pub max_silence: time::Duration,
     /// How long the outcome of a job is kept.
     pub keep_ended: time::Duration,
-    /// A job that takes longer than so many times its latency objective is
-    /// worth nothing to its caller.
-    pub useful_objectives: u32,
+    /// A job that would take longer than so much of its latency objective is
+    /// refused.
+    pub max_of_objective_percent: u32,
 }
 
 impl Default for Config {
@@ -48,8 +48,10 @@
             // Reports come every second at least.
             max_silence: time::Duration::from_millis(1_700),
             keep_ended: time::Duration::from_secs(150),
-            // The users pay a fifth for what is late, up to this.
-            useful_objectives: 3,
+            // The users pay a fifth for what is late, up to 300 %. Below 200 %
+            // small jobs are refused in vain after a peak; above it three times
+            // the usual traffic for 8 s lasts longer (see `admission`).
+            max_of_objective_percent: 200,
         }
     }
 }
--- a/crates/figscale-core/tests/fleet/load.rs
+++ b/crates/figscale-core/tests/fleet/load.rs
@@ -102,9 +102,9 @@
 }
 
 impl Load {
-    fn new(useful_objectives: u32, seed: u64) -> Self {
+    fn new(max_of_objective_percent: u32, seed: u64) -> Self {
         let config = Config {
-            useful_objectives,
+            max_of_objective_percent,
             ..Config::default()
         };
         Self {
@@ -256,11 +256,11 @@
 }
 
 /// Means over some seeds.
-fn play(useful_objectives: u32) -> (f64, usize) {
+fn play(max_of_objective_percent: u32) -> (f64, usize) {
     let played: Vec<Outcome> = (1..=SEEDS)
-        .map(|seed| Load::new(useful_objectives, seed).play())
+        .map(|seed| Load::new(max_of_objective_percent, seed).play())
         .collect();
-    println!("{useful_objectives} objectives: {played:?}");
+    println!("{max_of_objective_percent} percent: {played:?}");
     let earned: f64 = played.iter().map(|outcome| outcome.earned).sum();
     let refused: usize = played.iter().map(|outcome| outcome.refused).sum();
     (earned / SEEDS as f64, refused / SEEDS as usize)
@@ -269,9 +269,9 @@
 /// Jobs that would be late are worth taking: what is late makes way for what
 /// is not, so most of them are in time after all.
 #[test]
-fn two_peaks_are_served_better_by_refusing_only_what_is_useless() {
-    let strict = play(1);
-    let lenient = play(Config::default().useful_objectives);
+fn two_peaks_are_served_better_by_taking_what_may_be_late() {
+    let strict = play(100);
+    let lenient = play(Config::default().max_of_objective_percent);
     println!("earned, and refused of 1,000: strict {strict:?}, lenient {lenient:?}");
     assert!(lenient.0 > strict.0 + 0.05);
     assert!(lenient.1 < strict.1);
