No refusal beside a call that has no answer

A 429 was passed on although an earlier call of a leader for the same job had no answer and may arrive yet; a 503 already was not.

--- a/crates/figscale/src/fleet/entry.rs
+++ b/crates/figscale/src/fleet/entry.rs
@@ -266,7 +266,9 @@
             );
             json(http::StatusCode::OK, bytes::Bytes::from_static(b"{}"))
         }
-        Some(LeaderAnswer::Refused { retry_after_ms }) => {
+        // Beside an earlier call without an answer, which may arrive yet, no
+        // refusal says that the job never runs.
+        Some(LeaderAnswer::Refused { retry_after_ms }) if verdict == Verdict::NotRun => {
             refuse(http::StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
         }
         Some(LeaderAnswer::StoreAway { retry_after_ms }) if verdict == Verdict::NotRun => {
--- a/crates/figscale/src/fleet/operators/jobs.rs
+++ b/crates/figscale/src/fleet/operators/jobs.rs
@@ -124,7 +124,7 @@
     };
     match ask_leader(&context, &call).await {
         (Some(LeaderAnswer::Accepted), _) => Ok(Json(show(&context, job).await?)),
-        (Some(LeaderAnswer::Refused { retry_after_ms }), _) => {
+        (Some(LeaderAnswer::Refused { retry_after_ms }), Verdict::NotRun) => {
             let text = "the work in front of it would last too long; it was not taken";
             Err(not_now(text, retry_after_ms).into())
         }
