--- a/crates/figscale/src/fleet/operators/catalogue.rs
+++ b/crates/figscale/src/fleet/operators/catalogue.rs
@@ -6,12 +6,15 @@
 //! the limits that bind it. The configuration names no owners, so an entry
 //! belongs to the pool of workers that runs its tasks.
 
+use std::sync;
+
 use axum::Json;
 use axum::Router;
 use axum::extract;
 use axum::routing;
 use figscale_core::fleet as scheduling;
 use figscale_types::catalogue as schema;
+use figscale_types::error;
 use figscale_types::fleet;
 use figscale_types::ids;
 use figscale_types::operator;
@@ -57,9 +60,7 @@
     }))
 }
 
-fn known_table(
-    context: &Context,
-) -> Result<std::sync::Arc<fleet::QueueTable>, operator::OperatorError> {
+fn known_table(context: &Context) -> Result<sync::Arc<fleet::QueueTable>, operator::OperatorError> {
     let table = context.queues.borrow().clone();
     match table.version {
         0 => Err(answer::unavailable("no configuration has been read yet")),
@@ -88,9 +89,7 @@
     catalogue
 }
 
-fn entry_of(
-    queue: &fleet::Queue,
-) -> Result<(ids::EntryName, schema::Entry), figscale_types::error::ParseError> {
+fn entry_of(queue: &fleet::Queue) -> Result<(ids::EntryName, schema::Entry), error::ParseError> {
     let policy = schema::TaskPolicy {
         class: schema::JobClass::Batch,
         urgency: urgency(queue.priority),
