Wait shorter for reports while answers get lost; doubt workers whose calls are overdue

Packing puts the tasks of many quick jobs on one worker: at 6.5 s eleven jobs ended at once that had ended unseen up to 1.3 s before (log), and 47 of 72 jobs of 4.0 to 7.5 s were late by our reckoning. A worker that lost its power got new tasks until 1.7 s after its last report, and these wait for its lease. Ruled out: writes that hold up acknowledgements (none was slow then). A worker whose call is overdue (a start after 0.2 s, a report after its wait and 0.15 s) gets nothing new until it is heard.

--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -46,6 +46,7 @@
             return;
         };
         worker.lease.read(report.clock_ms, now);
+        worker.doubted = false;
         let first = !worker.reported;
         worker.reported = true;
         if first {
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -176,6 +176,17 @@
     pub fn worker_replaced(&mut self, id: &fleet::WorkerId, now: time::Instant) {
         self.unheard.swap_remove(id);
         self.give_up_runs(id, now);
+    /// A call of a worker is overdue. It gets nothing new until it is heard.
+    ///
+    /// A worker that lost its power is known to be silent 1.7 s after its last
+    /// report. What was sent there meanwhile waits for its lease, some 5 s, and
+    /// quick jobs are useless by then; packing sends them to one worker first.
+    pub fn worker_doubted(&mut self, id: &fleet::WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.doubted = true;
+        }
+    }
+
         if let Some(worker) = self.workers.get_mut(id) {
             worker.replaced = true;
         }
--- a/crates/figscale-core/src/fleet/starts.rs
+++ b/crates/figscale-core/src/fleet/starts.rs
@@ -48,6 +48,7 @@
     ) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.lease.read(clock_ms, now);
+            worker.doubted = false;
             if let Some(run) = worker.runs.get_mut(&key) {
                 let known = run.confirmed_clock_ms.unwrap_or(0);
                 run.confirmed_clock_ms = Some(known.max(clock_ms));
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -44,6 +44,8 @@
     pub(crate) reported: bool,
     pub(crate) lease: lease::Lease,
     pub(crate) health: health::Health,
+    /// A call is overdue, and nothing was heard since.
+    pub(crate) doubted: bool,
     pub(crate) runs: IndexMap<RunKey, Run>,
     /// Highest number of an end that was taken in.
     pub(crate) taken_in: u64,
@@ -71,6 +73,7 @@
             lease: lease::Lease::default(),
             health: health::Health::default(),
             runs: IndexMap::new(),
+            doubted: false,
             taken_in: 0,
             acknowledged: 0,
             used: fleet::Room::default(),
@@ -103,7 +106,7 @@
             .silent_for(now)
             .is_some_and(|silent| silent <= max_silence);
         let listed = self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE);
-        let known = listed && self.reported;
+        let known = listed && self.reported && !self.doubted;
         let open = known && !self.entry.draining && !self.replaced;
         heard && open && self.health.admits(self.runs.len(), now)
     }
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod kit;
 mod load;
 mod placing;
+mod losses;
 mod records;
 mod recovery;
 mod silence;
--- a/crates/figscale/src/fleet/term/messages.rs
+++ b/crates/figscale/src/fleet/term/messages.rs
@@ -26,6 +26,8 @@
                 self.scheduler
                     .start_answered(&worker, task, attempt, outcome, now);
             }
+            Message::Overdue(id) => self.scheduler.worker_doubted(&id),
+            Message::AnswerLost => self.workers.answer_lost(now),
             Message::Advised(question, good) => {
                 self.scheduler.advice_answered(&question, good, now);
             }
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -87,6 +87,10 @@
         attempt: u32,
         outcome: fleet::StartOutcome,
     },
+    /// A call of a worker was not answered when it usually is.
+    Overdue(fleet::WorkerId),
+    /// A call was lost on the way to a worker that answers.
+    AnswerLost,
     /// The advisory service answered, or not.
     Advised(Question, Option<Vec<fleet::Ticket>>),
     /// An entry instance could not be reached at all.
--- a/crates/figscale/src/fleet/workers.rs
+++ b/crates/figscale/src/fleet/workers.rs
@@ -6,6 +6,7 @@
 
 use std::time;
 
+use figscale_core::fleet::Losses;
 use figscale_core::fleet::Scheduler;
 use figscale_platform::CallError;
 use figscale_platform::store;
@@ -29,9 +30,6 @@
 /// worker takes a run once only. Where one order in twenty is lost, that costs
 /// a quick task 0.2 s in place of its 1.5 s until the order expires.
 const USUAL_START: time::Duration = time::Duration::from_millis(200);
-/// How long a report waits for an end, half of what workers allow. Leases and
-/// what is known of a worker are at most this old.
-const REPORT_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// Pause after a worker did not answer.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Pause after another life of a worker answered.
@@ -68,6 +66,7 @@
     epoch: fleet::Epoch,
     messages: term::Messages,
     links: IndexMap<fleet::WorkerId, Link>,
+    losses: Losses,
 }
 
 impl Links {
@@ -78,6 +77,7 @@
             epoch,
             messages,
             links: IndexMap::new(),
+            losses: Losses::default(),
         }
     }
 
@@ -109,11 +109,16 @@
         };
         let ids: Vec<fleet::WorkerId> = self.links.iter().filter_map(due).collect();
         for id in ids {
-            self.call(&id, scheduler);
+            self.call(&id, scheduler, now);
         }
     }
 
-    fn call(&mut self, id: &fleet::WorkerId, scheduler: &mut Scheduler) {
+    /// A call was lost on the way to a worker that answers.
+    pub(super) fn answer_lost(&mut self, now: time::Instant) {
+        self.losses.note(now);
+    }
+
+    fn call(&mut self, id: &fleet::WorkerId, scheduler: &mut Scheduler, now: time::Instant) {
         let Some(due) = scheduler.report_due(id) else {
             self.links.swap_remove(id);
             return;
@@ -130,13 +135,13 @@
             wait: if quick {
                 time::Duration::ZERO
             } else {
-                REPORT_WAIT
+                self.losses.report_wait(now)
             },
         };
         let (calls, address) = (self.calls.clone(), link.address.clone());
         let messages = self.messages.clone();
         tokio::spawn(async move {
-            let report = report_asked_twice(&calls, &address, request).await;
+            let report = report_asked_twice(&calls, &address, request, &messages).await;
             let _ = messages.send(Message::Reported(address.id, report)).await;
         });
     }
@@ -181,7 +186,8 @@
         };
         let (calls, address, epoch) = (self.calls.clone(), link.address.clone(), self.epoch);
         tokio::spawn(async move {
-            let outcome = match start_ordered_twice(&calls, &address, epoch, &order).await {
+            let ordered = start_ordered_twice(&calls, &address, epoch, &order, &messages);
+            let outcome = match ordered.await {
                 Ok(outcome) => outcome,
                 Err(error) => unanswered(&worker, task, attempt, &error),
             };
@@ -225,6 +231,7 @@
     calls: &workers::Workers,
     address: &workers::WorkerAddress,
     request: workers::ReportRequest,
+    messages: &term::Messages,
 ) -> Result<workers::ReportOutcome, CallError> {
     let first = calls.report(address, request);
     tokio::pin!(first);
@@ -232,6 +239,7 @@
     if let Ok(report) = tokio::time::timeout(usual, &mut first).await {
         return report;
     }
+    let _ = messages.send(Message::Overdue(address.id.clone())).await;
     let at_once = workers::ReportRequest {
         wait: time::Duration::ZERO,
         ..request
@@ -244,7 +252,10 @@
             Err(_) => second.await,
         },
         report = &mut second => match report {
-            Ok(report) => Ok(report),
+            Ok(report) => {
+                let _ = messages.send(Message::AnswerLost).await;
+                Ok(report)
+            }
             Err(_) => first.await,
         },
     }
@@ -256,12 +267,14 @@
     address: &workers::WorkerAddress,
     epoch: fleet::Epoch,
     order: &fleet::StartOrder,
+    messages: &term::Messages,
 ) -> Result<fleet::StartOutcome, CallError> {
     let first = calls.start(address, epoch, order);
     tokio::pin!(first);
     if let Ok(outcome) = tokio::time::timeout(USUAL_START, &mut first).await {
         return outcome;
     }
+    let _ = messages.send(Message::Overdue(address.id.clone())).await;
     let second = calls.start(address, epoch, order);
     tokio::pin!(second);
     let (one, other) = tokio::select! {
@@ -270,7 +283,10 @@
             false => (outcome, second.await),
         },
         outcome = &mut second => match is_started(&outcome) {
-            true => return outcome,
+            true => {
+                let _ = messages.send(Message::AnswerLost).await;
+                return outcome;
+            }
             false => (outcome, first.await),
         },
     };
