Evacuate workers that leave, and let the next leader not wait for them

Ruled out: taking a refused connection as proof of a worker's end, since cuts can refuse too. Change: pure module fleet::leaving: what still runs 1.9 s before a worker may leave is stopped, which brings its checkpoint and proves its end; a leaving worker with nothing left is taken off the record of workers that may run something.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -125,6 +125,15 @@
         /// Why.
         cause: &'static str,
     },
+    /// What runs on a worker that is about to leave is stopped there.
+    WorkerEvacuated {
+        /// Which.
+        worker: fleet::WorkerId,
+        /// Runs there.
+        runs: usize,
+        /// Until it leaves, at least.
+        leaves_in: time::Duration,
+    },
     /// What ran on a worker has surely ended, unseen.
     WorkerLost {
         /// Which.
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod hold;
 mod job;
 mod lease;
+mod leaving;
 mod losses;
 mod places;
 mod plan;
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -47,8 +47,12 @@
             return;
         }
         self.recording = true;
-        let ids = self.workers.keys().chain(self.unheard.keys());
+        self.record_outdated = false;
+        let used = self.workers.iter().filter(|(_, worker)| !worker.is_retired());
+        let ids = used.map(|(id, _)| id).chain(self.unheard.keys());
         let ids: IndexSet<fleet::WorkerId> = ids.cloned().collect();
+        // Whoever is about to be left out gets nothing more.
+        self.recorded.retain(|id| ids.contains(id));
         let bytes = Some(durable::encode(&ids.iter().collect::<Vec<_>>()));
         records.records.push(durable::Record {
             key: durable::RecordKey::Workers,
@@ -58,13 +62,19 @@
     }
 
     fn workers_record_differs(&self) -> bool {
-        let gone =
-            |id: &fleet::WorkerId| !self.workers.contains_key(id) && !self.unheard.contains_key(id);
-        self.has_unrecorded_workers() || self.recorded.iter().any(gone)
+        let used = |id: &fleet::WorkerId| {
+            let worker = self.workers.get(id);
+            worker.is_some_and(|worker| !worker.is_retired()) || self.unheard.contains_key(id)
+        };
+        let gone = self.recorded.iter().any(|id| !used(id));
+        gone || self.record_outdated || self.has_unrecorded_workers()
     }
 
     fn has_unrecorded_workers(&self) -> bool {
-        self.workers.keys().any(|id| !self.recorded.contains(id))
+        let unrecorded = |(id, worker): (&fleet::WorkerId, &worker::Worker)| {
+            !worker.is_retired() && !self.recorded.contains(id)
+        };
+        self.workers.iter().any(unrecorded)
     }
 
     /// Whether records wait that somebody waits for: callers, or workers that
@@ -114,6 +124,7 @@
     pub fn records_not_written(&mut self, records: &durable::Records) {
         if records.recorded.is_some() {
             self.recording = false;
+            self.record_outdated = true;
         }
         self.unsaved.not_written(&records.jobs);
         for id in &records.created {
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -87,6 +87,8 @@
     pub(crate) recorded: IndexSet<fleet::WorkerId>,
     /// A record of workers is on its way to the store.
     pub(crate) recording: bool,
+    /// What the store holds of them may name more than `recorded` does.
+    pub(crate) record_outdated: bool,
     /// Changes that are not known to be in the store.
     pub(crate) unsaved: unsaved::Unsaved,
     pub(crate) actions: Vec<Action>,
@@ -105,6 +107,7 @@
             recovering: false,
             recorded: IndexSet::new(),
             recording: false,
+            record_outdated: false,
             unsaved: unsaved::Unsaved::default(),
             actions: Vec::new(),
         }
@@ -132,6 +135,7 @@
     pub fn worker_listed(&mut self, entry: fleet::WorkerEntry) {
         match self.workers.get_mut(&entry.id) {
             Some(worker) => {
+                worker.leaves_at = worker.leaves_at.filter(|_| entry.draining);
                 worker.entry = entry;
                 worker.unlisted_at = None;
             }
@@ -172,10 +176,6 @@
         self.drop_if_over(id, now);
     }
 
-    /// Another life of the worker has taken its place, so nothing runs there.
-    pub fn worker_replaced(&mut self, id: &fleet::WorkerId, now: time::Instant) {
-        self.unheard.swap_remove(id);
-        self.give_up_runs(id, now);
     /// A call of a worker is overdue. It gets nothing new until it is heard.
     ///
     /// A worker that lost its power is known to be silent 1.7 s after its last
@@ -187,6 +187,10 @@
         }
     }
 
+    /// Another life of the worker has taken its place, so nothing runs there.
+    pub fn worker_replaced(&mut self, id: &fleet::WorkerId, now: time::Instant) {
+        self.unheard.swap_remove(id);
+        self.give_up_runs(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.replaced = true;
         }
@@ -196,6 +200,7 @@
     pub fn tick(&mut self, now: time::Instant, wall_ms: u64) {
         self.end_silent_leases(now);
         self.repeat_stops(now);
+        self.evacuate(now);
         self.add_due_rounds(wall_ms);
         self.drop_old_outcomes(wall_ms);
         self.check_recovery(now);
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -36,16 +36,18 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) entry: fleet::WorkerEntry,
+    /// A draining worker goes on at least until then.
+    pub(crate) leaves_at: Option<time::Instant>,
     /// Since when the platform lists it no more.
     pub(crate) unlisted_at: Option<time::Instant>,
     /// Another life of it has come; this one never returns.
     pub(crate) replaced: bool,
     /// It has reported in this term.
     pub(crate) reported: bool,
-    pub(crate) lease: lease::Lease,
-    pub(crate) health: health::Health,
     /// A call is overdue, and nothing was heard since.
     pub(crate) doubted: bool,
+    pub(crate) lease: lease::Lease,
+    pub(crate) health: health::Health,
     pub(crate) runs: IndexMap<RunKey, Run>,
     /// Highest number of an end that was taken in.
     pub(crate) taken_in: u64,
@@ -67,13 +69,14 @@
     pub(crate) fn new(entry: fleet::WorkerEntry) -> Self {
         Self {
             entry,
+            leaves_at: None,
             unlisted_at: None,
             replaced: false,
             reported: false,
+            doubted: false,
             lease: lease::Lease::default(),
             health: health::Health::default(),
             runs: IndexMap::new(),
-            doubted: false,
             taken_in: 0,
             acknowledged: 0,
             used: fleet::Room::default(),
@@ -111,6 +114,15 @@
         heard && open && self.health.admits(self.runs.len(), now)
     }
 
+    /// Whether nothing runs here and nothing ever will, in this life of it.
+    ///
+    /// An order without an answer is among the runs until a report later than
+    /// its expiry lacks it.
+    pub(crate) fn is_retired(&self) -> bool {
+        let told = self.reported && self.taken_in == self.acknowledged;
+        self.entry.draining && told && self.runs.is_empty()
+    }
+
     /// Runs of one step of one occurrence here.
     pub(crate) fn runs_of_step(&self, task: &fleet::TaskId) -> usize {
         let same = |key: &&RunKey| {
--- a/crates/figscale-core/tests/fleet/kit.rs
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -159,6 +159,7 @@
             service: "pool".to_owned(),
             address: "127.0.0.1:1".parse().unwrap(),
             draining: false,
+            leaves_in: None,
             room: fleet::Room {
                 cpu_millis: cores * 1_000,
                 memory_mb: 131_072,
--- a/crates/figscale-types/src/fleet/worker.rs
+++ b/crates/figscale-types/src/fleet/worker.rs
@@ -1,6 +1,7 @@
 //! Workers: what the platform lists of them, orders to them and their reports.
 
 use std::net;
+use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -19,6 +20,8 @@
     pub address: net::SocketAddr,
     /// It will leave and takes no new work.
     pub draining: bool,
+    /// A draining worker goes on at least for so long after it wrote this.
+    pub leaves_in: Option<time::Duration>,
     /// All that it has.
     pub room: job::Room,
     /// Kind, rack and whatever else steps may ask for.
--- a/crates/figscale/src/fleet/outcome.rs
+++ b/crates/figscale/src/fleet/outcome.rs
@@ -126,6 +126,18 @@
         Note::WorkerSetAside { worker, cause } => {
             crate::event!(events::WORKER_SET_ASIDE, worker = worker, cause = cause);
         }
+        Note::WorkerEvacuated {
+            worker,
+            runs,
+            leaves_in,
+        } => {
+            crate::event!(
+                events::WORKER_EVACUATED,
+                worker = worker,
+                runs = runs,
+                leaves_in_ms = leaves_in.as_millis()
+            );
+        }
         Note::WorkerLost { worker, runs } => {
             crate::event!(events::WORKER_LOST, worker = worker, runs = runs);
         }
--- a/crates/figscale/src/fleet/term/messages.rs
+++ b/crates/figscale/src/fleet/term/messages.rs
@@ -53,11 +53,11 @@
             }
         }
         for entry in entries {
-            self.on_listed(entry);
+            self.on_listed(entry, now);
         }
     }
 
-    fn on_listed(&mut self, entry: fleet::WorkerEntry) {
+    fn on_listed(&mut self, entry: fleet::WorkerEntry, now: time::Instant) {
         if self.scheduler.is_listed_as(&entry) {
             return;
         }
@@ -65,10 +65,15 @@
             events::fleet::WORKER_LISTED,
             worker = entry.id,
             address = entry.address,
-            draining = entry.draining
+            draining = entry.draining,
+            leaves_in_ms = entry.leaves_in.map_or(0, |left| left.as_millis())
         );
         self.workers.add(&entry);
+        let (id, leaves_in) = (entry.id.clone(), entry.leaves_in);
         self.scheduler.worker_listed(entry);
+        if let Some(leaves_in) = leaves_in {
+            self.scheduler.worker_leaves(&id, now + leaves_in);
+        }
     }
 
     fn on_report(
