The strongest instances lead

Ruled out: decisions (28 of 34 instances have 0.12 of a core, six have 0.5; terms of the large ones were steady). Change: pure module fleet::standing: weaker instances stand 0.15 s later; a weak leader hands over in order to an instance with twice its processor that can lead. Settings cpu_share and cores, from the platform's limits.

--- /dev/null
+++ b/crates/figscale-core/src/fleet/standing.rs
@@ -0,0 +1,36 @@
+//! Which instances should lead: those with most processor to spare.
+//!
+//! The leader's processor bounds what a fleet is served. With 350 workers and 34
+//! instances, of which 28 have an eighth of a core, one of these fell behind as
+//! soon as it led, was taken for lost by its peers and replaced by the next of
+//! them: ten terms in 20 s, and two calls in three unanswered.
+//!
+//! So weaker instances stand a moment later, and a weak leader hands over once a
+//! clearly stronger instance greets it. Any instance still leads when no other
+//! does.
+
+use std::time;
+
+/// So much later a weaker instance stands. Stronger ones have stood by then, and
+/// their election takes some 20 ms.
+const WEAKER_WAIT: time::Duration = time::Duration::from_millis(150);
+/// Part of the strongest's processor that counts as equal, in percent.
+const EQUAL_PERCENT: u64 = 80;
+/// A leader hands over to an instance with so many times its own processor;
+/// a takeover costs 0.1 to 1 s without placement, so it must be worth it.
+const CLEARLY_STRONGER: u64 = 2;
+
+/// How much later than the strongest an instance stands; both in thousandths of
+/// a core.
+pub fn standing_delay(own_millis: u64, strongest_millis: u64) -> time::Duration {
+    match own_millis * 100 >= strongest_millis * EQUAL_PERCENT {
+        true => time::Duration::ZERO,
+        false => WEAKER_WAIT,
+    }
+}
+
+/// Whether a leader should hand over to another instance; both in thousandths of
+/// a core.
+pub fn is_clearly_stronger(other_millis: u64, own_millis: u64) -> bool {
+    other_millis >= own_millis.max(1) * CLEARLY_STRONGER
+}
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -15,4 +15,5 @@
 mod records;
 mod recovery;
 mod silence;
+mod standing;
 mod trouble;
--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -104,6 +104,11 @@
         others
     }
 
+    /// Whether the store answers calls from here, as far as known.
+    pub(super) fn answers_directly(&self) -> bool {
+        self.direct.answers()
+    }
+
     /// Whether the store answers a read from here.
     pub(super) async fn probe(&self) -> bool {
         self.direct.probe().await
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -40,6 +40,9 @@
         leader: ids::MemberKey,
         member: ids::MemberId,
         address: net::SocketAddr,
+        /// Processor that it could lead with, in thousandths of a core; 0 if
+        /// it cannot lead now.
+        cpu_millis: u64,
     },
 }
 
@@ -83,5 +86,10 @@
     /// Number of waiting jobs.
     Pending(u64),
     /// The other instances that the leader has heard from.
-    Welcome { peers: Vec<net::SocketAddr> },
+    Welcome {
+        peers: Vec<net::SocketAddr>,
+        /// Most processor that one of them could lead with, in thousandths of
+        /// a core.
+        strongest_millis: u64,
+    },
 }
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -14,6 +14,7 @@
 use std::net;
 use std::time;
 
+use figscale_core::fleet as scheduling;
 use figscale_platform::CallError;
 use figscale_platform::store;
 use figscale_types::fleet;
@@ -46,7 +47,7 @@
 const ANSWERING_GRACE: time::Duration = time::Duration::from_millis(800);
 /// How long a candidate tries to learn what became of its transaction.
 const MAX_STANDING: time::Duration = time::Duration::from_secs(3);
-/// After giving leadership up for want of reach, an instance lets others lead.
+/// After giving leadership up, an instance lets others lead for so long.
 pub(super) const STAND_OFF: time::Duration = time::Duration::from_secs(4);
 
 /// The leader, as its key names it.
@@ -81,6 +82,11 @@
     pub(super) last_heads: Option<ledger::Heads>,
     /// Since when the leader's key is gone.
     pub(crate) vacant_since: Option<time::Instant>,
+    /// Most processor that an instance could lead with, as the last leader
+    /// told, in thousandths of a core.
+    pub(crate) strongest_millis: u64,
+    /// This instance does not stand before that time.
+    pub(crate) stands_off_until: Option<time::Instant>,
 }
 
 /// A term that was won.
@@ -151,18 +157,19 @@
 }
 
 async fn stand_and_lead(context: Context) {
-    let mut stand_off_until = context.clock.now();
     loop {
         let key_revision = wait_for_vacancy(&context).await;
-        let now = context.clock.now();
-        if *context.leaving.borrow() || now < stand_off_until {
+        if !may_stand(&context) {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
         match stand(&context, key_revision).await {
             Ok(Some(won)) => {
-                if term::lead(&context, won).await == term::Ended::OutOfReach {
-                    stand_off_until = context.clock.now() + STAND_OFF;
+                let ended = term::lead(&context, won).await;
+                if matches!(ended, term::Ended::OutOfReach | term::Ended::Yielded) {
+                    let until = context.clock.now() + STAND_OFF;
+                    let stand_off = |known: &mut Leadership| known.stands_off_until = Some(until);
+                    context.leadership.send_modify(stand_off);
                 }
             }
             Ok(None) => (),
@@ -174,6 +181,13 @@
     }
 }
 
+/// Whether this instance would lead if nobody else did.
+pub(super) fn may_stand(context: &Context) -> bool {
+    let stands_off_until = context.leadership.borrow().stands_off_until;
+    let stands_off = stands_off_until.is_some_and(|until| context.clock.now() < until);
+    !stands_off && !*context.leaving.borrow()
+}
+
 /// Waits until nobody leads, as far as can be known from here; the revision of
 /// the leader's key that this was concluded from, 0 for no key.
 async fn wait_for_vacancy(context: &Context) -> u64 {
@@ -196,6 +210,7 @@
 
 /// A little time, so that candidates do not all stand at once.
 ///
+/// Weaker instances come after stronger ones.
 /// Instances that have just started go first: when all are restarted in turn,
 /// the others are still to be, and leadership would move with each.
 fn spread(context: &Context) -> time::Duration {
@@ -204,10 +219,12 @@
         .now()
         .saturating_duration_since(context.started);
     let part = rand::rng().random_range(0.0..1.0);
-    match uptime < FRESH {
+    let among_equals = match uptime < FRESH {
         true => SPREAD.mul_f64(part / 4.0),
         false => SPREAD.mul_f64(part * 0.75 + 0.25),
-    }
+    };
+    let strongest_millis = context.leadership.borrow().strongest_millis;
+    among_equals + scheduling::standing_delay(context.fleet.cpu_millis(), strongest_millis)
 }
 
 enum Vacancy {
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -224,6 +224,10 @@
         leader: leader.member.clone(),
         member: context.me.id.clone(),
         address: context.settings.peer_address,
+        cpu_millis: match election::may_stand(context) && context.store.answers_directly() {
+            true => context.fleet.cpu_millis(),
+            false => 0,
+        },
     };
     // A link can have broken long ago, so a quick failure is tried once more.
     let begun = context.clock.now();
@@ -234,7 +238,16 @@
             .call(leader.address, service, &call, HELLO_TIMEOUT)
             .await;
         match answer {
-            Ok(calls::LeaderAnswer::Welcome { peers }) => return Outcome::Welcome(peers),
+            Ok(calls::LeaderAnswer::Welcome {
+                peers,
+                strongest_millis,
+            }) => {
+                context.leadership.send_if_modified(|known| {
+                    known.strongest_millis = strongest_millis;
+                    false
+                });
+                return Outcome::Welcome(peers);
+            }
             Ok(calls::LeaderAnswer::OtherLife) => return Outcome::Ended,
             Ok(_) => return Outcome::NotLeading,
             Err(error) => {
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -58,11 +58,16 @@
                 reply.send(LeaderAnswer::Pending(self.scheduler.pending(&queue)));
             }
             LeaderCall::Hello {
-                member, address, ..
+                member,
+                address,
+                cpu_millis,
+                ..
             } => {
-                self.on_hello(member, address);
-                let peers = self.members.values().map(|member| member.address).collect();
-                reply.send(LeaderAnswer::Welcome { peers });
+                self.on_hello(member, address, cpu_millis);
+                reply.send(LeaderAnswer::Welcome {
+                    peers: self.members.values().map(|member| member.address).collect(),
+                    strongest_millis: self.strongest_millis(),
+                });
             }
         }
     }
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -6,31 +6,74 @@
 use std::net;
 use std::time;
 
+use figscale_core::fleet;
 use figscale_types::ids;
 
 use super::Ended;
 use super::Term;
+use crate::events;
 
 /// An instance that has not greeted for so long is gone.
 const MEMBER_SILENCE: time::Duration = time::Duration::from_millis(1_600);
 /// A leader without most of its peers for so long gives up.
 const OUT_OF_REACH: time::Duration = time::Duration::from_millis(900);
 
+/// A term that has lasted so long may be handed over to a stronger instance;
+/// where the stronger one cannot win, leadership moves no more often than this.
+const SETTLED_AFTER: time::Duration = time::Duration::from_secs(3);
+
 /// An entry instance that greets.
 pub(super) struct Member {
     pub(super) address: net::SocketAddr,
     pub(super) heard: time::Instant,
+    /// Processor that it could lead with, in thousandths of a core.
+    pub(super) cpu_millis: u64,
 }
 
 impl Term {
-    pub(super) fn on_hello(&mut self, member: ids::MemberId, address: net::SocketAddr) {
+    pub(super) fn on_hello(
+        &mut self,
+        id: ids::MemberId,
+        address: net::SocketAddr,
+        cpu_millis: u64,
+    ) {
         let heard = self.now();
-        self.scheduler.member_joined(&member);
-        self.members.insert(member, Member { address, heard });
+        self.scheduler.member_joined(&id);
+        self.yield_to_stronger(&id, cpu_millis);
+        let member = Member {
+            address,
+            heard,
+            cpu_millis,
+        };
+        self.members.insert(id, member);
         let known = self.members.values().map(|member| member.address);
         self.context.store.set_roster(known.collect());
     }
 
+    /// Most processor that a member, or this instance, leads with.
+    pub(super) fn strongest_millis(&self) -> u64 {
+        let members = self.members.values().map(|member| member.cpu_millis);
+        let own = self.context.fleet.cpu_millis();
+        members.max().unwrap_or(0).max(own)
+    }
+
+    /// Hands over in order if a member would lead clearly better.
+    fn yield_to_stronger(&mut self, id: &ids::MemberId, cpu_millis: u64) {
+        let own_millis = self.context.fleet.cpu_millis();
+        let settled = self.now() >= self.begun + SETTLED_AFTER;
+        if self.closing || !settled || !fleet::is_clearly_stronger(cpu_millis, own_millis) {
+            return;
+        }
+        crate::event!(
+            events::fleet::LEADER_YIELDS,
+            epoch = self.leader.epoch,
+            own_millis = own_millis,
+            stronger = id,
+            stronger_millis = cpu_millis
+        );
+        self.close(Ended::Yielded);
+    }
+
     /// An instance is gone until it greets again; nothing is asked through it.
     pub(super) fn drop_member(&mut self, id: &ids::MemberId) {
         self.members.swap_remove(id);
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -61,6 +61,8 @@
     OutOfReach,
     /// A planned stop.
     Leaving,
+    /// A clearly stronger instance can lead.
+    Yielded,
     /// The records could not be read.
     Failed,
 }
@@ -140,8 +142,11 @@
     counted: time::Instant,
     /// Where results of calls come back.
     messages: mpsc::Sender<Message>,
-    /// Handing over.
+    /// When the term began.
+    begun: time::Instant,
+    /// Handing over, and how the term ends when that is done.
     closing: bool,
+    closes_as: Ended,
     ended: Option<Ended>,
 }
 
@@ -279,7 +284,9 @@
             planned: now,
             counted: now,
             messages,
+            begun: now,
             closing: false,
+            closes_as: Ended::Leaving,
             ended: None,
         }
     }
@@ -326,7 +333,7 @@
         }
         self.workers.call_due(&mut self.scheduler, now);
         match self.closing {
-            true if self.writing.is_empty() => self.ended = Some(Ended::Leaving),
+            true if self.writing.is_empty() => self.ended = Some(self.closes_as),
             true => (),
             false => self.write_if_due(now),
         }
@@ -360,7 +367,7 @@
             self.count(now);
         }
         if *self.context.leaving.borrow() && !self.closing {
-            self.close();
+            self.close(Ended::Leaving);
         }
     }
 
@@ -368,8 +375,9 @@
     /// with the writes that are on their way. Under load there is always one, so
     /// without this the term would go on until the process ends, and the others
     /// would find out only then.
-    fn close(&mut self) {
+    fn close(&mut self, how: Ended) {
         self.closing = true;
+        self.closes_as = how;
         self.context
             .leadership
             .send_modify(|known| known.leading = false);
--- a/crates/figscale/src/settings/fleet.rs
+++ b/crates/figscale/src/settings/fleet.rs
@@ -25,6 +25,12 @@
     /// Life of the leader's lease after each renewal. Default 1,500, 1,000 to 60,000.
     #[serde(default = "default_leader_lease_ms")]
     pub leader_lease_ms: u64,
+    /// Part of a core that this instance may use. Default 1.0, 0.01 to 1.0.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
+    /// Cores that it may use in that part. Default 1, 1 to 1,024.
+    #[serde(default = "default_cores")]
+    pub cores: u64,
 }
 
 fn default_max_worker_lease_ms() -> u64 {
@@ -39,11 +45,26 @@
     1_500
 }
 
+fn default_cpu_share() -> f64 {
+    1.0
+}
+
+fn default_cores() -> u64 {
+    1
+}
+
 impl FleetSettings {
+    /// Processor that this instance has, in thousandths of a core.
+    pub fn cpu_millis(&self) -> u64 {
+        (self.cpu_share * 1_000.0) as u64 * self.cores
+    }
+
     pub(super) fn check(&self, problems: &mut Problems) {
         let leases = self.max_worker_lease_ms;
         problems.bound("fleet.max_worker_lease_ms", leases, 1_000, 600_000);
         problems.bound("fleet.stop_limit_ms", self.stop_limit_ms, 1, 60_000);
         problems.bound("fleet.leader_lease_ms", self.leader_lease_ms, 1_000, 60_000);
+        problems.bound("fleet.cpu_share", self.cpu_share, 0.01, 1.0);
+        problems.bound("fleet.cores", self.cores, 1, 1_024);
     }
 }
