The leader's looks and passes cost a hundredth

By the new example fleet_cost, with 350 workers: each look at what is to be written, after every batch of messages, 48.8 us; a pass over 40 waiting steps without room 2,127 us each 4 ms. Both looked hundreds of ids up with a keyed hash. Change: whether the record of workers differs is kept and not looked up; workers carry whether they are recorded; steps under advice look at workers with tickets only; a step that no free room holds is passed over; tables by worker hash quickly; ids of workers are shared. Measured by the example, 350 workers: look 48.8 -> 0.6 us, pass without room 2,127 -> 14 us.

--- /dev/null
+++ b/crates/figscale-core/examples/fleet_cost.rs
@@ -0,0 +1,153 @@
+//! What the scheduler of a fleet costs its leader, by the number of workers.
+//!
+//! Each worker runs four tasks and reports; quick jobs of two steps of ten tasks
+//! come under advice. Printed are microseconds for one look at what is to be
+//! written, which the leader takes after each batch of messages, and for one
+//! pass of placement over 40 waiting jobs, and over the same without room.
+//!
+//! Run with `cargo run --release -p figscale-core --example fleet_cost`.
+
+use std::error;
+use std::hint;
+use std::time;
+
+use figscale_core::fleet::Action;
+use figscale_core::fleet::Config;
+use figscale_core::fleet::Scheduler;
+use figscale_types::fleet;
+
+const ROUNDS: u32 = 200;
+const WAITING_JOBS: u64 = 40;
+const TASKS: u32 = 10;
+const CLOCK_MS: u64 = 100_000;
+
+type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
+
+fn main() -> Result<()> {
+    println!("workers  look_us  pass_with_room_us  pass_without_us");
+    for workers in [50, 350, 1_000] {
+        let look = micros(&mut cell(workers, 16_000)?, |cell| {
+            hint::black_box(cell.0.has_urgent_records());
+            hint::black_box(cell.0.has_records());
+        });
+        let mut spent = time::Duration::ZERO;
+        for _ in 0..ROUNDS / 20 {
+            let (mut scheduler, now) = cell(workers, 16_000)?;
+            let begun = time::Instant::now();
+            scheduler.plan(now);
+            spent += begun.elapsed();
+            hint::black_box(scheduler.take_actions());
+        }
+        let with_room = spent.as_secs_f64() * 1e6 / f64::from(ROUNDS / 20);
+        let without = micros(&mut cell(workers, 0)?, |cell| cell.0.plan(cell.1));
+        println!("{workers:7}  {look:7.1}  {with_room:17.1}  {without:15.1}");
+    }
+    Ok(())
+}
+
+type Cell = (Scheduler, time::Instant);
+
+fn micros(cell: &mut Cell, mut call: impl FnMut(&mut Cell)) -> f64 {
+    let begun = time::Instant::now();
+    for _ in 0..ROUNDS {
+        call(cell);
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+/// A scheduler with workers of so much processor, and jobs that have tickets.
+fn cell(workers: usize, cpu_millis: u64) -> Result<Cell> {
+    let now = time::Instant::now();
+    let mut scheduler = Scheduler::new(Config::default());
+    for number in 0..40 {
+        scheduler.member_joined(&format!("entry-{number}").parse()?);
+    }
+    for number in 0..workers {
+        let id: fleet::WorkerId = format!("i-{number:010x}").parse()?;
+        scheduler.worker_listed(fleet::WorkerEntry {
+            id: id.clone(),
+            service: "pool".to_owned(),
+            address: "127.0.0.1:1".parse()?,
+            draining: false,
+            leaves_in: None,
+            room: fleet::Room {
+                cpu_millis,
+                memory_mb: 32_768,
+                accelerators: 0,
+            },
+            labels: vec!["a".to_owned()],
+            rack: format!("r1-{}", number / 8),
+        });
+        let report = fleet::WorkerReport {
+            clock_ms: CLOCK_MS,
+            ..Default::default()
+        };
+        scheduler.worker_reported(&id, &report, now);
+    }
+    for job in 0..WAITING_JOBS {
+        submit(&mut scheduler, job, now);
+    }
+    while scheduler.has_records() {
+        let records = scheduler.take_records(29);
+        scheduler.records_written(&records);
+    }
+    for _ in 0..WAITING_JOBS {
+        scheduler.plan(now);
+        answer_questions(&mut scheduler, now);
+    }
+    Ok((scheduler, now))
+}
+
+fn submit(scheduler: &mut Scheduler, job: u64, now: time::Instant) {
+    let step = fleet::StepDescription {
+        count: TASKS,
+        room: fleet::Room {
+            cpu_millis: 2_200,
+            memory_mb: 1_024,
+            accelerators: 0,
+        },
+        estimate_ms: 640,
+        ..Default::default()
+    };
+    let second = fleet::StepDescription {
+        after: vec![0],
+        ..step.clone()
+    };
+    let description = fleet::JobDescription {
+        steps: vec![step, second],
+        ..Default::default()
+    };
+    let queue = fleet::Queue {
+        name: "quick".to_owned(),
+        host: "host".to_owned(),
+        prefix: "/q/".to_owned(),
+        service: "pool".to_owned(),
+        priority: 0,
+        max_attempts: 4,
+        stretch: 1.5,
+        target_latency_ms: 250,
+        advice: Some(fleet::AdvicePolicy {
+            base_ms: 17.0,
+            per_worker_ms: 0.24,
+            valid_ms: 2_500,
+        }),
+    };
+    scheduler.submit(fleet::JobId(job), &queue, description, now, 0);
+}
+
+/// Answers that two workers in three may run a step.
+fn answer_questions(scheduler: &mut Scheduler, now: time::Instant) {
+    for action in scheduler.take_actions() {
+        let Action::Ask(question) = action else {
+            continue;
+        };
+        let good = question.workers.iter().enumerate();
+        let good = good.filter(|(number, _)| number % 3 != 0);
+        let tickets = good.map(|(_, worker)| fleet::Ticket {
+            worker: worker.clone(),
+            token: "ticket".to_owned(),
+        });
+        let tickets = tickets.collect();
+        scheduler.advice_answered(&question, Some(tickets), now);
+    }
+}
--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -9,10 +9,11 @@
 use std::fmt;
 
 use figscale_types::fleet;
-use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::maps;
+
 /// First byte of each record, for records of other layouts to come.
 const LAYOUT: u8 = 1;
 
@@ -45,7 +46,7 @@
     pub(crate) created: Vec<fleet::JobId>,
     /// Workers that may be used once the records are written; `None` where
     /// that does not change.
-    pub(crate) recorded: Option<IndexSet<fleet::WorkerId>>,
+    pub(crate) recorded: Option<maps::WorkerSet>,
     /// Jobs of the records.
     pub(crate) jobs: Vec<fleet::JobId>,
 }
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -4,7 +4,8 @@
 use std::time;
 
 use figscale_types::fleet;
-use indexmap::IndexMap;
+
+use super::maps;
 
 /// Where a task stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -64,9 +65,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
     /// Whether a worker may run the step; that never changes.
-    pub(crate) verdicts: IndexMap<fleet::WorkerId, bool>,
+    pub(crate) verdicts: maps::WorkerMap<bool>,
     /// Tickets held.
-    pub(crate) tickets: IndexMap<fleet::WorkerId, HeldTicket>,
+    pub(crate) tickets: maps::WorkerMap<HeldTicket>,
     /// A question is on its way.
     pub(crate) asking: bool,
     /// No question before this time, after one that was not answered.
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod lease;
 mod leaving;
 mod losses;
+mod maps;
 mod places;
 mod plan;
 mod records;
--- a/crates/figscale-core/src/fleet/places.rs
+++ b/crates/figscale-core/src/fleet/places.rs
@@ -41,7 +41,7 @@
         description: &fleet::StepDescription,
         rank: plan::Rank,
         pass: &plan::Pass,
-    ) -> Vec<Place> {
+    ) -> Vec<Place<'_>> {
         let Some(job) = self.jobs.get(&task.job) else {
             return Vec::new();
         };
@@ -50,15 +50,7 @@
         let is_short = rank.class == 0 && description.estimate_ms <= SHORT_WORK_MS;
         let need = job::occupied(description);
         let mut places = Vec::new();
-        for id in &pass.usable {
-            let Some(worker) = self.workers.get(id) else {
-                continue;
-            };
-            let ticket = step.advice.tickets.get(id);
-            let ticketed = ticket.is_some_and(|ticket| ticket.valid_until > pass.now);
-            if job.queue.advice.is_some() && !ticketed {
-                continue;
-            }
+        for (id, worker) in self.allowed_workers(job, step, pass) {
             if !suits(worker, &job.queue, description) || !worker.free().holds(&need) {
                 continue;
             }
@@ -73,16 +65,38 @@
                 continue;
             }
             places.push(Place {
-                id: id.clone(),
+                id,
                 free: worker.free(),
                 most: most - here,
-                rack: worker.entry.rack.clone(),
+                rack: &worker.entry.rack,
                 proven: worker.health.is_proven(),
             });
         }
         places
     }
 
+    /// Usable workers that the queue's policy allows a step to run on. Of those
+    /// with tickets there are a few dozen at most, of the others hundreds.
+    fn allowed_workers<'a>(
+        &'a self,
+        job: &job::Job,
+        step: &'a job::Step,
+        pass: &plan::Pass,
+    ) -> Vec<(&'a fleet::WorkerId, &'a worker::Worker)> {
+        if job.queue.advice.is_none() {
+            let usable = pass.usable.iter();
+            return usable
+                .filter_map(|position| self.workers.get_index(*position))
+                .collect();
+        }
+        let tickets = step.advice.tickets.iter();
+        let valid = tickets.filter(|(_, ticket)| ticket.valid_until > pass.now);
+        let known = valid.filter_map(|(id, _)| self.workers.get_key_value(id));
+        known
+            .filter(|(_, worker)| self.is_usable(worker, pass.now))
+            .collect()
+    }
+
     pub(crate) fn best_worker(
         &self,
         id: &fleet::TaskId,
@@ -94,7 +108,7 @@
         let places = self.open_workers(id, description, rank, pass);
         let need = job::occupied(description);
         let fit = |place: &Place| Fit {
-            failed_here: task.failed_on.as_ref() == Some(&place.id),
+            failed_here: task.failed_on.as_ref() == Some(place.id),
             unproven: !task.failed_attempts.is_empty() && !place.proven,
             far: description
                 .data_rack
@@ -102,24 +116,27 @@
                 .is_some_and(|rack| *rack != place.rack),
             left_cpu_millis: place.free.minus(&need).cpu_millis,
         };
-        places.into_iter().min_by_key(fit).map(|place| place.id)
+        places
+            .into_iter()
+            .min_by_key(fit)
+            .map(|place| place.id.clone())
     }
 }
 
 /// A worker with room, during the placing of a gang.
 #[derive(Clone, Debug)]
-pub(crate) struct Place {
-    pub(crate) id: fleet::WorkerId,
+pub(crate) struct Place<'a> {
+    pub(crate) id: &'a fleet::WorkerId,
     free: fleet::Room,
     /// Further tasks of the step that may go there.
     most: u64,
-    pub(crate) rack: String,
+    pub(crate) rack: &'a str,
     proven: bool,
 }
 
 /// Puts `count` tasks on the given workers, the fullest first that holds one.
 pub(crate) fn fill(
-    mut places: Vec<Place>,
+    mut places: Vec<Place<'_>>,
     description: &fleet::StepDescription,
     count: u32,
 ) -> Option<Vec<fleet::WorkerId>> {
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -15,6 +15,7 @@
 use super::action::Action;
 use super::action::Note;
 use super::job;
+use super::maps;
 use super::places;
 use super::reserve;
 use super::scheduler;
@@ -47,11 +48,15 @@
 /// State of one pass.
 pub(crate) struct Pass {
     pub(crate) now: time::Instant,
-    pub(crate) usable: IndexSet<fleet::WorkerId>,
+    /// Positions of the workers that may get new work.
+    pub(crate) usable: Vec<usize>,
     /// Workers kept free for a gang that goes first, until it should start.
-    pub(crate) kept: IndexMap<fleet::WorkerId, time::Instant>,
+    pub(crate) kept: maps::WorkerMap<time::Instant>,
     /// The late gang for which workers were kept before all else.
     pub(crate) kept_for: Option<fleet::TaskId>,
+    /// Most processor that one usable worker had free when the pass began.
+    /// On a full fleet it spares 0.3 ms a pass with 350 workers and 40 steps.
+    widest_millis: u64,
     reserving: usize,
     wanting: Vec<Candidate>,
 }
@@ -79,20 +84,25 @@
         if candidates.is_empty() {
             return;
         }
-        let usable = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| self.is_usable(worker, now));
+        let usable = (0..self.workers.len()).filter(|position| {
+            let worker = self.workers.get_index(*position);
+            worker.is_some_and(|(_, worker)| self.is_usable(worker, now))
+        });
+        let usable: Vec<usize> = usable.collect();
         let mut pass = Pass {
             now,
-            usable: usable.map(|(id, _)| id.clone()).collect(),
-            kept: IndexMap::new(),
+            widest_millis: self.widest_millis(&usable),
+            usable,
+            kept: maps::WorkerMap::default(),
             kept_for: None,
             reserving: 0,
             wanting: Vec::new(),
         };
         self.keep_for_latest(&candidates, &mut pass);
         for mut candidate in candidates {
+            if !self.may_fit(&candidate, &pass) {
+                continue;
+            }
             let whole = self.place_step(&mut candidate, &mut pass);
             if !whole {
                 pass.wanting.push(candidate);
@@ -102,6 +112,22 @@
         self.ask_for(&wanting, now);
     }
 
+    fn widest_millis(&self, usable: &[usize]) -> u64 {
+        let workers = usable
+            .iter()
+            .filter_map(|position| self.workers.get_index(*position));
+        let free = workers.map(|(_, worker)| worker.free().cpu_millis);
+        free.max().unwrap_or(0)
+    }
+
+    /// Whether some worker has room for a task of a step; gangs that find none
+    /// have workers kept for them.
+    fn may_fit(&self, candidate: &Candidate, pass: &Pass) -> bool {
+        let job = self.jobs.get(&candidate.task.job);
+        let step = job.and_then(|job| job.step_description(&candidate.task));
+        step.is_some_and(|step| step.gang || job::occupied(step).cpu_millis <= pass.widest_millis)
+    }
+
     /// Keeps workers for the late gang that has waited longest, before all else.
     ///
     /// Late work comes after whatever can still be in time, and there is always
@@ -144,10 +170,12 @@
                 continue;
             };
             for (occurrence, round) in job.rounds.iter().enumerate() {
-                let rank = rank(job, round, now);
+                // Most jobs of a busy fleet wait for nothing but their tasks.
+                let mut known_rank = None;
                 for (step, progress) in round.steps.iter().enumerate() {
                     let description = &job.description.steps[step];
                     if may_start(progress, description) && round.is_ready(&job.description, step) {
+                        let rank = *known_rank.get_or_insert_with(|| rank(job, round, now));
                         let task = first_task(*id, occurrence, step);
                         all.push(Candidate {
                             task,
@@ -263,12 +291,9 @@
         if !description.same_rack {
             return places::fill(open, description, description.count);
         }
-        let mut by_rack: IndexMap<String, Vec<places::Place>> = IndexMap::new();
+        let mut by_rack: IndexMap<&str, Vec<places::Place<'_>>> = IndexMap::new();
         for place in &open {
-            by_rack
-                .entry(place.rack.clone())
-                .or_default()
-                .push(place.clone());
+            by_rack.entry(place.rack).or_default().push(place.clone());
         }
         let in_one = by_rack
             .into_values()
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -5,9 +5,9 @@
 //! records that say so are in the store.
 
 use figscale_types::fleet;
-use indexmap::IndexSet;
 
 use super::durable;
+use super::maps;
 use super::scheduler;
 use super::worker;
 
@@ -43,16 +43,22 @@
     /// the next leader knows whom to ask; and after it has gone, so that the
     /// next leader does not wait for its lease.
     fn add_workers_record(&mut self, records: &mut durable::Records) {
-        if self.recording || !self.workers_record_differs() {
+        if self.recording || !self.record_differs {
             return;
         }
         self.recording = true;
+        self.record_differs = false;
         self.record_outdated = false;
-        let used = self.workers.iter().filter(|(_, worker)| !worker.is_retired());
+        let used = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.is_retired());
         let ids = used.map(|(id, _)| id).chain(self.unheard.keys());
-        let ids: IndexSet<fleet::WorkerId> = ids.cloned().collect();
+        let ids: maps::WorkerSet = ids.cloned().collect();
         // Whoever is about to be left out gets nothing more.
-        self.recorded.retain(|id| ids.contains(id));
+        let mut recorded = self.recorded.clone();
+        recorded.retain(|id| ids.contains(id));
+        self.set_recorded(recorded);
         let bytes = Some(durable::encode(&ids.iter().collect::<Vec<_>>()));
         records.records.push(durable::Record {
             key: durable::RecordKey::Workers,
@@ -61,7 +67,15 @@
         records.recorded = Some(ids);
     }
 
-    fn workers_record_differs(&self) -> bool {
+    /// Takes note of the workers that the store names.
+    pub(crate) fn set_recorded(&mut self, recorded: maps::WorkerSet) {
+        for (id, worker) in &mut self.workers {
+            worker.recorded = recorded.contains(id);
+        }
+        self.recorded = recorded;
+    }
+
+    pub(crate) fn workers_record_differs(&self) -> bool {
         let used = |id: &fleet::WorkerId| {
             let worker = self.workers.get(id);
             worker.is_some_and(|worker| !worker.is_retired()) || self.unheard.contains_key(id)
@@ -71,10 +85,8 @@
     }
 
     fn has_unrecorded_workers(&self) -> bool {
-        let unrecorded = |(id, worker): (&fleet::WorkerId, &worker::Worker)| {
-            !worker.is_retired() && !self.recorded.contains(id)
-        };
-        self.workers.iter().any(unrecorded)
+        let unrecorded = |worker: &worker::Worker| !worker.recorded && !worker.is_retired();
+        self.workers.values().any(unrecorded)
     }
 
     /// Whether records wait that somebody waits for: callers, or workers that
@@ -90,7 +102,7 @@
         let unacknowledged = |worker: &worker::Worker| worker.taken_in > worker.acknowledged;
         self.unsaved.ready().next().is_some()
             || self.workers.values().any(unacknowledged)
-            || !self.recording && self.workers_record_differs()
+            || !self.recording && self.record_differs
     }
 
     /// Whether ends of a worker wait to be acknowledged.
@@ -108,8 +120,9 @@
             }
         }
         if let Some(recorded) = &records.recorded {
-            self.recorded.clone_from(recorded);
+            self.set_recorded(recorded.clone());
             self.recording = false;
+            self.record_differs = self.workers_record_differs();
         }
         self.unsaved.written(&records.jobs);
         for (id, number) in self.unsaved.due() {
@@ -125,6 +138,7 @@
         if records.recorded.is_some() {
             self.recording = false;
             self.record_outdated = true;
+            self.record_differs = true;
         }
         self.unsaved.not_written(&records.jobs);
         for id in &records.created {
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -134,7 +134,7 @@
     pub fn begin_recovery(&mut self, workers: Vec<fleet::WorkerId>, now: time::Instant) {
         // A lease sent at the very end, on a slow clock, and the kill after it.
         let until = now + self.config.lease * 11 / 10 + self.config.stop_limit;
-        self.recorded = workers.iter().cloned().collect();
+        self.set_recorded(workers.iter().cloned().collect());
         self.unheard = workers.into_iter().map(|worker| (worker, until)).collect();
         self.recovering = true;
         for id in &self.open {
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -12,6 +12,7 @@
 use super::advice;
 use super::health;
 use super::job;
+use super::maps;
 use super::unsaved;
 use super::worker;
 
@@ -78,17 +79,20 @@
     pub(crate) jobs: IndexMap<fleet::JobId, job::Job>,
     /// Jobs in progress, oldest first.
     pub(crate) open: IndexSet<fleet::JobId>,
-    pub(crate) workers: IndexMap<fleet::WorkerId, worker::Worker>,
+    pub(crate) workers: maps::WorkerMap<worker::Worker>,
     pub(crate) lanes: advice::Lanes,
     /// Workers that may run something of an earlier term, until when at most.
-    pub(crate) unheard: IndexMap<fleet::WorkerId, time::Instant>,
+    pub(crate) unheard: maps::WorkerMap<time::Instant>,
     pub(crate) recovering: bool,
     /// Workers that the store names as those that may run something.
-    pub(crate) recorded: IndexSet<fleet::WorkerId>,
+    pub(crate) recorded: maps::WorkerSet,
     /// A record of workers is on its way to the store.
     pub(crate) recording: bool,
     /// What the store holds of them may name more than `recorded` does.
     pub(crate) record_outdated: bool,
+    /// Whether the record of workers is to be written anew. Looking that up
+    /// takes some 50 us for 350 workers, far too long after each message.
+    pub(crate) record_differs: bool,
     /// Changes that are not known to be in the store.
     pub(crate) unsaved: unsaved::Unsaved,
     pub(crate) actions: Vec<Action>,
@@ -101,13 +105,14 @@
             config,
             jobs: IndexMap::new(),
             open: IndexSet::new(),
-            workers: IndexMap::new(),
+            workers: maps::WorkerMap::default(),
             lanes: advice::Lanes::default(),
-            unheard: IndexMap::new(),
+            unheard: maps::WorkerMap::default(),
             recovering: false,
-            recorded: IndexSet::new(),
+            recorded: maps::WorkerSet::default(),
             recording: false,
             record_outdated: false,
+            record_differs: false,
             unsaved: unsaved::Unsaved::default(),
             actions: Vec::new(),
         }
@@ -138,18 +143,21 @@
                 worker.leaves_at = worker.leaves_at.filter(|_| entry.draining);
                 worker.entry = entry;
                 worker.unlisted_at = None;
+                self.record_differs = self.workers_record_differs();
             }
             None => {
-                self.workers
-                    .insert(entry.id.clone(), worker::Worker::new(entry));
+                let recorded = self.recorded.contains(&entry.id);
+                let mut worker = worker::Worker::new(entry);
+                worker.recorded = recorded;
+                self.workers.insert(worker.entry.id.clone(), worker);
+                self.record_differs |= !recorded;
             }
         }
     }
 
     /// Whether new work may be sent to a worker.
     pub(crate) fn is_usable(&self, worker: &worker::Worker, now: time::Instant) -> bool {
-        let recorded = self.recorded.contains(&worker.entry.id);
-        recorded && worker.is_usable(self.config.max_silence, now)
+        worker.recorded && worker.is_usable(self.config.max_silence, now)
     }
 
     /// Workers that the platform lists, as far as known.
@@ -201,6 +209,7 @@
         self.end_silent_leases(now);
         self.repeat_stops(now);
         self.evacuate(now);
+        self.record_differs = self.workers_record_differs();
         self.add_due_rounds(wall_ms);
         self.drop_old_outcomes(wall_ms);
         self.check_recovery(now);
@@ -231,6 +240,7 @@
             .is_some_and(|worker| worker.unlisted_at.is_some());
         if gone && (over || never_ordered) {
             self.workers.swap_remove(id);
+            self.record_differs |= self.recorded.contains(id);
         }
     }
 
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -42,6 +42,8 @@
     pub(crate) unlisted_at: Option<time::Instant>,
     /// Another life of it has come; this one never returns.
     pub(crate) replaced: bool,
+    /// The store names it among those that may run something.
+    pub(crate) recorded: bool,
     /// It has reported in this term.
     pub(crate) reported: bool,
     /// A call is overdue, and nothing was heard since.
@@ -72,6 +74,7 @@
             leaves_at: None,
             unlisted_at: None,
             replaced: false,
+            recorded: false,
             reported: false,
             doubted: false,
             lease: lease::Lease::default(),
--- a/crates/figscale-types/src/fleet/ids.rs
+++ b/crates/figscale-types/src/fleet/ids.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str;
+use std::sync;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -89,8 +90,20 @@
 
 /// One life of a worker. A worker that restarts has another id.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct WorkerId(String);
+#[serde(from = "String", into = "String")]
+pub struct WorkerId(sync::Arc<str>);
+
+impl From<String> for WorkerId {
+    fn from(text: String) -> Self {
+        Self(text.into())
+    }
+}
+
+impl From<WorkerId> for String {
+    fn from(id: WorkerId) -> Self {
+        id.as_str().to_owned()
+    }
+}
 
 impl WorkerId {
     /// The id as text.
@@ -116,7 +129,7 @@
                 "visible characters",
             ));
         }
-        Ok(Self(text.to_owned()))
+        Ok(Self(text.into()))
     }
 }
 
