An instance that starts beside a store that is away does not depose a leader

Ruled out: the others, which had heard the leader and gave it 0.8 s. Change: pure function fleet::may_be_led: such an instance gives a leader 0.8 s as well.

--- a/crates/figscale-core/tests/fleet/standing.rs
+++ b/crates/figscale-core/tests/fleet/standing.rs
@@ -1,6 +1,10 @@
 //! Unequal instances: a few with half a core, many with an eighth.
 
+use std::time;
+
+use figscale_core::fleet::Sight;
 use figscale_core::fleet::is_clearly_stronger;
+use figscale_core::fleet::may_be_led;
 use figscale_core::fleet::standing_delay;
 use rstest::rstest;
 
@@ -25,3 +29,25 @@
 fn a_weak_leader_hands_over(#[case] other: u64, #[case] own: u64, #[case] hands_over: bool) {
     assert_eq!(is_clearly_stronger(other, own), hands_over);
 }
+
+/// The pattern: the store is away for 4 s and leases run out meanwhile, while
+/// instances are restarted in turn.
+#[rstest]
+#[case::the_leader_answers(Some(100), true, true, true)]
+#[case::the_leader_is_silent(Some(900), true, true, false)]
+#[case::started_during_an_outage(None, false, true, true)]
+#[case::all_started_anew(None, false, false, false)]
+#[case::the_leader_never_answered(None, true, true, false)]
+fn a_leader_may_be_there_without_its_key(
+    #[case] answered_ms_ago: Option<u64>,
+    #[case] knows_leader: bool,
+    #[case] store_was_away: bool,
+    #[case] expected: bool,
+) {
+    let sight = Sight {
+        answered_ago: answered_ms_ago.map(time::Duration::from_millis),
+        knows_leader,
+        store_was_away,
+    };
+    assert_eq!(may_be_led(sight), expected);
+}
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -43,8 +43,6 @@
 /// An instance is fresh for so long after its start; restarts in turn take
 /// a second or two each.
 const FRESH: time::Duration = time::Duration::from_secs(20);
-/// Time given to a leader that still answers to renew its key.
-const ANSWERING_GRACE: time::Duration = time::Duration::from_millis(800);
 /// How long a candidate tries to learn what became of its transaction.
 const MAX_STANDING: time::Duration = time::Duration::from_secs(3);
 /// After giving leadership up, an instance lets others lead for so long.
@@ -80,6 +78,8 @@
     pub(crate) heard_at: Option<time::Instant>,
     /// The heads as a leader left them that ended in order.
     pub(super) last_heads: Option<ledger::Heads>,
+    /// The store did not answer since a leader was last known.
+    pub(crate) store_was_away: bool,
     /// Since when the leader's key is gone.
     pub(crate) vacant_since: Option<time::Instant>,
     /// Most processor that an instance could lead with, as the last leader
@@ -115,6 +115,10 @@
         let followed = context.store.follow_key(keys::LEAD, WATCH_WAIT, seen).await;
         // The reason is logged where the store is called.
         if followed.is_err() {
+            context.leadership.send_if_modified(|known| {
+                known.store_was_away = true;
+                false
+            });
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
@@ -129,6 +133,7 @@
             Some(_) => known.vacant_since = None,
             None => known.vacant_since = known.vacant_since.or(Some(now)),
         }
+        known.store_was_away &= item.is_none();
         known.key_revision = item.map_or(0, |item| item.revision);
         if let Some(leader) = leader {
             adopt(known, leader);
@@ -247,13 +252,17 @@
             Vacancy::Unknown
         };
     }
-    let answers = known
-        .answered_at
-        .is_some_and(|at| now < at + ANSWERING_GRACE);
+    let answers = scheduling::may_be_led(scheduling::Sight {
+        answered_ago: known
+            .answered_at
+            .map(|at| now.saturating_duration_since(at)),
+        knows_leader: known.leader.is_some(),
+        store_was_away: known.store_was_away,
+    });
     let until = known
         .vacant_since
         .filter(|_| answers)
-        .map(|since| since + ANSWERING_GRACE);
+        .map(|since| since + scheduling::RENEWAL_GRACE);
     match until.filter(|until| now < *until) {
         Some(until) => Vacancy::In(until - now),
         None => Vacancy::Now(0),
