--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -169,6 +169,11 @@
         listed.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Whether a worker is known, listed or not.
+    pub fn knows_worker(&self, id: &fleet::WorkerId) -> bool {
+        self.workers.contains_key(id)
+    }
+
     /// Whether nothing of a worker's entry is new.
     pub fn is_listed_as(&self, entry: &fleet::WorkerEntry) -> bool {
         let known = self.workers.get(&entry.id);
--- a/crates/figscale-types/src/fleet/queue.rs
+++ b/crates/figscale-types/src/fleet/queue.rs
@@ -63,6 +63,11 @@
 }
 
 impl QueueTable {
+    /// Whether there is a pool of this name.
+    pub fn has_service(&self, name: &str) -> bool {
+        self.services.iter().any(|service| service.name == name)
+    }
+
     /// The queue of this name.
     pub fn named(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
--- a/crates/figscale/src/fleet/term/messages.rs
+++ b/crates/figscale/src/fleet/term/messages.rs
@@ -52,7 +52,15 @@
                 self.scheduler.worker_unlisted(&id, now);
             }
         }
+        let queues = self.context.queues.borrow().clone();
         for entry in entries {
+            // An entry of a pool that no configuration names may be anybody's.
+            // Before the first configuration is read all are asked, since their
+            // leases run.
+            let known = self.scheduler.knows_worker(&entry.id);
+            if !known && queues.version > 0 && !queues.has_service(&entry.service) {
+                continue;
+            }
             self.on_listed(entry, now);
         }
     }
--- a/crates/figscale/src/fleet/workers.rs
+++ b/crates/figscale/src/fleet/workers.rs
@@ -42,6 +42,9 @@
 /// nothing new 2 s after it said so.
 const LIST_PAUSE: time::Duration = time::Duration::from_millis(600);
 
+/// Unreadable entries remembered, so that each is told of once.
+const MAX_INVALID: usize = 1_000;
+
 #[derive(Clone, Copy, Debug)]
 enum Next {
     /// A call is on its way.
@@ -333,21 +336,29 @@
 /// often as all workers together write: some thirty calls a second for fifty
 /// workers, where this makes fewer than two.
 pub(super) async fn follow(context: Context, messages: term::Messages) {
+    let mut invalid = IndexMap::new();
     loop {
         if let Ok(listing) = context.store.list(workers::PREFIX).await {
-            let entries = listing.items.iter().filter_map(entry).collect();
+            let items = listing.items.iter();
+            let entries = items.filter_map(|item| entry(item, &mut invalid)).collect();
             let _ = messages.send(Message::Listing(entries)).await;
         }
         tokio::time::sleep(LIST_PAUSE).await;
     }
 }
 
-fn entry(item: &store::Item) -> Option<fleet::WorkerEntry> {
-    match workers::decode_entry(item) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            crate::event!(events::fleet::RECORD_INVALID, key = item.key, error = error);
-            None
-        }
+/// The worker that an entry stands for, if it does; each unreadable entry is told
+/// of once, by the revision that it was last told of with.
+fn entry(item: &store::Item, invalid: &mut IndexMap<String, u64>) -> Option<fleet::WorkerEntry> {
+    let error = match workers::decode_entry(item) {
+        Ok(entry) => return Some(entry),
+        Err(error) => error,
+    };
+    if invalid.len() >= MAX_INVALID {
+        invalid.clear();
+    }
+    if invalid.insert(item.key.clone(), item.revision) != Some(item.revision) {
+        crate::event!(events::fleet::RECORD_INVALID, key = item.key, error = error);
     }
+    None
 }
