fleet: the modules of placement and of leadership without circles of imports

Five modules of figscale-core::fleet and four of figscale::fleet needed each other to be understood. What a pass knows, the lanes to the advisory service, what is known of leadership and the messages to a term are modules of their own now; whether a worker suits a step is asked of the worker. Nothing is decided otherwise.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -10,14 +10,12 @@
 
 use figscale_types::fleet;
 use figscale_types::ids;
-use indexmap::IndexMap;
 
 use super::action::Action;
 use super::action::Note;
 use super::action::Question;
 use super::job;
-use super::places;
-use super::plan;
+use super::pass;
 use super::reserve;
 use super::scheduler;
 use super::worker;
@@ -25,8 +23,6 @@
 /// A longer question may not use the lanes kept for short ones. Quick jobs'
 /// questions take about 20 ms, the next longer kind's over 100 ms.
 const LONG_QUESTION: time::Duration = time::Duration::from_millis(60);
-/// One lane in so many is kept for short questions.
-const LANES_PER_SHORT_LANE: usize = 3;
 /// Workers that one question names at most.
 const MAX_ASKED: usize = 30;
 /// Workers that one question names at least, if there are so many.
@@ -37,10 +33,6 @@
 const CHEAP_PART: f64 = 1.0 / 3.0;
 /// Slots asked about for each slot needed, over the part expected good.
 const ASK_FACTOR: f64 = 1.6;
-/// Part of workers assumed good before any answer came.
-const FIRST_GOOD_PART: f64 = 0.5;
-/// Weight of the newest answer in the part learned.
-const LEARNING_WEIGHT: f64 = 0.1;
 /// Part of a ticket's life left unused, for the way to the worker.
 const TICKET_MARGIN: time::Duration = time::Duration::from_millis(200);
 /// Slots wanted on good workers for each member of a gang, so that there is a
@@ -55,58 +47,12 @@
 /// Pause after a question that was not answered.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
-/// One entry instance's way to the service.
-#[derive(Clone, Debug, Default)]
-struct Lane {
-    asked: Option<fleet::TaskId>,
-}
-
 /// A question without the lane that it will take.
 struct Draft {
     workers: Vec<fleet::WorkerId>,
     expected: time::Duration,
 }
 
-/// All ways to the service.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Lanes {
-    lanes: IndexMap<ids::MemberId, Lane>,
-    /// Part of the workers that may run a step, by queue.
-    good_parts: IndexMap<String, f64>,
-}
-
-impl Lanes {
-    fn good_part(&self, queue: &str) -> f64 {
-        self.good_parts
-            .get(queue)
-            .copied()
-            .unwrap_or(FIRST_GOOD_PART)
-    }
-
-    fn learn(&mut self, queue: &str, part: f64) {
-        let known = self.good_part(queue);
-        let learned = known + (part - known) * LEARNING_WEIGHT;
-        self.good_parts.insert(queue.to_owned(), learned.max(0.05));
-    }
-
-    /// A free lane for a question, if there is one that it may use.
-    fn free(&self, long: bool) -> Option<ids::MemberId> {
-        let kept = match self.lanes.len() {
-            0 | 1 => 0,
-            all => all.div_ceil(LANES_PER_SHORT_LANE),
-        };
-        // The first lanes are for long questions; short ones take the last
-        // first, and any when those are busy.
-        let free = |lane: &&(usize, (&ids::MemberId, &Lane))| lane.1.1.asked.is_none();
-        let lanes: Vec<_> = self.lanes.iter().enumerate().collect();
-        let found = match long {
-            true => lanes[..lanes.len() - kept].iter().find(free),
-            false => lanes.iter().rev().find(free),
-        };
-        found.map(|(_, (member, _))| (*member).clone())
-    }
-}
-
 impl scheduler::Scheduler {
     /// An entry instance can ask the advisory service.
     pub fn member_joined(&mut self, member: &ids::MemberId) {
@@ -184,7 +130,7 @@
     }
 
     /// Asks for the best of the steps that need tickets, while lanes are free.
-    pub(crate) fn ask_for(&mut self, wanting: &[plan::Candidate], now: time::Instant) {
+    pub(crate) fn ask_for(&mut self, wanting: &[pass::Candidate], now: time::Instant) {
         for candidate in wanting {
             if self.lanes.free(false).is_none() {
                 return;
@@ -213,7 +159,7 @@
     }
 
     /// The question that a step needs now, if any.
-    fn draft(&self, candidate: &plan::Candidate, now: time::Instant) -> Option<Draft> {
+    fn draft(&self, candidate: &pass::Candidate, now: time::Instant) -> Option<Draft> {
         let job = self.jobs.get(&candidate.task.job)?;
         let policy = job.queue.advice?;
         let step = job.step(&candidate.task)?;
@@ -236,7 +182,7 @@
     /// likely.
     fn workers_to_ask(
         &self,
-        candidate: &plan::Candidate,
+        candidate: &pass::Candidate,
         job: &job::Job,
         description: &fleet::StepDescription,
         now: time::Instant,
@@ -262,7 +208,7 @@
     /// are kept for it.
     fn gang_workers_to_ask(
         &self,
-        candidate: &plan::Candidate,
+        candidate: &pass::Candidate,
         job: &job::Job,
         description: &fleet::StepDescription,
         policy: &fleet::AdvicePolicy,
@@ -330,7 +276,7 @@
             let ticket = step.advice.tickets.get(*id);
             let holds = ticket.is_some_and(|ticket| ticket.valid_until > now);
             let usable = self.is_usable(worker, now);
-            !bad && !holds && usable && places::suits(worker, &job.queue, description)
+            !bad && !holds && usable && worker.suits(&job.queue, description)
         })
     }
 
--- /dev/null
+++ b/crates/figscale-core/src/fleet/lanes.rs
@@ -0,0 +1,62 @@
+//! The entry instances as ways to the advisory service.
+//!
+//! Each instance has one question on its way at a time. Some of them are kept
+//! for short questions. What part of the workers may run the steps of a queue is
+//! learned from the answers.
+
+use figscale_types::fleet;
+use figscale_types::ids;
+use indexmap::IndexMap;
+
+/// One lane in so many is kept for short questions.
+const LANES_PER_SHORT_LANE: usize = 3;
+/// Part of workers assumed good before any answer came.
+const FIRST_GOOD_PART: f64 = 0.5;
+/// Weight of the newest answer in the part learned.
+const LEARNING_WEIGHT: f64 = 0.1;
+
+/// One entry instance's way to the service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lane {
+    pub(crate) asked: Option<fleet::TaskId>,
+}
+
+/// All ways to the service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lanes {
+    pub(crate) lanes: IndexMap<ids::MemberId, Lane>,
+    /// Part of the workers that may run a step, by queue.
+    good_parts: IndexMap<String, f64>,
+}
+
+impl Lanes {
+    pub(crate) fn good_part(&self, queue: &str) -> f64 {
+        self.good_parts
+            .get(queue)
+            .copied()
+            .unwrap_or(FIRST_GOOD_PART)
+    }
+
+    pub(crate) fn learn(&mut self, queue: &str, part: f64) {
+        let known = self.good_part(queue);
+        let learned = known + (part - known) * LEARNING_WEIGHT;
+        self.good_parts.insert(queue.to_owned(), learned.max(0.05));
+    }
+
+    /// A free lane for a question, if there is one that it may use.
+    pub(crate) fn free(&self, long: bool) -> Option<ids::MemberId> {
+        let kept = match self.lanes.len() {
+            0 | 1 => 0,
+            all => all.div_ceil(LANES_PER_SHORT_LANE),
+        };
+        // The first lanes are for long questions; short ones take the last
+        // first, and any when those are busy.
+        let free = |lane: &&(usize, (&ids::MemberId, &Lane))| lane.1.1.asked.is_none();
+        let lanes: Vec<_> = self.lanes.iter().enumerate().collect();
+        let found = match long {
+            true => lanes[..lanes.len() - kept].iter().find(free),
+            false => lanes.iter().rev().find(free),
+        };
+        found.map(|(_, (member, _))| (*member).clone())
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -0,0 +1,75 @@
+//! What one pass of placement knows: steps that could start, in which order, and
+//! where there may be room.
+
+use std::time;
+
+use figscale_types::fleet;
+
+use super::job;
+use super::maps;
+use super::reserve;
+
+/// Order of steps; less goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    pub(crate) late: bool,
+    pub(crate) class: u8,
+    pub(crate) slack_ms: i64,
+}
+
+/// A step with tasks that could start.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    /// First task of the step.
+    pub(crate) task: fleet::TaskId,
+    pub(crate) rank: Rank,
+    /// Of a gang that waits for room.
+    pub(crate) reservation: Option<reserve::Reservation>,
+}
+
+/// State of one pass.
+pub(crate) struct Pass {
+    pub(crate) now: time::Instant,
+    /// Positions of the workers that may get new work.
+    pub(crate) usable: Vec<usize>,
+    /// Workers kept free for a gang that goes first, until it should start.
+    pub(crate) kept: maps::WorkerMap<time::Instant>,
+    /// The late gang for which workers were kept before all else.
+    pub(crate) kept_for: Option<fleet::TaskId>,
+    /// Most processor that one usable worker had free when the pass began.
+    /// On a full fleet it spares 0.3 ms a pass with 350 workers and 40 steps.
+    pub(crate) widest_millis: u64,
+    pub(crate) reserving: usize,
+    pub(crate) wanting: Vec<Candidate>,
+}
+
+pub(crate) fn first_task(job: fleet::JobId, occurrence: usize, step: usize) -> fleet::TaskId {
+    let number = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    fleet::TaskId {
+        job,
+        occurrence: number(occurrence),
+        step: number(step),
+        index: 0,
+    }
+}
+
+/// Whether some task of a step could start; of a gang, all of them.
+pub(crate) fn may_start(step: &job::Step, description: &fleet::StepDescription) -> bool {
+    let ready = |task: &job::Task| task.is_waiting() && !task.suspect;
+    match description.gang {
+        true => step.tasks.iter().all(ready),
+        false => step.tasks.iter().any(ready),
+    }
+}
+
+pub(crate) fn rank(job: &job::Job, round: &job::Round, now: time::Instant) -> Rank {
+    let remaining_ms = i64::try_from(round.remaining_ms(&job.description)).unwrap_or(i64::MAX);
+    let left = job.objective_at.saturating_duration_since(now);
+    let left_ms = i64::try_from(super::lease::millis(left)).unwrap_or(i64::MAX);
+    let slack_ms = left_ms - remaining_ms;
+    Rank {
+        late: slack_ms < 0,
+        class: u8::from(job.queue.priority > 0),
+        slack_ms,
+    }
+}
--- a/crates/figscale-core/src/fleet/places.rs
+++ b/crates/figscale-core/src/fleet/places.rs
@@ -5,7 +5,7 @@
 use figscale_types::fleet;
 
 use super::job;
-use super::plan;
+use super::pass;
 use super::scheduler;
 use super::worker;
 
@@ -13,17 +13,6 @@
 /// a gang by no more than runs miss their estimates by.
 const SHORT_WORK_MS: u64 = 1_200;
 
-/// Whether a worker could ever run a step of a queue.
-pub(crate) fn suits(
-    worker: &worker::Worker,
-    queue: &fleet::Queue,
-    step: &fleet::StepDescription,
-) -> bool {
-    let label = step.required_label.as_ref();
-    worker.entry.service == queue.service
-        && label.is_none_or(|label| worker.entry.labels.contains(label))
-}
-
 /// A worker that a task could go to; less is better.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
@@ -39,8 +28,8 @@
         &self,
         task: &fleet::TaskId,
         description: &fleet::StepDescription,
-        rank: plan::Rank,
-        pass: &plan::Pass,
+        rank: pass::Rank,
+        pass: &pass::Pass,
     ) -> Vec<Place<'_>> {
         let Some(job) = self.jobs.get(&task.job) else {
             return Vec::new();
@@ -51,7 +40,7 @@
         let need = job::occupied(description);
         let mut places = Vec::new();
         for (id, worker) in self.allowed_workers(job, step, pass) {
-            if !suits(worker, &job.queue, description) || !worker.free().holds(&need) {
+            if !worker.suits(&job.queue, description) || !worker.free().holds(&need) {
                 continue;
             }
             let kept_for_it = pass.kept_for == Some(fleet::TaskId { index: 0, ..*task });
@@ -81,7 +70,7 @@
         &'a self,
         job: &job::Job,
         step: &'a job::Step,
-        pass: &plan::Pass,
+        pass: &pass::Pass,
     ) -> Vec<(&'a fleet::WorkerId, &'a worker::Worker)> {
         if job.queue.advice.is_none() {
             let usable = pass.usable.iter();
@@ -101,8 +90,8 @@
         &self,
         id: &fleet::TaskId,
         description: &fleet::StepDescription,
-        rank: plan::Rank,
-        pass: &plan::Pass,
+        rank: pass::Rank,
+        pass: &pass::Pass,
     ) -> Option<fleet::WorkerId> {
         let task = self.jobs.get(&id.job)?.task(id)?;
         let places = self.open_workers(id, description, rank, pass);
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -16,8 +16,8 @@
 use super::action::Note;
 use super::job;
 use super::maps;
+use super::pass;
 use super::places;
-use super::reserve;
 use super::scheduler;
 use super::worker;
 
@@ -27,40 +27,6 @@
 /// Attempts of one term; the next term's numbers begin above them.
 const ATTEMPTS_PER_EPOCH: u64 = 1_000;
 
-/// Order of steps; less goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Rank {
-    late: bool,
-    pub(crate) class: u8,
-    slack_ms: i64,
-}
-
-/// A step with tasks that could start.
-#[derive(Clone, Debug)]
-pub(crate) struct Candidate {
-    /// First task of the step.
-    pub(crate) task: fleet::TaskId,
-    rank: Rank,
-    /// Of a gang that waits for room.
-    pub(crate) reservation: Option<reserve::Reservation>,
-}
-
-/// State of one pass.
-pub(crate) struct Pass {
-    pub(crate) now: time::Instant,
-    /// Positions of the workers that may get new work.
-    pub(crate) usable: Vec<usize>,
-    /// Workers kept free for a gang that goes first, until it should start.
-    pub(crate) kept: maps::WorkerMap<time::Instant>,
-    /// The late gang for which workers were kept before all else.
-    pub(crate) kept_for: Option<fleet::TaskId>,
-    /// Most processor that one usable worker had free when the pass began.
-    /// On a full fleet it spares 0.3 ms a pass with 350 workers and 40 steps.
-    widest_millis: u64,
-    reserving: usize,
-    wanting: Vec<Candidate>,
-}
-
 /// Tasks of one step that were placed in one pass.
 #[derive(Clone, Debug, Default)]
 struct Placed {
@@ -89,7 +55,7 @@
             worker.is_some_and(|(_, worker)| self.is_usable(worker, now))
         });
         let usable: Vec<usize> = usable.collect();
-        let mut pass = Pass {
+        let mut pass = pass::Pass {
             now,
             widest_millis: self.widest_millis(&usable),
             usable,
@@ -122,7 +88,7 @@
 
     /// Whether some worker has room for a task of a step; gangs that find none
     /// have workers kept for them.
-    fn may_fit(&self, candidate: &Candidate, pass: &Pass) -> bool {
+    fn may_fit(&self, candidate: &pass::Candidate, pass: &pass::Pass) -> bool {
         let job = self.jobs.get(&candidate.task.job);
         let step = job.and_then(|job| job.step_description(&candidate.task));
         step.is_some_and(|step| step.gang || job::occupied(step).cpu_millis <= pass.widest_millis)
@@ -133,8 +99,8 @@
     /// Late work comes after whatever can still be in time, and there is always
     /// some of that; a wide gang would never run. What is kept for it is used
     /// by others until it starts.
-    fn keep_for_latest(&self, candidates: &[Candidate], pass: &mut Pass) {
-        let gang = |candidate: &&Candidate| {
+    fn keep_for_latest(&self, candidates: &[pass::Candidate], pass: &mut pass::Pass) {
+        let gang = |candidate: &&pass::Candidate| {
             let job = self.jobs.get(&candidate.task.job).filter(|job| job.stored);
             let step = job.and_then(|job| job.step_description(&candidate.task));
             candidate.rank.late && step.is_some_and(|step| step.gang)
@@ -163,7 +129,7 @@
         pass.kept_for = Some(candidate.task);
     }
 
-    fn candidates(&self, now: time::Instant) -> Vec<Candidate> {
+    fn candidates(&self, now: time::Instant) -> Vec<pass::Candidate> {
         let mut all = Vec::new();
         for id in &self.open {
             let Some(job) = self.jobs.get(id) else {
@@ -174,10 +140,12 @@
                 let mut known_rank = None;
                 for (step, progress) in round.steps.iter().enumerate() {
                     let description = &job.description.steps[step];
-                    if may_start(progress, description) && round.is_ready(&job.description, step) {
-                        let rank = *known_rank.get_or_insert_with(|| rank(job, round, now));
-                        let task = first_task(*id, occurrence, step);
-                        all.push(Candidate {
+                    if pass::may_start(progress, description)
+                        && round.is_ready(&job.description, step)
+                    {
+                        let rank = *known_rank.get_or_insert_with(|| pass::rank(job, round, now));
+                        let task = pass::first_task(*id, occurrence, step);
+                        all.push(pass::Candidate {
                             task,
                             rank,
                             reservation: None,
@@ -191,7 +159,7 @@
     }
 
     /// Places what it can of a step; true if nothing of it waits any more.
-    fn place_step(&mut self, candidate: &mut Candidate, pass: &mut Pass) -> bool {
+    fn place_step(&mut self, candidate: &mut pass::Candidate, pass: &mut pass::Pass) -> bool {
         let Some(job) = self.jobs.get(&candidate.task.job) else {
             return true;
         };
@@ -209,9 +177,9 @@
 
     fn place_tasks(
         &mut self,
-        candidate: &Candidate,
+        candidate: &pass::Candidate,
         description: &fleet::StepDescription,
-        pass: &Pass,
+        pass: &pass::Pass,
     ) -> bool {
         let mut placed = Placed::default();
         for index in 0..description.count {
@@ -253,9 +221,9 @@
 
     fn place_gang(
         &mut self,
-        candidate: &mut Candidate,
+        candidate: &mut pass::Candidate,
         description: &fleet::StepDescription,
-        pass: &mut Pass,
+        pass: &mut pass::Pass,
     ) -> bool {
         let Some(workers) = self.gang_workers(candidate, description, pass) else {
             self.keep_free(candidate, description, pass);
@@ -283,9 +251,9 @@
     /// A worker for each member, or none if one finds no room.
     fn gang_workers(
         &self,
-        candidate: &Candidate,
+        candidate: &pass::Candidate,
         description: &fleet::StepDescription,
-        pass: &Pass,
+        pass: &pass::Pass,
     ) -> Option<Vec<fleet::WorkerId>> {
         let open = self.open_workers(&candidate.task, description, candidate.rank, pass);
         if !description.same_rack {
@@ -304,9 +272,9 @@
     /// Keeps the workers that become free first until a gang fits.
     fn keep_free(
         &self,
-        candidate: &mut Candidate,
+        candidate: &mut pass::Candidate,
         description: &fleet::StepDescription,
-        pass: &mut Pass,
+        pass: &mut pass::Pass,
     ) {
         let kept_for_it = pass.kept_for == Some(candidate.task);
         let is_kept = |id: &fleet::WorkerId| !kept_for_it && pass.kept.contains_key(id);
@@ -391,34 +359,3 @@
         });
     }
 }
-
-fn first_task(job: fleet::JobId, occurrence: usize, step: usize) -> fleet::TaskId {
-    let number = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
-    fleet::TaskId {
-        job,
-        occurrence: number(occurrence),
-        step: number(step),
-        index: 0,
-    }
-}
-
-/// Whether some task of a step could start; of a gang, all of them.
-fn may_start(step: &job::Step, description: &fleet::StepDescription) -> bool {
-    let ready = |task: &job::Task| task.is_waiting() && !task.suspect;
-    match description.gang {
-        true => step.tasks.iter().all(ready),
-        false => step.tasks.iter().any(ready),
-    }
-}
-
-fn rank(job: &job::Job, round: &job::Round, now: time::Instant) -> Rank {
-    let remaining_ms = i64::try_from(round.remaining_ms(&job.description)).unwrap_or(i64::MAX);
-    let left = job.objective_at.saturating_duration_since(now);
-    let left_ms = i64::try_from(super::lease::millis(left)).unwrap_or(i64::MAX);
-    let slack_ms = left_ms - remaining_ms;
-    Rank {
-        late: slack_ms < 0,
-        class: u8::from(job.queue.priority > 0),
-        slack_ms,
-    }
-}
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -12,7 +12,6 @@
 use figscale_types::fleet;
 
 use super::job;
-use super::places;
 use super::scheduler;
 use super::worker;
 
@@ -45,7 +44,7 @@
         for (id, worker) in &self.workers {
             let good = !advised || step.advice.verdicts.get(id) == Some(&true);
             let usable = self.is_usable(worker, now);
-            if good && usable && places::suits(worker, &job.queue, description) && !is_kept(id) {
+            if good && usable && worker.suits(&job.queue, description) && !is_kept(id) {
                 let times = slot_times(worker, description, now);
                 slots.extend(times.into_iter().map(|time| (time, id)));
             }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -9,9 +9,9 @@
 
 use super::action::Action;
 use super::action::Note;
-use super::advice;
 use super::health;
 use super::job;
+use super::lanes;
 use super::maps;
 use super::unsaved;
 use super::worker;
@@ -80,7 +80,7 @@
     /// Jobs in progress, oldest first.
     pub(crate) open: IndexSet<fleet::JobId>,
     pub(crate) workers: maps::WorkerMap<worker::Worker>,
-    pub(crate) lanes: advice::Lanes,
+    pub(crate) lanes: lanes::Lanes,
     /// Workers that may run something of an earlier term, until when at most.
     pub(crate) unheard: maps::WorkerMap<time::Instant>,
     pub(crate) recovering: bool,
@@ -106,7 +106,7 @@
             jobs: IndexMap::new(),
             open: IndexSet::new(),
             workers: maps::WorkerMap::default(),
-            lanes: advice::Lanes::default(),
+            lanes: lanes::Lanes::default(),
             unheard: maps::WorkerMap::default(),
             recovering: false,
             recorded: maps::WorkerSet::default(),
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -117,6 +117,13 @@
         heard && open && self.health.admits(self.runs.len(), now)
     }
 
+    /// Whether the worker could ever run a step of a queue.
+    pub(crate) fn suits(&self, queue: &fleet::Queue, step: &fleet::StepDescription) -> bool {
+        let label = step.required_label.as_ref();
+        self.entry.service == queue.service
+            && label.is_none_or(|label| self.entry.labels.contains(label))
+    }
+
     /// Whether nothing runs here and nothing ever will, in this life of it.
     ///
     /// An order without an answer is among the runs until a report later than
--- a/crates/figscale/src/fleet/ask.rs
+++ b/crates/figscale/src/fleet/ask.rs
@@ -8,7 +8,7 @@
 use super::calls;
 use super::calls::LeaderAnswer;
 use super::calls::LeaderCall;
-use super::election;
+use super::leadership;
 use super::membership;
 use super::term;
 
@@ -57,7 +57,7 @@
 /// power keeps a request until it times out; the next one answers 0.4 s sooner.
 async fn superseded(context: &Context) {
     let mut changes = context.leadership.subscribe();
-    let epoch = |known: &election::Leadership| known.leader.as_ref().map(|leader| leader.epoch);
+    let epoch = |known: &leadership::Leadership| known.leader.as_ref().map(|leader| leader.epoch);
     let asked = epoch(&changes.borrow());
     if changes
         .wait_for(|known| epoch(known) > asked)
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -11,23 +11,20 @@
 //! a lease can end by the store's own trouble, and the leader names itself
 //! anew within one renewal.
 
-use std::net;
 use std::time;
 
 use figscale_core::fleet as scheduling;
 use figscale_platform::CallError;
 use figscale_platform::store;
 use figscale_types::fleet;
-use figscale_types::ids;
 use figscale_types::verdict::Verdict;
 use rand::RngExt as _;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::watch;
 use tokio::task;
 
 use super::Context;
 use super::keys;
+use super::leadership;
 use super::ledger;
 use super::membership;
 use super::term;
@@ -48,59 +45,6 @@
 /// After giving leadership up, an instance lets others lead for so long.
 pub(super) const STAND_OFF: time::Duration = time::Duration::from_secs(4);
 
-/// The leader, as its key names it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Leader {
-    /// The life of the entry instance that leads.
-    pub(crate) member: ids::MemberKey,
-    /// Where peers reach it.
-    pub(crate) address: net::SocketAddr,
-    /// Its term.
-    pub(crate) epoch: fleet::Epoch,
-}
-
-/// What this instance knows of leadership.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Leadership {
-    /// Who leads, as far as known.
-    pub(crate) leader: Option<Leader>,
-    /// Revision of the leader's key; 0 while there is none.
-    pub(crate) key_revision: u64,
-    /// The key has been read.
-    pub(crate) key_known: bool,
-    /// This instance leads and its scheduler answers.
-    pub(crate) leading: bool,
-    /// Revision of a leader's key whose process has ended.
-    pub(crate) ended_revision: Option<u64>,
-    /// When the leader last answered.
-    pub(crate) answered_at: Option<time::Instant>,
-    /// When the leader's process was last heard at all.
-    pub(crate) heard_at: Option<time::Instant>,
-    /// The heads as a leader left them that ended in order.
-    pub(super) last_heads: Option<ledger::Heads>,
-    /// The store did not answer since a leader was last known.
-    pub(crate) store_was_away: bool,
-    /// Since when the leader's key is gone.
-    pub(crate) vacant_since: Option<time::Instant>,
-    /// Most processor that an instance could lead with, as the last leader
-    /// told, in thousandths of a core.
-    pub(crate) strongest_millis: u64,
-    /// This instance does not stand before that time.
-    pub(crate) stands_off_until: Option<time::Instant>,
-}
-
-/// A term that was won.
-pub(super) struct Won {
-    /// The heads as the election wrote them.
-    pub(super) head: ledger::Head,
-    /// Their common revision.
-    pub(super) heads_revision: u64,
-    pub(super) lease: store::LeaseId,
-    pub(super) leader: Leader,
-    /// The records, if they could be read meanwhile.
-    pub(super) loaded: Option<term::load::Loaded>,
-}
-
 /// Starts to watch and to stand.
 pub(super) fn start(context: &Context, handlers: &mut peer::Handlers) {
     membership::start(context, handlers);
@@ -125,7 +69,8 @@
 }
 
 fn see(context: &Context, item: Option<&store::Item>) {
-    let leader: Option<Leader> = item.and_then(|item| serde_json::from_slice(&item.value).ok());
+    let leader: Option<leadership::Leader> =
+        item.and_then(|item| serde_json::from_slice(&item.value).ok());
     let now = context.clock.now();
     context.leadership.send_modify(|known| {
         known.key_known = true;
@@ -136,35 +81,15 @@
         known.store_was_away &= item.is_none();
         known.key_revision = item.map_or(0, |item| item.revision);
         if let Some(leader) = leader {
-            adopt(known, leader);
+            leadership::adopt(known, leader);
         }
     });
 }
 
-/// Takes note of a leader of a later term than the one known.
-pub(super) fn adopt(known: &mut Leadership, leader: Leader) {
-    let older = known
-        .leader
-        .as_ref()
-        .is_some_and(|old| old.epoch >= leader.epoch);
-    if older {
-        return;
-    }
-    crate::event!(
-        events::fleet::LEADER_KNOWN,
-        leader = leader.member,
-        address = leader.address,
-        epoch = leader.epoch
-    );
-    known.leader = Some(leader);
-    known.answered_at = None;
-    known.heard_at = None;
-}
-
 async fn stand_and_lead(context: Context) {
     loop {
         let key_revision = wait_for_vacancy(&context).await;
-        if !may_stand(&context) {
+        if !leadership::may_stand(&context) {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
@@ -173,7 +98,8 @@
                 let ended = term::lead(&context, won).await;
                 if matches!(ended, term::Ended::OutOfReach | term::Ended::Yielded) {
                     let until = context.clock.now() + STAND_OFF;
-                    let stand_off = |known: &mut Leadership| known.stands_off_until = Some(until);
+                    let stand_off =
+                        |known: &mut leadership::Leadership| known.stands_off_until = Some(until);
                     context.leadership.send_modify(stand_off);
                 }
             }
@@ -186,13 +112,6 @@
     }
 }
 
-/// Whether this instance would lead if nobody else did.
-pub(super) fn may_stand(context: &Context) -> bool {
-    let stands_off_until = context.leadership.borrow().stands_off_until;
-    let stands_off = stands_off_until.is_some_and(|until| context.clock.now() < until);
-    !stands_off && !*context.leaving.borrow()
-}
-
 /// Waits until nobody leads, as far as can be known from here; the revision of
 /// the leader's key that this was concluded from, 0 for no key.
 async fn wait_for_vacancy(context: &Context) -> u64 {
@@ -239,7 +158,7 @@
     Unknown,
 }
 
-fn vacancy(changes: &watch::Receiver<Leadership>, now: time::Instant) -> Vacancy {
+fn vacancy(changes: &watch::Receiver<leadership::Leadership>, now: time::Instant) -> Vacancy {
     let known = changes.borrow();
     if !known.key_known {
         return Vacancy::Unknown;
@@ -271,7 +190,7 @@
 
 /// Tries to lead the next term, as long as the leader's key is as it was when
 /// nobody led; `None` if another was faster.
-async fn stand(context: &Context, key_revision: u64) -> Result<Option<Won>, CallError> {
+async fn stand(context: &Context, key_revision: u64) -> Result<Option<term::Won>, CallError> {
     let lease = Aborting(tokio::spawn(grant(context.clone())));
     let known = last_heads(context).await?;
     let epoch = fleet::Epoch(known.epoch.0 + 1);
@@ -284,7 +203,7 @@
         leader: context.me.clone(),
         sequence: 0,
     };
-    let leader = Leader {
+    let leader = leadership::Leader {
         member: context.me.clone(),
         address: context.settings.peer_address,
         epoch,
@@ -307,7 +226,7 @@
         key_revision = key_revision
     );
     match won {
-        Some(heads_revision) => Ok(Some(Won {
+        Some(heads_revision) => Ok(Some(term::Won {
             head,
             heads_revision,
             lease,
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -18,7 +18,7 @@
 
 use super::Context;
 use super::calls;
-use super::election;
+use super::leadership;
 use super::ledger;
 use crate::events;
 use crate::peer;
@@ -45,7 +45,7 @@
 /// A leader ended its term in order.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct EndedInOrder {
-    leader: election::Leader,
+    leader: leadership::Leader,
     heads: ledger::Heads,
 }
 
@@ -57,7 +57,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Sighting {
     /// Whom it takes for the leader.
-    leader: Option<election::Leader>,
+    leader: Option<leadership::Leader>,
     /// How long ago that one was last heard there, milliseconds.
     heard_ms_ago: Option<u64>,
 }
@@ -103,7 +103,7 @@
 /// They stand at once, on the key as it is, so it must not be removed then.
 pub(super) async fn tell_end(
     context: &Context,
-    leader: &election::Leader,
+    leader: &leadership::Leader,
     heads: ledger::Heads,
 ) -> bool {
     let end = EndedInOrder {
@@ -150,7 +150,7 @@
 /// Takes in how a greeting ended; whether the leader's term is over.
 async fn is_over(
     context: &Context,
-    leader: &election::Leader,
+    leader: &leadership::Leader,
     outcome: Outcome,
     not_leading_since: &mut Option<time::Instant>,
 ) -> bool {
@@ -189,7 +189,7 @@
 }
 
 /// Whether a leader that does not answer here is lost to the others as well.
-fn is_lost(context: &Context, leader: &election::Leader, peers: &[fleet::PeerView]) -> bool {
+fn is_lost(context: &Context, leader: &leadership::Leader, peers: &[fleet::PeerView]) -> bool {
     let known = context.leadership.borrow().clone();
     let Some(heard_at) = known.heard_at else {
         return false;
@@ -215,7 +215,7 @@
     Silent,
 }
 
-async fn hello(context: &Context, leader: &election::Leader) -> Outcome {
+async fn hello(context: &Context, leader: &leadership::Leader) -> Outcome {
     if leader.member.id == context.me.id {
         // An earlier life of this very instance.
         return Outcome::Ended;
@@ -224,7 +224,7 @@
         leader: leader.member.clone(),
         member: context.me.id.clone(),
         address: context.settings.peer_address,
-        cpu_millis: match election::may_stand(context) && context.store.answers_directly() {
+        cpu_millis: match leadership::may_stand(context) && context.store.answers_directly() {
             true => context.fleet.cpu_millis(),
             false => 0,
         },
@@ -271,7 +271,7 @@
     cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-fn ended(context: &Context, leader: &election::Leader, key_revision: u64) {
+fn ended(context: &Context, leader: &leadership::Leader, key_revision: u64) {
     context.leadership.send_if_modified(|known| {
         let same = known.leader.as_ref() == Some(leader) && known.key_revision == key_revision;
         if !same || known.ended_revision == Some(key_revision) {
@@ -290,7 +290,7 @@
 
 /// Asks all peers what they know of the leader, and takes over what is newer:
 /// where the store cannot be read, a peer may know of a new leader.
-async fn ask_peers(context: &Context, leader: &election::Leader) -> Vec<fleet::PeerView> {
+async fn ask_peers(context: &Context, leader: &leadership::Leader) -> Vec<fleet::PeerView> {
     let mut others = context.store.roster();
     others.retain(|address| *address != leader.address);
     let asked = others.into_iter().map(|other| {
@@ -316,7 +316,7 @@
     views
 }
 
-fn view(sighting: &Sighting, leader: &election::Leader) -> fleet::PeerView {
+fn view(sighting: &Sighting, leader: &leadership::Leader) -> fleet::PeerView {
     let same = sighting.leader.as_ref() == Some(leader);
     match sighting.heard_ms_ago {
         Some(ago) if same => fleet::PeerView::Heard(time::Duration::from_millis(ago)),
@@ -324,8 +324,8 @@
     }
 }
 
-fn adopt_newer(context: &Context, leader: election::Leader) {
-    let newer = |known: &election::Leadership| {
+fn adopt_newer(context: &Context, leader: leadership::Leader) {
+    let newer = |known: &leadership::Leadership| {
         known
             .leader
             .as_ref()
@@ -334,6 +334,6 @@
     if newer(&context.leadership.borrow()) {
         context
             .leadership
-            .send_modify(|known| election::adopt(known, leader));
+            .send_modify(|known| leadership::adopt(known, leader));
     }
 }
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -22,8 +22,10 @@
 mod entry;
 mod follow;
 mod keys;
+mod leadership;
 mod ledger;
 mod membership;
+mod message;
 mod operators;
 mod outcome;
 mod term;
@@ -74,7 +76,7 @@
     /// This life of this entry instance.
     pub(crate) me: ids::MemberKey,
     pub(crate) queues: sync::Arc<watch::Sender<sync::Arc<fleet::QueueTable>>>,
-    pub(crate) leadership: sync::Arc<watch::Sender<election::Leadership>>,
+    pub(crate) leadership: sync::Arc<watch::Sender<leadership::Leadership>>,
     pub(crate) leaving: sync::Arc<watch::Sender<bool>>,
 }
 
@@ -190,7 +192,7 @@
         metrics,
         me,
         queues: sync::Arc::new(watch::Sender::new(sync::Arc::default())),
-        leadership: sync::Arc::new(watch::Sender::new(election::Leadership::default())),
+        leadership: sync::Arc::new(watch::Sender::new(leadership::Leadership::default())),
         leaving: sync::Arc::new(watch::Sender::new(false)),
     }
 }
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -9,12 +9,8 @@
 
 use figscale_core::fleet::Action;
 use figscale_core::fleet::Held;
-use figscale_core::fleet::Question;
 use figscale_core::fleet::Scheduler;
-use figscale_platform::CallError;
 use figscale_platform::store;
-use figscale_platform::workers as platform_workers;
-use figscale_types::fleet;
 use figscale_types::ids;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
@@ -32,9 +28,10 @@
 use super::calls;
 use super::calls::LeaderAnswer;
 use super::calls::LeaderCall;
-use super::election;
+use super::leadership;
 use super::ledger;
 use super::membership;
+use super::message::Message;
 use super::outcome;
 use super::workers;
 use crate::events;
@@ -73,36 +70,16 @@
     reply: kernel::Reply<LeaderAnswer>,
 }
 
-/// What comes back to a term.
-pub(super) enum Message {
-    /// All workers, as the platform lists them.
-    Listing(Vec<fleet::WorkerEntry>),
-    /// A worker's report, or why there is none.
-    Reported(
-        fleet::WorkerId,
-        Result<platform_workers::ReportOutcome, CallError>,
-    ),
-    /// A start was answered, or not.
-    StartAnswered {
-        worker: fleet::WorkerId,
-        task: fleet::TaskId,
-        attempt: u32,
-        outcome: fleet::StartOutcome,
-    },
-    /// A call of a worker was not answered when it usually is.
-    Overdue(fleet::WorkerId),
-    /// A call was lost on the way to a worker that answers.
-    AnswerLost,
-    /// The advisory service answered, or not.
-    Advised(Question, Option<Vec<fleet::Ticket>>),
-    /// An entry instance could not be reached at all.
-    MemberGone(ids::MemberId),
-    /// A write has ended.
-    Written(Result<(), ledger::WriteError>, ledger::Ledger),
-    /// The leader's lease has ended at the store.
-    LeaseEnded,
-    /// A new lease for the leader.
-    LeaseGranted(store::LeaseId),
+/// A term that was won.
+pub(in crate::fleet) struct Won {
+    /// The heads as the election wrote them.
+    pub(in crate::fleet) head: ledger::Head,
+    /// Their common revision.
+    pub(in crate::fleet) heads_revision: u64,
+    pub(in crate::fleet) lease: store::LeaseId,
+    pub(in crate::fleet) leader: leadership::Leader,
+    /// The records, if they could be read meanwhile.
+    pub(in crate::fleet) loaded: Option<load::Loaded>,
 }
 
 /// A term in progress.
@@ -110,7 +87,7 @@
     context: Context,
     scheduler: Scheduler,
     /// This instance, as its key names it.
-    leader: election::Leader,
+    leader: leadership::Leader,
     /// Chains without a write on its way.
     idle: Vec<ledger::Ledger>,
     /// Writes on their way, by chain.
@@ -190,7 +167,7 @@
 }
 
 /// Leads until the term is over.
-pub(super) async fn lead(context: &Context, mut won: election::Won) -> Ended {
+pub(super) async fn lead(context: &Context, mut won: Won) -> Ended {
     let epoch = won.leader.epoch;
     let lease = won.lease;
     let (messages, mut received) = mpsc::channel(MAX_MESSAGES);
@@ -211,7 +188,7 @@
     let mut inbox = context.kernel.register::<LeaderMessage>(SERVICE);
     let mut term = Term::new(context, won, scheduler, messages);
     context.leadership.send_modify(|known| {
-        election::adopt(known, term.leader.clone());
+        leadership::adopt(known, term.leader.clone());
         known.leading = true;
     });
     let counts = term.scheduler.counts(context.clock.now());
@@ -254,7 +231,7 @@
 impl Term {
     fn new(
         context: &Context,
-        won: election::Won,
+        won: Won,
         scheduler: Scheduler,
         messages: mpsc::Sender<Message>,
     ) -> Self {
@@ -396,6 +373,3 @@
         metrics.fleet_knows("members", self.members.len());
     }
 }
-
-/// Where results of calls go.
-pub(super) type Messages = mpsc::Sender<Message>;
--- a/crates/figscale/src/fleet/workers.rs
+++ b/crates/figscale/src/fleet/workers.rs
@@ -16,8 +16,8 @@
 use indexmap::IndexMap;
 
 use super::Context;
-use super::term;
-use super::term::Message;
+use super::message;
+use super::message::Message;
 use crate::events;
 
 /// Time for a worker's answer, on top of the wait asked for.
@@ -67,13 +67,13 @@
     context: Context,
     calls: workers::Workers,
     epoch: fleet::Epoch,
-    messages: term::Messages,
+    messages: message::Messages,
     links: IndexMap<fleet::WorkerId, Link>,
     losses: Losses,
 }
 
 impl Links {
-    pub(super) fn new(context: &Context, epoch: fleet::Epoch, messages: term::Messages) -> Self {
+    pub(super) fn new(context: &Context, epoch: fleet::Epoch, messages: message::Messages) -> Self {
         Self {
             context: context.clone(),
             calls: workers::Workers::new(context.client.clone(), CALL_TIMEOUT),
@@ -234,7 +234,7 @@
     calls: &workers::Workers,
     address: &workers::WorkerAddress,
     request: workers::ReportRequest,
-    messages: &term::Messages,
+    messages: &message::Messages,
 ) -> Result<workers::ReportOutcome, CallError> {
     let first = calls.report(address, request);
     tokio::pin!(first);
@@ -270,7 +270,7 @@
     address: &workers::WorkerAddress,
     epoch: fleet::Epoch,
     order: &fleet::StartOrder,
-    messages: &term::Messages,
+    messages: &message::Messages,
 ) -> Result<fleet::StartOutcome, CallError> {
     let first = calls.start(address, epoch, order);
     tokio::pin!(first);
@@ -335,7 +335,7 @@
 /// Every worker writes its entry each heartbeat, so a watch would return as
 /// often as all workers together write: some thirty calls a second for fifty
 /// workers, where this makes fewer than two.
-pub(super) async fn follow(context: Context, messages: term::Messages) {
+pub(super) async fn follow(context: Context, messages: message::Messages) {
     let mut invalid = IndexMap::new();
     loop {
         if let Ok(listing) = context.store.list(workers::PREFIX).await {
