fleet: look at the record of workers only when one begins or ceases to leave

A worker's changed entry had the whole record compared, so a listing in which all entries come back after an outage compared it once for each worker; only the turn to leaving or back decides. Behaviour as before: the 115 tests of fleet pass unchanged.

--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -140,10 +140,15 @@
     pub fn worker_listed(&mut self, entry: fleet::WorkerEntry) {
         match self.workers.get_mut(&entry.id) {
             Some(worker) => {
+                let turns = worker.entry.draining != entry.draining;
                 worker.leaves_at = worker.leaves_at.filter(|_| entry.draining);
                 worker.entry = entry;
                 worker.unlisted_at = None;
-                self.record_differs = self.workers_record_differs();
+                // Nothing else of an entry decides who is on the record; after an
+                // outage all entries may come back in one listing.
+                if turns {
+                    self.record_differs = self.workers_record_differs();
+                }
             }
             None => {
                 let recorded = self.recorded.contains(&entry.id);
