Tests that fail: a backlog of gangs waits beside free room, late gangs have no turn

Reproduces the incident without workers that fail and without a store: two kinds of jobs at the rates of the site where it was seen, half its size, a peak of wide gangs, a new leader at the end of traffic. The second test: of late gangs the longest goes first and not the one that has waited longest.

--- /dev/null
+++ b/crates/figscale-core/tests/fleet/backlog.rs
@@ -0,0 +1,331 @@
+//! A backlog of gangs, and whether it is worked off while there is room.
+//!
+//! Seen: some time after the end of traffic, accepted jobs of one gang each
+//! could run and did not, with most of the workers' room free. Their logs had a
+//! question to the advisory service every 0.7 s, about 4, 3, 4, 2 and 7 workers
+//! that were known to be good, and no start; other late gangs had no question
+//! at all for 36 s.
+//!
+//! How it came about: a peak of wide gangs, then a new leader, which knows no
+//! advice. What caused it: tickets were asked for workers that nobody kept for
+//! the gang, and others had taken them when the answer came; and late work was
+//! ranked longest first, so a short gang had no turn behind longer ones. What
+//! proved it: these plays, without workers that fail and without a store.
+
+use std::thread;
+
+use figscale_core::fleet::Admission;
+use figscale_core::fleet::Question;
+use figscale_types::fleet;
+use indexmap::IndexMap;
+
+use crate::kit;
+use crate::kit::Cell;
+
+/// Half of the site on which it was seen, and of its rates.
+const WORKERS: usize = 175;
+const CORES: u64 = 64;
+const MEMBERS: usize = 18;
+const SEEDS: [u64; 3] = [1, 2, 3];
+const STEP_MS: u64 = 50;
+const TRAFFIC_MS: u64 = 60_000;
+/// The gangs come more often from then to then.
+const PEAK_MS: std::ops::Range<u64> = 10_000..14_000;
+const PEAK_TIMES: f64 = 1.9;
+/// What is open at the end of traffic should be under way by then.
+const CATCH_UP_MS: u64 = 14_000;
+const WATCHED_MS: u64 = 20_000;
+/// How long a step may wait beside free room.
+const MAX_IDLE_MS: u64 = 3_000;
+
+/// One kind of job.
+struct Kind {
+    per_s: f64,
+    queue: fleet::Queue,
+    step: fleet::StepDescription,
+    /// Part of the workers that may run a step.
+    good_part: f64,
+}
+
+fn kinds() -> Vec<Kind> {
+    let queue = |priority, stretch, target_latency_ms, base_ms, per_worker_ms| fleet::Queue {
+        stretch,
+        target_latency_ms,
+        advice: Some(fleet::AdvicePolicy {
+            base_ms,
+            per_worker_ms,
+            valid_ms: 2_000,
+        }),
+        ..kit::queue(priority)
+    };
+    let lasting = |step, estimate_ms| fleet::StepDescription {
+        estimate_ms,
+        ..step
+    };
+    vec![
+        Kind {
+            per_s: 2.86,
+            queue: queue(1, 2.2, 1_000, 559.0, 8.06),
+            step: lasting(kit::gang(20, 18), 5_000),
+            good_part: 0.35,
+        },
+        Kind {
+            per_s: 7.4,
+            queue: queue(2, 4.0, 3_000, 130.0, 1.82),
+            step: lasting(kit::step(25, 7), 2_700),
+            good_part: 0.45,
+        },
+    ]
+}
+
+/// A job that was taken.
+struct Taken {
+    kind: usize,
+    step: fleet::StepDescription,
+    /// For how long it has had nothing running beside free room.
+    idle_ms: u64,
+}
+
+struct Backlog {
+    cell: Cell,
+    kinds: Vec<Kind>,
+    taken: IndexMap<u64, Taken>,
+    /// Questions on their way, with the time of the answer.
+    asked: Vec<(u64, Question)>,
+    ends: IndexMap<(fleet::TaskId, u32), u64>,
+    at_ms: u64,
+    submitted: u64,
+    seed: u64,
+}
+
+impl Backlog {
+    fn new(seed: u64) -> Self {
+        let mut backlog = Self {
+            cell: Cell::with_cores(WORKERS, CORES),
+            kinds: kinds(),
+            taken: IndexMap::new(),
+            asked: Vec::new(),
+            ends: IndexMap::new(),
+            at_ms: 0,
+            submitted: 0,
+            seed,
+        };
+        backlog.join();
+        backlog
+    }
+
+    fn join(&mut self) {
+        for number in 1..=MEMBERS {
+            let member = format!("entry-{number}").parse().unwrap();
+            self.cell.scheduler.member_joined(&member);
+        }
+    }
+
+    /// A number from 0 to 1, the same ones in each run.
+    fn random(&mut self) -> f64 {
+        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005);
+        self.seed = self.seed.wrapping_add(1_442_695_040_888_963_407);
+        (self.seed >> 33) as f64 / f64::from(1_u32 << 31)
+    }
+
+    /// Plays the traffic, a change of leaders and the time after it; the jobs
+    /// that waited beside free room for too long.
+    fn play(mut self) -> Vec<u64> {
+        while self.at_ms < TRAFFIC_MS {
+            self.arrive();
+            self.step();
+        }
+        self.asked.clear();
+        self.cell.questions.clear();
+        self.cell.take_over(2);
+        self.join();
+        while self.at_ms < TRAFFIC_MS + CATCH_UP_MS {
+            self.step();
+        }
+        let mut lost = Vec::new();
+        while self.at_ms < TRAFFIC_MS + CATCH_UP_MS + WATCHED_MS {
+            self.step();
+            self.watch(&mut lost);
+        }
+        lost
+    }
+
+    fn arrive(&mut self) {
+        for kind in 0..self.kinds.len() {
+            let gang = self.kinds[kind].step.gang;
+            let times = match gang && PEAK_MS.contains(&self.at_ms) {
+                true => PEAK_TIMES,
+                false => 1.0,
+            };
+            let mut expected = self.kinds[kind].per_s * times * STEP_MS as f64 / 1_000.0;
+            while expected > 0.0 {
+                if self.random() < expected {
+                    self.submit(kind);
+                }
+                expected -= 1.0;
+            }
+        }
+    }
+
+    /// Submits a job of a kind; lengths, widths and sizes vary about the mean.
+    fn submit(&mut self, kind: usize) {
+        let mean = self.kinds[kind].step.clone();
+        let queue = self.kinds[kind].queue.clone();
+        let mut about = |mean: f64| mean * (0.4 + 1.8 * self.random().powi(2));
+        let step = fleet::StepDescription {
+            count: about(f64::from(mean.count)).round() as u32,
+            estimate_ms: about(mean.estimate_ms as f64) as u64,
+            room: fleet::Room {
+                cpu_millis: about(mean.room.cpu_millis as f64) as u64,
+                ..mean.room
+            },
+            ..mean
+        };
+        let number = self.submitted;
+        self.submitted += 1;
+        let answer = self
+            .cell
+            .submit(number, &queue, kit::job(vec![step.clone()]));
+        if answer == Admission::Accepted {
+            let taken = Taken {
+                kind,
+                step,
+                idle_ms: 0,
+            };
+            self.taken.insert(number, taken);
+        }
+    }
+
+    fn step(&mut self) {
+        self.at_ms += STEP_MS;
+        self.cell.now += kit::ms(STEP_MS);
+        self.cell.wall_ms += STEP_MS;
+        let wall_ms = self.cell.wall_ms;
+        self.cell.scheduler.tick(self.cell.now, wall_ms);
+        self.end_due();
+        self.cell.report_all();
+        while self.cell.scheduler.has_records() {
+            self.cell.write();
+        }
+        self.answer_due();
+        self.cell.scheduler.plan(self.cell.now);
+        self.cell.carry_out();
+        for question in std::mem::take(&mut self.cell.questions) {
+            let expected_ms = question.expected.as_millis() as u64;
+            self.asked.push((self.at_ms + expected_ms, question));
+        }
+        self.taken.retain(|number, _| {
+            let state = self.cell.scheduler.state(kit::job_id(*number));
+            state.is_some_and(|state| !state.is_final())
+        });
+    }
+
+    fn end_due(&mut self) {
+        for worker in self.cell.workers.values() {
+            for key in worker.running.keys() {
+                if let Some(job) = self.taken.get(&key.0.job.0) {
+                    let end_ms = self.at_ms + job.step.estimate_ms;
+                    self.ends.entry(*key).or_insert(end_ms);
+                }
+            }
+        }
+        let at_ms = self.at_ms;
+        let due = self.ends.extract_if(.., |_, end_ms| *end_ms <= at_ms);
+        for ((task, attempt), _) in due {
+            for worker in self.cell.workers.values_mut() {
+                worker.end(task, attempt, fleet::End::Done);
+            }
+        }
+    }
+
+    fn answer_due(&mut self) {
+        let at_ms = self.at_ms;
+        let due = self.asked.extract_if(.., |(due_ms, _)| *due_ms <= at_ms);
+        for (_, question) in due.collect::<Vec<_>>() {
+            let good = question
+                .workers
+                .iter()
+                .filter(|id| self.is_good(question.task.job, id));
+            let tickets = good.map(|id| fleet::Ticket {
+                worker: id.clone(),
+                token: format!("t-{id}"),
+            });
+            let tickets = tickets.collect();
+            self.cell
+                .scheduler
+                .advice_answered(&question, Some(tickets), self.cell.now);
+        }
+    }
+
+    /// Whether a worker may run a job's step, which never changes.
+    fn is_good(&self, job: fleet::JobId, worker: &fleet::WorkerId) -> bool {
+        let number: u64 = worker.as_str()[2..].parse().unwrap();
+        let mixed = (job.0 * 1_000 + number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let kind = self.taken.get(&job.0).map_or(0, |job| job.kind);
+        let part = (mixed >> 40) as f64 / f64::from(1_u32 << 24);
+        part < self.kinds[kind].good_part
+    }
+
+    /// Notes jobs that have nothing running while under half of the processors
+    /// are in use and there is room for them twice over.
+    fn watch(&mut self, lost: &mut Vec<u64>) {
+        let mut running = IndexMap::<u64, u32>::new();
+        for worker in self.cell.workers.values() {
+            for (task, _) in worker.running.keys() {
+                *running.entry(task.job.0).or_default() += 1;
+            }
+        }
+        let free: Vec<fleet::Room> = self.cell.workers.values().map(|w| self.free(w)).collect();
+        let free_millis: u64 = free.iter().map(|room| room.cpu_millis).sum();
+        let half_free = free_millis * 2 > WORKERS as u64 * CORES * 1_000;
+        for (number, job) in &mut self.taken {
+            let count = u64::from(job.step.count);
+            let slots = free.iter().map(|room| room.times(&job.step.room, count));
+            let twice = slots.sum::<u64>() >= 2 * count;
+            let idle = half_free && twice && !running.contains_key(number);
+            job.idle_ms = if idle { job.idle_ms + STEP_MS } else { 0 };
+            if job.idle_ms > MAX_IDLE_MS && !lost.contains(number) {
+                lost.push(*number);
+            }
+        }
+    }
+
+    fn free(&self, worker: &kit::FakeWorker) -> fleet::Room {
+        let used = worker.running.keys().filter_map(|(task, _)| {
+            let job = self.taken.get(&task.job.0);
+            job.map(|job| job.step.room)
+        });
+        used.fold(worker.entry.room, |free, room| free.minus(&room))
+    }
+}
+
+/// What was accepted runs as soon as there is room for it.
+#[test]
+fn nothing_waits_beside_free_room() {
+    let plays = SEEDS.map(|seed| thread::spawn(move || Backlog::new(seed).play()));
+    let lost = plays.map(|play| play.join().unwrap());
+    assert!(lost.iter().all(Vec::is_empty), "waiting, by seed: {lost:?}");
+}
+
+/// Of gangs that are late the one that has waited longest goes first, however
+/// short it is.
+#[test]
+fn a_late_gang_goes_before_those_that_came_after_it() {
+    let mut cell = Cell::with_cores(2, 10);
+    cell.run(1, &kit::queue(1), vec![kit::gang(2, 8)]);
+    cell.run(2, &kit::queue(1), vec![kit::gang(2, 8)]);
+    let longer = fleet::StepDescription {
+        estimate_ms: 5_000,
+        ..kit::gang(2, 8)
+    };
+    cell.pass(3_000);
+    cell.run(3, &kit::queue(1), vec![longer]);
+    cell.pass(20_000);
+    for index in 0..2 {
+        let (worker, attempt) = cell.placed(kit::task(1, 0, index))[0].clone();
+        cell.workers[&worker].end(kit::task(1, 0, index), attempt, fleet::End::Done);
+    }
+    cell.settle();
+    assert_eq!(cell.placed(kit::task(3, 0, 0)), []);
+    assert_eq!(cell.placed(kit::task(2, 0, 0)).len(), 1);
+}
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod advice;
+mod backlog;
 mod callers;
 mod ends;
 mod gangs;
