fleet: tickets are asked for workers that are kept, and kept until they come

A gang that found no room asked for tickets of the workers that would be free first, but only three gangs kept workers. Questions go through a few lanes, each busy for 0.6 to 0.8 s with one about a gang, so all lanes were taken by questions that came to nothing, while a new leader has all advice to ask for again. And a gang whose good workers others kept counted them as its choice, and never asked about more: nothing is asked for it beside free room.

Ruled out: tasks that count as placed or unfound (gangs that waited were asked about), too few good workers (11 and 12 of 350), the processor (the tests have none).

A slot is of use when there is a ticket as well, so workers with one come first; a gang that waits for nothing but tickets always keeps its workers, until the answer is there; tickets are asked for kept workers only; what others keep is no choice, but for work that is over by then; gangs that could not start now ask for a wider choice only with lanes that nobody needs.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -44,12 +44,26 @@
 const GANG_PATIENCE: time::Duration = time::Duration::from_millis(600);
 /// Tickets for a gang are asked for so long before they are needed.
 const TICKET_LEAD: time::Duration = time::Duration::from_millis(100);
+/// How much later than expected an answer may be, and its gang placed, before
+/// the workers kept for it are given up.
+const ANSWER_SLACK: time::Duration = time::Duration::from_millis(300);
 /// Pause after a question that was not answered.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
+/// How wide a choice of workers is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Breadth {
+    /// What a step needs to start.
+    Needed,
+    /// More, with lanes that nobody needs.
+    Wide,
+}
+
 /// A question without the lane that it will take.
 struct Draft {
     workers: Vec<fleet::WorkerId>,
+    /// Workers that are kept for the step until the answer is there.
+    keeps: Option<reserve::Reservation>,
     expected: time::Duration,
 }
 
@@ -65,7 +79,7 @@
         if let Some(task) = lane.and_then(|lane| lane.asked)
             && let Some(step) = self.step_of(&task)
         {
-            step.advice.asking = false;
+            step.advice.asking = None;
         }
     }
 
@@ -92,9 +106,10 @@
         let Some(step) = job.step_mut(&question.task) else {
             return;
         };
-        step.advice.asking = false;
+        step.advice.asking = None;
         let Some(good) = good else {
             step.advice.not_before = Some(now + RETRY_PAUSE);
+            step.advice.promise = None;
             return;
         };
         let valid_ms = queue.advice.map_or(0, |advice| advice.valid_ms);
@@ -130,52 +145,107 @@
     }
 
     /// Asks for the best of the steps that need tickets, while lanes are free.
-    pub(crate) fn ask_for(&mut self, wanting: &[pass::Candidate], now: time::Instant) {
-        for candidate in wanting {
+    /// What only widens the choice of gangs that keep no workers comes last.
+    pub(crate) fn ask_for(&mut self, pass: &pass::Pass) {
+        self.ask_round(pass, Breadth::Needed);
+        self.ask_round(pass, Breadth::Wide);
+    }
+
+    fn ask_round(&mut self, pass: &pass::Pass, breadth: Breadth) {
+        for candidate in &pass.wanting {
             if self.lanes.free(false).is_none() {
                 return;
             }
-            if let Some(draft) = self.draft(candidate, now)
+            if let Some(draft) = self.draft(candidate, breadth, pass)
                 && let Some(member) = self.lanes.free(draft.expected > LONG_QUESTION)
             {
-                self.send_question(Question {
-                    member,
-                    task: candidate.task,
-                    workers: draft.workers,
-                    expected: draft.expected,
-                });
+                self.send_question(candidate.task, draft, member, pass.now);
             }
         }
     }
 
-    fn send_question(&mut self, question: Question) {
-        if let Some(lane) = self.lanes.lanes.get_mut(&question.member) {
-            lane.asked = Some(question.task);
+    fn send_question(
+        &mut self,
+        task: fleet::TaskId,
+        draft: Draft,
+        member: ids::MemberId,
+        now: time::Instant,
+    ) {
+        if let Some(lane) = self.lanes.lanes.get_mut(&member) {
+            lane.asked = Some(task);
         }
-        if let Some(step) = self.step_of(&question.task) {
-            step.advice.asking = true;
+        let answered_at = now + draft.expected;
+        if let Some(step) = self.step_of(&task) {
+            step.advice.asking = Some(job::Asking {
+                workers: draft.workers.iter().cloned().collect(),
+                answered_at,
+            });
+            step.advice.promise = draft.keeps.map(|reservation| job::Promise {
+                reservation,
+                until: answered_at + ANSWER_SLACK,
+            });
         }
-        self.actions.push(Action::Ask(question));
+        self.actions.push(Action::Ask(Question {
+            member,
+            task,
+            workers: draft.workers,
+            expected: draft.expected,
+        }));
+    }
+
+    /// Whether a gang that holds workers could start as soon as it has tickets.
+    fn awaits_tickets(&self, candidate: &pass::Candidate, now: time::Instant) -> bool {
+        let reservation = candidate.reservation.as_ref();
+        let held = reservation.filter(|reservation| reservation.held);
+        held.is_some_and(|held| self.starts_soon(&candidate.task, held, now))
+    }
+
+    /// Whether there is room for a gang by the time that its tickets could be
+    /// there.
+    pub(crate) fn starts_soon(
+        &self,
+        task: &fleet::TaskId,
+        reservation: &reserve::Reservation,
+        now: time::Instant,
+    ) -> bool {
+        let policy = self.jobs.get(&task.job).and_then(|job| job.queue.advice);
+        let answer = policy.map(|policy| duration(&policy, reservation.workers.len()));
+        reservation.ready_at <= now + answer.unwrap_or_default() + TICKET_LEAD
     }
 
     /// The question that a step needs now, if any.
-    fn draft(&self, candidate: &pass::Candidate, now: time::Instant) -> Option<Draft> {
+    fn draft(
+        &self,
+        candidate: &pass::Candidate,
+        breadth: Breadth,
+        pass: &pass::Pass,
+    ) -> Option<Draft> {
+        let now = pass.now;
         let job = self.jobs.get(&candidate.task.job)?;
         let policy = job.queue.advice?;
         let step = job.step(&candidate.task)?;
-        if step.advice.asking || step.advice.not_before.is_some_and(|at| now < at) {
+        if step.advice.asking.is_some() || step.advice.not_before.is_some_and(|at| now < at) {
             return None;
         }
         let description = job.step_description(&candidate.task)?;
+        let mut keeps = None;
         let workers = match description.gang {
-            true => self.gang_workers_to_ask(candidate, job, description, &policy, now),
+            true if self.awaits_tickets(candidate, now) => {
+                keeps = candidate.reservation.clone();
+                tickets_to_ask(candidate, step, &policy, now)
+            }
+            true => self.choice_to_ask(candidate, job, description, breadth, pass),
             false => self.workers_to_ask(candidate, job, description, now),
         };
         if workers.is_empty() {
             return None;
         }
         let expected = duration(&policy, workers.len());
-        Some(Draft { workers, expected })
+        Some(Draft {
+            workers,
+            keeps,
+            expected,
+        })
     }
 
     /// The workers with most room, enough to make tickets for all waiting tasks
@@ -203,64 +273,85 @@
         self.enough(workers, step.waiting() as f64 * ASK_FACTOR, &job.queue)
     }
 
-    /// Of a gang: first who may run it at all, by the room that workers have
-    /// when empty; then, shortly before there is room, tickets for those that
-    /// are kept for it.
-    fn gang_workers_to_ask(
+    /// Who may run a gang at all, by the room that workers have, until there is
+    /// a choice among those that are good.
+    fn choice_to_ask(
         &self,
         candidate: &pass::Candidate,
         job: &job::Job,
         description: &fleet::StepDescription,
-        policy: &fleet::AdvicePolicy,
-        now: time::Instant,
+        breadth: Breadth,
+        pass: &pass::Pass,
     ) -> Vec<fleet::WorkerId> {
+        let now = pass.now;
         let Some(step) = job.step(&candidate.task) else {
             return Vec::new();
         };
+        let held = candidate.holds_workers();
+        if !held
+            && breadth == Breadth::Needed
+            && !self.may_start_now(candidate, job, description, pass)
+        {
+            return Vec::new();
+        }
         let count = u64::from(description.count);
-        let good_slots = self.good_slots(&candidate.task, description, now);
-        let ready_at = candidate
-            .reservation
-            .as_ref()
-            .map(|reservation| reservation.ready_at);
+        let good_slots = self.good_slots(&candidate.task, description, pass);
+        let ready_at = candidate.reservation.as_ref().map(|kept| kept.ready_at);
         let waits_long = ready_at.is_none_or(|at| at > now + GANG_PATIENCE);
-        let wanted = count as f64
-            * if waits_long {
-                GANG_CHOICE_WAITING
-            } else {
-                GANG_CHOICE
-            };
-        if (good_slots as f64) < wanted {
-            let unknown = self
-                .askable(job, step, description, now)
-                .filter(|(id, _)| !step.advice.verdicts.contains_key(*id));
-            let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = unknown
-                .map(|(id, worker)| (reserve::whole_slots(worker, description), false, id))
-                .filter(|(slots, ..)| *slots > 0)
-                .collect();
-            let free =
-                |id: &fleet::WorkerId| self.workers.get(id).map(|worker| worker.free().cpu_millis);
-            workers.sort_by_key(|(slots, _, id)| std::cmp::Reverse((*slots, free(id))));
-            let missing = wanted - good_slots as f64;
-            let asked = self.enough(workers, missing, &job.queue);
-            if !asked.is_empty() {
-                return asked;
-            }
-        }
-        let Some(reservation) = &candidate.reservation else {
-            return Vec::new();
+        let choice = match waits_long && (held || breadth == Breadth::Wide) {
+            true => GANG_CHOICE_WAITING,
+            false => GANG_CHOICE,
         };
-        let answered_at = now + duration(policy, reservation.workers.len());
-        if reservation.ready_at > answered_at + TICKET_LEAD {
+        let missing = count as f64 * choice - good_slots as f64;
+        if missing <= 0.0 {
             return Vec::new();
         }
-        let needed_until = reservation.ready_at.max(answered_at);
-        let covered = |id: &fleet::WorkerId| {
-            let ticket = step.advice.tickets.get(id);
-            ticket.is_some_and(|ticket| ticket.valid_until > needed_until)
+        let need = job::occupied(description);
+        let unknown = self.askable(job, step, description, now).filter(|(id, _)| {
+            let open = pass.kept_from(&candidate.task, id).is_none();
+            open && !step.advice.verdicts.contains_key(*id)
+        });
+        let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = unknown
+            .map(|(id, worker)| (reserve::whole_slots(worker, description), false, id))
+            .filter(|(slots, ..)| *slots > 0)
+            .collect();
+        let free = |id: &fleet::WorkerId| {
+            let worker = self.workers.get(id);
+            worker.map(|worker| (worker.free().times(&need, count), worker.free().cpu_millis))
+        };
+        workers.sort_by_key(|(slots, _, id)| std::cmp::Reverse((free(id), *slots)));
+        self.enough(workers, missing, &job.queue)
+    }
+
+    /// Whether a gang would find room now on workers that nobody keeps, if as
+    /// many of the unknown ones are good as usual.
+    fn may_start_now(
+        &self,
+        candidate: &pass::Candidate,
+        job: &job::Job,
+        description: &fleet::StepDescription,
+        pass: &pass::Pass,
+    ) -> bool {
+        let Some(step) = job.step(&candidate.task) else {
+            return false;
         };
-        let workers = reservation.workers.iter().filter(|id| !covered(id));
-        workers.take(MAX_ASKED).cloned().collect()
+        let need = job::occupied(description);
+        let most = reserve::most_per_worker(description);
+        let good_part = self.lanes.good_part(&job.queue.name);
+        let usable = pass.usable.iter();
+        let usable = usable.filter_map(|position| self.workers.get_index(*position));
+        let open = usable.filter(|(id, worker)| {
+            worker.suits(&job.queue, description) && pass.kept_from(&candidate.task, id).is_none()
+        });
+        let expected = open.map(|(id, worker)| {
+            let part = match step.advice.verdicts.get(id) {
+                Some(true) => 1.0,
+                Some(false) => 0.0,
+                None => good_part,
+            };
+            part * worker.free().times(&need, most) as f64
+        });
+        expected.sum::<f64>() >= f64::from(description.count)
     }
 
     /// Usable workers that may be good for a step and hold no ticket for it.
@@ -304,6 +395,26 @@
     }
 }
 
+/// Workers that a gang holds and has no lasting ticket for.
+fn tickets_to_ask(
+    candidate: &pass::Candidate,
+    step: &job::Step,
+    policy: &fleet::AdvicePolicy,
+    now: time::Instant,
+) -> Vec<fleet::WorkerId> {
+    let Some(reservation) = &candidate.reservation else {
+        return Vec::new();
+    };
+    let answered_at = now + duration(policy, reservation.workers.len());
+    let needed_until = reservation.ready_at.max(answered_at);
+    let covered = |id: &fleet::WorkerId| {
+        let ticket = step.advice.tickets.get(id);
+        ticket.is_some_and(|ticket| ticket.valid_until > needed_until)
+    };
+    let workers = reservation.workers.iter().filter(|id| !covered(id));
+    workers.take(MAX_ASKED).cloned().collect()
+}
+
 /// Workers that a question may name for little more than its base time.
 fn cheap_workers(policy: &fleet::AdvicePolicy) -> usize {
     let workers = policy.base_ms * CHEAP_PART / policy.per_worker_ms.max(f64::MIN_POSITIVE);
@@ -311,7 +422,7 @@
 }
 
 /// How long the advisory service thinks about so many workers.
-fn duration(policy: &fleet::AdvicePolicy, workers: usize) -> time::Duration {
+pub(crate) fn duration(policy: &fleet::AdvicePolicy, workers: usize) -> time::Duration {
     let micros = policy.duration_ms(workers) * 1_000.0;
     time::Duration::from_micros(micros.max(0.0) as u64)
 }
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -6,6 +6,7 @@
 use figscale_types::fleet;
 
 use super::maps;
+use super::reserve;
 
 /// Where a task stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -61,6 +62,20 @@
     pub(crate) valid_until: time::Instant,
 }
 
+/// A question that is on its way to the advisory service.
+#[derive(Clone, Debug)]
+pub(crate) struct Asking {
+    pub(crate) workers: maps::WorkerSet,
+    pub(crate) answered_at: time::Instant,
+}
+
+/// Workers kept for a gang while tickets for them are on their way.
+#[derive(Clone, Debug)]
+pub(crate) struct Promise {
+    pub(crate) reservation: reserve::Reservation,
+    pub(crate) until: time::Instant,
+}
+
 /// What the advisory service said of a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
@@ -68,8 +83,10 @@
     pub(crate) verdicts: maps::WorkerMap<bool>,
     /// Tickets held.
     pub(crate) tickets: maps::WorkerMap<HeldTicket>,
-    /// A question is on its way.
-    pub(crate) asking: bool,
+    /// The question that is on its way.
+    pub(crate) asking: Option<Asking>,
+    /// Workers that the step was promised with its last question.
+    pub(crate) promise: Option<Promise>,
     /// No question before this time, after one that was not answered.
     pub(crate) not_before: Option<time::Instant>,
 }
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -27,13 +27,29 @@
     pub(crate) reservation: Option<reserve::Reservation>,
 }
 
+impl Candidate {
+    /// Whether other work keeps off workers for this gang.
+    pub(crate) fn holds_workers(&self) -> bool {
+        let reservation = self.reservation.as_ref();
+        reservation.is_some_and(|reservation| reservation.held)
+    }
+}
+
+/// A worker that is kept free for a gang.
+#[derive(Clone, Copy, Debug)]
+struct Keep {
+    /// First task of the gang.
+    owner: fleet::TaskId,
+    /// When the gang should start.
+    until: time::Instant,
+}
+
 /// State of one pass.
 pub(crate) struct Pass {
     pub(crate) now: time::Instant,
     /// Positions of the workers that may get new work.
     pub(crate) usable: Vec<usize>,
-    /// Workers kept free for a gang that goes first, until it should start.
-    pub(crate) kept: maps::WorkerMap<time::Instant>,
+    kept: maps::WorkerMap<Keep>,
     /// The late gang for which workers were kept before all else.
     pub(crate) kept_for: Option<fleet::TaskId>,
     /// Most processor that one usable worker had free when the pass began.
@@ -43,6 +59,41 @@
     pub(crate) wanting: Vec<Candidate>,
 }
 
+impl Pass {
+    pub(crate) fn new(now: time::Instant, usable: Vec<usize>, widest_millis: u64) -> Self {
+        Self {
+            now,
+            usable,
+            kept: maps::WorkerMap::default(),
+            kept_for: None,
+            widest_millis,
+            reserving: 0,
+            wanting: Vec::new(),
+        }
+    }
+
+    /// Keeps workers for a gang, but for those that another keeps already.
+    pub(crate) fn keep(&mut self, owner: fleet::TaskId, reservation: &reserve::Reservation) {
+        let until = reservation.ready_at;
+        for worker in &reservation.workers {
+            let keep = Keep { owner, until };
+            self.kept.entry(worker.clone()).or_insert(keep);
+        }
+    }
+
+    /// Until when a worker is kept for another step than that of a task. Work
+    /// that is over by then may use it.
+    pub(crate) fn kept_from(
+        &self,
+        task: &fleet::TaskId,
+        worker: &fleet::WorkerId,
+    ) -> Option<time::Instant> {
+        let keep = self.kept.get(worker)?;
+        let own = keep.owner == fleet::TaskId { index: 0, ..*task };
+        (!own).then_some(keep.until)
+    }
+}
+
 pub(crate) fn first_task(job: fleet::JobId, occurrence: usize, step: usize) -> fleet::TaskId {
     let number = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
     fleet::TaskId {
--- a/crates/figscale-core/src/fleet/places.rs
+++ b/crates/figscale-core/src/fleet/places.rs
@@ -43,9 +43,8 @@
             if !worker.suits(&job.queue, description) || !worker.free().holds(&need) {
                 continue;
             }
-            let kept_for_it = pass.kept_for == Some(fleet::TaskId { index: 0, ..*task });
-            let kept_until = pass.kept.get(id).filter(|_| !is_short && !kept_for_it);
-            if kept_until.is_some_and(|ready_at| ends > *ready_at) {
+            let kept_until = pass.kept_from(task, id).filter(|_| !is_short);
+            if kept_until.is_some_and(|until| ends > until) {
                 continue;
             }
             let most = description.max_per_worker.map_or(u64::MAX, u64::from);
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -15,14 +15,14 @@
 use super::action::Action;
 use super::action::Note;
 use super::job;
-use super::maps;
 use super::pass;
 use super::places;
 use super::scheduler;
 use super::worker;
 
-/// Gangs that may keep workers free at the same time; more would leave most
-/// workers waiting.
+/// Gangs that may keep workers for runs still to end, at the same time; more
+/// would leave most workers waiting. Gangs that wait for nothing but tickets are
+/// not counted: their room is idle for one answer only.
 const MAX_RESERVING: usize = 3;
 /// Attempts of one term; the next term's numbers begin above them.
 const ATTEMPTS_PER_EPOCH: u64 = 1_000;
@@ -55,15 +55,9 @@
             worker.is_some_and(|(_, worker)| self.is_usable(worker, now))
         });
         let usable: Vec<usize> = usable.collect();
-        let mut pass = pass::Pass {
-            now,
-            widest_millis: self.widest_millis(&usable),
-            usable,
-            kept: maps::WorkerMap::default(),
-            kept_for: None,
-            reserving: 0,
-            wanting: Vec::new(),
-        };
+        let widest_millis = self.widest_millis(&usable);
+        let mut pass = pass::Pass::new(now, usable, widest_millis);
+        self.keep_promised(&candidates, &mut pass);
         self.keep_for_latest(&candidates, &mut pass);
         for mut candidate in candidates {
             if !self.may_fit(&candidate, &pass) {
@@ -74,8 +68,7 @@
                 pass.wanting.push(candidate);
             }
         }
-        let wanting = pass.wanting;
-        self.ask_for(&wanting, now);
+        self.ask_for(&pass);
     }
 
     fn widest_millis(&self, usable: &[usize]) -> u64 {
@@ -94,6 +87,18 @@
         step.is_some_and(|step| step.gang || job::occupied(step).cpu_millis <= pass.widest_millis)
     }
 
+    /// Keeps the workers for which tickets are on their way.
+    fn keep_promised(&self, candidates: &[pass::Candidate], pass: &mut pass::Pass) {
+        for candidate in candidates {
+            let job = self.jobs.get(&candidate.task.job);
+            let step = job.and_then(|job| job.step(&candidate.task));
+            let promise = step.and_then(|step| step.advice.promise.as_ref());
+            if let Some(promise) = promise.filter(|promise| promise.until > pass.now) {
+                pass.keep(candidate.task, &promise.reservation);
+            }
+        }
+    }
+
     /// Keeps workers for the late gang that has waited longest, before all else.
     ///
     /// Late work comes after whatever can still be in time, and there is always
@@ -116,15 +121,8 @@
         let Some(step) = job.and_then(|job| job.step_description(&candidate.task)) else {
             return;
         };
-        let reservation = self.reserve(&candidate.task, step, |_| false, pass.now);
-        for worker in reservation
-            .iter()
-            .flat_map(|reservation| &reservation.workers)
-        {
-            let ready_at = reservation
-                .as_ref()
-                .map_or(pass.now, |reservation| reservation.ready_at);
-            pass.kept.insert(worker.clone(), ready_at);
+        if let Some(reservation) = self.reserve(&candidate.task, step, pass) {
+            pass.keep(candidate.task, &reservation);
         }
         pass.kept_for = Some(candidate.task);
     }
@@ -277,17 +275,16 @@
         pass: &mut pass::Pass,
     ) {
         let kept_for_it = pass.kept_for == Some(candidate.task);
-        let is_kept = |id: &fleet::WorkerId| !kept_for_it && pass.kept.contains_key(id);
-        let reservation = self.reserve(&candidate.task, description, is_kept, pass.now);
-        if let Some(reservation) = &reservation
-            && pass.reserving < MAX_RESERVING
-        {
-            for worker in &reservation.workers {
-                pass.kept.insert(worker.clone(), reservation.ready_at);
+        let reservation = self.reserve(&candidate.task, description, pass);
+        candidate.reservation = reservation.map(|mut reservation| {
+            let soon = self.starts_soon(&candidate.task, &reservation, pass.now);
+            if soon || kept_for_it || pass.reserving < MAX_RESERVING {
+                pass.keep(candidate.task, &reservation);
+                pass.reserving += usize::from(!soon);
+                reservation.held = true;
             }
-            pass.reserving += 1;
-        }
-        candidate.reservation = reservation;
+            reservation
+        });
     }
 
     fn next_attempt(&self, id: &fleet::TaskId) -> u32 {
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -6,12 +6,20 @@
 //! run the gang, until there are enough. The workers with these slots are kept:
 //! other work may use them only if it is over by the time that the gang is
 //! expected to start. Tickets are asked for shortly before that time.
+//!
+//! A slot is of use once there is a ticket for its worker, so a worker with a
+//! ticket, or with one on its way, comes before one that would have to be asked
+//! about. Without that the workers chosen change with each run that ends, the
+//! tickets fetched are for the last choice and not for this one, and a gang asks
+//! again and again beside free room.
 
 use std::time;
 
 use figscale_types::fleet;
 
+use super::advice;
 use super::job;
+use super::pass;
 use super::scheduler;
 use super::worker;
 
@@ -23,30 +31,39 @@
 pub(crate) struct Reservation {
     /// In the order in which they become free.
     pub(crate) workers: Vec<fleet::WorkerId>,
-    /// When there should be room for all members.
+    /// When there should be room, and tickets, for all members.
     pub(crate) ready_at: time::Instant,
+    /// Other work keeps off these workers, so tickets for them are of use.
+    pub(crate) held: bool,
 }
 
 impl scheduler::Scheduler {
-    /// The slots of a gang that become free first, on workers that nobody else
-    /// keeps; `None` if the workers known to be good never have enough.
+    /// The slots of a gang that become free first; `None` if the workers known
+    /// to be good never have enough. Slots on workers that are kept for others
+    /// count if the gang is over by the time that those start.
     pub(crate) fn reserve(
         &self,
         task: &fleet::TaskId,
         description: &fleet::StepDescription,
-        is_kept: impl Fn(&fleet::WorkerId) -> bool,
-        now: time::Instant,
+        pass: &pass::Pass,
     ) -> Option<Reservation> {
+        let now = pass.now;
+        let length = time::Duration::from_millis(description.estimate_ms);
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task)?;
         let advised = job.queue.advice.is_some();
+        let tickets = Tickets::of(job, step, now);
         let mut slots: Vec<(time::Instant, &fleet::WorkerId)> = Vec::new();
         for (id, worker) in &self.workers {
             let good = !advised || step.advice.verdicts.get(id) == Some(&true);
             let usable = self.is_usable(worker, now);
-            if good && usable && worker.suits(&job.queue, description) && !is_kept(id) {
-                let times = slot_times(worker, description, now);
-                slots.extend(times.into_iter().map(|time| (time, id)));
+            if good && usable && worker.suits(&job.queue, description) {
+                let ticket_at = tickets.ready_at(id);
+                let kept_until = pass.kept_from(task, id);
+                let times = slot_times(worker, description, now).into_iter();
+                let times = times.map(|time| time.max(ticket_at));
+                let open = times.filter(|at| kept_until.is_none_or(|until| *at + length <= until));
+                slots.extend(open.map(|time| (time, id)));
             }
         }
         slots.sort();
@@ -58,15 +75,20 @@
             }
         }
         let ready_at = taken.last()?.0;
-        Some(Reservation { workers, ready_at })
+        Some(Reservation {
+            workers,
+            ready_at,
+            held: false,
+        })
     }
 
-    /// Members of a gang that the empty workers known to be good could hold.
+    /// Members of a gang that the empty workers known to be good could hold;
+    /// those that are kept for others are of no use to it.
     pub(crate) fn good_slots(
         &self,
         task: &fleet::TaskId,
         description: &fleet::StepDescription,
-        now: time::Instant,
+        pass: &pass::Pass,
     ) -> u64 {
         let Some(job) = self.jobs.get(&task.job) else {
             return 0;
@@ -75,17 +97,52 @@
             let step = job.step(task);
             step.is_some_and(|step| step.advice.verdicts.get(id) == Some(&true))
         };
-        let usable = |worker: &worker::Worker| self.is_usable(worker, now);
+        let usable = |worker: &worker::Worker| self.is_usable(worker, pass.now);
+        let open = |id: &fleet::WorkerId| pass.kept_from(task, id).is_none();
         let workers = self
             .workers
             .iter()
-            .filter(|(id, worker)| good(id) && usable(worker));
+            .filter(|(id, worker)| good(id) && usable(worker) && open(id));
         workers
             .map(|(_, worker)| whole_slots(worker, description))
             .sum()
     }
 }
 
+/// When a step could have tickets for workers.
+struct Tickets<'a> {
+    advice: &'a job::StepAdvice,
+    now: time::Instant,
+    /// For a worker that is asked about next.
+    asked_next: time::Instant,
+}
+
+impl<'a> Tickets<'a> {
+    fn of(job: &job::Job, step: &'a job::Step, now: time::Instant) -> Self {
+        let asking = step.advice.asking.as_ref();
+        let free_at = asking.map_or(now, |asking| asking.answered_at.max(now));
+        let policy = job.queue.advice.as_ref();
+        let answer = policy.map(|policy| advice::duration(policy, 1));
+        Self {
+            advice: &step.advice,
+            now,
+            asked_next: free_at + answer.unwrap_or_default(),
+        }
+    }
+
+    fn ready_at(&self, worker: &fleet::WorkerId) -> time::Instant {
+        let ticket = self.advice.tickets.get(worker);
+        if ticket.is_some_and(|ticket| ticket.valid_until > self.now) {
+            return self.now;
+        }
+        let asking = self.advice.asking.as_ref();
+        match asking.filter(|asking| asking.workers.contains(worker)) {
+            Some(asking) => asking.answered_at.max(self.now),
+            None => self.asked_next,
+        }
+    }
+}
+
 /// Members that an empty worker holds.
 pub(crate) fn whole_slots(worker: &worker::Worker, description: &fleet::StepDescription) -> u64 {
     worker
