fleet: of late work what has waited longest goes first

The time until a late job's objective stopped at zero, so late work was ranked by what it has left to do, longest first, and that order never changed. The one place kept for the late gang "that has waited longest" went by the same order.

Slack goes on falling below zero. Late work that still earns something goes before what earns nothing; within these the longest overdue is first. The place that is kept for a late gang is for the longest overdue of all, so that what earns nothing is done as well.

--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -9,11 +9,28 @@
 use super::maps;
 use super::reserve;
 
+/// A job that ends later than so many times its objective earns nothing.
+const WORTHLESS_AFTER_OBJECTIVES: u32 = 3;
+
+/// What a job is still worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Lateness {
+    /// It can still meet its objective.
+    InTime,
+    /// It earns a part.
+    Late,
+    /// It earns nothing, and must be done all the same.
+    Overdue,
+}
+
 /// Order of steps; less goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    pub(crate) late: bool,
+    pub(crate) lateness: Lateness,
     pub(crate) class: u8,
+    /// Time until the step must start; of late ones the time since. It goes on
+    /// falling, so that what has waited longest goes first among late work. A
+    /// short gang would otherwise stay behind every longer one for good.
     pub(crate) slack_ms: i64,
 }
 
@@ -114,13 +131,26 @@
 }
 
 pub(crate) fn rank(job: &job::Job, round: &job::Round, now: time::Instant) -> Rank {
-    let remaining_ms = i64::try_from(round.remaining_ms(&job.description)).unwrap_or(i64::MAX);
-    let left = job.objective_at.saturating_duration_since(now);
-    let left_ms = i64::try_from(super::lease::millis(left)).unwrap_or(i64::MAX);
-    let slack_ms = left_ms - remaining_ms;
+    let ends = now + time::Duration::from_millis(round.remaining_ms(&job.description));
+    let objective = job.objective_at.saturating_duration_since(job.submitted);
+    let worthless_at = job.submitted + objective * WORTHLESS_AFTER_OBJECTIVES;
+    let lateness = match ends {
+        ends if ends <= job.objective_at => Lateness::InTime,
+        ends if ends <= worthless_at => Lateness::Late,
+        _ => Lateness::Overdue,
+    };
     Rank {
-        late: slack_ms < 0,
+        lateness,
         class: u8::from(job.queue.priority > 0),
-        slack_ms,
+        slack_ms: signed_millis(ends, job.objective_at),
+    }
+}
+
+/// Milliseconds from one time to another, below zero if that is over.
+fn signed_millis(from: time::Instant, to: time::Instant) -> i64 {
+    let millis = |time| i64::try_from(super::lease::millis(time)).unwrap_or(i64::MAX);
+    match to.checked_duration_since(from) {
+        Some(left) => millis(left),
+        None => -millis(from.saturating_duration_since(to)),
     }
 }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -102,18 +102,20 @@
     /// Keeps workers for the late gang that has waited longest, before all else.
     ///
     /// Late work comes after whatever can still be in time, and there is always
-    /// some of that; a wide gang would never run. What is kept for it is used
+    /// some of that; a wide gang would never run. What is worth nothing any more
+    /// counts here like the rest. What is kept for it is used
     /// by others until it starts.
     fn keep_for_latest(&self, candidates: &[pass::Candidate], pass: &mut pass::Pass) {
         let gang = |candidate: &&pass::Candidate| {
             let job = self.jobs.get(&candidate.task.job).filter(|job| job.stored);
             let step = job.and_then(|job| job.step_description(&candidate.task));
-            candidate.rank.late && step.is_some_and(|step| step.gang)
+            let late = candidate.rank.lateness != pass::Lateness::InTime;
+            late && step.is_some_and(|step| step.gang)
         };
         let Some(candidate) = candidates
             .iter()
             .filter(gang)
-            .min_by_key(|candidate| candidate.rank)
+            .min_by_key(|candidate| candidate.rank.slack_ms)
         else {
             return;
         };
