--- a/crates/figscale-core/tests/fleet/backlog.rs
+++ b/crates/figscale-core/tests/fleet/backlog.rs
@@ -18,6 +18,7 @@
 use figscale_core::fleet::Question;
 use figscale_types::fleet;
 use indexmap::IndexMap;
+use rstest::rstest;
 
 use crate::kit;
 use crate::kit::Cell;
@@ -93,19 +94,22 @@
     /// Questions on their way, with the time of the answer.
     asked: Vec<(u64, Question)>,
     ends: IndexMap<(fleet::TaskId, u32), u64>,
+    /// How much later than expected answers are.
+    answers_late_ms: u64,
     at_ms: u64,
     submitted: u64,
     seed: u64,
 }
 
 impl Backlog {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, answers_late_ms: u64) -> Self {
         let mut backlog = Self {
             cell: Cell::with_cores(WORKERS, CORES),
             kinds: kinds(),
             taken: IndexMap::new(),
             asked: Vec::new(),
             ends: IndexMap::new(),
+            answers_late_ms,
             at_ms: 0,
             submitted: 0,
             seed,
@@ -212,7 +216,8 @@
         self.cell.carry_out();
         for question in std::mem::take(&mut self.cell.questions) {
             let expected_ms = question.expected.as_millis() as u64;
-            self.asked.push((self.at_ms + expected_ms, question));
+            let answered_ms = self.at_ms + expected_ms + self.answers_late_ms;
+            self.asked.push((answered_ms, question));
         }
         self.taken.retain(|number, _| {
             let state = self.cell.scheduler.state(kit::job_id(*number));
@@ -302,10 +307,12 @@
     ((mixed >> 40) as f64 / f64::from(1_u32 << 24)) < part
 }
 
-/// What was accepted runs as soon as there is room for it.
-#[test]
-fn nothing_waits_beside_free_room() {
-    let plays = SEEDS.map(|seed| thread::spawn(move || Backlog::new(seed).play()));
+/// What was accepted runs as soon as there is room for it, also where answers
+/// take longer than the service thinks.
+#[rstest]
+fn nothing_waits_beside_free_room(#[values(0, 100)] answers_late_ms: u64) {
+    let play = move |seed| Backlog::new(seed, answers_late_ms).play();
+    let plays = SEEDS.map(|seed| thread::spawn(move || play(seed)));
     let lost = plays.map(|play| play.join().unwrap());
     assert!(lost.iter().all(Vec::is_empty), "waiting, by seed: {lost:?}");
 }
