fleet: steps that wait long are told, counted and to be watched

Cause: in the incident of gangs that wait beside free room, steps of accepted jobs could run and did not, and no line or metric said so or why.

Ruled out: a step counts by its job's age alone. A second step, or a repeated job's occurrence, that has just become ready would be told of as if it had waited for all of that; so a step counts only if the look before, 2 s earlier, found it idle as well.

Change: at most every 2 s `Scheduler::tick` looks through the open jobs for steps that are ready and have nothing running; those of jobs over 5 s old are counted (`Counts::waiting_steps`, gauge `waiting_steps`), and of the oldest three `Note::StepWaits` tells tasks, suspects, good slots, slots with tickets, free slots and whether a question is open: event 6211 STEP_WAITS, warn. Without advice each worker that suits counts as good and as having a ticket. `fleet_cost` has two more columns: a tick, and one that looks.

Conclusion: the log now names the step and what it lacks. A fleet that is merely full is told of as well; few free slots say so. A gang of which one member counts as placed is not told of: it has something running as far as the leader knows.

--- a/crates/figscale-core/examples/fleet_cost.rs
+++ b/crates/figscale-core/examples/fleet_cost.rs
@@ -2,8 +2,9 @@
 //!
 //! Quick jobs of two steps of ten tasks come under advice. Printed are
 //! microseconds for one look at what is to be written, which the leader takes
-//! after each batch of messages, and for one pass of placement over 40 waiting
-//! jobs for which no worker has room.
+//! after each batch of messages, for one pass of placement over 40 waiting jobs
+//! for which no worker has room, and for one tick over these jobs: an ordinary
+//! one, and one 2 s after the last, which looks for steps that wait long.
 //!
 //! Run with `cargo run --release -p figscale-core --example fleet_cost`.
 
@@ -24,26 +25,58 @@
 type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
 
 fn main() -> Result<()> {
-    println!("workers  look_us  pass_without_room_us");
+    println!("workers  look_us  pass_without_room_us  tick_us  tick_after_2_s_us");
     for workers in [50, 350, 1_000] {
-        let look = micros(&mut cell(workers, 16_000)?, |cell| {
-            hint::black_box(cell.0.has_urgent_records());
-            hint::black_box(cell.0.has_records());
-        });
-        let pass = micros(&mut cell(workers, 0)?, |cell| cell.0.plan(cell.1));
-        println!("{workers:7}  {look:7.1}  {pass:20.1}");
+        let look = micros(
+            &mut cell(workers, 16_000)?,
+            |_| (),
+            |cell| {
+                hint::black_box(cell.0.has_urgent_records());
+                hint::black_box(cell.0.has_records());
+            },
+        );
+        let pass = micros(&mut cell(workers, 0)?, |_| (), |cell| cell.0.plan(cell.1));
+        let tick = |cell: &mut Cell| cell.0.tick(cell.1, 0);
+        let ticks = micros(&mut cell(workers, 0)?, |_| (), tick);
+        let later = micros(&mut cell(workers, 0)?, two_seconds_later, tick);
+        println!("{workers:7}  {look:7.1}  {pass:20.1}  {ticks:7.1}  {later:17.1}");
     }
     Ok(())
 }
 
 type Cell = (Scheduler, time::Instant);
 
-fn micros(cell: &mut Cell, mut call: impl FnMut(&mut Cell)) -> f64 {
-    let begun = time::Instant::now();
+/// Mean time of a call; what comes before each is not counted.
+fn micros(
+    cell: &mut Cell,
+    mut before: impl FnMut(&mut Cell),
+    mut call: impl FnMut(&mut Cell),
+) -> f64 {
+    let mut spent = time::Duration::ZERO;
     for _ in 0..ROUNDS {
+        before(cell);
+        let begun = time::Instant::now();
         call(cell);
+        spent += begun.elapsed();
+    }
+    spent.as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+/// All workers have reported again, and what was told is taken.
+fn two_seconds_later(cell: &mut Cell) {
+    let (scheduler, now) = cell;
+    *now += time::Duration::from_secs(2);
+    let workers = scheduler.listed_workers();
+    for worker in workers {
+        let last = scheduler.report_due(&worker);
+        let lease_ms = last.and_then(|due| due.lease_until_clock_ms);
+        let report = fleet::WorkerReport {
+            clock_ms: lease_ms.unwrap_or(CLOCK_MS),
+            ..Default::default()
+        };
+        scheduler.worker_reported(&worker, &report, *now);
     }
-    begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+    scheduler.take_actions();
 }
 
 /// A scheduler with workers of so much processor, and jobs that have tickets.
--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -74,6 +74,26 @@
         /// Until the job is late; none if it is.
         slack: Option<time::Duration>,
     },
+    /// A step could run, waits long and has nothing running.
+    StepWaits {
+        /// First task of the step.
+        task: fleet::TaskId,
+        /// Since the job's submission.
+        waits: time::Duration,
+        /// Tasks that wait.
+        tasks: usize,
+        /// Tasks that may still run on a worker that has not reported.
+        suspect: usize,
+        /// Tasks that usable workers known to be good hold when empty.
+        good_slots: u64,
+        /// Tasks for which there is room now on usable workers with a valid
+        /// ticket.
+        ticket_slots: u64,
+        /// Tasks for which there is room now on all usable workers that suit.
+        free_slots: u64,
+        /// A question about the step is on its way.
+        asking: bool,
+    },
     /// The advisory service said who may run a step.
     AdviceGiven {
         /// First task of the step.
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -43,6 +43,7 @@
 mod submit;
 mod unsaved;
 mod view;
+mod waits;
 mod worker;
 
 pub use action::Action;
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -14,6 +14,7 @@
 use super::lanes;
 use super::maps;
 use super::unsaved;
+use super::waits;
 use super::worker;
 
 /// How a scheduler behaves; the platform's bounds come from settings.
@@ -64,6 +65,8 @@
     pub open_jobs: usize,
     /// Of these without a started task.
     pub queued_jobs: usize,
+    /// Steps that could run, wait long and have nothing running; some 2 s old.
+    pub waiting_steps: usize,
     /// Runs on workers.
     pub runs: usize,
     /// Workers that may be used.
@@ -95,6 +98,8 @@
     pub(crate) record_differs: bool,
     /// Changes that are not known to be in the store.
     pub(crate) unsaved: unsaved::Unsaved,
+    /// Steps that could run and do not.
+    pub(crate) waits: waits::Waits,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -114,6 +119,7 @@
             record_outdated: false,
             record_differs: false,
             unsaved: unsaved::Unsaved::default(),
+            waits: waits::Waits::default(),
             actions: Vec::new(),
         }
     }
@@ -130,6 +136,7 @@
         Counts {
             open_jobs: open().count(),
             queued_jobs: open().filter(|job| !job.started).count(),
+            waiting_steps: self.waits.steps,
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
             usable_workers: self.workers.values().filter(usable).count(),
             workers: self.workers.len(),
@@ -223,6 +230,7 @@
         self.add_due_rounds(wall_ms);
         self.drop_old_outcomes(wall_ms);
         self.check_recovery(now);
+        self.look_at_waits(now);
     }
 
     fn end_silent_leases(&mut self, now: time::Instant) {
--- /dev/null
+++ b/crates/figscale-core/src/fleet/waits.rs
@@ -0,0 +1,184 @@
+//! Steps that could run and do not, for the log.
+//!
+//! What is placed, asked or given up is told as it happens; a step that merely
+//! waits does nothing that could be told. So now and then all open jobs are
+//! looked through for steps that are ready and have nothing running. All of
+//! them are counted, and of those that wait the longest it is told what they
+//! could have: room, workers known to be good, tickets. A step of an old job
+//! may have become ready just now; only one that the look before found waiting
+//! as well is meant.
+
+use std::time;
+
+use figscale_types::fleet;
+use indexmap::IndexSet;
+
+use super::action::Action;
+use super::action::Note;
+use super::job;
+use super::pass;
+use super::reserve;
+use super::scheduler;
+use super::worker;
+
+/// Least time between two looks. With `MAX_TOLD` it bounds the log to three
+/// lines in 2 s. A look takes some 25 us with 350 workers and 40 steps that
+/// wait, by `fleet_cost`, where one of the 80 ticks in that time takes 20 us.
+const LOOK_PAUSE: time::Duration = time::Duration::from_secs(2);
+/// A step is told of when its job was submitted longer ago. The lease of a lost
+/// worker and the stop after it take 4.9 s by the defaults, so a first step is
+/// not told of for a wait that ends by itself.
+const LONG_WAIT: time::Duration = time::Duration::from_secs(5);
+/// Steps that one look tells of at most; what holds these up mostly holds up
+/// the others.
+const MAX_TOLD: usize = 3;
+
+/// What the last look found.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Waits {
+    looked: Option<time::Instant>,
+    /// First tasks of the steps that could run and had nothing running.
+    idle: IndexSet<fleet::TaskId>,
+    /// Of these the steps that had waited long.
+    pub(crate) steps: usize,
+}
+
+/// A worker that may get new work.
+type Usable<'a> = (&'a fleet::WorkerId, &'a worker::Worker);
+
+/// Tasks of a step that workers could hold.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slots {
+    /// On empty workers known to be good.
+    good: u64,
+    /// Free now, on workers with a valid ticket.
+    ticket: u64,
+    /// Free now, on all workers that suit.
+    free: u64,
+}
+
+impl scheduler::Scheduler {
+    /// Counts the steps that wait, and tells of the oldest, if a look is due.
+    pub(crate) fn look_at_waits(&mut self, now: time::Instant) {
+        let recent = |looked| now < looked + LOOK_PAUSE;
+        if self.waits.looked.is_some_and(recent) {
+            return;
+        }
+        let idle = self.idle_steps();
+        let mut waiting = self.waiting_long(&idle, now);
+        self.waits = Waits {
+            looked: Some(now),
+            idle,
+            steps: waiting.len(),
+        };
+        waiting.sort_unstable();
+        waiting.truncate(MAX_TOLD);
+        let notes = self.notes_of_waits(&waiting, now);
+        self.actions.extend(notes.into_iter().map(Action::Tell));
+    }
+
+    fn notes_of_waits(
+        &self,
+        waiting: &[(time::Instant, fleet::TaskId)],
+        now: time::Instant,
+    ) -> Vec<Note> {
+        if waiting.is_empty() {
+            return Vec::new();
+        }
+        let usable = |(_, worker): &(_, &worker::Worker)| self.is_usable(worker, now);
+        let usable: Vec<_> = self.workers.iter().filter(usable).collect();
+        let notes = waiting.iter();
+        notes
+            .filter_map(|(_, task)| self.note_of_wait(task, &usable, now))
+            .collect()
+    }
+
+    /// Steps of stored jobs that could run and have nothing running.
+    fn idle_steps(&self) -> IndexSet<fleet::TaskId> {
+        let mut idle = IndexSet::new();
+        let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
+        for job in jobs.filter(|job| job.stored) {
+            for (occurrence, round) in job.rounds.iter().enumerate() {
+                for (number, step) in round.steps.iter().enumerate() {
+                    if is_idle(step) && round.is_ready(&job.description, number) {
+                        idle.insert(pass::first_task(job.id, occurrence, number));
+                    }
+                }
+            }
+        }
+        idle
+    }
+
+    /// Those of the idle steps that were idle at the last look too and whose
+    /// jobs are old, with the times of submission.
+    fn waiting_long(
+        &self,
+        idle: &IndexSet<fleet::TaskId>,
+        now: time::Instant,
+    ) -> Vec<(time::Instant, fleet::TaskId)> {
+        let still = idle.iter().filter(|task| self.waits.idle.contains(*task));
+        let submitted = still.filter_map(|task| {
+            let job = self.jobs.get(&task.job)?;
+            Some((job.submitted, *task))
+        });
+        submitted
+            .filter(|(submitted, _)| now.saturating_duration_since(*submitted) > LONG_WAIT)
+            .collect()
+    }
+
+    fn note_of_wait(
+        &self,
+        task: &fleet::TaskId,
+        usable: &[Usable<'_>],
+        now: time::Instant,
+    ) -> Option<Note> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.step(task)?;
+        let description = job.step_description(task)?;
+        let slots = slots_for(job, step, description, usable, now);
+        Some(Note::StepWaits {
+            task: *task,
+            waits: now.saturating_duration_since(job.submitted),
+            tasks: step.waiting(),
+            suspect: step.tasks.iter().filter(|task| task.suspect).count(),
+            good_slots: slots.good,
+            ticket_slots: slots.ticket,
+            free_slots: slots.free,
+            asking: step.advice.asking.is_some(),
+        })
+    }
+}
+
+/// Without advice every worker that suits is good and needs no ticket.
+fn slots_for(
+    job: &job::Job,
+    step: &job::Step,
+    description: &fleet::StepDescription,
+    usable: &[Usable<'_>],
+    now: time::Instant,
+) -> Slots {
+    let advised = job.queue.advice.is_some();
+    let need = job::occupied(description);
+    let most = reserve::most_per_worker(description);
+    let mut slots = Slots::default();
+    let suits = |(_, worker): &&Usable<'_>| worker.suits(&job.queue, description);
+    for (id, worker) in usable.iter().filter(suits) {
+        let free = worker.free().times(&need, most);
+        slots.free += free;
+        if advised && step.advice.verdicts.get(*id) != Some(&true) {
+            continue;
+        }
+        slots.good += reserve::whole_slots(worker, description);
+        let ticket = step.advice.tickets.get(*id);
+        if !advised || ticket.is_some_and(|ticket| ticket.valid_until > now) {
+            slots.ticket += free;
+        }
+    }
+    slots
+}
+
+/// Whether tasks of a step wait and none is on a worker.
+fn is_idle(step: &job::Step) -> bool {
+    let on_worker = |task: &job::Task| !task.is_waiting() && !task.is_done();
+    step.tasks.iter().any(job::Task::is_waiting) && !step.tasks.iter().any(on_worker)
+}
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -18,3 +18,4 @@
 mod silence;
 mod standing;
 mod trouble;
+mod waits;
--- a/crates/figscale/src/fleet/outcome.rs
+++ b/crates/figscale/src/fleet/outcome.rs
@@ -67,6 +67,28 @@
                 slack_ms = slack.map_or(0, |slack| slack.as_millis())
             );
         }
+        Note::StepWaits {
+            task,
+            waits,
+            tasks,
+            suspect,
+            good_slots,
+            ticket_slots,
+            free_slots,
+            asking,
+        } => {
+            crate::event!(
+                events::STEP_WAITS,
+                task = task,
+                after_ms = waits.as_millis(),
+                tasks = tasks,
+                suspect = suspect,
+                good_slots = good_slots,
+                ticket_slots = ticket_slots,
+                free_slots = free_slots,
+                asking = asking
+            );
+        }
         Note::AdviceGiven {
             task,
             member,
