fleet: split the callers' entry by job

One file held the listeners, reading a call, finding its queue, submissions and the shapes of answers. They are entry, entry/call, entry/dispatch, entry/submit and entry/reply now. The refusal of an instance that nobody can serve stood twice and is reply::unavailable; two functions that only forwarded are gone. Whether an instance is ready is asked by callers' balancer and operators alike and has a module of its own, readiness. No change of behaviour.

--- /dev/null
+++ b/crates/figscale/src/fleet/entry/dispatch.rs
@@ -0,0 +1,93 @@
+//! Finds what a call is about, and has it answered.
+
+use axum::body;
+use axum::extract;
+use axum::response;
+use axum::response::IntoResponse as _;
+use figscale_platform::ingress;
+use figscale_types::fleet;
+
+use super::call;
+use super::reply;
+use super::submit;
+use crate::fleet::Context;
+use crate::fleet::ask;
+use crate::fleet::calls::LeaderAnswer;
+use crate::fleet::calls::LeaderCall;
+
+/// Answers any call of a caller.
+pub(super) async fn answer(
+    extract::State(context): extract::State<Context>,
+    request: extract::Request,
+) -> response::Response {
+    let arrived = context.clock.now();
+    let (head, body) = request.into_parts();
+    let Ok(body) = body::to_bytes(body, call::MAX_BODY_BYTES).await else {
+        return http::StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    };
+    let call = call::Call::new(&head, body, arrived);
+    let answer = dispatch(&context, &call).await;
+    let took = context.clock.now().saturating_duration_since(arrived);
+    let status = answer.status().as_u16();
+    let method = method_label(&call.method);
+    context.metrics.fleet_call_answered(method, status, took);
+    answer
+}
+
+/// Labels are bounded, whatever callers send.
+fn method_label(method: &http::Method) -> &'static str {
+    match *method {
+        http::Method::POST => "POST",
+        http::Method::GET => "GET",
+        http::Method::DELETE => "DELETE",
+        _ => "other",
+    }
+}
+
+async fn dispatch(context: &Context, call: &call::Call) -> response::Response {
+    let table = context.queues.borrow().clone();
+    if table.version == 0 {
+        return reply::unavailable();
+    }
+    let Some(queue) = table.find(&call.host, &call.path).cloned() else {
+        return reply::not_found(call, "no such queue");
+    };
+    let id = &call.path[queue.prefix.len()..];
+    if id.is_empty() && call.method == http::Method::GET {
+        return pending(context, call, queue).await;
+    }
+    let Ok(job) = id.parse::<fleet::JobId>() else {
+        return reply::not_found(call, "not a job id");
+    };
+    match call.method {
+        http::Method::POST => submit::submit(context, call, job, queue).await,
+        http::Method::GET => tell_state(context, call, &LeaderCall::State { job }).await,
+        http::Method::DELETE => tell_state(context, call, &LeaderCall::Cancel { job }).await,
+        _ => http::StatusCode::METHOD_NOT_ALLOWED.into_response(),
+    }
+}
+
+/// Tells how a job stands after a question that is answered with its state.
+async fn tell_state(
+    context: &Context,
+    call: &call::Call,
+    question: &LeaderCall,
+) -> response::Response {
+    match ask::leader(context, question, call.deadline).await.0 {
+        Some(LeaderAnswer::State(Some(state))) => {
+            reply::json(http::StatusCode::OK, ingress::encode_state(state))
+        }
+        Some(LeaderAnswer::State(None)) => http::StatusCode::GONE.into_response(),
+        _ => reply::unanswered(call),
+    }
+}
+
+async fn pending(context: &Context, call: &call::Call, queue: fleet::Queue) -> response::Response {
+    let question = LeaderCall::Pending { queue: queue.name };
+    match ask::leader(context, &question, call.deadline).await.0 {
+        Some(LeaderAnswer::Pending(jobs)) => {
+            reply::json(http::StatusCode::OK, ingress::encode_pending(jobs))
+        }
+        _ => reply::unanswered(call),
+    }
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/entry/reply.rs
@@ -0,0 +1,53 @@
+//! Answers that several kinds of calls get.
+
+use axum::response;
+use axum::response::IntoResponse as _;
+
+use super::call;
+use crate::events;
+
+/// When to come back where there is no leader.
+const UNAVAILABLE_RETRY_AFTER_MS: u64 = 1_000;
+
+pub(super) fn not_found(call: &call::Call, cause: &'static str) -> response::Response {
+    crate::event!(
+        events::fleet::CALL_REJECTED,
+        host = call.host,
+        path = call.path,
+        cause = cause
+    );
+    (http::StatusCode::NOT_FOUND, cause).into_response()
+}
+
+/// Not now, but after that time.
+pub(super) fn refuse(status: http::StatusCode, retry_after_ms: u64) -> response::Response {
+    let retry_after_s = retry_after_ms.div_ceil(1_000).max(1).to_string();
+    (status, [(http::header::RETRY_AFTER, retry_after_s)]).into_response()
+}
+
+pub(super) fn json(status: http::StatusCode, body: bytes::Bytes) -> response::Response {
+    (
+        status,
+        [(http::header::CONTENT_TYPE, "application/json")],
+        body,
+    )
+        .into_response()
+}
+
+/// Nobody can answer now.
+pub(super) fn unavailable() -> response::Response {
+    refuse(
+        http::StatusCode::SERVICE_UNAVAILABLE,
+        UNAVAILABLE_RETRY_AFTER_MS,
+    )
+}
+
+/// The leader did not answer a call that changes nothing when repeated.
+pub(super) fn unanswered(call: &call::Call) -> response::Response {
+    crate::event!(
+        events::fleet::CALL_FAILED,
+        method = call.method,
+        path = call.path
+    );
+    unavailable()
+}
--- /dev/null
+++ b/crates/figscale/src/fleet/entry/submit.rs
@@ -0,0 +1,116 @@
+//! Submissions: a job is checked, given to the leader, and its caller told.
+
+use axum::response;
+use axum::response::IntoResponse as _;
+use figscale_core::fleet as scheduling;
+use figscale_platform::ingress;
+use figscale_types::clock;
+use figscale_types::fleet;
+use figscale_types::verdict::Verdict;
+
+use super::call;
+use super::reply;
+use crate::events;
+use crate::fleet::Context;
+use crate::fleet::ask;
+use crate::fleet::calls::LeaderAnswer;
+use crate::fleet::calls::LeaderCall;
+
+/// Gives a job to the leader, and tells its caller what came of it.
+pub(super) async fn submit(
+    context: &Context,
+    call: &call::Call,
+    job: fleet::JobId,
+    queue: fleet::Queue,
+) -> response::Response {
+    let decoded = ingress::decode_job(&call.body);
+    let description = match decoded.and_then(checked) {
+        Ok(description) => description,
+        Err(fault) => {
+            crate::event!(events::fleet::CALL_REJECTED, job = job, cause = fault);
+            return (http::StatusCode::BAD_REQUEST, fault).into_response();
+        }
+    };
+    let queue_name = queue.name.clone();
+    let shape = shape(&description);
+    let started = context.clock.now();
+    let question = LeaderCall::Submit {
+        job,
+        queue,
+        description,
+        patience: call.deadline.saturating_duration_since(started),
+    };
+    let (answer, verdict) = ask::leader(context, &question, call.deadline).await;
+    let waited_ms = clock::millis(context.clock.now().saturating_duration_since(started));
+    match answer {
+        Some(LeaderAnswer::Accepted) => {
+            crate::event!(
+                events::fleet::JOB_ACCEPTED,
+                job = job,
+                queue = queue_name,
+                shape = shape,
+                waited_ms = waited_ms
+            );
+            reply::json(http::StatusCode::OK, bytes::Bytes::from_static(b"{}"))
+        }
+        // Beside an earlier call without an answer, which may arrive yet, no
+        // refusal says that the job never runs.
+        Some(LeaderAnswer::Refused { retry_after_ms }) if verdict == Verdict::NotRun => {
+            reply::refuse(http::StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
+        }
+        Some(LeaderAnswer::StoreAway { retry_after_ms }) if verdict == Verdict::NotRun => {
+            let cause = "the store is away";
+            crate::event!(
+                events::fleet::JOB_REFUSED,
+                job = job,
+                queue = queue_name,
+                cause = cause,
+                waited_ms = waited_ms
+            );
+            reply::refuse(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+        }
+        answer => {
+            crate::event!(
+                events::fleet::JOB_UNANSWERED,
+                job = job,
+                queue = queue_name,
+                cause = why_unanswered(answer.as_ref(), verdict),
+                waited_ms = waited_ms
+            );
+            http::StatusCode::GATEWAY_TIMEOUT.into_response()
+        }
+    }
+}
+
+/// Why nobody can say whether a job was taken. Where this try did nothing an
+/// earlier one may have: any instance takes any try, and only a leader knows
+/// all jobs.
+fn why_unanswered(answer: Option<&LeaderAnswer>, verdict: Verdict) -> &'static str {
+    match answer {
+        Some(LeaderAnswer::Overloaded) => "the leader is overloaded",
+        Some(_) => "an earlier call of the leader had no answer",
+        None if verdict == Verdict::NotRun => "no leader in time",
+        None => "the leader did not answer in time",
+    }
+}
+
+/// The job itself unless it has a fault.
+fn checked(job: fleet::JobDescription) -> Result<fleet::JobDescription, String> {
+    match scheduling::fault_of(&job) {
+        Some(fault) => Err(fault),
+        None => Ok(job),
+    }
+}
+
+/// A job's steps in one word, as tasks x cores, with `g` for a gang.
+fn shape(description: &fleet::JobDescription) -> String {
+    let steps = description.steps.iter().map(|step| {
+        let gang = if step.gang { "g" } else { "" };
+        format!(
+            "{}x{}{gang}",
+            step.count,
+            step.room.cpu_millis.div_ceil(1_000)
+        )
+    });
+    steps.collect::<Vec<String>>().join("+")
+}
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod message;
 mod operators;
 mod outcome;
+mod readiness;
 mod term;
 mod workers;
 
--- a/crates/figscale/src/fleet/operators/mod.rs
+++ b/crates/figscale/src/fleet/operators/mod.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 
 use super::Context;
-use super::entry;
+use super::readiness;
 use crate::operator;
 
 /// Serves operators until the process ends.
@@ -41,7 +41,7 @@
 }
 
 async fn ready(extract::State(context): extract::State<Context>) -> response::Response {
-    match entry::why_not_ready(&context) {
+    match readiness::why_not_ready(&context) {
         None => "ready\n".into_response(),
         Some(why) => (http::StatusCode::SERVICE_UNAVAILABLE, why).into_response(),
     }
