fleet: split the links to workers by job

One file held the links of a term, the calls that are sent twice and the reading of the workers' entries. They are workers, workers/hedged and workers/listing now. Calls that are sent once more when the first is overdue bear the usual name, hedged. No change of behaviour.

--- a/crates/figscale/src/fleet/workers.rs
+++ b/crates/figscale/src/fleet/workers/mod.rs
@@ -4,12 +4,14 @@
 //! next end, all in one. After ends came, the next call waits until they are in
 //! the store, since a worker repeats at once what was not acknowledged.
 
+mod hedged;
+mod listing;
+
 use std::time;
 
 use figscale_core::fleet::Losses;
 use figscale_core::fleet::Scheduler;
 use figscale_platform::CallError;
-use figscale_platform::store;
 use figscale_platform::workers;
 use figscale_types::fleet;
 use figscale_types::verdict::Verdict;
@@ -20,16 +22,10 @@
 use super::message::Message;
 use crate::events;
 
+pub(super) use listing::follow;
+
 /// Time for a worker's answer, on top of the wait asked for.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
-/// A worker answers so soon after the wait asked for. One that does not is asked
-/// a second time: where one call in twenty is lost, that hides a worker's ends
-/// for 1.15 s in place of 1.8 s, for one more call.
-const USUAL_ANSWER: time::Duration = time::Duration::from_millis(150);
-/// A start that is not answered within this time is ordered again as it was: a
-/// worker takes a run once only. Where one order in twenty is lost, that costs
-/// a quick task 0.2 s in place of its 1.5 s until the order expires.
-const USUAL_START: time::Duration = time::Duration::from_millis(200);
 /// Pause after a worker did not answer.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Pause after another life of a worker answered.
@@ -38,12 +34,6 @@
 const UNACKNOWLEDGED_PAUSE: time::Duration = time::Duration::from_millis(600);
 /// Tries of a stop order; the scheduler repeats it as well.
 const STOP_TRIES: u32 = 2;
-/// Time between reads of the workers' entries. A worker that leaves must get
-/// nothing new 2 s after it said so.
-const LIST_PAUSE: time::Duration = time::Duration::from_millis(600);
-
-/// Unreadable entries remembered, so that each is told of once.
-const MAX_INVALID: usize = 1_000;
 
 #[derive(Clone, Copy, Debug)]
 enum Next {
@@ -144,7 +134,7 @@
         let (calls, address) = (self.calls.clone(), link.address.clone());
         let messages = self.messages.clone();
         tokio::spawn(async move {
-            let report = report_asked_twice(&calls, &address, request, &messages).await;
+            let report = hedged::report(&calls, &address, request, &messages).await;
             let _ = messages.send(Message::Reported(address.id, report)).await;
         });
     }
@@ -189,7 +179,7 @@
         };
         let (calls, address, epoch) = (self.calls.clone(), link.address.clone(), self.epoch);
         tokio::spawn(async move {
-            let ordered = start_ordered_twice(&calls, &address, epoch, &order, &messages);
+            let ordered = hedged::start(&calls, &address, epoch, &order, &messages);
             let outcome = match ordered.await {
                 Ok(outcome) => outcome,
                 Err(error) => unanswered(&worker, task, attempt, &error),
@@ -229,87 +219,6 @@
     }
 }
 
-/// Asks for a report, and once more if the first call seems to be lost.
-async fn report_asked_twice(
-    calls: &workers::Workers,
-    address: &workers::WorkerAddress,
-    request: workers::ReportRequest,
-    messages: &message::Messages,
-) -> Result<workers::ReportOutcome, CallError> {
-    let first = calls.report(address, request);
-    tokio::pin!(first);
-    let usual = request.wait + USUAL_ANSWER;
-    if let Ok(report) = tokio::time::timeout(usual, &mut first).await {
-        return report;
-    }
-    let _ = messages.send(Message::Overdue(address.id.clone())).await;
-    let at_once = workers::ReportRequest {
-        wait: time::Duration::ZERO,
-        ..request
-    };
-    let second = calls.report(address, at_once);
-    tokio::pin!(second);
-    tokio::select! {
-        report = &mut first => match report {
-            Ok(report) => Ok(report),
-            Err(_) => second.await,
-        },
-        report = &mut second => match report {
-            Ok(report) => {
-                let _ = messages.send(Message::AnswerLost).await;
-                Ok(report)
-            }
-            Err(_) => first.await,
-        },
-    }
-}
-
-/// Orders a start, and once more if the first order seems to be lost.
-async fn start_ordered_twice(
-    calls: &workers::Workers,
-    address: &workers::WorkerAddress,
-    epoch: fleet::Epoch,
-    order: &fleet::StartOrder,
-    messages: &message::Messages,
-) -> Result<fleet::StartOutcome, CallError> {
-    let first = calls.start(address, epoch, order);
-    tokio::pin!(first);
-    if let Ok(outcome) = tokio::time::timeout(USUAL_START, &mut first).await {
-        return outcome;
-    }
-    let _ = messages.send(Message::Overdue(address.id.clone())).await;
-    let second = calls.start(address, epoch, order);
-    tokio::pin!(second);
-    let (one, other) = tokio::select! {
-        outcome = &mut first => match is_started(&outcome) {
-            true => return outcome,
-            false => (outcome, second.await),
-        },
-        outcome = &mut second => match is_started(&outcome) {
-            true => {
-                let _ = messages.send(Message::AnswerLost).await;
-                return outcome;
-            }
-            false => (outcome, first.await),
-        },
-    };
-    let cause = match (one, other) {
-        (_, started @ Ok(fleet::StartOutcome::Started { .. })) => return started,
-        (Err(error), _) | (_, Err(error)) => error.cause,
-        (Ok(one), Ok(other)) => format!("ordered twice: {one:?}, {other:?}"),
-    };
-    // That one of them was refused tells nothing of the other.
-    Err(CallError {
-        verdict: Verdict::MayHaveRun,
-        refused: false,
-        cause,
-    })
-}
-
-fn is_started(outcome: &Result<fleet::StartOutcome, CallError>) -> bool {
-    matches!(outcome, Ok(fleet::StartOutcome::Started { .. }))
-}
-
 /// A start that surely did not reach the worker was refused, in effect.
 fn unanswered(
     worker: &fleet::WorkerId,
@@ -329,36 +238,3 @@
         _ => fleet::StartOutcome::Unknown,
     }
 }
-
-/// Reads the workers' entries again and again for a term.
-///
-/// Every worker writes its entry each heartbeat, so a watch would return as
-/// often as all workers together write: some thirty calls a second for fifty
-/// workers, where this makes fewer than two.
-pub(super) async fn follow(context: Context, messages: message::Messages) {
-    let mut invalid = IndexMap::new();
-    loop {
-        if let Ok(listing) = context.store.list(workers::PREFIX).await {
-            let items = listing.items.iter();
-            let entries = items.filter_map(|item| entry(item, &mut invalid)).collect();
-            let _ = messages.send(Message::Listing(entries)).await;
-        }
-        tokio::time::sleep(LIST_PAUSE).await;
-    }
-}
-
-/// The worker that an entry stands for, if it does; each unreadable entry is told
-/// of once, by the revision that it was last told of with.
-fn entry(item: &store::Item, invalid: &mut IndexMap<String, u64>) -> Option<fleet::WorkerEntry> {
-    let error = match workers::decode_entry(item) {
-        Ok(entry) => return Some(entry),
-        Err(error) => error,
-    };
-    if invalid.len() >= MAX_INVALID {
-        invalid.clear();
-    }
-    if invalid.insert(item.key.clone(), item.revision) != Some(item.revision) {
-        crate::event!(events::fleet::RECORD_INVALID, key = item.key, error = error);
-    }
-    None
-}
