--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -266,22 +266,15 @@
             }
             cause = why;
         }
-        Err(CallError {
-            verdict,
-            refused: false,
-            cause,
-        })
+        Err(CallError::new(verdict, cause))
     }
 }
 
 /// Makes a peer's call, unless it would only wait for a timeout here as well.
 async fn pass_on(direct: &sync::Arc<direct::Direct>, call: &Call) -> Result<Answer, CallError> {
     if let Some(failure) = direct.failure() {
-        return Err(CallError {
-            verdict: Verdict::NotRun,
-            refused: false,
-            cause: format!("the store does not answer the peer either: {failure}"),
-        });
+        let cause = format!("the store does not answer the peer either: {failure}");
+        return Err(CallError::not_run(cause));
     }
     call_directly(direct, call).await
 }
@@ -313,9 +306,5 @@
 
 /// A peer of another build answered something else.
 fn unexpected(answer: &Answer) -> CallError {
-    CallError {
-        verdict: Verdict::MayHaveRun,
-        refused: false,
-        cause: format!("a peer answered {answer:?}"),
-    }
+    CallError::maybe(format!("a peer answered {answer:?}"))
 }
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -259,11 +259,7 @@
     async fn joined(mut self) -> Result<T, CallError> {
         match (&mut self.0).await {
             Ok(result) => result,
-            Err(error) => Err(CallError {
-                verdict: Verdict::MayHaveRun,
-                refused: false,
-                cause: error.to_string(),
-            }),
+            Err(error) => Err(CallError::maybe(error)),
         }
     }
 }
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -162,7 +162,7 @@
                     transaction.writes.retain(|(key, ..)| key != keys::LEAD);
                     continue;
                 }
-                Ok(store::Committed::LeaseEnded) => lease_ended(),
+                Ok(store::Committed::LeaseEnded) => CallError::not_run("the lease has ended"),
                 Err(error) => error,
             };
             in_doubt |= error.verdict != Verdict::NotRun;
@@ -184,11 +184,7 @@
     ) -> Result<store::Committed, CallError> {
         tokio::select! {
             outcome = self.store.commit(transaction) => outcome,
-            () = self.a_later_answer() => Err(CallError {
-                verdict: Verdict::MayHaveRun,
-                refused: false,
-                cause: "a later call was answered".to_owned(),
-            }),
+            () = self.a_later_answer() => Err(CallError::maybe("a later call was answered")),
         }
     }
 
@@ -269,14 +265,6 @@
     transaction.writes.iter().any(|(key, ..)| key == keys::LEAD)
 }
 
-fn lease_ended() -> CallError {
-    CallError {
-        verdict: Verdict::NotRun,
-        refused: false,
-        cause: "the lease has ended".to_owned(),
-    }
-}
-
 /// Reads the head.
 pub(super) fn decode_head(item: &store::Item) -> Option<Head> {
     serde_json::from_slice(&item.value).ok()
--- a/crates/figscale/src/fleet/workers/hedged.rs
+++ b/crates/figscale/src/fleet/workers/hedged.rs
@@ -9,7 +9,6 @@
 use figscale_platform::CallError;
 use figscale_platform::workers;
 use figscale_types::fleet;
-use figscale_types::verdict::Verdict;
 
 use crate::fleet::message;
 use crate::fleet::message::Message;
@@ -93,11 +92,7 @@
         (Ok(one), Ok(other)) => format!("ordered twice: {one:?}, {other:?}"),
     };
     // That one of them was refused tells nothing of the other.
-    Err(CallError {
-        verdict: Verdict::MayHaveRun,
-        refused: false,
-        cause,
-    })
+    Err(CallError::maybe(cause))
 }
 
 fn is_started(outcome: &Result<fleet::StartOutcome, CallError>) -> bool {
