peer: a call's error says itself whether it was refused

Asking the leader took the test for a refused connection from the module that greets it. It is about the error alone and stands with it now. No change of behaviour.

--- a/crates/figscale/src/fleet/ask.rs
+++ b/crates/figscale/src/fleet/ask.rs
@@ -9,7 +9,6 @@
 use super::calls::LeaderAnswer;
 use super::calls::LeaderCall;
 use super::leadership;
-use super::membership;
 use super::term;
 
 /// Longest wait for a leader before a job is refused; a takeover takes less.
@@ -93,7 +92,7 @@
         .call(leader.address, service, call, timeout)
         .await;
     answer.map_err(|error| {
-        if error.verdict != Verdict::NotRun || membership::is_refused(&error) {
+        if error.verdict != Verdict::NotRun || error.is_refused() {
             context.peers.forget(leader.address);
         }
         error.verdict
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -7,7 +7,6 @@
 //! than the end of a lease. Silence proves nothing by itself: the other peers
 //! are asked, and the leader is given up if most of them miss it too.
 
-use std::io;
 use std::net;
 use std::time;
 
@@ -252,7 +251,7 @@
             Ok(_) => return Outcome::NotLeading,
             Err(error) => {
                 context.peers.forget(leader.address);
-                if is_refused(&error) {
+                if error.is_refused() {
                     return Outcome::Ended;
                 }
                 let waited = context.clock.now().saturating_duration_since(begun);
@@ -265,12 +264,6 @@
     Outcome::Silent
 }
 
-/// Whether nobody listens at a peer's address.
-pub(super) fn is_refused(error: &peer::PeerError) -> bool {
-    let cause = error.cause.downcast_ref::<io::Error>();
-    cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionRefused)
-}
-
 fn ended(context: &Context, leader: &leadership::Leader, key_revision: u64) {
     context.leadership.send_if_modified(|known| {
         let same = known.leader.as_ref() == Some(leader) && known.key_revision == key_revision;
--- a/crates/figscale/src/peer/client.rs
+++ b/crates/figscale/src/peer/client.rs
@@ -2,6 +2,7 @@
 
 use std::error;
 use std::fmt;
+use std::io;
 use std::net;
 use std::sync;
 use std::time;
@@ -46,6 +47,12 @@
             cause: cause.into(),
         }
     }
+
+    /// Whether nobody listens at the peer's address.
+    pub fn is_refused(&self) -> bool {
+        let cause = self.cause.downcast_ref::<io::Error>();
+        cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionRefused)
+    }
 }
 
 impl fmt::Display for PeerError {
