fleet: change what is known of leadership in one way

Whether a leader is of a later term than the one known was asked in two places, with the same answer; adopt tells it now. Four changes that wake nobody wrote out how; leadership::note does it. No change of behaviour: a later leader that a peer knows of is compared and taken under one lock in place of two, and nothing runs in between in either.

The tests are left as they are.

--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -59,10 +59,7 @@
         let followed = context.store.follow_key(keys::LEAD, WATCH_WAIT, seen).await;
         // The reason is logged where the store is called.
         if followed.is_err() {
-            context.leadership.send_if_modified(|known| {
-                known.store_was_away = true;
-                false
-            });
+            leadership::note(&context, |known| known.store_was_away = true);
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
@@ -274,10 +271,7 @@
 async fn last_heads(context: &Context) -> Result<ledger::Heads, CallError> {
     let mut told = None;
     // Used once: if they are out of date, the next try reads.
-    context.leadership.send_if_modified(|known| {
-        told = known.last_heads.take();
-        false
-    });
+    leadership::note(context, |known| told = known.last_heads.take());
     if let Some(heads) = told {
         return Ok(heads);
     }
--- a/crates/figscale/src/fleet/leadership.rs
+++ b/crates/figscale/src/fleet/leadership.rs
@@ -53,14 +53,14 @@
     pub(crate) stands_off_until: Option<time::Instant>,
 }
 
-/// Takes note of a leader of a later term than the one known.
-pub(super) fn adopt(known: &mut Leadership, leader: Leader) {
+/// Takes note of a leader of a later term than the one known; whether it is.
+pub(super) fn adopt(known: &mut Leadership, leader: Leader) -> bool {
     let older = known
         .leader
         .as_ref()
         .is_some_and(|old| old.epoch >= leader.epoch);
     if older {
-        return;
+        return false;
     }
     crate::event!(
         events::fleet::LEADER_KNOWN,
@@ -71,6 +71,15 @@
     known.leader = Some(leader);
     known.answered_at = None;
     known.heard_at = None;
+    true
+}
+
+/// Changes what is known, in a part whose changes nobody waits for.
+pub(super) fn note(context: &Context, change: impl FnOnce(&mut Leadership)) {
+    context.leadership.send_if_modified(|known| {
+        change(known);
+        false
+    });
 }
 
 /// Whether this instance would lead if nobody else did.
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -178,12 +178,11 @@
 /// Notes that the leader's process answered, and whether it leads.
 fn heard(context: &Context, leads: bool) {
     let now = context.clock.now();
-    context.leadership.send_if_modified(|known| {
+    leadership::note(context, |known| {
         known.heard_at = Some(now);
         if leads {
             known.answered_at = Some(now);
         }
-        false
     });
 }
 
@@ -241,10 +240,7 @@
                 peers,
                 strongest_millis,
             }) => {
-                context.leadership.send_if_modified(|known| {
-                    known.strongest_millis = strongest_millis;
-                    false
-                });
+                leadership::note(context, |known| known.strongest_millis = strongest_millis);
                 return Outcome::Welcome(peers);
             }
             Ok(calls::LeaderAnswer::OtherLife) => return Outcome::Ended,
@@ -303,7 +299,8 @@
         };
         views.push(view(&sighting, leader));
         if let Some(known) = sighting.leader {
-            adopt_newer(context, known);
+            let adopt = |own: &mut leadership::Leadership| leadership::adopt(own, known);
+            context.leadership.send_if_modified(adopt);
         }
     }
     views
@@ -316,17 +313,3 @@
         _ => fleet::PeerView::Unknown,
     }
 }
-
-fn adopt_newer(context: &Context, leader: leadership::Leader) {
-    let newer = |known: &leadership::Leadership| {
-        known
-            .leader
-            .as_ref()
-            .is_none_or(|old| old.epoch < leader.epoch)
-    };
-    if newer(&context.leadership.borrow()) {
-        context
-            .leadership
-            .send_modify(|known| leadership::adopt(known, leader));
-    }
-}
