fleet: read in one place whether a refused transaction was one's own

An election and a write in doubt both look for their own head among the keys that a refused transaction shows; Head::revision_in does so for both. No change of behaviour.

--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -299,10 +299,7 @@
         let error = match context.store.commit(transaction).await {
             Ok(store::Committed::Done { revision }) => return Ok(Some(revision)),
             Ok(store::Committed::Conflict { current }) => {
-                let first = keys::head(0);
-                let item = current.iter().find(|item| item.key == first);
-                let own = item.filter(|item| ledger::decode_head(item).as_ref() == Some(head));
-                return Ok(own.map(|item| item.revision));
+                return Ok(head.revision_in(0, &current));
             }
             Ok(store::Committed::LeaseEnded) => return Ok(None),
             Err(error) => error,
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -90,6 +90,16 @@
     pub(super) sequence: u64,
 }
 
+impl Head {
+    /// Revision of this very head if a chain has it, by the keys that a refused
+    /// transaction shows: an earlier try of the transaction was executed then.
+    pub(super) fn revision_in(&self, chain: usize, current: &[store::Item]) -> Option<u64> {
+        let key = keys::head(chain);
+        let item = current.iter().find(|item| item.key == key)?;
+        (decode_head(item).as_ref() == Some(self)).then_some(item.revision)
+    }
+}
+
 /// Why records were not written.
 #[derive(Debug)]
 pub(super) enum WriteError {
@@ -224,11 +234,9 @@
 
     /// The head is not as expected: by this very transaction, or by another.
     fn settle(&mut self, next: Head, current: &[store::Item]) -> Result<(), WriteError> {
-        let key = keys::head(self.chain);
-        let item = current.iter().find(|item| item.key == key);
-        match item.map(|item| (decode_head(item), item.revision)) {
-            Some((Some(head), revision)) if head == next => self.advance(next, revision),
-            _ => Err(WriteError::Deposed),
+        match next.revision_in(self.chain, current) {
+            Some(revision) => self.advance(next, revision),
+            None => Err(WriteError::Deposed),
         }
     }
 
@@ -266,7 +274,7 @@
 }
 
 /// Reads the head.
-pub(super) fn decode_head(item: &store::Item) -> Option<Head> {
+fn decode_head(item: &store::Item) -> Option<Head> {
     serde_json::from_slice(&item.value).ok()
 }
 
