--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -340,7 +340,7 @@
         }
         let need = job::occupied(description);
         let unknown = self.askable(job, step, description, now).filter(|(id, _)| {
-            let open = pass.kept_from(&candidate.task, id).is_none();
+            let open = pass.kept_for_others_until(&candidate.task, id).is_none();
             open && !step.advice.verdicts.contains_key(*id)
         });
         let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = unknown
@@ -373,7 +373,8 @@
         let usable = pass.usable.iter();
         let usable = usable.filter_map(|position| self.workers.get_index(*position));
         let open = usable.filter(|(id, worker)| {
-            worker.suits(&job.queue, description) && pass.kept_from(&candidate.task, id).is_none()
+            worker.suits(&job.queue, description)
+                && pass.kept_for_others_until(&candidate.task, id).is_none()
         });
         let expected = open.map(|(id, worker)| {
             let part = match step.advice.verdicts.get(id) {
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -94,7 +94,7 @@
 
     /// Until when a worker is kept for another step than that of a task. Work
     /// that is over by then may use it.
-    pub(crate) fn kept_from(
+    pub(crate) fn kept_for_others_until(
         &self,
         task: &fleet::TaskId,
         worker: &fleet::WorkerId,
--- a/crates/figscale-core/src/fleet/places.rs
+++ b/crates/figscale-core/src/fleet/places.rs
@@ -43,7 +43,7 @@
             if !worker.suits(&job.queue, description) || !worker.free().holds(&need) {
                 continue;
             }
-            let kept_until = pass.kept_from(task, id).filter(|_| !is_short);
+            let kept_until = pass.kept_for_others_until(task, id).filter(|_| !is_short);
             if kept_until.is_some_and(|until| ends > until) {
                 continue;
             }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -1,8 +1,9 @@
 //! One pass over everything that waits: who goes first, and where.
 //!
 //! Steps are ranked: jobs that can still meet their objective before those that
-//! cannot, quick queues (priority 0) before others, then by the time that is
-//! left before they must start. Within a step a task goes to the fullest worker
+//! are late, and these before those that are worth nothing any more; quick queues
+//! (priority 0) before others; then by the time that is left before they must
+//! start, or since. Within a step a task goes to the fullest worker
 //! that holds it, so that large holes stay for wide gangs. A gang that finds no
 //! room has workers kept for it.
 
@@ -99,7 +100,8 @@
         }
     }
 
-    /// Keeps workers for the late gang that has waited longest, before all else.
+    /// Keeps workers for the late gang that is overdue longest, before all else
+    /// but what is promised.
     ///
     /// Late work comes after whatever can still be in time, and there is always
     /// some of that; a wide gang would never run. What is worth nothing any more
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -60,7 +60,7 @@
             let usable = self.is_usable(worker, now);
             if usable && worker.suits(&job.queue, description) {
                 let ticket_at = tickets.ready_at(id);
-                let kept_until = pass.kept_from(task, id);
+                let kept_until = pass.kept_for_others_until(task, id);
                 let times = slot_times(worker, description, now).into_iter();
                 let times = times.map(|time| time.max(ticket_at));
                 let open = times.filter(|at| kept_until.is_none_or(|until| *at + length <= until));
@@ -98,7 +98,7 @@
             return 0;
         };
         let usable = |worker: &worker::Worker| self.is_usable(worker, pass.now);
-        let open = |id: &fleet::WorkerId| pass.kept_from(task, id).is_none();
+        let open = |id: &fleet::WorkerId| pass.kept_for_others_until(task, id).is_none();
         let workers = self.possible_workers(step, true).into_iter();
         workers
             .filter(|(id, worker)| usable(worker) && open(id))
