fleet: the cause of a write that failed names the store, also where no peer is known

Traced: a write that goes only through peers, since the store is known not to answer here, told of the peers alone; just after a start none is known yet. So the line did not lead to the cause. It names the store's own failure first now.

The same file's other test, a job taken late, failed once in four runs at a time: it read the log before the line was written, which a thread of its own does. Both tests now wait for the line, and check the same.

--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -214,7 +214,8 @@
 
     async fn call(&self, call: Call) -> Result<Answer, CallError> {
         let mut here = None;
-        if self.direct.answers() {
+        let away = self.direct.failure();
+        if away.is_none() {
             match call_directly(&self.direct, &call).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => here = Some(error),
@@ -225,7 +226,10 @@
             Err(error) => error,
         };
         let Some(mut error) = here else {
-            return Err(there);
+            // What ails the store is the cause; peers may not even be known yet.
+            let failure = away.unwrap_or_default();
+            let cause = format!("{failure}; through a peer: {}", there.cause);
+            return Err(CallError { cause, ..there });
         };
         // One way that may have worked leaves the whole call in doubt.
         if there.verdict != Verdict::NotRun {
--- a/crates/figscale/tests/fleet_trace.rs
+++ b/crates/figscale/tests/fleet_trace.rs
@@ -37,6 +37,12 @@
         .store
         .change_faults(|faults| faults.busy = true);
     assert_eq!(fleet.submit(0, 0x701, 1, "50").await, 503);
+    // Lines are written by a thread of their own, after the answer perhaps.
+    fleet
+        .wait("a line of the refusal", || {
+            fleet.count_events("JOB_REFUSED") == 1
+        })
+        .await;
     let lines = fleet.log_lines();
     let mut of_job = of_job(&lines, 0x701);
     let refused = of_job.pop().expect("nothing is logged of the job");
@@ -84,6 +90,12 @@
         })
         .await;
     fleet.submit_until_taken(0, 0x901, 1, "20").await;
+    // Lines are written by a thread of their own, after the answer perhaps.
+    fleet
+        .wait("a line of the job", || {
+            fleet.count_events("JOB_ACCEPTED") == 1
+        })
+        .await;
     let accepted = of_job(&fleet.log_lines(), 0x901);
     let waited_ms: u128 = named(&accepted, "JOB_ACCEPTED")["waited_ms"]
         .as_str()
