passes: the cost of a pass is counted, not clocked

The test clocked two fleets one after the other, in a debug build beside 11 other tests; the quiet ratio is 1.75 and the rest is what ran meanwhile. Seen here: 1.68 to 1.85 in 8 runs alone, and 1 of 3 runs of the whole suite failed with 2.23. It also broke the rule in DEVELOPING.md that tests never assert a speed.

Ruled out: a change of the scheduler since the last green run; chance in the scheduler (the same looks in each run).

Change: a pass counts its looks at workers, and the test bounds the growth of that count by the same 2.0.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -272,7 +272,7 @@
                     }
                 }
             }
-            false => self.workers_to_ask(candidate, job, description, now),
+            false => self.workers_to_ask(candidate, job, description, pass),
         };
         if workers.is_empty() {
             return None;
@@ -292,14 +292,14 @@
         candidate: &pass::Candidate,
         job: &job::Job,
         description: &fleet::StepDescription,
-        now: time::Instant,
+        pass: &pass::Pass,
     ) -> Vec<fleet::WorkerId> {
         let Some(step) = job.step(&candidate.task) else {
             return Vec::new();
         };
         let most = reserve::most_per_worker(description);
         let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = Vec::new();
-        for (id, worker) in self.askable(job, step, description, now) {
+        for (id, worker) in self.askable(job, step, description, pass) {
             let slots = worker.free().times(&job::occupied(description), most);
             workers.push((slots, step.advice.verdicts.contains_key(id), id));
         }
@@ -339,10 +339,12 @@
             return Vec::new();
         }
         let need = job::occupied(description);
-        let unknown = self.askable(job, step, description, now).filter(|(id, _)| {
-            let open = pass.kept_for_others_until(&candidate.task, id).is_none();
-            open && !step.advice.verdicts.contains_key(*id)
-        });
+        let unknown = self
+            .askable(job, step, description, pass)
+            .filter(|(id, _)| {
+                let open = pass.kept_for_others_until(&candidate.task, id).is_none();
+                open && !step.advice.verdicts.contains_key(*id)
+            });
         let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = unknown
             .map(|(id, worker)| (reserve::whole_slots(worker, description), false, id))
             .filter(|(slots, ..)| *slots > 0)
@@ -370,6 +372,7 @@
         let need = job::occupied(description);
         let most = reserve::most_per_worker(description);
         let good_part = self.lanes.good_part(&job.queue.name);
+        pass.count_looks(pass.usable.len());
         let usable = pass.usable.iter();
         let usable = usable.filter_map(|position| self.workers.get_index(*position));
         let open = usable.filter(|(id, worker)| {
@@ -393,8 +396,10 @@
         job: &'a job::Job,
         step: &'a job::Step,
         description: &'a fleet::StepDescription,
-        now: time::Instant,
+        pass: &pass::Pass,
     ) -> impl Iterator<Item = (&'a fleet::WorkerId, &'a worker::Worker)> {
+        pass.count_looks(self.workers.len());
+        let now = pass.now;
         self.workers.iter().filter(move |(id, worker)| {
             let bad = step.advice.verdicts.get(*id) == Some(&false);
             let ticket = step.advice.tickets.get(*id);
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -1,6 +1,7 @@
 //! What one pass of placement knows: steps that could start, in which order, and
 //! where there may be room.
 
+use std::cell;
 use std::time;
 
 use figscale_types::fleet;
@@ -68,6 +69,8 @@
     pub(crate) widest_millis: u64,
     pub(crate) reserving: usize,
     pub(crate) wanting: Vec<Candidate>,
+    /// Times that a worker was looked at, which is what a pass costs.
+    looks: cell::Cell<usize>,
 }
 
 impl Pass {
@@ -80,9 +83,19 @@
             widest_millis,
             reserving: 0,
             wanting: Vec::new(),
+            looks: cell::Cell::new(0),
         }
     }
 
+    /// So many workers are looked at.
+    pub(crate) fn count_looks(&self, workers: usize) {
+        self.looks.set(self.looks.get() + workers);
+    }
+
+    pub(crate) fn looks(&self) -> usize {
+        self.looks.get()
+    }
+
     /// Keeps workers for a gang, but for those that another keeps already.
     pub(crate) fn keep(&mut self, owner: fleet::TaskId, reservation: &reserve::Reservation) {
         let until = reservation.ready_at;
--- a/crates/figscale-core/src/fleet/places.rs
+++ b/crates/figscale-core/src/fleet/places.rs
@@ -72,11 +72,13 @@
         pass: &pass::Pass,
     ) -> Vec<(&'a fleet::WorkerId, &'a worker::Worker)> {
         if job.queue.advice.is_none() {
+            pass.count_looks(pass.usable.len());
             let usable = pass.usable.iter();
             return usable
                 .filter_map(|position| self.workers.get_index(*position))
                 .collect();
         }
+        pass.count_looks(step.advice.tickets.len());
         let tickets = step.advice.tickets.iter();
         let valid = tickets.filter(|(_, ticket)| ticket.valid_until > pass.now);
         let known = valid.filter_map(|(id, _)| self.workers.get_key_value(id));
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -49,6 +49,7 @@
     pub fn plan(&mut self, now: time::Instant) {
         let candidates = self.candidates(now);
         if candidates.is_empty() {
+            self.pass_looks = 0;
             return;
         }
         let usable = (0..self.workers.len()).filter(|position| {
@@ -58,6 +59,7 @@
         let usable: Vec<usize> = usable.collect();
         let widest_millis = self.widest_millis(&usable);
         let mut pass = pass::Pass::new(now, usable, widest_millis);
+        pass.count_looks(self.workers.len());
         self.keep_promised(&candidates, &mut pass);
         self.keep_for_latest(&candidates, &mut pass);
         for mut candidate in candidates {
@@ -70,6 +72,7 @@
             }
         }
         self.ask_for(&pass);
+        self.pass_looks = pass.looks();
     }
 
     fn widest_millis(&self, usable: &[usize]) -> u64 {
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -56,7 +56,7 @@
         let advised = job.queue.advice.is_some();
         let tickets = Tickets::of(job, step, now);
         let mut slots: Vec<(time::Instant, &fleet::WorkerId)> = Vec::new();
-        for (id, worker) in self.possible_workers(step, advised) {
+        for (id, worker) in self.possible_workers(step, advised, pass) {
             let usable = self.is_usable(worker, now);
             if usable && worker.suits(&job.queue, description) {
                 let ticket_at = tickets.ready_at(id);
@@ -99,7 +99,7 @@
         };
         let usable = |worker: &worker::Worker| self.is_usable(worker, pass.now);
         let open = |id: &fleet::WorkerId| pass.kept_for_others_until(task, id).is_none();
-        let workers = self.possible_workers(step, true).into_iter();
+        let workers = self.possible_workers(step, true, pass).into_iter();
         workers
             .filter(|(id, worker)| usable(worker) && open(id))
             .map(|(_, worker)| whole_slots(worker, description))
@@ -111,10 +111,13 @@
         &self,
         step: &job::Step,
         advised: bool,
+        pass: &pass::Pass,
     ) -> Vec<(&fleet::WorkerId, &worker::Worker)> {
         if !advised {
+            pass.count_looks(self.workers.len());
             return self.workers.iter().collect();
         }
+        pass.count_looks(step.advice.verdicts.len());
         let good = step.advice.verdicts.iter().filter(|(_, good)| **good);
         good.filter_map(|(id, _)| self.workers.get_key_value(id))
             .collect()
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -67,6 +67,8 @@
     pub queued_jobs: usize,
     /// Steps that could run, wait long and have nothing running; some 2 s old.
     pub waiting_steps: usize,
+    /// Times that the last pass of placement looked at a worker for a step.
+    pub pass_looks: usize,
     /// Runs on workers.
     pub runs: usize,
     /// Workers that may be used.
@@ -100,6 +102,8 @@
     pub(crate) unsaved: unsaved::Unsaved,
     /// Steps that could run and do not.
     pub(crate) waits: waits::Waits,
+    /// What the last pass of placement cost.
+    pub(crate) pass_looks: usize,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -120,6 +124,7 @@
             record_differs: false,
             unsaved: unsaved::Unsaved::default(),
             waits: waits::Waits::default(),
+            pass_looks: 0,
             actions: Vec::new(),
         }
     }
@@ -137,6 +142,7 @@
             open_jobs: open().count(),
             queued_jobs: open().filter(|job| !job.started).count(),
             waiting_steps: self.waits.steps,
+            pass_looks: self.pass_looks,
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
             usable_workers: self.workers.values().filter(usable).count(),
             workers: self.workers.len(),
--- a/crates/figscale-core/tests/fleet/passes.rs
+++ b/crates/figscale-core/tests/fleet/passes.rs
@@ -10,10 +10,11 @@
 //! are busy. What caused it: each pass reckons a reservation and a question
 //! for every gang that waits, over all workers, though three gangs may keep
 //! workers and no lane can take a question. What proved it: the time of a pass
-//! by the number of gangs, with nothing else that waits.
+//! by the number of gangs, with nothing else that waits. The time followed the
+//! looks at workers, and these are counted here: of two clocked passes one may
+//! have more of a busy machine than the other.
 
 use std::mem;
-use std::time;
 
 use figscale_core::fleet::Admission;
 use figscale_core::fleet::Question;
@@ -30,8 +31,8 @@
 /// Rounds of answers before the service falls silent: some gangs then know
 /// enough good workers, others wait for their first question.
 const ANSWERED_ROUNDS: usize = 3;
-const PASSES: usize = 15;
-/// A pass beside five times the gangs may cost at most so many times as much.
+/// A pass beside five times the gangs may look at workers at most so many times
+/// as often.
 const MAX_GROWTH: f64 = 2.0;
 
 fn gangs() -> fleet::Queue {
@@ -95,24 +96,19 @@
         .advice_answered(question, Some(tickets), cell.now);
 }
 
-/// The quickest of some passes that find nothing to do.
-fn pass_time(cell: &mut Cell) -> time::Duration {
-    let times = (0..PASSES).map(|_| {
-        let begun = time::Instant::now();
-        cell.scheduler.plan(cell.now);
-        begun.elapsed()
-    });
-    let quickest = times.min().unwrap();
+/// Looks at workers of a pass that finds nothing to do.
+fn looks_of_a_pass(cell: &mut Cell) -> usize {
+    cell.scheduler.plan(cell.now);
     assert!(cell.scheduler.take_actions().is_empty());
-    quickest
+    cell.scheduler.counts(cell.now).pass_looks
 }
 
 /// A pass that can start and ask nothing costs little, however many gangs wait.
 #[test]
 fn a_backlog_of_gangs_does_not_slow_the_passes() {
-    let few = pass_time(&mut full_fleet(FEW));
-    let many = pass_time(&mut full_fleet(MANY));
-    let growth = many.as_secs_f64() / few.as_secs_f64();
-    println!("a pass beside {FEW} gangs takes {few:?}, beside {MANY} {many:?}");
-    assert!(growth < MAX_GROWTH, "{growth:.1} times as long");
+    let few = looks_of_a_pass(&mut full_fleet(FEW));
+    let many = looks_of_a_pass(&mut full_fleet(MANY));
+    let growth = many as f64 / few as f64;
+    println!("a pass beside {FEW} gangs looks {few} times, beside {MANY} {many} times");
+    assert!(growth < MAX_GROWTH, "{growth:.1} times as many looks");
 }
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -368,6 +368,7 @@
         metrics.fleet_knows("open_jobs", counts.open_jobs);
         metrics.fleet_knows("queued_jobs", counts.queued_jobs);
         metrics.fleet_knows("waiting_steps", counts.waiting_steps);
+        metrics.fleet_knows("pass_looks", counts.pass_looks);
         metrics.fleet_knows("runs", counts.runs);
         metrics.fleet_knows("usable_workers", counts.usable_workers);
         metrics.fleet_knows("workers", counts.workers);
