--- /dev/null
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -0,0 +1,201 @@
+//! Work that could run beside a stream of other work that never ends.
+
+use std::time;
+
+use figscale_core::fleet::Admission;
+use figscale_core::fleet::Question;
+use figscale_types::fleet;
+use indexmap::IndexMap;
+
+use crate::kit;
+use crate::kit::Cell;
+
+const STEP_MS: u64 = 50;
+/// More than three objectives of each job that is waited for here.
+const LONG_MS: u64 = 40_000;
+/// First number of the jobs of a stream.
+const STREAM: u64 = 10_000;
+
+/// A fleet whose runs take what they were estimated at.
+struct Fleet {
+    cell: Cell,
+    /// Questions on their way, with the time of the answer.
+    asked: Vec<(time::Instant, Question)>,
+    good: fn(usize) -> bool,
+    answers: bool,
+    lengths_ms: IndexMap<u64, u64>,
+    since: IndexMap<(fleet::TaskId, u32), time::Instant>,
+    next: u64,
+}
+
+impl Fleet {
+    fn new(cell: Cell) -> Self {
+        Self {
+            cell,
+            asked: Vec::new(),
+            good: |_| true,
+            answers: true,
+            lengths_ms: IndexMap::new(),
+            since: IndexMap::new(),
+            next: STREAM,
+        }
+    }
+
+    fn run(&mut self, number: u64, queue: &fleet::Queue, step: fleet::StepDescription) {
+        self.lengths_ms.insert(number, step.estimate_ms);
+        self.cell.run(number, queue, vec![step]);
+    }
+
+    /// One more job of a stream; whether it was taken.
+    fn stream(&mut self, queue: &fleet::Queue, step: &fleet::StepDescription) -> bool {
+        let number = self.next;
+        self.next += 1;
+        self.lengths_ms.insert(number, step.estimate_ms);
+        let steps = vec![step.clone()];
+        self.cell.submit(number, queue, kit::job(steps)) == Admission::Accepted
+    }
+
+    fn step(&mut self) {
+        self.cell.now += kit::ms(STEP_MS);
+        self.cell.wall_ms += STEP_MS;
+        let (now, wall_ms) = (self.cell.now, self.cell.wall_ms);
+        self.cell.scheduler.tick(now, wall_ms);
+        self.end_due();
+        let due = self.asked.extract_if(.., |(at, _)| *at <= now);
+        for (_, question) in due.collect::<Vec<_>>() {
+            let tickets = kit::tickets(&question, self.good);
+            let tickets = self.answers.then_some(tickets);
+            self.cell.scheduler.advice_answered(&question, tickets, now);
+        }
+        self.cell.settle();
+        for question in std::mem::take(&mut self.cell.questions) {
+            self.asked.push((now + question.expected, question));
+        }
+    }
+
+    fn end_due(&mut self) {
+        let now = self.cell.now;
+        for worker in self.cell.workers.values_mut() {
+            let keys: Vec<_> = worker.running.keys().copied().collect();
+            for (task, attempt) in keys {
+                let since = *self.since.entry((task, attempt)).or_insert(now);
+                let length_ms = self.lengths_ms.get(&task.job.0);
+                if length_ms.is_some_and(|length_ms| now >= since + kit::ms(*length_ms)) {
+                    worker.end(task, attempt, fleet::End::Done);
+                }
+            }
+        }
+    }
+
+    /// Steps, with what `each` adds, until a job has begun; how long it took.
+    fn until_begun(&mut self, number: u64, mut each: impl FnMut(&mut Self, u64)) -> Option<u64> {
+        for at_ms in (0..LONG_MS).step_by(STEP_MS as usize) {
+            each(self, at_ms);
+            self.step();
+            if self.cell.state(number) != Some(fleet::JobState::Queued) {
+                return Some(at_ms);
+            }
+        }
+        None
+    }
+}
+
+/// More workers than one question for tickets names; tickets outlast two of them.
+#[test]
+fn a_gang_on_more_workers_than_one_question_names_starts() {
+    let mut never = Vec::new();
+    for count in [101, 190] {
+        let mut fleet = Fleet::new(Cell::with_cores(220, 40));
+        fleet.cell.join(2..=8);
+        let queue = fleet::Queue {
+            advice: Some(fleet::AdvicePolicy {
+                base_ms: 559.0,
+                per_worker_ms: 8.06,
+                valid_ms: 2_000,
+            }),
+            ..kit::queue(1)
+        };
+        fleet.run(1, &queue, kit::lasting(kit::gang(count, 27), 5_000));
+        if fleet.until_begun(1, |_, _| ()).is_none() {
+            never.push(count);
+        }
+    }
+    assert!(never.is_empty(), "never: {never:?}");
+}
+
+/// One to a worker, and all in one rack if that can be.
+#[test]
+fn gangs_with_wishes_run_beside_a_stream_of_small_work() {
+    let small = kit::lasting(kit::step(1, 6), 2_000);
+    let gangs = [
+        fleet::StepDescription {
+            max_per_worker: Some(1),
+            ..kit::gang(6, 5)
+        },
+        fleet::StepDescription {
+            same_rack: true,
+            ..kit::gang(4, 9)
+        },
+        fleet::StepDescription {
+            required_label: Some("r1-1".to_owned()),
+            ..kit::gang(4, 9)
+        },
+    ];
+    for queue in [kit::queue(1), kit::advised(1)] {
+        for gang in &gangs {
+            let mut fleet = Fleet::new(Cell::with_cores(8, 10));
+            for _ in 0..7 {
+                fleet.stream(&kit::queue(1), &small);
+                fleet.step();
+            }
+            fleet.run(1, &queue, gang.clone());
+            let begun = fleet.until_begun(1, |fleet, at_ms| {
+                if at_ms % 250 == 0 {
+                    fleet.stream(&kit::queue(1), &small);
+                }
+            });
+            assert!(begun.is_some(), "{gang:?}");
+        }
+    }
+}
+
+/// The instance that asks leaves each time.
+#[test]
+fn a_gang_whose_questions_are_lost_runs_in_the_end() {
+    let mut fleet = Fleet::new(Cell::with_cores(4, 10));
+    fleet.cell.join(2..=4);
+    fleet.run(1, &kit::advised(1), kit::gang(3, 8));
+    let begun = fleet.until_begun(1, |fleet, at_ms| {
+        if at_ms < 5_000 {
+            for (_, question) in std::mem::take(&mut fleet.asked) {
+                fleet.cell.scheduler.member_left(&question.member);
+                fleet.cell.scheduler.member_joined(&question.member);
+            }
+        }
+    });
+    assert!(begun.is_some_and(|at_ms| at_ms < 6_000), "{begun:?}");
+}
+
+/// All workers known to be good leave, and others come.
+#[test]
+fn a_gang_asks_about_workers_that_came_later() {
+    let mut fleet = Fleet::new(Cell::with_cores(8, 10));
+    fleet.good = |number| number >= 6;
+    fleet.run(1, &kit::advised(1), kit::gang(4, 8));
+    for _ in 0..40 {
+        fleet.step();
+    }
+    for number in 6..8 {
+        fleet.cell.workers.swap_remove(&kit::worker_id(number));
+        let now = fleet.cell.now;
+        fleet
+            .cell
+            .scheduler
+            .worker_unlisted(&kit::worker_id(number), now);
+    }
+    for number in 8..12 {
+        fleet.cell.add_worker(number, 10);
+    }
+    let begun = fleet.until_begun(1, |_, _| ());
+    assert!(begun.is_some_and(|at_ms| at_ms < 3_000), "{begun:?}");
+}
