KNOWN-RED: gangs that can never run take all turns of those that wait

Four gangs wider than the fleet, there first: three are counted among those that may keep workers, the longest overdue has the place kept for late gangs, and a gang that the fleet holds never starts beside a stream of small work. The test before (gang_limits) had one such gang. Seen: "never, advice false".

--- a/crates/figscale-core/tests/fleet/starving.rs
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -199,3 +199,34 @@
     let begun = fleet.until_begun(1, |_, _| ());
     assert!(begun.is_some_and(|at_ms| at_ms < 3_000), "{begun:?}");
 }
+
+/// Gangs that no fleet of this size holds were there first, more of them than
+/// may keep workers.
+#[test]
+fn gangs_that_can_never_run_take_nobodys_turn() {
+    for advice in [false, true] {
+        let mut fleet = Fleet::new(Cell::with_cores(2, 10));
+        let queue = if advice {
+            kit::advised(1)
+        } else {
+            kit::queue(1)
+        };
+        let single = kit::lasting(kit::step(1, 8), 2_000);
+        fleet.stream(&kit::queue(1), &single);
+        fleet.step();
+        for number in 400..404 {
+            fleet.run(number, &queue, kit::lasting(kit::gang(3, 8), 100));
+        }
+        for _ in 0..20 {
+            fleet.step();
+        }
+        fleet.stream(&kit::queue(1), &single);
+        fleet.run(500, &queue, kit::gang(2, 8));
+        let begun = fleet.until_begun(500, |fleet, at_ms| {
+            if at_ms % 1_000 == 0 {
+                fleet.stream(&kit::queue(1), &single);
+            }
+        });
+        assert!(begun.is_some(), "never, advice {advice}");
+    }
+}
