fleet: a gang that the fleet cannot hold takes no turn of others

Cause: a gang without a reservation counts among the three that may keep workers, and the late gang overdue longest has the kept place, also when the workers there are could not hold it (too wide, too few that may be good, or workers gone). Four such gangs take all turns for good.

Change: both turns go to gangs that the usable workers could hold when empty, if all that were not asked about are good. It costs one look at the workers for a gang that has no reservation and a turn.

--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -108,20 +108,19 @@
     ///
     /// Late work comes after whatever can still be in time, and there is always
     /// some of that; a wide gang would never run. What is worth nothing any more
-    /// counts here like the rest. What is kept for it is used
-    /// by others until it starts.
+    /// counts here like the rest, but for gangs that the workers there are could
+    /// not hold. What is kept for it is used by others until it starts.
     fn keep_for_latest(&self, candidates: &[pass::Candidate], pass: &mut pass::Pass) {
-        let gang = |candidate: &&pass::Candidate| {
+        let late_gang = |candidate: &&pass::Candidate| {
             let job = self.jobs.get(&candidate.task.job).filter(|job| job.stored);
             let step = job.and_then(|job| job.step_description(&candidate.task));
             let late = candidate.rank.lateness != pass::Lateness::InTime;
             late && step.is_some_and(|step| step.gang)
         };
-        let Some(candidate) = candidates
-            .iter()
-            .filter(gang)
-            .min_by_key(|candidate| candidate.rank.slack_ms)
-        else {
+        let mut late: Vec<_> = candidates.iter().filter(late_gang).collect();
+        late.sort_by_key(|candidate| candidate.rank.slack_ms);
+        let could_run = |candidate: &&pass::Candidate| self.could_fit(&candidate.task, pass);
+        let Some(candidate) = late.into_iter().find(could_run) else {
             return;
         };
         let job = self.jobs.get(&candidate.task.job);
@@ -292,6 +291,9 @@
         }
         let kept_for_it = pass.kept_for == Some(candidate.task);
         let reservation = self.reserve(&candidate.task, description, pass);
+        if may_wait && reservation.is_none() && !self.could_fit(&candidate.task, pass) {
+            return;
+        }
         candidate.goes_first = may_wait || kept_for_it;
         pass.reserving += usize::from(reservation.is_none());
         candidate.reservation = reservation.map(|mut reservation| {
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -106,6 +106,26 @@
             .sum()
     }
 
+    /// Whether the workers there are could hold a gang when they are empty, if all
+    /// that were not asked about are good.
+    pub(crate) fn could_fit(&self, task: &fleet::TaskId, pass: &pass::Pass) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let (Some(step), Some(description)) = (job.step(task), job.step_description(task)) else {
+            return false;
+        };
+        pass.count_looks(pass.usable.len());
+        let usable = pass.usable.iter();
+        let workers = usable.filter_map(|position| self.workers.get_index(*position));
+        let suitable = workers.filter(|(id, worker)| {
+            let bad = step.advice.verdicts.get(*id) == Some(&false);
+            !bad && worker.suits(&job.queue, description)
+        });
+        let slots = suitable.map(|(_, worker)| whole_slots(worker, description));
+        slots.sum::<u64>() >= u64::from(description.count)
+    }
+
     /// Workers known to be good for a step; all of a queue without advice.
     fn possible_workers(
         &self,
