KNOWN-RED: a stream of quick work starves a gang

Two workers of 10 cores, one quick task of 3 cores for 1 s each 0.9 s (a third of the processors at most), a gang of two tasks of 8 cores: not started in 40 s. Quick work of up to 1.2 s may use workers that are kept, on the grounds that it delays a gang once; a stream delays it for good. Seen: "never".

--- a/crates/figscale-core/tests/fleet/starving.rs
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -230,3 +230,19 @@
         assert!(begun.is_some(), "never, advice {advice}");
     }
 }
+
+/// Quick work, one task of three cores at a time on two workers of ten.
+#[test]
+fn a_gang_runs_beside_a_stream_of_quick_work() {
+    let mut fleet = Fleet::new(Cell::with_cores(2, 10));
+    let quick = kit::lasting(kit::step(1, 3), 1_000);
+    fleet.stream(&kit::queue(0), &quick);
+    fleet.step();
+    fleet.run(1, &kit::queue(1), kit::gang(2, 8));
+    let begun = fleet.until_begun(1, |fleet, at_ms| {
+        if at_ms % 900 == 0 {
+            fleet.stream(&kit::queue(0), &quick);
+        }
+    });
+    assert!(begun.is_some(), "never");
+}
