KNOWN-RED: gangs without answers keep an idle fleet

The advisory service has said who may run eight gangs and then answers no more. Each gang reckons to start as soon as it has tickets, which is not bounded in number, and together they keep all workers: a task of a queue that needs no advice is not started in 40 s on an idle fleet, for as long as the gangs can be in time.

--- a/crates/figscale-core/tests/fleet/starving.rs
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -246,3 +246,31 @@
     });
     assert!(begun.is_some(), "never");
 }
+
+/// The advisory service has said who is good, and then answers no more.
+#[test]
+fn gangs_without_answers_do_not_keep_the_whole_fleet() {
+    let patient = |policy: fleet::Queue, target_latency_ms| fleet::Queue {
+        target_latency_ms,
+        ..policy
+    };
+    let mut fleet = Fleet::new(Cell::with_cores(8, 10));
+    fleet.cell.join(2..=24);
+    let filling = fleet::StepDescription {
+        max_per_worker: Some(1),
+        ..kit::lasting(kit::step(8, 8), 6_000)
+    };
+    fleet.run(1, &kit::queue(1), filling);
+    for number in 2..10 {
+        let gang = kit::lasting(kit::gang(2, 8), 5_000);
+        fleet.run(number, &patient(kit::advised(1), 60_000), gang);
+    }
+    for at_ms in (0..8_000).step_by(STEP_MS as usize) {
+        fleet.answers = at_ms < 3_000;
+        fleet.step();
+    }
+    let small = kit::lasting(kit::step(1, 4), 3_000);
+    fleet.run(20, &patient(kit::queue(2), 90_000), small);
+    let begun = fleet.until_begun(20, |_, _| ());
+    assert!(begun.is_some_and(|at_ms| at_ms < 3_000), "{begun:?}");
+}
