fleet: gangs keep no workers for answers of a service that is away

Cause: a gang that waits for nothing but tickets keeps its workers however many others do, since its room is idle for one answer only. While the advisory service answers nobody that answer never comes, and all gangs in time together keep an idle fleet.

Ruled out: to tell it by the gang's own last question: after the outage each gang would have to wait for one of three turns before it asks again.

Change: after three questions in a row without an answer the service counts as away until the next answer; gangs then keep workers only by turn.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -77,6 +77,7 @@
         } else if good.is_none() {
             return;
         }
+        self.lanes.note_answer(good.is_some());
         let Some(good) = good else {
             step.advice.not_before = Some(now + RETRY_PAUSE);
             step.advice.promise = None;
--- a/crates/figscale-core/src/fleet/lanes.rs
+++ b/crates/figscale-core/src/fleet/lanes.rs
@@ -18,6 +18,10 @@
 /// Weight of the newest answer in the part learned.
 const LEARNING_WEIGHT: f64 = 0.1;
 
+/// Questions in a row without an answer after which the service counts as away;
+/// one or two are lost with an instance that leaves.
+const AWAY_AFTER: usize = 3;
+
 /// One entry instance's way to the service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Lane {
@@ -30,6 +34,8 @@
     pub(crate) lanes: IndexMap<ids::MemberId, Lane>,
     /// Part of the workers that may run a step, by queue.
     good_parts: IndexMap<String, f64>,
+    /// Questions without an answer since the last answer.
+    unanswered: usize,
 }
 
 impl Lanes {
@@ -46,6 +52,19 @@
         self.good_parts.insert(queue.to_owned(), learned.max(0.05));
     }
 
+    /// A question was answered, or not.
+    pub(crate) fn note_answer(&mut self, answered: bool) {
+        self.unanswered = match answered {
+            true => 0,
+            false => self.unanswered.saturating_add(1),
+        };
+    }
+
+    /// Whether the service answers nobody.
+    pub(crate) fn service_is_away(&self) -> bool {
+        self.unanswered >= AWAY_AFTER
+    }
+
     /// A free lane for a question, if there is one that it may use.
     pub(crate) fn free(&self, long: bool) -> Option<ids::MemberId> {
         let kept = match self.lanes.len() {
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -23,7 +23,8 @@
 
 /// Gangs that may keep workers for runs still to end, at the same time; more
 /// would leave most workers waiting. Gangs that wait for nothing but tickets are
-/// not counted: their room is idle for one answer only.
+/// not counted: their room is idle for one answer only. While the advisory
+/// service is away there is no answer, and they count like the others.
 const MAX_RESERVING: usize = 3;
 /// Attempts of one term; the next term's numbers begin above them.
 const ATTEMPTS_PER_EPOCH: u64 = 1_000;
@@ -298,7 +299,8 @@
         candidate.goes_first = may_wait || kept_for_it;
         pass.reserving += usize::from(reservation.is_none());
         candidate.reservation = reservation.map(|mut reservation| {
-            let soon = self.starts_soon(&candidate.task, &reservation, pass.now);
+            let soon = !self.lanes.service_is_away()
+                && self.starts_soon(&candidate.task, &reservation, pass.now);
             if soon || kept_for_it || may_wait {
                 pass.keep(candidate.task, &reservation);
                 pass.reserving += usize::from(!soon);
