KNOWN-RED: a gang is started again and again with a worker that refuses it

Three workers of 10 cores, one refuses every start, a gang of two tasks of 8 cores, stops that take 0.4, 0.6 or 1.1 s. The others are started, stopped, and free again after the refusing worker's pause (0.25 s without room, 1 s if unhealthy) is over; the gang goes there again. Seen: Running after 20 s with no room, where 1 s of work is to be done.

--- a/crates/figscale-core/tests/fleet/starving.rs
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -274,3 +274,38 @@
     let begun = fleet.until_begun(20, |_, _| ());
     assert!(begun.is_some_and(|at_ms| at_ms < 3_000), "{begun:?}");
 }
+
+/// One of three workers refuses whatever it gets, and to stop a run takes time.
+#[test]
+fn a_gang_runs_beside_a_worker_that_refuses() {
+    use fleet::StartRefusal;
+    for (refusal, stop_ms) in [
+        (StartRefusal::NoRoom, 400),
+        (StartRefusal::Unhealthy, 1_100),
+        (StartRefusal::Unhealthy, 600),
+    ] {
+        let mut fleet = Fleet::new(Cell::with_cores(3, 10));
+        for worker in fleet.cell.workers.values_mut() {
+            worker.stops_at_once = false;
+        }
+        fleet.cell.worker(0).answer = Some(fleet::StartOutcome::Refused(refusal));
+        fleet.run(1, &kit::queue(1), kit::gang(2, 8));
+        let mut stops = Vec::new();
+        for _ in 0..400 {
+            fleet.step();
+            let now = fleet.cell.now;
+            let new = std::mem::take(&mut fleet.cell.stops).into_iter();
+            stops.extend(new.map(|stop| (now + kit::ms(stop_ms), stop)));
+            for (_, (worker, task, attempt)) in stops.extract_if(.., |(at, _)| *at <= now) {
+                let worker = fleet.cell.workers.get_mut(&worker).unwrap();
+                worker.end(task, attempt, fleet::End::Stopped);
+            }
+        }
+        let state = fleet.cell.state(1);
+        assert_eq!(
+            state,
+            Some(fleet::JobState::Completed),
+            "{refusal:?} {stop_ms}"
+        );
+    }
+}
