fleet: the pause of a worker that refuses grows with each refusal

Cause: the pause after a refused start, 0.25 s without room, is over before the gang's other members are stopped and free again, and the worker with least room goes first, so the gang goes to the worker that refuses it again, for good.

Ruled out: to rank such workers last in a gang; on a full fleet there is no other at that moment, and the gang would go there all the same.

Change: pauses double with each refusal in a row, twice at most (1 s without room, 4 s if unhealthy), until a start is taken. Starts refused at the same time count as one.

--- a/crates/figscale-core/src/fleet/health.rs
+++ b/crates/figscale-core/src/fleet/health.rs
@@ -17,6 +17,12 @@
 /// Longest time out of use.
 const MAX_SET_ASIDE: time::Duration = time::Duration::from_secs(12);
 
+/// How often the pause after a refusal is doubled at most, from 0.25 s to 1 s
+/// without room. Of a gang that one worker refuses the other members are free
+/// again 0.9 s after their stops were ordered; by then a shorter pause is over and
+/// the gang goes to the same worker again.
+const MAX_DOUBLINGS: u32 = 2;
+
 /// Record of a worker's results.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
@@ -25,6 +31,8 @@
     /// On trial: one task at a time until one ends well.
     on_trial: bool,
     relapses: u32,
+    /// Pauses since a start was last taken.
+    pauses: u32,
     /// Some task has ended well here.
     proven: bool,
 }
@@ -66,9 +74,19 @@
         self.failed_jobs.clear();
     }
 
-    /// No orders for a moment, without a judgement.
+    /// A start was taken.
+    pub(crate) fn started(&mut self) {
+        self.pauses = 0;
+    }
+
+    /// No orders for a moment, without a judgement; longer with each in a row.
     pub(crate) fn pause(&mut self, time: time::Duration, now: time::Instant) {
-        let until = now + time;
+        // Starts refused at the same time count as one.
+        if !self.is_set_aside(now) {
+            self.pauses = self.pauses.saturating_add(1);
+        }
+        let doublings = self.pauses.saturating_sub(1).min(MAX_DOUBLINGS);
+        let until = now + time * 2_u32.pow(doublings);
         if self.set_aside_until.is_none_or(|known| known < until) {
             self.set_aside_until = Some(until);
         }
--- a/crates/figscale-core/src/fleet/starts.rs
+++ b/crates/figscale-core/src/fleet/starts.rs
@@ -12,9 +12,9 @@
 use super::scheduler;
 use super::worker;
 
-/// Pause after a worker had no room although it should have had.
+/// First pause after a worker had no room although it should have had.
 const NO_ROOM_PAUSE: time::Duration = time::Duration::from_millis(250);
-/// Pause after a worker refused as unhealthy.
+/// First pause after a worker refused as unhealthy.
 const UNHEALTHY_PAUSE: time::Duration = time::Duration::from_millis(1_000);
 
 impl scheduler::Scheduler {
@@ -49,6 +49,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.lease.read(clock_ms, now);
             worker.doubted = false;
+            worker.health.started();
             if let Some(run) = worker.runs.get_mut(&key) {
                 let known = run.confirmed_clock_ms.unwrap_or(0);
                 run.confirmed_clock_ms = Some(known.max(clock_ms));
