KNOWN-RED: an overdue gang is not asked about beside small work

One entry instance, an overdue gang with room, and five small steps a second that need 0.32 s of the service each: the gang has the place that is kept for late gangs and gets no question in 28 s. Seen: "1 members"; with three members not reached.

--- a/crates/figscale-core/tests/fleet/starving.rs
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -309,3 +309,36 @@
         );
     }
 }
+
+/// One way to the service, and always more urgent small work that needs it.
+#[test]
+fn a_late_gang_is_asked_about_beside_a_stream_of_small_work() {
+    for members in [1, 3] {
+        let mut fleet = Fleet::new(Cell::with_cores(4, 64));
+        fleet.cell.join(2..=members);
+        let filling = fleet::StepDescription {
+            max_per_worker: Some(1),
+            ..kit::lasting(kit::step(4, 8), 12_000)
+        };
+        let policy = fleet::AdvicePolicy {
+            base_ms: 300.0,
+            per_worker_ms: 5.0,
+            valid_ms: 2_500,
+        };
+        let queue = fleet::Queue {
+            target_latency_ms: 200,
+            advice: Some(policy),
+            ..kit::queue(1)
+        };
+        let gang = kit::lasting(kit::gang(2, 60), 1_000);
+        fleet.run(1, &queue, gang);
+        fleet.run(2, &kit::queue(1), filling);
+        let small = kit::lasting(kit::step(1, 1), 500);
+        let begun = fleet.until_begun(1, |fleet, at_ms| {
+            if at_ms > 10_000 && at_ms % 200 == 0 {
+                fleet.stream(&queue, &small);
+            }
+        });
+        assert!(begun.is_some(), "{members} members");
+    }
+}
