KNOWN-RED: a task as wide as a worker starves beside small work

Two workers of 10 cores, small tasks of 3 cores for 2 s each 0.45 s (two thirds of the processors), one task of 10 cores: not started in 40 s. Nothing keeps room for wide tasks that are no gangs. Seen: "never".

--- a/crates/figscale-core/tests/fleet/starving.rs
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -342,3 +342,21 @@
         assert!(begun.is_some(), "{members} members");
     }
 }
+
+/// A task as wide as a worker, beside small work on a part of each.
+#[test]
+fn a_wide_task_runs_beside_a_stream_of_small_work() {
+    let mut fleet = Fleet::new(Cell::with_cores(2, 10));
+    let first = kit::lasting(kit::step(1, 6), 2_000);
+    fleet.stream(&kit::queue(1), &first);
+    fleet.stream(&kit::queue(1), &first);
+    fleet.step();
+    fleet.run(1, &kit::queue(1), kit::step(1, 10));
+    let small = kit::lasting(kit::step(1, 3), 2_000);
+    let begun = fleet.until_begun(1, |fleet, at_ms| {
+        if at_ms % 450 == 0 {
+            fleet.stream(&kit::queue(1), &small);
+        }
+    });
+    assert!(begun.is_some(), "never");
+}
