fleet: an overdue task that needs over half a worker has one kept for it

Cause: nothing keeps room for steps that are no gangs. A task nearly as wide as a worker waits while small tasks that can be in time use a part of each.

Ruled out: the same for late tasks that still earn something: a task that lasts and one that is due came after late work of less priority (two tests of gang_limits failed). Smaller tasks: while half of the processors are free some worker has room for them.

Change: of the tasks that need over half of the largest worker and earn nothing any more the one that is late longest has a worker kept, like the late gang. Turns of late work are a module of their own, turns.rs.

Figures: a_wide_task_runs_beside_a_stream_of_small_work failed (not in 40 s), passes.

--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -42,6 +42,7 @@
 mod starts;
 mod stops;
 mod submit;
+mod turns;
 mod unsaved;
 mod view;
 mod waits;
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -64,8 +64,9 @@
     kept: maps::WorkerMap<Keep>,
     /// The late gang for which workers were kept before all else.
     pub(crate) kept_for: Option<fleet::TaskId>,
-    /// It is overdue, so that quick work keeps off its workers like all other.
-    pub(crate) keeps_off_quick: bool,
+    /// Overdue steps for which workers were kept before all else. Quick work keeps
+    /// off these like all other; a stream of it would put them off for good.
+    pub(crate) overdue: Vec<fleet::TaskId>,
     /// Most processor that one usable worker had free when the pass began.
     /// On a full fleet it spares 0.3 ms a pass with 350 workers and 40 steps.
     pub(crate) widest_millis: u64,
@@ -82,7 +83,7 @@
             usable,
             kept: maps::WorkerMap::default(),
             kept_for: None,
-            keeps_off_quick: false,
+            overdue: Vec::new(),
             widest_millis,
             reserving: 0,
             wanting: Vec::new(),
@@ -123,7 +124,7 @@
     /// Whether also quick work that would be over soon keeps off a worker.
     pub(crate) fn is_closed_to_quick(&self, worker: &fleet::WorkerId) -> bool {
         let keep = self.kept.get(worker);
-        self.keeps_off_quick && keep.is_some_and(|keep| Some(keep.owner) == self.kept_for)
+        keep.is_some_and(|keep| self.overdue.contains(&keep.owner))
     }
 }
 
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -104,37 +104,6 @@
         }
     }
 
-    /// Keeps workers for the late gang that is overdue longest, before all else
-    /// but what is promised.
-    ///
-    /// Late work comes after whatever can still be in time, and there is always
-    /// some of that; a wide gang would never run. What is worth nothing any more
-    /// counts here like the rest, but for gangs that the workers there are could
-    /// not hold. What is kept for it is used by others until it starts.
-    fn keep_for_latest(&self, candidates: &[pass::Candidate], pass: &mut pass::Pass) {
-        let late_gang = |candidate: &&pass::Candidate| {
-            let job = self.jobs.get(&candidate.task.job).filter(|job| job.stored);
-            let step = job.and_then(|job| job.step_description(&candidate.task));
-            let late = candidate.rank.lateness != pass::Lateness::InTime;
-            late && step.is_some_and(|step| step.gang)
-        };
-        let mut late: Vec<_> = candidates.iter().filter(late_gang).collect();
-        late.sort_by_key(|candidate| candidate.rank.slack_ms);
-        let could_run = |candidate: &&pass::Candidate| self.could_fit(&candidate.task, pass);
-        let Some(candidate) = late.into_iter().find(could_run) else {
-            return;
-        };
-        let job = self.jobs.get(&candidate.task.job);
-        let Some(step) = job.and_then(|job| job.step_description(&candidate.task)) else {
-            return;
-        };
-        if let Some(reservation) = self.reserve(&candidate.task, step, pass) {
-            pass.keep(candidate.task, &reservation);
-        }
-        pass.kept_for = Some(candidate.task);
-        pass.keeps_off_quick = candidate.rank.lateness == pass::Lateness::Overdue;
-    }
-
     fn candidates(&self, now: time::Instant) -> Vec<pass::Candidate> {
         let mut all = Vec::new();
         for id in &self.open {
@@ -293,7 +262,8 @@
         }
         let kept_for_it = pass.kept_for == Some(candidate.task);
         let reservation = self.reserve(&candidate.task, description, pass);
-        if may_wait && reservation.is_none() && !self.could_fit(&candidate.task, pass) {
+        if may_wait && reservation.is_none() && !self.could_fit(&candidate.task, description, pass)
+        {
             return;
         }
         candidate.goes_first = may_wait || kept_for_it;
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -108,11 +108,16 @@
 
     /// Whether the workers there are could hold a gang when they are empty, if all
     /// that were not asked about are good.
-    pub(crate) fn could_fit(&self, task: &fleet::TaskId, pass: &pass::Pass) -> bool {
+    pub(crate) fn could_fit(
+        &self,
+        task: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        pass: &pass::Pass,
+    ) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
-        let (Some(step), Some(description)) = (job.step(task), job.step_description(task)) else {
+        let Some(step) = job.step(task) else {
             return false;
         };
         pass.count_looks(pass.usable.len());
