--- a/crates/figscale-core/tests/fleet/records.rs
+++ b/crates/figscale-core/tests/fleet/records.rs
@@ -140,3 +140,50 @@
     assert_eq!(cell.starts(), 1);
     assert!(cell.store.contains_key(&RecordKey::Workers));
 }
+
+/// A burst brings more new jobs than the store takes. An end that stays out of
+/// the store is lost with its worker, and its task runs again under the next
+/// leader.
+#[test]
+fn ends_are_written_beside_a_flood_of_new_jobs() {
+    let mut cell = Cell::new(1);
+    cell.run(1, &kit::queue(1), vec![kit::step(2, 1)]);
+    let task = kit::task(1, 0, 0);
+    let (id, attempt) = cell.placed(task)[0].clone();
+    let mut number = 1;
+    let mut flood = |cell: &mut Cell| {
+        for _ in 0..2 * kit::MOST_RECORDS {
+            number += 1;
+            cell.submit(number, &kit::queue(0), kit::job(vec![kit::step(1, 1)]));
+        }
+    };
+    flood(&mut cell);
+    cell.worker(0).end(task, attempt, fleet::End::Done);
+    cell.report(&id);
+    for _ in 0..3 {
+        flood(&mut cell);
+        cell.write();
+    }
+    assert!(
+        cell.store
+            .contains_key(&RecordKey::Progress(kit::job_id(1))),
+        "the end waits for new jobs"
+    );
+    assert_eq!(cell.scheduler.report_due(&id).unwrap().acknowledged, 1);
+}
+
+/// Nothing of a new job can have run, so no end's effect is in its record.
+#[test]
+fn ends_do_not_wait_for_the_records_of_new_jobs() {
+    let mut cell = Cell::new(1);
+    cell.run(1, &kit::queue(1), vec![kit::step(2, 1)]);
+    let task = kit::task(1, 0, 0);
+    let (id, attempt) = cell.placed(task)[0].clone();
+    cell.submit(2, &kit::queue(0), kit::job(vec![kit::step(1, 1)]));
+    let slow = cell.scheduler.take_records(kit::MOST_RECORDS);
+    assert_eq!(slow.records.len(), 1);
+    cell.worker(0).end(task, attempt, fleet::End::Done);
+    cell.report(&id);
+    cell.write();
+    assert_eq!(cell.scheduler.report_due(&id).unwrap().acknowledged, 1);
+}
