fleet: new jobs and ends take turns in each write

New jobs went first in each transaction. In a burst beside a leader that writes slowly they filled every one, and outcomes stayed out of the store.

New jobs and changed ones take turns in a transaction. What a failed write gave back goes first among the changed ones. An end is acknowledged once all older changes are written; records of new jobs do not count for that, since nothing of them has run.

--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -40,7 +40,7 @@
 /// Records that are to be written together with what depends on them.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
-    /// The records; jobs that callers wait for come first.
+    /// The records.
     pub records: Vec<Record>,
     /// Jobs that may be told as accepted once the records are written.
     pub(crate) created: Vec<fleet::JobId>,
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -1,9 +1,16 @@
 //! Which records are to be written, and what hangs on their writing.
 //!
 //! A transaction holds so many records; what does not fit waits for the next.
+//! New jobs and changes of others take turns in it. Callers wait for the former,
+//! and the latter must not wait for them: an end that is not in the store is
+//! lost if its worker leaves before the next leader has asked it, and its task
+//! runs again. Beside a leader that wrote 280 records a second, and a burst of
+//! as many new jobs, ends once stayed out of the store for four seconds.
 //! A job may start, a worker be used, an end be acknowledged only after the
 //! records that say so are in the store.
 
+use std::iter;
+
 use figscale_types::fleet;
 
 use super::durable;
@@ -12,16 +19,16 @@
 use super::worker;
 
 impl scheduler::Scheduler {
-    /// At most `most` records of what has changed, for one transaction; jobs to
-    /// be told as accepted first. They must be written and then confirmed, or
-    /// given back. Other records may be taken meanwhile.
+    /// At most `most` records of what has changed, for one transaction. They must
+    /// be written and then confirmed, or given back. Other records may be taken
+    /// meanwhile.
     pub fn take_records(&mut self, most: usize) -> durable::Records {
         let mut records = durable::Records::default();
         self.add_workers_record(&mut records);
         let is_new = |id: &fleet::JobId| self.jobs.get(id).is_some_and(|job| !job.stored);
         let (new, changed): (Vec<fleet::JobId>, Vec<fleet::JobId>) =
             self.unsaved.ready().partition(is_new);
-        for id in new.into_iter().chain(changed) {
+        for id in in_turn(new, changed) {
             // A job has two records at most.
             if records.records.len() + 2 > most {
                 break;
@@ -146,3 +153,20 @@
         }
     }
 }
+
+/// New jobs and changed ones by turns, each in their order, as long as there
+/// are both.
+fn in_turn(
+    new: Vec<fleet::JobId>,
+    changed: Vec<fleet::JobId>,
+) -> impl Iterator<Item = fleet::JobId> {
+    let (mut new, mut changed) = (new.into_iter(), changed.into_iter());
+    let mut turn_of_new = false;
+    iter::from_fn(move || {
+        turn_of_new = !turn_of_new;
+        match turn_of_new {
+            true => new.next().or_else(|| changed.next()),
+            false => changed.next().or_else(|| new.next()),
+        }
+    })
+}
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -32,7 +32,7 @@
         }
         self.open.insert(id);
         self.jobs.insert(id, job);
-        self.unsaved.change(id);
+        self.unsaved.create(id);
         admission::Admission::Accepted
     }
 
--- a/crates/figscale-core/src/fleet/unsaved.rs
+++ b/crates/figscale-core/src/fleet/unsaved.rs
@@ -4,7 +4,8 @@
 //! in one of them at most, so that its records are written in the order of its
 //! changes. Whatever hangs on several jobs, as the acknowledgement of a
 //! worker's ends does, is noted with the number of changes so far and is due
-//! once no older change is left.
+//! once no older change is left. New jobs are no changes in this sense: nothing
+//! of them has run, so nothing that was noted hangs on them.
 
 use std::collections::VecDeque;
 
@@ -15,6 +16,9 @@
 /// 0.25 s beside a slow store, so there are a dozen.
 const MAX_NOTES: usize = 32;
 
+/// Age of a new job's record, younger than all that is noted.
+const NEW: u64 = u64::MAX;
+
 /// Ends up to these numbers.
 pub(crate) type Ends = Vec<(fleet::WorkerId, u64)>;
 
@@ -32,6 +36,11 @@
 }
 
 impl Unsaved {
+    /// Notes a new job.
+    pub(crate) fn create(&mut self, id: fleet::JobId) {
+        self.waiting.entry(id).or_insert(NEW);
+    }
+
     /// Notes a change of a job.
     pub(crate) fn change(&mut self, id: fleet::JobId) {
         self.waiting.entry(id).or_insert(self.now);
@@ -52,7 +61,7 @@
         self.writing.contains_key(&id)
     }
 
-    /// Jobs that the next write can take.
+    /// Jobs that the next write can take, those that have waited longest first.
     pub(crate) fn ready(&self) -> impl Iterator<Item = fleet::JobId> {
         let ready = |id: &&fleet::JobId| !self.writing.contains_key(*id);
         self.waiting.keys().filter(ready).copied()
@@ -72,11 +81,12 @@
         }
     }
 
-    /// The changes of these jobs are not in the store and will not be.
+    /// The changes of these jobs are not in the store and will not be. They go
+    /// before what has changed since.
     pub(crate) fn not_written(&mut self, jobs: &[fleet::JobId]) {
-        for id in jobs {
+        for id in jobs.iter().rev() {
             if let Some(age) = self.writing.swap_remove(id) {
-                self.waiting.insert(*id, age);
+                self.waiting.shift_insert(0, *id, age);
             }
         }
     }
@@ -93,7 +103,7 @@
     /// Ends whose effects are all in the store, each told once.
     pub(crate) fn due(&mut self) -> Ends {
         let ages = self.waiting.values().chain(self.writing.values());
-        let oldest = ages.min().copied().unwrap_or(u64::MAX);
+        let oldest = ages.min().copied().unwrap_or(NEW);
         let mut due = Ends::new();
         while self.notes.front().is_some_and(|(age, _)| *age < oldest) {
             due.extend(self.notes.pop_front().into_iter().flat_map(|note| note.1));
