--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -17,6 +17,8 @@
 
 /// Longest wait for a condition; real time, on a machine that may be busy.
 const PATIENCE: time::Duration = time::Duration::from_secs(40);
+/// Long enough for a leader to find its lease ended and to get another.
+pub(crate) const NEW_LEASE: time::Duration = time::Duration::from_millis(1_500);
 const POLL: time::Duration = time::Duration::from_millis(40);
 const HOST: &str = "jobs.example";
 
