Leaders: a leader's end is told with its cause; the pace of greetings is tested

Cause: two tests of real processes clocked how soon a lost leader is replaced, as the log did not tell why a term was held for over.

Change: LEADER_ENDED has a cause. The pause and limits of greetings stand beside SILENCE in figscale-core, and a pure test proves the bound of 1.0 s that the test of processes clocked: a leader that falls silent right after an answer is missed by its peers within pause + limit + sightings = 0.9 s, under the 1.1 s that its lease lasts at least. No decision changes.

--- a/crates/figscale-core/src/fleet/silence.rs
+++ b/crates/figscale-core/src/fleet/silence.rs
@@ -18,6 +18,14 @@
 /// slower than usual answers within 50 ms.
 pub const SILENCE: time::Duration = time::Duration::from_millis(400);
 
+/// Time between greetings. With [`SILENCE`] it decides how soon a leader without
+/// power is replaced: 0.45 to 0.7 s in place of the 1.1 to 1.5 s of its lease.
+pub const HELLO_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Time for the answer to a greeting.
+pub const HELLO_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// Time for a peer to say what it knows of the leader.
+pub const SIGHTING_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
 /// How long a winner may say that it does not lead before its term is taken as
 /// over; it reads the store before it leads.
 const WINNER_LIMIT: time::Duration = time::Duration::from_millis(2_500);
--- a/crates/figscale-core/tests/fleet/silence.rs
+++ b/crates/figscale-core/tests/fleet/silence.rs
@@ -2,8 +2,11 @@
 
 use std::time;
 
+use figscale_core::fleet::HELLO_PAUSE;
+use figscale_core::fleet::HELLO_TIMEOUT;
 use figscale_core::fleet::NotLeading;
 use figscale_core::fleet::PeerView;
+use figscale_core::fleet::SIGHTING_TIMEOUT;
 use figscale_core::fleet::SILENCE;
 use figscale_core::fleet::is_lost;
 use figscale_types::fleet::Epoch;
@@ -52,3 +55,15 @@
     not_leading.reset();
     assert!(!not_leading.is_over(Epoch(3), at(6_000)));
 }
+
+/// A leader loses its power as it answers a greeting. The next one is sent a
+/// pause later and waits in vain, and its peers are asked at last.
+#[test]
+fn a_silent_leader_is_missed_before_its_lease_ends() {
+    let shortest_lease = time::Duration::from_millis(1_100);
+    let missed = HELLO_PAUSE + HELLO_TIMEOUT;
+    assert!(missed >= SILENCE, "a peer would say that it still hears it");
+    assert!(missed + SIGHTING_TIMEOUT < time::Duration::from_millis(1_000));
+    assert!(missed + SIGHTING_TIMEOUT < shortest_lease);
+    assert!(is_lost(missed, &[PeerView::Heard(missed); 2]));
+}
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -22,17 +22,15 @@
 use crate::events;
 use crate::peer;
 
-/// Time between greetings. With [`figscale_core::fleet::SILENCE`] it decides
-/// how soon a leader without power is replaced: 0.45 to 0.7 s in place of the
-/// 1.1 to 1.5 s of its lease.
-const HELLO_PAUSE: time::Duration = time::Duration::from_millis(250);
-/// Time for the answer to a greeting.
-const HELLO_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// Time for a peer to say what it knows of the leader.
-const SIGHTING_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Name of the service that tells who leads.
 const WHO_LEADS: &str = "fleet-who-leads";
 
+/// Why a leader's term is over, as the log tells it.
+const IN_ORDER: &str = "it said so";
+const PROCESS_GONE: &str = "its process is gone";
+const DOES_NOT_LEAD: &str = "it answers without leading";
+const MISSED: &str = "most peers miss it";
+
 /// Name of the service that hears of a leader's end.
 const ENDED_SERVICE: &str = "fleet-leader-ended";
 /// Time for telling the others of it; the lease ends by itself if it fails.
@@ -91,7 +89,7 @@
     context.leadership.send_modify(|known| {
         known.last_heads = Some(end.heads);
     });
-    ended(context, &end.leader, key_revision);
+    ended(context, &end.leader, key_revision, IN_ORDER);
 }
 
 /// Tells the others that this instance leads no more; true if any heard it.
@@ -134,38 +132,40 @@
             if outcome != Outcome::NotLeading {
                 not_leading.reset();
             }
-            if is_over(&context, &leader, outcome, &mut not_leading).await {
-                ended(&context, &leader, known.key_revision);
+            let cause = why_over(&context, &leader, outcome, &mut not_leading).await;
+            if let Some(cause) = cause {
+                ended(&context, &leader, known.key_revision, cause);
             }
         }
         // A new leader is greeted at once.
-        let _ = tokio::time::timeout(HELLO_PAUSE, changes.changed()).await;
+        let _ = tokio::time::timeout(fleet::HELLO_PAUSE, changes.changed()).await;
     }
 }
 
-/// Takes in how a greeting ended; whether the leader's term is over.
-async fn is_over(
+/// Takes in how a greeting ended; why the leader's term is over, if it is.
+async fn why_over(
     context: &Context,
     leader: &leadership::Leader,
     outcome: Outcome,
     not_leading: &mut fleet::NotLeading,
-) -> bool {
+) -> Option<&'static str> {
     match outcome {
         Outcome::Welcome(mut others) => {
             others.push(leader.address);
             context.store.set_roster(others);
             heard(context, true);
-            false
+            None
         }
-        Outcome::Ended => true,
+        Outcome::Ended => Some(PROCESS_GONE),
         Outcome::NotLeading => {
             heard(context, false);
             ask_peers(context, leader).await;
-            not_leading.is_over(leader.epoch, context.clock.now())
+            let over = not_leading.is_over(leader.epoch, context.clock.now());
+            over.then_some(DOES_NOT_LEAD)
         }
         Outcome::Silent => {
             let views = ask_peers(context, leader).await;
-            is_lost(context, leader, &views)
+            is_lost(context, leader, &views).then_some(MISSED)
         }
     }
 }
@@ -228,7 +228,7 @@
         let service = calls::LEADER_SERVICE;
         let answer = context
             .peers
-            .call(leader.address, service, &call, HELLO_TIMEOUT)
+            .call(leader.address, service, &call, fleet::HELLO_TIMEOUT)
             .await;
         match answer {
             Ok(calls::LeaderAnswer::Welcome {
@@ -246,7 +246,7 @@
                     return Outcome::Ended;
                 }
                 let waited = context.clock.now().saturating_duration_since(begun);
-                if waited >= HELLO_TIMEOUT / 2 {
+                if waited >= fleet::HELLO_TIMEOUT / 2 {
                     return Outcome::Silent;
                 }
             }
@@ -255,7 +255,7 @@
     Outcome::Silent
 }
 
-fn ended(context: &Context, leader: &leadership::Leader, key_revision: u64) {
+fn ended(context: &Context, leader: &leadership::Leader, key_revision: u64, cause: &'static str) {
     context.leadership.send_if_modified(|known| {
         let same = known.leader.as_ref() == Some(leader) && known.key_revision == key_revision;
         if !same || known.ended_revision == Some(key_revision) {
@@ -264,7 +264,8 @@
         crate::event!(
             events::fleet::LEADER_ENDED,
             leader = leader.member,
-            epoch = leader.epoch
+            epoch = leader.epoch,
+            cause = cause
         );
         known.ended_revision = Some(key_revision);
         known.answered_at = None;
@@ -281,7 +282,7 @@
         let peers = context.peers.clone();
         async move {
             peers
-                .call(other, WHO_LEADS, &WhoLeads, SIGHTING_TIMEOUT)
+                .call(other, WHO_LEADS, &WhoLeads, fleet::SIGHTING_TIMEOUT)
                 .await
         }
     });
