Fleet tests: a fleet has started when one instance leads

Cause: Fleet::start returned once all instances were ready, which they are as soon as the store names a leader; that one may still read the records. On a busy machine a test then asked for the leader and found none, or killed the leader before its first term and waited for a second one in vain.

--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -56,7 +56,7 @@
 }
 
 impl Fleet {
-    /// Starts everything; returns once all instances are ready.
+    /// Starts everything; returns once all instances are ready and one leads.
     pub(crate) async fn start(instances: usize, workers: usize, advised: bool) -> Self {
         let platform = standin::Platform::start(workers, "pool").await.unwrap();
         platform.configure(10, "pool", "/jobs/", advised);
@@ -75,6 +75,11 @@
         for number in 0..instances {
             fleet.wait_until_ready(number).await;
         }
+        // An instance is ready as soon as the store names a leader, which may
+        // still read the records, and refuses whatever it is asked.
+        fleet
+            .wait("a first term", || fleet.count_events("TERM_BEGUN") > 0)
+            .await;
         fleet
     }
 
@@ -340,16 +345,37 @@
         panic!("job {job:x} is {last} and never {state}");
     }
 
-    /// Which instance leads.
+    /// Which instance leads, once one does.
     pub(crate) async fn leader(&self) -> usize {
-        for number in 0..self.instances.len() {
-            if self.leads(number).await {
-                return number;
+        let begun = time::Instant::now();
+        while begun.elapsed() < PATIENCE {
+            for number in 0..self.instances.len() {
+                if self.leads(number).await {
+                    return number;
+                }
             }
+            tokio::time::sleep(POLL).await;
         }
         panic!("nobody leads");
     }
 
+    /// Waits until all the others have greeted the leader.
+    pub(crate) async fn wait_until_all_greet(&self, leader: usize) {
+        let others = self.instances.len() - 1;
+        let gauge = format!("figscale_fleet_state{{kind=\"members\"}} {others}");
+        let begun = time::Instant::now();
+        let mut shown = String::new();
+        while begun.elapsed() < PATIENCE {
+            let call = client::Call::get(self.instances[leader].operator, "/metrics");
+            shown = self.client.send(call).await.unwrap().text();
+            if shown.lines().any(|line| line == gauge) {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("no {gauge} in {shown}");
+    }
+
     pub(crate) async fn leads(&self, number: usize) -> bool {
         let call = client::Call::get(self.instances[number].operator, "/v1/dump");
         let dump: serde_json::Value = self.client.send(call).await.unwrap().json().unwrap();
@@ -396,15 +422,17 @@
 
     /// All lines logged so far by all instances.
     pub(crate) fn log_lines(&self) -> Vec<serde_json::Value> {
-        let logs = self
-            .instances
-            .iter()
-            .map(|instance| fs::read_to_string(&instance.log).unwrap());
+        let numbers = 0..self.instances.len();
+        numbers.flat_map(|number| self.log_of(number)).collect()
+    }
+
+    /// All lines logged so far by an instance.
+    pub(crate) fn log_of(&self, number: usize) -> Vec<serde_json::Value> {
+        let log = fs::read_to_string(&self.instances[number].log).unwrap();
         let parse = |line: &str| serde_json::from_str(line).unwrap();
         // The last line may be half written yet.
-        let whole = |log: &str| log.rfind('\n').map_or(0, |end| end + 1);
-        logs.flat_map(|log| log[..whole(&log)].lines().map(parse).collect::<Vec<_>>())
-            .collect()
+        let whole = log.rfind('\n').map_or(0, |end| end + 1);
+        log[..whole].lines().map(parse).collect()
     }
 
     fn print_logs(&self) {
