Leaders: order and causes are tested, not times

a_restarted_leader_is_known_to_be_another_life and a_silent_leader_is_replaced clocked the second term (0.9 s, 1.0 s) against the 1.1 s for which a lease lasts at least; on a busy machine the instances alone take longer. Now no lease ends by the clock, so that way is shut, and the causes of LEADER_ENDED name the way that was taken. The bound of 1.0 s is a pure test. a_slow_store_is_read_while_it_elects clocked 1.0 s beside answers of 0.3 s. Now the lease waits until the first page of the records was asked for, and the election until the last was. That is stricter: a reading that begins after the lease failed the old form by its noise only. a_request_does_not_wait_for_a_leader_that_was_lost clocked 0.85 s. Now six requests, each 0.09 s later, wait, and calls that come once the new leader is known must not overtake them.

As strict, each guard taken out: greetings that hold no process for gone: 'it answers without leading'; peers never agree: no second term in 40 s; records read after the lease: never asked for; requests that wait for the old leader's time limit: 6 of 6 overtaken.

--- a/crates/figscale/tests/fleet_leaders.rs
+++ b/crates/figscale/tests/fleet_leaders.rs
@@ -8,6 +8,7 @@
 
 mod fleet_support;
 
+use std::sync;
 use std::time;
 
 use fleet_support::Fleet;
@@ -76,23 +77,26 @@
     fleet.check();
 }
 
-/// Nobody waits for the lease of a leader whose address another process has.
+/// Nobody waits for the lease of a leader whose address another process has,
+/// nor for the time that a winner has to begin.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_leader_is_known_to_be_another_life() {
     let mut fleet = Fleet::start(3, 2, false).await;
+    // From here on no term can begin because a lease has ended.
+    fleet
+        .platform
+        .store
+        .change_faults(|faults| faults.leases_stand = true);
     for instance in 0..3 {
         fleet.kill(instance);
     }
-    let begun = Stopwatch::start();
     for instance in 0..3 {
         fleet.launch(instance);
     }
     fleet
-        .wait("a second term", || fleet.count_events("TERM_BEGUN") == 2)
+        .wait("a second term", || fleet.count_events("TERM_BEGUN") >= 2)
         .await;
-    // The lease of the first leader lasts 1.1 s at least after its death.
-    let took = begun.elapsed();
-    assert!(took < time::Duration::from_millis(900), "{took:?}");
+    assert_eq!(causes_of_the_first_end(&fleet), ["its process is gone"]);
 }
 
 /// A leader without power refuses nothing; its peers agree that it is lost
@@ -101,61 +105,123 @@
 async fn a_silent_leader_is_replaced_before_its_lease_ends() {
     let mut fleet = Fleet::start(4, 2, false).await;
     let leader = fleet.leader().await;
-    // All have greeted it.
-    tokio::time::sleep(NEW_LEASE).await;
+    fleet.wait_until_all_greet(leader).await;
+    // From here on no term can begin because a lease has ended. How soon peers
+    // agree is a matter of `figscale_core::fleet`, with a test there.
+    fleet
+        .platform
+        .store
+        .change_faults(|faults| faults.leases_stand = true);
     fleet.signal(leader, "STOP");
-    let begun = Stopwatch::start();
     fleet
-        .wait("a second term", || fleet.count_events("TERM_BEGUN") == 2)
+        .wait("a second term", || fleet.count_events("TERM_BEGUN") >= 2)
         .await;
-    let took = begun.elapsed();
+    let causes = causes_of_the_first_end(&fleet);
     fleet.signal(leader, "CONT");
-    assert!(took < time::Duration::from_millis(1_000), "{took:?}");
+    assert_eq!(causes, ["most peers miss it"]);
 }
 
-/// Beside a slow store the records are read while the election is decided.
+/// Why instances have held the first term for over, each cause once.
+fn causes_of_the_first_end(fleet: &Fleet) -> Vec<String> {
+    let mut ends = fleet.log_lines();
+    ends.retain(|line| line["name"] == "LEADER_ENDED" && line["epoch"] == "1");
+    let causes = ends.iter().map(|line| line["cause"].as_str().unwrap());
+    let mut causes: Vec<String> = causes.map(str::to_owned).collect();
+    causes.sort_unstable();
+    causes.dedup();
+    causes
+}
+
+/// The records are read while the election is decided: their first page is
+/// asked for beside the lease, and the last one beside the transaction.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_store_is_read_while_it_elects() {
     let mut fleet = Fleet::start(3, 2, false).await;
     for job in 0..10 {
         fleet.submit_until_taken(0, 0xc00 + job, 1, "20").await;
     }
+    for job in 0..10 {
+        fleet.wait_for_state(0, 0xc00 + job, "completed").await;
+    }
     let leader = fleet.leader().await;
+    fleet.wait_until_all_greet(leader).await;
+    // Nothing is left to write, so a held transaction is one of an election.
     tokio::time::sleep(NEW_LEASE).await;
-    let slow = time::Duration::from_millis(300);
-    fleet
-        .platform
-        .store
-        .change_faults(|faults| faults.slow = slow);
-    let begun = Stopwatch::start();
+    let store = fleet.platform.store.clone();
+    let pages = || store.pages_asked("figscale/jobs/");
+    let before = pages();
+    store.change_faults(|faults| {
+        faults.grants_held = true;
+        faults.transactions_held = true;
+    });
     fleet.signal(leader, "TERM");
     fleet
-        .wait("a second term", || fleet.count_events("TERM_BEGUN") == 2)
+        .wait("a page of records, beside the lease", || pages() > before)
+        .await;
+    store.change_faults(|faults| faults.grants_held = false);
+    fleet
+        .wait("two pages, beside the election", || pages() > before + 1)
+        .await;
+    assert_eq!(fleet.count_events("TERM_BEGUN"), 1);
+    store.change_faults(|faults| faults.transactions_held = false);
+    fleet
+        .wait("a second term", || fleet.count_events("TERM_BEGUN") >= 2)
         .await;
-    // One answer for the lease and one for the election; the two pages of
-    // records come meanwhile.
-    let took = begun.elapsed();
-    assert!(took < slow * 10 / 3, "{took:?}");
 }
 
 /// A caller's request that waits for a leader that was lost goes to the next
-/// one as soon as there is one.
+/// one as soon as there is one: those that come then do not overtake it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_does_not_wait_for_a_leader_that_was_lost() {
     let mut fleet = Fleet::start(4, 2, false).await;
     let leader = fleet.leader().await;
-    tokio::time::sleep(NEW_LEASE).await;
+    fleet.wait_until_all_greet(leader).await;
     fleet.signal(leader, "STOP");
-    let begun = Stopwatch::start();
     let other = (leader + 1) % 4;
-    let status = fleet.submit(other, 0xb01, 1, "20").await;
-    let took = begun.elapsed();
+    let answered = sync::Mutex::new(Vec::new());
+    let submit = async |job: u64| {
+        let status = fleet.submit_within(other, job, LONG).await;
+        assert_eq!(status, 200, "{job:x}");
+        answered.lock().unwrap().push(job);
+    };
+    let earlier: Vec<u64> = (0xb00..0xb06).collect();
+    let waiting = earlier.iter().map(async |job| {
+        // One after the other, so that some have waited for a short time only.
+        tokio::time::sleep(BETWEEN_CALLS * (*job - 0xb00) as u32).await;
+        submit(*job).await;
+    });
+    let later = async {
+        let known = || {
+            let mut lines = fleet.log_of(other);
+            lines.retain(|line| line["name"] == "LEADER_KNOWN" && line["epoch"] == "2");
+            !lines.is_empty()
+        };
+        fleet.wait("a new leader", known).await;
+        for job in 0..OVERTAKING {
+            submit(0xc00 + job).await;
+        }
+    };
+    tokio::join!(futures_util::future::join_all(waiting), later);
     fleet.signal(leader, "CONT");
-    assert_eq!(status, 200);
-    assert!(took < time::Duration::from_millis(850), "{took:?}");
+    let answered = answered.into_inner().unwrap();
+    let last = answered
+        .iter()
+        .position(|job| *job == 0xc00 + OVERTAKING - 1);
+    let overtaken = earlier
+        .iter()
+        .filter(|job| answered.iter().position(|other| other == *job) > last);
+    assert_eq!(overtaken.count(), 0, "{answered:x?}");
     fleet.check();
 }
 
+/// For a caller who does not give up, on a machine that may be busy.
+const LONG: time::Duration = time::Duration::from_secs(30);
+/// Six of these are 0.5 s, which a leader without power needs to be missed.
+const BETWEEN_CALLS: time::Duration = time::Duration::from_millis(90);
+/// So many calls in a row are not all answered before one that came first. A
+/// call that waits on for the old leader is answered up to 0.9 s after it came.
+const OVERTAKING: u64 = 6;
+
 /// The leader hands over, callers are served to the end, and the stop fits
 /// into the time that the platform gives.
 #[tokio::test(flavor = "multi_thread")]
