Tests of the fleet: one source of random numbers, tickets and members, one stream

Cause: numbers stood in backlog and load, tickets for an answer in five files, the loop of members in three, lasting in three, and two loops of gang_limits differed in nothing but a comment. They are in kit.rs once now, and the loop is begins_beside_a_stream. Assertions, seeds and numbers drawn are unchanged; the tokens of passes are named by worker.

--- a/crates/figscale-core/tests/fleet/backlog.rs
+++ b/crates/figscale-core/tests/fleet/backlog.rs
@@ -59,21 +59,17 @@
         }),
         ..kit::queue(priority)
     };
-    let lasting = |step, estimate_ms| fleet::StepDescription {
-        estimate_ms,
-        ..step
-    };
     vec![
         Kind {
             per_s: 2.86,
             queue: queue(1, 2.2, 1_000, 559.0, 8.06),
-            step: lasting(kit::gang(20, 18), 5_000),
+            step: kit::lasting(kit::gang(20, 18), 5_000),
             good_part: 0.35,
         },
         Kind {
             per_s: 7.4,
             queue: queue(2, 4.0, 3_000, 130.0, 1.82),
-            step: lasting(kit::step(25, 7), 2_700),
+            step: kit::lasting(kit::step(25, 7), 2_700),
             good_part: 0.45,
         },
     ]
@@ -98,7 +94,7 @@
     answers_late_ms: u64,
     at_ms: u64,
     submitted: u64,
-    seed: u64,
+    random: kit::Random,
     /// By what part lengths differ from estimates at most.
     estimates_off: f64,
     /// Room counts also on workers where the policy forbids the job.
@@ -116,7 +112,7 @@
             answers_late_ms,
             at_ms: 0,
             submitted: 0,
-            seed,
+            random: kit::Random(seed),
             estimates_off: 0.0,
             room_anywhere: false,
         };
@@ -125,17 +121,7 @@
     }
 
     fn join(&mut self) {
-        for number in 1..=MEMBERS {
-            let member = format!("entry-{number}").parse().unwrap();
-            self.cell.scheduler.member_joined(&member);
-        }
-    }
-
-    /// A number from 0 to 1, the same ones in each run.
-    fn random(&mut self) -> f64 {
-        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005);
-        self.seed = self.seed.wrapping_add(1_442_695_040_888_963_407);
-        (self.seed >> 33) as f64 / f64::from(1_u32 << 31)
+        self.cell.join(1..=MEMBERS);
     }
 
     /// Plays the traffic, a change of leaders and the time after it; the jobs
@@ -169,7 +155,7 @@
             };
             let mut expected = self.kinds[kind].per_s * times * STEP_MS as f64 / 1_000.0;
             while expected > 0.0 {
-                if self.random() < expected {
+                if self.random.next() < expected {
                     self.submit(kind);
                 }
                 expected -= 1.0;
@@ -181,7 +167,7 @@
     fn submit(&mut self, kind: usize) {
         let mean = self.kinds[kind].step.clone();
         let queue = self.kinds[kind].queue.clone();
-        let mut about = |mean: f64| mean * (0.4 + 1.8 * self.random().powi(2));
+        let mut about = |mean: f64| mean * (0.4 + 1.8 * self.random.next().powi(2));
         let step = fleet::StepDescription {
             count: about(f64::from(mean.count)).round() as u32,
             estimate_ms: about(mean.estimate_ms as f64) as u64,
@@ -264,14 +250,7 @@
             let job = question.task.job.0;
             let kind = self.taken.get(&job).map_or(0, |job| job.kind);
             let part = self.kinds[kind].good_part;
-            let number = |id: &fleet::WorkerId| id.as_str()[2..].parse().unwrap();
-            let workers = question.workers.iter();
-            let good = workers.filter(|id| is_good(job, number(id), part));
-            let tickets = good.map(|id| fleet::Ticket {
-                worker: id.clone(),
-                token: format!("t-{id}"),
-            });
-            let tickets = tickets.collect();
+            let tickets = kit::tickets(&question, |worker| is_good(job, worker, part));
             self.cell
                 .scheduler
                 .advice_answered(&question, Some(tickets), self.cell.now);
--- a/crates/figscale-core/tests/fleet/gang_limits.rs
+++ b/crates/figscale-core/tests/fleet/gang_limits.rs
@@ -45,13 +45,7 @@
         self.cell.scheduler.tick(now, wall_ms);
         let due = self.asked.extract_if(.., |(at, _)| *at <= now);
         for (_, question) in due.collect::<Vec<_>>() {
-            let number = |id: &fleet::WorkerId| id.as_str()[2..].parse().unwrap();
-            let good = question.workers.iter().filter(|id| (self.good)(number(id)));
-            let tickets = good.map(|id| fleet::Ticket {
-                worker: id.clone(),
-                token: format!("t-{id}"),
-            });
-            let tickets = tickets.collect();
+            let tickets = kit::tickets(&question, self.good);
             self.cell
                 .scheduler
                 .advice_answered(&question, Some(tickets), now);
@@ -95,13 +89,6 @@
     }
 }
 
-fn lasting(step: fleet::StepDescription, estimate_ms: u64) -> fleet::StepDescription {
-    fleet::StepDescription {
-        estimate_ms,
-        ..step
-    }
-}
-
 /// One run on each worker, which goes on long after its estimate.
 fn overrun(cell: &mut Cell, count: u32, cores: u64) {
     let step = fleet::StepDescription {
@@ -142,11 +129,8 @@
     for count in [30, 50, 61, 75, 90] {
         let good = |number| number % 5 < 2;
         let mut slow = Slow::new(Cell::with_cores(250, 40), &good);
-        for number in 2..=18 {
-            let member = format!("entry-{number}").parse().unwrap();
-            slow.cell.scheduler.member_joined(&member);
-        }
-        let step = lasting(kit::gang(count, 27), 5_000);
+        slow.cell.join(2..=18);
+        let step = kit::lasting(kit::gang(count, 27), 5_000);
         slow.cell
             .run(1, &advised(1, 559.0, 8.06, 2_000), vec![step]);
         slow.play(30_000);
@@ -165,17 +149,14 @@
     overrun(&mut cell, 16, 4);
     let good = |_| true;
     let mut slow = Slow::new(cell, &good);
-    for number in 2..=12 {
-        let member = format!("entry-{number}").parse().unwrap();
-        slow.cell.scheduler.member_joined(&member);
-    }
+    slow.cell.join(2..=12);
     let queue = advised(1, 200.0, 1.0, 2_500);
     for number in 1..=8 {
-        let gang = lasting(kit::gang(2, 8), 5_000);
+        let gang = kit::lasting(kit::gang(2, 8), 5_000);
         slow.cell.run(number, &queue, vec![gang]);
     }
     slow.play(2_000);
-    let small = lasting(kit::step(1, 2), 3_000);
+    let small = kit::lasting(kit::step(1, 2), 3_000);
     let patient = fleet::Queue {
         target_latency_ms: 10_000,
         ..kit::queue(2)
@@ -185,31 +166,19 @@
     assert_eq!(slow.runs(9), 1);
 }
 
-/// Two workers are held by tasks that last, two have work that ends.
-#[test]
-fn a_gang_does_not_wait_for_tasks_that_last() {
-    let mut cell = Cell::with_cores(4, 10);
-    let forever = fleet::StepDescription {
-        long_running: true,
-        max_per_worker: Some(1),
-        ..kit::step(2, 8)
-    };
-    cell.run(1_000, &kit::queue(1), vec![forever]);
-    let single = lasting(kit::step(1, 8), 2_000);
-    cell.run(1, &kit::queue(1), vec![single.clone()]);
-    cell.run(2, &kit::queue(1), vec![single.clone()]);
-    cell.run(500, &kit::queue(1), vec![kit::gang(2, 8)]);
-    let mut running = vec![(1, 20_u32), (2, 10)];
+/// Whether job 500 begins within 40 s beside jobs 1 and 2, of one step each that
+/// end in turn, with always one more of them that can still be in time.
+fn begins_beside_a_stream(cell: &mut Cell, single: &fleet::StepDescription) -> bool {
+    let mut running = [(1, 20_u32), (2, 10)];
     let mut next = 3;
     for _ in 0..400 {
         cell.pass(100);
         if !cell.placed(kit::task(500, 0, 0)).is_empty() {
-            return;
+            return true;
         }
         for slot in &mut running {
             slot.1 -= 1;
             if slot.1 == 0 {
-                // Always one more that can still be in time.
                 cell.submit(next, &kit::queue(1), kit::job(vec![single.clone()]));
                 while cell.scheduler.has_records() {
                     cell.write();
@@ -223,43 +192,37 @@
             }
         }
     }
-    panic!("the gang never started");
+    false
+}
+
+/// Two workers are held by tasks that last, two have work that ends.
+#[test]
+fn a_gang_does_not_wait_for_tasks_that_last() {
+    let mut cell = Cell::with_cores(4, 10);
+    let forever = fleet::StepDescription {
+        long_running: true,
+        max_per_worker: Some(1),
+        ..kit::step(2, 8)
+    };
+    cell.run(1_000, &kit::queue(1), vec![forever]);
+    let single = kit::lasting(kit::step(1, 8), 2_000);
+    cell.run(1, &kit::queue(1), vec![single.clone()]);
+    cell.run(2, &kit::queue(1), vec![single.clone()]);
+    cell.run(500, &kit::queue(1), vec![kit::gang(2, 8)]);
+    assert!(begins_beside_a_stream(&mut cell, &single));
 }
 
 /// A gang that no fleet of this size holds was there first.
 #[test]
 fn a_gang_that_can_never_run_takes_nobodys_turn() {
     let mut cell = Cell::with_cores(2, 10);
-    let single = lasting(kit::step(1, 8), 2_000);
+    let single = kit::lasting(kit::step(1, 8), 2_000);
     cell.run(1, &kit::queue(1), vec![single.clone()]);
     cell.run(2, &kit::queue(1), vec![single.clone()]);
     cell.run(400, &kit::queue(1), vec![kit::gang(3, 8)]);
     cell.pass(100);
     cell.run(500, &kit::queue(1), vec![kit::gang(2, 8)]);
-    let mut running = vec![(1, 20_u32), (2, 10)];
-    let mut next = 3;
-    for _ in 0..400 {
-        cell.pass(100);
-        if !cell.placed(kit::task(500, 0, 0)).is_empty() {
-            return;
-        }
-        for slot in &mut running {
-            slot.1 -= 1;
-            if slot.1 == 0 {
-                cell.submit(next, &kit::queue(1), kit::job(vec![single.clone()]));
-                while cell.scheduler.has_records() {
-                    cell.write();
-                }
-                cell.end(kit::task(slot.0, 0, 0), fleet::End::Done);
-                *slot = (next, 20);
-                next += 1;
-                if cell.placed(kit::task(slot.0, 0, 0)).is_empty() {
-                    *slot = (slot.0, u32::MAX);
-                }
-            }
-        }
-    }
-    panic!("the gang never started");
+    assert!(begins_beside_a_stream(&mut cell, &single));
 }
 
 /// Less urgent small work keeps the only way to the service busy.
@@ -269,8 +232,8 @@
     overrun(&mut cell, 3, 7);
     let good = |_| true;
     let mut slow = Slow::new(cell, &good);
-    let small = lasting(kit::step(1, 1), 200);
-    let gang = lasting(kit::gang(2, 8), 5_000);
+    let small = kit::lasting(kit::step(1, 1), 200);
+    let gang = kit::lasting(kit::gang(2, 8), 5_000);
     let long = fleet::Queue {
         target_latency_ms: 60_000,
         ..advised(2, 30.0, 1.0, 2_500)
--- a/crates/figscale-core/tests/fleet/kit.rs
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -104,8 +104,11 @@
 
 /// Tickets for those workers of a question that may run its step, by number.
 pub(crate) fn tickets(question: &Question, good: impl Fn(usize) -> bool) -> Vec<fleet::Ticket> {
-    let number = |id: &fleet::WorkerId| id.as_str()[2..].parse().unwrap();
-    let good = question.workers.iter().filter(|id| good(number(id)));
+    tickets_of(question, |id| good(id.as_str()[2..].parse().unwrap()))
+}
+
+fn tickets_of(question: &Question, good: impl Fn(&fleet::WorkerId) -> bool) -> Vec<fleet::Ticket> {
+    let good = question.workers.iter().filter(|id| good(id));
     let tickets = good.map(|id| fleet::Ticket {
         worker: id.clone(),
         token: format!("t-{id}"),
@@ -113,6 +116,17 @@
     tickets.collect()
 }
 
+/// Numbers from 0 to 1, the same ones in each run.
+pub(crate) struct Random(pub(crate) u64);
+
+impl Random {
+    pub(crate) fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005);
+        self.0 = self.0.wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as f64 / f64::from(1_u32 << 31)
+    }
+}
+
 /// A worker that starts what it is told to and ends it when the test says so.
 pub(crate) struct FakeWorker {
     pub(crate) entry: fleet::WorkerEntry,
@@ -399,12 +413,7 @@
     /// Answers the oldest question; `good` says who may run the step.
     pub(crate) fn advise(&mut self, good: impl Fn(&fleet::WorkerId) -> bool) -> Question {
         let question = self.questions.remove(0);
-        let good = question.workers.iter().filter(|id| good(id));
-        let tickets = good.map(|id| fleet::Ticket {
-            worker: id.clone(),
-            token: format!("t-{id}"),
-        });
-        let tickets = tickets.collect();
+        let tickets = tickets_of(&question, good);
         self.scheduler
             .advice_answered(&question, Some(tickets), self.now);
         self.settle();
--- a/crates/figscale-core/tests/fleet/load.rs
+++ b/crates/figscale-core/tests/fleet/load.rs
@@ -45,30 +45,26 @@
         target_latency_ms,
         ..kit::queue(priority)
     };
-    let lasting = |step, estimate_ms| fleet::StepDescription {
-        estimate_ms,
-        ..step
-    };
     vec![
         Kind {
             per_s: 30.9,
             worth: 0.44,
             queue: queue(0, 1.5, 250),
-            step: lasting(kit::step(2, 6), 1_000),
+            step: kit::lasting(kit::step(2, 6), 1_000),
             peak: (5_000, 2.2),
         },
         Kind {
             per_s: 4.36,
             worth: 2.22,
             queue: queue(2, 4.0, 3_000),
-            step: lasting(kit::step(15, 4), 3_400),
+            step: kit::lasting(kit::step(15, 4), 3_400),
             peak: (0, 1.0),
         },
         Kind {
             per_s: 1.81,
             worth: 8.55,
             queue: queue(1, 2.2, 1_000),
-            step: lasting(kit::gang(7, 18), 5_000),
+            step: kit::lasting(kit::gang(7, 18), 5_000),
             peak: (15_000, 1.8),
         },
     ]
@@ -98,7 +94,7 @@
     callers: Vec<Caller>,
     /// When what runs will end.
     ends: IndexMap<(fleet::TaskId, u32), time::Instant>,
-    seed: u64,
+    random: kit::Random,
 }
 
 impl Load {
@@ -112,17 +108,10 @@
             kinds: kinds(),
             callers: Vec::new(),
             ends: IndexMap::new(),
-            seed,
+            random: kit::Random(seed),
         }
     }
 
-    /// A number from 0 to 1, the same ones in each run.
-    fn random(&mut self) -> f64 {
-        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005);
-        self.seed = self.seed.wrapping_add(1_442_695_040_888_963_407);
-        (self.seed >> 33) as f64 / f64::from(1_u32 << 31)
-    }
-
     fn play(mut self) -> Outcome {
         for at_ms in (0..TRAFFIC_MS + AFTER_MS).step_by(STEP_MS as usize) {
             if at_ms < TRAFFIC_MS {
@@ -142,7 +131,7 @@
             let per_s = self.kinds[kind].per_s * PART * if peak { times } else { 1.0 };
             let mut expected = per_s * STEP_MS as f64 / 1_000.0;
             while expected > 0.0 {
-                if self.random() < expected {
+                if self.random.next() < expected {
                     let step = self.sized(kind);
                     self.callers.push(Caller {
                         kind,
@@ -160,8 +149,8 @@
 
     /// A step of a kind; lengths and widths are from half to twice the mean.
     fn sized(&mut self, kind: usize) -> fleet::StepDescription {
-        let longer = 0.5 + 1.5 * self.random().powi(2);
-        let wider = 0.5 + 1.5 * self.random().powi(2);
+        let longer = 0.5 + 1.5 * self.random.next().powi(2);
+        let wider = 0.5 + 1.5 * self.random.next().powi(2);
         let mean = &self.kinds[kind].step;
         fleet::StepDescription {
             count: (f64::from(mean.count) * wider).round() as u32,
--- a/crates/figscale-core/tests/fleet/passes.rs
+++ b/crates/figscale-core/tests/fleet/passes.rs
@@ -52,10 +52,7 @@
 /// busy.
 fn full_fleet(gangs_waiting: u64) -> Cell {
     let mut cell = Cell::with_cores(WORKERS, CORES);
-    for number in 1..=MEMBERS {
-        let member = format!("entry-{number}").parse().unwrap();
-        cell.scheduler.member_joined(&member);
-    }
+    cell.join(1..=MEMBERS);
     let fill = fleet::StepDescription {
         estimate_ms: 30_000,
         ..kit::step(WORKERS as u32 * 8, 8)
@@ -82,16 +79,8 @@
 
 /// One worker in three may run a gang.
 fn answer(cell: &mut Cell, question: &Question) {
-    let is_good = |id: &&fleet::WorkerId| {
-        let number: u64 = id.as_str()[2..].parse().unwrap();
-        (number + question.task.job.0).is_multiple_of(3)
-    };
-    let good = question.workers.iter().filter(is_good);
-    let tickets = good.map(|id| fleet::Ticket {
-        worker: id.clone(),
-        token: "ticket".to_owned(),
-    });
-    let tickets = tickets.collect();
+    let job = question.task.job.0;
+    let tickets = kit::tickets(question, |worker| (worker as u64 + job).is_multiple_of(3));
     cell.scheduler
         .advice_answered(question, Some(tickets), cell.now);
 }
