Fleet: submissions are refused at once while the store is away

Cause: a call for a new job waited at the leader for up to 0.75 s for a store that was away.

Change: a submission of a job that is not known, while the store is away, is answered 503 at once, with Retry-After 1 s and a body that says that the job was not taken and never runs. The message between instances changes with the field, so instances of both versions do not take jobs from each other while they are replaced.

The promise: a refusal is true. The leader refuses only what it does not know; a job that is on its way to the store by an earlier call is known, and its later calls wait for what becomes of that write. When a write fails, jobs that are neither stored nor in another write are withdrawn and all their callers refused together, as before. Not covered, as before: a call that is delayed between two instances and reaches the leader after a later call was refused; a leader that was replaced and does not know it yet.

--- a/crates/figscale-core/src/fleet/standing.rs
+++ b/crates/figscale-core/src/fleet/standing.rs
@@ -7,7 +7,7 @@
 //!
 //! A leader's key can end by the store's own trouble, beside a leader that goes
 //! on; that one names itself anew within one renewal, and a takeover would cost
-//! the calls that wait for the store's return.
+//! the calls that come back after the store's return.
 //!
 //! So weaker instances stand a moment later, and a weak leader hands over once a
 //! clearly stronger instance greets it. Any instance still leads when no other
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -29,8 +29,6 @@
     6206 CALL_FAILED Warn "A caller's question got no answer from a leader in time.";
     6207 CALL_REJECTED Info "A caller's request names no queue or is malformed.";
     6208 STEP_PLACED Info "Tasks of a step were ordered to workers; the line tells how long the job had waited and how much time it has left.";
-    6209 JOB_HELD Info "The store is away; a job's caller waits a moment for its return before it is refused.";
-    6210 HELD_JOBS_SUBMITTED Info "The store takes records again; so many waiting calls are gone through.";
     6211 STEP_WAITS Warn "A step could run, waits long and has nothing running; the line tells what room, good workers and tickets it could have.";
     6301 TASK_STARTED Debug "A worker confirmed the start of a task.";
     6302 START_REFUSED Info "A worker refused the start of a task.";
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -1,7 +1,6 @@
 //! What entry instances say to their leader, and its answers.
 
 use std::net;
-use std::time;
 
 use figscale_types::fleet;
 use figscale_types::ids;
@@ -21,8 +20,6 @@
         job: fleet::JobId,
         queue: fleet::Queue,
         description: fleet::JobDescription,
-        /// How long its caller still waited when it was first passed on.
-        patience: time::Duration,
     },
     /// How does a job stand?
     State { job: fleet::JobId },
--- a/crates/figscale/src/fleet/entry/reply.rs
+++ b/crates/figscale/src/fleet/entry/reply.rs
@@ -19,10 +19,21 @@
     (http::StatusCode::NOT_FOUND, cause).into_response()
 }
 
+/// A job was not taken and never runs; its caller may come back after that time.
+pub(super) fn refuse_job(
+    status: http::StatusCode,
+    cause: &'static str,
+    retry_after_ms: u64,
+) -> response::Response {
+    let text = format!("{cause}; the job was not taken and never runs");
+    refuse(status, retry_after_ms, text)
+}
+
 /// Not now, but after that time.
-pub(super) fn refuse(status: http::StatusCode, retry_after_ms: u64) -> response::Response {
+fn refuse(status: http::StatusCode, retry_after_ms: u64, text: String) -> response::Response {
     let retry_after_s = retry_after_ms.div_ceil(1_000).max(1).to_string();
-    (status, [(http::header::RETRY_AFTER, retry_after_s)]).into_response()
+    let headers = [(http::header::RETRY_AFTER, retry_after_s)];
+    (status, headers, text).into_response()
 }
 
 pub(super) fn json(status: http::StatusCode, body: bytes::Bytes) -> response::Response {
@@ -39,6 +50,7 @@
     refuse(
         http::StatusCode::SERVICE_UNAVAILABLE,
         UNAVAILABLE_RETRY_AFTER_MS,
+        String::new(),
     )
 }
 
--- a/crates/figscale/src/fleet/entry/submit.rs
+++ b/crates/figscale/src/fleet/entry/submit.rs
@@ -38,7 +38,6 @@
         job,
         queue,
         description,
-        patience: call.deadline.saturating_duration_since(started),
     };
     let (answer, verdict) = ask::leader(context, &question, call.deadline).await;
     let waited_ms = clock::millis(context.clock.now().saturating_duration_since(started));
@@ -56,7 +55,8 @@
         // Beside an earlier call without an answer, which may arrive yet, no
         // refusal says that the job never runs.
         Some(LeaderAnswer::Refused { retry_after_ms }) if verdict == Verdict::NotRun => {
-            reply::refuse(http::StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
+            let cause = "the work in front of it would last too long";
+            reply::refuse_job(http::StatusCode::TOO_MANY_REQUESTS, cause, retry_after_ms)
         }
         Some(LeaderAnswer::StoreAway { retry_after_ms }) if verdict == Verdict::NotRun => {
             let cause = "the store is away";
@@ -67,7 +67,7 @@
                 cause = cause,
                 waited_ms = waited_ms
             );
-            reply::refuse(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+            reply::refuse_job(http::StatusCode::SERVICE_UNAVAILABLE, cause, retry_after_ms)
         }
         answer => {
             crate::event!(
--- a/crates/figscale/src/fleet/operators/jobs.rs
+++ b/crates/figscale/src/fleet/operators/jobs.rs
@@ -120,7 +120,6 @@
         job,
         queue,
         description: described(spec)?,
-        patience: time::Duration::from_millis(context.settings.operator.timeout_ms),
     };
     match ask_leader(&context, &call).await {
         (Some(LeaderAnswer::Accepted), _) => Ok(Json(show(&context, job).await?)),
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -1,16 +1,15 @@
 //! What callers ask of the leader, as entry instances pass it on.
 
 use std::sync;
+use std::time;
 
 use figscale_core::fleet::Admission;
 use figscale_core::fleet::RecordKey;
-use figscale_core::fleet::hold_limit;
 use figscale_types::clock;
 use figscale_types::fleet;
 
 use super::LeaderMessage;
 use super::Term;
-use super::held;
 use super::writes::Waiting;
 use crate::events;
 use crate::fleet::calls::LeaderAnswer;
@@ -18,6 +17,29 @@
 use crate::fleet::keys;
 use crate::kernel;
 
+/// When a caller should come back that found the store away: the shortest time
+/// that `Retry-After` can tell. Callers wait some 3 s in all, so a longer one
+/// would cost them tries.
+const STORE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// A job that a caller wants taken.
+pub(super) struct Submission {
+    pub(super) job: fleet::JobId,
+    pub(super) queue: fleet::Queue,
+    pub(super) description: sync::Arc<fleet::JobDescription>,
+    pub(super) reply: kernel::Reply<LeaderAnswer>,
+}
+
+impl Submission {
+    /// The store is away: nothing was done for this call, and nothing will be.
+    /// True only of a job with no record in the store or on its way there.
+    pub(super) fn refuse(self) {
+        self.reply.send(LeaderAnswer::StoreAway {
+            retry_after_ms: clock::millis(STORE_RETRY_AFTER),
+        });
+    }
+}
+
 impl Term {
     pub(super) fn on_call(&mut self, message: LeaderMessage) {
         let LeaderMessage { call, reply } = message;
@@ -31,13 +53,11 @@
                 job,
                 queue,
                 description,
-                patience,
             } => {
-                let submission = held::Submission {
+                let submission = Submission {
                     job,
                     queue,
                     description: sync::Arc::new(description),
-                    hold_until: self.now() + hold_limit(patience),
                     reply,
                 };
                 self.on_submit(submission);
@@ -92,10 +112,12 @@
         });
     }
 
-    pub(super) fn on_submit(&mut self, submission: held::Submission) {
+    pub(super) fn on_submit(&mut self, submission: Submission) {
+        // A job that is known may be on its way to the store by an earlier call,
+        // so only what becomes of that write can answer this one.
         let known = self.scheduler.state(submission.job).is_some();
         if !known && self.store_is_away() {
-            self.hold(submission);
+            submission.refuse();
             return;
         }
         let (now, wall_ms) = (self.now(), self.context.wall_ms());
@@ -124,7 +146,6 @@
 
     fn on_cancel(&mut self, job: fleet::JobId, reply: kernel::Reply<LeaderAnswer>) {
         let now = self.now();
-        self.refuse_held_job(job);
         match self.scheduler.cancel(job, now) {
             None => self.ask_store(job, reply),
             Some(state) => {
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -8,7 +8,6 @@
 use std::time;
 
 use figscale_core::fleet::Action;
-use figscale_core::fleet::Held;
 use figscale_core::fleet::Scheduler;
 use figscale_platform::store;
 use figscale_types::ids;
@@ -17,7 +16,6 @@
 
 mod advice;
 mod callers;
-mod held;
 mod lease;
 pub(super) mod load;
 mod members;
@@ -98,8 +96,6 @@
     last_written: time::Instant,
     /// Callers that wait for a write.
     waiting: Vec<writes::Waiting>,
-    /// Callers that wait for the store to come back.
-    held: Held<held::Submission>,
     /// The last write was not taken.
     store_away: bool,
     /// A lease under which the leader's key is to be written anew.
@@ -200,7 +196,6 @@
     );
     let watching = tokio::spawn(workers::follow(context.clone(), term.messages.clone()));
     let ended = term.run(&mut inbox, &mut received).await;
-    term.send_on_held();
     watching.abort();
     renewal.abort();
     context
@@ -251,7 +246,6 @@
             last_write: now,
             last_written: now,
             waiting: Vec::new(),
-            held: Held::default(),
             store_away: false,
             new_lease: None,
             lease: won.lease,
@@ -338,7 +332,6 @@
         let wall_ms = self.context.wall_ms();
         self.scheduler.tick(now, wall_ms);
         self.drop_silent_members(now);
-        self.refuse_overdue();
         if now >= self.counted + COUNT_PAUSE {
             self.counted = now;
             self.count(now);
@@ -359,7 +352,6 @@
             .leadership
             .send_modify(|known| known.leading = false);
         self.send_on_waiting();
-        self.send_on_held();
     }
 
     fn count(&self, now: time::Instant) {
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -14,7 +14,7 @@
 use super::Ended;
 use super::Message;
 use super::Term;
-use super::held;
+use super::callers;
 use crate::events;
 use crate::fleet::calls::LeaderAnswer;
 use crate::fleet::ledger;
@@ -37,7 +37,7 @@
 /// A caller that waits for a write.
 pub(super) enum Waiting {
     /// For the record of a new job.
-    Submitted(held::Submission),
+    Submitted(callers::Submission),
     /// For the record of a job's outcome, which is to be told.
     Cancelled {
         job: fleet::JobId,
@@ -165,7 +165,6 @@
                 self.last_written = self.now();
                 self.scheduler.records_written(&writing.records);
                 self.answer_waiting();
-                self.submit_held();
             }
             Err(ledger::WriteError::Deposed) => self.ended = Some(Ended::Deposed),
             Err(ledger::WriteError::NotWritten(error)) => {
@@ -174,7 +173,7 @@
                 // A lease granted in the meantime is the better one.
                 self.new_lease = self.new_lease.or(writing.lease);
                 self.scheduler.records_not_written(&writing.records);
-                self.hold_waiting();
+                self.refuse_unsent();
             }
         }
     }
@@ -214,9 +213,9 @@
     }
 
     /// Withdraws all jobs that are not in the store or on their way there,
-    /// whether or not they were part of the write that failed, and lets their
-    /// callers wait; cancellations are written later.
-    pub(super) fn hold_waiting(&mut self) {
+    /// whether or not they were part of the write that failed, and refuses their
+    /// callers; cancellations are written later.
+    fn refuse_unsent(&mut self) {
         for waiting in mem::take(&mut self.waiting) {
             match waiting {
                 Waiting::Submitted(submission) if self.scheduler.is_stored(submission.job) => {
@@ -226,7 +225,7 @@
                     if !self.scheduler.is_being_written(submission.job) =>
                 {
                     self.scheduler.withdraw(submission.job);
-                    self.hold(submission);
+                    submission.refuse();
                 }
                 Waiting::Submitted(_) | Waiting::Cancelled { .. } => self.waiting.push(waiting),
             }
