--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -19,5 +19,6 @@
 mod recovery;
 mod silence;
 mod standing;
+mod terms;
 mod trouble;
 mod waits;
--- a/crates/figscale-core/tests/fleet/recovery.rs
+++ b/crates/figscale-core/tests/fleet/recovery.rs
@@ -1,5 +1,7 @@
 //! A new leader over what the last one left.
 
+use figscale_core::fleet::RecordKey;
+use figscale_core::fleet::Scheduler;
 use figscale_types::fleet::End;
 use figscale_types::fleet::JobState;
 
@@ -122,3 +124,29 @@
         "waits for a lease that is long over"
     );
 }
+
+/// Its entry is off the list for a while, and the record of its last end is
+/// still to be written. The next leader would take it for gone, start the task
+/// again, and hear of the end afterwards.
+#[test]
+fn a_worker_stays_on_the_record_until_its_ends_are_written() {
+    let mut cell = Cell::new(2);
+    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
+    let task = kit::task(1, 0, 0);
+    let (home, attempt) = cell.placed(task)[0].clone();
+    cell.workers[&home].end(task, attempt, End::Done);
+    cell.report(&home);
+    let outcome = cell.scheduler.take_records(kit::MOST_RECORDS);
+    assert_eq!(outcome.records.len(), 1);
+    cell.scheduler.worker_unlisted(&home, cell.now);
+    cell.scheduler.tick(cell.now, cell.wall_ms);
+    cell.write();
+    let recorded = Scheduler::recorded_workers(&cell.store[&RecordKey::Workers]).unwrap();
+    assert!(recorded.contains(&home), "{recorded:?}");
+    cell.keep(&outcome.records);
+    cell.scheduler.records_written(&outcome);
+    cell.scheduler.tick(cell.now, cell.wall_ms);
+    cell.write();
+    let recorded = Scheduler::recorded_workers(&cell.store[&RecordKey::Workers]).unwrap();
+    assert!(!recorded.contains(&home), "{recorded:?}");
+}
