fleet: a worker is kept until its last ends are written

A worker off the list on which nothing ran was forgotten at once, also with ends that were taken in and not yet in the store. The record of workers was then written without it. A leader that took over before the outcome was written neither waited for that worker nor heard of its ends, started the tasks again, and acknowledged the first ends when the worker was listed again.

Such a worker is kept until its ends are in the store or its lease is surely over: the same question that a leaving worker is asked.

--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -248,21 +248,22 @@
 
     /// Gives up what ran on a silent worker whose lease is surely over, and
     /// forgets the worker if it is not listed either.
+    ///
+    /// Whoever is forgotten is not waited for by the next leader, which would
+    /// start a task again whose end is neither in the store nor told to it. So
+    /// a worker is kept until its ends are written, or its lease is over.
     fn drop_if_over(&mut self, id: &fleet::WorkerId, now: time::Instant) {
         let grace = self.config.stop_limit;
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let never_ordered = worker.runs.is_empty();
         let over = worker.lease.is_over(grace, now);
-        if over && !never_ordered {
+        let done_with = over || worker.is_settled();
+        let gone = worker.unlisted_at.is_some();
+        if over {
             self.give_up_runs(id, now);
         }
-        let gone = self
-            .workers
-            .get(id)
-            .is_some_and(|worker| worker.unlisted_at.is_some());
-        if gone && (over || never_ordered) {
+        if gone && done_with {
             self.workers.swap_remove(id);
             self.record_differs |= self.recorded.contains(id);
         }
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -129,8 +129,13 @@
     /// An order without an answer is among the runs until a report later than
     /// its expiry lacks it.
     pub(crate) fn is_retired(&self) -> bool {
-        let told = self.reported && self.taken_in == self.acknowledged;
-        self.entry.draining && told && self.runs.is_empty()
+        self.entry.draining && self.reported && self.is_settled()
+    }
+
+    /// Whether nothing is known to run here, and the store knows how all that
+    /// is known to have ended did.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.runs.is_empty() && self.taken_in == self.acknowledged
     }
 
     /// Runs of one step of one occurrence here.
