--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -19,5 +19,6 @@
 mod silence;
 mod standing;
 mod starving;
+mod terms;
 mod trouble;
 mod waits;
