entry: what a submission without acceptance logs stands once

Cause: two branches logged the same five keys. They give event, cause and answer now; the lines and answers are as before.

Run: clippy of figscale, tests fleet_entries and fleet_unequal.

--- a/crates/figscale/src/fleet/entry/submit.rs
+++ b/crates/figscale/src/fleet/entry/submit.rs
@@ -42,7 +42,7 @@
     };
     let (answer, verdict) = ask::leader(context, &question, call.deadline).await;
     let waited_ms = clock::millis(context.clock.now().saturating_duration_since(started));
-    match answer {
+    let (event, cause, response) = match answer {
         Some(LeaderAnswer::Accepted) => {
             crate::event!(
                 events::fleet::JOB_ACCEPTED,
@@ -51,35 +51,32 @@
                 shape = shape,
                 waited_ms = waited_ms
             );
-            reply::json(http::StatusCode::OK, bytes::Bytes::from_static(b"{}"))
+            return reply::json(http::StatusCode::OK, bytes::Bytes::from_static(b"{}"));
         }
         // Beside an earlier call without an answer, which may arrive yet, no
         // refusal says that the job never runs.
         Some(LeaderAnswer::Refused { retry_after_ms }) if verdict == Verdict::NotRun => {
-            reply::refuse(http::StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
-        }
-        Some(LeaderAnswer::StoreAway { retry_after_ms }) if verdict == Verdict::NotRun => {
-            let cause = "the store is away";
-            crate::event!(
-                events::fleet::JOB_REFUSED,
-                job = job,
-                queue = queue_name,
-                cause = cause,
-                waited_ms = waited_ms
-            );
-            reply::refuse(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+            return reply::refuse(http::StatusCode::TOO_MANY_REQUESTS, retry_after_ms);
         }
-        answer => {
-            crate::event!(
-                events::fleet::JOB_UNANSWERED,
-                job = job,
-                queue = queue_name,
-                cause = why_unanswered(answer.as_ref(), verdict),
-                waited_ms = waited_ms
-            );
-            http::StatusCode::GATEWAY_TIMEOUT.into_response()
-        }
-    }
+        Some(LeaderAnswer::StoreAway { retry_after_ms }) if verdict == Verdict::NotRun => (
+            events::fleet::JOB_REFUSED,
+            "the store is away",
+            reply::refuse(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms),
+        ),
+        answer => (
+            events::fleet::JOB_UNANSWERED,
+            why_unanswered(answer.as_ref(), verdict),
+            http::StatusCode::GATEWAY_TIMEOUT.into_response(),
+        ),
+    };
+    crate::event!(
+        event,
+        job = job,
+        queue = queue_name,
+        cause = cause,
+        waited_ms = waited_ms
+    );
+    response
 }
 
 /// Why nobody can say whether a job was taken. Where this try did nothing an
