Writes: order and counts are tested, not times

Now at least 4 transactions wait at once, of twice the jobs; with one at a time for new jobs it is 2. Now what the store answered counts, and its count of too large ones. The test had also gone blind: with eight chains the jobs were written before the lease came, so that without room for the head the old form passed.

--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -20,6 +20,8 @@
 /// Long enough for a leader to find its lease ended and to get another.
 pub(crate) const NEW_LEASE: time::Duration = time::Duration::from_millis(1_500);
 const POLL: time::Duration = time::Duration::from_millis(40);
+/// What a refusal of the store reads like, in place of a missing answer.
+const REFUSALS: [&str; 2] = ["the store answered ", "the lease has ended"];
 const HOST: &str = "jobs.example";
 
 struct Instance {
@@ -388,13 +390,18 @@
         assert!(faults.is_empty(), "{faults:#?}");
     }
 
-    /// The store refused no records. On a busy machine an answer may come too
-    /// late, which is not counted.
+    /// The store refused no records: none for their number, none for a lease.
+    /// On a busy machine it may answer too late, which refuses nothing; calls
+    /// that wait then for nobody to pass them on are such, too.
     pub(crate) fn check_no_write_was_refused(&self) {
         let mut refused = self.log_lines();
         refused.retain(|line| line["name"] == "RECORDS_NOT_WRITTEN");
-        refused.retain(|line| !line["error"].as_str().unwrap().contains("no answer"));
+        refused.retain(|line| {
+            let error = line["error"].as_str().unwrap();
+            REFUSALS.iter().any(|refusal| error.contains(refusal))
+        });
         assert!(refused.is_empty(), "{refused:#?}");
+        assert_eq!(self.platform.store.too_large(), 0);
     }
 
     /// Whether the store names a leader.
--- a/crates/figscale/tests/fleet_writes.rs
+++ b/crates/figscale/tests/fleet_writes.rs
@@ -11,27 +11,32 @@
 
 use std::time;
 
+use figscale_platform_standin as standin;
 use fleet_support::Fleet;
 use fleet_support::NEW_LEASE;
+
 use fleet_support::stopwatch::Stopwatch;
 
 /// A burst of quick jobs beside a store that takes a quarter of a second an
-/// answer: with one write at a time their records took 1.5 s.
+/// answer: with one write at a time the records of half as many took 1.5 s. They
+/// fill nine writes, and none of these waits for another's answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_burst_beside_a_slow_store_is_taken_by_several_writes() {
     let fleet = Fleet::start(2, 2, false).await;
     fleet.submit_until_taken(0, 0xc50, 1, "20").await;
-    let slow = time::Duration::from_millis(250);
-    fleet
-        .platform
-        .store
-        .change_faults(|faults| faults.slow = slow);
-    let begun = Stopwatch::start();
+    fleet.wait_for_state(0, 0xc50, "completed").await;
+    let store = &fleet.platform.store;
+    store.change_faults(|faults| {
+        faults.slow = time::Duration::from_millis(250);
+        // A busy machine may need another term, which is not what is looked at.
+        faults.whole_pages = true;
+    });
+    store.take_most_at_once();
     let jobs =
-        (0..120).map(|job| fleet.submit_until_taken(job as usize % 2, 0xd000 + job, 1, "20"));
+        (0..240).map(|job| fleet.submit_until_taken(job as usize % 2, 0xd000 + job, 1, "20"));
     futures_util::future::join_all(jobs).await;
-    let took = begun.elapsed();
-    assert!(took < slow * 4, "{took:?}");
+    let at_once = store.take_most_at_once();
+    assert!(at_once >= 4, "{at_once}");
     fleet.check();
 }
 
@@ -56,28 +61,47 @@
     fleet.check();
 }
 
-/// The write that names the leader anew is as full of records as any.
+/// The write that names the leader anew is as full of records as any: its lease
+/// comes while all chains are busy and more records wait.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_full_write_names_the_leader_anew() {
     let fleet = Fleet::start(1, 2, false).await;
-    let slow = time::Duration::from_millis(200);
-    fleet
-        .platform
-        .store
-        .change_faults(|faults| faults.slow = slow);
-    for round in 1..=3 {
-        fleet.platform.store.end_leases();
-        let jobs = (0..150).map(|job| fleet.submit_until_taken(0, round << 16 | job, 1, "20"));
-        futures_util::future::join_all(jobs).await;
+    let store = &fleet.platform.store;
+    // On a busy machine the lease may come too soon or too late in a round.
+    for round in 1..=MOST_ROUNDS {
+        let renewed_late = fleet.count_events("LEASE_RENEWED_LATE");
+        store.change_faults(|faults| faults.grants_held = true);
+        store.end_leases();
+        let noticed = || fleet.count_events("LEASE_RENEWED_LATE") > renewed_late;
+        fleet.wait("the end of the lease", noticed).await;
+        store.change_faults(|faults| faults.transactions_held = true);
+        let jobs = (0..400).map(|job| fleet.submit_until_taken(0, round << 16 | job, 1, "20"));
+        let lease = async {
+            tokio::time::sleep(MOMENT).await;
+            store.change_faults(|faults| faults.grants_held = false);
+            tokio::time::sleep(MOMENT).await;
+            store.change_faults(|faults| faults.transactions_held = false);
+        };
+        tokio::join!(futures_util::future::join_all(jobs), lease);
+        fleet
+            .wait("the leader's key", || fleet.names_a_leader())
+            .await;
+        if store.fullest_under_lease() >= FULL {
+            break;
+        }
     }
-    fleet
-        .wait("the leader's key", || fleet.names_a_leader())
-        .await;
     fleet.check_no_write_was_refused();
+    assert!(store.fullest_under_lease() >= FULL, "no write was full");
     assert_eq!(fleet.count_events("TERM_BEGUN"), 1);
     fleet.check();
 }
 
+/// Room is kept for two records of a job, and a new one has but one.
+const FULL: usize = standin::store::MAX_ENTRIES - 1;
+const MOST_ROUNDS: u64 = 12;
+/// Eight writes begin within this time, and none is given up for its answer.
+const MOMENT: time::Duration = time::Duration::from_millis(180);
+
 /// A lease that ends before it was used costs its write a second try, also
 /// where the first answer has taken longer than a failed write is tried.
 #[tokio::test(flavor = "multi_thread")]
@@ -107,35 +131,41 @@
     let store = &fleet.platform.store;
     store.change_faults(|faults| faults.no_transactions = true);
     store.end_leases();
-    tokio::time::sleep(NEW_LEASE).await;
+    fleet
+        .wait("the lease's write", || store.leases_turned_away() > 0)
+        .await;
+    // It is tried for a moment before it is given up.
+    let failed = || fleet.count_events("RECORDS_NOT_WRITTEN");
+    let before = failed();
+    fleet
+        .wait("the end of it and of another", || failed() >= before + 2)
+        .await;
+    assert!(!fleet.names_a_leader());
+    let before = store.transactions();
     store.change_faults(|faults| faults.no_transactions = false);
-    let begun = Stopwatch::start();
     fleet
-        .wait("the leader's key", || fleet.names_a_leader())
+        .wait("a write", || store.transactions() > before)
         .await;
-    assert!(begun.elapsed() < 2 * NEW_LEASE, "{:?}", begun.elapsed());
+    assert!(fleet.names_a_leader(), "the first write did not name it");
     fleet.submit_until_taken(0, 0x901, 1, "20").await;
     fleet.wait_for_state(0, 0x901, "completed").await;
     assert_eq!(fleet.count_events("TERM_BEGUN"), 1);
 }
 
 /// A write without an answer is sent again once the store answers a later call,
-/// and not only when its timeout of 0.5 s is over.
+/// and not only when its timeout of 0.5 s is over, which would be told of.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_costs_less_than_a_timeout() {
     let fleet = Fleet::start(1, 2, false).await;
     let store = &fleet.platform.store;
     let rounds = 6;
-    let begun = Stopwatch::start();
     for round in 0..rounds {
         store.change_faults(|faults| faults.lost_next = 1);
         fleet.submit_until_taken(0, 0xd00 + round, 1, "20").await;
     }
-    let took = begun.elapsed();
-    assert!(
-        took < time::Duration::from_millis(350) * rounds as u32,
-        "{took:?}"
-    );
+    // A busy machine may let a timeout pass all the same.
+    let timeouts = fleet.count_events("STORE_LOST");
+    assert!(timeouts * 2 < rounds as usize, "{timeouts} of {rounds}");
     fleet.check();
 }
 
@@ -145,22 +175,26 @@
 async fn a_leader_without_the_store_writes_through_a_peer() {
     let fleet = Fleet::start(5, 2, false).await;
     let leader = fleet.leader().await;
-    tokio::time::sleep(NEW_LEASE).await;
-    for cut in [leader, (leader + 1) % 5] {
-        fleet.doors[cut].set_shut(true);
+    fleet.wait_until_all_greet(leader).await;
+    let cut = [leader, (leader + 1) % 5];
+    for instance in cut {
+        fleet.doors[instance].set_shut(true);
     }
-    // The first call finds out.
+    // The first call finds out; watches that began before are answered yet.
     fleet
         .submit_until_taken((leader + 2) % 5, 0xf00, 1, "20")
         .await;
-    let begun = Stopwatch::start();
+    tokio::time::sleep(2 * NEW_LEASE).await;
+    let shut_out = || cut.map(|instance| fleet.doors[instance].transactions_shut_out());
+    let before = shut_out();
+    let taken = fleet.platform.store.transactions();
     for job in 1..=30 {
         fleet
             .submit_until_taken((leader + 2) % 5, 0xf00 + job, 1, "20")
             .await;
     }
-    let took = begun.elapsed();
-    assert!(took < time::Duration::from_millis(100) * 30, "{took:?}");
+    assert!(fleet.platform.store.transactions() >= taken + 30);
+    assert_eq!(shut_out(), before, "tries where none can succeed");
     assert!(fleet.leads(leader).await);
     fleet.check();
 }
