A winner lets its lease end while it reads the records: the test that fails

Cause: stand() joins the reading of the records before term::lead() starts the renewals, so a reading longer than the lease of 1.5 s loses it, and the next instance stands on the empty key.

--- a/crates/figscale/tests/fleet_leaders.rs
+++ b/crates/figscale/tests/fleet_leaders.rs
@@ -169,6 +169,28 @@
         .await;
 }
 
+/// A lease lasts 1.5 s, and beside a slow store eight pages of records take 2 s.
+/// A winner that let its lease end meanwhile was deposed as it began, and so
+/// was the next one: nobody led for 30 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_winner_renews_its_lease_while_it_reads() {
+    let mut fleet = Fleet::start(2, 2, false).await;
+    let jobs = (0..40).map(|job| fleet.submit_until_taken(0, 0xc00 + job, 1, "20"));
+    futures_util::future::join_all(jobs).await;
+    for job in 0..40 {
+        fleet.wait_for_state(0, 0xc00 + job, "completed").await;
+    }
+    let leader = fleet.leader().await;
+    fleet.wait_until_all_greet(leader).await;
+    let store = fleet.platform.store.clone();
+    store.change_faults(|faults| faults.slow = time::Duration::from_millis(250));
+    fleet.kill(leader);
+    let before = store.renewals();
+    let begun = || fleet.count_events("TERM_BEGUN") >= 2;
+    fleet.wait("a second term", begun).await;
+    assert!(store.renewals() > before, "none before the term began");
+}
+
 /// A caller's request that waits for a leader that was lost goes to the next
 /// one as soon as there is one: those that come then do not overtake it.
 #[tokio::test(flavor = "multi_thread")]
