A winner renews its lease while it reads the records

Ruled out: the reading itself, which goes on beside the election as before; the 2.5 s after which peers hold a winner for over (it stays, and bounds the reading). Change: the election hands the reading on, and lead() starts the renewals first.

--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -91,8 +91,8 @@
             continue;
         }
         match stand(&context, key_revision).await {
-            Ok(Some(won)) => {
-                let ended = term::lead(&context, won).await;
+            Ok(Some((won, loading))) => {
+                let ended = term::lead(&context, won, loading).await;
                 if matches!(ended, term::Ended::OutOfReach | term::Ended::Yielded) {
                     let until = context.clock.now() + STAND_OFF;
                     let stand_off =
@@ -187,7 +187,10 @@
 
 /// Tries to lead the next term, as long as the leader's key is as it was when
 /// nobody led; `None` if another was faster.
-async fn stand(context: &Context, key_revision: u64) -> Result<Option<term::Won>, CallError> {
+async fn stand(
+    context: &Context,
+    key_revision: u64,
+) -> Result<Option<(term::Won, Loading)>, CallError> {
     let lease = Aborting(tokio::spawn(grant(context.clone())));
     let known = last_heads(context).await?;
     let_stronger_stand(context, &known).await;
@@ -225,14 +228,15 @@
         key_revision = key_revision
     );
     match won {
-        Some(heads_revision) => Ok(Some(term::Won {
-            head,
-            heads_revision,
-            lease,
-            leader,
-            // The reason is logged where the store is called.
-            loaded: loading.joined().await.ok(),
-        })),
+        Some(heads_revision) => {
+            let won = term::Won {
+                head,
+                heads_revision,
+                lease,
+                leader,
+            };
+            Ok(Some((won, loading)))
+        }
         None => {
             // Nothing lives by it; it would end by itself as well.
             let _ = context.store.revoke(lease).await;
@@ -268,11 +272,14 @@
     term::load::load(&context, epoch).await
 }
 
+/// The records, which are being read.
+pub(super) type Loading = Aborting<term::load::Loaded>;
+
 /// A call beside others, given up when nobody wants it any more.
-struct Aborting<T>(task::JoinHandle<Result<T, CallError>>);
+pub(super) struct Aborting<T>(task::JoinHandle<Result<T, CallError>>);
 
 impl<T> Aborting<T> {
-    async fn joined(mut self) -> Result<T, CallError> {
+    pub(super) async fn joined(mut self) -> Result<T, CallError> {
         match (&mut self.0).await {
             Ok(result) => result,
             Err(error) => Err(CallError::maybe(error)),
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -28,6 +28,7 @@
 use super::calls;
 use super::calls::LeaderAnswer;
 use super::calls::LeaderCall;
+use super::election;
 use super::leadership;
 use super::ledger;
 use super::membership;
@@ -78,8 +79,6 @@
     pub(in crate::fleet) heads_revision: u64,
     pub(in crate::fleet) lease: store::LeaseId,
     pub(in crate::fleet) leader: leadership::Leader,
-    /// The records, if they could be read meanwhile.
-    pub(in crate::fleet) loaded: Option<load::Loaded>,
 }
 
 /// A term in progress.
@@ -167,14 +166,17 @@
 }
 
 /// Leads until the term is over.
-pub(super) async fn lead(context: &Context, mut won: Won) -> Ended {
+pub(super) async fn lead(context: &Context, won: Won, loading: election::Loading) -> Ended {
     let epoch = won.leader.epoch;
     let lease = won.lease;
     let (messages, mut received) = mpsc::channel(MAX_MESSAGES);
+    // First, since the records may take longer to read than a lease lasts: with
+    // 94 jobs beside a slow store eight winners in a row lost theirs.
     let renewal = tokio::spawn(lease::renew(context.clone(), lease, messages.clone()));
-    let loaded = match won.loaded.take() {
-        Some(loaded) => Ok(loaded),
-        None => load::load_within_limit(context, epoch).await,
+    // The reason is logged where the store is called.
+    let loaded = match loading.joined().await {
+        Ok(loaded) => Ok(loaded),
+        Err(_) => load::load_within_limit(context, epoch).await,
     };
     let scheduler = match loaded {
         Ok(loaded) => loaded.begin(context),
