KNOWN-RED: a command panics if its output is not read

figscale dump | head, from a walk through README.md as a new user. Seen: "failed printing to stdout: Broken pipe", exit code 101 in place of 0.

--- a/crates/figscale/tests/cli_exit.rs
+++ b/crates/figscale/tests/cli_exit.rs
@@ -5,6 +5,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+use std::io;
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net;
@@ -298,3 +299,13 @@
     let request = script.requests.recv().unwrap();
     assert!(request.starts_with(expected), "{request}");
 }
+
+/// As in `figscale dump | head`.
+#[test]
+fn output_that_nobody_reads_is_no_failure() {
+    let (reader, writer) = io::pipe().unwrap();
+    drop(reader);
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_figscale"));
+    let status = command.arg("--help").stdout(writer).status().unwrap();
+    assert_eq!(status.code(), Some(0));
+}
