cli: output that nobody reads on is no failure

Cause: println panics when its reader has gone, as with figscale dump | head.

Change: a write to standard output that fails is let go.

--- a/crates/figscale/src/cli/mod.rs
+++ b/crates/figscale/src/cli/mod.rs
@@ -14,6 +14,8 @@
 
 use std::env;
 use std::fmt;
+use std::io;
+use std::io::Write as _;
 
 use argh::FromArgs as _;
 
@@ -67,7 +69,7 @@
 /// Help that was asked for, or usage that is wrong.
 fn stop_early(early: &argh::EarlyExit) -> i32 {
     if early.status.is_ok() {
-        println!("{}", early.output.trim_end());
+        print_text(&early.output);
         return EXIT_OK;
     }
     eprintln!("{}", early.output.trim_end());
@@ -81,7 +83,7 @@
     match outcome {
         Ok(text) if text.is_empty() => EXIT_OK,
         Ok(text) => {
-            println!("{}", text.trim_end());
+            print_text(&text);
             EXIT_OK
         }
         Err(failure) => {
@@ -91,6 +93,11 @@
     }
 }
 
+/// Prints to standard output; whoever stops reading, like `head`, wants no more.
+fn print_text(text: &str) {
+    let _ = writeln!(io::stdout(), "{}", text.trim_end());
+}
+
 fn dispatch(args: args::Args) -> Outcome {
     let args::Args {
         entry,
