--- a/crates/figscale-core/tests/fleet/recovery.rs
+++ b/crates/figscale-core/tests/fleet/recovery.rs
@@ -2,6 +2,7 @@
 
 use figscale_core::fleet::RecordKey;
 use figscale_core::fleet::Scheduler;
+use figscale_types::fleet;
 use figscale_types::fleet::End;
 use figscale_types::fleet::JobState;
 
@@ -150,3 +151,59 @@
     let recorded = Scheduler::recorded_workers(&cell.store[&RecordKey::Workers]).unwrap();
     assert!(!recorded.contains(&home), "{recorded:?}");
 }
+
+fn occurrence(occurrence: u32) -> fleet::TaskId {
+    fleet::TaskId {
+        occurrence,
+        ..kit::task(1, 0, 0)
+    }
+}
+
+/// A cell whose leader has started an occurrence that no record tells of.
+fn with_an_unwritten_occurrence() -> Cell {
+    let mut cell = Cell::new(3);
+    let repeated = fleet::JobDescription {
+        occurrences: 2,
+        first_due_ms: cell.wall_ms + 500,
+        interval_ms: 60_000,
+        ..kit::job(vec![kit::step(1, 1)])
+    };
+    cell.submit(1, &kit::queue(1), repeated);
+    cell.settle();
+    cell.now += kit::ms(600);
+    cell.wall_ms += 600;
+    cell.scheduler.tick(cell.now, cell.wall_ms);
+    cell.scheduler.plan(cell.now);
+    cell.carry_out();
+    assert_eq!(cell.starts(), 1);
+    assert!(
+        !cell
+            .store
+            .contains_key(&RecordKey::Progress(kit::job_id(1)))
+    );
+    cell
+}
+
+#[test]
+fn an_occurrence_that_no_record_tells_of_waits_for_every_lease() {
+    let mut cell = with_an_unwritten_occurrence();
+    let (home, _) = cell.placed(occurrence(0))[0].clone();
+    cell.workers.get_mut(&home).unwrap().reachable = false;
+    cell.take_over(2);
+    cell.pass(4_000);
+    assert_eq!(cell.starts(), 1, "started while its first run may go on");
+    cell.pass(1_500);
+    assert_eq!(cell.starts(), 2);
+}
+
+/// By the next leader's time of day the occurrence is not due yet.
+#[test]
+fn an_occurrence_that_was_begun_early_is_not_begun_again() {
+    let mut cell = with_an_unwritten_occurrence();
+    let (home, attempt) = cell.placed(occurrence(0))[0].clone();
+    cell.workers[&home].end(occurrence(0), attempt, End::Done);
+    cell.take_over(2);
+    cell.wall_ms -= 2_000;
+    cell.pass(6_000);
+    assert_eq!(cell.starts(), 1, "a done occurrence is started again");
+}
--- a/crates/figscale-core/tests/fleet/terms.rs
+++ b/crates/figscale-core/tests/fleet/terms.rs
@@ -912,3 +912,21 @@
     let broken = play(troubles, &seeds(&[0, 1, 2, 3, 4, 5, 66, 385]));
     assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
 }
+
+/// A leader begins an occurrence by its own time of day, and the next one may
+/// not find it in any record.
+#[test]
+fn no_occurrence_runs_twice_over_many_terms() {
+    for clocks_off_ms in [0, 2_000] {
+        let troubles = Troubles {
+            occurrences: true,
+            clocks_off_ms,
+        };
+        let broken = play(troubles, &seeds(&[0, 1, 2, 3, 4, 5, 6, 7]));
+        assert!(
+            broken.is_empty(),
+            "times {clocks_off_ms} ms apart, {} broken: {broken:#?}",
+            broken.len()
+        );
+    }
+}
