fleet: an occurrence that an earlier leader began is known to be begun

A leader begins an occurrence without waiting for a record that says so. One that took over before the record was written found the occurrence due by its own time of day and took it for new: its tasks were not held back for silent workers, and started beside their first runs. Where the time of day of the new leader was behind, what workers told of the occurrence was dropped, its ends were acknowledged, and it was begun again when due.

Occurrences of loaded jobs that fall due while workers are unheard wait for these like all that was loaded. An occurrence that a worker tells of is added; nothing more of it is started before it is due here.

--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -126,6 +126,9 @@
     pub(crate) steps: Vec<Step>,
     /// When it fell due, if that is not the submission of its job.
     pub(crate) due_at: Option<time::Instant>,
+    /// A worker told of it before it was due here: an earlier leader's time of
+    /// day was ahead.
+    pub(crate) ahead: bool,
 }
 
 impl Round {
@@ -140,6 +143,14 @@
                 })
                 .collect(),
             due_at: None,
+            ahead: false,
+        }
+    }
+
+    /// Its tasks may have been started by an earlier leader.
+    pub(crate) fn suspect(&mut self) {
+        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
+            task.suspect = !task.is_done();
         }
     }
 
@@ -147,12 +158,10 @@
         self.steps.iter().all(Step::is_done)
     }
 
-    /// Whether all steps that a step waits for are done.
+    /// Whether it is due and all steps that a step waits for are done.
     pub(crate) fn is_ready(&self, description: &fleet::JobDescription, step: usize) -> bool {
-        description.steps[step]
-            .after
-            .iter()
-            .all(|after| self.steps[*after as usize].is_done())
+        let mut after = description.steps[step].after.iter();
+        !self.ahead && after.all(|after| self.steps[*after as usize].is_done())
     }
 
     /// Longest chain of estimates of what is not done.
@@ -198,6 +207,8 @@
     pub(crate) stored: bool,
     /// The store holds a record of progress.
     pub(crate) progress_stored: bool,
+    /// An earlier leader took it, and may have started what no record tells of.
+    pub(crate) loaded: bool,
 }
 
 impl Job {
@@ -227,6 +238,7 @@
             end: None,
             stored: false,
             progress_stored: false,
+            loaded: false,
         }
     }
 
@@ -248,22 +260,49 @@
         self.rounds.len() >= occurrences && self.rounds.iter().all(Round::is_done)
     }
 
-    /// Adds the occurrences that are due; true if there were any.
-    pub(crate) fn add_due_rounds(&mut self, now: time::Instant, wall_ms: u64) -> bool {
-        let before = self.rounds.len();
-        while self.rounds.len() < self.description.occurrences as usize {
-            let passed = self
-                .description
-                .interval_ms
-                .saturating_mul(self.rounds.len() as u64);
+    /// Adds the occurrences that are due, how many.
+    pub(crate) fn add_due_rounds(&mut self, now: time::Instant, wall_ms: u64) -> usize {
+        let mut added = 0;
+        for number in 0..self.description.occurrences as usize {
+            let passed = self.description.interval_ms.saturating_mul(number as u64);
             if wall_ms < self.description.first_due_ms.saturating_add(passed) {
                 break;
             }
-            let mut round = Round::new(&self.description);
-            round.due_at = Some(now);
-            self.rounds.push(round);
+            match self.rounds.get_mut(number) {
+                Some(round) => round.ahead = false,
+                None => {
+                    self.add_round(now);
+                    added += 1;
+                }
+            }
+        }
+        added
+    }
+
+    /// Adds the occurrences up to one that a worker tells of, how many.
+    pub(crate) fn add_rounds_ahead(&mut self, occurrence: u32, now: time::Instant) -> usize {
+        let known = self.rounds.len();
+        if occurrence < self.description.occurrences {
+            while self.rounds.len() <= occurrence as usize {
+                self.add_round(now).ahead = true;
+            }
+        }
+        self.rounds.len() - known
+    }
+
+    fn add_round(&mut self, now: time::Instant) -> &mut Round {
+        let mut round = Round::new(&self.description);
+        round.due_at = Some(now);
+        let number = self.rounds.len();
+        self.rounds.push(round);
+        &mut self.rounds[number]
+    }
+
+    /// The last so many occurrences may have been begun by an earlier leader.
+    pub(crate) fn suspect_last(&mut self, rounds: usize) {
+        for round in self.rounds.iter_mut().rev().take(rounds) {
+            round.suspect();
         }
-        self.rounds.len() > before
     }
 
     pub(crate) fn step(&self, id: &fleet::TaskId) -> Option<&Step> {
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -4,6 +4,10 @@
 //! last term has reported, or its lease is surely over, a task that was not
 //! found stays where it is: it may run on a worker that has not been heard.
 //! Jobs submitted in this term do not wait for that.
+//!
+//! A leader begins an occurrence without waiting for a record that says so. The
+//! next one takes each that falls due meanwhile for begun, and adds those that
+//! workers tell of.
 
 use std::sync;
 use std::time;
@@ -92,6 +96,7 @@
             id,
             job::Job {
                 stored: true,
+                loaded: true,
                 ..job
             },
         );
@@ -144,9 +149,7 @@
             for round in &mut job.rounds {
                 // When an occurrence fell due is not in the records.
                 round.due_at = (job.description.occurrences > 0).then_some(now);
-                for task in round.steps.iter_mut().flat_map(|step| &mut step.tasks) {
-                    task.suspect = !task.is_done();
-                }
+                round.suspect();
             }
         }
     }
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -97,6 +97,7 @@
     }
 
     fn apply_end(&mut self, id: &fleet::WorkerId, run: &fleet::FinishedRun, now: time::Instant) {
+        self.add_rounds_ahead(&run.task, now);
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|job| job.is_open()) else {
             return;
         };
@@ -231,6 +232,7 @@
         clock_ms: u64,
         now: time::Instant,
     ) {
+        self.add_rounds_ahead(&running.task, now);
         let step = running.task.step as usize;
         let known_room = self
             .jobs
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -320,12 +320,32 @@
 
     fn add_due_rounds(&mut self, now: time::Instant, wall_ms: u64) {
         for id in &self.open {
-            if let Some(job) = self.jobs.get_mut(id)
-                && job.description.occurrences > 0
-                && job.add_due_rounds(now, wall_ms)
-            {
+            let job = self.jobs.get_mut(id);
+            let Some(job) = job.filter(|job| job.description.occurrences > 0) else {
+                continue;
+            };
+            let added = job.add_due_rounds(now, wall_ms);
+            if added > 0 {
                 self.unsaved.change(*id);
             }
+            if self.recovering && job.loaded {
+                job.suspect_last(added);
+            }
+        }
+    }
+
+    /// A worker tells of an occurrence: an earlier leader has begun it, though
+    /// no record may say so and it may not be due by the time of day here.
+    pub(crate) fn add_rounds_ahead(&mut self, task: &fleet::TaskId, now: time::Instant) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let added = job.add_rounds_ahead(task.occurrence, now);
+        if added > 0 {
+            self.unsaved.change(task.job);
+        }
+        if self.recovering {
+            job.suspect_last(added);
         }
     }
 
