--- a/crates/figscale-core/tests/fleet/records.rs
+++ b/crates/figscale-core/tests/fleet/records.rs
@@ -187,3 +187,32 @@
     cell.write();
     assert_eq!(cell.scheduler.report_due(&id).unwrap().acknowledged, 1);
 }
+
+/// What a worker told can be told again, but not once it has left.
+#[test]
+fn ends_of_workers_that_leave_are_written_first() {
+    let mut cell = Cell::new(2);
+    for number in 1..=20 {
+        cell.run(number, &kit::queue(1), vec![kit::step(2, 3)]);
+    }
+    let last = kit::task(20, 0, 0);
+    let (leaving, _) = cell.placed(last)[0].clone();
+    for number in 1..=20 {
+        let task = kit::task(number, 0, 0);
+        let (id, attempt) = cell.placed(task)[0].clone();
+        if number == 20 || id != leaving {
+            cell.workers[&id].end(task, attempt, fleet::End::Done);
+            cell.report(&id);
+        }
+    }
+    let mut entry = cell.workers[&leaving].entry.clone();
+    entry.draining = true;
+    cell.scheduler.worker_listed(entry);
+    let records = cell.scheduler.take_records(6);
+    let written = |number| {
+        let key = RecordKey::Progress(kit::job_id(number));
+        records.records.iter().any(|record| record.key == key)
+    };
+    assert!(written(20), "{:?}", records.records);
+    assert!(!written(19), "the transaction is not full");
+}
