fleet: ends that leaving workers told are listed only until acknowledged

The set of jobs with unacknowledged ends was emptied only once all of a worker's ends were acknowledged, which may never happen on a busy one. Now each end goes with its own number.

--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -54,8 +54,9 @@
     fn ended_on_leaving(&self) -> IndexSet<fleet::JobId> {
         let leaving = self.workers.values();
         let leaving = leaving.filter(|worker| worker.entry.draining);
-        let jobs = leaving.flat_map(|worker| &worker.unacknowledged);
-        jobs.copied().collect()
+        leaving
+            .flat_map(worker::Worker::unacknowledged_jobs)
+            .collect()
     }
 
     /// Before a worker is used for the first time, its id is written, so that
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -71,8 +71,7 @@
         if run.number <= worker.taken_in {
             return;
         }
-        worker.taken_in = run.number;
-        worker.unacknowledged.insert(run.task.job);
+        worker.take_in(run.number, run.task.job);
         let key = (run.task, run.attempt);
         worker.remove_run(&key);
         match run.end {
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -1,10 +1,10 @@
 //! A worker as the leader knows it: room, runs, lease and health.
 
+use std::collections::VecDeque;
 use std::time;
 
 use figscale_types::fleet;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use super::health;
 use super::lease;
@@ -56,8 +56,8 @@
     pub(crate) taken_in: u64,
     /// Highest number of an end whose effects are in the store.
     pub(crate) acknowledged: u64,
-    /// Jobs of the ends that were taken in since all were last acknowledged.
-    pub(crate) unacknowledged: IndexSet<fleet::JobId>,
+    /// Numbers and jobs of the ends in between.
+    unacknowledged: VecDeque<(u64, fleet::JobId)>,
     used: fleet::Room,
 }
 
@@ -85,17 +85,27 @@
             runs: IndexMap::new(),
             taken_in: 0,
             acknowledged: 0,
-            unacknowledged: IndexSet::new(),
+            unacknowledged: VecDeque::new(),
             used: fleet::Room::default(),
         }
     }
 
+    /// An end of a job is taken in.
+    pub(crate) fn take_in(&mut self, number: u64, job: fleet::JobId) {
+        self.taken_in = number;
+        self.unacknowledged.push_back((number, job));
+    }
+
     /// The effects of ends up to this number are in the store.
     pub(crate) fn acknowledge(&mut self, number: u64) {
         self.acknowledged = self.acknowledged.max(number);
-        if self.acknowledged >= self.taken_in {
-            self.unacknowledged.clear();
-        }
+        let known = self.acknowledged;
+        self.unacknowledged.retain(|(number, _)| *number > known);
+    }
+
+    /// Jobs with ends here that are not acknowledged.
+    pub(crate) fn unacknowledged_jobs(&self) -> impl Iterator<Item = fleet::JobId> {
+        self.unacknowledged.iter().map(|(_, job)| *job)
     }
 
     /// Room that nothing uses; what is being stopped still counts.
