A slow leader hands over, and a slow instance stands later

Cause: an instance took itself for as strong as its settings say.

Ruled out: late timers as the only measure.

Change: each instance times a small piece of computing beside its timers.

The tests fail where a slow instance counts with all its processor.

--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod backlog;
 mod callers;
 mod ends;
+mod fitness;
 mod gang_limits;
 mod gangs;
 mod hold;
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -23,6 +23,7 @@
 use tokio::task;
 
 use super::Context;
+use super::fitness;
 use super::keys;
 use super::leadership;
 use super::ledger;
@@ -145,7 +146,7 @@
         false => SPREAD.mul_f64(part * 0.75 + 0.25),
     };
     let strongest_millis = context.leadership.borrow().strongest_millis;
-    among_equals + scheduling::standing_delay(context.fleet.cpu_millis(), strongest_millis)
+    among_equals + scheduling::standing_delay(fitness::cpu_millis(context), strongest_millis)
 }
 
 enum Vacancy {
@@ -249,14 +250,14 @@
     if context.leadership.borrow().strongest_millis > 0 {
         return;
     }
-    let own_millis = context.fleet.cpu_millis();
+    let own_millis = fitness::cpu_millis(context);
     let delay = scheduling::standing_delay(own_millis, heads.strongest_millis);
     tokio::time::sleep(delay).await;
 }
 
 fn strongest_known(context: &Context) -> u64 {
     let told_millis = context.leadership.borrow().strongest_millis;
-    told_millis.max(context.fleet.cpu_millis())
+    told_millis.max(fitness::cpu_millis(context))
 }
 
 async fn grant(context: Context) -> Result<store::LeaseId, CallError> {
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -17,6 +17,7 @@
 
 use super::Context;
 use super::calls;
+use super::fitness;
 use super::leadership;
 use super::ledger;
 use crate::events;
@@ -218,7 +219,7 @@
         member: context.me.id.clone(),
         address: context.settings.peer_address,
         cpu_millis: match leadership::may_stand(context) && context.store.answers_directly() {
-            true => context.fleet.cpu_millis(),
+            true => fitness::cpu_millis(context),
             false => 0,
         },
     };
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! services in place of claims, catalogue, jobs and traffic:
 //!
 //! - `access` reaches the store, through a peer if need be;
+//! - `fitness` measures whether this machine has turned slow;
 //! - `follow` keeps the queues that the operators configured;
 //! - `election` knows who leads, and stands for leadership;
 //! - `term` runs the scheduler while this instance leads;
@@ -20,6 +21,7 @@
 mod direct;
 mod election;
 mod entry;
+mod fitness;
 mod follow;
 mod keys;
 mod leadership;
@@ -78,6 +80,8 @@
     pub(crate) me: ids::MemberKey,
     pub(crate) queues: sync::Arc<watch::Sender<sync::Arc<fleet::QueueTable>>>,
     pub(crate) leadership: sync::Arc<watch::Sender<leadership::Leadership>>,
+    /// Whether this machine has turned slow.
+    pub(crate) fitness: fitness::Shared,
     pub(crate) leaving: sync::Arc<watch::Sender<bool>>,
 }
 
@@ -122,6 +126,7 @@
     advice::start(&context, &mut handlers);
     term::start(&context, &mut handlers);
     election::start(&context, &mut handlers);
+    fitness::start(&context);
     follow::start(&context);
     tokio::spawn(peer::listen(
         peers,
@@ -194,6 +199,7 @@
         me,
         queues: sync::Arc::new(watch::Sender::new(sync::Arc::default())),
         leadership: sync::Arc::new(watch::Sender::new(leadership::Leadership::default())),
+        fitness: fitness::Shared::default(),
         leaving: sync::Arc::new(watch::Sender::new(false)),
     }
 }
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -12,6 +12,7 @@
 use super::Ended;
 use super::Term;
 use crate::events;
+use crate::fleet::fitness;
 
 /// An instance that has not greeted for so long is gone.
 const MEMBER_SILENCE: time::Duration = time::Duration::from_millis(1_600);
@@ -53,13 +54,18 @@
     /// Most processor that a member, or this instance, leads with.
     pub(super) fn strongest_millis(&self) -> u64 {
         let members = self.members.values().map(|member| member.cpu_millis);
-        let own = self.context.fleet.cpu_millis();
+        let own = fitness::cpu_millis(&self.context);
         members.max().unwrap_or(0).max(own)
     }
 
     /// Hands over in order if a member would lead clearly better.
     fn yield_to_stronger(&mut self, id: &ids::MemberId, cpu_millis: u64) {
-        let own_millis = self.context.fleet.cpu_millis();
+        let lag = fitness::lasting_lag(&self.context);
+        // A machine that has turned slow counts with less only where it lags.
+        let own_millis = match lag {
+            Some(_) => fitness::cpu_millis(&self.context),
+            None => self.context.fleet.cpu_millis(),
+        };
         let settled = self.now() >= self.begun + SETTLED_AFTER;
         if self.closing || !settled || !fleet::is_clearly_stronger(cpu_millis, own_millis) {
             return;
@@ -69,7 +75,9 @@
             epoch = self.leader.epoch,
             own_millis = own_millis,
             stronger = id,
-            stronger_millis = cpu_millis
+            stronger_millis = cpu_millis,
+            lag_ms = lag.map_or(0, |lag| lag.late.as_millis()),
+            slow_ms = lag.map_or(0, |lag| lag.age.as_millis())
         );
         self.close(Ended::Yielded);
     }
