--- a/crates/figscale-core/src/fleet/standing.rs
+++ b/crates/figscale-core/src/fleet/standing.rs
@@ -15,9 +15,13 @@
 
 use std::time;
 
-/// So much later a weaker instance stands. Stronger ones have stood by then, and
-/// their election takes some 20 ms.
-const WEAKER_WAIT: time::Duration = time::Duration::from_millis(150);
+use super::silence;
+
+/// So much later than its greeting tells a weaker instance stands. A stronger one
+/// may find out a whole pause later, stands within 40 ms, and its election takes
+/// some 20 ms, up to 60 ms where many stand.
+const WEAKER_WAIT: time::Duration = silence::HELLO_PAUSE.saturating_add(ELECTION);
+const ELECTION: time::Duration = time::Duration::from_millis(100);
 /// Part of the strongest's processor that counts as equal, in percent.
 const EQUAL_PERCENT: u64 = 80;
 /// A leader hands over to an instance with so many times its own processor;
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -23,6 +23,7 @@
 use tokio::task;
 
 use super::Context;
+use super::fitness;
 use super::keys;
 use super::leadership;
 use super::ledger;
@@ -111,12 +112,22 @@
 
 /// Waits until nobody leads, as far as can be known from here; the revision of
 /// the leader's key that this was concluded from, 0 for no key.
+///
+/// It is looked again after others could go first. Else 25 of them stood against
+/// a winner that they knew of, each reading all records, and its term of 226
+/// jobs began 0.5 s later.
 async fn wait_for_vacancy(context: &Context) -> u64 {
     let mut changes = context.leadership.subscribe();
-    let key_revision = loop {
+    // What a candidate found before it let others go first.
+    let mut found = None;
+    loop {
         let vacant = vacancy(&changes, context.clock.now());
         match vacant {
-            Vacancy::Now(key_revision) => break key_revision,
+            Vacancy::Now(key_revision) if found == Some(key_revision) => return key_revision,
+            Vacancy::Now(key_revision) => {
+                found = Some(key_revision);
+                tokio::time::sleep(spread(context)).await;
+            }
             Vacancy::In(wait) => {
                 let _ = tokio::time::timeout(wait, changes.changed()).await;
             }
@@ -124,9 +135,7 @@
                 let _ = changes.changed().await;
             }
         }
-    };
-    tokio::time::sleep(spread(context)).await;
-    key_revision
+    }
 }
 
 /// A little time, so that candidates do not all stand at once.
@@ -145,7 +154,7 @@
         false => SPREAD.mul_f64(part * 0.75 + 0.25),
     };
     let strongest_millis = context.leadership.borrow().strongest_millis;
-    among_equals + scheduling::standing_delay(context.fleet.cpu_millis(), strongest_millis)
+    among_equals + scheduling::standing_delay(fitness::cpu_millis(context), strongest_millis)
 }
 
 enum Vacancy {
@@ -253,14 +262,14 @@
     if context.leadership.borrow().strongest_millis > 0 {
         return;
     }
-    let own_millis = context.fleet.cpu_millis();
+    let own_millis = fitness::cpu_millis(context);
     let delay = scheduling::standing_delay(own_millis, heads.strongest_millis);
     tokio::time::sleep(delay).await;
 }
 
 fn strongest_known(context: &Context) -> u64 {
     let told_millis = context.leadership.borrow().strongest_millis;
-    told_millis.max(context.fleet.cpu_millis())
+    told_millis.max(fitness::cpu_millis(context))
 }
 
 async fn grant(context: Context) -> Result<store::LeaseId, CallError> {
