--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -155,7 +155,7 @@
                 workers: draft.workers.iter().cloned().collect(),
                 answered_at,
             });
-            step.advice.promise = draft.keeps.map(|reservation| job::Promise {
+            step.advice.promise = draft.reservation.map(|reservation| job::Promise {
                 reservation,
                 until: answered_at + ANSWER_SLACK,
             });
--- a/crates/figscale-core/src/fleet/draft.rs
+++ b/crates/figscale-core/src/fleet/draft.rs
@@ -52,17 +52,17 @@
 /// A question without the lane that it will take.
 pub(crate) struct Draft {
     pub(crate) workers: Vec<fleet::WorkerId>,
-    /// Workers that are kept for the step until the answer is there.
-    pub(crate) keeps: Option<reserve::Reservation>,
+    /// Of a question for tickets: its workers stay kept until the answer is there.
+    pub(crate) reservation: Option<reserve::Reservation>,
     pub(crate) expected: time::Duration,
 }
 
 impl scheduler::Scheduler {
-    /// Whether a gang that holds workers could start as soon as it has tickets.
+    /// Whether a gang that has workers kept could start as soon as it has tickets.
     fn awaits_tickets(&self, candidate: &pass::Candidate, now: time::Instant) -> bool {
         let reservation = candidate.reservation.as_ref();
-        let held = reservation.filter(|reservation| reservation.held);
-        held.is_some_and(|held| self.starts_soon(&candidate.task, held, now))
+        let kept = reservation.filter(|reservation| reservation.kept);
+        kept.is_some_and(|kept| self.starts_soon(&candidate.task, kept, now))
     }
 
     /// Whether there is room for a gang by the time that its tickets could be
@@ -93,7 +93,7 @@
             return None;
         }
         let description = job.step_description(&candidate.task)?;
-        let mut keeps = None;
+        let mut reservation = None;
         let workers = match description.gang {
             true => {
                 let tickets = match self.awaits_tickets(candidate, now) {
@@ -103,7 +103,7 @@
                 match tickets.is_empty() {
                     true => self.choice_to_ask(candidate, job, description, breadth, pass),
                     false => {
-                        keeps = candidate.reservation.clone();
+                        reservation = candidate.reservation.clone();
                         tickets
                     }
                 }
@@ -116,7 +116,7 @@
         let expected = advice::duration(&policy, workers.len());
         Some(Draft {
             workers,
-            keeps,
+            reservation,
             expected,
         })
     }
@@ -269,7 +269,7 @@
     }
 }
 
-/// Workers that a gang holds and has no lasting ticket for.
+/// Workers kept for a gang for which it has no lasting ticket.
 fn tickets_to_ask(
     candidate: &pass::Candidate,
     step: &job::Step,
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -88,7 +88,7 @@
     pub(crate) tickets: maps::WorkerMap<HeldTicket>,
     /// The question that is on its way.
     pub(crate) asking: Option<Asking>,
-    /// Workers that the step was promised with its last question.
+    /// Workers that stay kept until the answer to its last question is there.
     pub(crate) promise: Option<Promise>,
     /// No question before this time, after one that was not answered.
     pub(crate) not_before: Option<time::Instant>,
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -63,7 +63,7 @@
     pub(crate) usable: Vec<usize>,
     kept: maps::WorkerMap<Keep>,
     /// The late gang for which workers were kept before all else.
-    pub(crate) kept_for: Option<fleet::TaskId>,
+    pub(crate) gang_in_turn: Option<fleet::TaskId>,
     /// Overdue steps for which workers were kept before all else. Quick work keeps
     /// off these like all other; a stream of it would put them off for good.
     pub(crate) overdue: Vec<fleet::TaskId>,
@@ -82,7 +82,7 @@
             now,
             usable,
             kept: maps::WorkerMap::default(),
-            kept_for: None,
+            gang_in_turn: None,
             overdue: Vec::new(),
             widest_millis,
             reserving: 0,
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -260,7 +260,7 @@
         if !may_wait && !self.may_ask(&candidate.task) {
             return;
         }
-        let kept_for_it = pass.kept_for == Some(candidate.task);
+        let kept_for_it = pass.gang_in_turn == Some(candidate.task);
         let reservation = self.reserve(&candidate.task, description, pass);
         if may_wait && reservation.is_none() && !self.could_fit(&candidate.task, description, pass)
         {
@@ -274,7 +274,7 @@
             if soon || kept_for_it || may_wait {
                 pass.keep(candidate.task, &reservation);
                 pass.reserving += usize::from(!soon);
-                reservation.held = true;
+                reservation.kept = true;
             }
             reservation
         });
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -28,15 +28,15 @@
 /// otherwise seem to start soon for good, and keep its workers all the while.
 const OVERDUE: time::Duration = time::Duration::from_millis(300);
 
-/// Workers kept for a gang.
+/// Workers for a gang, reckoned; `pass::Pass` knows which are kept.
 #[derive(Clone, Debug)]
 pub(crate) struct Reservation {
     /// In the order in which they become free.
     pub(crate) workers: Vec<fleet::WorkerId>,
     /// When there should be room, and tickets, for all members.
     pub(crate) ready_at: time::Instant,
-    /// Other work keeps off these workers, so tickets for them are of use.
-    pub(crate) held: bool,
+    /// The workers are kept, so other work keeps off them and tickets are of use.
+    pub(crate) kept: bool,
 }
 
 impl scheduler::Scheduler {
@@ -79,7 +79,7 @@
         Some(Reservation {
             workers,
             ready_at,
-            held: false,
+            kept: false,
         })
     }
 
--- a/crates/figscale-core/src/fleet/turns.rs
+++ b/crates/figscale-core/src/fleet/turns.rs
@@ -19,7 +19,7 @@
     /// promised.
     pub(crate) fn keep_for_latest(&self, candidates: &[pass::Candidate], pass: &mut pass::Pass) {
         let gang = |step: &fleet::StepDescription| step.gang;
-        pass.kept_for = self.keep_for_latest_of(candidates, pass::Lateness::Late, gang, pass);
+        pass.gang_in_turn = self.keep_for_latest_of(candidates, pass::Lateness::Late, gang, pass);
         let largest = self.largest_room(pass);
         let wide = |step: &fleet::StepDescription| {
             !step.gang && largest.times(&job::occupied(step), 2) < 2
