--- a/crates/figscale-core/src/fleet/turns.rs
+++ b/crates/figscale-core/src/fleet/turns.rs
@@ -20,6 +20,11 @@
     pub(crate) fn keep_for_latest(&self, candidates: &[pass::Candidate], pass: &mut pass::Pass) {
         let gang = |step: &fleet::StepDescription| step.gang;
         pass.gang_in_turn = self.keep_for_latest_of(candidates, pass::Lateness::Late, gang, pass);
+        // On most passes nothing is overdue, and then no worker is looked at.
+        let overdue = |step: &pass::Candidate| step.rank.lateness == pass::Lateness::Overdue;
+        if !candidates.iter().any(overdue) {
+            return;
+        }
         let largest = self.largest_room(pass);
         let wide = |step: &fleet::StepDescription| {
             !step.gang && largest.times(&job::occupied(step), 2) < 2
