Traces: the line of a job's end is waited for

a_late_job_leads_to_its_wait failed in 1 of 5 runs beside 24 loops with 'no JOB_ENDED': the caller is answered before the thread that writes lines has written it; the log printed after the failure has the line. The test now waits for it, as the others there do; what it says of the line stays.

--- a/crates/figscale/tests/fleet_trace.rs
+++ b/crates/figscale/tests/fleet_trace.rs
@@ -67,6 +67,8 @@
     assert_eq!(fleet.submit(0, 0x801, 8, "2500").await, 200);
     assert_eq!(fleet.submit(0, 0x802, 1, "2500").await, 200);
     fleet.wait_for_state(0, 0x802, "completed").await;
+    // Lines are written by a thread of their own, after the answer perhaps.
+    fleet.wait_for_event_of("JOB_ENDED", 0x802).await;
     let lines = of_job(&fleet.log_lines(), 0x802);
     assert_eq!(named(&lines, "JOB_ENDED")["late"], "true");
     let placed = named(&lines, "STEP_PLACED");
