fleet tests: the play over many terms in three files

Workers and leaders of the play have a file each; moves only, the sorted lines are the same but for imports and visibility.

--- /dev/null
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -0,0 +1,354 @@
+//! Leaders of the play: elections, calls, writes, and what comes back.
+
+use figscale_core::fleet::Action;
+use figscale_core::fleet::Config;
+use figscale_core::fleet::Record;
+use figscale_core::fleet::RecordKey;
+use figscale_core::fleet::Scheduler;
+use figscale_types::fleet;
+use figscale_types::fleet::WorkerId;
+use indexmap::IndexMap;
+
+use super::Called;
+use super::Event;
+use super::LIST_PAUSE_MS;
+use super::Leader;
+use super::Link;
+use super::MAX_WRITES;
+use super::SILENCE_PAUSE_MS;
+use super::UNACKNOWLEDGED_PAUSE_MS;
+use super::WALL_MS;
+use super::Worker;
+use super::World;
+use super::Written;
+use crate::kit;
+
+impl World {
+    pub(super) fn elect(&mut self) {
+        let led = self.leaders.iter().any(|leader| leader.alive);
+        if led && self.now_ms < self.elects_ms {
+            return;
+        }
+        self.elects_ms = self.now_ms + 300 + self.random(7_000);
+        if self.one_in(2)
+            && let Some(last) = self.leaders.last_mut()
+        {
+            last.alive = false;
+        }
+        self.epoch = fleet::Epoch(self.epoch.0 + 1);
+        let config = Config {
+            epoch: self.epoch,
+            ..Config::default()
+        };
+        let mut scheduler = Scheduler::new(config);
+        let wall_off_ms = self.random(self.troubles.clocks_off_ms + 1);
+        let wall_ms = WALL_MS + self.now_ms - wall_off_ms;
+        let now = self.now();
+        let mut recorded = Vec::new();
+        for (key, bytes) in &self.store {
+            if let RecordKey::Job(id) = key {
+                scheduler.load_job(*id, bytes, now, wall_ms).unwrap();
+            }
+        }
+        for (key, bytes) in &self.store {
+            match key {
+                RecordKey::Progress(id) => scheduler.load_progress(*id, bytes).unwrap(),
+                RecordKey::Workers => recorded = Scheduler::recorded_workers(bytes).unwrap(),
+                RecordKey::Job(_) => (),
+            }
+        }
+        let begins_ms = self.now_ms + self.random(600);
+        let slow_ms = match self.random(4) {
+            0 => self.random(2_000),
+            _ => 0,
+        };
+        self.leaders.push(Leader {
+            scheduler,
+            epoch: self.epoch,
+            alive: true,
+            begins_ms,
+            recorded: Some(recorded),
+            links: IndexMap::new(),
+            writes: IndexMap::new(),
+            wrote_ms: 0,
+            listed_ms: 0,
+            slow_ms,
+            wall_off_ms,
+            cut: IndexMap::new(),
+        });
+    }
+
+    pub(super) fn submit(&mut self) {
+        if !self.one_in(12) {
+            return;
+        }
+        let known = self.jobs.len() as u64;
+        let again = known > 0 && self.one_in(4);
+        let (number, description) = match again {
+            true => {
+                let number = self.random(known) as usize;
+                self.jobs[number].clone()
+            }
+            false => {
+                let description = self.describe();
+                self.jobs.push((known + 1, description.clone()));
+                (known + 1, description)
+            }
+        };
+        let mut alive: Vec<usize> = (0..self.leaders.len()).collect();
+        let now_ms = self.now_ms;
+        alive.retain(|leader| {
+            let leader = &self.leaders[*leader];
+            leader.alive && leader.recorded.is_none() && now_ms >= leader.begins_ms
+        });
+        if alive.is_empty() {
+            return;
+        }
+        let leader = alive[self.random(alive.len() as u64) as usize];
+        let (now, wall_ms) = (self.now(), self.wall_ms(leader));
+        let queue = kit::queue(u32::from(number.is_multiple_of(2)));
+        let scheduler = &mut self.leaders[leader].scheduler;
+        scheduler.submit(kit::job_id(number), &queue, description, now, wall_ms);
+    }
+
+    pub(super) fn describe(&mut self) -> fleet::JobDescription {
+        let count = 1 + self.random(4) as u32;
+        let first = fleet::StepDescription {
+            gang: self.one_in(6),
+            estimate_ms: 100 + self.random(1_500),
+            ..kit::step(count, 1)
+        };
+        let mut steps = vec![first];
+        if self.one_in(3) {
+            steps.push(fleet::StepDescription {
+                after: vec![0],
+                ..kit::step(1, 1)
+            });
+        }
+        let mut job = kit::job(steps);
+        if self.troubles.occurrences && self.one_in(3) {
+            job.occurrences = 3;
+            job.first_due_ms = WALL_MS + self.now_ms + self.random(1_000);
+            job.interval_ms = 500 + self.random(2_000);
+        }
+        job
+    }
+
+    /// What a leader does in one step of its loop.
+    pub(super) fn lead(&mut self, number: usize) {
+        let (now, wall_ms) = (self.now(), self.wall_ms(number));
+        let leader = &mut self.leaders[number];
+        if let Some(recorded) = leader.recorded.take() {
+            leader.scheduler.begin_recovery(recorded, now);
+            leader.scheduler.member_joined(&"entry-1".parse().unwrap());
+        }
+        leader.scheduler.tick(now, wall_ms);
+        leader.scheduler.plan(now);
+        let actions = leader.scheduler.take_actions();
+        for action in actions {
+            match action {
+                Action::Start { worker, order } => {
+                    let delay = self.delay();
+                    self.send(delay, Event::StartArrives(number, worker, order));
+                }
+                Action::Stop {
+                    worker,
+                    task,
+                    attempt,
+                } => {
+                    let delay = self.delay();
+                    self.send(delay, Event::StopArrives(number, worker, task, attempt));
+                }
+                Action::StepDown => self.leaders[number].alive = false,
+                Action::Ask(_) | Action::Tell(_) => (),
+            }
+        }
+        self.list(number);
+        self.call(number);
+        self.write(number);
+    }
+
+    pub(super) fn list(&mut self, number: usize) {
+        if self.now_ms < self.leaders[number].listed_ms {
+            return;
+        }
+        self.leaders[number].listed_ms = self.now_ms + LIST_PAUSE_MS;
+        let now_ms = self.now_ms;
+        let listed = |worker: &&Worker| worker.listed && now_ms >= worker.unlisted_until_ms;
+        let listed = self.workers.values().filter(listed);
+        let entries = listed.map(|worker| worker.entry.clone()).collect();
+        let delay = self.random(100) + self.random(self.leaders[number].slow_ms + 1);
+        self.send(delay, Event::Listed(number, entries));
+    }
+
+    pub(super) fn call(&mut self, number: usize) {
+        let now_ms = self.now_ms;
+        let leader = &mut self.leaders[number];
+        let mut due = Vec::new();
+        for (id, link) in &leader.links {
+            let ready = link.unacknowledged && !leader.scheduler.has_unacknowledged(id);
+            if !link.calling && (ready || now_ms >= link.at_ms) {
+                due.push(id.clone());
+            }
+        }
+        let mut calls = Vec::new();
+        for id in due {
+            match leader.scheduler.report_due(&id) {
+                Some(report) => {
+                    leader.links[&id].calling = true;
+                    calls.push((id, report));
+                }
+                None => {
+                    leader.links.shift_remove(&id);
+                }
+            }
+        }
+        for (id, report) in calls {
+            let delay = self.delay();
+            let event = Event::ReportArrives(number, id.clone(), report);
+            self.send(delay, event);
+            if self.one_in(20) {
+                // A second call beside one that seems to be lost.
+                let delay = self.delay();
+                self.send(150 + delay, Event::ReportArrives(number, id, report));
+            }
+        }
+    }
+
+    pub(super) fn write(&mut self, number: usize) {
+        let pause_ms = 20 + self.random(100);
+        let leader = &mut self.leaders[number];
+        let full = leader.writes.len() >= MAX_WRITES;
+        if full || self.now_ms < leader.wrote_ms + pause_ms || !leader.scheduler.has_records() {
+            return;
+        }
+        leader.wrote_ms = self.now_ms;
+        let records = leader.scheduler.take_records(6);
+        if records.records.is_empty() {
+            leader.scheduler.records_written(&records);
+            return;
+        }
+        self.sent += 1;
+        let id = self.sent;
+        let written = records.records.clone();
+        self.leaders[number].writes.insert(id, records);
+        let longest_ms = match self.now_ms < self.slow_store_ms {
+            true => 2_000,
+            false => 200,
+        };
+        let delay = self.delay() + self.random(longest_ms);
+        match self.one_in(15) {
+            true => self.send(delay, Event::WriteAnswered(number, id, Written::Not)),
+            false => self.send(delay, Event::WriteArrives(number, id, written)),
+        }
+    }
+
+    pub(super) fn handle(&mut self, event: Event) {
+        match event {
+            Event::ReportArrives(leader, id, due) => self.report(leader, &id, due),
+            Event::ReportAnswered(leader, id, called) => self.answer(leader, &id, &called),
+            Event::StartArrives(leader, id, order) => self.start(leader, &id, &order),
+            Event::StartAnswered(leader, id, task, attempt, outcome) => {
+                let now = self.now();
+                let leader = &mut self.leaders[leader];
+                if leader.alive {
+                    let scheduler = &mut leader.scheduler;
+                    scheduler.start_answered(&id, task, attempt, outcome, now);
+                }
+            }
+            Event::StopArrives(leader, id, task, attempt) => self.stop(leader, &id, task, attempt),
+            Event::WriteArrives(leader, id, records) => {
+                let written = match self.leaders[leader].epoch == self.epoch {
+                    true => {
+                        self.keep(&records);
+                        Written::Done
+                    }
+                    false => Written::Deposed,
+                };
+                let delay = self.delay_to(leader);
+                self.send(delay, Event::WriteAnswered(leader, id, written));
+            }
+            Event::WriteAnswered(leader, id, written) => {
+                let leader = &mut self.leaders[leader];
+                let Some(records) = leader.writes.shift_remove(&id).filter(|_| leader.alive) else {
+                    return;
+                };
+                match written {
+                    Written::Done => leader.scheduler.records_written(&records),
+                    Written::Not => leader.scheduler.records_not_written(&records),
+                    Written::Deposed => leader.alive = false,
+                }
+            }
+            Event::Listed(leader, entries) => self.listed(leader, entries),
+        }
+    }
+
+    pub(super) fn keep(&mut self, records: &[Record]) {
+        for record in records {
+            match &record.bytes {
+                Some(bytes) => {
+                    self.store.insert(record.key, bytes.clone());
+                }
+                None => {
+                    self.store.shift_remove(&record.key);
+                }
+            }
+        }
+    }
+
+    pub(super) fn listed(&mut self, number: usize, entries: Vec<fleet::WorkerEntry>) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let leader = &mut self.leaders[number];
+        if !leader.alive {
+            return;
+        }
+        for id in leader.scheduler.listed_workers() {
+            if !entries.iter().any(|entry| entry.id == id) {
+                leader.scheduler.worker_unlisted(&id, now);
+            }
+        }
+        for entry in entries {
+            if leader.scheduler.is_listed_as(&entry) {
+                continue;
+            }
+            let link = Link {
+                calling: false,
+                at_ms: now_ms,
+                unacknowledged: false,
+            };
+            leader.links.entry(entry.id.clone()).or_insert(link);
+            let (id, leaves_in) = (entry.id.clone(), entry.leaves_in);
+            leader.scheduler.worker_listed(entry);
+            if let Some(leaves_in) = leaves_in {
+                leader.scheduler.worker_leaves(&id, now + leaves_in);
+            }
+        }
+    }
+
+    pub(super) fn answer(&mut self, number: usize, id: &WorkerId, called: &Called) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let leader = &mut self.leaders[number];
+        if !leader.alive {
+            return;
+        }
+        match called {
+            Called::Report(report) => leader.scheduler.worker_reported(id, report, now),
+            Called::StaleEpoch => leader.alive = false,
+            Called::OtherLife => leader.scheduler.worker_replaced(id, now),
+            Called::Nothing => leader.scheduler.worker_doubted(id),
+        }
+        let unacknowledged = leader.scheduler.has_unacknowledged(id);
+        let pause_ms = match called {
+            Called::Report(_) if unacknowledged => UNACKNOWLEDGED_PAUSE_MS,
+            Called::Report(_) => 50,
+            _ => SILENCE_PAUSE_MS,
+        };
+        if let Some(link) = leader.links.get_mut(id) {
+            *link = Link {
+                calling: false,
+                at_ms: now_ms + pause_ms,
+                unacknowledged: unacknowledged && matches!(called, Called::Report(_)),
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -0,0 +1,316 @@
+//! Many terms of leadership over workers and a store that lose, delay and
+//! reorder what is sent to them.
+//!
+//! Several leaders may run at once: an old one goes on until a worker's fence or
+//! a refused write tells it that its term is over. A judge beside the workers
+//! sees what really starts and ends there, and holds it against two rules: a
+//! task never runs twice at a time, and never starts again once a run of it
+//! ended well and that end was acknowledged, be it later. An end whose worker's
+//! lease ran out before it was acknowledged does not count.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time;
+
+use figscale_core::fleet::Record;
+use figscale_core::fleet::RecordKey;
+use figscale_core::fleet::Records;
+use figscale_core::fleet::ReportDue;
+use figscale_core::fleet::Scheduler;
+use figscale_types::fleet;
+use figscale_types::fleet::StartOutcome;
+use figscale_types::fleet::WorkerId;
+use indexmap::IndexMap;
+
+use crate::kit;
+
+mod leaders;
+mod workers;
+
+const WALL_MS: u64 = 1_700_000_000_000;
+const STEP_MS: u64 = 10;
+const PLAY_MS: u64 = 40_000;
+const WORKERS: usize = 6;
+const MAX_WRITES: usize = 4;
+const LIST_PAUSE_MS: u64 = 600;
+const CALL_TIMEOUT_MS: u64 = 950;
+const SILENCE_PAUSE_MS: u64 = 200;
+const UNACKNOWLEDGED_PAUSE_MS: u64 = 600;
+
+/// What a play has beside the usual troubles.
+#[derive(Clone, Copy)]
+struct Troubles {
+    /// Jobs with several occurrences.
+    occurrences: bool,
+    /// By how much the leaders' times of day differ at most.
+    clocks_off_ms: u64,
+}
+
+type RunKey = (fleet::TaskId, u32);
+
+#[derive(Clone)]
+struct Running {
+    run: fleet::RunningTask,
+    ends_ms: u64,
+    ends_as: fleet::End,
+}
+
+/// An end that was not acknowledged, with when it came.
+#[derive(Clone)]
+struct Finished {
+    run: fleet::FinishedRun,
+    at_ms: u64,
+}
+
+struct Worker {
+    entry: fleet::WorkerEntry,
+    listed: bool,
+    up: bool,
+    /// Another life answers at its address.
+    replaced: bool,
+    /// When it goes, by its notice.
+    leaves_ms: Option<u64>,
+    unlisted_until_ms: u64,
+    clock_offset_ms: u64,
+    clock_percent: u64,
+    fence: fleet::Epoch,
+    lease_until_clock_ms: u64,
+    lapsed_ms: Option<u64>,
+    running: IndexMap<RunKey, Running>,
+    finished: Vec<Finished>,
+    ended: u64,
+    /// Highest attempt that ended or was stopped here.
+    ended_attempts: IndexMap<fleet::TaskId, u32>,
+}
+
+#[derive(Clone, Copy)]
+struct Link {
+    calling: bool,
+    at_ms: u64,
+    /// Waits until ends are acknowledged, or for `at_ms`.
+    unacknowledged: bool,
+}
+
+struct Leader {
+    scheduler: Scheduler,
+    epoch: fleet::Epoch,
+    alive: bool,
+    begins_ms: u64,
+    /// Workers of the last term, until this one begins.
+    recorded: Option<Vec<WorkerId>>,
+    links: IndexMap<WorkerId, Link>,
+    writes: IndexMap<u64, Records>,
+    wrote_ms: u64,
+    listed_ms: u64,
+    /// Everything reaches it so much later at most.
+    slow_ms: u64,
+    wall_off_ms: u64,
+    /// Workers that it does not reach, until when.
+    cut: IndexMap<WorkerId, u64>,
+}
+
+#[derive(Clone)]
+enum Called {
+    Report(fleet::WorkerReport),
+    StaleEpoch,
+    OtherLife,
+    Nothing,
+}
+
+enum Event {
+    ReportArrives(usize, WorkerId, ReportDue),
+    ReportAnswered(usize, WorkerId, Called),
+    StartArrives(usize, WorkerId, fleet::StartOrder),
+    StartAnswered(usize, WorkerId, fleet::TaskId, u32, StartOutcome),
+    StopArrives(usize, WorkerId, fleet::TaskId, u32),
+    WriteArrives(usize, u64, Vec<Record>),
+    WriteAnswered(usize, u64, Written),
+    Listed(usize, Vec<fleet::WorkerEntry>),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Written {
+    Done,
+    Not,
+    Deposed,
+}
+
+/// Starts and good ends of one task as they really were.
+#[derive(Clone, Default)]
+struct Seen {
+    starts_ms: Vec<u64>,
+    /// Ends that were acknowledged.
+    noted_ms: Vec<u64>,
+}
+
+struct World {
+    begun: time::Instant,
+    now_ms: u64,
+    seed: u64,
+    troubles: Troubles,
+    leaders: Vec<Leader>,
+    workers: IndexMap<WorkerId, Worker>,
+    added: usize,
+    store: IndexMap<RecordKey, Vec<u8>>,
+    epoch: fleet::Epoch,
+    events: BTreeMap<(u64, u64), Event>,
+    sent: u64,
+    jobs: Vec<(u64, fleet::JobDescription)>,
+    seen: IndexMap<fleet::TaskId, Seen>,
+    elects_ms: u64,
+    /// Until when the store is slow.
+    slow_store_ms: u64,
+    broken: Vec<String>,
+    starts: usize,
+}
+
+impl World {
+    fn new(seed: u64, troubles: Troubles) -> Self {
+        let mut world = Self {
+            begun: time::Instant::now(),
+            now_ms: 0,
+            seed,
+            troubles,
+            leaders: Vec::new(),
+            workers: IndexMap::new(),
+            added: 0,
+            store: IndexMap::new(),
+            epoch: fleet::Epoch(0),
+            events: BTreeMap::new(),
+            sent: 0,
+            jobs: Vec::new(),
+            seen: IndexMap::new(),
+            elects_ms: 0,
+            slow_store_ms: 0,
+            broken: Vec::new(),
+            starts: 0,
+        };
+        for _ in 0..WORKERS {
+            world.add_worker();
+        }
+        world
+    }
+
+    /// A number below `below`, the same ones in each run.
+    fn random(&mut self, below: u64) -> u64 {
+        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005);
+        self.seed = self.seed.wrapping_add(1_442_695_040_888_963_407);
+        (self.seed >> 33) % below.max(1)
+    }
+
+    fn one_in(&mut self, times: u64) -> bool {
+        self.random(times) == 0
+    }
+
+    fn now(&self) -> time::Instant {
+        self.begun + kit::ms(self.now_ms)
+    }
+
+    fn wall_ms(&self, leader: usize) -> u64 {
+        WALL_MS + self.now_ms - self.leaders[leader].wall_off_ms
+    }
+
+    fn send(&mut self, in_ms: u64, event: Event) {
+        self.sent += 1;
+        self.events.insert((self.now_ms + in_ms, self.sent), event);
+    }
+
+    /// Way of a message: mostly quick, at times seconds late.
+    fn delay(&mut self) -> u64 {
+        match self.random(30) {
+            0 => self.random(2_500),
+            1..4 => self.random(300),
+            _ => 1 + self.random(5),
+        }
+    }
+
+    /// Way of an answer to a leader, with the time until it gets to it.
+    fn delay_to(&mut self, leader: usize) -> u64 {
+        let slow_ms = self.leaders[leader].slow_ms;
+        self.delay() + self.random(slow_ms + 1)
+    }
+
+    fn play(mut self) -> (Vec<String>, usize) {
+        while self.now_ms < PLAY_MS && self.broken.is_empty() {
+            self.now_ms += STEP_MS;
+            self.trouble();
+            self.elect();
+            self.submit();
+            self.run_workers();
+            while let Some(entry) = self.events.first_entry() {
+                if entry.key().0 > self.now_ms {
+                    break;
+                }
+                let event = entry.remove();
+                self.handle(event);
+            }
+            for leader in 0..self.leaders.len() {
+                if self.leaders[leader].alive && self.now_ms >= self.leaders[leader].begins_ms {
+                    self.lead(leader);
+                }
+            }
+        }
+        (self.broken, self.starts)
+    }
+}
+
+/// Plays seeds; what was broken, by seed.
+fn play(troubles: Troubles, seeds: &[u64]) -> Vec<(u64, Vec<String>)> {
+    const THREADS: usize = 4;
+    let part = move |seeds: Vec<u64>| {
+        let plays = seeds.into_iter().map(|seed| {
+            let (broken, starts) = World::new(seed * 7_919 + 1, troubles).play();
+            assert!(
+                !broken.is_empty() || starts > 100,
+                "seed {seed}: {starts} starts"
+            );
+            (seed, broken)
+        });
+        plays.collect::<Vec<_>>()
+    };
+    let parts = seeds.chunks(seeds.len().div_ceil(THREADS));
+    let parts = parts.map(|seeds| {
+        let seeds = seeds.to_vec();
+        thread::spawn(move || part(seeds))
+    });
+    let parts: Vec<_> = parts.collect();
+    let plays = parts.into_iter().flat_map(|part| part.join().unwrap());
+    plays.filter(|(_, broken)| !broken.is_empty()).collect()
+}
+
+/// Seeds to play: those given, or the first so many by the environment.
+fn seeds(standard: &[u64]) -> Vec<u64> {
+    let most = std::env::var("FIGSCALE_SEEDS").ok();
+    let most: Option<u64> = most.map(|text| text.parse().unwrap());
+    most.map_or(standard.to_vec(), |most| (0..most).collect())
+}
+
+/// The last two showed a worker that was forgotten while it was off the list,
+/// though what had ended there was not in the store.
+#[test]
+fn no_task_runs_twice_over_many_terms() {
+    let troubles = Troubles {
+        clocks_off_ms: 0,
+        occurrences: false,
+    };
+    let broken = play(troubles, &seeds(&[0, 1, 2, 3, 4, 5, 66, 385]));
+    assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
+}
+
+/// A leader begins an occurrence by its own time of day, and the next one may
+/// not find it in any record.
+#[test]
+fn no_occurrence_runs_twice_over_many_terms() {
+    for clocks_off_ms in [0, 2_000] {
+        let troubles = Troubles {
+            occurrences: true,
+            clocks_off_ms,
+        };
+        let broken = play(troubles, &seeds(&[0, 1, 2, 3]));
+        assert!(
+            broken.is_empty(),
+            "times {clocks_off_ms} ms apart, {} broken: {broken:#?}",
+            broken.len()
+        );
+    }
+}
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -0,0 +1,306 @@
+//! Workers of the play: what reaches them, what they do, and what the judge sees.
+
+use figscale_core::fleet::ReportDue;
+use figscale_types::fleet;
+use figscale_types::fleet::StartOutcome;
+use figscale_types::fleet::StartRefusal;
+use figscale_types::fleet::WorkerId;
+use indexmap::IndexMap;
+
+use super::CALL_TIMEOUT_MS;
+use super::Called;
+use super::Event;
+use super::Finished;
+use super::RunKey;
+use super::Running;
+use super::Worker;
+use super::World;
+use crate::kit;
+
+impl Worker {
+    pub(super) fn clock_ms(&self, now_ms: u64) -> u64 {
+        self.clock_offset_ms + now_ms * self.clock_percent / 100
+    }
+
+    pub(super) fn report(&self, now_ms: u64) -> fleet::WorkerReport {
+        fleet::WorkerReport {
+            clock_ms: self.clock_ms(now_ms),
+            running: self.running.values().map(|run| run.run.clone()).collect(),
+            finished: self.finished.iter().map(|end| end.run.clone()).collect(),
+        }
+    }
+
+    pub(super) fn end(&mut self, key: RunKey, end: fleet::End, now_ms: u64) {
+        if self.running.shift_remove(&key).is_none() {
+            return;
+        }
+        self.ended += 1;
+        let known = self.ended_attempts.entry(key.0).or_default();
+        *known = (*known).max(key.1);
+        let run = fleet::FinishedRun {
+            number: self.ended,
+            task: key.0,
+            attempt: key.1,
+            end,
+            checkpoint: String::new(),
+        };
+        self.finished.push(Finished { run, at_ms: now_ms });
+    }
+
+    pub(super) fn go(&mut self) {
+        self.up = false;
+        self.running.clear();
+    }
+}
+
+impl World {
+    pub(super) fn add_worker(&mut self) {
+        let number = self.added;
+        self.added += 1;
+        let rack = format!("r1-{}", number % 2);
+        let entry = fleet::WorkerEntry {
+            id: kit::worker_id(number),
+            service: "pool".to_owned(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            draining: false,
+            leaves_in: None,
+            room: fleet::Room {
+                cpu_millis: 8_000,
+                memory_mb: 131_072,
+                accelerators: 0,
+            },
+            labels: vec!["a".to_owned(), rack.clone()],
+            rack,
+        };
+        let worker = Worker {
+            entry,
+            listed: true,
+            up: true,
+            replaced: false,
+            leaves_ms: None,
+            unlisted_until_ms: 0,
+            clock_offset_ms: 1_000 + self.random(100_000),
+            clock_percent: 98 + self.random(4),
+            fence: fleet::Epoch(0),
+            lease_until_clock_ms: 0,
+            lapsed_ms: None,
+            running: IndexMap::new(),
+            finished: Vec::new(),
+            ended: 0,
+            ended_attempts: IndexMap::new(),
+        };
+        self.workers.insert(kit::worker_id(number), worker);
+    }
+
+    /// Workers leave, crash, and come and go on the list; leaders lose them.
+    pub(super) fn trouble(&mut self) {
+        let now_ms = self.now_ms;
+        if self.one_in(250) {
+            let number = self.random(self.workers.len() as u64) as usize;
+            let kind = self.random(4);
+            let (listed_ms, notice_ms) = (self.random(4_000), 2_000 + self.random(3_000));
+            let worker = &mut self.workers[number];
+            match kind {
+                0 => worker.unlisted_until_ms = now_ms + listed_ms,
+                1 if worker.up && worker.leaves_ms.is_none() => {
+                    worker.entry.draining = true;
+                    worker.entry.leaves_in = Some(kit::ms(1_900));
+                    worker.leaves_ms = Some(now_ms + notice_ms);
+                    self.add_worker();
+                }
+                2 if worker.up => {
+                    worker.go();
+                    worker.replaced = listed_ms.is_multiple_of(2);
+                    self.add_worker();
+                }
+                _ => (),
+            }
+        }
+        if self.one_in(500) {
+            // Entries lapse beside a store that is away, and come back.
+            self.slow_store_ms = now_ms + 500 + self.random(3_000);
+            for number in 0..self.workers.len() {
+                if self.one_in(2) {
+                    let unlisted_ms = self.slow_store_ms + self.random(2_000);
+                    self.workers[number].unlisted_until_ms = unlisted_ms;
+                }
+            }
+        }
+        if self.one_in(100) && !self.leaders.is_empty() {
+            let leader = self.random(self.leaders.len() as u64) as usize;
+            let number = self.random(self.workers.len() as u64) as usize;
+            let until_ms = now_ms + self.random(7_000);
+            let worker = self.workers.get_index(number).unwrap().0.clone();
+            self.leaders[leader].cut.insert(worker, until_ms);
+        }
+    }
+
+    pub(super) fn run_workers(&mut self) {
+        let now_ms = self.now_ms;
+        for worker in self.workers.values_mut() {
+            if worker.leaves_ms.is_some_and(|at| now_ms >= at) && worker.up {
+                worker.go();
+            }
+            // A worker that is gone is on the list for some time.
+            if !worker.up && worker.listed && now_ms.is_multiple_of(3_000) {
+                worker.listed = false;
+            }
+            if !worker.up {
+                continue;
+            }
+            let over = worker
+                .running
+                .iter()
+                .filter(|(_, run)| now_ms >= run.ends_ms);
+            let over: Vec<_> = over.map(|(key, run)| (*key, run.ends_as)).collect();
+            for (key, end) in over {
+                worker.end(key, end, now_ms);
+            }
+            if worker.clock_ms(now_ms) > worker.lease_until_clock_ms {
+                worker.lapsed_ms = Some(now_ms);
+                let keys: Vec<RunKey> = worker.running.keys().copied().collect();
+                for key in keys {
+                    worker.end(key, fleet::End::LeaseExpired, now_ms);
+                }
+            }
+        }
+    }
+
+    /// Whether a message gets from a leader to a worker, or back.
+    pub(super) fn reaches(&mut self, leader: usize, id: &WorkerId) -> bool {
+        let cut_until_ms = self.leaders[leader].cut.get(id).copied().unwrap_or(0);
+        !self.one_in(40) && self.now_ms >= cut_until_ms
+    }
+
+    pub(super) fn report(&mut self, number: usize, id: &WorkerId, due: ReportDue) {
+        let (epoch, now_ms) = (self.leaders[number].epoch, self.now_ms);
+        let arrives = self.reaches(number, id);
+        let answered = self.reaches(number, id);
+        let worker = &mut self.workers[id];
+        let mut noted = Vec::new();
+        let mut called = Called::Nothing;
+        if arrives && worker.up {
+            called = Called::StaleEpoch;
+            if epoch >= worker.fence {
+                worker.fence = epoch;
+                let until_ms = due.lease_until_clock_ms.unwrap_or(0);
+                worker.lease_until_clock_ms = worker.lease_until_clock_ms.max(until_ms);
+                let lapsed_ms = worker.lapsed_ms;
+                worker.finished.retain(|end| {
+                    let counts = lapsed_ms.is_none_or(|lapsed| lapsed < end.at_ms);
+                    let kept = end.run.number > due.acknowledged;
+                    if !kept && counts && end.run.end == fleet::End::Done {
+                        noted.push((end.run.task, end.at_ms));
+                    }
+                    kept
+                });
+                called = Called::Report(worker.report(now_ms));
+            }
+        } else if arrives && worker.replaced {
+            called = Called::OtherLife;
+        }
+        for (task, ended_ms) in noted {
+            self.note(task, ended_ms);
+        }
+        let delay = match answered {
+            true => self.delay_to(number),
+            false => {
+                called = Called::Nothing;
+                CALL_TIMEOUT_MS
+            }
+        };
+        self.send(delay, Event::ReportAnswered(number, id.clone(), called));
+    }
+
+    pub(super) fn start(&mut self, number: usize, id: &WorkerId, order: &fleet::StartOrder) {
+        let (epoch, now_ms) = (self.leaders[number].epoch, self.now_ms);
+        let arrives = self.reaches(number, id);
+        let answered = self.reaches(number, id);
+        let key = (order.task, order.attempt);
+        let (length_ms, luck) = (50 + self.random(2_000), self.random(20));
+        let worker = &mut self.workers[id];
+        let clock_ms = worker.clock_ms(now_ms);
+        let old = worker.ended_attempts.get(&order.task);
+        let old = old.is_some_and(|ended| order.attempt <= *ended);
+        let mut outcome = match () {
+            () if !arrives || !worker.up => StartOutcome::Unknown,
+            () if epoch < worker.fence => StartOutcome::Refused(StartRefusal::StaleEpoch),
+            () if old => StartOutcome::Refused(StartRefusal::OldAttempt),
+            () if clock_ms > order.expires_clock_ms => StartOutcome::Refused(StartRefusal::Expired),
+            () => StartOutcome::Started { clock_ms },
+        };
+        if matches!(outcome, StartOutcome::Started { .. }) {
+            worker.fence = epoch;
+            worker.lease_until_clock_ms = worker.lease_until_clock_ms.max(order.expires_clock_ms);
+            if !worker.running.contains_key(&key) {
+                let run = fleet::RunningTask {
+                    task: order.task,
+                    attempt: order.attempt,
+                    checkpoint: String::new(),
+                    pace_percent: 100,
+                    used_cpu_millis: Some(1_000),
+                };
+                let ends_as = match luck {
+                    0 => fleet::End::Failed,
+                    _ => fleet::End::Done,
+                };
+                let ends_ms = now_ms + length_ms;
+                let running = Running {
+                    run,
+                    ends_ms,
+                    ends_as,
+                };
+                worker.running.insert(key, running);
+                self.judge_start(key);
+            }
+        }
+        if !answered {
+            outcome = StartOutcome::Unknown;
+        }
+        let delay = self.delay_to(number);
+        let event = Event::StartAnswered(number, id.clone(), order.task, order.attempt, outcome);
+        self.send(delay, event);
+    }
+
+    pub(super) fn stop(&mut self, number: usize, id: &WorkerId, task: fleet::TaskId, attempt: u32) {
+        let (epoch, now_ms) = (self.leaders[number].epoch, self.now_ms);
+        let arrives = self.reaches(number, id);
+        let worker = &mut self.workers[id];
+        if arrives && worker.up && epoch >= worker.fence {
+            worker.fence = epoch;
+            worker.end((task, attempt), fleet::End::Stopped, now_ms);
+        }
+    }
+
+    pub(super) fn judge_start(&mut self, key: RunKey) {
+        let (task, attempt) = key;
+        self.starts += 1;
+        let up = self.workers.values().filter(|worker| worker.up);
+        let runs = up.flat_map(|worker| worker.running.keys());
+        let live = runs.filter(|(other, _)| *other == task).count();
+        let now_ms = self.now_ms;
+        if live > 1 {
+            let broken = format!("{now_ms}: {task} attempt {attempt} runs beside another");
+            self.broken.push(broken);
+        }
+        let seen = self.seen.entry(task).or_default();
+        seen.starts_ms.push(now_ms);
+        if let Some(ended_ms) = seen.noted_ms.first() {
+            let broken = format!("{now_ms}: {task} attempt {attempt} after its end at {ended_ms}");
+            self.broken.push(broken);
+        }
+    }
+
+    /// A good end is acknowledged.
+    pub(super) fn note(&mut self, task: fleet::TaskId, ended_ms: u64) {
+        let now_ms = self.now_ms;
+        let seen = self.seen.entry(task).or_default();
+        seen.noted_ms.push(ended_ms);
+        if let Some(start_ms) = seen.starts_ms.iter().find(|start| **start > ended_ms) {
+            let broken = format!(
+                "{now_ms}: end of {task} at {ended_ms} acknowledged, started again at {start_ms}"
+            );
+            self.broken.push(broken);
+        }
+    }
+}
