--- a/crates/figscale-core/tests/fleet/recovery.rs
+++ b/crates/figscale-core/tests/fleet/recovery.rs
@@ -35,12 +35,9 @@
     assert_eq!(cell.state(1), Some(JobState::Completed));
 }
 
-/// The worker that runs the task does not answer the new leader.
-#[test]
-fn a_task_that_is_not_found_waits_for_every_lease() {
-    let mut cell = Cell::new(3);
-    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
-    let (home, _) = cell.placed(kit::task(1, 0, 0))[0].clone();
+/// The worker of a task, started once, does not answer the next leader.
+fn waits_for_every_lease(cell: &mut Cell, task: fleet::TaskId) {
+    let (home, _) = cell.placed(task)[0].clone();
     cell.workers.get_mut(&home).unwrap().reachable = false;
     cell.take_over(2);
     cell.pass(4_000);
@@ -49,6 +46,14 @@
     assert_eq!(cell.starts(), 2);
 }
 
+/// The worker that runs the task does not answer the new leader.
+#[test]
+fn a_task_that_is_not_found_waits_for_every_lease() {
+    let mut cell = Cell::new(3);
+    cell.run(1, &kit::queue(1), vec![kit::step(1, 1)]);
+    waits_for_every_lease(&mut cell, kit::task(1, 0, 0));
+}
+
 #[test]
 fn new_jobs_do_not_wait_for_silent_workers() {
     let mut cell = Cell::new(3);
@@ -187,13 +192,7 @@
 #[test]
 fn an_occurrence_that_no_record_tells_of_waits_for_every_lease() {
     let mut cell = with_an_unwritten_occurrence();
-    let (home, _) = cell.placed(occurrence(0))[0].clone();
-    cell.workers.get_mut(&home).unwrap().reachable = false;
-    cell.take_over(2);
-    cell.pass(4_000);
-    assert_eq!(cell.starts(), 1, "started while its first run may go on");
-    cell.pass(1_500);
-    assert_eq!(cell.starts(), 2);
+    waits_for_every_lease(&mut cell, occurrence(0));
 }
 
 /// By the next leader's time of day the occurrence is not due yet.
