Gangs that keep workers grow with the fleet, wide questions with the lanes

Three gangs at a time might keep workers and ask widely, however many workers and instances there are, so some fifty others found no room and asked each second in vain.

Ruled out: takeovers (none before second 35), workers that fail (none), processor (0.14 of a core).

Change: one gang for 16 usable workers may keep workers (three at least); one for five lanes may ask for a wide choice (three at least).

--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -21,11 +21,20 @@
 use super::scheduler;
 use super::worker;
 
-/// Gangs that may keep workers for runs still to end, at the same time; more
-/// would leave most workers waiting. Gangs that wait for nothing but tickets are
-/// not counted: their room is idle for one answer only. While the advisory
-/// service is away there is no answer, and they count like the others.
-const MAX_RESERVING: usize = 3;
+/// One gang for so many usable workers may keep workers for runs still to end, at
+/// the same time; more would leave most workers waiting. Gangs that wait for
+/// nothing but tickets are not counted: their room is idle for one answer only.
+/// While the advisory service is away there is no answer, and they count like the
+/// others.
+const WORKERS_PER_RESERVING: usize = 16;
+/// Gangs that may do so however small the fleet is.
+const MIN_RESERVING: usize = 3;
+/// One gang for so many ways to the advisory service may ask for a wide choice of
+/// workers. More of them would take these ways from gangs that could start with
+/// few tickets.
+const LANES_PER_FIRST: usize = 5;
+/// Gangs that may do so however few instances there are.
+const MIN_FIRST: usize = 3;
 /// Attempts of one term; the next term's numbers begin above them.
 const ATTEMPTS_PER_EPOCH: u64 = 1_000;
 
@@ -273,7 +282,8 @@
         description: &fleet::StepDescription,
         pass: &mut pass::Pass,
     ) {
-        let may_wait = pass.reserving < MAX_RESERVING;
+        let most_reserving = (pass.usable.len() / WORKERS_PER_RESERVING).max(MIN_RESERVING);
+        let may_wait = pass.reserving < most_reserving;
         if !may_wait && !self.may_ask(&candidate.task) {
             return;
         }
@@ -283,7 +293,8 @@
         {
             return;
         }
-        candidate.goes_first = may_wait || kept_for_it;
+        let most_first = (self.lanes.lanes.len() / LANES_PER_FIRST).max(MIN_FIRST);
+        candidate.goes_first = pass.reserving < most_first || kept_for_it;
         pass.reserving += usize::from(reservation.is_none());
         candidate.reservation = reservation.map(|mut reservation| {
             let soon = !self.lanes.service_is_away()
--- a/crates/figscale-core/tests/fleet/backlog.rs
+++ b/crates/figscale-core/tests/fleet/backlog.rs
@@ -15,6 +15,7 @@
 use std::thread;
 
 use figscale_core::fleet::Admission;
+use figscale_core::fleet::Note;
 use figscale_core::fleet::Question;
 use figscale_types::fleet;
 use indexmap::IndexMap;
@@ -27,6 +28,8 @@
 const WORKERS: usize = 175;
 const CORES: u64 = 64;
 const MEMBERS: usize = 18;
+/// A larger site has more entry instances for its workers.
+const MANY_MEMBERS: usize = 32;
 const SEEDS: [u64; 6] = [1, 2, 3, 5, 12, 13];
 const STEP_MS: u64 = 50;
 const TRAFFIC_MS: u64 = 60_000;
@@ -87,6 +90,8 @@
     cell: Cell,
     kinds: Vec<Kind>,
     taken: IndexMap<u64, Taken>,
+    /// Gangs that were taken.
+    gangs: Vec<u64>,
     /// Questions on their way, with the time of the answer.
     asked: Vec<(u64, Question)>,
     ends: IndexMap<(fleet::TaskId, u32), u64>,
@@ -99,6 +104,8 @@
     estimates_off: f64,
     /// Room counts also on workers where the policy forbids the job.
     room_anywhere: bool,
+    /// Entry instances that can ask the advisory service.
+    members: usize,
 }
 
 impl Backlog {
@@ -107,6 +114,7 @@
             cell: Cell::with_cores(WORKERS, CORES),
             kinds: kinds(),
             taken: IndexMap::new(),
+            gangs: Vec::new(),
             asked: Vec::new(),
             ends: IndexMap::new(),
             answers_late_ms,
@@ -115,13 +123,14 @@
             random: kit::Random(seed),
             estimates_off: 0.0,
             room_anywhere: false,
+            members: MEMBERS,
         };
         backlog.join();
         backlog
     }
 
     fn join(&mut self) {
-        self.cell.join(1..=MEMBERS);
+        self.cell.join(1..=self.members);
     }
 
     /// Plays the traffic, a change of leaders and the time after it; the jobs
@@ -146,6 +155,26 @@
         lost
     }
 
+    /// Plays the traffic and what is left of it under one leader; the part of the
+    /// gangs that ended in time.
+    fn play_in_time(mut self) -> f64 {
+        while self.at_ms < TRAFFIC_MS {
+            self.arrive();
+            self.step();
+        }
+        while self.at_ms < TRAFFIC_MS + CATCH_UP_MS + WATCHED_MS {
+            self.step();
+        }
+        let notes = self.cell.notes.iter();
+        let ended = notes.filter_map(|note| match note {
+            Note::JobEnded { job, late, .. } => Some((job.0, *late)),
+            _ => None,
+        });
+        let ended: IndexMap<u64, bool> = ended.collect();
+        let in_time = |gang: &&u64| ended.get(*gang) == Some(&false);
+        self.gangs.iter().filter(in_time).count() as f64 / self.gangs.len() as f64
+    }
+
     fn arrive(&mut self) {
         for kind in 0..self.kinds.len() {
             let gang = self.kinds[kind].step.gang;
@@ -182,6 +211,9 @@
         let answer = self
             .cell
             .submit(number, &queue, kit::job(vec![step.clone()]));
+        if answer == Admission::Accepted && step.gang {
+            self.gangs.push(number);
+        }
         if answer == Admission::Accepted {
             let taken = Taken {
                 kind,
@@ -311,6 +343,20 @@
     assert!(lost.iter().all(Vec::is_empty), "waiting, by seed: {lost:?}");
 }
 
+/// The same with as many instances for the workers as a larger site has.
+#[test]
+fn nothing_waits_beside_free_room_with_many_instances() {
+    let play = |seed| {
+        let mut backlog = Backlog::new(seed, 0);
+        backlog.members = MANY_MEMBERS;
+        backlog.join();
+        backlog.play()
+    };
+    let plays = SEEDS.map(|seed| thread::spawn(move || play(seed)));
+    let lost = plays.map(|play| play.join().unwrap());
+    assert!(lost.iter().all(Vec::is_empty), "waiting, by seed: {lost:?}");
+}
+
 /// The strictest reading, on the seeds that showed the fault first: also room on
 /// workers where a job may not run counts.
 #[test]
@@ -338,6 +384,21 @@
     assert!(lost.iter().all(Vec::is_empty), "waiting, by seed: {lost:?}");
 }
 
+/// Many gangs wait at once on a large fleet, and all but few are in time.
+#[test]
+fn gangs_that_wait_together_are_in_time() {
+    let play = |seed| {
+        let mut backlog = Backlog::new(seed, 0);
+        backlog.members = MANY_MEMBERS;
+        backlog.join();
+        backlog.play_in_time()
+    };
+    let plays = SEEDS.map(|seed| thread::spawn(move || play(seed)));
+    let in_time = plays.map(|play| play.join().unwrap());
+    let mean = in_time.iter().sum::<f64>() / in_time.len() as f64;
+    assert!(mean > 0.9, "in time, by seed: {in_time:?}");
+}
+
 /// Of gangs that are late the one that has waited longest goes first, however
 /// short it is.
 #[test]
