Relays carry calls of workers; an overloaded leader is not taken for dead

The leader's link (2 Mbit/s) or processor (0.12 of a core) was full; greetings were answered behind everything else, peers missed it for 0.4 s, and each winner had as much to do and a takeover besides: 11 and 14 terms, nothing served.

A greeting is answered from what the term told last, without its mailbox; late answers count, and a leader that has become slow is allowed a longer silence. The list of instances is sent only where it differs. A pass that took long is followed by a rest.

--- a/crates/figscale-core/examples/fleet_cost.rs
+++ b/crates/figscale-core/examples/fleet_cost.rs
@@ -150,6 +150,7 @@
             },
             labels: vec!["a".to_owned()],
             rack: format!("r1-{}", number / 8),
+            failure_domain: String::new(),
         });
         let report = fleet::WorkerReport {
             clock_ms: CLOCK_MS,
--- a/crates/figscale-core/src/fleet/silence.rs
+++ b/crates/figscale-core/src/fleet/silence.rs
@@ -18,11 +18,18 @@
 /// slower than usual answers within 50 ms.
 pub const SILENCE: time::Duration = time::Duration::from_millis(400);
 
+/// A leader whose last answer took long is allowed so many times that in addition.
+const SLOW_TIMES: u32 = 4;
+/// Silence after which any leader may be lost, however slow it was.
+const MAX_SILENCE: time::Duration = time::Duration::from_millis(3_000);
+
 /// Time between greetings. With [`SILENCE`] it decides how soon a leader without
 /// power is replaced: 0.45 to 0.7 s in place of the 1.1 to 1.5 s of its lease.
 pub const HELLO_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// Time for the answer to a greeting.
 pub const HELLO_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// An answer to a greeting that comes so late still shows that the leader lives.
+pub const LATE_ANSWER: time::Duration = time::Duration::from_millis(1_000);
 /// Time for a peer to say what it knows of the leader.
 pub const SIGHTING_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
@@ -55,6 +62,29 @@
     }
 }
 
+/// How long a leader's answers take, as one peer sees it.
+///
+/// A leader with more to do than its processor or its link carries answers later
+/// and later. It is not lost: whoever took its place would have as much to do,
+/// and would read all records and ask all workers before. So whoever has seen it
+/// become slow waits longer for its next answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerTimes {
+    last: time::Duration,
+}
+
+impl AnswerTimes {
+    /// The leader has answered after this time.
+    pub fn note(&mut self, took: time::Duration) {
+        self.last = took;
+    }
+
+    /// Silence after which the leader may be lost.
+    pub fn allowed_silence(&self) -> time::Duration {
+        (SILENCE + self.last * SLOW_TIMES).min(MAX_SILENCE)
+    }
+}
+
 /// What a peer says of the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerView {
@@ -67,12 +97,12 @@
 }
 
 /// Whether a leader that last answered here `heard` ago is lost, as all its
-/// other peers see it.
-pub fn is_lost(heard: time::Duration, peers: &[PeerView]) -> bool {
-    let hears = |view: &&PeerView| matches!(view, PeerView::Heard(ago) if *ago < SILENCE);
-    let misses = |view: &&PeerView| matches!(view, PeerView::Heard(ago) if *ago >= SILENCE);
+/// other peers see it; `allowed` is the silence that it is allowed.
+pub fn is_lost(heard: time::Duration, peers: &[PeerView], allowed: time::Duration) -> bool {
+    let hears = |view: &&PeerView| matches!(view, PeerView::Heard(ago) if *ago < allowed);
+    let misses = |view: &&PeerView| matches!(view, PeerView::Heard(ago) if *ago >= allowed);
     let missed = peers.iter().filter(misses).count();
-    let heard_by_any = heard < SILENCE || peers.iter().any(|view| hears(&view));
+    let heard_by_any = heard < allowed || peers.iter().any(|view| hears(&view));
     // With this instance: more than half of all, and never this one alone.
     let agreed = missed > 0 && 2 * (missed + 1) > peers.len() + 1;
     agreed && !heard_by_any
--- a/crates/figscale-core/tests/fleet/kit.rs
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -202,6 +202,7 @@
             },
             labels: vec!["a".to_owned(), rack.clone()],
             rack,
+            failure_domain: String::new(),
         };
         self.scheduler.worker_listed(entry.clone());
         let worker = FakeWorker {
--- a/crates/figscale-core/tests/fleet/terms/workers.rs
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -71,6 +71,7 @@
             },
             labels: vec!["a".to_owned(), rack.clone()],
             rack,
+            failure_domain: String::new(),
         };
         let worker = Worker {
             entry,
--- a/crates/figscale-types/src/fleet/worker.rs
+++ b/crates/figscale-types/src/fleet/worker.rs
@@ -28,10 +28,12 @@
     pub labels: Vec<String>,
     /// Which of the labels is its rack; empty for none.
     pub rack: String,
+    /// Failure domain that it stands in; empty if that is not told.
+    pub failure_domain: String,
 }
 
 /// A task that runs on a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningTask {
     /// Which.
     pub task: ids::TaskId,
@@ -46,7 +48,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// Well.
     Done,
@@ -63,7 +65,7 @@
 }
 
 /// A run that ended on a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FinishedRun {
     /// Position in the worker's list, from 1, rising.
     pub number: u64,
@@ -78,7 +80,7 @@
 }
 
 /// A worker's account of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker's own steady clock.
     pub clock_ms: u64,
@@ -115,7 +117,7 @@
 }
 
 /// Why a worker refused a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRefusal {
     /// It has seen orders of a later epoch.
     StaleEpoch,
@@ -136,7 +138,7 @@
 }
 
 /// What became of a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
     /// It runs, or ran.
     Started {
--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -22,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::calls;
 use super::direct;
 use crate::metrics;
 use crate::peer;
@@ -96,6 +97,11 @@
         *mutex::lock(&self.roster) = addresses;
     }
 
+    /// Fingerprint of the instances known.
+    pub(super) fn roster_hash(&self) -> calls::RosterHash {
+        calls::RosterHash::of(&mutex::lock(&self.roster))
+    }
+
     /// The other entry instances, in no particular order.
     pub(super) fn roster(&self) -> Vec<net::SocketAddr> {
         let mut others = mutex::lock(&self.roster).clone();
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -1,5 +1,8 @@
 //! What entry instances say to their leader, and its answers.
 
+use std::hash;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
 use std::net;
 
 use figscale_types::fleet;
@@ -12,6 +15,22 @@
 /// Name of the service that asks for advice among peers.
 pub(super) const ADVICE_SERVICE: &str = "fleet-advice";
 
+/// Fingerprint of a list of instances, in whatever order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct RosterHash(u64);
+
+impl RosterHash {
+    pub(super) fn of(addresses: &[net::SocketAddr]) -> Self {
+        let hash = |address: &net::SocketAddr| {
+            let mut hasher = hash::DefaultHasher::new();
+            address.hash(&mut hasher);
+            hasher.finish()
+        };
+        let hashes = addresses.iter().map(hash);
+        Self(hashes.fold(0, u64::wrapping_add))
+    }
+}
+
 /// A call to the leader.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) enum LeaderCall {
@@ -37,9 +56,13 @@
         leader: ids::MemberKey,
         member: ids::MemberId,
         address: net::SocketAddr,
+        /// Where it stands; it carries calls of workers there.
+        failure_domain: ids::FailureDomain,
         /// Processor that it could lead with, in thousandths of a core; 0 if
         /// it cannot lead now.
         cpu_millis: u64,
+        /// Fingerprint of the instances that it knows of.
+        roster: RosterHash,
     },
 }
 
@@ -61,6 +84,8 @@
 pub(super) enum LeaderAnswer {
     /// This instance does not lead; nothing was done.
     NotLeader,
+    /// This instance has won a term and reads the records; nothing was done.
+    Beginning,
     /// The life that was greeted is over; another has its address.
     OtherLife,
     /// The term ended meanwhile; the call may have been acted on.
@@ -82,9 +107,10 @@
     Listed(Vec<fleet::JobView>),
     /// Number of waiting jobs.
     Pending(u64),
-    /// The other instances that the leader has heard from.
+    /// The leader leads.
     Welcome {
-        peers: Vec<net::SocketAddr>,
+        /// The other instances that it has heard from, unless they are known.
+        peers: Option<Vec<net::SocketAddr>>,
         /// Most processor that one of them could lead with, in thousandths of
         /// a core.
         strongest_millis: u64,
--- a/crates/figscale/src/fleet/leadership.rs
+++ b/crates/figscale/src/fleet/leadership.rs
@@ -34,6 +34,8 @@
     pub(crate) key_known: bool,
     /// This instance leads and its scheduler answers.
     pub(crate) leading: bool,
+    /// This instance has won a term and reads the records.
+    pub(crate) beginning: bool,
     /// Revision of a leader's key whose process has ended.
     pub(crate) ended_revision: Option<u64>,
     /// When the leader last answered.
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -7,11 +7,12 @@
 //! than the end of a lease. Silence proves nothing by itself: the other peers
 //! are asked, and the leader is given up if most of them miss it too.
 
-use std::net;
+use std::sync;
 use std::time;
 
 use figscale_core::fleet;
 use figscale_types::clock;
+use figscale_types::mutex;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -123,17 +124,19 @@
 
 async fn greet(context: Context) {
     let mut not_leading = fleet::NotLeading::default();
+    let speed = sync::Arc::new(sync::Mutex::new(fleet::AnswerTimes::default()));
     let mut changes = context.leadership.subscribe();
     loop {
         let known = changes.borrow_and_update().clone();
         if let Some(leader) = known.leader
             && leader.member != context.me
         {
-            let outcome = hello(&context, &leader).await;
+            let outcome = hello(&context, &leader, &speed).await;
             if outcome != Outcome::NotLeading {
                 not_leading.reset();
             }
-            let cause = why_over(&context, &leader, outcome, &mut not_leading).await;
+            let allowed = mutex::lock(&speed).allowed_silence();
+            let cause = why_over(&context, &leader, outcome, allowed, &mut not_leading).await;
             if let Some(cause) = cause {
                 ended(&context, &leader, known.key_revision, cause);
             }
@@ -148,15 +151,19 @@
     context: &Context,
     leader: &leadership::Leader,
     outcome: Outcome,
+    allowed: time::Duration,
     not_leading: &mut fleet::NotLeading,
 ) -> Option<&'static str> {
     match outcome {
-        Outcome::Welcome(mut others) => {
-            others.push(leader.address);
-            context.store.set_roster(others);
+        Outcome::Welcome => {
             heard(context, true);
             None
         }
+        // It may read for seconds; the next winner would read as long.
+        Outcome::Beginning => {
+            heard(context, false);
+            None
+        }
         Outcome::Ended => Some(PROCESS_GONE),
         Outcome::NotLeading => {
             heard(context, false);
@@ -166,7 +173,7 @@
         }
         Outcome::Silent => {
             let views = ask_peers(context, leader).await;
-            is_lost(context, leader, &views).then_some(MISSED)
+            is_lost(context, leader, &views, allowed).then_some(MISSED)
         }
     }
 }
@@ -183,45 +190,69 @@
 }
 
 /// Whether a leader that does not answer here is lost to the others as well.
-fn is_lost(context: &Context, leader: &leadership::Leader, peers: &[fleet::PeerView]) -> bool {
+fn is_lost(
+    context: &Context,
+    leader: &leadership::Leader,
+    peers: &[fleet::PeerView],
+    allowed: time::Duration,
+) -> bool {
     let known = context.leadership.borrow().clone();
     let Some(heard_at) = known.heard_at else {
         return false;
     };
     let silence = context.clock.now().saturating_duration_since(heard_at);
-    let lost = known.leader.as_ref() == Some(leader) && fleet::is_lost(silence, peers);
+    let lost = known.leader.as_ref() == Some(leader) && fleet::is_lost(silence, peers, allowed);
     crate::event!(
         events::fleet::LEADER_SILENT,
         leader = leader.member,
         epoch = leader.epoch,
         silent_ms = silence.as_millis(),
+        allowed_ms = allowed.as_millis(),
         peers = format_args!("{peers:?}"),
         lost = lost
     );
     lost
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
-    Welcome(Vec<net::SocketAddr>),
+    Welcome,
+    /// It has won a term and reads the records.
+    Beginning,
     NotLeading,
     Ended,
     Silent,
 }
 
-async fn hello(context: &Context, leader: &leadership::Leader) -> Outcome {
+/// How quickly the leader answers.
+type Speed = sync::Arc<sync::Mutex<fleet::AnswerTimes>>;
+
+/// Greets the leader once. A greeting that is overdue goes on beside the next one,
+/// since a late answer shows as well that the leader lives.
+async fn hello(context: &Context, leader: &leadership::Leader, speed: &Speed) -> Outcome {
     if leader.member.id == context.me.id {
         // An earlier life of this very instance.
         return Outcome::Ended;
     }
+    let greeting = greet_once(context.clone(), leader.clone(), speed.clone());
+    let greeting = tokio::spawn(greeting);
+    match tokio::time::timeout(fleet::HELLO_TIMEOUT, greeting).await {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(_)) | Err(_) => Outcome::Silent,
+    }
+}
+
+async fn greet_once(context: Context, leader: leadership::Leader, speed: Speed) -> Outcome {
     let call = calls::LeaderCall::Hello {
         leader: leader.member.clone(),
         member: context.me.id.clone(),
         address: context.settings.peer_address,
-        cpu_millis: match leadership::may_stand(context) && context.store.answers_directly() {
-            true => fitness::cpu_millis(context),
+        failure_domain: context.settings.failure_domain.clone(),
+        cpu_millis: match leadership::may_stand(&context) && context.store.answers_directly() {
+            true => fitness::cpu_millis(&context),
             false => 0,
         },
+        roster: context.store.roster_hash(),
     };
     // A link can have broken long ago, so a quick failure is tried once more.
     let begun = context.clock.now();
@@ -229,25 +260,20 @@
         let service = calls::LEADER_SERVICE;
         let answer = context
             .peers
-            .call(leader.address, service, &call, fleet::HELLO_TIMEOUT)
+            .call(leader.address, service, &call, fleet::LATE_ANSWER)
             .await;
+        let took = context.clock.now().saturating_duration_since(begun);
         match answer {
-            Ok(calls::LeaderAnswer::Welcome {
-                peers,
-                strongest_millis,
-            }) => {
-                leadership::note(context, |known| known.strongest_millis = strongest_millis);
-                return Outcome::Welcome(peers);
+            Ok(answer) => {
+                mutex::lock(&speed).note(took);
+                return take_in_answer(&context, &leader, answer, took);
             }
-            Ok(calls::LeaderAnswer::OtherLife) => return Outcome::Ended,
-            Ok(_) => return Outcome::NotLeading,
             Err(error) => {
                 context.peers.forget(leader.address);
                 if error.is_refused() {
                     return Outcome::Ended;
                 }
-                let waited = context.clock.now().saturating_duration_since(begun);
-                if waited >= fleet::HELLO_TIMEOUT / 2 {
+                if took >= fleet::HELLO_TIMEOUT / 2 {
                     return Outcome::Silent;
                 }
             }
@@ -256,6 +282,33 @@
     Outcome::Silent
 }
 
+fn take_in_answer(
+    context: &Context,
+    leader: &leadership::Leader,
+    answer: calls::LeaderAnswer,
+    took: time::Duration,
+) -> Outcome {
+    let (peers, strongest_millis) = match answer {
+        calls::LeaderAnswer::Welcome {
+            peers,
+            strongest_millis,
+        } => (peers, strongest_millis),
+        calls::LeaderAnswer::Beginning => return Outcome::Beginning,
+        calls::LeaderAnswer::OtherLife => return Outcome::Ended,
+        _ => return Outcome::NotLeading,
+    };
+    leadership::note(context, |known| known.strongest_millis = strongest_millis);
+    if let Some(mut others) = peers {
+        others.push(leader.address);
+        context.store.set_roster(others);
+    }
+    let same = context.leadership.borrow().leader.as_ref() == Some(leader);
+    if took > fleet::HELLO_TIMEOUT && same {
+        heard(context, true);
+    }
+    Outcome::Welcome
+}
+
 fn ended(context: &Context, leader: &leadership::Leader, key_revision: u64, cause: &'static str) {
     context.leadership.send_if_modified(|known| {
         let same = known.leader.as_ref() == Some(leader) && known.key_revision == key_revision;
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! - `election` knows who leads, and stands for leadership;
 //! - `term` runs the scheduler while this instance leads;
 //! - `entry` answers callers, passing on to the leader what it decides;
+//! - `relay` makes calls of workers on the leader's behalf;
 //! - `advice` asks the advisory service on the leader's behalf.
 //!
 //! Everything runs on one thread: these machines have a quarter of a core, on
@@ -31,6 +32,7 @@
 mod operators;
 mod outcome;
 mod readiness;
+mod relay;
 mod term;
 mod workers;
 
@@ -83,6 +85,8 @@
     /// Whether this machine has turned slow.
     pub(crate) fitness: fitness::Shared,
     pub(crate) leaving: sync::Arc<watch::Sender<bool>>,
+    /// Greetings that came while this instance leads.
+    greetings: sync::Arc<sync::Mutex<term::Greetings>>,
 }
 
 impl Context {
@@ -124,6 +128,7 @@
     let mut handlers = peer::Handlers::default();
     context.store.serve(&mut handlers);
     advice::start(&context, &mut handlers);
+    relay::start(&context, &mut handlers);
     term::start(&context, &mut handlers);
     election::start(&context, &mut handlers);
     fitness::start(&context);
@@ -201,5 +206,6 @@
         leadership: sync::Arc::new(watch::Sender::new(leadership::Leadership::default())),
         fitness: fitness::Shared::default(),
         leaving: sync::Arc::new(watch::Sender::new(false)),
+        greetings: sync::Arc::default(),
     }
 }
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -77,18 +77,8 @@
             LeaderCall::Pending { queue } => {
                 reply.send(LeaderAnswer::Pending(self.scheduler.pending(&queue)));
             }
-            LeaderCall::Hello {
-                member,
-                address,
-                cpu_millis,
-                ..
-            } => {
-                self.on_hello(member, address, cpu_millis);
-                reply.send(LeaderAnswer::Welcome {
-                    peers: self.members.values().map(|member| member.address).collect(),
-                    strongest_millis: self.strongest_millis(),
-                });
-            }
+            // Answered before it comes here.
+            LeaderCall::Hello { .. } => reply.send(LeaderAnswer::NotLeader),
         }
     }
 
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -1,17 +1,29 @@
 //! Entry instances that greet the leader.
 //!
+//! A greeting is answered at once from what the term has told last, and taken in
+//! with the next tick. So a leader with a full mailbox or a long pass still shows
+//! that it is there: whoever takes its place would have as much to do, and would
+//! read all records before.
+//!
 //! A leader that most of its peers cannot reach serves nobody, although its
 //! lease at the store goes on; it gives up and lets another lead.
 
+use std::mem;
 use std::net;
 use std::time;
 
 use figscale_core::fleet;
 use figscale_types::ids;
+use figscale_types::mutex;
+use indexmap::IndexMap;
 
 use super::Ended;
 use super::Term;
 use crate::events;
+use crate::fleet::Context;
+use crate::fleet::calls;
+use crate::fleet::calls::LeaderAnswer;
+use crate::fleet::calls::LeaderCall;
 use crate::fleet::fitness;
 
 /// An instance that has not greeted for so long is gone.
@@ -31,14 +43,78 @@
     pub(super) cpu_millis: u64,
 }
 
+/// A greeting that the term has not taken in.
+struct Greeting {
+    address: net::SocketAddr,
+    failure_domain: ids::FailureDomain,
+    cpu_millis: u64,
+    heard: time::Instant,
+}
+
+/// Greetings between a term and those who answer them.
+#[derive(Default)]
+pub(in crate::fleet) struct Greetings {
+    /// By instance, the last of each.
+    new: IndexMap<ids::MemberId, Greeting>,
+    /// The instances that the term knows.
+    peers: Vec<net::SocketAddr>,
+    roster: calls::RosterHash,
+    strongest_millis: u64,
+}
+
+/// Answers a greeting while this instance leads.
+pub(super) fn welcome(context: &Context, call: LeaderCall) -> LeaderAnswer {
+    let LeaderCall::Hello {
+        member,
+        address,
+        failure_domain,
+        cpu_millis,
+        roster,
+        ..
+    } = call
+    else {
+        return LeaderAnswer::NotLeader;
+    };
+    let mut greetings = mutex::lock(&context.greetings);
+    let greeting = Greeting {
+        address,
+        failure_domain,
+        cpu_millis,
+        heard: context.clock.now(),
+    };
+    greetings.new.insert(member, greeting);
+    LeaderAnswer::Welcome {
+        peers: (roster != greetings.roster).then(|| greetings.peers.clone()),
+        strongest_millis: greetings.strongest_millis,
+    }
+}
+
 impl Term {
-    pub(super) fn on_hello(
-        &mut self,
-        id: ids::MemberId,
-        address: net::SocketAddr,
-        cpu_millis: u64,
-    ) {
-        let heard = self.now();
+    /// Takes in the greetings since the last time, and tells whom it knows.
+    pub(super) fn take_in_greetings(&mut self) {
+        let new = mem::take(&mut mutex::lock(&self.context.greetings).new);
+        for (id, greeting) in new {
+            self.on_hello(id, greeting);
+        }
+        let peers: Vec<_> = self.members.values().map(|member| member.address).collect();
+        self.context.store.set_roster(peers.clone());
+        // With the leader's own address, as those who greet know it.
+        let mut known = peers.clone();
+        known.push(self.context.settings.peer_address);
+        let mut greetings = mutex::lock(&self.context.greetings);
+        greetings.roster = calls::RosterHash::of(&known);
+        greetings.peers = peers;
+        greetings.strongest_millis = self.strongest_millis();
+    }
+
+    fn on_hello(&mut self, id: ids::MemberId, greeting: Greeting) {
+        let Greeting {
+            address,
+            failure_domain,
+            cpu_millis,
+            heard,
+        } = greeting;
+        self.workers.relays.joined(&id, address, failure_domain);
         self.scheduler.member_joined(&id);
         self.yield_to_stronger(&id, cpu_millis);
         let member = Member {
@@ -47,8 +123,6 @@
             cpu_millis,
         };
         self.members.insert(id, member);
-        let known = self.members.values().map(|member| member.address);
-        self.context.store.set_roster(known.collect());
     }
 
     /// Most processor that a member, or this instance, leads with.
@@ -85,6 +159,7 @@
     /// An instance is gone until it greets again; nothing is asked through it.
     pub(super) fn drop_member(&mut self, id: &ids::MemberId) {
         self.members.swap_remove(id);
+        self.workers.relays.left(id);
         self.scheduler.member_left(id);
     }
 
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -22,6 +22,8 @@
 mod messages;
 mod writes;
 
+pub(super) use members::Greetings;
+
 use super::Context;
 use super::calls;
 use super::calls::LeaderAnswer;
@@ -48,6 +50,10 @@
 /// Shortest time between two passes of placement; it batches what arrives
 /// together and adds this much to a wait at most.
 const PLAN_PAUSE: time::Duration = time::Duration::from_millis(4);
+/// A pass that took long is followed by so many times its own time without one:
+/// with little processor left, ends and reports are taken in meanwhile.
+const PLAN_REST: u32 = 3;
+
 /// How a term ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Ended {
@@ -108,8 +114,8 @@
     most_members: usize,
     /// Since when fewer than half of these greet.
     alone_since: Option<time::Instant>,
-    /// When placement last ran.
-    planned: time::Instant,
+    /// When placement may run again.
+    next_plan: time::Instant,
     /// When the gauges were last updated.
     counted: time::Instant,
     /// Where results of calls come back.
@@ -138,8 +144,15 @@
     {
         return LeaderAnswer::OtherLife;
     }
-    if !context.leadership.borrow().leading {
-        return LeaderAnswer::NotLeader;
+    let (leading, beginning) = {
+        let known = context.leadership.borrow();
+        (known.leading, known.beginning)
+    };
+    match call {
+        LeaderCall::Hello { .. } if leading => return members::welcome(context, call),
+        LeaderCall::Hello { .. } if beginning => return LeaderAnswer::Beginning,
+        _ if !leading => return LeaderAnswer::NotLeader,
+        _ => (),
     }
     let Ok(address) = context.kernel.find::<LeaderMessage>(SERVICE) else {
         return LeaderAnswer::NotLeader;
@@ -169,11 +182,17 @@
     // First, since the records may take longer to read than a lease lasts: with
     // 94 jobs beside a slow store eight winners in a row lost theirs.
     let renewal = tokio::spawn(lease::renew(context.clone(), lease, messages.clone()));
+    context
+        .leadership
+        .send_modify(|known| known.beginning = true);
     // The reason is logged where the store is called.
     let loaded = match loading.joined().await {
         Ok(loaded) => Ok(loaded),
         Err(_) => load::load_within_limit(context, epoch).await,
     };
+    context
+        .leadership
+        .send_modify(|known| known.beginning = false);
     let scheduler = match loaded {
         Ok(loaded) => loaded.begin(context),
         Err(error) => {
@@ -254,7 +273,7 @@
             members: IndexMap::new(),
             most_members: 0,
             alone_since: None,
-            planned: now,
+            next_plan: now,
             counted: now,
             messages,
             begun: now,
@@ -297,9 +316,11 @@
     /// Plans, carries out what was decided, and writes.
     fn advance(&mut self) {
         let now = self.now();
-        if now >= self.planned + PLAN_PAUSE && !self.closing {
-            self.planned = now;
+        if now >= self.next_plan && !self.closing {
             self.scheduler.plan(now);
+            let planned = self.now();
+            let took = planned.saturating_duration_since(now);
+            self.next_plan = planned + PLAN_PAUSE.max(took * PLAN_REST);
         }
         for action in self.scheduler.take_actions() {
             self.carry_out(action);
@@ -333,6 +354,7 @@
         let now = self.now();
         let wall_ms = self.context.wall_ms();
         self.scheduler.tick(now, wall_ms);
+        self.take_in_greetings();
         self.drop_silent_members(now);
         if now >= self.counted + COUNT_PAUSE {
             self.counted = now;
--- a/crates/figscale/src/fleet/workers/hedged.rs
+++ b/crates/figscale/src/fleet/workers/hedged.rs
@@ -1,8 +1,9 @@
 //! Hedged calls of workers: sent once more when the first is overdue.
 //!
 //! A call or its answer is lost now and then on the way to a worker that is
-//! well. Both calls go on side by side, and the first useful answer counts; a
-//! worker may so get a call twice, which does no more there than once.
+//! well, or a relay is slow. Both calls go on side by side, the second one always
+//! directly, and the first useful answer counts; a worker may so get a call
+//! twice, which does no more there than once.
 
 use std::time;
 
@@ -10,6 +11,7 @@
 use figscale_platform::workers;
 use figscale_types::fleet;
 
+use super::ways;
 use crate::fleet::message;
 use crate::fleet::message::Message;
 
@@ -24,12 +26,12 @@
 
 /// Asks for a report, and once more if the first call seems to be lost.
 pub(super) async fn report(
-    calls: &workers::Workers,
+    ways: &ways::Ways,
     address: &workers::WorkerAddress,
     request: workers::ReportRequest,
     messages: &message::Messages,
 ) -> Result<workers::ReportOutcome, CallError> {
-    let first = calls.report(address, request);
+    let first = ways.report(address, request);
     tokio::pin!(first);
     let usual = request.wait + USUAL_ANSWER;
     if let Ok(report) = tokio::time::timeout(usual, &mut first).await {
@@ -40,7 +42,7 @@
         wait: time::Duration::ZERO,
         ..request
     };
-    let second = calls.report(address, at_once);
+    let second = ways.direct.report(address, at_once);
     tokio::pin!(second);
     tokio::select! {
         report = &mut first => match report {
@@ -49,7 +51,7 @@
         },
         report = &mut second => match report {
             Ok(report) => {
-                let _ = messages.send(Message::AnswerLost).await;
+                direct_was_first(ways, messages).await;
                 Ok(report)
             }
             Err(_) => first.await,
@@ -59,19 +61,19 @@
 
 /// Orders a start, and once more if the first order seems to be lost.
 pub(super) async fn start(
-    calls: &workers::Workers,
+    ways: &ways::Ways,
     address: &workers::WorkerAddress,
     epoch: fleet::Epoch,
     order: &fleet::StartOrder,
     messages: &message::Messages,
 ) -> Result<fleet::StartOutcome, CallError> {
-    let first = calls.start(address, epoch, order);
+    let first = ways.start(address, epoch, order);
     tokio::pin!(first);
     if let Ok(outcome) = tokio::time::timeout(USUAL_START, &mut first).await {
         return outcome;
     }
     let _ = messages.send(Message::Overdue(address.id.clone())).await;
-    let second = calls.start(address, epoch, order);
+    let second = ways.direct.start(address, epoch, order);
     tokio::pin!(second);
     let (one, other) = tokio::select! {
         outcome = &mut first => match is_started(&outcome) {
@@ -80,7 +82,7 @@
         },
         outcome = &mut second => match is_started(&outcome) {
             true => {
-                let _ = messages.send(Message::AnswerLost).await;
+                direct_was_first(ways, messages).await;
                 return outcome;
             }
             false => (outcome, first.await),
@@ -95,6 +97,17 @@
     Err(CallError::maybe(cause))
 }
 
+/// The second call was answered before the first one. Behind a relay that says
+/// nothing of the way to the worker.
+async fn direct_was_first(ways: &ways::Ways, messages: &message::Messages) {
+    match &ways.relay {
+        Some(relay) => relay.set_aside(ways.clock.now()),
+        None => {
+            let _ = messages.send(Message::AnswerLost).await;
+        }
+    }
+}
+
 fn is_started(outcome: &Result<fleet::StartOutcome, CallError>) -> bool {
     matches!(outcome, Ok(fleet::StartOutcome::Started { .. }))
 }
--- a/crates/figscale/src/fleet/workers/mod.rs
+++ b/crates/figscale/src/fleet/workers/mod.rs
@@ -6,6 +6,7 @@
 
 mod hedged;
 mod listing;
+mod ways;
 
 use std::time;
 
@@ -20,12 +21,13 @@
 use super::Context;
 use super::message;
 use super::message::Message;
+use super::relay;
 use crate::events;
 
 pub(super) use listing::follow;
 
 /// Time for a worker's answer, on top of the wait asked for.
-const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+pub(super) const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// Pause after a worker did not answer.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Pause after another life of a worker answered.
@@ -47,6 +49,7 @@
 
 struct Link {
     address: workers::WorkerAddress,
+    failure_domain: String,
     next: Next,
     answers: bool,
     first: bool,
@@ -60,6 +63,8 @@
     messages: message::Messages,
     links: IndexMap<fleet::WorkerId, Link>,
     losses: Losses,
+    /// The instances that carry calls.
+    pub(super) relays: relay::Relays,
 }
 
 impl Links {
@@ -71,6 +76,17 @@
             messages,
             links: IndexMap::new(),
             losses: Losses::default(),
+            relays: relay::Relays::new(context),
+        }
+    }
+
+    /// How the calls of a worker go.
+    fn ways(&self, link: &Link) -> ways::Ways {
+        let (id, domain) = (&link.address.id, &link.failure_domain);
+        ways::Ways {
+            direct: self.calls.clone(),
+            relay: self.relays.relay_of(id, domain, self.links.len()),
+            clock: self.context.clock.clone(),
         }
     }
 
@@ -83,6 +99,7 @@
         let now = self.context.clock.now();
         let link = Link {
             address,
+            failure_domain: entry.failure_domain.clone(),
             next: Next::At(now),
             answers: true,
             first: true,
@@ -131,10 +148,13 @@
                 self.losses.report_wait(now)
             },
         };
-        let (calls, address) = (self.calls.clone(), link.address.clone());
+        let address = link.address.clone();
+        let Some(ways) = self.links.get(id).map(|link| self.ways(link)) else {
+            return;
+        };
         let messages = self.messages.clone();
         tokio::spawn(async move {
-            let report = hedged::report(&calls, &address, request, &messages).await;
+            let report = hedged::report(&ways, &address, request, &messages).await;
             let _ = messages.send(Message::Reported(address.id, report)).await;
         });
     }
@@ -177,9 +197,9 @@
         let Some(link) = self.links.get(&worker) else {
             return;
         };
-        let (calls, address, epoch) = (self.calls.clone(), link.address.clone(), self.epoch);
+        let (ways, address, epoch) = (self.ways(link), link.address.clone(), self.epoch);
         tokio::spawn(async move {
-            let ordered = hedged::start(&calls, &address, epoch, &order, &messages);
+            let ordered = hedged::start(&ways, &address, epoch, &order, &messages);
             let outcome = match ordered.await {
                 Ok(outcome) => outcome,
                 Err(error) => unanswered(&worker, task, attempt, &error),
--- a/crates/figscale/src/peer/mod.rs
+++ b/crates/figscale/src/peer/mod.rs
@@ -17,6 +17,7 @@
 
 mod client;
 mod codec;
+mod frames;
 mod server;
 
 pub use client::Lane;
@@ -26,6 +27,8 @@
 pub use codec::MAX_MESSAGE_BYTES;
 pub use codec::decode;
 pub use codec::encode;
+pub(crate) use frames::Reader;
+pub(crate) use frames::frame;
 pub use server::CallError;
 pub use server::Handlers;
 pub use server::IncomingStream;
--- a/crates/figscale/src/settings/fleet.rs
+++ b/crates/figscale/src/settings/fleet.rs
@@ -25,6 +25,10 @@
     /// Life of the leader's lease after each renewal. Default 1,500, 1,000 to 60,000.
     #[serde(default = "default_leader_lease_ms")]
     pub leader_lease_ms: u64,
+    /// Workers whose calls a leader makes itself; with more, the other instances
+    /// make them for it. Default 64, 0 to 100,000.
+    #[serde(default = "default_own_workers")]
+    pub own_workers: u64,
     /// Part of a core that this instance may use. Default 1.0, 0.01 to 1.0.
     #[serde(default = "default_cpu_share")]
     pub cpu_share: f64,
@@ -45,6 +49,10 @@
     1_500
 }
 
+fn default_own_workers() -> u64 {
+    64
+}
+
 fn default_cpu_share() -> f64 {
     1.0
 }
@@ -64,6 +72,7 @@
         problems.bound("fleet.max_worker_lease_ms", leases, 1_000, 600_000);
         problems.bound("fleet.stop_limit_ms", self.stop_limit_ms, 1, 60_000);
         problems.bound("fleet.leader_lease_ms", self.leader_lease_ms, 1_000, 60_000);
+        problems.bound("fleet.own_workers", self.own_workers, 0, 100_000);
         problems.bound("fleet.cpu_share", self.cpu_share, 0.01, 1.0);
         problems.bound("fleet.cores", self.cores, 1, 1_024);
     }
--- a/crates/figscale/src/traffic/forward.rs
+++ b/crates/figscale/src/traffic/forward.rs
@@ -110,7 +110,7 @@
         if answer.status() != http::StatusCode::OK {
             return Err(link_broke(Verdict::NotRun));
         }
-        let mut reader = wire::Reader::new(answer.into_body());
+        let mut reader = peer::Reader::new(answer.into_body());
         let first = tokio::select! {
             first = self.heard(reader.frame::<wire::Reply>(), before) => first?,
             place = better, if !eager => return Err(NoAnswerYet::Moved(place)),
@@ -136,7 +136,7 @@
         let peers = &self.traffic.context.peers;
         let opening = peers.open_stream(self.holder.address, wire::STREAM);
         let (reply, mut sender) = opening.await.map_err(|_| link_broke())?;
-        let head = wire::frame(&self.head()).map_err(|_| link_broke())?;
+        let head = peer::frame(&self.head()).map_err(|_| link_broke())?;
         let sent = peer::send(&mut sender, head).await;
         sent.map_err(|_| link_broke())?;
         Ok((reply, sender))
@@ -197,7 +197,7 @@
 
 async fn ended(
     reply: wire::Reply,
-    reader: wire::Reader,
+    reader: peer::Reader,
     hold_bytes: usize,
 ) -> Result<Answer, NoAnswerYet> {
     match reply {
@@ -231,7 +231,7 @@
 
 /// A body that may be held is waited for, a larger one streams.
 async fn receive(
-    mut reader: wire::Reader,
+    mut reader: peer::Reader,
     length: Option<u64>,
     hold_bytes: usize,
 ) -> Result<AnswerBody, NoAnswerYet> {
@@ -252,7 +252,7 @@
 }
 
 /// Copies a body; only one that is whole gets its end.
-async fn copy(mut reader: wire::Reader, length: Option<u64>, sender: mpsc::Sender<Part>) {
+async fn copy(mut reader: peer::Reader, length: Option<u64>, sender: mpsc::Sender<Part>) {
     let mut copied = 0_u64;
     loop {
         match reader.raw().await {
--- a/crates/figscale/src/traffic/peer_side.rs
+++ b/crates/figscale/src/traffic/peer_side.rs
@@ -40,7 +40,7 @@
 
 async fn serve(traffic: &sync::Arc<Traffic>, incoming: peer::IncomingStream) -> eyre::Result<()> {
     let mut respond = incoming.respond;
-    let mut reader = wire::Reader::new(incoming.body);
+    let mut reader = peer::Reader::new(incoming.body);
     let head: wire::Head = reader.frame().await?;
     let mut sender = accept(&mut respond)?;
     let Some((policy, weight)) = limits(traffic, &head) else {
@@ -126,7 +126,7 @@
 }
 
 async fn body(
-    reader: &mut wire::Reader,
+    reader: &mut peer::Reader,
     head: &wire::Head,
     policy: &catalogue::RequestPolicy,
     deadline: time::Instant,
@@ -175,7 +175,7 @@
     message: &wire::Reply,
     last: bool,
 ) -> eyre::Result<()> {
-    peer::send(sender, wire::frame(message)?).await?;
+    peer::send(sender, peer::frame(message)?).await?;
     if last {
         sender.send_data(Bytes::new(), true)?;
     }
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -39,6 +39,8 @@
     /// Each instance's way to the store.
     pub(crate) doors: Vec<standin::store::Door>,
     instances: Vec<Instance>,
+    /// Workers whose calls a leader makes itself.
+    own_workers: u64,
     directory: tempfile::TempDir,
     client: client::Client,
 }
@@ -60,12 +62,22 @@
 impl Fleet {
     /// Starts everything; returns once all instances are ready and one leads.
     pub(crate) async fn start(instances: usize, workers: usize, advised: bool) -> Self {
+        Self::start_with(instances, workers, advised, 64).await
+    }
+
+    /// The same where the leader's calls of workers all go through the others.
+    pub(crate) async fn start_relayed(instances: usize, workers: usize) -> Self {
+        Self::start_with(instances, workers, false, 0).await
+    }
+
+    async fn start_with(instances: usize, workers: usize, advised: bool, own_workers: u64) -> Self {
         let platform = standin::Platform::start(workers, "pool").await.unwrap();
         platform.configure(10, "pool", "/jobs/", advised);
         let mut fleet = Self {
             platform,
             doors: Vec::new(),
             instances: Vec::new(),
+            own_workers,
             directory: tempfile::tempdir().unwrap(),
             client: client::Client::default(),
         };
@@ -100,6 +112,7 @@
             "fleet": {
                 "ready_address": ready,
                 "advice_address": self.platform.advice.address,
+                "own_workers": self.own_workers,
             },
         });
         let file = self.directory.path().join(format!("entry-{number}.json"));
