One hash for choosing by name; nothing is copied where there is no relay

Relays were chosen with the standard library's hasher, which may change with the compiler, beside the claims' own hash of words for the same purpose: that one moves to figscale-types::hash and serves both, and the fingerprint of the instances. A start copied its order, with the job's text, also where no relay carries it; the leader hashed its list of instances each 25 ms, also when it had not changed. Events stand in the order of their numbers.

Which worker has which relay changes by the other hash; nothing else does.

--- a/crates/figscale-core/src/claims/machine/evict.rs
+++ b/crates/figscale-core/src/claims/machine/evict.rs
@@ -4,13 +4,13 @@
 
 use figscale_types::claims;
 use figscale_types::claims::PeerQuestion;
+use figscale_types::hash;
 use figscale_types::ids;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use super::super::Action;
 use super::super::Config;
-use super::super::hash;
 use super::super::release_quorum;
 use super::Machine;
 use super::promise;
--- a/crates/figscale-core/src/claims/mod.rs
+++ b/crates/figscale-core/src/claims/mod.rs
@@ -36,7 +36,6 @@
 mod action;
 mod edit;
 mod gone;
-mod hash;
 mod lease;
 mod machine;
 mod schedule;
--- a/crates/figscale-core/src/claims/targets.rs
+++ b/crates/figscale-core/src/claims/targets.rs
@@ -11,11 +11,10 @@
 use std::cell;
 use std::rc;
 
+use figscale_types::hash;
 use figscale_types::ids;
 use indexmap::IndexMap;
 
-use super::hash;
-
 /// Fill of a member over the even share, in percent.
 const FILL_PERCENT: usize = 125;
 
--- a/crates/figscale-types/src/hash.rs
+++ b/crates/figscale-types/src/hash.rs
@@ -1,4 +1,4 @@
-//! A hash that is the same in every process and version.
+//! Hashes that are the same in every process and version.
 
 /// Offset basis of 64-bit FNV-1a.
 const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
@@ -11,3 +11,16 @@
         (state ^ u64::from(byte)).wrapping_mul(PRIME)
     })
 }
+
+/// Hashes the parts in order; well mixed in all bits.
+pub fn hash(parts: &[&str]) -> u64 {
+    let bytes = parts.iter().flat_map(|part| part.bytes().chain([0]));
+    mix(fnv1a(bytes))
+}
+
+/// Finalizer of splitmix64, since FNV-1a mixes the high bits badly.
+fn mix(mut state: u64) -> u64 {
+    state = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    state = (state ^ (state >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    state ^ (state >> 31)
+}
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -19,12 +19,12 @@
     6109 RECOVERED Info "All that may have run before this term is accounted for.";
     6110 LEASE_RENEWED_LATE Warn "The leader's lease had ended at the store; it is taken anew within the same term.";
     6111 TERM_FAILED Error "This instance won a term but could not begin it.";
+    6112 LEADER_SILENT Info "The leader did not answer a greeting; the line says what peers know of it and whether it is given up.";
     6113 LEADER_YIELDS Info "This leader hands over to a clearly stronger instance; with a lag in the line, since its own machine has turned slow.";
     6114 INSTANCE_SLOW Warn "This machine takes several times as long as usual for the same computing; it stands later, and hands over if it lags as a leader.";
     6115 INSTANCE_WELL Info "This machine is as quick as usual again.";
     6116 RELAY_LOST Warn "The stream to an instance that carries calls of workers has broken; the leader makes these calls itself meanwhile.";
     6117 RELAY_USED Info "Another instance carries calls of workers for this leader.";
-    6112 LEADER_SILENT Info "The leader did not answer a greeting; the line says what peers know of it and whether it is given up.";
     6201 JOB_ACCEPTED Info "A job was taken and is kept.";
     6202 JOB_REFUSED Info "A job was refused, and never runs; the caller was told when to come back.";
     6203 JOB_UNANSWERED Warn "A caller was told that nobody knows whether its job was taken; it may ask again under the same id.";
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -1,11 +1,9 @@
 //! What entry instances say to their leader, and its answers.
 
-use std::hash;
-use std::hash::Hash as _;
-use std::hash::Hasher as _;
 use std::net;
 
 use figscale_types::fleet;
+use figscale_types::hash;
 use figscale_types::ids;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,12 +19,8 @@
 
 impl RosterHash {
     pub(super) fn of(addresses: &[net::SocketAddr]) -> Self {
-        let hash = |address: &net::SocketAddr| {
-            let mut hasher = hash::DefaultHasher::new();
-            address.hash(&mut hasher);
-            hasher.finish()
-        };
-        let hashes = addresses.iter().map(hash);
+        let addresses = addresses.iter();
+        let hashes = addresses.map(|address| hash::hash(&[&address.to_string()]));
         Self(hashes.fold(0, u64::wrapping_add))
     }
 }
--- a/crates/figscale/src/fleet/relay/mod.rs
+++ b/crates/figscale/src/fleet/relay/mod.rs
@@ -17,14 +17,12 @@
 mod orders;
 mod serve;
 
-use std::hash;
-use std::hash::Hash as _;
-use std::hash::Hasher as _;
 use std::net;
 use std::sync;
 use std::time;
 
 use figscale_types::fleet;
+use figscale_types::hash;
 use figscale_types::ids;
 use indexmap::IndexMap;
 
@@ -98,9 +96,7 @@
         }
         let near = |relay: &Relay| relay.failure_domain.as_str() == failure_domain;
         let score = |(member, relay): &(&ids::MemberId, &Relay)| {
-            let mut hasher = hash::DefaultHasher::new();
-            (member.as_str(), worker.as_str()).hash(&mut hasher);
-            (near(relay), hasher.finish())
+            (near(relay), hash::hash(&[member.as_str(), worker.as_str()]))
         };
         let (_, relay) = self.relays.iter().max_by_key(score)?;
         let now = self.context.clock.now();
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -98,12 +98,14 @@
         }
         let peers: Vec<_> = self.members.values().map(|member| member.address).collect();
         self.context.store.set_roster(peers.clone());
-        // With the leader's own address, as those who greet know it.
-        let mut known = peers.clone();
-        known.push(self.context.settings.peer_address);
         let mut greetings = mutex::lock(&self.context.greetings);
-        greetings.roster = calls::RosterHash::of(&known);
-        greetings.peers = peers;
+        if greetings.peers != peers {
+            // With the leader's own address, as those who greet know it.
+            let mut known = peers.clone();
+            known.push(self.context.settings.peer_address);
+            greetings.roster = calls::RosterHash::of(&known);
+            greetings.peers = peers;
+        }
         greetings.strongest_millis = self.strongest_millis();
     }
 
--- a/crates/figscale/src/fleet/workers/ways.rs
+++ b/crates/figscale/src/fleet/workers/ways.rs
@@ -30,7 +30,7 @@
         worker: &workers::WorkerAddress,
         request: workers::ReportRequest,
     ) -> Result<workers::ReportOutcome, CallError> {
-        let call = relay::Call::Report(request);
+        let call = || relay::Call::Report(request);
         match self.relayed(worker, call, request.wait).await {
             Some(relay::Answer::Report(answer)) => answer,
             _ => self.direct.report(worker, request).await,
@@ -44,7 +44,7 @@
         epoch: fleet::Epoch,
         order: &fleet::StartOrder,
     ) -> Result<fleet::StartOutcome, CallError> {
-        let call = relay::Call::Start {
+        let call = || relay::Call::Start {
             epoch,
             order: order.clone(),
         };
@@ -58,13 +58,13 @@
     async fn relayed(
         &self,
         worker: &workers::WorkerAddress,
-        call: relay::Call,
+        call: impl FnOnce() -> relay::Call,
         wait: time::Duration,
     ) -> Option<relay::Answer> {
         let relay = self.relay.as_ref()?;
         let order = relay::Order {
             worker: worker.clone(),
-            call,
+            call: call(),
         };
         let limit = wait + CALL_TIMEOUT + RELAY_SLACK;
         let answer = tokio::time::timeout(limit, relay.call(order)).await;
