A run that is given up says whether it had begun and how old it was

The log line of a run that was lost with its worker said how long the worker had been silent, and nothing of the run, so a task that crashes its worker and one that ran beside it for a second looked alike. 6312 RUN_GIVEN_UP now has begun (its worker confirmed the start) and age_ms (from its order to the last sign of life). No decision changes.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -115,6 +115,10 @@
         worker: fleet::WorkerId,
         /// How long the worker has been silent.
         silent: time::Duration,
+        /// The worker confirmed that it had begun.
+        begun: bool,
+        /// From its order to the last sign of life of the worker.
+        age: time::Duration,
     },
     /// A run of a task ended other than well.
     RunEnded {
--- a/crates/figscale-core/src/fleet/lease.rs
+++ b/crates/figscale-core/src/fleet/lease.rs
@@ -49,6 +49,11 @@
         self.clock_ms(now).is_some_and(|clock_ms| clock_ms > end_ms)
     }
 
+    /// When the last reading arrived.
+    pub(crate) fn read_at(&self) -> Option<time::Instant> {
+        self.reading.map(|(_, at)| at)
+    }
+
     /// Time since the last reading.
     pub(crate) fn silent_for(&self, now: time::Instant) -> Option<time::Duration> {
         self.reading
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -273,26 +273,26 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let keys: Vec<worker::RunKey> = worker.runs.keys().copied().collect();
-        for key in &keys {
-            worker.remove_run(key);
-        }
-        if keys.is_empty() {
+        let runs = worker.take_runs();
+        if runs.is_empty() {
             return;
         }
         let silent = worker.lease.silent_for(now).unwrap_or_default();
-        for key in &keys {
+        let heard_at = worker.lease.read_at();
+        for (key, run) in &runs {
             self.actions.push(Action::Tell(Note::RunGivenUp {
                 task: key.0,
                 attempt: key.1,
                 worker: id.clone(),
                 silent,
+                begun: run.is_confirmed(),
+                age: run.age_at(heard_at),
             }));
             self.task_free_again(id, key);
         }
         let note = Note::WorkerLost {
             worker: id.clone(),
-            runs: keys.len(),
+            runs: runs.len(),
         };
         self.actions.push(Action::Tell(note));
     }
--- a/crates/figscale-core/src/fleet/starts.rs
+++ b/crates/figscale-core/src/fleet/starts.rs
@@ -76,9 +76,8 @@
             worker: id.clone(),
             refusal,
         }));
-        let confirmed = |run: &worker::Run| run.confirmed_clock_ms.is_some();
         if let Some(worker) = self.workers.get_mut(id) {
-            if worker.runs.get(&key).is_some_and(confirmed) {
+            if worker.runs.get(&key).is_some_and(worker::Run::is_confirmed) {
                 return;
             }
             worker.remove_run(&key);
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -1,6 +1,7 @@
 //! A worker as the leader knows it: room, runs, lease and health.
 
 use std::collections::VecDeque;
+use std::mem;
 use std::time;
 
 use figscale_types::fleet;
@@ -30,6 +31,20 @@
     pub(crate) idle_since: Option<time::Instant>,
 }
 
+impl Run {
+    /// Whether its worker has said that it had begun.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.confirmed_clock_ms.is_some()
+    }
+
+    /// Time from its order to a moment, zero if that is earlier or unknown.
+    pub(crate) fn age_at(&self, at: Option<time::Instant>) -> time::Duration {
+        at.map_or(time::Duration::ZERO, |at| {
+            at.saturating_duration_since(self.ordered_at)
+        })
+    }
+}
+
 /// One start of one task.
 pub(crate) type RunKey = (fleet::TaskId, u32);
 
@@ -126,6 +141,12 @@
         Some(run)
     }
 
+    /// Removes all runs.
+    pub(crate) fn take_runs(&mut self) -> IndexMap<RunKey, Run> {
+        self.used = fleet::Room::default();
+        mem::take(&mut self.runs)
+    }
+
     /// Whether new work may be sent; `max_silence` is how old the last reading
     /// may be.
     pub(crate) fn is_usable(&self, max_silence: time::Duration, now: time::Instant) -> bool {
--- a/crates/figscale/src/fleet/outcome.rs
+++ b/crates/figscale/src/fleet/outcome.rs
@@ -108,13 +108,17 @@
             attempt,
             worker,
             silent,
+            begun,
+            age,
         } => {
             crate::event!(
                 events::RUN_GIVEN_UP,
                 task = task,
                 attempt = attempt,
                 worker = worker,
-                silent_ms = silent.as_millis()
+                silent_ms = silent.as_millis(),
+                begun = begun,
+                age_ms = age.as_millis()
             );
         }
         Note::RunEnded {
--- a/crates/figscale/tests/fleet_trace.rs
+++ b/crates/figscale/tests/fleet_trace.rs
@@ -121,6 +121,7 @@
     let given_up = of_job(&lines, 0x901);
     let given_up = named(&given_up, "RUN_GIVEN_UP");
     assert_eq!(given_up["worker"], home.as_str());
+    assert_eq!(given_up["begun"], "true");
     let silent = lines
         .iter()
         .find(|line| line["name"] == "WORKER_SILENT" && line["worker"] == home.as_str());
