--- a/crates/figscale-core/tests/fleet/kit.rs
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -152,6 +152,8 @@
     pub(crate) notes: Vec<Note>,
     pub(crate) stops: Vec<(fleet::WorkerId, fleet::TaskId, u32)>,
     pub(crate) stepped_down: bool,
+    /// Workers that there have been.
+    pub(crate) added: usize,
     begun: time::Instant,
 }
 
@@ -177,6 +179,7 @@
             notes: Vec::new(),
             stops: Vec::new(),
             stepped_down: false,
+            added: 0,
             begun: now,
         };
         cell.scheduler.member_joined(&"entry-1".parse().unwrap());
@@ -188,6 +191,7 @@
     }
 
     pub(crate) fn add_worker(&mut self, number: usize, cores: u64) {
+        self.added = self.added.max(number + 1);
         let rack = format!("r1-{}", number / 4);
         let entry = fleet::WorkerEntry {
             id: worker_id(number),
@@ -373,6 +377,33 @@
         }
     }
 
+    /// Where a task runs once; `None` if it runs nowhere.
+    pub(crate) fn home(&self, task: fleet::TaskId) -> Option<fleet::WorkerId> {
+        let placed = self.placed(task);
+        assert!(placed.len() <= 1, "{task} runs at {placed:?}");
+        placed.into_iter().next().map(|(worker, _)| worker)
+    }
+
+    /// A worker crashes: its calls fail, nothing runs there any more.
+    pub(crate) fn crash(&mut self, id: &fleet::WorkerId) {
+        let worker = self.workers.get_mut(id).unwrap();
+        worker.reachable = false;
+        worker.running.clear();
+        worker.finished.clear();
+        self.scheduler.worker_doubted(id);
+        self.settle();
+    }
+
+    /// Another worker comes in the place of one that has crashed.
+    pub(crate) fn replace(&mut self, id: &fleet::WorkerId, cores: u64) {
+        self.workers.swap_remove(id);
+        self.scheduler.worker_replaced(id, self.now);
+        self.scheduler.worker_unlisted(id, self.now);
+        let number = self.added;
+        self.add_worker(number, cores);
+        self.settle();
+    }
+
     /// Where a task runs, with the attempt.
     pub(crate) fn placed(&self, task: fleet::TaskId) -> Vec<(fleet::WorkerId, u32)> {
         let mut found = Vec::new();
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod advice;
 mod backlog;
 mod callers;
+mod crashes;
 mod ends;
 mod fitness;
 mod gang_limits;
--- /dev/null
+++ b/crates/figscale/tests/fleet_crashes.rs
@@ -0,0 +1,39 @@
+//! Tasks that crash their workers, and workers whose room changes, by real entry
+//! instances as processes around a stand-in of the users' platform.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet_support;
+
+use fleet_support::Fleet;
+
+const CRASHING: u64 = 0xc1;
+
+/// Guards against a task that crashes one worker after the other for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_that_crashes_its_workers_is_given_up() {
+    let fleet = Fleet::start(2, 6, false).await;
+    assert_eq!(fleet.submit(0, CRASHING, 1, "crash").await, 200);
+    // Beside it, tasks that are lost with the same workers.
+    for number in 0..4 {
+        assert_eq!(fleet.submit(0, 0xd0 + number, 4, "1500").await, 200);
+    }
+    fleet.wait_for_state(1, CRASHING, "failed").await;
+    for number in 0..4 {
+        fleet.wait_for_state(1, 0xd0 + number, "completed").await;
+    }
+    fleet.check();
+}
+
+/// Guards against starts on a worker that has said that its room is smaller.
+#[tokio::test(flavor = "multi_thread")]
+async fn room_that_has_shrunk_is_not_used() {
+    let fleet = Fleet::start(1, 2, false).await;
+    for worker in &fleet.platform.workers {
+        worker.set_cores(2);
+    }
+    tokio::time::sleep(std::time::Duration::from_secs(5)).await;
+    assert_eq!(fleet.submit(0, 0xe1, 12, "300").await, 200);
+    fleet.wait_for_state(0, 0xe1, "completed").await;
+    fleet.check();
+}
