A task that crashes its workers is given up

Cause: a run that is lost with its worker is never held against its task. Only an end that a worker reports as failed counts as an attempt, and a worker that crashes reports nothing. The class of fault: a failure that takes away its own witness is not counted.

Ruled out: a count lost with the leader (there was none), and workers that crash by themselves (always the same task 0, on other workers).

Change: fleet::crashes. A run lost within 0.5 s of its start counts against its task, which is then started in quarantine: nothing else is started on its worker until it has outlived the runs that were lost. Two losses at the start and alone, or three, end the job as failed. Losses are written as soon as the worker is silent, and each start in quarantine is announced in the store first, so they outlive their leader; a worker that is heard again takes them back. Runs that outlive the lost ones acquit their task. A worker is doubted as soon as a call fails, not only when one is overdue, and is called again at once.

Found by the play over many terms, and mended here: a late report of a worker that was replaced let its runs count again; a late answer to a start took back the loss of a run that had just been given up.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -120,6 +120,13 @@
         /// From its order to the last sign of life of the worker.
         age: time::Duration,
     },
+    /// A job is ended, since workers crash under one of its tasks.
+    TaskCrashesWorkers {
+        /// Which.
+        task: fleet::TaskId,
+        /// Its attempts that were lost with their workers.
+        losses: usize,
+    },
     /// A run of a task ended other than well.
     RunEnded {
         /// Which.
--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::crashes;
 use super::maps;
 
 /// First byte of each record, for records of other layouts to come.
@@ -96,6 +97,16 @@
     pub(crate) rounds: Vec<Vec<StepProgress>>,
 }
 
+/// Workers lost under a task; behind the progress in its record, where earlier
+/// versions do not look.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct CrashRecord {
+    pub(crate) round: u32,
+    pub(crate) step: u32,
+    pub(crate) index: u32,
+    pub(crate) history: crashes::History,
+}
+
 pub(crate) fn encode<T: Serialize>(record: &T) -> Vec<u8> {
     let mut bytes = vec![LAYOUT];
     let config = bincode::config::standard();
@@ -111,8 +122,26 @@
     let Some((&LAYOUT, body)) = bytes.split_first() else {
         return Err(RecordError("another layout".to_owned()));
     };
-    let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
-    decoded
-        .map(|(record, _)| record)
-        .map_err(|error| RecordError(error.to_string()))
+    decode_first(body).map(|(record, _)| record)
+}
+
+/// Reads a progress record; one of an earlier version ends with the progress.
+pub(crate) fn decode_progress(
+    bytes: &[u8],
+) -> Result<(ProgressRecord, Vec<CrashRecord>), RecordError> {
+    let Some((&LAYOUT, body)) = bytes.split_first() else {
+        return Err(RecordError("another layout".to_owned()));
+    };
+    let (progress, length) = decode_first(body)?;
+    let crashes = match &body[length..] {
+        [] => Vec::new(),
+        rest => decode_first(rest)?.0,
+    };
+    Ok((progress, crashes))
+}
+
+/// Reads a value and says how many bytes it took.
+fn decode_first<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<(T, usize), RecordError> {
+    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    decoded.map_err(|error| RecordError(error.to_string()))
 }
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -5,7 +5,9 @@
 
 use figscale_types::fleet;
 use figscale_types::ids;
+use indexmap::IndexMap;
 
+use super::crashes;
 use super::maps;
 use super::reserve;
 
@@ -101,6 +103,8 @@
     pub(crate) advice: StepAdvice,
     /// Failed runs of the step as a gang, by attempt.
     pub(crate) gang_failed_attempts: Vec<u32>,
+    /// Workers lost under its tasks, by index; a gang has the index 0.
+    pub(crate) crashes: IndexMap<u32, crashes::History>,
 }
 
 impl Step {
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 mod admission;
 mod advice;
 mod check;
+mod crashes;
 mod draft;
 mod durable;
 mod fitness;
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -41,6 +41,8 @@
     /// First task of the step.
     pub(crate) task: fleet::TaskId,
     pub(crate) rank: Rank,
+    /// Workers were lost under some of its tasks.
+    pub(crate) lost_workers: bool,
     /// One of the few gangs that may keep workers however long they wait.
     pub(crate) goes_first: bool,
     /// Of a gang that waits for room.
--- a/crates/figscale-core/src/fleet/places.rs
+++ b/crates/figscale-core/src/fleet/places.rs
@@ -4,6 +4,7 @@
 
 use figscale_types::fleet;
 
+use super::crashes;
 use super::job;
 use super::pass;
 use super::scheduler;
@@ -20,6 +21,8 @@
 struct Fit {
     failed_here: bool,
     unproven: bool,
+    /// Runs that would be lost with the worker, if it is to be expected.
+    endangered: usize,
     far: bool,
     left_cpu_millis: u64,
 }
@@ -40,8 +43,13 @@
         let ends = pass.now + time::Duration::from_millis(description.estimate_ms);
         let is_short = rank.class == 0 && description.estimate_ms <= SHORT_WORK_MS;
         let need = job::occupied(description);
+        // A gang would rarely find all its workers without young runs at once.
+        let alone = !description.gang && job.needs_quarantine(task);
         let mut places = Vec::new();
         for (id, worker) in self.allowed_workers(job, step, pass) {
+            if worker.is_quarantined() || alone && worker.has_younger(crashes::CRASH_WINDOW) {
+                continue;
+            }
             if !worker.suits(&job.queue, description) || !worker.free().holds(&need) {
                 continue;
             }
@@ -62,6 +70,7 @@
                 most: most - here,
                 rack: &worker.entry.rack,
                 proven: worker.health.is_proven(),
+                runs: worker.runs.len(),
             });
         }
         places
@@ -98,12 +107,15 @@
         rank: pass::Rank,
         pass: &pass::Pass,
     ) -> Option<fleet::WorkerId> {
-        let task = self.jobs.get(&id.job)?.task(id)?;
+        let job = self.jobs.get(&id.job)?;
+        let task = job.task(id)?;
+        let alone = job.needs_quarantine(id);
         let places = self.open_workers(id, description, rank, pass);
         let need = job::occupied(description);
         let fit = |place: &Place| Fit {
             failed_here: task.failed_on.as_ref() == Some(place.id),
             unproven: !task.failed_attempts.is_empty() && !place.proven,
+            endangered: if alone { place.runs } else { 0 },
             far: description
                 .data_rack
                 .as_ref()
@@ -126,6 +138,7 @@
     most: u64,
     pub(crate) rack: &'a str,
     proven: bool,
+    runs: usize,
 }
 
 /// Puts `count` tasks on the given workers, the fullest first that holds one.
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -143,12 +143,14 @@
                     let description = &job.description.steps[step];
                     if pass::may_start(progress, description)
                         && round.is_ready(&job.description, step)
+                        && !self.has_unsaved_losses(*id, progress)
                     {
                         let rank = *known_rank.get_or_insert_with(|| pass::rank(job, round, now));
                         let task = pass::first_task(*id, occurrence, step);
                         all.push(pass::Candidate {
                             task,
                             rank,
+                            lost_workers: !progress.crashes.is_empty(),
                             goes_first: false,
                             reservation: None,
                         });
@@ -156,10 +158,18 @@
                 }
             }
         }
-        all.sort_by_key(|candidate| candidate.rank);
+        // What has lost its worker goes before all else: in quarantine it needs a
+        // place that a stream of other work would take first each time.
+        all.sort_by_key(|candidate| (!candidate.lost_workers, candidate.rank));
         all
     }
 
+    /// A task whose losses, or whose start, would be forgotten with this leader is
+    /// not started.
+    fn has_unsaved_losses(&self, id: fleet::JobId, step: &job::Step) -> bool {
+        !step.crashes.is_empty() && self.unsaved.contains(id)
+    }
+
     /// Places what it can of a step; true if nothing of it waits any more.
     fn place_step(&mut self, candidate: &mut pass::Candidate, pass: &mut pass::Pass) -> bool {
         let Some(job) = self.jobs.get(&candidate.task.job) else {
@@ -199,6 +209,9 @@
                 return false;
             };
             let attempt = self.next_attempt(&id);
+            if !self.is_announced(&id, attempt) {
+                continue;
+            }
             self.start(&id, &worker, attempt, pass.now);
             placed.add(worker, attempt);
         }
@@ -241,6 +254,9 @@
             .map(|id| self.next_attempt(id))
             .max()
             .unwrap_or(1);
+        if !self.is_announced(&candidate.task, attempt) {
+            return true;
+        }
         let mut placed = Placed::default();
         for (id, worker) in members.iter().zip(workers) {
             self.start(id, &worker, attempt, pass.now);
@@ -334,6 +350,7 @@
         };
         let room = job::occupied(description);
         let estimate_ms = description.estimate_ms;
+        let quarantined = job.needs_quarantine(id);
         let spec = job.description.spec.clone();
         let Some(step) = job.step_mut(id) else {
             return;
@@ -369,6 +386,7 @@
             expected_end: now + time::Duration::from_millis(estimate_ms),
             stop_ordered: None,
             idle_since: None,
+            quarantined,
         };
         worker.add_run((*id, attempt), run);
         self.actions.push(Action::Start {
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -33,7 +33,7 @@
             records.created.push(id);
         }
         if job.stored && job.is_open() {
-            let bytes = Some(durable::encode(&progress_record(job)));
+            let bytes = Some(durable::encode(&(progress_record(job), crash_records(job))));
             job.progress_stored = true;
             records.records.push(durable::Record {
                 key: RecordKey::Progress(id),
@@ -109,7 +109,7 @@
         id: fleet::JobId,
         bytes: &[u8],
     ) -> Result<(), durable::RecordError> {
-        let record: durable::ProgressRecord = durable::decode(bytes)?;
+        let (record, crashes) = durable::decode_progress(bytes)?;
         let Some(job) = self.jobs.get_mut(&id) else {
             return Ok(());
         };
@@ -126,6 +126,13 @@
                 load_step(step, progress);
             }
         }
+        for record in crashes {
+            let rounds = job.rounds.get_mut(record.round as usize);
+            let step = rounds.and_then(|round| round.steps.get_mut(record.step as usize));
+            if let Some(step) = step {
+                step.crashes.insert(record.index, record.history);
+            }
+        }
         Ok(())
     }
 
@@ -183,6 +190,7 @@
             runs,
         };
         self.actions.push(Action::Tell(note));
+        self.give_up_convicted(now);
         self.stop_partial_gangs(now);
     }
 
@@ -283,6 +291,23 @@
     }
 }
 
+fn crash_records(job: &job::Job) -> Vec<durable::CrashRecord> {
+    let number = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    let mut records = Vec::new();
+    for (round, progress) in job.rounds.iter().enumerate() {
+        for (step, progress) in progress.steps.iter().enumerate() {
+            let known = progress.crashes.iter();
+            records.extend(known.map(|(index, history)| durable::CrashRecord {
+                round: number(round),
+                step: number(step),
+                index: *index,
+                history: history.clone(),
+            }));
+        }
+    }
+    records
+}
+
 fn load_step(step: &mut job::Step, progress: durable::StepProgress) {
     step.gang_failed_attempts = progress.gang_failed_attempts;
     for (task, known) in step.tasks.iter_mut().zip(progress.tasks) {
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -45,8 +45,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.lease.read(report.clock_ms, now);
-        worker.doubted = false;
+        worker.heard(report.clock_ms, now);
+        let replaced = worker.replaced;
         let first = !worker.reported;
         worker.reported = true;
         if first {
@@ -57,8 +57,11 @@
         for run in &report.finished {
             self.take_in_end(id, run, now);
         }
-        self.take_in_running(id, report, now);
-        self.drop_missing(id, report);
+        // A late report of a worker that is gone tells nothing of what runs.
+        if !replaced {
+            self.take_in_running(id, report, now);
+            self.drop_missing(id, report);
+        }
         if self.unheard.swap_remove(id).is_some() {
             self.check_recovery(now);
         }
@@ -74,6 +77,10 @@
         worker.take_in(run.number, run.task.job);
         let key = (run.task, run.attempt);
         worker.remove_run(&key);
+        self.retract_loss(id, &key);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         match run.end {
             fleet::End::Done => worker.health.succeeded(),
             fleet::End::Failed if worker.health.failed(run.task.job, now) => {
@@ -191,9 +198,14 @@
                     let confirmed = run.confirmed_clock_ms.unwrap_or(0);
                     run.confirmed_clock_ms = Some(confirmed.max(report.clock_ms));
                     self.note_progress(id, running, now);
+                    self.check_outlived(&key);
                 }
                 None => self.find_run(id, running, report.clock_ms, now),
             }
+            // A run in quarantine has yet to outlive those before it.
+            if !self.is_quarantined(id, &key) {
+                self.retract_loss(id, &key);
+            }
             if !self.is_wanted(id, key) {
                 self.order_stop(id, key, Some(now));
             }
@@ -260,6 +272,8 @@
                 };
             }
         }
+        let suspect = self.jobs.get(&running.task.job);
+        let quarantined = suspect.is_some_and(|job| job.needs_quarantine(&running.task));
         let run = worker::Run {
             room,
             expires_clock_ms: 0,
@@ -268,6 +282,7 @@
             expected_end: now + estimate,
             stop_ordered: None,
             idle_since: None,
+            quarantined,
         };
         let key = (running.task, running.attempt);
         if let Some(worker) = self.workers.get_mut(id) {
@@ -282,6 +297,11 @@
         }
     }
 
+    fn is_quarantined(&self, id: &fleet::WorkerId, key: &worker::RunKey) -> bool {
+        let run = self.workers.get(id).and_then(|worker| worker.runs.get(key));
+        run.is_some_and(|run| run.quarantined)
+    }
+
     pub(crate) fn is_wanted(&self, id: &fleet::WorkerId, key: worker::RunKey) -> bool {
         let job = self.jobs.get(&key.0.job).filter(|job| job.is_open());
         let task = job.and_then(|job| job.task(&key.0));
@@ -310,6 +330,7 @@
             worker.remove_run(key);
         }
         for key in &keys {
+            self.retract_loss(id, key);
             self.task_free_again(id, key);
         }
     }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -207,14 +207,17 @@
         self.drop_if_over(id, now);
     }
 
-    /// A call of a worker is overdue. It gets nothing new until it is heard.
+    /// A call of a worker failed or is overdue. It gets nothing new until it is
+    /// heard.
     ///
     /// A worker that lost its power is known to be silent 1.7 s after its last
     /// report. What was sent there meanwhile waits for its lease, some 5 s, and
     /// quick jobs are useless by then; packing sends them to one worker first.
-    pub fn worker_doubted(&mut self, id: &fleet::WorkerId) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.doubted = true;
+    pub fn worker_doubted(&mut self, id: &fleet::WorkerId, now: time::Instant) {
+        let worker = self.workers.get_mut(id);
+        if let Some(worker) = worker.filter(|worker| worker.silent_since.is_none()) {
+            worker.silent_since = Some(now);
+            self.note_possible_crash(id, now);
         }
     }
 
@@ -279,6 +282,11 @@
         }
         let silent = worker.lease.silent_for(now).unwrap_or_default();
         let heard_at = worker.lease.read_at();
+        if !worker.entry.draining {
+            for (key, loss) in self.losses(id, &runs, now) {
+                self.note_loss(&key, loss);
+            }
+        }
         for (key, run) in &runs {
             self.actions.push(Action::Tell(Note::RunGivenUp {
                 task: key.0,
@@ -295,6 +303,9 @@
             runs: runs.len(),
         };
         self.actions.push(Action::Tell(note));
+        for key in runs.keys() {
+            self.give_up_if_convicted(&key.0, now);
+        }
     }
 
     /// Ends a job: its outcome is written, what runs of it is stopped.
--- a/crates/figscale-core/src/fleet/starts.rs
+++ b/crates/figscale-core/src/fleet/starts.rs
@@ -47,8 +47,7 @@
         now: time::Instant,
     ) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.lease.read(clock_ms, now);
-            worker.doubted = false;
+            worker.heard(clock_ms, now);
             worker.health.started();
             if let Some(run) = worker.runs.get_mut(&key) {
                 let known = run.confirmed_clock_ms.unwrap_or(0);
@@ -58,6 +57,7 @@
         if let Some(job) = self.jobs.get_mut(&key.0.job) {
             job.started = true;
         }
+        self.confirm_loss(id, &key);
         if !self.is_wanted(id, key) {
             self.order_stop(id, key, Some(now));
         }
@@ -82,6 +82,7 @@
             }
             worker.remove_run(&key);
         }
+        self.retract_loss(id, &key);
         self.task_free_again(id, &key);
         match refusal {
             fleet::StartRefusal::StaleEpoch => self.actions.push(Action::StepDown),
--- a/crates/figscale-core/src/fleet/stops.rs
+++ b/crates/figscale-core/src/fleet/stops.rs
@@ -39,9 +39,7 @@
         let mut rest = Vec::new();
         for (worker_id, worker) in &self.workers {
             for (run, number) in worker.runs.keys() {
-                let same =
-                    run.job == id.job && run.occurrence == id.occurrence && run.step == id.step;
-                if same && *number == attempt {
+                if run.is_of_same_step(id) && *number == attempt {
                     rest.push((worker_id.clone(), (*run, *number)));
                 }
             }
@@ -147,10 +145,8 @@
             return true;
         }
         let runs = self.workers.values().flat_map(|worker| &worker.runs);
-        let mut members = runs.filter(|((other, number), _)| {
-            let same = other.job == task.job && other.occurrence == task.occurrence;
-            same && other.step == task.step && number == attempt
-        });
+        let mut members =
+            runs.filter(|((other, number), _)| other.is_of_same_step(task) && number == attempt);
         members.all(|(_, run)| run.idle_since.is_some_and(|since| now >= since + MAX_IDLE))
     }
 
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -29,6 +29,8 @@
     pub(crate) stop_ordered: Option<time::Instant>,
     /// Since when it has used no processor.
     pub(crate) idle_since: Option<time::Instant>,
+    /// Nothing else is started on its worker.
+    pub(crate) quarantined: bool,
 }
 
 impl Run {
@@ -62,8 +64,8 @@
     pub(crate) recorded: bool,
     /// It has reported in this term.
     pub(crate) reported: bool,
-    /// A call is overdue, and nothing was heard since.
-    pub(crate) doubted: bool,
+    /// Since when a call has failed or is overdue, and nothing was heard.
+    pub(crate) silent_since: Option<time::Instant>,
     pub(crate) lease: lease::Lease,
     pub(crate) health: health::Health,
     pub(crate) runs: IndexMap<RunKey, Run>,
@@ -74,6 +76,8 @@
     /// Numbers and jobs of the ends in between.
     unacknowledged: VecDeque<(u64, fleet::JobId)>,
     used: fleet::Room,
+    /// Of the runs.
+    quarantined: usize,
 }
 
 /// What the next call for a worker's report should carry.
@@ -94,7 +98,7 @@
             replaced: false,
             recorded: false,
             reported: false,
-            doubted: false,
+            silent_since: None,
             lease: lease::Lease::default(),
             health: health::Health::default(),
             runs: IndexMap::new(),
@@ -102,6 +106,7 @@
             acknowledged: 0,
             unacknowledged: VecDeque::new(),
             used: fleet::Room::default(),
+            quarantined: 0,
         }
     }
 
@@ -130,23 +135,54 @@
 
     pub(crate) fn add_run(&mut self, key: RunKey, run: Run) {
         self.used = self.used.plus(&run.room);
+        self.quarantined += usize::from(run.quarantined);
         if let Some(old) = self.runs.insert(key, run) {
             self.used = self.used.minus(&old.room);
+            self.quarantined -= usize::from(old.quarantined);
         }
     }
 
     pub(crate) fn remove_run(&mut self, key: &RunKey) -> Option<Run> {
         let run = self.runs.swap_remove(key)?;
         self.used = self.used.minus(&run.room);
+        self.quarantined -= usize::from(run.quarantined);
         Some(run)
     }
 
     /// Removes all runs.
     pub(crate) fn take_runs(&mut self) -> IndexMap<RunKey, Run> {
         self.used = fleet::Room::default();
+        self.quarantined = 0;
         mem::take(&mut self.runs)
     }
 
+    /// Whether a run here is to be alone.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        self.quarantined > 0
+    }
+
+    /// Ends the quarantine of these runs.
+    pub(crate) fn end_quarantine(&mut self, these: impl Fn(&RunKey) -> bool) {
+        for (key, run) in &mut self.runs {
+            if run.quarantined && these(key) {
+                run.quarantined = false;
+                self.quarantined -= 1;
+            }
+        }
+    }
+
+    /// Whether some run here is not known to be older than this.
+    pub(crate) fn has_younger(&self, age: time::Duration) -> bool {
+        let heard_at = self.lease.read_at();
+        self.runs.values().any(|run| run.age_at(heard_at) <= age)
+    }
+
+    /// Something was heard of it.
+    pub(crate) fn heard(&mut self, clock_ms: u64, now: time::Instant) {
+        self.lease.read(clock_ms, now);
+        self.silent_since = None;
+    }
+
     /// Whether new work may be sent; `max_silence` is how old the last reading
     /// may be.
     pub(crate) fn is_usable(&self, max_silence: time::Duration, now: time::Instant) -> bool {
@@ -155,8 +191,8 @@
             .silent_for(now)
             .is_some_and(|silent| silent <= max_silence);
         let listed = self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE);
-        let known = listed && self.reported && !self.doubted;
-        let open = known && !self.entry.draining && !self.replaced;
+        let known = listed && self.reported && self.silent_since.is_none();
+        let open = known && !self.entry.draining && !self.replaced && !self.is_quarantined();
         heard && open && self.health.admits(self.runs.len(), now)
     }
 
@@ -183,9 +219,7 @@
 
     /// Runs of one step of one occurrence here.
     pub(crate) fn runs_of_step(&self, task: &fleet::TaskId) -> usize {
-        let same = |key: &&RunKey| {
-            key.0.job == task.job && key.0.occurrence == task.occurrence && key.0.step == task.step
-        };
+        let same = |key: &&RunKey| key.0.is_of_same_step(task);
         self.runs.keys().filter(same).count()
     }
 }
--- a/crates/figscale-core/tests/fleet/kit.rs
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -152,6 +152,8 @@
     pub(crate) notes: Vec<Note>,
     pub(crate) stops: Vec<(fleet::WorkerId, fleet::TaskId, u32)>,
     pub(crate) stepped_down: bool,
+    /// Whether records are written.
+    pub(crate) store_answers: bool,
     /// Workers that there have been.
     pub(crate) added: usize,
     begun: time::Instant,
@@ -179,6 +181,7 @@
             notes: Vec::new(),
             stops: Vec::new(),
             stepped_down: false,
+            store_answers: true,
             added: 0,
             begun: now,
         };
@@ -288,7 +291,7 @@
     pub(crate) fn settle(&mut self) {
         for _ in 0..8 {
             self.report_all();
-            while self.scheduler.has_records() {
+            while self.store_answers && self.scheduler.has_records() {
                 self.write();
             }
             self.scheduler.plan(self.now);
@@ -390,7 +393,7 @@
         worker.reachable = false;
         worker.running.clear();
         worker.finished.clear();
-        self.scheduler.worker_doubted(id);
+        self.scheduler.worker_doubted(id, self.now);
         self.settle();
     }
 
--- a/crates/figscale-core/tests/fleet/losses.rs
+++ b/crates/figscale-core/tests/fleet/losses.rs
@@ -30,7 +30,7 @@
 #[test]
 fn a_worker_with_an_overdue_call_gets_nothing_new_until_it_is_heard() {
     let mut cell = Cell::new(2);
-    cell.scheduler.worker_doubted(&kit::worker_id(0));
+    cell.scheduler.worker_doubted(&kit::worker_id(0), cell.now);
     let queue = kit::queue(0);
     assert_eq!(
         cell.submit(1, &queue, kit::job(vec![kit::step(4, 1)])),
@@ -46,7 +46,7 @@
 
     cell.report_all();
     cell.worker(1).reachable = false;
-    cell.scheduler.worker_doubted(&kit::worker_id(1));
+    cell.scheduler.worker_doubted(&kit::worker_id(1), cell.now);
     cell.run(2, &queue, vec![kit::step(4, 1)]);
     assert_eq!(cell.worker(0).running.len(), 4);
 }
--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -2,6 +2,7 @@
 
 use figscale_core::fleet::Action;
 use figscale_core::fleet::Config;
+use figscale_core::fleet::Note;
 use figscale_core::fleet::Record;
 use figscale_core::fleet::RecordKey;
 use figscale_core::fleet::Scheduler;
@@ -160,6 +161,9 @@
                     self.send(delay, Event::StopArrives(number, worker, task, attempt));
                 }
                 Action::StepDown => self.leaders[number].alive = false,
+                Action::Tell(Note::TaskCrashesWorkers { task, losses }) => {
+                    self.judge_given_up(task, losses);
+                }
                 Action::Ask(_) | Action::Tell(_) => (),
             }
         }
@@ -335,7 +339,7 @@
             Called::Report(report) => leader.scheduler.worker_reported(id, report, now),
             Called::StaleEpoch => leader.alive = false,
             Called::OtherLife => leader.scheduler.worker_replaced(id, now),
-            Called::Nothing => leader.scheduler.worker_doubted(id),
+            Called::Nothing => leader.scheduler.worker_doubted(id, now),
         }
         let unacknowledged = leader.scheduler.has_unacknowledged(id);
         let pause_ms = match called {
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -7,6 +7,10 @@
 //! task never runs twice at a time, and never starts again once a run of it
 //! ended well and that end was acknowledged, be it later. An end whose worker's
 //! lease ran out before it was acknowledged does not count.
+//!
+//! Where tasks crash their workers, two more: such a task is not started three
+//! times more after its third crash, and no job is given up for a task under which
+//! fewer than two workers crashed.
 
 use std::collections::BTreeMap;
 use std::thread;
@@ -36,6 +40,10 @@
 const CALL_TIMEOUT_MS: u64 = 950;
 const SILENCE_PAUSE_MS: u64 = 200;
 const UNACKNOWLEDGED_PAUSE_MS: u64 = 600;
+/// How long after its start a task crashes its worker.
+const CRASH_DELAY_MS: u64 = 20;
+/// Starts of a task each of which crashed its worker: three more after the third.
+const TOO_MANY_CRASHES: usize = 6;
 
 /// What a play has beside the usual troubles.
 #[derive(Clone, Copy)]
@@ -44,6 +52,8 @@
     occurrences: bool,
     /// By how much the leaders' times of day differ at most.
     clocks_off_ms: u64,
+    /// Tasks that crash each worker that starts them.
+    crashing: bool,
 }
 
 type RunKey = (fleet::TaskId, u32);
@@ -53,6 +63,8 @@
     run: fleet::RunningTask,
     ends_ms: u64,
     ends_as: fleet::End,
+    /// Its worker crashes in place of its end.
+    crashes: bool,
 }
 
 /// An end that was not acknowledged, with when it came.
@@ -160,6 +172,8 @@
     elects_ms: u64,
     /// Until when the store is slow.
     slow_store_ms: u64,
+    /// Workers that crashed under a task.
+    crashes: IndexMap<fleet::TaskId, usize>,
     broken: Vec<String>,
     starts: usize,
 }
@@ -182,6 +196,7 @@
             seen: IndexMap::new(),
             elects_ms: 0,
             slow_store_ms: 0,
+            crashes: IndexMap::new(),
             broken: Vec::new(),
             starts: 0,
         };
@@ -292,6 +307,7 @@
     let troubles = Troubles {
         clocks_off_ms: 0,
         occurrences: false,
+        crashing: false,
     };
     let broken = play(troubles, &seeds(&[0, 1, 2, 3, 4, 5, 66, 385]));
     assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
@@ -305,6 +321,7 @@
         let troubles = Troubles {
             occurrences: true,
             clocks_off_ms,
+            crashing: false,
         };
         let broken = play(troubles, &seeds(&[0, 1, 2, 3]));
         assert!(
@@ -314,3 +331,26 @@
         );
     }
 }
+
+const CRASHING: Troubles = Troubles {
+    clocks_off_ms: 0,
+    occurrences: false,
+    crashing: true,
+};
+
+/// Guards against losses of workers that a leader forgets, or holds against tasks
+/// that only ran there.
+#[test]
+fn crashing_tasks_are_given_up_over_many_terms() {
+    let broken = play(CRASHING, &seeds(&[0, 1, 2, 3, 4, 5, 7, 26, 62, 345, 385]));
+    assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
+}
+
+/// Guards against crashes that nobody remembers, since their leaders are lost
+/// before they have written them, and silences that are taken for crashes since
+/// their leader is lost before it has heard the worker again.
+#[test]
+fn crashes_are_counted_beside_leaders_that_are_lost_at_once() {
+    let broken = play(CRASHING, &[588, 683, 1442, 1999]);
+    assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
+}
--- a/crates/figscale-core/tests/fleet/terms/workers.rs
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -8,11 +8,13 @@
 use indexmap::IndexMap;
 
 use super::CALL_TIMEOUT_MS;
+use super::CRASH_DELAY_MS;
 use super::Called;
 use super::Event;
 use super::Finished;
 use super::RunKey;
 use super::Running;
+use super::TOO_MANY_CRASHES;
 use super::Worker;
 use super::World;
 use crate::kit;
@@ -47,9 +49,11 @@
         self.finished.push(Finished { run, at_ms: now_ms });
     }
 
-    pub(super) fn go(&mut self) {
+    /// Goes, with all that runs there.
+    pub(super) fn go(&mut self) -> Vec<fleet::TaskId> {
         self.up = false;
-        self.running.clear();
+        let running = std::mem::take(&mut self.running);
+        running.into_keys().map(|(task, _)| task).collect()
     }
 }
 
@@ -110,9 +114,10 @@
                     self.add_worker();
                 }
                 2 if worker.up => {
-                    worker.go();
+                    let lost = worker.go();
                     worker.replaced = listed_ms.is_multiple_of(2);
                     self.add_worker();
+                    self.count_crash(lost);
                 }
                 _ => (),
             }
@@ -138,6 +143,7 @@
 
     pub(super) fn run_workers(&mut self) {
         let now_ms = self.now_ms;
+        let mut crashed = Vec::new();
         for worker in self.workers.values_mut() {
             if worker.leaves_ms.is_some_and(|at| now_ms >= at) && worker.up {
                 worker.go();
@@ -149,11 +155,18 @@
             if !worker.up {
                 continue;
             }
-            let over = worker
-                .running
-                .iter()
-                .filter(|(_, run)| now_ms >= run.ends_ms);
-            let over: Vec<_> = over.map(|(key, run)| (*key, run.ends_as)).collect();
+            let over = || {
+                worker
+                    .running
+                    .iter()
+                    .filter(|(_, run)| now_ms >= run.ends_ms)
+            };
+            if over().any(|(_, run)| run.crashes) {
+                crashed.push(worker.go());
+                worker.replaced = true;
+                continue;
+            }
+            let over: Vec<_> = over().map(|(key, run)| (*key, run.ends_as)).collect();
             for (key, end) in over {
                 worker.end(key, end, now_ms);
             }
@@ -165,6 +178,35 @@
                 }
             }
         }
+        for lost in crashed {
+            self.add_worker();
+            self.count_crash(lost);
+        }
+    }
+
+    fn count_crash(&mut self, lost: Vec<fleet::TaskId>) {
+        for task in lost {
+            *self.crashes.entry(task).or_default() += 1;
+        }
+    }
+
+    /// A leader holds losses of workers against a task, or a gang.
+    pub(super) fn judge_given_up(&mut self, task: fleet::TaskId, losses: usize) {
+        let of_step = self
+            .crashes
+            .iter()
+            .filter(|(lost, _)| lost.is_of_same_step(&task));
+        let most = of_step.map(|(_, crashes)| *crashes).max().unwrap_or(0);
+        if most < 2 {
+            let now_ms = self.now_ms;
+            let broken = format!("{now_ms}: {task} given up after {losses} losses, {most} crashes");
+            self.broken.push(broken);
+        }
+    }
+
+    /// Whether a task crashes each worker that starts it.
+    fn is_crashing(&self, task: fleet::TaskId) -> bool {
+        self.troubles.crashing && task.job.0 % 6 == 3 && task.step == 0 && task.index == 0
     }
 
     /// Whether a message gets from a leader to a worker, or back.
@@ -219,6 +261,7 @@
         let answered = self.reaches(number, id);
         let key = (order.task, order.attempt);
         let (length_ms, luck) = (50 + self.random(2_000), self.random(20));
+        let crashes = self.is_crashing(order.task);
         let worker = &mut self.workers[id];
         let clock_ms = worker.clock_ms(now_ms);
         let old = worker.ended_attempts.get(&order.task);
@@ -245,11 +288,13 @@
                     0 => fleet::End::Failed,
                     _ => fleet::End::Done,
                 };
+                let length_ms = if crashes { CRASH_DELAY_MS } else { length_ms };
                 let ends_ms = now_ms + length_ms;
                 let running = Running {
                     run,
                     ends_ms,
                     ends_as,
+                    crashes,
                 };
                 worker.running.insert(key, running);
                 self.judge_start(key);
@@ -284,8 +329,13 @@
             let broken = format!("{now_ms}: {task} attempt {attempt} runs beside another");
             self.broken.push(broken);
         }
+        let crashes = self.is_crashing(task);
         let seen = self.seen.entry(task).or_default();
         seen.starts_ms.push(now_ms);
+        if crashes && seen.starts_ms.len() >= TOO_MANY_CRASHES {
+            let broken = format!("{now_ms}: {task} started at {:?}", seen.starts_ms);
+            self.broken.push(broken);
+        }
         if let Some(ended_ms) = seen.noted_ms.first() {
             let broken = format!("{now_ms}: {task} attempt {attempt} after its end at {ended_ms}");
             self.broken.push(broken);
--- a/crates/figscale-types/src/fleet/ids.rs
+++ b/crates/figscale-types/src/fleet/ids.rs
@@ -48,6 +48,14 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// Whether both are tasks of one step, of the same occurrence.
+    pub fn is_of_same_step(&self, other: &Self) -> bool {
+        let same_job = self.job == other.job && self.occurrence == other.occurrence;
+        same_job && self.step == other.step
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -48,6 +48,7 @@
     6312 RUN_GIVEN_UP Warn "A run on a silent or replaced worker is taken as ended; its task starts elsewhere.";
     6313 WORKER_UNHEARD Warn "A worker of an earlier term never reported to this leader; tasks that were not found waited until its lease was over.";
     6314 WORKER_EVACUATED Info "A worker is about to leave; what still runs there is stopped, and goes on elsewhere from what it saved.";
+    6315 TASK_CRASHES_WORKERS Warn "Workers crash under a task of a job; the job has failed.";
     6401 RECORDS_NOT_WRITTEN Warn "The store took no records; callers of new jobs wait a moment or are refused, the rest is tried again.";
     6402 RECORD_INVALID Error "A record in the store cannot be read; its job is not known here.";
     6403 ADVICE_FAILED Warn "The advisory service gave no answer.";
--- a/crates/figscale/src/fleet/outcome.rs
+++ b/crates/figscale/src/fleet/outcome.rs
@@ -121,6 +121,9 @@
                 age_ms = age.as_millis()
             );
         }
+        Note::TaskCrashesWorkers { task, losses } => {
+            crate::event!(events::TASK_CRASHES_WORKERS, task = task, losses = losses);
+        }
         Note::RunEnded {
             task,
             attempt,
--- a/crates/figscale/src/fleet/workers/mod.rs
+++ b/crates/figscale/src/fleet/workers/mod.rs
@@ -28,7 +28,7 @@
 
 /// Time for a worker's answer, on top of the wait asked for.
 pub(super) const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
-/// Pause after a worker did not answer.
+/// Pause after a worker did not answer twice.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Pause after another life of a worker answered.
 const REPLACED_PAUSE: time::Duration = time::Duration::from_secs(3);
@@ -171,6 +171,12 @@
             return;
         };
         link.first = false;
+        // A connection may have been reset and nothing else; the worker gets no
+        // work until it is heard.
+        let pause = match link.answers {
+            true => time::Duration::ZERO,
+            false => SILENCE_PAUSE,
+        };
         if report.is_ok() != link.answers {
             link.answers = report.is_ok();
             match report {
@@ -186,7 +192,8 @@
             }
             Ok(workers::ReportOutcome::Report(_)) => Next::At(now),
             Ok(workers::ReportOutcome::OtherLife) => Next::At(now + REPLACED_PAUSE),
-            Ok(_) | Err(_) => Next::At(now + SILENCE_PAUSE),
+            Ok(_) => Next::At(now + SILENCE_PAUSE),
+            Err(_) => Next::At(now + pause),
         };
     }
 
--- a/crates/figscale/tests/fleet_crashes.rs
+++ b/crates/figscale/tests/fleet_crashes.rs
@@ -25,6 +25,26 @@
     fleet.check();
 }
 
+/// Guards against losses of workers that are forgotten with a leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_that_crashes_its_workers_is_given_up_through_takeovers() {
+    let mut fleet = Fleet::start(3, 6, false).await;
+    assert_eq!(fleet.submit(0, CRASHING, 1, "crash").await, 200);
+    for crashes in 1..=2 {
+        fleet
+            .wait("the next crash", || {
+                fleet.count_events("WORKER_SILENT") >= crashes
+            })
+            .await;
+        let leader = fleet.leader().await;
+        fleet.kill(leader);
+        fleet.launch(leader);
+        fleet.wait_until_ready(leader).await;
+    }
+    fleet.wait_for_state(1, CRASHING, "failed").await;
+    fleet.check();
+}
+
 /// Guards against starts on a worker that has said that its room is smaller.
 #[tokio::test(flavor = "multi_thread")]
 async fn room_that_has_shrunk_is_not_used() {
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -241,7 +241,7 @@
         panic!("entry-{number} is not ready: {}", !ready);
     }
 
-    async fn wait_until_ready(&self, number: usize) {
+    pub(crate) async fn wait_until_ready(&self, number: usize) {
         self.wait_for_ready_status(number, true).await;
     }
 
