Nothing is started in room that may have shrunk

Free room was reckoned kind by kind, so a worker over its processors still took a task that needs memory only; and entries were used however old: while the store answers nobody, and for 2.5 s after an entry has lapsed, a room that shrank meanwhile is not known. Class of fault: a belief without an age.

Change: a worker that uses more than it holds of any kind has no free room, and slots that become free are reckoned from what stays used. The moment at which the reading of an entry began is kept; past fleet.max_entry_age_ms (contact_ms on the platform) less 300 ms for the way of an order a worker gets nothing new.

Before: shrinking::nothing_is_started_on_a_worker_that_is_over_its_room (2 starts for 1) and shrinking::nothing_is_started_while_entries_are_too_old (4 for 3) fail. Ruled out as the same fault: readings that may be stale, none is asked for (no allow_stale); starts by a new leader, which knows no worker before it has read the entries itself."

--- a/crates/figscale-core/examples/fleet_cost.rs
+++ b/crates/figscale-core/examples/fleet_cost.rs
@@ -156,6 +156,7 @@
             clock_ms: CLOCK_MS,
             ..Default::default()
         };
+        scheduler.entries_read(std::slice::from_ref(&id), now);
         scheduler.worker_reported(&id, &report, now);
     }
     for job in 0..played.jobs {
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -216,11 +216,12 @@
         .map(|run| (probable_end(run, now), run.room))
         .collect();
     ends.sort_by_key(|(end, _)| *end);
-    let mut free = worker.free();
-    let mut times = vec![now; free.times(&need, most) as usize];
+    let mut used = worker.used();
+    let slots = |used: &fleet::Room| worker.free_beside(used).times(&need, most) as usize;
+    let mut times = vec![now; slots(&used)];
     for (end, room) in ends {
-        free = free.plus(&room);
-        times.resize(free.times(&need, most) as usize, end);
+        used = used.minus(&room);
+        times.resize(slots(&used), end);
     }
     times
 }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -30,6 +30,9 @@
     pub start_expiry: time::Duration,
     /// A worker that was silent for longer gets no new work.
     pub max_silence: time::Duration,
+    /// A worker whose entry was last read longer ago gets no new work, since its
+    /// room may have shrunk.
+    pub max_entry_age: time::Duration,
     /// How long the outcome of a job is kept.
     pub keep_ended: time::Duration,
     /// A job that would take longer than so much of its latency objective is
@@ -49,6 +52,8 @@
             start_expiry: time::Duration::from_millis(1_500),
             // Reports come every second at least.
             max_silence: time::Duration::from_millis(1_700),
+            // Entries are read every 0.6 s.
+            max_entry_age: time::Duration::from_millis(2_700),
             keep_ended: time::Duration::from_secs(150),
             // The users pay a fifth for what is late, up to 300 %. Below 200 %
             // small jobs are refused in vain after a peak; above it three times
@@ -173,9 +178,19 @@
         }
     }
 
+    /// Entries of workers were read as they are known; the reading began then.
+    pub fn entries_read(&mut self, ids: &[fleet::WorkerId], begun: time::Instant) {
+        for id in ids {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.entry_read_at = Some(begun);
+            }
+        }
+    }
+
     /// Whether new work may be sent to a worker.
     pub(crate) fn is_usable(&self, worker: &worker::Worker, now: time::Instant) -> bool {
-        worker.recorded && worker.is_usable(self.config.max_silence, now)
+        let config = &self.config;
+        worker.recorded && worker.is_usable(config.max_silence, config.max_entry_age, now)
     }
 
     /// Workers that the platform lists, as far as known.
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) entry: fleet::WorkerEntry,
+    /// When the reading of its entry was begun last.
+    pub(crate) entry_read_at: Option<time::Instant>,
     /// A draining worker goes on at least until then.
     pub(crate) leaves_at: Option<time::Instant>,
     /// Since when the platform lists it no more.
@@ -93,6 +95,7 @@
     pub(crate) fn new(entry: fleet::WorkerEntry) -> Self {
         Self {
             entry,
+            entry_read_at: None,
             leaves_at: None,
             unlisted_at: None,
             replaced: false,
@@ -130,7 +133,20 @@
 
     /// Room that nothing uses; what is being stopped still counts.
     pub(crate) fn free(&self) -> fleet::Room {
-        self.entry.room.minus(&self.used)
+        self.free_beside(&self.used)
+    }
+
+    /// Room beside what is used; none at all where that is more than there is of
+    /// any kind, as after the room has shrunk.
+    pub(crate) fn free_beside(&self, used: &fleet::Room) -> fleet::Room {
+        match self.entry.room.holds(used) {
+            true => self.entry.room.minus(used),
+            false => fleet::Room::default(),
+        }
+    }
+
+    pub(crate) fn used(&self) -> fleet::Room {
+        self.used
     }
 
     pub(crate) fn add_run(&mut self, key: RunKey, run: Run) {
@@ -183,13 +199,22 @@
         self.silent_since = None;
     }
 
-    /// Whether new work may be sent; `max_silence` is how old the last reading
-    /// may be.
-    pub(crate) fn is_usable(&self, max_silence: time::Duration, now: time::Instant) -> bool {
+    /// Whether new work may be sent; `max_silence` is how old the last report may
+    /// be, `max_entry_age` the last reading of its entry.
+    pub(crate) fn is_usable(
+        &self,
+        max_silence: time::Duration,
+        max_entry_age: time::Duration,
+        now: time::Instant,
+    ) -> bool {
         let heard = self
             .lease
             .silent_for(now)
             .is_some_and(|silent| silent <= max_silence);
+        let heard = heard
+            && self
+                .entry_read_at
+                .is_some_and(|at| now <= at + max_entry_age);
         let listed = self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE);
         let known = listed && self.reported && self.silent_since.is_none();
         let open = known && !self.entry.draining && !self.replaced && !self.is_quarantined();
--- a/crates/figscale-core/tests/fleet/kit.rs
+++ b/crates/figscale-core/tests/fleet/kit.rs
@@ -152,7 +152,7 @@
     pub(crate) notes: Vec<Note>,
     pub(crate) stops: Vec<(fleet::WorkerId, fleet::TaskId, u32)>,
     pub(crate) stepped_down: bool,
-    /// Whether records are written.
+    /// Whether records are written and entries read.
     pub(crate) store_answers: bool,
     /// Workers that there have been.
     pub(crate) added: usize,
@@ -311,8 +311,12 @@
         }
     }
 
+    /// Entries are read, and workers report.
     pub(crate) fn report_all(&mut self) {
         let ids: Vec<fleet::WorkerId> = self.workers.keys().cloned().collect();
+        if self.store_answers {
+            self.scheduler.entries_read(&ids, self.now);
+        }
         for id in ids {
             self.report(&id);
         }
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -19,6 +19,7 @@
 mod placing;
 mod records;
 mod recovery;
+mod shrinking;
 mod silence;
 mod standing;
 mod starving;
--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -311,6 +311,7 @@
                 leader.scheduler.worker_unlisted(&id, now);
             }
         }
+        let ids: Vec<WorkerId> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
             if leader.scheduler.is_listed_as(&entry) {
                 continue;
@@ -327,6 +328,7 @@
                 leader.scheduler.worker_leaves(&id, now + leaves_in);
             }
         }
+        leader.scheduler.entries_read(&ids, now);
     }
 
     pub(super) fn answer(&mut self, number: usize, id: &WorkerId, called: &Called) {
--- a/crates/figscale/src/fleet/message.rs
+++ b/crates/figscale/src/fleet/message.rs
@@ -1,5 +1,7 @@
 //! What comes back to a term of leadership from the calls that it made.
 
+use std::time;
+
 use figscale_core::fleet::Question;
 use figscale_platform::CallError;
 use figscale_platform::store;
@@ -13,7 +15,11 @@
 /// What comes back to a term.
 pub(super) enum Message {
     /// All workers, as the platform lists them.
-    Listing(Vec<fleet::WorkerEntry>),
+    Listing {
+        entries: Vec<fleet::WorkerEntry>,
+        /// When the reading began.
+        begun: time::Instant,
+    },
     /// A worker's report, or why there is none.
     Reported(
         fleet::WorkerId,
--- a/crates/figscale/src/fleet/term/load.rs
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -17,6 +17,9 @@
 /// A winner that cannot read the records for so long gives up.
 const MAX_LOADING: time::Duration = time::Duration::from_secs(4);
 
+/// The way of an order to a worker, with a busy moment here.
+const ORDER_SLACK: time::Duration = time::Duration::from_millis(300);
+
 /// What earlier leaders kept, as of a head.
 pub(in crate::fleet) struct Loaded {
     scheduler: Scheduler,
@@ -62,11 +65,13 @@
     epoch: fleet::Epoch,
 ) -> Result<Loaded, CallError> {
     let longest = time::Duration::from_millis(context.fleet.max_worker_lease_ms);
+    let entry_age = time::Duration::from_millis(context.fleet.max_entry_age_ms);
     let standard = Config::default();
     let config = Config {
         epoch,
         lease: standard.lease.min(longest),
         stop_limit: time::Duration::from_millis(context.fleet.stop_limit_ms),
+        max_entry_age: entry_age.saturating_sub(ORDER_SLACK),
         ..standard
     };
     let mut scheduler = Scheduler::new(config);
--- a/crates/figscale/src/fleet/term/messages.rs
+++ b/crates/figscale/src/fleet/term/messages.rs
@@ -15,7 +15,7 @@
     pub(super) fn on_message(&mut self, message: Message) {
         let now = self.now();
         match message {
-            Message::Listing(entries) => self.on_listing(entries, now),
+            Message::Listing { entries, begun } => self.on_listing(entries, begun, now),
             Message::Reported(id, report) => self.on_report(&id, report, now),
             Message::StartAnswered {
                 worker,
@@ -43,7 +43,12 @@
         }
     }
 
-    fn on_listing(&mut self, entries: Vec<fleet::WorkerEntry>, now: time::Instant) {
+    fn on_listing(
+        &mut self,
+        entries: Vec<fleet::WorkerEntry>,
+        begun: time::Instant,
+        now: time::Instant,
+    ) {
         let listed: indexmap::IndexSet<fleet::WorkerId> =
             entries.iter().map(|entry| entry.id.clone()).collect();
         for id in self.scheduler.listed_workers() {
@@ -63,6 +68,8 @@
             }
             self.on_listed(entry, now);
         }
+        let listed: Vec<fleet::WorkerId> = listed.into_iter().collect();
+        self.scheduler.entries_read(&listed, begun);
     }
 
     fn on_listed(&mut self, entry: fleet::WorkerEntry, now: time::Instant) {
--- a/crates/figscale/src/fleet/workers/listing.rs
+++ b/crates/figscale/src/fleet/workers/listing.rs
@@ -26,10 +26,11 @@
 pub(crate) async fn follow(context: Context, messages: message::Messages) {
     let mut invalid = IndexMap::new();
     loop {
+        let begun = context.clock.now();
         if let Ok(listing) = context.store.list(workers::PREFIX).await {
             let items = listing.items.iter();
             let entries = items.filter_map(|item| entry(item, &mut invalid)).collect();
-            let _ = messages.send(Message::Listing(entries)).await;
+            let _ = messages.send(Message::Listing { entries, begun }).await;
         }
         tokio::time::sleep(LIST_PAUSE).await;
     }
--- a/crates/figscale/src/settings/fleet.rs
+++ b/crates/figscale/src/settings/fleet.rs
@@ -22,6 +22,10 @@
     /// Longest time that a worker takes to end a task. Default 400, 1 to 60,000.
     #[serde(default = "default_stop_limit_ms")]
     pub stop_limit_ms: u64,
+    /// How old the last reading of a worker's entry may be for new work there.
+    /// Default 3,000, 1,000 to 600,000.
+    #[serde(default = "default_max_entry_age_ms")]
+    pub max_entry_age_ms: u64,
     /// Life of the leader's lease after each renewal. Default 1,500, 1,000 to 60,000.
     #[serde(default = "default_leader_lease_ms")]
     pub leader_lease_ms: u64,
@@ -45,6 +49,10 @@
     400
 }
 
+fn default_max_entry_age_ms() -> u64 {
+    3_000
+}
+
 fn default_leader_lease_ms() -> u64 {
     1_500
 }
@@ -71,6 +79,8 @@
         let leases = self.max_worker_lease_ms;
         problems.bound("fleet.max_worker_lease_ms", leases, 1_000, 600_000);
         problems.bound("fleet.stop_limit_ms", self.stop_limit_ms, 1, 60_000);
+        let age = self.max_entry_age_ms;
+        problems.bound("fleet.max_entry_age_ms", age, 1_000, 600_000);
         problems.bound("fleet.leader_lease_ms", self.leader_lease_ms, 1_000, 60_000);
         problems.bound("fleet.own_workers", self.own_workers, 0, 100_000);
         problems.bound("fleet.cpu_share", self.cpu_share, 0.01, 1.0);
