An overdue gang behind a single lane is asked about

Cause: questions go by rank, and work that can still be in time comes before what is overdue. A lane takes one question at a time, so where one lane carries all long questions there is always a more urgent one when it becomes free. The turn that overdue work has for room (fleet::turns) did not reach the questions. Class of fault: strict priority without aging.

Change: an overdue step in turn that has wanted a question for four times its length asks before all others where only one lane carries long questions.

Before: starving::a_late_gang_is_asked_about_beside_a_stream_of_small_work fails with 1 member.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -28,6 +28,9 @@
 /// How much later than expected an answer may be, and its gang placed, before
 /// the workers kept for it are given up.
 const ANSWER_SLACK: time::Duration = time::Duration::from_millis(300);
+/// An overdue step in turn waits for a lane for so many times the length of its
+/// question at most.
+const MAX_LANE_WAIT: u32 = 4;
 /// Pause after a question that was not answered.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
@@ -118,10 +121,46 @@
     /// Asks for the best of the steps that need tickets, while lanes are free.
     /// What only widens the choice of gangs that keep no workers comes last.
     pub(crate) fn ask_for(&mut self, pass: &pass::Pass) {
+        self.ask_for_overdue(pass);
         self.ask_round(pass, Breadth::Needed);
         self.ask_round(pass, Breadth::Wide);
     }
 
+    /// Asks for overdue steps in turn that have waited long for the only lane, before
+    /// all others; a stream of other work would always take it first otherwise.
+    /// Beside several lanes they come to their turn by themselves.
+    fn ask_for_overdue(&mut self, pass: &pass::Pass) {
+        if self.lanes.long_lanes() > 1 {
+            return;
+        }
+        let overdue = pass.wanting.iter();
+        for candidate in overdue.filter(|candidate| pass.overdue.contains(&candidate.task)) {
+            let draft = self.draft(candidate, Breadth::Needed, pass);
+            let expected = draft.map(|draft| draft.expected);
+            let Some(advice) = self.step_of(&candidate.task).map(|step| &mut step.advice) else {
+                continue;
+            };
+            let Some(expected) = expected.filter(|_| advice.asking.is_none()) else {
+                advice.lane_wanted_since = None;
+                continue;
+            };
+            let since = *advice.lane_wanted_since.get_or_insert(pass.now);
+            if pass.now >= since + expected * MAX_LANE_WAIT {
+                self.ask_now(candidate, Breadth::Needed, pass);
+            }
+        }
+    }
+
+    /// Sends the question that a step needs, if it may and a lane is free for it.
+    fn ask_now(&mut self, candidate: &pass::Candidate, breadth: Breadth, pass: &pass::Pass) {
+        if self.may_ask(&candidate.task)
+            && let Some(draft) = self.draft(candidate, breadth, pass)
+            && let Some(member) = self.lanes.free(draft.expected > LONG_QUESTION)
+        {
+            self.send_question(candidate.task, draft, member, pass.now);
+        }
+    }
+
     fn ask_round(&mut self, pass: &pass::Pass, breadth: Breadth) {
         for candidate in &pass.wanting {
             if self.lanes.free(false).is_none() {
@@ -129,14 +168,10 @@
             }
             // What is not a gang asks alike in both rounds.
             let again = breadth == Breadth::Wide && !self.is_gang(&candidate.task);
-            if again && pass.tried == pass::Tried::WithRoom || !self.may_ask(&candidate.task) {
+            if again && pass.tried == pass::Tried::WithRoom {
                 continue;
             }
-            if let Some(draft) = self.draft(candidate, breadth, pass)
-                && let Some(member) = self.lanes.free(draft.expected > LONG_QUESTION)
-            {
-                self.send_question(candidate.task, draft, member, pass.now);
-            }
+            self.ask_now(candidate, breadth, pass);
         }
     }
 
@@ -158,6 +193,7 @@
         }
         let answered_at = now + draft.expected;
         if let Some(step) = self.step_of(&task) {
+            step.advice.lane_wanted_since = None;
             step.advice.asking = Some(job::Asking {
                 member: member.clone(),
                 workers: draft.workers.iter().cloned().collect(),
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -92,6 +92,8 @@
     pub(crate) asking: Option<Asking>,
     /// Workers that stay kept until the answer to its last question is there.
     pub(crate) promise: Option<Promise>,
+    /// Since when an overdue step needs a question and has found no lane.
+    pub(crate) lane_wanted_since: Option<time::Instant>,
     /// No question before this time, after one that was not answered.
     pub(crate) not_before: Option<time::Instant>,
 }
--- a/crates/figscale-core/src/fleet/lanes.rs
+++ b/crates/figscale-core/src/fleet/lanes.rs
@@ -65,18 +65,23 @@
         self.unanswered >= AWAY_AFTER
     }
 
-    /// A free lane for a question, if there is one that it may use.
-    pub(crate) fn free(&self, long: bool) -> Option<ids::MemberId> {
+    /// Lanes that a long question may take.
+    pub(crate) fn long_lanes(&self) -> usize {
         let kept = match self.lanes.len() {
             0 | 1 => 0,
             all => all.div_ceil(LANES_PER_SHORT_LANE).min(MAX_SHORT_LANES),
         };
+        self.lanes.len() - kept
+    }
+
+    /// A free lane for a question, if there is one that it may use.
+    pub(crate) fn free(&self, long: bool) -> Option<ids::MemberId> {
         // The first lanes are for long questions; short ones take the last
         // first, and any when those are busy.
         let free = |lane: &&(usize, (&ids::MemberId, &Lane))| lane.1.1.asked.is_none();
         let lanes: Vec<_> = self.lanes.iter().enumerate().collect();
         let found = match long {
-            true => lanes[..lanes.len() - kept].iter().find(free),
+            true => lanes[..self.long_lanes()].iter().find(free),
             false => lanes.iter().rev().find(free),
         };
         found.map(|(_, (member, _))| (*member).clone())
--- a/crates/figscale-core/tests/fleet/starving.rs
+++ b/crates/figscale-core/tests/fleet/starving.rs
@@ -310,10 +310,11 @@
     }
 }
 
-/// One way to the service, and always more urgent small work that needs it.
+/// Guards against an overdue gang that is never asked about: few ways to the service,
+/// and always more urgent small work that needs them.
 #[test]
 fn a_late_gang_is_asked_about_beside_a_stream_of_small_work() {
-    for members in [1, 3] {
+    for members in [1, 2, 3] {
         let mut fleet = Fleet::new(Cell::with_cores(4, 64));
         fleet.cell.join(2..=members);
         let filling = fleet::StepDescription {
