Only losses give a task up, and read ones need three

Change: attempts that were only announced no longer count for the verdict, and a leader that has not seen the last loss itself needs three.

--- a/crates/figscale-core/src/fleet/crashes.rs
+++ b/crates/figscale-core/src/fleet/crashes.rs
@@ -44,9 +44,6 @@
 const MAX_LOSSES_AT_START: usize = 2;
 /// Losses after a confirmed start after which a task is given up.
 const MAX_LOSSES: usize = 3;
-/// Attempts with no known end after which a task is given up, if two of them were
-/// surely lost.
-const MAX_ATTEMPTS: usize = 4;
 
 /// A run that was lost with its worker; of a gang, all members there. Without a
 /// worker it is a start that is announced: it may be lost with its leader.
@@ -164,14 +161,18 @@
         longest.clamp(CRASH_WINDOW, MAX_CRASH_AGE)
     }
 
+    /// Attempts that began and were lost with their workers.
+    fn lost(&self) -> usize {
+        self.attempts(|loss| loss.begun && loss.worker.is_some())
+    }
+
     /// Whether the task is given up.
     fn is_convicted(&self) -> bool {
         let seen = || self.losses.iter().filter(|loss| loss.worker.is_some());
-        let lost = self.attempts(|loss| loss.begun && loss.worker.is_some());
+        let lost = self.lost();
         let at_start = seen().all(Loss::is_at_start);
         let alone = self.last().any(|loss| loss.alone);
-        let enough = at_start && alone || self.attempts(|_| true) >= MAX_ATTEMPTS;
-        lost >= MAX_LOSSES || enough && lost >= MAX_LOSSES_AT_START
+        lost >= MAX_LOSSES || at_start && alone && lost >= MAX_LOSSES_AT_START
     }
 }
 
@@ -233,9 +234,9 @@
         }
     }
 
-    /// Whether an attempt may be ordered: of a task that has lost workers, once
-    /// the store knows of it.
-    pub(crate) fn is_announced(&mut self, task: &fleet::TaskId, attempt: u32) -> bool {
+    /// Announces an attempt of a task that has lost workers; true if there is
+    /// nothing to announce any more, and it may be ordered.
+    pub(crate) fn announce_start(&mut self, task: &fleet::TaskId, attempt: u32) -> bool {
         let job = self.jobs.get_mut(&task.job);
         let history = job.and_then(|job| job.crashes_mut(task));
         let Some(history) = history.filter(|history| !history.is_announced(attempt)) else {
@@ -355,11 +356,20 @@
 
     /// Ends the job of a task that crashes its workers.
     pub(crate) fn give_up_if_convicted(&mut self, task: &fleet::TaskId, now: time::Instant) {
+        self.give_up_if(task, History::is_convicted, now);
+    }
+
+    fn give_up_if(
+        &mut self,
+        task: &fleet::TaskId,
+        is_convicted: fn(&History) -> bool,
+        now: time::Instant,
+    ) {
         let Some(job) = self.jobs.get(&task.job).filter(|job| job.is_open()) else {
             return;
         };
         let history = job.crashes(task);
-        let Some(history) = history.filter(|history| history.is_convicted()) else {
+        let Some(history) = history.filter(|history| is_convicted(history)) else {
             return;
         };
         self.actions.push(Action::Tell(Note::TaskCrashesWorkers {
@@ -369,8 +379,10 @@
         self.end_job(task.job, fleet::JobState::Failed, now);
     }
 
-    /// Gives up what an earlier leader knew enough of, once all workers are heard.
-    pub(crate) fn give_up_convicted(&mut self, now: time::Instant) {
+    /// Gives up what earlier leaders knew enough of, once all workers are heard.
+    /// They may have recorded a silence and not the answer after it, so it takes
+    /// more losses than to a leader that has seen the last one.
+    pub(crate) fn give_up_recorded(&mut self, now: time::Instant) {
         let mut tasks = Vec::new();
         for id in &self.open {
             let rounds = self.jobs.get(id).map(|job| &job.rounds);
@@ -390,7 +402,7 @@
             let job = self.jobs.get(&task.job);
             let known = job.and_then(|job| job.task(&task));
             if known.is_some_and(job::Task::is_waiting) {
-                self.give_up_if_convicted(&task, now);
+                self.give_up_if(&task, |history| history.lost() >= MAX_LOSSES, now);
             }
         }
     }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -209,7 +209,7 @@
                 return false;
             };
             let attempt = self.next_attempt(&id);
-            if !self.is_announced(&id, attempt) {
+            if !self.announce_start(&id, attempt) {
                 continue;
             }
             self.start(&id, &worker, attempt, pass.now);
@@ -254,7 +254,7 @@
             .map(|id| self.next_attempt(id))
             .max()
             .unwrap_or(1);
-        if !self.is_announced(&candidate.task, attempt) {
+        if !self.announce_start(&candidate.task, attempt) {
             return true;
         }
         let mut placed = Placed::default();
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -190,7 +190,7 @@
             runs,
         };
         self.actions.push(Action::Tell(note));
-        self.give_up_convicted(now);
+        self.give_up_recorded(now);
         self.stop_partial_gangs(now);
     }
 
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -272,8 +272,8 @@
                 };
             }
         }
-        let suspect = self.jobs.get(&running.task.job);
-        let quarantined = suspect.is_some_and(|job| job.needs_quarantine(&running.task));
+        let job = self.jobs.get(&running.task.job);
+        let quarantined = job.is_some_and(|job| job.needs_quarantine(&running.task));
         let run = worker::Run {
             room,
             expires_clock_ms: 0,
