--- a/crates/figscale-types/src/clock.rs
+++ b/crates/figscale-types/src/clock.rs
@@ -23,6 +23,10 @@
 
     /// Wall-clock time; may jump.
     fn wall(&self) -> time::SystemTime;
+
+    /// Time since the machine started. Unlike [`Clock::now`] it goes on while the
+    /// machine is suspended, so the age of what was learnt before is told by it.
+    fn since_boot(&self) -> time::Duration;
 }
 
 /// A clock shared by the services of a process.
@@ -40,6 +44,14 @@
     fn wall(&self) -> time::SystemTime {
         time::SystemTime::now()
     }
+
+    /// Falls back on the time of day where the kernel has no such clock; it goes on
+    /// while the machine is suspended as well.
+    fn since_boot(&self) -> time::Duration {
+        let read = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+        let since_epoch = || self.wall().duration_since(time::UNIX_EPOCH);
+        read.map_or_else(|_| since_epoch().unwrap_or_default(), time::Duration::from)
+    }
 }
 
 /// A clock that moves only when told to, for tests.
@@ -77,4 +89,8 @@
     fn wall(&self) -> time::SystemTime {
         time::SystemTime::UNIX_EPOCH + *self.elapsed()
     }
+
+    fn since_boot(&self) -> time::Duration {
+        *self.elapsed()
+    }
 }
--- a/crates/figscale-types/src/fleet/job.rs
+++ b/crates/figscale-types/src/fleet/job.rs
@@ -40,6 +40,24 @@
         }
     }
 
+    /// The smaller of both, kind by kind.
+    pub fn least(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// The larger of both, kind by kind.
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// How many of `need` fit side by side; bounded by `most`.
     pub fn times(&self, need: &Self, most: u64) -> u64 {
         let each = |have: u64, want: u64| have.checked_div(want).unwrap_or(most);
--- a/crates/figscale-types/src/fleet/mod.rs
+++ b/crates/figscale-types/src/fleet/mod.rs
@@ -5,12 +5,17 @@
 //! them, and the scheduler knows nothing else. All have plain fields and no
 //! behaviour beyond arithmetic and parsing.
 
+mod customer;
 mod ids;
 mod job;
 mod queue;
 mod view;
 mod worker;
 
+pub use customer::CustomerName;
+pub use customer::CustomerTerms;
+pub use customer::Customers;
+pub use customer::KeyDigest;
 pub use ids::Epoch;
 pub use ids::JobId;
 pub use ids::TaskId;
--- a/crates/figscale-types/src/fleet/queue.rs
+++ b/crates/figscale-types/src/fleet/queue.rs
@@ -1,8 +1,11 @@
 //! Queues and services, as the operators configure them.
 
+use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::customer;
+
 /// How long the advisory service of a queue thinks.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdvicePolicy {
@@ -60,6 +63,11 @@
     pub queues: Vec<Queue>,
     /// Pools of workers.
     pub services: Vec<Service>,
+    /// Names of the queues that take calls without a key. They stand here since a
+    /// queue itself is part of job records.
+    pub public_queues: IndexSet<String>,
+    /// Customers; `None` where calls carry no keys.
+    pub customers: Option<customer::Customers>,
 }
 
 impl QueueTable {
@@ -68,6 +76,11 @@
         self.services.iter().any(|service| service.name == name)
     }
 
+    /// Whether calls for a queue must carry a customer's key.
+    pub fn needs_key(&self, queue: &Queue) -> bool {
+        self.customers.is_some() && !self.public_queues.contains(&queue.name)
+    }
+
     /// The queue of this name.
     pub fn named(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
