What instances do about a late leader is bounded, however many there are

A leader that is late takes the answers of its relays in late; its second, direct calls are answered first, the relays are set aside for 2 s, and the leader calls all their workers itself. Meanwhile each of 300 instances greets four times a second, asks 299 others about the leader, and looks whether the store is back.

Change: the workers of a relay that is set aside go to the next one in place of the leader (fleet::choose_carrier); beside relays at most 32 second calls go on at the same time; greetings, looks for the store and retries of watches are spread so that 128 instances or more do together what 128 would (fleet::spread_over); 16 peers at most are asked about a leader that is silent, so the line of a silent leader is short as well.

Pure tests: fleet::carriers, silence::the_greetings_of_many_instances_are_bounded.

--- a/crates/figscale-core/src/fleet/silence.rs
+++ b/crates/figscale-core/src/fleet/silence.rs
@@ -33,6 +33,35 @@
 /// Time for a peer to say what it knows of the leader.
 pub const SIGHTING_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
+/// Instances up to which each does as often as one alone would what all do at the
+/// same time: greet, look whether the store is back. A leader or a store would
+/// otherwise have the more of it the more instances there are.
+const INSTANCES_AT_FULL_RATE: usize = 128;
+/// An instance that has not greeted for so long, and for so many greetings, is gone.
+const MIN_MEMBER_SILENCE: time::Duration = time::Duration::from_millis(1_600);
+const GREETINGS_MISSED: u32 = 4;
+
+/// Peers asked what they know of the leader at most; each of a thousand instances
+/// asks when it misses an answer, and the leader is one of those that are asked.
+pub const MAX_PEERS_ASKED: usize = 16;
+
+/// Time between what one of so many instances does again and again, where one
+/// alone would do it after `pause`.
+pub fn spread_over(pause: time::Duration, instances: usize) -> time::Duration {
+    let instances = u32::try_from(instances.max(INSTANCES_AT_FULL_RATE)).unwrap_or(u32::MAX);
+    pause.saturating_mul(instances) / INSTANCES_AT_FULL_RATE as u32
+}
+
+/// Time between the greetings of one of so many instances.
+pub fn hello_pause(instances: usize) -> time::Duration {
+    spread_over(HELLO_PAUSE, instances)
+}
+
+/// After how long without a greeting one of so many instances is gone.
+pub fn member_silence(instances: usize) -> time::Duration {
+    MIN_MEMBER_SILENCE.max(hello_pause(instances) * GREETINGS_MISSED)
+}
+
 /// How long a winner may say that it does not lead before its term is taken as
 /// over; it reads the store before it leads.
 const WINNER_LIMIT: time::Duration = time::Duration::from_millis(2_500);
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/carriers.rs
@@ -0,0 +1,39 @@
+//! Relays that seem slow while the leader itself is late.
+
+use figscale_core::fleet::Carrier;
+use figscale_core::fleet::choose_carrier;
+
+const NEAR: Carrier = Carrier {
+    near: true,
+    set_aside: false,
+    hash: 7,
+};
+
+/// Guards against a leader that is late, takes its relays for slow and calls all
+/// workers itself, by which it is later still: 300 instances and 3,000 workers were
+/// never well again after the store had been away for 3 s.
+#[test]
+fn workers_of_a_slow_relay_go_to_the_next_one() {
+    let slow = Carrier {
+        set_aside: true,
+        hash: 9,
+        ..NEAR
+    };
+    let far = Carrier {
+        near: false,
+        hash: 8,
+        ..NEAR
+    };
+    assert_eq!(choose_carrier([far, NEAR, slow]), Some(1));
+    assert_eq!(choose_carrier([slow, far]), Some(1));
+    assert_eq!(choose_carrier([slow, Carrier { hash: 5, ..slow }]), Some(0));
+    assert_eq!(choose_carrier([]), None);
+}
+
+/// Guards against workers that all move when one relay comes or goes.
+#[test]
+fn the_relay_of_a_worker_stays_while_others_come_and_go() {
+    let with = |hash| Carrier { hash, ..NEAR };
+    assert_eq!(choose_carrier([with(3), with(9), with(4)]), Some(1));
+    assert_eq!(choose_carrier([with(9), with(4)]), Some(0));
+}
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod advice;
 mod backlog;
 mod callers;
+mod carriers;
 mod crashes;
 mod customers;
 mod ends;
--- a/crates/figscale-core/tests/fleet/silence.rs
+++ b/crates/figscale-core/tests/fleet/silence.rs
@@ -9,7 +9,9 @@
 use figscale_core::fleet::PeerView;
 use figscale_core::fleet::SIGHTING_TIMEOUT;
 use figscale_core::fleet::SILENCE;
+use figscale_core::fleet::hello_pause;
 use figscale_core::fleet::is_lost;
+use figscale_core::fleet::member_silence;
 use figscale_types::fleet::Epoch;
 use rstest::rstest;
 
@@ -70,6 +72,19 @@
     assert!(is_lost(missed, &[PeerView::Heard(missed); 2], quick));
 }
 
+/// Guards against a leader that has the more greetings to answer the more instances
+/// there are: 300 of them sent 1,200 a second to a quarter of a core.
+#[test]
+fn the_greetings_of_many_instances_are_bounded() {
+    let a_second = |instances: usize| instances as f64 / hello_pause(instances).as_secs_f64();
+    assert_eq!(hello_pause(8), HELLO_PAUSE);
+    assert_eq!(hello_pause(97), HELLO_PAUSE);
+    for instances in [128, 300, 1_000, 3_000] {
+        assert!(a_second(instances) <= 513.0, "{instances} instances");
+        assert!(member_silence(instances) >= hello_pause(instances) * 4);
+    }
+}
+
 /// Seen: a leader of 90 workers behind a link of 2 Mbit/s, and one of 540 workers
 /// with an eighth of a core, were each given up some 9 s after traffic began, and
 /// so was every leader after them: 11 to 14 terms, with nothing served between. How
--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -131,6 +131,11 @@
         *mutex::lock(&self.roster) = addresses;
     }
 
+    /// Number of instances known, this one among them.
+    pub(super) fn instances(&self) -> usize {
+        mutex::lock(&self.roster).len()
+    }
+
     /// Fingerprint of the instances known.
     pub(super) fn roster_hash(&self) -> calls::RosterHash {
         calls::RosterHash::of(&mutex::lock(&self.roster))
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -61,7 +61,8 @@
         // The reason is logged where the store is called.
         if followed.is_err() {
             leadership::note(&context, |known| known.store_was_away = true);
-            tokio::time::sleep(RETRY_PAUSE).await;
+            let pause = scheduling::spread_over(RETRY_PAUSE, context.store.instances());
+            tokio::time::sleep(pause).await;
         }
     }
 }
--- a/crates/figscale/src/fleet/follow.rs
+++ b/crates/figscale/src/fleet/follow.rs
@@ -94,7 +94,7 @@
             // The reason is logged where the store is called.
             Ok(store::Watched::Compacted) | Err(_) => {
                 context.config_proof.outdated.notify_one();
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(spread(&context, RETRY_PAUSE)).await;
             }
         }
     }
@@ -105,13 +105,19 @@
 async fn keep_proven(context: Context) {
     loop {
         let outdated = context.config_proof.outdated.notified();
-        let called = tokio::time::timeout(PROOF_LOOK, outdated).await.is_ok();
+        let pause = spread(&context, PROOF_LOOK);
+        let called = tokio::time::timeout(pause, outdated).await.is_ok();
         if called || is_old(&context) {
             ask(&context).await;
         }
     }
 }
 
+/// A pause that the more instances there are, the longer each of them takes.
+fn spread(context: &Context, pause: time::Duration) -> time::Duration {
+    scheduling::spread_over(pause, context.store.instances())
+}
+
 fn is_old(context: &Context) -> bool {
     let allowed = match context.leadership.borrow().leading {
         true => LEADER_PROOF_AGE,
--- a/crates/figscale/src/fleet/membership.rs
+++ b/crates/figscale/src/fleet/membership.rs
@@ -142,7 +142,8 @@
             }
         }
         // A new leader is greeted at once.
-        let _ = tokio::time::timeout(fleet::HELLO_PAUSE, changes.changed()).await;
+        let pause = fleet::hello_pause(context.store.instances());
+        let _ = tokio::time::timeout(pause, changes.changed()).await;
     }
 }
 
@@ -340,11 +341,11 @@
     });
 }
 
-/// Asks all peers what they know of the leader, and takes over what is newer:
-/// where the store cannot be read, a peer may know of a new leader.
+/// Asks peers what they know of the leader, and takes over what is newer: where the store cannot be read, a peer may know of a new leader.
 async fn ask_peers(context: &Context, leader: &leadership::Leader) -> Vec<fleet::PeerView> {
     let mut others = context.store.roster();
     others.retain(|address| *address != leader.address);
+    others.truncate(fleet::MAX_PEERS_ASKED);
     let asked = others.into_iter().map(|other| {
         let peers = context.peers.clone();
         async move {
--- a/crates/figscale/src/fleet/relay/mod.rs
+++ b/crates/figscale/src/fleet/relay/mod.rs
@@ -21,6 +21,7 @@
 use std::sync;
 use std::time;
 
+use figscale_core::fleet as scheduling;
 use figscale_types::fleet;
 use figscale_types::hash;
 use figscale_types::ids;
@@ -94,12 +95,17 @@
         if workers as u64 <= self.context.fleet.own_workers {
             return None;
         }
-        let near = |relay: &Relay| relay.failure_domain.as_str() == failure_domain;
-        let score = |(member, relay): &(&ids::MemberId, &Relay)| {
-            (near(relay), hash::hash(&[member.as_str(), worker.as_str()]))
-        };
-        let (_, relay) = self.relays.iter().max_by_key(score)?;
         let now = self.context.clock.now();
-        (!relay.link.is_set_aside(now)).then(|| relay.link.clone())
+        let carriers = self
+            .relays
+            .iter()
+            .map(|(member, relay)| scheduling::Carrier {
+                near: relay.failure_domain.as_str() == failure_domain,
+                set_aside: relay.link.is_set_aside(now),
+                hash: hash::hash(&[member.as_str(), worker.as_str()]),
+            });
+        let position = scheduling::choose_carrier(carriers)?;
+        let (_, relay) = self.relays.get_index(position)?;
+        Some(relay.link.clone())
     }
 }
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -26,8 +26,6 @@
 use crate::fleet::calls::LeaderCall;
 use crate::fleet::fitness;
 
-/// An instance that has not greeted for so long is gone.
-const MEMBER_SILENCE: time::Duration = time::Duration::from_millis(1_600);
 /// A leader without most of its peers for so long gives up.
 const OUT_OF_REACH: time::Duration = time::Duration::from_millis(900);
 
@@ -170,7 +168,8 @@
     }
 
     pub(super) fn drop_silent_members(&mut self, now: time::Instant) {
-        let silent = |member: &Member| now > member.heard + MEMBER_SILENCE;
+        let silence = fleet::member_silence(self.members.len());
+        let silent = |member: &Member| now > member.heard + silence;
         let gone: Vec<ids::MemberId> = self
             .members
             .iter()
--- a/crates/figscale/src/fleet/workers/hedged.rs
+++ b/crates/figscale/src/fleet/workers/hedged.rs
@@ -38,6 +38,9 @@
         return report;
     }
     let _ = messages.send(Message::Overdue(address.id.clone())).await;
+    let Some(_permit) = ways.second_call() else {
+        return first.await;
+    };
     let at_once = workers::ReportRequest {
         wait: time::Duration::ZERO,
         ..request
@@ -73,6 +76,9 @@
         return outcome;
     }
     let _ = messages.send(Message::Overdue(address.id.clone())).await;
+    let Some(_permit) = ways.second_call() else {
+        return first.await;
+    };
     let second = ways.direct.start(address, epoch, order);
     tokio::pin!(second);
     let (one, other) = tokio::select! {
--- a/crates/figscale/src/fleet/workers/mod.rs
+++ b/crates/figscale/src/fleet/workers/mod.rs
@@ -8,6 +8,7 @@
 mod listing;
 mod ways;
 
+use std::sync;
 use std::time;
 
 use figscale_core::fleet::Losses;
@@ -17,6 +18,7 @@
 use figscale_types::fleet;
 use figscale_types::verdict::Verdict;
 use indexmap::IndexMap;
+use tokio::sync::Semaphore;
 
 use super::Context;
 use super::message;
@@ -34,6 +36,8 @@
 const REPLACED_PAUSE: time::Duration = time::Duration::from_secs(3);
 /// With the store away, a worker is asked this often without acknowledgement.
 const UNACKNOWLEDGED_PAUSE: time::Duration = time::Duration::from_millis(600);
+/// Second calls, made directly, that go on at the same time beside those of relays.
+const MAX_SECOND_CALLS: usize = 32;
 /// Tries of a stop order; the scheduler repeats it as well.
 const STOP_TRIES: u32 = 2;
 
@@ -63,6 +67,7 @@
     messages: message::Messages,
     links: IndexMap<fleet::WorkerId, Link>,
     losses: Losses,
+    second_calls: sync::Arc<Semaphore>,
     /// The instances that carry calls.
     pub(super) relays: relay::Relays,
 }
@@ -76,6 +81,7 @@
             messages,
             links: IndexMap::new(),
             losses: Losses::default(),
+            second_calls: sync::Arc::new(Semaphore::new(MAX_SECOND_CALLS)),
             relays: relay::Relays::new(context),
         }
     }
@@ -86,6 +92,7 @@
         ways::Ways {
             direct: self.calls.clone(),
             relay: self.relays.relay_of(id, domain, self.links.len()),
+            second_calls: self.second_calls.clone(),
             clock: self.context.clock.clone(),
         }
     }
--- a/crates/figscale/src/fleet/workers/ways.rs
+++ b/crates/figscale/src/fleet/workers/ways.rs
@@ -7,6 +7,8 @@
 use figscale_platform::workers;
 use figscale_types::clock;
 use figscale_types::fleet;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 
 use super::CALL_TIMEOUT;
 use crate::fleet::relay;
@@ -20,6 +22,8 @@
     pub(super) direct: workers::Workers,
     /// The instance that carries them, if one does.
     pub(super) relay: Option<sync::Arc<relay::Link>>,
+    /// Second calls, made directly, that may go on beside calls of relays.
+    pub(super) second_calls: sync::Arc<Semaphore>,
     pub(super) clock: clock::SharedClock,
 }
 
@@ -54,6 +58,16 @@
         }
     }
 
+    /// Permission for a second call; `None` where too many go on already. Without
+    /// relays the leader makes all calls itself, and there is no bound.
+    pub(super) fn second_call(&self) -> Option<Option<OwnedSemaphorePermit>> {
+        if self.relay.is_none() {
+            return Some(None);
+        }
+        let permit = self.second_calls.clone().try_acquire_owned();
+        permit.ok().map(Some)
+    }
+
     /// What the relay's call brought; `None` if it brought nothing.
     async fn relayed(
         &self,
