Only the leader watches the configuration while it answers greetings

Cause: each instance watched op/config each 0.7 s, although the leader's answers to greetings tell of a newer revision; that is 60 calls of the store a second with 42 instances and 430 with 300, of the rate that the leader's records need.

Change: an instance whose proof from the leader is younger than 1.25 s does not watch.

--- a/crates/figscale/src/fleet/follow.rs
+++ b/crates/figscale/src/fleet/follow.rs
@@ -1,12 +1,13 @@
 //! Follows the operators' configuration, and keeps the proof that it is in force.
 //!
-//! A watch brings a new version within milliseconds. It is asked again every
-//! second, since a connection can go silent and only the missing answer shows
-//! it. That a watch brings nothing proves nothing, so the store is also asked for
-//! the configuration unless it has the revision known here; that answer is never
-//! older than its question. The leader asks all the time and passes its proof on
-//! with its answers to greetings. The others ask when that is missing. A version
-//! never goes back.
+//! A watch brings the leader a new version within milliseconds. It is asked again
+//! every second, since a connection can go silent and only the missing answer
+//! shows it. That a watch brings nothing proves nothing, so the store is also asked
+//! for the configuration unless it has the revision known here; that answer is
+//! never older than its question. The leader asks all the time and passes its
+//! proof on with its answers to greetings, which so tell the others of a newer
+//! version too. Where these answers are missing the others watch and ask for
+//! themselves. A version never goes back.
 
 use std::sync;
 use std::time;
@@ -31,6 +32,8 @@
 const PROOF_LOOK: time::Duration = time::Duration::from_millis(250);
 /// The leader's proof is renewed when it is older.
 const LEADER_PROOF_AGE: time::Duration = time::Duration::from_millis(400);
+/// Another instance hears of changes from the leader while its proof is younger.
+const HEARS_FROM_LEADER_AGE: time::Duration = time::Duration::from_millis(1_250);
 /// Any other instance asks for itself when its proof is older.
 const OWN_PROOF_AGE: time::Duration = time::Duration::from_millis(1_500);
 
@@ -73,9 +76,14 @@
     proof.holds(bound, context.clock.since_boot())
 }
 
-/// Brings changes as they happen, while the store answers from here.
+/// Brings changes as they happen, while the store answers from here and nobody else
+/// tells of them.
 async fn watch(context: Context) {
     loop {
+        if hears_from_leader(&context) {
+            tokio::time::sleep(PROOF_LOOK).await;
+            continue;
+        }
         let known = context.config_proof.proof().revision();
         let watched = match known {
             0 => Ok(store::Watched::Compacted),
@@ -118,6 +126,13 @@
     scheduling::spread_over(pause, context.store.instances())
 }
 
+/// Whether the leader's answers to greetings tell of new versions as well.
+fn hears_from_leader(context: &Context) -> bool {
+    let age = context.config_proof.proof().age(context.clock.since_boot());
+    let leading = context.leadership.borrow().leading;
+    !leading && age.is_some_and(|age| age < HEARS_FROM_LEADER_AGE)
+}
+
 fn is_old(context: &Context) -> bool {
     let allowed = match context.leadership.borrow().leading {
         true => LEADER_PROOF_AGE,
