--- a/crates/figscale-core/src/fleet/customers.rs
+++ b/crates/figscale-core/src/fleet/customers.rs
@@ -132,9 +132,9 @@
         let weight =
             |name: &CustomerName| customers.terms(name).map_or(0, |terms| terms.weight_millis);
         let all_used: u64 = used.values().sum();
-        let all_weights: u64 = used.keys().map(|name| weight(*name)).sum();
+        let all_weights: u64 = used.keys().map(|name| weight(name)).sum();
         let is_over = |(name, used): &(&&CustomerName, &u64)| {
-            let part = u128::from(all_used) * u128::from(weight(**name));
+            let part = u128::from(all_used) * u128::from(weight(name));
             let used = u128::from(**used) * u128::from(all_weights);
             used * 100 > part * u128::from(OVER_SHARE_PERCENT)
         };
