In fleets of up to 1,500 workers a relay that is set aside is passed by again

Since another relay stands in for one that is set aside, the leader makes no call itself, and only a direct call that is answered second tells it that calls get lost; then reports wait 0.25 s in place of 1 s. Change: the stand-in and the bound hold for more than 1,500 workers alone; below, calls go as before.

In large fleets lost calls are still not noticed.

--- a/crates/figscale/src/fleet/relay/mod.rs
+++ b/crates/figscale/src/fleet/relay/mod.rs
@@ -40,6 +40,16 @@
 /// A relay whose call was overtaken by a direct one is left out for so long.
 const SET_ASIDE: time::Duration = time::Duration::from_secs(2);
 
+/// Workers up to which the leader calls them itself while their relay is set aside.
+/// Only direct calls show that calls of workers get lost; with more workers they
+/// would keep a late leader late.
+const MAX_CALLED_DIRECTLY: usize = 1_500;
+
+/// Whether a fleet has more workers than its leader could call directly.
+pub(super) fn is_large(workers: usize) -> bool {
+    workers > MAX_CALLED_DIRECTLY
+}
+
 /// An instance that can carry calls.
 struct Relay {
     failure_domain: ids::FailureDomain,
@@ -85,7 +95,7 @@
     }
 
     /// The instance that carries the calls of a worker; `None` for the leader
-    /// itself.
+    /// itself. In a large fleet another relay stands in for one that is set aside.
     pub(super) fn relay_of(
         &self,
         worker: &fleet::WorkerId,
@@ -101,11 +111,11 @@
             .iter()
             .map(|(member, relay)| scheduling::Carrier {
                 near: relay.failure_domain.as_str() == failure_domain,
-                set_aside: relay.link.is_set_aside(now),
+                set_aside: is_large(workers) && relay.link.is_set_aside(now),
                 hash: hash::hash(&[member.as_str(), worker.as_str()]),
             });
         let position = scheduling::choose_carrier(carriers)?;
         let (_, relay) = self.relays.get_index(position)?;
-        Some(relay.link.clone())
+        (is_large(workers) || !relay.link.is_set_aside(now)).then(|| relay.link.clone())
     }
 }
--- a/crates/figscale/src/fleet/workers/mod.rs
+++ b/crates/figscale/src/fleet/workers/mod.rs
@@ -89,10 +89,11 @@
     /// How the calls of a worker go.
     fn ways(&self, link: &Link) -> ways::Ways {
         let (id, domain) = (&link.address.id, &link.failure_domain);
+        let large = relay::is_large(self.links.len());
         ways::Ways {
             direct: self.calls.clone(),
             relay: self.relays.relay_of(id, domain, self.links.len()),
-            second_calls: self.second_calls.clone(),
+            second_calls: large.then(|| self.second_calls.clone()),
             clock: self.context.clock.clone(),
         }
     }
--- a/crates/figscale/src/fleet/workers/ways.rs
+++ b/crates/figscale/src/fleet/workers/ways.rs
@@ -22,8 +22,9 @@
     pub(super) direct: workers::Workers,
     /// The instance that carries them, if one does.
     pub(super) relay: Option<sync::Arc<relay::Link>>,
-    /// Second calls, made directly, that may go on beside calls of relays.
-    pub(super) second_calls: sync::Arc<Semaphore>,
+    /// Second calls, made directly, that may go on beside calls of relays; `None`
+    /// for any number.
+    pub(super) second_calls: Option<sync::Arc<Semaphore>>,
     pub(super) clock: clock::SharedClock,
 }
 
@@ -61,11 +62,10 @@
     /// Permission for a second call; `None` where too many go on already. Without
     /// relays the leader makes all calls itself, and there is no bound.
     pub(super) fn second_call(&self) -> Option<Option<OwnedSemaphorePermit>> {
-        if self.relay.is_none() {
+        let Some(second_calls) = self.second_calls.as_ref().filter(|_| self.relay.is_some()) else {
             return Some(None);
-        }
-        let permit = self.second_calls.clone().try_acquire_owned();
-        permit.ok().map(Some)
+        };
+        second_calls.clone().try_acquire_owned().ok().map(Some)
     }
 
     /// What the relay's call brought; `None` if it brought nothing.
