--- a/crates/figscale-core/src/fleet/carriers.rs
+++ b/crates/figscale-core/src/fleet/carriers.rs
@@ -3,8 +3,8 @@
 //! A leader that falls behind takes the answers of its relays in late, so that
 //! its own second calls are answered first and one relay after the other seems to
 //! be slow. Were their workers called directly meanwhile, the leader would make
-//! more calls the later it is, and never catch up. So the workers of a relay that
-//! is set aside go to the next one, and second calls have a budget.
+//! more calls the later it is, and never catch up. So in a large fleet the workers
+//! of a relay that is set aside go to the next one, and second calls have a budget.
 
 /// A relay that could carry the calls of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -3,7 +3,8 @@
 //! Steps are ranked: jobs that can still meet their objective before those that
 //! are late, and these before those that are worth nothing any more; quick queues
 //! (priority 0) before others; then those of customers that use less than their
-//! share by weight; then by the time that is left before they must start, or since. Within a step a task goes to the fullest worker
+//! share by weight; then by the time that is left before they must start, or since.
+//! Within a step a task goes to the fullest worker
 //! that holds it, so that large holes stay for wide gangs. A gang that finds no
 //! room has workers kept for it.
 
