Starvation reports include gangs and long-running steps that run in part

Callers saw accepted work that did not run beside free room, and no log could have told why: a step counted as starved only if none of its tasks was on a worker. A lasting task waits beside others that run, and a gang with one member that still counts as placed waits beside that member; neither caused a line or moved the gauge.

A gang or long-running step is now starved while any task waits, and is reported if the same task also waited at the last scan, so tasks that fail and start again are not. The line also gives the tasks on workers and what holds the step back (losses not in the store, or losses under judgement), and its free slots leave out workers that run as many tasks of the step as they may.

No decision changes.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -1,6 +1,7 @@
 //! Actions that the scheduler requests from its owner, and the entries that it
 //! writes to the log.
 
+use std::fmt;
 use std::time;
 
 use figscale_types::fleet;
@@ -46,6 +47,25 @@
     Log(LogEntry),
 }
 
+/// Why a step is not started although its tasks wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StepHold {
+    /// Lost runs of its tasks are not in the store yet.
+    UnsavedLosses,
+    /// Tasks that lost their workers wait until another attempt would show whether
+    /// they are the cause.
+    Losses,
+}
+
+impl fmt::Display for StepHold {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::UnsavedLosses => "unsaved losses",
+            Self::Losses => "losses",
+        })
+    }
+}
+
 /// A log entry: a decision, or a change in what is known of jobs and workers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEntry {
@@ -75,7 +95,8 @@
         /// Time left until the job misses its objective; `None` if it has.
         slack: Option<time::Duration>,
     },
-    /// A step has been ready for long and has nothing running.
+    /// A step has been ready for long and has nothing running, or is a gang or
+    /// long-running and has tasks that wait.
     StepStarved {
         /// First task of the step.
         task: fleet::TaskId,
@@ -83,6 +104,8 @@
         waits: time::Duration,
         /// Waiting tasks.
         tasks: usize,
+        /// Tasks that are on workers.
+        on_workers: usize,
         /// Tasks that may still run on a worker that has not reported.
         suspect: usize,
         /// Tasks that the usable workers approved by the advisory service could
@@ -96,6 +119,8 @@
         asking: bool,
         /// Number of its queries without a response since the last response.
         unanswered: u32,
+        /// What holds it back, if anything does.
+        hold: Option<StepHold>,
     },
     /// The advisory service responded which workers may run a step.
     AdviceReceived {
--- a/crates/figscale-core/src/fleet/crashes.rs
+++ b/crates/figscale-core/src/fleet/crashes.rs
@@ -34,6 +34,7 @@
 
 use super::action::Action;
 use super::action::LogEntry;
+use super::action::StepHold;
 use super::crash_evidence;
 use super::job;
 use super::lease::millis;
@@ -362,6 +363,24 @@
         history.is_over_loss_limit() && open() || !shows()
     }
 
+    /// What holds back the waiting tasks of a step, if anything does. `first` is its
+    /// first task.
+    pub(crate) fn hold(&self, first: &fleet::TaskId, now: time::Instant) -> Option<StepHold> {
+        let job = self.jobs.get(&first.job)?;
+        let step = job.step(first)?;
+        if self.has_unsaved_losses(first.job, step) {
+            return Some(StepHold::UnsavedLosses);
+        }
+        let is_gang = job.step_description(first)?.gang;
+        let mut histories = step.crashes.iter();
+        let held = histories.any(|(index, history)| {
+            let task = step.tasks.get(*index as usize);
+            let waits = is_gang || task.is_some_and(job::Task::is_waiting);
+            waits && self.is_held(history, is_gang, now)
+        });
+        held.then_some(StepHold::Losses)
+    }
+
     /// Announces an attempt of a task that has losses. Returns true if it is
     /// announced already, or has no losses, and may be ordered.
     pub(crate) fn announce_start(
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -64,6 +64,7 @@
 pub use action::Action;
 pub use action::AdviceQuery;
 pub use action::LogEntry;
+pub use action::StepHold;
 pub use admission::Admission;
 pub use call_schedule::CallSchedule;
 pub use candidacy::LeaderEvidence;
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -78,8 +78,9 @@
     pub open_jobs: usize,
     /// Number of these without a started task.
     pub queued_jobs: usize,
-    /// Steps that have been ready for long and have nothing running; the number
-    /// is up to about 2 s old.
+    /// Steps that have been ready for long and have nothing running, and gangs and
+    /// long-running steps with tasks that wait for long; the number is up to about
+    /// 2 s old.
     pub waiting_steps: usize,
     /// How often the last placement pass examined a worker for a step.
     pub pass_scans: usize,
@@ -126,7 +127,7 @@
     pub(crate) lost_workers: crash_evidence::LostWorkers,
     /// Tasks whose losses are to be judged.
     pub(crate) suspects: IndexSet<fleet::TaskId>,
-    /// Starvation report: ready steps that have nothing running.
+    /// Starvation report: ready steps with tasks that wait for long.
     pub(crate) starvation: starvation::Starvation,
     /// Cost of the last placement pass; see [`Counts::pass_scans`].
     pub(crate) pass_scans: usize,
--- a/crates/figscale-core/src/fleet/starvation.rs
+++ b/crates/figscale-core/src/fleet/starvation.rs
@@ -1,17 +1,19 @@
-//! Starvation reports: ready steps that have nothing running, for the log.
+//! Starvation reports: ready steps with tasks that wait for long, for the log.
 //!
 //! Placements, queries and abandoned runs are logged as they happen, but a step
 //! that merely waits causes no event. So all open jobs are scanned at intervals
-//! for steps that are ready and have nothing running. All of them are counted.
-//! For those that have waited longest the log also says what is available to
-//! them: free resources, approved workers and tickets. A step of an old job may
-//! have become ready just now, so only steps that the previous scan also found
-//! idle are reported.
+//! for steps that are ready and have nothing running. Of a long-running step each
+//! task counts for itself, and a gang waits as long as one member does: some of
+//! their tasks may be on workers. All of these steps are counted. For those that
+//! have waited longest the log also says what is available to them: free
+//! resources, approved workers and tickets, and what holds them back. A step of an
+//! old job may have become ready just now, so only steps with a task that the
+//! previous scan also found waiting are reported.
 
 use std::time;
 
 use figscale_types::fleet;
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 
 use super::action::Action;
 use super::action::LogEntry;
@@ -37,12 +39,15 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Starvation {
     scanned_at: Option<time::Instant>,
-    /// First tasks of the steps that were ready and had nothing running.
-    idle: IndexSet<fleet::TaskId>,
+    /// Waiting tasks of the starved steps.
+    waiting: WaitingTasks,
     /// Number of these steps that had waited long.
     pub(crate) steps: usize,
 }
 
+/// Indices of the waiting tasks of steps, by their first tasks.
+type WaitingTasks = IndexMap<fleet::TaskId, Vec<u32>>;
+
 /// A worker that may get new work.
 type Usable<'a> = (&'a fleet::WorkerId, &'a worker::Worker);
 
@@ -65,16 +70,16 @@
         if self.starvation.scanned_at.is_some_and(recent) {
             return;
         }
-        let idle = self.idle_steps();
-        let mut waiting = self.waiting_long(&idle, now);
+        let waiting = self.waiting_tasks();
+        let mut starved = self.waiting_long(&waiting, now);
         self.starvation = Starvation {
             scanned_at: Some(now),
-            idle,
-            steps: waiting.len(),
+            waiting,
+            steps: starved.len(),
         };
-        waiting.sort_unstable();
-        waiting.truncate(MAX_REPORTED);
-        let log_entries = self.starvation_entries(&waiting, now);
+        starved.sort_unstable();
+        starved.truncate(MAX_REPORTED);
+        let log_entries = self.starvation_entries(&starved, now);
         self.actions
             .extend(log_entries.into_iter().map(Action::Log));
     }
@@ -95,33 +100,40 @@
             .collect()
     }
 
-    /// Steps of stored jobs that are ready and have nothing running.
-    fn idle_steps(&self) -> IndexSet<fleet::TaskId> {
-        let mut idle = IndexSet::new();
+    /// Waiting tasks of the steps of stored jobs that are ready and could run.
+    fn waiting_tasks(&self) -> WaitingTasks {
+        let mut waiting = WaitingTasks::new();
         let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
         for job in jobs.filter(|job| job.stored) {
             for (occurrence, round) in job.rounds.iter().enumerate() {
-                for (number, step) in round.steps.iter().enumerate() {
-                    if is_idle(step) && round.is_ready(&job.description, number) {
-                        idle.insert(pass::first_task(job.id, occurrence, number));
+                let steps = round.steps.iter().zip(&job.description.steps);
+                for (number, (step, description)) in steps.enumerate() {
+                    if is_starved(step, description) && round.is_ready(&job.description, number) {
+                        let first = pass::first_task(job.id, occurrence, number);
+                        waiting.insert(first, waiting_indices(step));
                     }
                 }
             }
         }
-        idle
+        waiting
     }
 
-    /// The idle steps that were also idle at the last scan and whose jobs are
+    /// The steps with a task that also waited at the last scan and whose jobs are
     /// old, with the times of submission.
     fn waiting_long(
         &self,
-        idle: &IndexSet<fleet::TaskId>,
+        waiting: &WaitingTasks,
         now: time::Instant,
     ) -> Vec<(time::Instant, fleet::TaskId)> {
-        let still = idle
-            .iter()
-            .filter(|task| self.starvation.idle.contains(*task));
-        let submitted = still.filter_map(|task| {
+        let still = waiting.iter().filter(|(task, indices)| {
+            let before = self.starvation.waiting.get(*task);
+            before.is_some_and(|before| {
+                indices
+                    .iter()
+                    .any(|index| before.binary_search(index).is_ok())
+            })
+        });
+        let submitted = still.filter_map(|(task, _)| {
             let job = self.jobs.get(&task.job)?;
             Some((job.submitted, *task))
         });
@@ -139,17 +151,19 @@
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task)?;
         let description = job.step_description(task)?;
-        let slots = slots_for(job, step, description, usable, now);
+        let slots = slots_for(task, job, step, description, usable, now);
         Some(LogEntry::StepStarved {
             task: *task,
             waits: now.saturating_duration_since(job.submitted),
             tasks: step.waiting(),
+            on_workers: step.tasks.iter().filter(is_on_worker).count(),
             suspect: step.tasks.iter().filter(|task| task.suspect).count(),
             good_slots: slots.good,
             ticket_slots: slots.ticket,
             free_slots: slots.free,
             asking: step.advice.pending_query.is_some(),
             unanswered: step.advice.unanswered,
+            hold: self.hold(task, now),
         })
     }
 }
@@ -157,6 +171,7 @@
 /// Where a queue needs no advice, every suitable worker is approved and needs no
 /// ticket.
 fn slots_for(
+    task: &fleet::TaskId,
     job: &job::Job,
     step: &job::Step,
     description: &fleet::StepDescription,
@@ -164,12 +179,10 @@
     now: time::Instant,
 ) -> Slots {
     let advised = job.queue.advice.is_some();
-    let need = job::occupied(description);
-    let most = reserve::max_members_per_worker(description);
     let mut slots = Slots::default();
     let suits = |(_, worker): &&Usable<'_>| worker.suits(&job.queue, description);
     for (id, worker) in usable.iter().filter(suits) {
-        let free = worker.free().count_fitting(&need, most);
+        let free = worker.free_slots(task, description);
         slots.free += free;
         if advised && step.advice.verdicts.get(*id) != Some(&true) {
             continue;
@@ -183,8 +196,21 @@
     slots
 }
 
-/// Whether some tasks of a step wait and none is on a worker.
-fn is_idle(step: &job::Step) -> bool {
-    let on_worker = |task: &job::Task| !task.is_waiting() && !task.is_done();
-    step.tasks.iter().any(job::Task::is_waiting) && !step.tasks.iter().any(on_worker)
+/// Whether a step has tasks that wait and is not making progress with others. That
+/// some tasks run says nothing of a gang, which needs all of them, or of a
+/// long-running step, where none has to end before another starts.
+fn is_starved(step: &job::Step, description: &fleet::StepDescription) -> bool {
+    let needs_all = description.gang || description.long_running;
+    step.tasks.iter().any(job::Task::is_waiting)
+        && (needs_all || !step.tasks.iter().any(|task| is_on_worker(&task)))
+}
+
+fn is_on_worker(task: &&job::Task) -> bool {
+    !task.is_waiting() && !task.is_done()
+}
+
+fn waiting_indices(step: &job::Step) -> Vec<u32> {
+    let tasks = (0..).zip(&step.tasks);
+    let waiting = tasks.filter(|(_, task)| task.is_waiting());
+    waiting.map(|(index, _)| index).collect()
 }
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use super::health;
+use super::job;
 use super::lease;
 
 /// How long a worker that is no longer listed, but still responds, gets new
@@ -291,6 +292,14 @@
         self.runs.is_empty() && self.applied == self.acknowledged
     }
 
+    /// Number of further tasks of a step that fit beside what runs here. `task` is
+    /// any task of the step.
+    pub(crate) fn free_slots(&self, task: &fleet::TaskId, step: &fleet::StepDescription) -> u64 {
+        let most = u64::from(step.max_per_worker.unwrap_or(step.count).min(step.count));
+        let left = most.saturating_sub(self.runs_of_step(task) as u64);
+        self.free().count_fitting(&job::occupied(step), left)
+    }
+
     /// Number of runs of the same step and occurrence as `task` here.
     pub(crate) fn runs_of_step(&self, task: &fleet::TaskId) -> usize {
         let same = |key: &&RunKey| key.0.is_of_same_step(task);
--- a/crates/figscale-core/tests/fleet/starvation_reports.rs
+++ b/crates/figscale-core/tests/fleet/starvation_reports.rs
@@ -1,7 +1,9 @@
 //! Starvation reports: what is logged of steps that are ready but have nothing
 //! running.
 
+use figscale_core::fleet::Config;
 use figscale_core::fleet::LogEntry;
+use figscale_core::fleet::StepHold;
 use figscale_types::fleet;
 use figscale_types::fleet::End;
 
@@ -13,12 +15,14 @@
 struct StepReport {
     task: fleet::TaskId,
     tasks: usize,
+    on_workers: usize,
     suspect: usize,
     good_slots: u64,
     ticket_slots: u64,
     free_slots: u64,
     asking: bool,
     unanswered: u32,
+    hold: Option<StepHold>,
 }
 
 /// Steps reported since the last call, with milliseconds since submission.
@@ -31,22 +35,26 @@
                 task,
                 waits,
                 tasks,
+                on_workers,
                 suspect,
                 good_slots,
                 ticket_slots,
                 free_slots,
                 asking,
                 unanswered,
+                hold,
             } => {
                 let step = StepReport {
                     task,
                     tasks,
+                    on_workers,
                     suspect,
                     good_slots,
                     ticket_slots,
                     free_slots,
                     asking,
                     unanswered,
+                    hold,
                 };
                 Some((waits.as_millis() as u64, step))
             }
@@ -78,12 +86,14 @@
     let expected = StepReport {
         task: helpers::task(1, 0, 0),
         tasks: 3,
+        on_workers: 0,
         suspect: 0,
         good_slots: 0,
         ticket_slots: 0,
         free_slots: 8,
         asking: true,
         unanswered: 0,
+        hold: None,
     };
     assert_eq!(reports[0].1, expected);
     assert_eq!(waiting_steps(&cluster), 1);
@@ -193,12 +203,14 @@
     let expected = StepReport {
         task: helpers::task(2, 0, 0),
         tasks: 4,
+        on_workers: 0,
         suspect: 0,
         good_slots: 4,
         ticket_slots: 2,
         free_slots: 6,
         asking: false,
         unanswered: 0,
+        hold: None,
     };
     assert_eq!(reports.len(), 1, "{reports:?}");
     assert_eq!(reports[0].1, expected);
@@ -224,12 +236,14 @@
     let expected = StepReport {
         task: helpers::task(1, 0, 0),
         tasks: 4,
+        on_workers: 0,
         suspect: 0,
         good_slots: 3,
         ticket_slots: 3,
         free_slots: 3,
         asking: false,
         unanswered: 0,
+        hold: None,
     };
     let reports: Vec<StepReport> = reports(&mut cluster)
         .into_iter()
@@ -272,3 +286,89 @@
         .collect();
     assert_eq!(shown, [(3, true)]);
 }
+
+/// A lasting task that waits beside running ones did not show in the log.
+#[test]
+fn a_long_running_step_with_a_waiting_task_is_reported() {
+    let mut cluster = TestCluster::with_cores(2, 10);
+    let long_running = fleet::StepDescription {
+        long_running: true,
+        max_per_worker: Some(1),
+        ..helpers::step(3, 1)
+    };
+    cluster.run(1, &helpers::queue(1), vec![long_running]);
+    assert_eq!(cluster.starts(), 2);
+    cluster.advance(8_000);
+    let reports = reports(&mut cluster);
+    let expected = StepReport {
+        task: helpers::task(1, 0, 0),
+        tasks: 1,
+        on_workers: 2,
+        suspect: 0,
+        good_slots: 2,
+        ticket_slots: 0,
+        free_slots: 0,
+        asking: false,
+        unanswered: 0,
+        hold: None,
+    };
+    assert_eq!(reports.len(), 1, "{reports:?}");
+    assert_eq!(reports[0].1, expected);
+    assert_eq!(waiting_steps(&cluster), 1);
+}
+
+/// Tasks that fail now and then are started again at once; none of them waits.
+#[test]
+fn a_long_running_step_whose_tasks_start_again_is_not_reported() {
+    let mut cluster = TestCluster::new(2);
+    let long_running = fleet::StepDescription {
+        long_running: true,
+        ..helpers::step(8, 1)
+    };
+    cluster.run(1, &helpers::queue(1), vec![long_running]);
+    for round in 0..60 {
+        cluster.advance(200);
+        cluster.end(helpers::task(1, 0, round % 8), End::Failed);
+    }
+    assert_eq!(reports(&mut cluster), []);
+}
+
+/// A gang that waits for one member, which counts as placed, did not show in the log.
+#[test]
+fn a_gang_with_a_member_on_an_unresponsive_worker_is_reported() {
+    let config = Config {
+        lease: helpers::ms(20_000),
+        ..Config::default()
+    };
+    let mut cluster = TestCluster::with_config(3, 10, config);
+    cluster.run(1, &helpers::queue(1), vec![helpers::gang(2, 8)]);
+    let (host, _) = cluster.placed(helpers::task(1, 0, 0))[0].clone();
+    cluster.workers.get_mut(&host).unwrap().reachable = false;
+    cluster.end(helpers::task(1, 0, 1), End::GangBroken);
+    cluster.advance(9_000);
+    let reports = reports(&mut cluster);
+    let (_, last) = reports.last().unwrap();
+    assert_eq!((last.tasks, last.on_workers), (1, 1), "{reports:?}");
+}
+
+/// A step that waits because of its losses looks like one that nobody asks about.
+#[test]
+fn a_step_whose_losses_are_not_in_the_store_is_reported_as_held() {
+    let mut cluster = TestCluster::new(2);
+    cluster.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
+    cluster.store_available = false;
+    let (host, _) = cluster.placed(helpers::task(1, 0, 0))[0].clone();
+    cluster.crash(&host);
+    cluster.replace(&host, 64);
+    cluster.advance(8_000);
+    let held: Vec<Option<StepHold>> = reports(&mut cluster)
+        .iter()
+        .map(|(_, step)| step.hold)
+        .collect();
+    assert!(!held.is_empty());
+    assert!(
+        held.iter()
+            .all(|hold| *hold == Some(StepHold::UnsavedLosses)),
+        "{held:?}"
+    );
+}
--- a/crates/figscale/src/fleet/decision_log.rs
+++ b/crates/figscale/src/fleet/decision_log.rs
@@ -71,24 +71,28 @@
             task,
             waits,
             tasks,
+            on_workers,
             suspect,
             good_slots,
             ticket_slots,
             free_slots,
             asking,
             unanswered,
+            hold,
         } => {
             crate::event!(
                 events::STEP_WAITS,
                 task = task,
                 after_ms = waits.as_millis(),
                 tasks = tasks,
+                on_workers = on_workers,
                 suspect = suspect,
                 good_slots = good_slots,
                 ticket_slots = ticket_slots,
                 free_slots = free_slots,
                 asking = asking,
-                unanswered = unanswered
+                unanswered = unanswered,
+                hold = hold.map_or_else(|| "none".to_owned(), |hold| hold.to_string())
             );
         }
         LogEntry::AdviceReceived {
