--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -30,6 +30,7 @@
 mod relay_choice;
 mod resized_workers;
 mod run_ends;
+mod slow_advisory;
 mod starvation;
 mod starvation_reports;
 mod store_forwarders;
