A step queries no worker that runs as many of its tasks as it may

Cause: workers_to_query counted the free resources of a worker and left out the limit of the step there. Workers that run a task of the step are approved, have resources left and come first among the queried, and the step can use none of them. A query names 23 to 30 workers, takes 0.8 s, and its tickets last 2.3 s. So about 80 such workers fill all queries in turn, for ever.

Evidence: the test on the code without the fix, with 350 idle workers of which 126 are approved; 80 tasks start, of more these are left after 22 s:

all_tasks_of_a_spread_long_running_step_start::case_3 waiting: [91, 92, 93, 94, 95, 96, 97, 98, 99] of 100, after 27 queries case_4 waiting: [105, ..., 119] of 120, after 27 queries lost_tasks_of_a_spread_long_running_step_run_again::count_3_110::lost_1_1 waiting: [98, ..., 109] of 110, after 55 queries

Fix: a query counts the tasks that the step may still start on a worker, and leaves out the workers where its limit is reached. open_workers takes the same count, so that what is queried and what is used can't differ.

--- a/crates/figscale-core/src/fleet/open_workers.rs
+++ b/crates/figscale-core/src/fleet/open_workers.rs
@@ -63,15 +63,14 @@
             if reserved_until.is_some_and(|until| ends > until) {
                 continue;
             }
-            let most = description.max_per_worker.map_or(u64::MAX, u64::from);
-            let here = worker.runs_of_step(task) as u64;
-            if here >= most || !worker.health.admits(worker.runs.len(), pass.now) {
+            let tasks_left = worker.tasks_left(task, description);
+            if tasks_left == 0 || !worker.health.admits(worker.runs.len(), pass.now) {
                 continue;
             }
             places.push(OpenWorker {
                 id,
                 free: worker.free(),
-                tasks_left: most - here,
+                tasks_left,
                 rack: &worker.entry.rack,
                 proven: worker.health.is_proven(),
                 runs: worker.runs.len(),
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -1,6 +1,7 @@
 //! Choice of the workers that a query to the advisory service names.
 //!
-//! A step of single tasks queries for the workers with most free resources. A
+//! A step of single tasks queries for the workers that may run most of its tasks
+//! beside what runs there, and never for one that runs as many of them as it may. A
 //! gang first queries which workers are approved for it at all, and then for
 //! tickets of the workers reserved for it.
 
@@ -128,8 +129,8 @@
         })
     }
 
-    /// The workers with most free resources, as many as make tickets for all
-    /// waiting tasks likely.
+    /// The workers that may run most further tasks of a step, as many as make tickets
+    /// for all waiting tasks likely.
     fn workers_to_query(
         &self,
         candidate: &pass::Candidate,
@@ -141,14 +142,15 @@
             return Vec::new();
         };
         let max_members = reserve::max_members_per_worker(description);
-        let need = job::occupied(description);
-        let slots = |worker: &worker::Worker| worker.free().count_fitting(&need, max_members);
+        let slots = |worker: &worker::Worker| worker.free_slots(&candidate.task, description);
+        let is_full =
+            |worker: &worker::Worker| worker.tasks_left(&candidate.task, description) == 0;
         let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = Vec::new();
         let (mut ample, mut full) = (0, 0);
         for (id, worker) in self.usable_workers(pass) {
             let slots = slots(worker);
             // Enough of those without room are known.
-            if slots == 0 && full >= MAX_QUERIED
+            if slots == 0 && (full >= MAX_QUERIED || is_full(worker))
                 || step.advice.verdicts.contains_key(id)
                 || !is_queryable(id, worker, job, step, description, pass.now)
             {
@@ -163,7 +165,10 @@
             }
         }
         for (id, worker) in self.approved_for_query(job, step, description, pass) {
-            workers.push((slots(worker), true, id));
+            let slots = slots(worker);
+            if slots > 0 || !is_full(worker) {
+                workers.push((slots, true, id));
+            }
         }
         if workers.iter().all(|(slots, ..)| *slots == 0) {
             return Vec::new();
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -295,9 +295,21 @@
     /// Number of further tasks of a step that fit beside what runs here. `task` is
     /// any task of the step.
     pub(crate) fn free_slots(&self, task: &fleet::TaskId, step: &fleet::StepDescription) -> u64 {
-        let most = u64::from(step.max_per_worker.unwrap_or(step.count).min(step.count));
-        let left = most.saturating_sub(self.runs_of_step(task) as u64);
-        self.free().count_fitting(&job::occupied(step), left)
+        let count = u64::from(step.count);
+        let fitting = self.free().count_fitting(&job::occupied(step), count);
+        match fitting {
+            0 => 0,
+            fitting => fitting.min(self.tasks_left(task, step)),
+        }
+    }
+
+    /// Number of further tasks of a step that its limit admits here, whatever the
+    /// free resources. `task` is any task of the step. Without a limit the runs here
+    /// are not examined.
+    pub(crate) fn tasks_left(&self, task: &fleet::TaskId, step: &fleet::StepDescription) -> u64 {
+        step.max_per_worker.map_or(u64::MAX, |most| {
+            u64::from(most).saturating_sub(self.runs_of_step(task) as u64)
+        })
     }
 
     /// Number of runs of the same step and occurrence as `task` here.
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -31,6 +31,7 @@
 mod resized_workers;
 mod run_ends;
 mod slow_advisory;
+mod spread_steps;
 mod starvation;
 mod starvation_reports;
 mod store_forwarders;
