Gangs query workers that no other gang is querying

Cause: all gangs choose among the unknown workers those with most free resources, in the order of the list, so they query the same ones at the same time. The first with tickets takes them, and the others query again, 0.6 to 0.8 s each time, while all channels for long queries are busy with it. The class is that of the queries for workers where a step has reached its limit: naming workers that the step will not be able to use.

Evidence, in memory, 350 idle workers, 33 channels, 60 gangs of 2 to 60 members submitted together; the test failed before:

Fix: among the workers with room for a member, those in the fewest queries for other gangs come first. The queries in flight are counted once in a pass, only if a gang chooses workers, and those that the pass sends are added.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -201,6 +201,9 @@
             && let Some(member) = self.channel_for(&candidate.task, query.expected, pass.now)
         {
             let member = member.clone();
+            if self.is_gang(&candidate.task) {
+                pass.record_query_for_gang(&query.workers);
+            }
             self.send_query(candidate.task, query, member, pass.now);
         }
     }
@@ -232,7 +235,7 @@
         }
     }
 
-    fn is_gang(&self, task: &fleet::TaskId) -> bool {
+    pub(crate) fn is_gang(&self, task: &fleet::TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         let step = job.and_then(|job| job.step_description(task));
         step.is_some_and(|step| step.gang)
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -119,6 +119,9 @@
     /// The same with their free processors at the start of the pass, most first.
     /// Sorted when a step needs it, which most passes don't.
     most_free_first: cell::OnceCell<Vec<(u64, usize)>>,
+    /// Workers in queries for gangs, with the number of these queries. Counted when a
+    /// gang chooses workers to query, which most passes don't do.
+    queried_for_gangs: cell::OnceCell<cell::RefCell<maps::WorkerMap<u32>>>,
     reserved: maps::WorkerMap<WorkerReservation>,
     /// The late gang for which workers were reserved before all other steps.
     pub(crate) aging_gang: Option<fleet::TaskId>,
@@ -148,6 +151,7 @@
             headroom,
             usable,
             most_free_first: cell::OnceCell::new(),
+            queried_for_gangs: cell::OnceCell::new(),
             reserved: maps::WorkerMap::default(),
             aging_gang: None,
             reserved_overdue: Vec::new(),
@@ -203,6 +207,29 @@
         })
     }
 
+    /// Workers in queries for gangs, with the number of these queries. `in_flight` is
+    /// asked once in a pass; queries sent in it are added.
+    pub(crate) fn queried_for_gangs(
+        &self,
+        in_flight: impl FnOnce() -> maps::WorkerMap<u32>,
+    ) -> cell::Ref<'_, maps::WorkerMap<u32>> {
+        let queried = self
+            .queried_for_gangs
+            .get_or_init(|| cell::RefCell::new(in_flight()));
+        queried.borrow()
+    }
+
+    /// Records that a query for a gang is sent in this pass.
+    pub(crate) fn record_query_for_gang(&self, workers: &[fleet::WorkerId]) {
+        let Some(queried) = self.queried_for_gangs.get() else {
+            return;
+        };
+        let mut queried = queried.borrow_mut();
+        for id in workers {
+            *queried.entry(id.clone()).or_insert(0) += 1;
+        }
+    }
+
     /// Whether a worker is closed even to short work, which may use other
     /// reserved workers.
     pub(crate) fn is_closed_to_short_work(&self, worker: &fleet::WorkerId) -> bool {
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -12,6 +12,7 @@
 
 use super::advice;
 use super::job;
+use super::maps;
 use super::pass;
 use super::reserve;
 use super::scheduler;
@@ -179,8 +180,11 @@
         self.take_enough(workers, step.waiting() as f64 * QUERY_FACTOR, &job.queue)
     }
 
-    /// Workers to query for approval for a gang, those with most free resources
-    /// first, as many as are likely to give it a choice among approved ones.
+    /// Workers to query for approval for a gang, as many as are likely to give it a
+    /// choice among approved ones. Those with room come first, and among them those
+    /// that are in the fewest queries for other gangs: the first gang with tickets
+    /// takes its workers, and those that queried the same ones have to query again.
+    /// Among equals those with most free resources come first.
     fn choice_to_query(
         &self,
         candidate: &pass::Candidate,
@@ -219,28 +223,46 @@
                     .is_none();
                 open && !step.advice.verdicts.contains_key(*id)
             });
+        let queried = pass.queried_for_gangs(|| self.queried_for_gangs());
         let mut ranked = Vec::new();
         let mut best = 0;
         for (free_millis, id, worker) in unknown {
             let slots = reserve::empty_slots(worker, description);
             let free = worker.free();
             let fitting = free.count_fitting(&need, count);
+            let others = queried.get(id).copied().unwrap_or(0);
             if slots > 0 {
-                ranked.push((cmp::Reverse((fitting, free.cpu_millis, slots)), id));
+                let room = cmp::Reverse((fitting, free.cpu_millis, slots));
+                ranked.push(((fitting == 0, others, room), id));
             }
             // Those that follow have no more free and hold no more members.
             let most = (free_millis / need.cpu_millis.max(1)).min(count);
-            best += usize::from(slots > 0 && fitting >= most);
+            best += usize::from(slots > 0 && fitting >= most && others == 0);
             if best >= MAX_QUERIED {
                 break;
             }
         }
         ranked.sort_by_key(|(rank, _)| *rank);
         let ranked = ranked.into_iter();
-        let workers = ranked.map(|(cmp::Reverse((.., slots)), id)| (slots, false, id));
+        let workers = ranked.map(|((.., cmp::Reverse((.., slots))), id)| (slots, false, id));
         self.take_enough(workers.collect(), missing, &job.queue)
     }
 
+    /// Workers in the queries in flight for gangs, with the number of these queries.
+    fn queried_for_gangs(&self) -> maps::WorkerMap<u32> {
+        let channels = self.channels.by_member.values();
+        let tasks = channels.filter_map(|channel| channel.in_flight);
+        let pending = tasks.filter(|task| self.is_gang(task)).filter_map(|task| {
+            let step = self.jobs.get(&task.job)?.step(&task)?;
+            step.advice.pending_query.as_ref()
+        });
+        let mut queried = maps::WorkerMap::default();
+        for id in pending.flat_map(|pending| &pending.workers) {
+            *queried.entry(id.clone()).or_insert(0) += 1;
+        }
+        queried
+    }
+
     /// Whether a gang would fit now on workers that are not reserved for
     /// others, if the usual fraction of those not yet queried is approved.
     fn may_fit_now(
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod config_proof;
 mod crashes;
 mod customers;
+mod gang_contention;
 mod gang_limits;
 mod gangs;
 mod helpers;
--- a/crates/figscale-core/tests/fleet/slow_advisory.rs
+++ b/crates/figscale-core/tests/fleet/slow_advisory.rs
@@ -15,17 +15,26 @@
 pub(crate) struct SlowAdvisory<'a> {
     pub(crate) cluster: TestCluster,
     pub(crate) pending_queries: Vec<(time::Instant, AdviceQuery)>,
-    good: &'a dyn Fn(usize) -> bool,
+    good: Box<dyn Fn(fleet::TaskId, usize) -> bool + 'a>,
     pub(crate) queries: usize,
     since: IndexMap<fleet::TaskId, time::Instant>,
 }
 
 impl<'a> SlowAdvisory<'a> {
+    /// `good` decides which workers, by number, are approved for all steps.
     pub(crate) fn new(cluster: TestCluster, good: &'a dyn Fn(usize) -> bool) -> Self {
+        Self::by_step(cluster, |_, number| good(number))
+    }
+
+    /// Like [`Self::new`], with workers approved for each step on its own.
+    pub(crate) fn by_step(
+        cluster: TestCluster,
+        good: impl Fn(fleet::TaskId, usize) -> bool + 'a,
+    ) -> Self {
         Self {
             cluster,
             pending_queries: Vec::new(),
-            good,
+            good: Box::new(good),
             queries: 0,
             since: IndexMap::new(),
         }
@@ -44,7 +53,7 @@
         self.cluster.scheduler.tick(now, wall_ms);
         let due = self.pending_queries.extract_if(.., |(at, _)| *at <= now);
         for (_, query) in due.collect::<Vec<_>>() {
-            let tickets = helpers::tickets(&query, self.good);
+            let tickets = helpers::tickets(&query, |number| (self.good)(query.task, number));
             self.cluster
                 .scheduler
                 .advice_answered(&query, Some(tickets), now);
