A wide gang with two lost attempts starts again in a calm fleet

Callers saw a gang that ran once, was broken off, and did not run again beside free workers (LOST beside free room is one possible sight of it; that it is the cause of the recorded case is not shown).

Cause: after two lost attempts, `would_show` holds a task while the chance that the next attempt loses a worker by coincidence is above 25 %. With no other loss in the last 3 s that chance is still half a loss in the share of the fleet that the gang spans; it passes 25 % at 18 of 48 workers. Nothing ever lowers it, so the hold has no end.

Fix: a hold is only justified by what waiting can change. Without recent losses a task is not held, whatever its width. The rule for three or more attempts had this exception already.

--- a/crates/figscale-core/src/fleet/crash_evidence.rs
+++ b/crates/figscale-core/src/fleet/crash_evidence.rs
@@ -132,7 +132,8 @@
     product <= CAUSE_PPM
 }
 
-/// Whether another attempt would show something, if it were lost.
+/// Whether another attempt would show something, if it were lost, or as much as it
+/// ever will: while no worker is being lost, waiting cannot make it show more.
 pub(crate) fn would_show(
     known: &LostWorkers,
     chances: impl Iterator<Item = u32>,
@@ -142,10 +143,13 @@
 ) -> bool {
     let from = now.checked_sub(RECENT).unwrap_or(now);
     let others = known.since(from);
+    if others == 0 {
+        return true;
+    }
     let next_ppm = chance_ppm(hosts, others, fleet);
     let chances: Vec<u32> = chances.collect();
     match chances.len() >= MAX_UNSETTLED {
-        true => others == 0 || shows_cause(chances.into_iter().chain([next_ppm])),
+        true => shows_cause(chances.into_iter().chain([next_ppm])),
         false => next_ppm <= TURBULENT_PPM,
     }
 }
--- a/crates/figscale-core/tests/fleet/crashes.rs
+++ b/crates/figscale-core/tests/fleet/crashes.rs
@@ -183,3 +183,53 @@
     assert_eq!(cluster.state(1), Some(fleet::JobState::Running));
     assert!(cluster.host_worker(task).is_some());
 }
+
+/// Time in which a task with losses starts again although workers are free and
+/// no other worker is lost: a calm stretch has 7 s.
+const CALM_MS: u64 = 7_000;
+
+/// Starts a gang of one member a worker and crashes one of its workers 200 ms after
+/// the start, `losses` times; each crashed worker is replaced.
+fn gang_with_losses(workers: usize, members: u32, losses: usize) -> TestCluster {
+    let mut cluster = TestCluster::new(workers);
+    let gang = helpers::with_estimate(helpers::gang(members, CORES), 5_000);
+    cluster.run(1, &helpers::queue(1), vec![gang]);
+    let last = helpers::task(1, 0, members - 1);
+    for _ in 0..losses {
+        advance_until_placed(&mut cluster, last, CALM_MS);
+        cluster.advance(200);
+        let host_worker = cluster.host_worker(last).unwrap();
+        cluster.crash(&host_worker);
+        cluster.advance(300);
+        cluster.replace(&host_worker, CORES);
+    }
+    cluster
+}
+
+/// Advances until a task runs, which must be within `limit_ms`.
+fn advance_until_placed(cluster: &mut TestCluster, task: fleet::TaskId, limit_ms: u64) {
+    for _ in 0..limit_ms / 100 {
+        if cluster.host_worker(task).is_some() {
+            return;
+        }
+        cluster.advance(100);
+    }
+    assert!(
+        cluster.host_worker(task).is_some(),
+        "{task} is not started within {limit_ms} ms"
+    );
+}
+
+/// Guards against a wide gang that is held for good after two lost attempts, since a
+/// third could meet a coincidence in a calm fleet too.
+#[test]
+fn a_wide_gang_with_losses_is_started_again_in_a_calm_fleet() {
+    for members in [18, 24, 36, 48] {
+        let mut cluster = gang_with_losses(48, members, 2);
+        let task = helpers::task(1, 0, 0);
+        advance_until_placed(&mut cluster, task, CALM_MS);
+        cluster.advance(5_000);
+        cluster.end(task, fleet::End::Done);
+        assert_eq!(cluster.state(1), Some(fleet::JobState::Completed));
+    }
+}
