A quarantine ends whenever the losses of its task are cleared

Nobody has reported this; it was found by reading.

Cause: only `check_outlived` ended a quarantine, and only for runs of the attempt that had outlived the losses. If an earlier run of the task responds again and clears them first, while the worker of the run in quarantine is not in contact, the later run finds no losses to outlive and keeps its flag. The same holds for losses that are retracted.

Fix: clearing the losses of a task or gang ends the quarantine of all its runs, in one function for both callers.

Evidence: the test fails without the fix with the worker stays isolated and passes with it.

--- a/crates/figscale-core/src/fleet/crashes.rs
+++ b/crates/figscale-core/src/fleet/crashes.rs
@@ -484,12 +484,27 @@
         };
         if history.retract(key.1, id) {
             if history.losses.is_empty() {
-                job.clear_losses(&key.0);
+                self.clear_losses(&key.0);
             }
             self.unsaved.change(key.0.job);
         }
     }
 
+    /// Clears all losses of a task or its gang, and ends the quarantine of its runs.
+    fn clear_losses(&mut self, task: &fleet::TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.clear_losses(task);
+        let is_gang = job.step_description(task).is_some_and(|step| step.gang);
+        let is_own =
+            |key: &worker::RunKey| key.0 == *task || is_gang && key.0.is_of_same_step(task);
+        for worker in self.workers.values_mut() {
+            worker.end_quarantine(is_own);
+        }
+        self.unsaved.change(task.job);
+    }
+
     /// Handles the confirmation of a start whose run may count as lost already.
     pub(crate) fn confirm_loss(&mut self, id: &fleet::WorkerId, key: &worker::RunKey) {
         let job = self.jobs.get_mut(&key.0.job);
@@ -498,7 +513,7 @@
         }
     }
 
-    /// Clears the losses that a run has outlived, and ends its quarantine.
+    /// Clears the losses that a run has outlived.
     pub(crate) fn check_outlived(&mut self, key: &worker::RunKey) {
         let Some(job) = self.jobs.get(&key.0.job) else {
             return;
@@ -522,13 +537,7 @@
         if runs.filter(|has_outlived| *has_outlived).count() < members {
             return;
         }
-        for worker in self.workers.values_mut() {
-            worker.end_quarantine(same);
-        }
-        if let Some(job) = self.jobs.get_mut(&key.0.job) {
-            job.clear_losses(&key.0);
-            self.unsaved.change(key.0.job);
-        }
+        self.clear_losses(&key.0);
     }
 
     /// Lets the losses of a task be judged once all simultaneous ones are known.
--- a/crates/figscale-core/tests/fleet/crashes.rs
+++ b/crates/figscale-core/tests/fleet/crashes.rs
@@ -233,3 +233,42 @@
         assert_eq!(cluster.state(1), Some(fleet::JobState::Completed));
     }
 }
+
+/// Guards against a worker that is out of use for good, since the losses of the task in
+/// quarantine there were cleared by another run of the task.
+#[test]
+fn a_quarantine_ends_with_the_losses_of_its_task() {
+    let mut cluster = TestCluster::new(2);
+    let step = helpers::with_estimate(helpers::step(1, 1), 60_000);
+    cluster.run(1, &helpers::queue(1), vec![step]);
+    let task = helpers::task(1, 0, 0);
+    let first = cluster.host_worker(task).unwrap();
+    cluster.worker(first.name()[2..].parse().unwrap()).reachable = false;
+    cluster.scheduler.worker_call_failed(&first, cluster.now);
+    for _ in 0..100 {
+        if cluster.placed(task).len() > 1 {
+            break;
+        }
+        cluster.advance(100);
+    }
+    // The first run is still there when its worker responds, and stops late. Meanwhile
+    // the second worker does not respond.
+    let mut placed = cluster.placed(task).into_iter();
+    let (second, _) = placed.find(|(id, _)| *id != first).unwrap();
+    cluster.workers.get_mut(&second).unwrap().reachable = false;
+    cluster.scheduler.worker_call_failed(&second, cluster.now);
+    let worker = cluster.workers.get_mut(&first).unwrap();
+    worker.reachable = true;
+    worker.stops_at_once = false;
+    cluster.advance(2_000);
+    let worker = cluster.workers.get_mut(&first).unwrap();
+    worker.end(task, 1, fleet::End::LeaseExpired);
+    cluster.workers.get_mut(&second).unwrap().reachable = true;
+    cluster.advance(4_000);
+    assert_eq!(cluster.host_worker(task), Some(second.clone()));
+    cluster.run(2, &helpers::queue(1), vec![helpers::step(100, 1)]);
+    assert!(
+        cluster.workers[&second].running.len() > 1,
+        "the worker stays isolated"
+    );
+}
