--- a/crates/figscale-core/tests/fleet/crashes.rs
+++ b/crates/figscale-core/tests/fleet/crashes.rs
@@ -183,3 +183,92 @@
     assert_eq!(cluster.state(1), Some(fleet::JobState::Running));
     assert!(cluster.host_worker(task).is_some());
 }
+
+/// Time in which a task with losses starts again although workers are free and
+/// no other worker is lost: a calm stretch has 7 s.
+const CALM_MS: u64 = 7_000;
+
+/// Starts a gang of one member a worker and crashes one of its workers 200 ms after
+/// the start, `losses` times; each crashed worker is replaced.
+fn gang_with_losses(workers: usize, members: u32, losses: usize) -> TestCluster {
+    let mut cluster = TestCluster::new(workers);
+    let gang = helpers::with_estimate(helpers::gang(members, CORES), 5_000);
+    cluster.run(1, &helpers::queue(1), vec![gang]);
+    let last = helpers::task(1, 0, members - 1);
+    for _ in 0..losses {
+        advance_until_placed(&mut cluster, last, CALM_MS);
+        cluster.advance(200);
+        let host_worker = cluster.host_worker(last).unwrap();
+        cluster.crash(&host_worker);
+        cluster.advance(300);
+        cluster.replace(&host_worker, CORES);
+    }
+    cluster
+}
+
+/// Advances until a task runs, which must be within `limit_ms`.
+fn advance_until_placed(cluster: &mut TestCluster, task: fleet::TaskId, limit_ms: u64) {
+    for _ in 0..limit_ms / 100 {
+        if cluster.host_worker(task).is_some() {
+            return;
+        }
+        cluster.advance(100);
+    }
+    assert!(
+        cluster.host_worker(task).is_some(),
+        "{task} is not started within {limit_ms} ms"
+    );
+}
+
+/// Guards against a wide gang that is held for good after two lost attempts, since a
+/// third could meet a coincidence in a calm fleet too.
+#[test]
+fn a_wide_gang_with_losses_is_started_again_in_a_calm_fleet() {
+    for members in [18, 24, 36, 48] {
+        let mut cluster = gang_with_losses(48, members, 2);
+        let task = helpers::task(1, 0, 0);
+        advance_until_placed(&mut cluster, task, CALM_MS);
+        cluster.advance(5_000);
+        cluster.end(task, fleet::End::Done);
+        assert_eq!(cluster.state(1), Some(fleet::JobState::Completed));
+    }
+}
+
+/// Guards against a worker that is out of use for good, since the losses of the task in
+/// quarantine there were cleared by another run of the task.
+#[test]
+fn a_quarantine_ends_with_the_losses_of_its_task() {
+    let mut cluster = TestCluster::new(2);
+    let step = helpers::with_estimate(helpers::step(1, 1), 60_000);
+    cluster.run(1, &helpers::queue(1), vec![step]);
+    let task = helpers::task(1, 0, 0);
+    let first = cluster.host_worker(task).unwrap();
+    cluster.worker(first.name()[2..].parse().unwrap()).reachable = false;
+    cluster.scheduler.worker_call_failed(&first, cluster.now);
+    for _ in 0..100 {
+        if cluster.placed(task).len() > 1 {
+            break;
+        }
+        cluster.advance(100);
+    }
+    // The first run is still there when its worker responds, and stops late. Meanwhile
+    // the second worker does not respond.
+    let mut placed = cluster.placed(task).into_iter();
+    let (second, _) = placed.find(|(id, _)| *id != first).unwrap();
+    cluster.workers.get_mut(&second).unwrap().reachable = false;
+    cluster.scheduler.worker_call_failed(&second, cluster.now);
+    let worker = cluster.workers.get_mut(&first).unwrap();
+    worker.reachable = true;
+    worker.stops_at_once = false;
+    cluster.advance(2_000);
+    let worker = cluster.workers.get_mut(&first).unwrap();
+    worker.end(task, 1, fleet::End::LeaseExpired);
+    cluster.workers.get_mut(&second).unwrap().reachable = true;
+    cluster.advance(4_000);
+    assert_eq!(cluster.host_worker(task), Some(second.clone()));
+    cluster.run(2, &helpers::queue(1), vec![helpers::step(100, 1)]);
+    assert!(
+        cluster.workers[&second].running.len() > 1,
+        "the worker stays isolated"
+    );
+}
