Recovery waits for a worker whose report has unreadable rows

Callers could see a task run twice after a takeover: a new leader takes the first report of a worker as proof of what runs there, also if a row of the report cannot be read. It completes its recovery, and starts the task in that row on another worker.

Cause: worker_reported removes the worker from not_yet_reported whatever its report says, though remove_missing_runs leaves such a report out.

The test failed before: assertion `left == right` failed (starts) left: 2 right: 1

Now only a report without unreadable rows ends the wait for a worker. As before the wait ends with the lease of the last term at the latest, so a row that stays unreadable does not hold a leader back for ever.

--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -64,6 +64,10 @@
             };
             let lease_ms = super::lease::millis(lease);
             worker.lease.record_sent(report.clock_ms + lease_ms);
+        }
+        // A run of an earlier term may be in an unreadable row.
+        let complete = report.unreadable_rows == 0;
+        if first && complete {
             self.end_wait_for_predecessors(id);
         }
         for run in &report.finished {
@@ -74,10 +78,11 @@
             self.apply_running(id, report, now);
         }
         // A run that is in no list may be in an unreadable row.
-        if !replaced && report.unreadable_rows == 0 {
+        if !replaced && complete {
             self.remove_missing_runs(id, report);
         }
-        if self.not_yet_reported.swap_remove(id).is_some() || first {
+        let awaited = complete && self.not_yet_reported.swap_remove(id).is_some();
+        if awaited || first {
             self.complete_recovery(now);
         }
     }
--- a/crates/figscale-core/tests/fleet/incarnations.rs
+++ b/crates/figscale-core/tests/fleet/incarnations.rs
@@ -199,3 +199,24 @@
     cluster.end(helpers::task(1, 0, 0), fleet::End::Done);
     assert_eq!(cluster.state(1), Some(fleet::JobState::Completed));
 }
+
+/// Guards against a run that a new leader starts again because it is in a row that
+/// cannot be read.
+#[test]
+fn a_run_in_an_unreadable_row_is_awaited_by_the_next_leader() {
+    let mut cluster = TestCluster::new(2);
+    let step = helpers::with_estimate(helpers::step(1, 1), 60_000);
+    cluster.run(1, &helpers::queue(1), vec![step]);
+    let host = cluster.host_worker(helpers::task(1, 0, 0)).unwrap();
+    cluster.take_over(2);
+    let worker = cluster.workers.get_mut(&host).unwrap();
+    let running = std::mem::take(&mut worker.running);
+    worker.unreadable_rows = 1;
+    cluster.advance(1_000);
+    assert_eq!(cluster.starts(), 1);
+    let worker = cluster.workers.get_mut(&host).unwrap();
+    worker.running = running;
+    worker.unreadable_rows = 0;
+    cluster.advance(5_000);
+    assert_eq!(cluster.starts(), 1);
+}
