A run that continues ends its worker's probation

A worker that was ejected takes one task at a time until one succeeds. A task that lasts never succeeds, so a worker with one on it took nothing else for as long as that ran, however much room it had. Callers saw tasks wait, or one that is to last not run, beside free room, wherever only these workers are approved for a step.

Cause: Health::admits with on_probation, which only End::Done clears. A task that lasts and was there before the ejection has the same effect.

The test failed before (tasks of two that run on the worker after 20 s): assertion `left == right` failed left: 1 right: 2

Now a run that continues for as long as the ejection took, counted from the end of the ejection or its own order, ends the probation.

--- a/crates/figscale-core/src/fleet/health.rs
+++ b/crates/figscale-core/src/fleet/health.rs
@@ -30,7 +30,8 @@
 pub(crate) struct Health {
     failed_jobs: Vec<fleet::JobId>,
     out_of_use_until: Option<time::Instant>,
-    /// On probation: one task at a time until one succeeds.
+    /// On probation: one task at a time until one succeeds, or runs for as long as the
+    /// ejection took.
     on_probation: bool,
     relapses: u32,
     /// Consecutive pauses since a start was last accepted.
@@ -67,10 +68,19 @@
         true
     }
 
+    /// Records that a run which was ordered at `ordered_at` continues. A run that lasts
+    /// never succeeds, so it ends a probation by running on.
+    pub(crate) fn continues(&mut self, ordered_at: time::Instant, now: time::Instant) {
+        let begun = self.out_of_use_until.unwrap_or(ordered_at).max(ordered_at);
+        let needed = ejection_time(self.relapses.saturating_sub(1));
+        if self.on_probation && now >= begun + needed {
+            self.on_probation = false;
+        }
+    }
+
     /// Ejects the worker for a while.
     pub(crate) fn eject(&mut self, now: time::Instant) {
-        let time = FIRST_EJECTION * 2_u32.saturating_pow(self.relapses.min(4));
-        self.out_of_use_until = Some(now + time.min(MAX_EJECTION));
+        self.out_of_use_until = Some(now + ejection_time(self.relapses));
         self.relapses += 1;
         self.on_probation = true;
         self.proven = false;
@@ -110,3 +120,9 @@
         self.proven && self.failed_jobs.is_empty()
     }
 }
+
+/// Duration of an ejection after this many earlier ones.
+fn ejection_time(relapses: u32) -> time::Duration {
+    let time = FIRST_EJECTION * 2_u32.saturating_pow(relapses.min(4));
+    time.min(MAX_EJECTION)
+}
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -222,14 +222,16 @@
     ) {
         for running in &report.running {
             let key = (running.task, running.attempt);
-            let known = self
-                .workers
-                .get_mut(id)
-                .and_then(|worker| worker.runs.get_mut(&key));
+            let worker = self.workers.get_mut(id);
+            let known = worker.and_then(|worker| {
+                let run = worker.runs.get_mut(&key)?;
+                Some((run, &mut worker.health))
+            });
             match known {
-                Some(run) => {
+                Some((run, health)) => {
                     let confirmed = run.confirmed_clock_ms.unwrap_or(0);
                     run.confirmed_clock_ms = Some(confirmed.max(report.clock_ms));
+                    health.continues(run.ordered_at, now);
                     self.apply_progress(id, running, now);
                     self.check_outlived(&key);
                 }
--- a/crates/figscale-core/tests/fleet/worker_faults.rs
+++ b/crates/figscale-core/tests/fleet/worker_faults.rs
@@ -169,3 +169,28 @@
     cluster.run(3, &helpers::queue(1), vec![helpers::step(1, 1)]);
     assert_eq!(cluster.starts(), 2);
 }
+
+/// Guards against a worker that stays on probation, and takes no second task, for as
+/// long as the task there lasts.
+#[test]
+fn a_task_that_lasts_proves_its_worker() {
+    let mut cluster = TestCluster::new(1);
+    for number in 1..=3 {
+        cluster.run(number, &helpers::queue(1), vec![helpers::step(1, 1)]);
+        cluster.end(helpers::task(number, 0, 0), End::Failed);
+    }
+    let ejected = |log_entry: &LogEntry| matches!(log_entry, LogEntry::WorkerEjected { .. });
+    assert!(cluster.log_entries.iter().any(ejected));
+    for number in 1..=3 {
+        cluster
+            .scheduler
+            .cancel(helpers::job_id(number), cluster.now);
+    }
+    let lasting = fleet::StepDescription {
+        long_running: true,
+        ..helpers::step(2, 1)
+    };
+    cluster.run(10, &helpers::queue(1), vec![lasting]);
+    cluster.advance(20_000);
+    assert_eq!(cluster.worker(0).running.len(), 2);
+}
