Reservations count tasks that last as runs that never end

Cause: reserve, approved_slots and could_fit treat a task that lasts like any run that will end, by its estimate and then by its overrun. A gang that fits nowhere beside tasks that last so counts as one that will fit: it is late, so it gets its reservation before all others, and keeps it for ever. choice_to_query names no worker that is reserved for another gang, so the others never learn which workers they may use.

The test failed before: waits for a gang that cannot start

Now a long-running run that is not being stopped counts as in use for good. A gang that the rest of the workers cannot hold makes no reservation, and gets one again once such a task is cancelled or moved.

--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -406,7 +406,7 @@
             return;
         };
         let room = job::occupied(description);
-        let estimate_ms = description.estimate_ms;
+        let (estimate_ms, long_running) = (description.estimate_ms, description.long_running);
         let quarantined = job.needs_quarantine(id);
         let customer = job.customer.clone();
         let spec = job.description.spec.clone();
@@ -443,6 +443,7 @@
             confirmed_clock_ms: None,
             ordered_at: now,
             expected_end: now + time::Duration::from_millis(estimate_ms),
+            long_running,
             stop_ordered: None,
             idle_since: None,
             quarantined,
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -310,6 +310,7 @@
         }
         let job = self.jobs.get(&running.task.job);
         let quarantined = job.is_some_and(|job| job.needs_quarantine(&running.task));
+        let step = job.and_then(|job| job.step_description(&running.task));
         let run = worker::Run {
             room,
             customer: job.and_then(|job| job.customer.clone()),
@@ -317,6 +318,7 @@
             confirmed_clock_ms: Some(clock_ms),
             ordered_at: now,
             expected_end: now + estimate,
+            long_running: step.is_some_and(|step| step.long_running),
             stop_ordered: None,
             idle_since: None,
             quarantined,
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -197,9 +197,9 @@
     }
 }
 
-/// Number of members that an empty worker holds.
+/// Number of members that a worker holds once it is empty but for the runs that stay.
 pub(crate) fn empty_slots(worker: &worker::Worker, description: &fleet::StepDescription) -> u64 {
-    worker.entry.room.count_fitting(
+    worker.free_in_the_end().count_fitting(
         &job::occupied(description),
         max_members_per_worker(description),
     )
@@ -231,6 +231,7 @@
     let mut ends: Vec<(time::Instant, fleet::Room)> = worker
         .runs
         .values()
+        .filter(|run| !run.stays())
         .map(|run| (probable_end(run, now), run.room))
         .collect();
     ends.sort_by_key(|(end, _)| *end);
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -28,6 +28,8 @@
     pub(crate) ordered_at: time::Instant,
     /// From the time of its order and its step's estimate.
     pub(crate) expected_end: time::Instant,
+    /// Whether its step is long-running, so that it ends only if it is stopped.
+    pub(crate) long_running: bool,
     /// When a stop was last ordered.
     pub(crate) stop_ordered: Option<time::Instant>,
     /// Since when it has used no processor time.
@@ -42,6 +44,11 @@
         self.confirmed_clock_ms.is_some()
     }
 
+    /// Whether it occupies its resources until it is stopped.
+    pub(crate) fn stays(&self) -> bool {
+        self.long_running && self.stop_ordered.is_none()
+    }
+
     /// Time from its order to `at`; zero if that is earlier or unknown.
     pub(crate) fn age_at(&self, at: Option<time::Instant>) -> time::Duration {
         at.map_or(time::Duration::ZERO, |at| {
@@ -84,6 +91,8 @@
     /// Numbers and jobs of the ends in between.
     unacknowledged: VecDeque<(u64, fleet::JobId)>,
     used: fleet::Room,
+    /// The part of it that is used by runs that stay.
+    used_by_staying: fleet::Room,
     /// Number of its runs in quarantine.
     quarantined: usize,
     /// Number of its runs that were ordered to stop.
@@ -128,6 +137,7 @@
             acknowledged: 0,
             unacknowledged: VecDeque::new(),
             used: fleet::Room::default(),
+            used_by_staying: fleet::Room::default(),
             quarantined: 0,
             stopping: 0,
         }
@@ -169,20 +179,28 @@
         self.used
     }
 
+    /// Resources that are free once all runs have ended but those that stay.
+    pub(crate) fn free_in_the_end(&self) -> fleet::Room {
+        self.free_beside(&self.used_by_staying)
+    }
+
     pub(crate) fn add_run(&mut self, key: RunKey, run: Run) {
+        self.remove_run(&key);
         self.used = self.used.plus(&run.room);
+        if run.stays() {
+            self.used_by_staying = self.used_by_staying.plus(&run.room);
+        }
         self.quarantined += usize::from(run.quarantined);
         self.stopping += usize::from(run.stop_ordered.is_some());
-        if let Some(old) = self.runs.insert(key, run) {
-            self.used = self.used.minus(&old.room);
-            self.quarantined -= usize::from(old.quarantined);
-            self.stopping -= usize::from(old.stop_ordered.is_some());
-        }
+        self.runs.insert(key, run);
     }
 
     pub(crate) fn remove_run(&mut self, key: &RunKey) -> Option<Run> {
         let run = self.runs.swap_remove(key)?;
         self.used = self.used.minus(&run.room);
+        if run.stays() {
+            self.used_by_staying = self.used_by_staying.minus(&run.room);
+        }
         self.quarantined -= usize::from(run.quarantined);
         self.stopping -= usize::from(run.stop_ordered.is_some());
         Some(run)
@@ -199,6 +217,9 @@
     /// Records that a run was ordered to stop.
     pub(crate) fn record_stop(&mut self, key: &RunKey, at: time::Instant) {
         if let Some(run) = self.runs.get_mut(key) {
+            if run.stays() {
+                self.used_by_staying = self.used_by_staying.minus(&run.room);
+            }
             let last = run.stop_ordered.replace(at);
             self.stopping += usize::from(last.is_none());
         }
--- a/crates/figscale-core/tests/fleet/gang_limits.rs
+++ b/crates/figscale-core/tests/fleet/gang_limits.rs
@@ -340,3 +340,33 @@
     cluster.end(helpers::task(2, 0, 0), fleet::End::Done);
     assert_eq!(cluster.placed(occurrence(1)).len(), 1);
 }
+
+/// Guards against a gang that keeps workers for ever from other gangs, since tasks
+/// that last are expected to end.
+#[test]
+fn a_gang_without_room_beside_tasks_that_last_reserves_no_workers() {
+    let mut cluster = TestCluster::with_cores(4, 8);
+    let lasting = fleet::StepDescription {
+        long_running: true,
+        ..helpers::step(1, 1)
+    };
+    cluster.run(1, &helpers::queue(1), vec![lasting]);
+    let queue = helpers::advised_queue(1);
+    let respond_for = |cluster: &mut TestCluster, time_ms: u64| {
+        for _ in 0..time_ms / 100 {
+            while !cluster.queries.is_empty() {
+                cluster.respond(|_| true);
+            }
+            cluster.advance(100);
+        }
+    };
+    cluster.run(2, &queue, vec![helpers::gang(4, 8)]);
+    respond_for(&mut cluster, 10_000);
+    assert_eq!(cluster.host_worker(helpers::task(2, 0, 0)), None);
+    cluster.run(3, &queue, vec![helpers::gang(2, 8)]);
+    respond_for(&mut cluster, 10_000);
+    assert!(
+        cluster.host_worker(helpers::task(3, 0, 0)).is_some(),
+        "waits for a gang that cannot start"
+    );
+}
