An order is over with an incarnation that never responds

Callers saw a task, and with it its whole gang, wait for ever: an order without a response moves to the next incarnation of its worker, and if that never responds, the order never ends. The task counts as placed, so no log line shows it either.

Cause: the lease of a worker counts as over only by a reading of its clock. Without any contact there is none, so end_expired_leases never abandons the runs, and drop_if_lease_over keeps the worker even after it has left the list.

The test failed before: assertion `left == right` failed: stays listed: true, [] left: 0 right: 1

Now such an order is over after the time in which it may still arrive (15 s), the longest lease that it may give there (10 s, on a slow clock) and the time to stop. Nothing else can extend a lease there: calls for reports carry none before the first reading.

--- a/crates/figscale-core/src/fleet/incarnations.rs
+++ b/crates/figscale-core/src/fleet/incarnations.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Whether a worker without any contact certainly runs nothing any more. Its only
+    /// runs are orders to an earlier incarnation, which gave it the longest lease at
+    /// most when they arrived.
+    pub(crate) fn is_late_order_over(&self, worker: &worker::Worker, now: time::Instant) -> bool {
+        let lease = self.config.max_lease * 11 / 10 + self.config.stop_limit;
+        let is_over = |run: &worker::Run| now > run.ordered_at + LATE_ORDER_WINDOW + lease;
+        worker.lease.read_at().is_none() && worker.runs.values().all(is_over)
+    }
+
     /// Applies a worker's acceptance of a stop: a run that has not started there
     /// will be refused.
     pub fn stop_answered(
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -309,9 +309,8 @@
     }
 
     fn end_expired_leases(&mut self, now: time::Instant) {
-        let grace = self.config.stop_limit;
         let may_be_over = |worker: &worker::Worker| {
-            worker.unlisted_at.is_some() || worker.lease.is_over(grace, now)
+            worker.unlisted_at.is_some() || self.is_lease_over(worker, now)
         };
         let workers = self.workers.iter();
         let workers = workers.filter(|(_, worker)| may_be_over(worker));
@@ -321,6 +320,11 @@
         }
     }
 
+    fn is_lease_over(&self, worker: &worker::Worker, now: time::Instant) -> bool {
+        let grace = self.config.stop_limit;
+        worker.lease.is_over(grace, now) || self.is_late_order_over(worker, now)
+    }
+
     /// Abandons the runs of a worker whose lease is certainly over, and drops the
     /// worker if it is no longer listed and either its lease is over or it has no
     /// runs and no unwritten ends.
@@ -329,11 +333,10 @@
     /// start a task again whose end is neither in the store nor reported to it.
     /// So a worker is kept until its ends are written, or its lease is over.
     fn drop_if_lease_over(&mut self, id: &fleet::WorkerId, now: time::Instant) {
-        let grace = self.config.stop_limit;
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let over = worker.lease.is_over(grace, now);
+        let over = self.is_lease_over(worker, now);
         let may_be_dropped = over || worker.is_settled();
         let gone = worker.unlisted_at.is_some();
         if over {
--- a/crates/figscale-core/tests/fleet/incarnations.rs
+++ b/crates/figscale-core/tests/fleet/incarnations.rs
@@ -220,3 +220,36 @@
     cluster.advance(5_000);
     assert_eq!(cluster.starts(), 1);
 }
+
+/// Guards against a task that stays ordered for ever to an incarnation that never
+/// responds, whether that is still listed or not.
+#[test]
+fn a_task_ordered_to_an_incarnation_that_never_responds_starts_elsewhere() {
+    for stays_listed in [true, false] {
+        let mut cluster = TestCluster::new(2);
+        let old: Vec<fleet::WorkerId> = (0..2).map(helpers::worker_id).collect();
+        let lives: Vec<fleet::WorkerId> = old.iter().map(|id| cluster.restart(id)).collect();
+        cluster.settle();
+        for id in &lives {
+            let worker = cluster.workers.get_mut(id).unwrap();
+            worker.start_outcome = Some(fleet::StartOutcome::Unknown);
+        }
+        cluster.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
+        let ordered = |id: &&fleet::WorkerId| !cluster.workers[*id].orders.is_empty();
+        let ordered_to = lives.iter().find(ordered).unwrap().clone();
+        for id in &lives {
+            cluster.workers.get_mut(id).unwrap().start_outcome = None;
+        }
+        let new = cluster.restart(&ordered_to);
+        cluster.workers.get_mut(&new).unwrap().reachable = false;
+        cluster.advance(1_000);
+        if !stays_listed {
+            cluster.scheduler.worker_unlisted(&new, cluster.now);
+        }
+        // An order may take 15 s to arrive, and the longest lease is 10 s.
+        cluster.advance(27_000);
+        let placed = cluster.placed(helpers::task(1, 0, 0));
+        assert_eq!(placed.len(), 1, "stays listed: {stays_listed}, {placed:?}");
+        assert_ne!(placed[0].0, new);
+    }
+}
