--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -64,6 +64,10 @@
             };
             let lease_ms = super::lease::millis(lease);
             worker.lease.record_sent(report.clock_ms + lease_ms);
+        }
+        // A run of an earlier term may be in an unreadable row.
+        let complete = report.unreadable_rows == 0;
+        if first && complete {
             self.end_wait_for_predecessors(id);
         }
         for run in &report.finished {
@@ -74,10 +78,11 @@
             self.apply_running(id, report, now);
         }
         // A run that is in no list may be in an unreadable row.
-        if !replaced && report.unreadable_rows == 0 {
+        if !replaced && complete {
             self.remove_missing_runs(id, report);
         }
-        if self.not_yet_reported.swap_remove(id).is_some() || first {
+        let awaited = complete && self.not_yet_reported.swap_remove(id).is_some();
+        if awaited || first {
             self.complete_recovery(now);
         }
     }
@@ -217,14 +222,16 @@
     ) {
         for running in &report.running {
             let key = (running.task, running.attempt);
-            let known = self
-                .workers
-                .get_mut(id)
-                .and_then(|worker| worker.runs.get_mut(&key));
+            let worker = self.workers.get_mut(id);
+            let known = worker.and_then(|worker| {
+                let run = worker.runs.get_mut(&key)?;
+                Some((run, &mut worker.health))
+            });
             match known {
-                Some(run) => {
+                Some((run, health)) => {
                     let confirmed = run.confirmed_clock_ms.unwrap_or(0);
                     run.confirmed_clock_ms = Some(confirmed.max(report.clock_ms));
+                    health.continues(run.ordered_at, now);
                     self.apply_progress(id, running, now);
                     self.check_outlived(&key);
                 }
@@ -303,6 +310,7 @@
         }
         let job = self.jobs.get(&running.task.job);
         let quarantined = job.is_some_and(|job| job.needs_quarantine(&running.task));
+        let step = job.and_then(|job| job.step_description(&running.task));
         let run = worker::Run {
             room,
             customer: job.and_then(|job| job.customer.clone()),
@@ -310,6 +318,7 @@
             confirmed_clock_ms: Some(clock_ms),
             ordered_at: now,
             expected_end: now + estimate,
+            long_running: step.is_some_and(|step| step.long_running),
             stop_ordered: None,
             idle_since: None,
             quarantined,
