Queries for a step name more workers after each that found none approved

Cause: the new leader knows no approved worker. Those that run the step are left out of queries, and nearly all approved ones may run it, so of the rest far fewer are approved than the learned fraction says. Each query names 23 workers for one task, and 240 workers take ten of them, one after the other: 8 s, where a long-running task has to run again within 6 s.

Fix: the minimum of workers in a query doubles with each response in a row that approved none, up to the number that the service accepts. A query of 100 takes 1.4 s and one of 23 takes 0.8 s, so the rest of this fleet is queried within 6 s. The first response with an approved worker ends it. Queries of gangs are as before.

What remains: one step has one query in flight, so a larger fleet takes longer.

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -102,6 +102,10 @@
             return;
         };
         step.advice.unanswered = 0;
+        step.advice.fruitless = match good.is_empty() {
+            true => step.advice.fruitless.saturating_add(1),
+            false => 0,
+        };
         let valid_ms = queue.advice.map_or(0, |advice| advice.valid_ms);
         let valid = time::Duration::from_millis(valid_ms).saturating_sub(TICKET_MARGIN);
         let queried = query.workers.len().max(1) as f64;
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -101,6 +101,8 @@
     pub(crate) not_before: Option<time::Instant>,
     /// Number of queries without a response since the last response.
     pub(crate) unanswered: u32,
+    /// Number of responses in a row that approved no worker.
+    pub(crate) fruitless: u32,
 }
 
 /// State of one step of one occurrence.
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -19,11 +19,12 @@
 
 /// Maximum number of workers in one query.
 const MAX_QUERIED: usize = 30;
-/// Maximum number of workers in a query for a gang's tickets, which is also the
-/// most that the service accepts. If the tickets were spread over several
-/// queries, the first would expire before the last arrive, and a gang on 61
-/// workers would never start.
-const MAX_QUERIED_FOR_TICKETS: usize = 100;
+/// Maximum number of workers in one query that the service accepts.
+const MAX_ACCEPTED: usize = 100;
+/// Maximum number of workers in a query for a gang's tickets. If the tickets were
+/// spread over several queries, the first would expire before the last arrive, and
+/// a gang on 61 workers would never start.
+const MAX_QUERIED_FOR_TICKETS: usize = MAX_ACCEPTED;
 /// Minimum number of workers in one query, if there are that many.
 const MIN_QUERIED: usize = 4;
 /// A query names more workers than needed while that adds no more than this
@@ -64,6 +65,28 @@
     pub(crate) expected: time::Duration,
 }
 
+/// Minimum and maximum number of workers in a query.
+#[derive(Clone, Copy, Debug)]
+struct QueryLimits {
+    least: usize,
+    most: usize,
+}
+
+impl QueryLimits {
+    /// The limits after as many responses in a row that approved no worker. Each
+    /// doubles the minimum: of the workers that a step has not queried fewer are
+    /// approved than of all, if those that run its tasks are left out.
+    fn after(fruitless: u32, queue: &fleet::Queue) -> Self {
+        let cheap = queue.advice.as_ref().map_or(MIN_QUERIED, cheap_workers);
+        let least = cheap.saturating_mul(2_usize.saturating_pow(fruitless));
+        let least = least.min(MAX_ACCEPTED);
+        Self {
+            least,
+            most: least.max(MAX_QUERIED),
+        }
+    }
+}
+
 impl scheduler::Scheduler {
     /// Whether a gang with reserved workers could start as soon as it has
     /// tickets.
@@ -142,6 +165,7 @@
             return Vec::new();
         };
         let max_members = reserve::max_members_per_worker(description);
+        let limits = QueryLimits::after(step.advice.fruitless, &job.queue);
         let slots = |worker: &worker::Worker| worker.free_slots(&candidate.task, description);
         let is_full =
             |worker: &worker::Worker| worker.tasks_left(&candidate.task, description) == 0;
@@ -150,7 +174,7 @@
         for (id, worker) in self.usable_workers(pass) {
             let slots = slots(worker);
             // Enough of those without room are known.
-            if slots == 0 && (full >= MAX_QUERIED || is_full(worker))
+            if slots == 0 && (full >= limits.most || is_full(worker))
                 || step.advice.verdicts.contains_key(id)
                 || !is_queryable(id, worker, job, step, description, pass.now)
             {
@@ -160,7 +184,7 @@
             ample += usize::from(slots >= max_members);
             full += usize::from(slots == 0);
             // None of the workers that follow would be preferred.
-            if ample >= MAX_QUERIED {
+            if ample >= limits.most {
                 break;
             }
         }
@@ -176,7 +200,8 @@
         // Among equals those listed first, so that steps share the workers that they
         // use and leave others whole for wide gangs.
         workers.sort_by_key(|(slots, approved, _)| cmp::Reverse((*slots > 0, *approved, *slots)));
-        self.take_enough(workers, step.waiting() as f64 * QUERY_FACTOR, &job.queue)
+        let wanted_slots = step.waiting() as f64 * QUERY_FACTOR;
+        self.take_enough(workers, wanted_slots, limits, &job.queue)
     }
 
     /// Workers to query for approval for a gang, those with most free resources
@@ -238,7 +263,8 @@
         ranked.sort_by_key(|(rank, _)| *rank);
         let ranked = ranked.into_iter();
         let workers = ranked.map(|(cmp::Reverse((.., slots)), id)| (slots, false, id));
-        self.take_enough(workers.collect(), missing, &job.queue)
+        let limits = QueryLimits::after(0, &job.queue);
+        self.take_enough(workers.collect(), missing, limits, &job.queue)
     }
 
     /// Whether a gang would fit now on workers that are not reserved for
@@ -356,15 +382,15 @@
         &self,
         workers: Vec<(u64, bool, &fleet::WorkerId)>,
         wanted_slots: f64,
+        limits: QueryLimits,
         queue: &fleet::Queue,
     ) -> Vec<fleet::WorkerId> {
         let approved_fraction = self.channels.approved_fraction(&queue.name);
-        let at_least = queue.advice.as_ref().map_or(MIN_QUERIED, cheap_workers);
         let mut queried = Vec::new();
         let mut expected_slots = 0.0;
         for (slots, approved, id) in workers {
-            let enough = expected_slots >= wanted_slots && queried.len() >= at_least;
-            if enough || queried.len() >= MAX_QUERIED {
+            let enough = expected_slots >= wanted_slots && queried.len() >= limits.least;
+            if enough || queried.len() >= limits.most {
                 break;
             }
             expected_slots += slots as f64 * if approved { 1.0 } else { approved_fraction };
--- a/crates/figscale-core/tests/fleet/spread_steps.rs
+++ b/crates/figscale-core/tests/fleet/spread_steps.rs
@@ -105,3 +105,26 @@
     sim.simulate(MAX_GAP_MS);
     assert_none_waits(&sim, count);
 }
+
+/// A new leader knows none of the approved workers.
+#[rstest]
+fn lost_tasks_of_a_spread_long_running_step_run_again_under_a_new_leader(
+    #[values(40, 80, 110, 120)] count: u32,
+    #[values(1, 4)] lost: u32,
+) {
+    let mut sim = submitted(count);
+    sim.simulate(2 * START_MS);
+    assert_none_waits(&sim, count);
+    sim.pending_queries.clear();
+    sim.cluster.take_over(2);
+    sim.cluster.join_entries(1..=MEMBERS);
+    sim.simulate(MAX_GAP_MS);
+    for index in 0..lost {
+        let task = helpers::task(JOB, 0, index * (count / lost));
+        let host = sim.cluster.host_worker(task).unwrap();
+        sim.cluster.crash(&host);
+        sim.cluster.replace(&host, CORES);
+    }
+    sim.simulate(MAX_GAP_MS);
+    assert_none_waits(&sim, count);
+}
