An ejected worker is tried again beside long-running tasks

Cause: an ejected worker is tried with one task at a time until one succeeds. A long-running task never succeeds. If one of them runs there when the worker is ejected, or is the one that tries it, nothing else is started there while it runs. Each ejection of a worker can end like that.

Evidence: the test on the code without the fix, one worker of 64 cores with a long-running task of one:

an_ejected_worker_is_tried_beside_long_running_tasks::before_1_false and ::before_2_true assertion `left == right` failed, left: 0, right: 1 (runs of a second task of one core after 6 s)

Fix: a long-running task that has run for 3 s does not keep others from being tried. The worker stays on probation, so one failure ejects it again, and one task at a time is tried until one succeeds.

--- a/crates/figscale-core/src/fleet/health.rs
+++ b/crates/figscale-core/src/fleet/health.rs
@@ -100,9 +100,10 @@
         self.out_of_use_until.is_some_and(|until| now < until)
     }
 
-    /// Whether another task may be sent beside `running` others.
-    pub(crate) fn admits(&self, running: usize, now: time::Instant) -> bool {
-        !self.is_out_of_use(now) && (!self.on_probation || running == 0)
+    /// Whether another task may be sent. `any_on_trial` tells whether one runs there
+    /// whose end would show how the worker is.
+    pub(crate) fn admits(&self, any_on_trial: impl Fn() -> bool, now: time::Instant) -> bool {
+        !self.is_out_of_use(now) && (!self.on_probation || !any_on_trial())
     }
 
     /// Whether tasks have succeeded here lately and none has failed since.
--- a/crates/figscale-core/src/fleet/open_workers.rs
+++ b/crates/figscale-core/src/fleet/open_workers.rs
@@ -64,7 +64,7 @@
                 continue;
             }
             let tasks_left = worker.tasks_left(task, description);
-            if tasks_left == 0 || !worker.health.admits(worker.runs.len(), pass.now) {
+            if tasks_left == 0 || !worker.admits(pass.now) {
                 continue;
             }
             places.push(OpenWorker {
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -407,6 +407,7 @@
         };
         let room = job::occupied(description);
         let estimate_ms = description.estimate_ms;
+        let long_running = description.long_running;
         let quarantined = job.needs_quarantine(id);
         let customer = job.customer.clone();
         let spec = job.description.spec.clone();
@@ -446,6 +447,7 @@
             stop_ordered: None,
             idle_since: None,
             quarantined,
+            long_running,
         };
         worker.add_run((*id, attempt), run);
         self.actions.push(Action::Start {
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -303,6 +303,8 @@
         }
         let job = self.jobs.get(&running.task.job);
         let quarantined = job.is_some_and(|job| job.needs_quarantine(&running.task));
+        let step = job.and_then(|job| job.step_description(&running.task));
+        let long_running = step.is_some_and(|step| step.long_running);
         let run = worker::Run {
             room,
             customer: job.and_then(|job| job.customer.clone()),
@@ -313,6 +315,7 @@
             stop_ordered: None,
             idle_since: None,
             quarantined,
+            long_running,
         };
         let key = (running.task, running.attempt);
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -15,6 +15,10 @@
 /// seconds.
 const UNLISTED_GRACE: time::Duration = time::Duration::from_millis(2_500);
 
+/// A long-running task that has run for this time on a worker on probation doesn't
+/// keep other tasks from being tried there. Tasks fail sooner on a faulty worker.
+const MAX_TRIAL: time::Duration = time::Duration::from_secs(3);
+
 /// A run that was ordered, or reported by the worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -34,6 +38,8 @@
     pub(crate) idle_since: Option<time::Instant>,
     /// Whether nothing else may be started on its worker.
     pub(crate) quarantined: bool,
+    /// Whether it is of a long-running step, and so never ends with success.
+    pub(crate) long_running: bool,
 }
 
 impl Run {
@@ -267,7 +273,14 @@
         let listed = self.unlisted_at.is_none_or(|at| now < at + UNLISTED_GRACE);
         let known = listed && self.reported && self.unresponsive_since.is_none();
         let open = known && !self.entry.draining && !self.replaced && !self.is_quarantined();
-        up_to_date && open && self.health.admits(self.runs.len(), now)
+        up_to_date && open && self.admits(now)
+    }
+
+    /// Whether its health admits another task beside those that run here.
+    pub(crate) fn admits(&self, now: time::Instant) -> bool {
+        let on_trial = |run: &Run| !run.long_running || run.age_at(Some(now)) <= MAX_TRIAL;
+        let any_on_trial = || self.runs.values().any(on_trial);
+        self.health.admits(any_on_trial, now)
     }
 
     /// Whether the worker could run a step of a queue at all, when empty.
--- a/crates/figscale-core/tests/fleet/worker_faults.rs
+++ b/crates/figscale-core/tests/fleet/worker_faults.rs
@@ -6,10 +6,14 @@
 use figscale_types::fleet::End;
 use figscale_types::fleet::StartOutcome;
 use figscale_types::fleet::StartRefusal;
+use rstest::rstest;
 
 use crate::helpers;
 use crate::helpers::TestCluster;
 
+/// How long a task may wait beside free resources.
+const MAX_WAIT_MS: u64 = 6_000;
+
 #[test]
 fn an_unanswered_start_reserves_its_capacity_until_it_expires() {
     let mut cluster = TestCluster::with_cores(1, 10);
@@ -97,6 +101,44 @@
     );
 }
 
+/// Ejects worker 0 by the failures of three jobs.
+fn eject_first_worker(cluster: &mut TestCluster) {
+    for number in 1..=3 {
+        cluster.run(number, &helpers::queue(1), vec![helpers::step(1, 1)]);
+        let task = helpers::task(number, 0, 0);
+        assert_eq!(cluster.host_worker(task), Some(helpers::worker_id(0)));
+        cluster.end(task, End::Failed);
+        cluster
+            .scheduler
+            .cancel(helpers::job_id(number), cluster.now);
+        cluster.settle();
+    }
+}
+
+/// Guards against a worker that gets no work for good after its ejection: the one
+/// run beside which nothing else was tried there was of a long-running step, and such
+/// a run never ends with success.
+#[rstest]
+fn an_ejected_worker_is_tried_beside_long_running_tasks(#[values(false, true)] before: bool) {
+    let long_running = fleet::StepDescription {
+        long_running: true,
+        ..helpers::step(1, 1)
+    };
+    let mut cluster = TestCluster::new(1);
+    if before {
+        cluster.run(10, &helpers::queue(1), vec![long_running.clone()]);
+    }
+    eject_first_worker(&mut cluster);
+    cluster.advance(3_100);
+    if !before {
+        cluster.run(10, &helpers::queue(1), vec![long_running]);
+    }
+    assert_eq!(cluster.placed(helpers::task(10, 0, 0)).len(), 1);
+    cluster.run(11, &helpers::queue(1), vec![helpers::step(1, 1)]);
+    cluster.advance(MAX_WAIT_MS);
+    assert_eq!(cluster.placed(helpers::task(11, 0, 0)).len(), 1);
+}
+
 #[test]
 fn failures_of_one_job_do_not_eject_a_worker() {
     let mut cluster = TestCluster::new(1);
