A gang queries idle workers while the approved ones are taken

Cause: choice_to_query compares the members wanted with those that the approved workers would hold when empty. If these workers run other tasks for long, or long-running ones for good, a gang that knows enough of them queries no further ones, however many are idle.

Evidence: the test on the code without the fix: 10 workers all approved, a gang of 2 runs, other tasks take the other 8; then 30 idle workers join and the gang's two hosts crash:

a_broken_gang_queries_idle_workers_while_known_ones_are_taken::long_running_1_true and ::long_running_2_false assertion `left == right` failed: after 1 queries, left: 0, right: 2

Fix: if the gang would wait long for the approved workers and may fit now on those that are not reserved for others, only free slots on approved workers count.

--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -220,7 +220,8 @@
         };
         let first = candidate.may_query_early;
         let count = u64::from(description.count);
-        let approved_slots = self.approved_slots(&candidate.task, description, pass);
+        let empty = |worker: &worker::Worker| reserve::empty_slots(worker, description);
+        let free = |worker: &worker::Worker| worker.free_slots(&candidate.task, description);
         let ready_at = candidate
             .reservation
             .as_ref()
@@ -230,9 +231,15 @@
             true => GANG_WIDE_CHOICE_FACTOR,
             false => GANG_CHOICE_FACTOR,
         };
-        let missing = count as f64 * choice - approved_slots as f64;
+        let may_fit_now = || self.may_fit_now(candidate, job, description, pass);
+        let missing = |approved_slots: u64| count as f64 * choice - approved_slots as f64;
+        let mut missing_slots = missing(self.approved_slots(&candidate.task, empty, pass));
+        // What the known workers run may last, while others are idle.
+        if missing_slots <= 0.0 && waits_long && may_fit_now() {
+            missing_slots = missing(self.approved_slots(&candidate.task, free, pass));
+        }
         let speculative = breadth == Breadth::Needed && !first;
-        if missing <= 0.0 || speculative && !self.may_fit_now(candidate, job, description, pass) {
+        if missing_slots <= 0.0 || speculative && !may_fit_now() {
             return Vec::new();
         }
         let need = job::occupied(description);
@@ -264,7 +271,7 @@
         let ranked = ranked.into_iter();
         let workers = ranked.map(|(cmp::Reverse((.., slots)), id)| (slots, false, id));
         let limits = QueryLimits::after(0, &job.queue);
-        self.take_enough(workers.collect(), missing, limits, &job.queue)
+        self.take_enough(workers.collect(), missing_slots, limits, &job.queue)
     }
 
     /// Whether a gang would fit now on workers that are not reserved for
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -87,12 +87,12 @@
         })
     }
 
-    /// Number of members that the approved workers could hold when empty.
-    /// Workers reserved for others are left out.
+    /// Number of members that the approved workers could hold, by the number that
+    /// `slots` gives for each. Workers reserved for others are left out.
     pub(crate) fn approved_slots(
         &self,
         task: &fleet::TaskId,
-        description: &fleet::StepDescription,
+        slots: impl Fn(&worker::Worker) -> u64,
         pass: &pass::Pass,
     ) -> u64 {
         let Some(job) = self.jobs.get(&task.job) else {
@@ -106,7 +106,7 @@
         let workers = self.approved_workers(step, true, pass).into_iter();
         workers
             .filter(|(id, worker)| usable(worker) && open(id))
-            .map(|(_, worker)| empty_slots(worker, description))
+            .map(|(_, worker)| slots(worker))
             .sum()
     }
 
--- a/crates/figscale-core/tests/fleet/gang_limits.rs
+++ b/crates/figscale-core/tests/fleet/gang_limits.rs
@@ -2,12 +2,16 @@
 //! queries take long, advice channels are busy or submissions are old.
 
 use figscale_types::fleet;
+use rstest::rstest;
 
 use crate::helpers;
 use crate::helpers::TestCluster;
 use crate::slow_advisory::STEP_MS;
 use crate::slow_advisory::SlowAdvisory;
 
+/// How long a step may wait beside free capacity.
+const MAX_IDLE_MS: u64 = 3_000;
+
 fn advised_queue(priority: u32, base_ms: f64, per_worker_ms: f64, valid_ms: u64) -> fleet::Queue {
     fleet::Queue {
         advice: Some(fleet::AdvicePolicy {
@@ -55,6 +59,45 @@
     assert_eq!(sim.runs(1), 2, "after {} queries", sim.queries);
 }
 
+/// Guards against a gang that is broken and never starts again beside an idle fleet:
+/// the workers that it knows to be good would hold it when empty, but run other
+/// tasks for long or for good.
+#[rstest]
+fn a_broken_gang_queries_idle_workers_while_known_ones_are_taken(
+    #[values(true, false)] long_running: bool,
+) {
+    let good = |_| true;
+    let mut sim = SlowAdvisory::new(TestCluster::with_cores(10, 10), &good);
+    sim.cluster.run(
+        1,
+        &advised_queue(1, 200.0, 1.0, 2_500),
+        vec![helpers::with_estimate(helpers::gang(2, 8), 60_000)],
+    );
+    sim.simulate(1_000);
+    assert_eq!(sim.runs(1), 2);
+    let other = fleet::StepDescription {
+        long_running,
+        max_per_worker: Some(1),
+        estimate_ms: 60_000,
+        ..helpers::step(8, 8)
+    };
+    sim.cluster.run(1_000, &helpers::queue(1), vec![other]);
+    sim.simulate(6_000);
+    assert_eq!(sim.runs(1_000), 8);
+    for number in 10..40 {
+        sim.cluster.add_worker(number, 10);
+    }
+    for index in 0..2 {
+        let host = sim.cluster.placed(helpers::task(1, 0, index)).pop();
+        if let Some((host, _)) = host {
+            sim.cluster.crash(&host);
+            sim.cluster.replace(&host, 10);
+        }
+    }
+    sim.simulate(MAX_IDLE_MS);
+    assert_eq!(sim.runs(1), 2, "after {} queries", sim.queries);
+}
+
 /// Guards against a gang on an idle fleet that never starts because it needs
 /// more workers than three queries name.
 #[test]
