A task with losses is tried again after 30 s whatever else is lost

What callers see: a wide gang with two lost attempts, or a long-running task lost in three mass crashes, does not start as long as one worker is lost every second or two.

Cause: the hold ends only when the losses of other workers do. A steady background of them holds a wide gang, or a task whose losses are not settled, without a bound.

Fix: a hold ends 30 s after the last loss of the task. Histories that an earlier leader recorded have no times, so theirs begins with the recovery; leaders that last less than 30 s each, with losses all the time, could still extend it.

--- a/crates/figscale-core/src/fleet/crash_evidence.rs
+++ b/crates/figscale-core/src/fleet/crash_evidence.rs
@@ -18,6 +18,10 @@
 /// A task under suspicion is not started again while losses within this time make
 /// another coincidence likely.
 const RECENT: time::Duration = time::Duration::from_millis(3_000);
+/// Longest time that a task under suspicion waits after its last loss for fewer
+/// workers to be lost. A shorter one lets a crashing task start too often while
+/// workers crash in masses.
+pub(crate) const MAX_HOLD: time::Duration = time::Duration::from_secs(30);
 /// How long losses are remembered.
 const MEMORY: time::Duration = time::Duration::from_secs(6);
 /// A chance that is certain, in millionths.
--- a/crates/figscale-core/src/fleet/crashes.rs
+++ b/crates/figscale-core/src/fleet/crashes.rs
@@ -16,7 +16,8 @@
 //! a task fails only if a coincidence is unlikely as well, given how many other
 //! workers were lost at the same times (see `crash_evidence`). Until that is known,
 //! and while so many workers are being lost that another attempt would show nothing,
-//! the task is not started again; so its starts stay few.
+//! the task is not started again; so its starts stay few. That wait is bounded, since
+//! an innocent task must run even if workers are lost all the time.
 //!
 //! Losses are part of the record of the job's progress, which is written as soon
 //! as a worker becomes unresponsive. Each start in quarantine is announced there
@@ -106,6 +107,9 @@
     /// Chance of a coincidence, by attempt. It is recorded apart.
     #[serde(skip)]
     chances: IndexMap<u32, crash_evidence::Chance>,
+    /// When this leader found the last loss, or took the history over.
+    #[serde(skip)]
+    last_lost_at: Option<time::Instant>,
 }
 
 impl History {
@@ -228,6 +232,18 @@
             chance.lost = lost;
             chance.between = chance.between.map(|(first, _)| (first, now));
         }
+        self.last_lost_at = Some(now);
+    }
+
+    /// Begins the hold of a history that an earlier leader recorded without times.
+    pub(crate) fn begin_hold(&mut self, now: time::Instant) {
+        self.last_lost_at = Some(now);
+    }
+
+    /// Whether the task has to be tried again, whatever else is being lost.
+    fn is_hold_over(&self, now: time::Instant) -> bool {
+        let last = self.last_lost_at;
+        last.is_none_or(|at| now >= at + crash_evidence::MAX_HOLD)
     }
 
     fn update_chances(&mut self, known: &crash_evidence::LostWorkers, fleet: usize) {
@@ -349,7 +365,8 @@
     }
 
     /// Whether a task under suspicion has to wait before its next start: until
-    /// simultaneous losses are known, or until few workers are being lost.
+    /// simultaneous losses are known, or until few workers are being lost or it has
+    /// waited long.
     fn is_held(&self, history: &History, is_gang: bool, now: time::Instant) -> bool {
         if history.lost_attempts() < MAX_LOSSES_AT_START {
             return false;
@@ -360,7 +377,7 @@
             let chances = history.attempt_chances(is_gang);
             crash_evidence::would_show(known, chances, history.hosts(), fleet, now)
         };
-        history.is_over_loss_limit() && open() || !shows()
+        history.is_over_loss_limit() && open() || !history.is_hold_over(now) && !shows()
     }
 
     /// What holds back the waiting tasks of a step, if anything does. `first` is its
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -208,6 +208,11 @@
                 // The records don't contain when an occurrence fell due.
                 round.due_at = (job.description.occurrences > 0).then_some(now);
                 round.mark_suspect();
+                let histories = round
+                    .steps
+                    .iter_mut()
+                    .flat_map(|step| step.crashes.values_mut());
+                histories.for_each(|history| history.begin_hold(now));
             }
         }
     }
--- a/crates/figscale-core/tests/fleet/crashes.rs
+++ b/crates/figscale-core/tests/fleet/crashes.rs
@@ -1,12 +1,14 @@
 //! Tasks that crash each worker that starts them, and tasks that run on the
 //! same workers.
 
+use std::mem;
 use std::time;
 
 use figscale_core::fleet::Records;
 use figscale_types::fleet;
 
 use crate::helpers;
+use crate::helpers::Random;
 use crate::helpers::TestCluster;
 
 const CORES: u64 = 64;
@@ -357,3 +359,187 @@
     cluster.advance(300);
     assert!(cluster.host_worker(crashing).is_some());
 }
+
+/// A minute in which other workers are lost all the time. A task with losses must start
+/// before it is over.
+const UNDER_LOSSES_MS: u64 = 60_000;
+
+/// Loses a worker other than the host workers of a job each second, until `task`
+/// runs. It has to run within [`UNDER_LOSSES_MS`].
+fn lose_workers_until_placed(cluster: &mut TestCluster, task: fleet::TaskId) {
+    for _ in 0..UNDER_LOSSES_MS / 1_000 {
+        if cluster.host_worker(task).is_some() {
+            return;
+        }
+        let idle = cluster.workers.iter();
+        let idle = idle.filter(|(_, worker)| worker.running.is_empty());
+        let id = idle.map(|(id, _)| id).next().unwrap().clone();
+        cluster.crash(&id);
+        cluster.advance(500);
+        cluster.replace(&id, CORES);
+        cluster.advance(500);
+    }
+    let waits = cluster.host_worker(task).is_none();
+    assert!(!waits, "{task} is held for {UNDER_LOSSES_MS} ms");
+}
+
+/// Guards against a wide gang that waits as long as any worker of a large fleet is
+/// lost every second.
+#[test]
+fn a_wide_gang_with_losses_does_not_wait_for_the_end_of_all_losses() {
+    let mut cluster = gang_with_losses(60, 24, 2);
+    lose_workers_until_placed(&mut cluster, helpers::task(1, 0, 0));
+}
+
+/// Crashes the host worker of a task together with some other workers, `losses`
+/// times.
+fn lose_in_mass_crashes(cluster: &mut TestCluster, task: fleet::TaskId, losses: usize) {
+    for _ in 0..losses {
+        advance_until_placed(cluster, task, CALM_MS);
+        cluster.advance(200);
+        let host_worker = cluster.host_worker(task).unwrap();
+        let others = cluster.workers.keys().filter(|id| **id != host_worker);
+        let mut hit: Vec<_> = others.take(8).cloned().collect();
+        hit.push(host_worker);
+        for id in &hit {
+            cluster.crash(id);
+        }
+        cluster.advance(500);
+        for id in &hit {
+            cluster.replace(id, CORES);
+        }
+    }
+}
+
+/// A long-running task that was lost in three mass crashes.
+fn long_running_task_with_losses() -> (TestCluster, fleet::TaskId) {
+    let mut cluster = TestCluster::new(16);
+    let step = fleet::StepDescription {
+        long_running: true,
+        ..helpers::with_estimate(helpers::step(1, 4), 600_000)
+    };
+    cluster.run(1, &helpers::queue(1), vec![step]);
+    let task = helpers::task(1, 0, 0);
+    lose_in_mass_crashes(&mut cluster, task, 3);
+    (cluster, task)
+}
+
+/// Guards against a long-running task that waits as long as any worker is lost every
+/// second, after it was lost in three mass crashes.
+#[test]
+fn a_long_running_task_with_losses_does_not_wait_for_the_end_of_all_losses() {
+    let (mut cluster, task) = long_running_task_with_losses();
+    lose_workers_until_placed(&mut cluster, task);
+    assert_eq!(cluster.state(1), Some(fleet::JobState::Running));
+}
+
+/// Guards against a hold without end after a takeover: recorded losses have no times.
+#[test]
+fn a_hold_of_a_long_running_task_ends_after_a_takeover_too() {
+    let (mut cluster, task) = long_running_task_with_losses();
+    cluster.take_over(2);
+    lose_workers_until_placed(&mut cluster, task);
+}
+
+/// Tasks that crash their workers in a small fleet, beside short work.
+struct Crashers {
+    cluster: TestCluster,
+    /// Each with the time from its start to the crash.
+    crashing: Vec<(fleet::TaskId, u64)>,
+    /// Starts that were not followed by a crash yet, with the times of the crashes.
+    due: Vec<(fleet::WorkerId, u64)>,
+}
+
+impl Crashers {
+    fn new(seed: u64) -> Self {
+        let mut random = Random(seed.wrapping_mul(77_003) + 5);
+        random.next();
+        let mut cluster = TestCluster::new(6);
+        let count = 2 + (random.next() * 3.0) as u64;
+        let mut crashing = Vec::new();
+        for number in 1..=count {
+            let step = match random.next() < 0.3 {
+                true => helpers::gang(2, 32),
+                false => helpers::step(1, 4),
+            };
+            cluster.run(number, &helpers::queue(1), vec![step]);
+            let after_ms = (random.next() * 8.0) as u64 * 100;
+            crashing.push((helpers::task(number, 0, 0), after_ms));
+        }
+        Self {
+            cluster,
+            crashing,
+            due: Vec::new(),
+        }
+    }
+
+    /// Crashes the workers whose time has come, and replaces them.
+    fn crash_due(&mut self, time_ms: u64) {
+        for (task, after_ms) in &self.crashing {
+            let host_worker = self.cluster.host_worker(*task);
+            if let Some(id) = host_worker.filter(|id| self.due.iter().all(|due| due.0 != *id)) {
+                self.due.push((id, time_ms + after_ms));
+            }
+        }
+        for (id, due_ms) in mem::take(&mut self.due) {
+            if time_ms < due_ms {
+                self.due.push((id, due_ms));
+                continue;
+            }
+            self.cluster.crash(&id);
+            self.cluster.replace(&id, CORES);
+        }
+    }
+
+    /// Runs short work, of which each run ends within 100 ms.
+    fn run_short_work(&mut self, time_ms: u64) {
+        if time_ms.is_multiple_of(1_000) {
+            let step = helpers::with_estimate(helpers::step(4, 4), 1_000);
+            let description = helpers::job(vec![step]);
+            let queue = helpers::queue(0);
+            self.cluster.submit(100 + time_ms, &queue, description);
+        }
+        self.cluster.advance(100);
+        for worker in self.cluster.workers.values_mut() {
+            let keys: Vec<_> = worker.running.keys().copied().collect();
+            let keys = keys.into_iter().filter(|(task, _)| task.job.0 >= 100);
+            for (task, attempt) in keys {
+                worker.end(task, attempt, fleet::End::Done);
+            }
+        }
+    }
+
+    /// The jobs that have not failed.
+    fn open(&self) -> Vec<u64> {
+        let jobs = self.crashing.iter().map(|(task, _)| task.job.0);
+        let failed = Some(fleet::JobState::Failed);
+        jobs.filter(|number| self.cluster.state(*number) != failed)
+            .collect()
+    }
+}
+
+/// Guards against tasks that crash their workers, and whose losses hold each other
+/// without end in a small fleet.
+#[test]
+fn tasks_that_crash_their_workers_do_not_hold_each_other_without_end() {
+    let most = std::env::var("FIGSCALE_SEEDS").ok();
+    let most = most.map_or(12, |text| text.parse::<u64>().unwrap());
+    let mut found = Vec::new();
+    for seed in 0..most {
+        let mut crashers = Crashers::new(seed);
+        let mut time_ms = 0;
+        while !crashers.open().is_empty() && time_ms < 120_000 {
+            crashers.crash_due(time_ms);
+            crashers.run_short_work(time_ms);
+            time_ms += 100;
+        }
+        if !crashers.open().is_empty() {
+            found.push((seed, crashers.open(), crashers.crashing));
+        }
+    }
+    let count = found.len();
+    assert!(
+        found.is_empty(),
+        "{count} (seed, open jobs, tasks): {found:#?}"
+    );
+}
