A gang queries for workers that are reserved for later

Callers saw a gang wait beside free room for as long as another gang waited for a long run: it was never asked about the workers that were reserved for the other, though it would have ended long before that could start.

Cause: choice_to_query and may_fit_now leave out each worker that is reserved for another step, whatever the time. Placement (open_workers) and reserve use such a worker if the work ends before the reservation begins, but a step that needs advice can't get there without a query.

Now the query uses the same condition as placement, with the time of the shortest response added.

--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -190,6 +190,17 @@
         (!own).then_some(reservation.until)
     }
 
+    /// Whether work for the step of `task` that ends at `ends` may use a worker.
+    pub(crate) fn is_open_until(
+        &self,
+        task: &fleet::TaskId,
+        worker: &fleet::WorkerId,
+        ends: time::Instant,
+    ) -> bool {
+        let reserved_until = self.reserved_for_others_until(task, worker);
+        reserved_until.is_none_or(|until| ends <= until)
+    }
+
     /// Indices of the usable workers with their free processors, in thousandths of a
     /// core, those with most first. `free` is asked once in a pass; what is placed
     /// after that only makes less free.
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -206,12 +206,11 @@
             return Vec::new();
         }
         let need = job::occupied(description);
+        let ends = reserve::earliest_end(job, description, now);
         let unknown = self
             .queryable_workers(job, step, description, pass)
             .filter(|(_, id, _)| {
-                let open = pass
-                    .reserved_for_others_until(&candidate.task, id)
-                    .is_none();
+                let open = pass.is_open_until(&candidate.task, id, ends);
                 open && !step.advice.verdicts.contains_key(*id)
             });
         let mut ranked = Vec::new();
@@ -237,7 +236,7 @@
     }
 
     /// Whether a gang would fit now on workers that are not reserved for
-    /// others, if the usual fraction of those not yet queried is approved.
+    /// others before it ends, if the usual fraction of those not yet queried is approved.
     fn may_fit_now(
         &self,
         candidate: &pass::Candidate,
@@ -253,11 +252,9 @@
         let approved_fraction = self.channels.approved_fraction(&job.queue.name);
         let with_room = self.most_free_workers(pass);
         let with_room = with_room.take_while(|(free_millis, ..)| *free_millis >= need.cpu_millis);
+        let ends = reserve::earliest_end(job, description, pass.now);
         let open = with_room.filter(|(_, id, worker)| {
-            worker.suits(&job.queue, description)
-                && pass
-                    .reserved_for_others_until(&candidate.task, id)
-                    .is_none()
+            worker.suits(&job.queue, description) && pass.is_open_until(&candidate.task, id, ends)
         });
         let mut missing = f64::from(description.count);
         let mut expected = open.map(|(_, id, worker)| {
--- a/crates/figscale-core/tests/fleet/gang_limits.rs
+++ b/crates/figscale-core/tests/fleet/gang_limits.rs
@@ -370,3 +370,30 @@
         "waits for a gang that cannot start"
     );
 }
+
+/// Guards against a gang that does not query for workers which are reserved for
+/// another gang, although it ends long before that can start.
+#[test]
+fn a_gang_queries_for_workers_that_are_reserved_for_later() {
+    let mut cluster = TestCluster::with_cores(4, 8);
+    let long = helpers::with_estimate(helpers::step(1, 1), 60_000);
+    cluster.run(1, &helpers::queue(1), vec![long]);
+    let queue = helpers::advised_queue(1);
+    let respond_for = |cluster: &mut TestCluster, time_ms: u64| {
+        for _ in 0..time_ms / 100 {
+            while !cluster.queries.is_empty() {
+                cluster.respond(|_| true);
+            }
+            cluster.advance(100);
+        }
+    };
+    cluster.run(2, &queue, vec![helpers::gang(4, 8)]);
+    respond_for(&mut cluster, 10_000);
+    assert_eq!(cluster.host_worker(helpers::task(2, 0, 0)), None);
+    cluster.run(3, &queue, vec![helpers::gang(2, 8)]);
+    respond_for(&mut cluster, 5_000);
+    assert!(
+        cluster.host_worker(helpers::task(3, 0, 0)).is_some(),
+        "waits although it would end before the other gang starts"
+    );
+}
