terms: simulations end in calm and find work that never happens

The random search over many terms checked that nothing runs twice, and not that everything runs. Simulations can now end without faults, submissions and elections. By the end of that stretch, whose length comes from lease, recovery, ejection, queries and the backlog, each accepted job has ended, and of a step that lasts each task runs, as far as the workers that may run it have room beside what lasts there. The leader of that stretch stays as it is, since a new one would forget whatever an old one does wrong.

Mixed simulations have 24 workers, an advisory service with responses that are late or lost, outages, instances that leave and return, tickets that expire and are refused, gangs of up to 27 that depend on each other (broken, incomplete), steps that last or spread, and reports with unreadable rows.

After each iteration of a leader Scheduler::inconsistencies shows tasks that count as placed without a run on their worker, and tasks that are suspect after recovery.

Tasks that crash their workers and wide steps that spread are left out.

--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod channel_failures;
 mod channels;
 mod config_proof;
+mod consistency;
 mod crash_evidence;
 mod crashes;
 mod customers;
--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -28,7 +28,8 @@
 impl Simulation {
     pub(super) fn elect(&mut self) {
         let led = self.leaders.iter().any(|leader| leader.alive);
-        if led && self.now_ms < self.next_election_ms {
+        let stays = self.calm || self.now_ms >= self.last_election_ms;
+        if led && (stays || self.now_ms < self.next_election_ms) {
             return;
         }
         self.next_election_ms = self.now_ms + 300 + self.random(7_000);
@@ -79,6 +80,7 @@
             limits_known_ms: None,
             cut_off: IndexMap::new(),
             begun: self.recorded_begun.clone(),
+            absent: IndexMap::new(),
         });
         self.check_begun(self.leaders.len() - 1);
     }
@@ -111,7 +113,7 @@
         }
         let leader = alive[self.random(alive.len() as u64) as usize];
         let (now, wall_ms) = (self.now(), self.wall_ms(leader));
-        let queue = helpers::queue(u32::from(number.is_multiple_of(2)));
+        let queue = self.queue_of(number);
         let scheduler = &mut self.leaders[leader].scheduler;
         let id = helpers::job_id(number);
         let customer = self.faults.customers.then(|| customers::customer_of(id));
@@ -119,6 +121,9 @@
     }
 
     pub(super) fn random_job(&mut self) -> fleet::JobDescription {
+        if self.faults.mixed {
+            return self.mixed_job();
+        }
         let count = 1 + self.random(4) as u32;
         let first = fleet::StepDescription {
             gang: self.one_in(6),
@@ -148,7 +153,10 @@
         if let Some(recorded) = leader.recorded.take() {
             leader.scheduler.begin_recovery(recorded, now);
             leader.scheduler.member_joined(&"entry-1".parse().unwrap());
+            self.join_members(number);
         }
+        self.change_members(number);
+        let leader = &mut self.leaders[number];
         leader.scheduler.tick(now, wall_ms);
         leader.scheduler.plan(now);
         let actions = leader.scheduler.take_actions();
@@ -170,9 +178,11 @@
                 Action::Log(LogEntry::TaskCrashesWorkers { task, losses }) => {
                     self.check_permanent_failure(task, losses);
                 }
-                Action::QueryAdvice(_) | Action::Log(_) => (),
+                Action::QueryAdvice(query) => self.query_advice(number, query),
+                Action::Log(_) => (),
             }
         }
+        self.check_consistency(number);
         self.check_begun(number);
         self.send_listing(number);
         self.call(number);
@@ -251,7 +261,7 @@
             false => 200,
         };
         let delay = self.delay() + self.random(longest_ms);
-        match self.one_in(15) {
+        match !self.calm && self.one_in(15) {
             true => self.send(
                 delay,
                 Event::WriteAnswered(number, id, WriteResult::NotWritten),
@@ -313,6 +323,13 @@
                 }
             }
             Event::Listed(leader, entries) => self.listed(leader, entries),
+            Event::AdviceAnswered(leader, query, good) => {
+                let now = self.now();
+                let leader = &mut self.leaders[leader];
+                if leader.alive {
+                    leader.scheduler.advice_answered(&query, good, now);
+                }
+            }
         }
     }
 
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -17,6 +17,10 @@
 //! Limits change at times; of the limits in force within the last seconds the
 //! highest counts.
 //!
+//! Some simulations end in calm: no faults, no new jobs, one leader. By the end of
+//! that stretch all accepted work is done, and of a step that lasts each task runs;
+//! see `calm`.
+//!
 //! Where tasks crash their workers, two more rules hold: such a task is not
 //! started three times more after its third crash, and no job fails permanently
 //! for a task under which fewer than two workers crashed.
@@ -25,6 +29,7 @@
 use std::thread;
 use std::time;
 
+use figscale_core::fleet::AdviceQuery;
 use figscale_core::fleet::Record;
 use figscale_core::fleet::RecordKey;
 use figscale_core::fleet::Records;
@@ -37,9 +42,13 @@
 
 use crate::helpers;
 
+mod advice;
 mod begun;
+mod calm;
 mod customers;
+mod gangs;
 mod leaders;
+mod mixed;
 mod workers;
 
 const WALL_MS: u64 = 1_700_000_000_000;
@@ -60,6 +69,8 @@
 const NOTICED_MS: u64 = 1_200;
 /// Time from the start of a crashing task to the crash of its worker.
 const CRASH_DELAY_MS: u64 = 20;
+/// Length of a run that lasts: it does not end in a simulation.
+const LASTING_MS: u64 = 1_000_000;
 /// Starts of a crashing task that break the rule: three more after its third
 /// crash.
 const TOO_MANY_STARTS: usize = 6;
@@ -77,17 +88,37 @@
     customers: bool,
     /// Workers restart under their names.
     keeps_names: bool,
+    /// More workers, an advisory service, wide gangs, steps that last or spread,
+    /// and reports with rows that cannot be read.
+    mixed: bool,
+    /// The simulation ends with a stretch without faults, after which all work has
+    /// to be done.
+    calm: bool,
 }
 
+/// The usual faults alone.
+const USUAL_FAULTS: Faults = Faults {
+    occurrences: false,
+    max_clock_lag_ms: 0,
+    crashing: false,
+    customers: false,
+    keeps_names: false,
+    mixed: false,
+    calm: false,
+};
+
 type RunKey = (fleet::TaskId, u32);
 
 #[derive(Clone)]
 struct Running {
     run: fleet::RunningTask,
+    started_ms: u64,
     ends_ms: u64,
     ends_as: fleet::End,
     /// The worker crashes instead of ending the run.
     crashes: bool,
+    /// Number of members, if it is one of a gang whose members depend on each other.
+    gang: Option<u32>,
 }
 
 /// An end that is not yet acknowledged, with its time.
@@ -116,6 +147,8 @@
     ended: u64,
     /// Highest attempt of each task that ended or was stopped here.
     ended_attempts: IndexMap<fleet::TaskId, u32>,
+    /// Time until which one row of its reports cannot be read.
+    unreadable_until_ms: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -146,6 +179,8 @@
     cut_off: IndexMap<WorkerId, u64>,
     /// Jobs that it may and has to show as running.
     begun: begun::BegunJobs,
+    /// Entry instances that have left, with the time of their return.
+    absent: IndexMap<usize, u64>,
 }
 
 #[derive(Clone)]
@@ -168,6 +203,7 @@
     WriteArrives(usize, u64, Vec<Record>, begun::BegunJobs),
     WriteAnswered(usize, u64, WriteResult),
     Listed(usize, Vec<fleet::WorkerEntry>),
+    AdviceAnswered(usize, AdviceQuery, Option<Vec<fleet::Ticket>>),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -211,6 +247,13 @@
     crashes: IndexMap<fleet::TaskId, usize>,
     violations: Vec<String>,
     starts: usize,
+    /// Whether there are no more faults, submissions and elections.
+    calm: bool,
+    /// Time from which the leader stays.
+    last_election_ms: u64,
+    /// Time until which the advisory service does not respond.
+    advice_outage_ms: u64,
+    gangs: gangs::Gangs,
 }
 
 impl Simulation {
@@ -236,8 +279,20 @@
             crashes: IndexMap::new(),
             violations: Vec::new(),
             starts: 0,
+            calm: false,
+            last_election_ms: SIMULATED_MS,
+            advice_outage_ms: 0,
+            gangs: gangs::Gangs::default(),
         };
-        for _ in 0..WORKERS {
+        if faults.calm {
+            simulation.last_election_ms = simulation.random(SIMULATED_MS);
+        }
+        let workers = if faults.mixed {
+            mixed::WORKERS
+        } else {
+            WORKERS
+        };
+        for _ in 0..workers {
             simulation.add_worker();
         }
         simulation
@@ -269,6 +324,9 @@
 
     /// Delay of a message: a few milliseconds mostly, seconds at times.
     fn delay(&mut self) -> u64 {
+        if self.calm {
+            return 1 + self.random(5);
+        }
         match self.random(30) {
             0 => self.random(2_500),
             1..4 => self.random(300),
@@ -289,21 +347,29 @@
             self.change_limits();
             self.elect();
             self.submit();
-            self.run_workers();
-            while let Some(entry) = self.events.first_entry() {
-                if entry.key().0 > self.now_ms {
-                    break;
-                }
-                let event = entry.remove();
-                self.handle(event);
+            self.step();
+        }
+        if self.faults.calm && self.violations.is_empty() {
+            self.end_in_calm();
+        }
+        (self.violations, self.starts)
+    }
+
+    /// Runs the workers, delivers the messages that are due, and runs the leaders.
+    fn step(&mut self) {
+        self.run_workers();
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now_ms {
+                break;
             }
-            for leader in 0..self.leaders.len() {
-                if self.leaders[leader].alive && self.now_ms >= self.leaders[leader].begins_ms {
-                    self.run_leader(leader);
-                }
+            let event = entry.remove();
+            self.handle(event);
+        }
+        for leader in 0..self.leaders.len() {
+            if self.leaders[leader].alive && self.now_ms >= self.leaders[leader].begins_ms {
+                self.run_leader(leader);
             }
         }
-        (self.violations, self.starts)
     }
 }
 
@@ -355,6 +421,7 @@
         crashing: false,
         customers: false,
         keeps_names: false,
+        ..USUAL_FAULTS
     };
     let violations = simulate(faults, &seeds(&[0, 1, 2, 3, 4, 5, 66, 385]));
     assert!(
@@ -374,6 +441,7 @@
         crashing: false,
         customers: false,
         keeps_names: true,
+        ..USUAL_FAULTS
     };
     let violations = simulate(faults, &seeds(&[0, 1, 2, 3, 4, 5, 6, 7]));
     assert!(
@@ -394,6 +462,7 @@
             crashing: false,
             customers: false,
             keeps_names: false,
+            ..USUAL_FAULTS
         };
         let violations = simulate(faults, &seeds(&[0, 1, 2, 3]));
         assert!(
@@ -410,6 +479,7 @@
     crashing: true,
     customers: false,
     keeps_names: false,
+    ..USUAL_FAULTS
 };
 
 /// Guards against a new leader that does not count what runs on workers without
@@ -422,6 +492,7 @@
         crashing: false,
         customers: true,
         keeps_names: false,
+        ..USUAL_FAULTS
     };
     let violations = simulate(faults, &seeds(&[0, 1, 2, 3, 4, 5, 6, 7]));
     assert!(
@@ -456,3 +527,42 @@
         violations.len()
     );
 }
+
+/// Guards against accepted work that is never ordered again although there is room.
+#[test]
+fn accepted_work_is_done_in_calm_over_many_terms() {
+    for keeps_names in [false, true] {
+        let faults = Faults {
+            keeps_names,
+            calm: true,
+            ..USUAL_FAULTS
+        };
+        let violations = simulate(faults, &seeds(&[0, 1]));
+        assert!(
+            violations.is_empty(),
+            "keeps names: {keeps_names}, {} seeds with violations: {violations:#?}",
+            violations.len()
+        );
+    }
+}
+
+/// Guards against wide gangs, and steps that last or spread, which are never ordered
+/// again although there is room. Seeds 25, 50 and 70 showed gangs behind one without
+/// room beside tasks that last, seed 23 a run in an unreadable row at a takeover.
+#[test]
+fn gangs_and_lasting_steps_are_done_in_calm_over_many_terms() {
+    for keeps_names in [false, true] {
+        let faults = Faults {
+            keeps_names,
+            mixed: true,
+            calm: true,
+            ..USUAL_FAULTS
+        };
+        let violations = simulate(faults, &seeds(&[23, 25, 50, 70]));
+        assert!(
+            violations.is_empty(),
+            "keeps names: {keeps_names}, {} seeds with violations: {violations:#?}",
+            violations.len()
+        );
+    }
+}
--- a/crates/figscale-core/tests/fleet/terms/workers.rs
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -14,6 +14,7 @@
 use super::Event;
 use super::FOUND_MS;
 use super::Finished;
+use super::LASTING_MS;
 use super::MAX_LEASE_MS;
 use super::NOTICED_MS;
 use super::RunKey;
@@ -35,12 +36,17 @@
         self.lease_until_clock_ms = self.lease_until_clock_ms.max(until_clock_ms);
     }
 
+    /// Its report; of its running tasks the last may be in an unreadable row.
     pub(super) fn report(&self, now_ms: u64) -> fleet::WorkerReport {
+        let unreadable_rows =
+            usize::from(now_ms < self.unreadable_until_ms).min(self.running.len());
+        let readable = self.running.len() - unreadable_rows;
+        let running = self.running.values().take(readable);
         fleet::WorkerReport {
             clock_ms: self.clock_ms(now_ms),
-            running: self.running.values().map(|run| run.run.clone()).collect(),
+            running: running.map(|run| run.run.clone()).collect(),
             finished: self.finished.iter().map(|end| end.run.clone()).collect(),
-            unreadable_rows: 0,
+            unreadable_rows,
         }
     }
 
@@ -138,6 +144,7 @@
             finished: Vec::new(),
             ended: 0,
             ended_attempts: IndexMap::new(),
+            unreadable_until_ms: 0,
         };
         self.workers.insert(id, worker);
     }
@@ -180,6 +187,9 @@
                 }
             }
         }
+        if self.faults.mixed {
+            self.inject_mixed_faults();
+        }
         if self.one_in(100) && !self.leaders.is_empty() {
             let leader = self.random(self.leaders.len() as u64) as usize;
             let number = self.random(self.workers.len() as u64) as usize;
@@ -192,6 +202,7 @@
     pub(super) fn run_workers(&mut self) {
         let now_ms = self.now_ms;
         let mut crashed = Vec::new();
+        let gangs = self.running_gangs();
         for worker in self.workers.values_mut() {
             if worker.leaves_ms.is_some_and(|at| now_ms >= at) && worker.up {
                 worker.shut_down();
@@ -214,10 +225,14 @@
                 worker.replaced = true;
                 continue;
             }
-            let over: Vec<_> = over().map(|(key, run)| (*key, run.ends_as)).collect();
+            let alone = over().filter(|(_, run)| run.gang.is_none());
+            let over: Vec<_> = alone.map(|(key, run)| (*key, run.ends_as)).collect();
             for (key, end) in over {
                 worker.end(key, end, now_ms);
             }
+            for (key, end) in self.gangs.ends(&worker.running, &gangs, now_ms) {
+                worker.end(key, end, now_ms);
+            }
             if worker.clock_ms(now_ms) > worker.lease_until_clock_ms {
                 worker.lapsed_ms = Some(now_ms);
                 let keys: Vec<RunKey> = worker.running.keys().copied().collect();
@@ -263,7 +278,7 @@
     /// Whether a message between a leader and a worker arrives.
     pub(super) fn reaches(&mut self, leader: usize, id: &WorkerId) -> bool {
         let cut_until_ms = self.leaders[leader].cut_off.get(id).copied().unwrap_or(0);
-        !self.one_in(40) && self.now_ms >= cut_until_ms
+        (self.calm || !self.one_in(40)) && self.now_ms >= cut_until_ms
     }
 
     pub(super) fn report(&mut self, number: usize, id: &WorkerId, due: ReportDue, sent_ms: u64) {
@@ -323,7 +338,14 @@
         let arrives = self.reaches(number, id);
         let answered = self.reaches(number, id);
         let key = (order.task, order.attempt);
-        let (length_ms, failure_draw) = (50 + self.random(2_000), self.random(20));
+        let (mut length_ms, failure_draw) = (50 + self.random(2_000), self.random(20));
+        let step = self.step_of(order.task);
+        let gang = step.gang.then_some(step.count);
+        let gang = gang.filter(|_| self.faults.mixed);
+        if step.long_running && failure_draw > 0 {
+            length_ms = LASTING_MS;
+        }
+        let is_expired = self.ticket_is_expired(order);
         let crashes = self.is_crashing(order.task);
         let mut receiver = self.receiver(id);
         // Before a leader knows of the next incarnation it cannot keep an order from
@@ -340,6 +362,7 @@
             () if epoch < worker.fence => StartOutcome::Refused(StartRefusal::StaleEpoch),
             () if is_old => StartOutcome::Refused(StartRefusal::OldAttempt),
             () if clock_ms > order.expires_clock_ms => StartOutcome::Refused(StartRefusal::Expired),
+            () if is_expired => StartOutcome::Refused(StartRefusal::Ticket),
             () => StartOutcome::Started { clock_ms },
         };
         if matches!(outcome, StartOutcome::Started { .. }) {
@@ -361,11 +384,14 @@
                 let ends_ms = now_ms + length_ms;
                 let running = Running {
                     run,
+                    started_ms: now_ms,
                     ends_ms,
                     ends_as,
                     crashes,
+                    gang,
                 };
                 worker.running.insert(key, running);
+                self.gangs.started(key);
                 self.check_start(key);
             }
         }
