KNOWN-RED: a task in quarantine starves beside a stream of short work

What callers would see: a task whose worker crashed soon after its start does not run again while short work is started on each of the workers that it may use.

Cause: a task that needs quarantine is started only on a worker without runs younger than 500 ms. Its step comes first in each pass, but nothing keeps other work off a worker until its runs are older. With few workers to choose from (a label, few tickets, a small fleet) and a start on each of them every 500 ms, there is never one.

Evidence: three workers, each starts a task of 400 ms every 50 ms; one crashes 0 ms after a long task started there and does not return.

starvation::a_task_whose_worker_crashed_is_not_starved_by_a_stream_of_short_work assertion failed: fleet.cluster.host_worker(task).is_some()

--- a/crates/figscale-core/tests/fleet/starvation.rs
+++ b/crates/figscale-core/tests/fleet/starvation.rs
@@ -13,6 +13,8 @@
 const STEP_MS: u64 = 50;
 /// More than three objectives of each job that these tests wait for.
 const MAX_WAIT_MS: u64 = 40_000;
+/// A task whose worker was lost runs again within this time.
+const MAX_GAP_MS: u64 = 6_000;
 /// Number of the first job of a stream.
 const FIRST_STREAM_JOB: u64 = 10_000;
 
@@ -384,3 +386,32 @@
     });
     assert!(begun.is_some(), "never started");
 }
+
+/// Guards against a task that waits for a worker without recently started runs, of
+/// which a stream of short work leaves none, after its own worker has crashed.
+#[test]
+fn a_task_whose_worker_crashed_is_not_starved_by_a_stream_of_short_work() {
+    let mut fleet = SimulatedFleet::new(TestCluster::with_cores(3, 64));
+    let short = fleet::StepDescription {
+        max_per_worker: Some(1),
+        ..helpers::with_estimate(helpers::step(3, 1), 400)
+    };
+    let stream = |fleet: &mut SimulatedFleet, time_ms: u64| {
+        for _ in 0..time_ms / STEP_MS {
+            fleet.submit_stream_job(&helpers::queue(1), &short);
+            fleet.step();
+        }
+    };
+    stream(&mut fleet, 1_000);
+    let long = helpers::with_estimate(helpers::step(1, 1), 60_000);
+    fleet.run(1, &helpers::queue(1), long);
+    let task = helpers::task(1, 0, 0);
+    let host = fleet.cluster.host_worker(task).unwrap();
+    fleet.cluster.crash(&host);
+    let now = fleet.cluster.now;
+    fleet.cluster.workers.swap_remove(&host);
+    fleet.cluster.scheduler.worker_replaced(&host, now);
+    fleet.cluster.scheduler.worker_unlisted(&host, now);
+    stream(&mut fleet, MAX_GAP_MS);
+    assert!(fleet.cluster.host_worker(task).is_some());
+}
