A wide gang that crashes its workers is shown to be the cause

Cause: the chance that an attempt lost a worker by coincidence is estimated from the other losses at the time, with half a loss for what is too rare to be seen. Over many hosts that half loss alone makes a coincidence look likely.

Fix: while no other worker is lost, the chance counts as the one above which an attempt shows nothing, at most, so five attempts in a calm fleet show the cause.

--- a/crates/figscale-core/src/fleet/crash_evidence.rs
+++ b/crates/figscale-core/src/fleet/crash_evidence.rs
@@ -110,7 +110,15 @@
         if let Some((first, last)) = self.between {
             let others = known.around(first).max(known.around(last));
             let others = others.saturating_sub(own);
-            self.ppm = self.ppm.max(chance_ppm(self.hosts, others, fleet));
+            let ppm = chance_ppm(self.hosts, others, fleet);
+            // The estimate for losses too rare to be seen grows with the number of
+            // hosts. Without a limit a task on most of the fleet would never be
+            // shown to be the cause.
+            let ppm = match others {
+                0 => ppm.min(TURBULENT_PPM),
+                _ => ppm,
+            };
+            self.ppm = self.ppm.max(ppm);
         }
     }
 
--- a/crates/figscale-core/tests/fleet/crashes.rs
+++ b/crates/figscale-core/tests/fleet/crashes.rs
@@ -193,6 +193,9 @@
 /// no other worker is lost: a calm stretch has 7 s.
 const CALM_MS: u64 = 7_000;
 
+/// Attempts that a task which crashes its workers may take in a calm fleet.
+const MAX_CRASHES_IN_CALM: usize = 5;
+
 /// Starts a gang of one member a worker and crashes one of its workers 200 ms after
 /// the start, `losses` times; each crashed worker is replaced.
 fn gang_with_losses(workers: usize, members: u32, losses: usize) -> TestCluster {
@@ -239,6 +242,22 @@
     }
 }
 
+/// Guards against a wide gang that crashes one of its workers at each start, for ever: in a
+/// calm fleet its losses must show it as the cause, however many workers it spans.
+#[test]
+fn a_wide_gang_that_crashes_its_workers_fails_in_a_calm_fleet() {
+    for members in [18, 36, 48] {
+        let mut cluster = gang_with_losses(48, members, MAX_CRASHES_IN_CALM);
+        // The last loss is judged once simultaneous ones would be known.
+        cluster.advance(2_000);
+        assert_eq!(
+            cluster.state(1),
+            Some(fleet::JobState::Failed),
+            "{members} members"
+        );
+    }
+}
+
 /// Guards against a worker that is out of use for good, since the losses of the task in
 /// quarantine there were cleared by another run of the task.
 #[test]
