Gangs rank a limited number of workers for a query

Cause: the search for workers to query stops once enough are found that no other gang queries. With many queries in flight the workers with most room are in some of them, so each gang examined most of the fleet.

Fix: a gang ranks 300 workers at most, ten times what a query names.

The test failed before:

queries_of_gangs_examine_few_workers_of_a_large_fleet 582329 workers examined, 92000 allowed

--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -20,6 +20,10 @@
 
 /// Maximum number of workers in one query.
 const MAX_QUERIED: usize = 30;
+/// Maximum number of workers among which a gang chooses those of a query. In a large
+/// fleet with many queries in flight it would otherwise examine most workers to find
+/// some that are in none.
+const MAX_RANKED: usize = 10 * MAX_QUERIED;
 /// Maximum number of workers in one query that the service accepts.
 const MAX_ACCEPTED: usize = 100;
 /// Maximum number of workers in a query for a gang's tickets. If the tickets were
@@ -269,7 +273,7 @@
             // Those that follow have no more free and hold no more members.
             let most = (free_millis / need.cpu_millis.max(1)).min(count);
             best += usize::from(slots > 0 && fitting >= most && others == 0);
-            if best >= MAX_QUERIED {
+            if best >= MAX_QUERIED || ranked.len() >= MAX_RANKED {
                 break;
             }
         }
--- a/crates/figscale-core/tests/fleet/pass_cost.rs
+++ b/crates/figscale-core/tests/fleet/pass_cost.rs
@@ -141,3 +141,29 @@
         cluster.queries.len()
     );
 }
+
+/// Guards against gangs that examine the whole fleet for each query because all the
+/// workers with most room are in queries of other gangs.
+#[test]
+fn queries_of_gangs_examine_few_workers_of_a_large_fleet() {
+    const LARGE_FLEET: usize = 6_000;
+    const INSTANCES: usize = 200;
+    const SCANS_PER_QUERY: usize = 400;
+    let mut cluster = TestCluster::with_cores(LARGE_FLEET, CORES);
+    cluster.join_entries(1..=INSTANCES);
+    for number in 1..=400 {
+        let gang = fleet::StepDescription {
+            max_per_worker: Some(3),
+            ..helpers::gang(39, 14)
+        };
+        let answer = cluster.submit(number, &gangs(), helpers::job(vec![gang]));
+        assert_eq!(answer, Admission::Accepted);
+    }
+    while cluster.scheduler.has_records() {
+        cluster.write();
+    }
+    cluster.scheduler.plan(cluster.now);
+    let scans = cluster.scheduler.counts(cluster.now).pass_scans;
+    let most = 2 * LARGE_FLEET + INSTANCES * SCANS_PER_QUERY;
+    assert!(scans <= most, "{scans} workers examined, {most} allowed");
+}
