The gang that is late longest queries before all others

Cause: queries go in the order of rank, and a gang that is late ranks after all that can still meet their objectives. Aging reserves workers for the gang that is late longest, but gave it a channel only where there is a single one, on the assumption that of several one would be free.

Fix: with several channels for long queries the aging gang and the overdue steps with reservations query first; they use one channel each. With a single channel nothing changes.

The test failed before:

a_late_gang_is_queried_beside_a_stream_of_younger_gangs never started with 4 members

--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -160,38 +160,41 @@
     /// channels are free. Queries that only widen the choice of gangs without
     /// reservations come last.
     pub(crate) fn send_queries(&mut self, pass: &pass::Pass) {
-        self.send_overdue_queries(pass);
+        self.send_aging_queries(pass);
         self.send_query_round(pass, Breadth::Needed);
         self.send_query_round(pass, Breadth::Wide);
     }
 
-    /// With a single channel, sends the queries of overdue steps that have
-    /// waited long for it before all others, since a stream of other work would
-    /// otherwise always take it first. With several channels such steps get one
-    /// without this.
-    fn send_overdue_queries(&mut self, pass: &pass::Pass) {
-        if pass.reserved_overdue.is_empty() || self.channels.long_query_channels(pass.now) > 1 {
-            return;
-        }
-        let overdue = pass.unplaced.iter();
-        for candidate in overdue.filter(|candidate| pass.reserved_overdue.contains(&candidate.task))
-        {
-            let query = self.next_query(candidate, Breadth::Needed, pass);
-            let expected = query.map(|query| query.expected);
-            let Some(advice) = self.step_of(&candidate.task).map(|step| &mut step.advice) else {
-                continue;
-            };
-            let Some(expected) = expected.filter(|_| advice.pending_query.is_none()) else {
-                advice.channel_wanted_since = None;
-                continue;
-            };
-            let since = *advice.channel_wanted_since.get_or_insert(pass.now);
-            if pass.now >= since + expected * MAX_CHANNEL_WAIT {
+    /// Sends the queries of the steps that are late longest before all others, since
+    /// a stream of other work would otherwise always take the channels first. With
+    /// several channels one is no loss to the others; a single one is used for this
+    /// only if an overdue step has waited long for it.
+    fn send_aging_queries(&mut self, pass: &pass::Pass) {
+        let several = self.channels.long_query_channels(pass.now) > 1;
+        for candidate in &pass.unplaced {
+            let is_aging = several && pass.aging_gang == Some(candidate.task);
+            let is_overdue = pass.reserved_overdue.contains(&candidate.task);
+            if is_aging || is_overdue && (several || self.has_waited_for_channel(candidate, pass)) {
                 self.send_query_if_possible(candidate, Breadth::Needed, pass);
             }
         }
     }
 
+    /// Whether an overdue step has needed a query for long without getting a channel.
+    fn has_waited_for_channel(&mut self, candidate: &pass::Candidate, pass: &pass::Pass) -> bool {
+        let query = self.next_query(candidate, Breadth::Needed, pass);
+        let expected = query.map(|query| query.expected);
+        let Some(advice) = self.step_of(&candidate.task).map(|step| &mut step.advice) else {
+            return false;
+        };
+        let Some(expected) = expected.filter(|_| advice.pending_query.is_none()) else {
+            advice.channel_wanted_since = None;
+            return false;
+        };
+        let since = *advice.channel_wanted_since.get_or_insert(pass.now);
+        pass.now >= since + expected * MAX_CHANNEL_WAIT
+    }
+
     /// Sends the query that a step needs, if it may send one and a channel is
     /// free for it.
     fn send_query_if_possible(
--- a/crates/figscale-core/tests/fleet/starvation.rs
+++ b/crates/figscale-core/tests/fleet/starvation.rs
@@ -368,6 +368,44 @@
     }
 }
 
+/// A late gang got no query while younger gangs, which can still meet their
+/// objectives, kept all channels for long queries busy.
+#[test]
+fn a_late_gang_is_queried_beside_a_stream_of_younger_gangs() {
+    for members in [4, 8] {
+        let mut fleet = SimulatedFleet::new(TestCluster::with_cores(60, 64));
+        fleet.cluster.join_entries(2..=members);
+        let policy = fleet::AdvicePolicy {
+            base_ms: 600.0,
+            per_worker_ms: 8.0,
+            valid_ms: 2_500,
+        };
+        let late = fleet::Queue {
+            target_latency_ms: 200,
+            advice: Some(policy),
+            ..helpers::queue(1)
+        };
+        let in_time = fleet::Queue {
+            target_latency_ms: 10_000_000,
+            ..late.clone()
+        };
+        fleet.run(
+            1,
+            &late,
+            helpers::with_estimate(helpers::gang(8, 40), 1_000),
+        );
+        let filling = helpers::with_estimate(helpers::step(60, 40), 12_000);
+        fleet.run(2, &helpers::queue(1), filling);
+        let younger = helpers::with_estimate(helpers::gang(2, 20), 500);
+        let begun = fleet.ms_until_started(1, |fleet, at_ms| {
+            if at_ms > 8_000 {
+                fleet.submit_stream_job(&in_time, &younger);
+            }
+        });
+        assert!(begun.is_some(), "never started with {members} members");
+    }
+}
+
 /// A task as wide as a worker must start beside small work that uses a part of
 /// each worker.
 #[test]
