--- a/crates/figscale-core/src/fleet/incarnations.rs
+++ b/crates/figscale-core/src/fleet/incarnations.rs
@@ -151,9 +151,9 @@
         }
     }
 
-    /// Whether a worker without any contact certainly runs nothing any more. Its only
-    /// runs are orders to an earlier incarnation, which gave it the longest lease at
-    /// most when they arrived.
+    /// Whether a worker without any contact certainly runs nothing any more; true if it
+    /// has no runs. Its only runs are orders to an earlier incarnation, which gave it
+    /// the longest lease at most when they arrived.
     pub(crate) fn is_late_order_over(&self, worker: &worker::Worker, now: time::Instant) -> bool {
         let lease = self.config.max_lease * 11 / 10 + self.config.stop_limit;
         let is_over = |run: &worker::Run| now > run.ordered_at + LATE_ORDER_WINDOW + lease;
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -208,9 +208,9 @@
     }
 }
 
-/// Number of members that a worker holds once it is empty but for the runs that stay.
+/// Number of members that a worker holds once only long-running tasks run there.
 pub(crate) fn empty_slots(worker: &worker::Worker, description: &fleet::StepDescription) -> u64 {
-    worker.free_in_the_end().count_fitting(
+    worker.free_beside_long_running().count_fitting(
         &job::occupied(description),
         max_members_per_worker(description),
     )
@@ -242,7 +242,7 @@
     let mut ends: Vec<(time::Instant, fleet::Room)> = worker
         .runs
         .values()
-        .filter(|run| !run.stays())
+        .filter(|run| !run.runs_until_stopped())
         .map(|run| (probable_end(run, now), run.room))
         .collect();
     ends.sort_by_key(|(end, _)| *end);
--- a/crates/figscale-core/src/fleet/starvation.rs
+++ b/crates/figscale-core/src/fleet/starvation.rs
@@ -156,7 +156,7 @@
             task: *task,
             waits: now.saturating_duration_since(job.submitted),
             tasks: step.waiting(),
-            on_workers: step.tasks.iter().filter(is_on_worker).count(),
+            on_workers: step.tasks.iter().filter(|task| is_on_worker(task)).count(),
             suspect: step.tasks.iter().filter(|task| task.suspect).count(),
             good_slots: slots.good,
             ticket_slots: slots.ticket,
@@ -202,10 +202,10 @@
 fn is_starved(step: &job::Step, description: &fleet::StepDescription) -> bool {
     let needs_all = description.gang || description.long_running;
     step.tasks.iter().any(job::Task::is_waiting)
-        && (needs_all || !step.tasks.iter().any(|task| is_on_worker(&task)))
+        && (needs_all || !step.tasks.iter().any(is_on_worker))
 }
 
-fn is_on_worker(task: &&job::Task) -> bool {
+fn is_on_worker(task: &job::Task) -> bool {
     !task.is_waiting() && !task.is_done()
 }
 
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -49,7 +49,7 @@
     }
 
     /// Whether it occupies its resources until it is stopped.
-    pub(crate) fn stays(&self) -> bool {
+    pub(crate) fn runs_until_stopped(&self) -> bool {
         self.long_running && self.stop_ordered.is_none()
     }
 
@@ -95,8 +95,8 @@
     /// Numbers and jobs of the ends in between.
     unacknowledged: VecDeque<(u64, fleet::JobId)>,
     used: fleet::Room,
-    /// The part of it that is used by runs that stay.
-    used_by_staying: fleet::Room,
+    /// The part of it that is used by long-running runs that are not being stopped.
+    used_by_long_running: fleet::Room,
     /// Number of its runs in quarantine.
     quarantined: usize,
     /// Number of its runs that were ordered to stop.
@@ -141,7 +141,7 @@
             acknowledged: 0,
             unacknowledged: VecDeque::new(),
             used: fleet::Room::default(),
-            used_by_staying: fleet::Room::default(),
+            used_by_long_running: fleet::Room::default(),
             quarantined: 0,
             stopping: 0,
         }
@@ -183,16 +183,16 @@
         self.used
     }
 
-    /// Resources that are free once all runs have ended but those that stay.
-    pub(crate) fn free_in_the_end(&self) -> fleet::Room {
-        self.free_beside(&self.used_by_staying)
+    /// Resources that are free once all runs have ended but the long-running ones.
+    pub(crate) fn free_beside_long_running(&self) -> fleet::Room {
+        self.free_beside(&self.used_by_long_running)
     }
 
     pub(crate) fn add_run(&mut self, key: RunKey, run: Run) {
         self.remove_run(&key);
         self.used = self.used.plus(&run.room);
-        if run.stays() {
-            self.used_by_staying = self.used_by_staying.plus(&run.room);
+        if run.runs_until_stopped() {
+            self.used_by_long_running = self.used_by_long_running.plus(&run.room);
         }
         self.quarantined += usize::from(run.quarantined);
         self.stopping += usize::from(run.stop_ordered.is_some());
@@ -202,8 +202,8 @@
     pub(crate) fn remove_run(&mut self, key: &RunKey) -> Option<Run> {
         let run = self.runs.swap_remove(key)?;
         self.used = self.used.minus(&run.room);
-        if run.stays() {
-            self.used_by_staying = self.used_by_staying.minus(&run.room);
+        if run.runs_until_stopped() {
+            self.used_by_long_running = self.used_by_long_running.minus(&run.room);
         }
         self.quarantined -= usize::from(run.quarantined);
         self.stopping -= usize::from(run.stop_ordered.is_some());
@@ -221,8 +221,8 @@
     /// Records that a run was ordered to stop.
     pub(crate) fn record_stop(&mut self, key: &RunKey, at: time::Instant) {
         if let Some(run) = self.runs.get_mut(key) {
-            if run.stays() {
-                self.used_by_staying = self.used_by_staying.minus(&run.room);
+            if run.runs_until_stopped() {
+                self.used_by_long_running = self.used_by_long_running.minus(&run.room);
             }
             let last = run.stop_ordered.replace(at);
             self.stopping += usize::from(last.is_none());
