--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -396,6 +396,10 @@
         now: time::Instant,
     ) {
         let expiry_ms = super::lease::millis(self.config.start_expiry);
+        let Some(queue_name) = self.jobs.get(&id.job).map(|job| &job.queue.name) else {
+            return;
+        };
+        let run_times = self.run_times(queue_name);
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
@@ -406,7 +410,9 @@
             return;
         };
         let room = job::occupied(description);
-        let (estimate_ms, long_running) = (description.estimate_ms, description.long_running);
+        let estimate = time::Duration::from_millis(description.estimate_ms);
+        let expected = worker.slowdown.of(run_times.typical(estimate));
+        let long_running = description.long_running;
         let quarantined = job.needs_quarantine(id);
         let customer = job.customer.clone();
         let spec = job.description.spec.clone();
@@ -442,7 +448,7 @@
             expires_clock_ms,
             confirmed_clock_ms: None,
             ordered_at: now,
-            expected_end: now + time::Duration::from_millis(estimate_ms),
+            expected_end: now + expected,
             long_running,
             stop_ordered: None,
             idle_since: None,
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -17,6 +17,7 @@
 use super::incarnations;
 use super::job;
 use super::maps;
+use super::speed;
 use super::starvation;
 use super::unsaved;
 use super::worker;
@@ -127,6 +128,8 @@
     pub(crate) lost_workers: crash_evidence::LostWorkers,
     /// Tasks whose losses are to be judged.
     pub(crate) suspects: IndexSet<fleet::TaskId>,
+    /// What is known of the speed of workers.
+    pub(crate) speeds: speed::SpeedEstimates,
     /// Starvation report: ready steps with tasks that wait for long.
     pub(crate) starvation: starvation::Starvation,
     /// Cost of the last placement pass; see [`Counts::pass_scans`].
@@ -156,6 +159,7 @@
             unsaved: unsaved::Unsaved::default(),
             lost_workers: crash_evidence::LostWorkers::default(),
             suspects: IndexSet::new(),
+            speeds: speed::SpeedEstimates::default(),
             starvation: starvation::Starvation::default(),
             pass_scans: 0,
             actions: Vec::new(),
@@ -205,6 +209,7 @@
                 let recorded = self.recorded.contains(&id);
                 let mut worker = worker::Worker::new(entry);
                 worker.recorded = recorded;
+                worker.slowdown = self.speeds.slowdown(&id);
                 if !recorded {
                     self.unrecorded.insert(id.clone());
                 }
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -87,6 +87,7 @@
     pub(crate) may_have_foreign_lease: bool,
     pub(crate) lease: lease::Lease,
     pub(crate) health: health::Health,
+    pub(crate) slowdown: fleet::Slowdown,
     pub(crate) runs: IndexMap<RunKey, Run>,
     /// Highest number of a task's end that was applied.
     pub(crate) applied: u64,
@@ -136,6 +137,7 @@
             may_have_foreign_lease: false,
             lease: lease::Lease::default(),
             health: health::Health::default(),
+            slowdown: fleet::Slowdown::ORDINARY,
             runs: IndexMap::new(),
             applied: 0,
             acknowledged: 0,
--- a/crates/figscale-types/src/fleet/mod.rs
+++ b/crates/figscale-types/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod ids;
 mod job;
 mod queue;
+mod slowdown;
 mod view;
 mod worker;
 
@@ -28,6 +29,7 @@
 pub use queue::Queue;
 pub use queue::QueueTable;
 pub use queue::Service;
+pub use slowdown::Slowdown;
 pub use view::JobView;
 pub use view::TaskProgress;
 pub use view::TaskView;
