--- a/crates/figscale-core/tests/fleet/helpers.rs
+++ b/crates/figscale-core/tests/fleet/helpers.rs
@@ -574,7 +574,7 @@
             task: order.task,
             attempt: order.attempt,
             checkpoint: order.checkpoint.clone(),
-            pace_percent: 100,
+            progress_percent: 100,
             used_cpu_millis: Some(1_000),
         };
         self.running.insert((order.task, order.attempt), running);
--- a/crates/figscale-core/tests/fleet/terms/workers.rs
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -373,7 +373,7 @@
                     task: order.task,
                     attempt: order.attempt,
                     checkpoint: String::new(),
-                    pace_percent: 100,
+                    progress_percent: 100,
                     used_cpu_millis: Some(1_000),
                 };
                 let ends_as = match failure_draw {
--- a/crates/figscale-types/src/fleet/worker.rs
+++ b/crates/figscale-types/src/fleet/worker.rs
@@ -41,8 +41,9 @@
     pub attempt: u32,
     /// Checkpoint that it could resume from; empty for a restart from the beginning.
     pub checkpoint: String,
-    /// Share of its full speed that the worker gives it, in percent.
-    pub pace_percent: u32,
+    /// Percentage of its work that is done, checkpoint included; 0 if unknown. For a
+    /// long-running task 100 means that it is at work.
+    pub progress_percent: u32,
     /// Processor use over the last half second, in thousandths of a core, if reported.
     pub used_cpu_millis: Option<u64>,
 }
