Worker speed: first version of the estimator

Cause: the scheduler takes all workers as equally fast. Change: the total time of runs, from their progress and their ends, gives each worker a slowdown relative to the median worker of its service, and each queue its run times relative to the estimates. Worker::slowdown, Scheduler::run_times and Run::expected_end follow it.

--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -10,6 +10,7 @@
 use super::crashes;
 use super::maps;
 use super::reserve;
+use super::speed;
 
 /// State of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -114,6 +115,8 @@
     pub(crate) gang_failed_attempts: Vec<u32>,
     /// Losses of its tasks, by index; a gang has the index 0.
     pub(crate) crashes: IndexMap<u32, crashes::History>,
+    /// How far its tasks differ from their estimate together.
+    pub(crate) ratio: speed::StepRatio,
 }
 
 impl Step {
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -53,6 +53,7 @@
 mod reserve;
 mod scheduler;
 mod speed;
+mod speed_evidence;
 mod starts;
 mod starvation;
 mod stops;
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -24,6 +24,7 @@
 use super::open_workers;
 use super::pass;
 use super::scheduler;
+use super::speed;
 use super::worker;
 
 /// There may be one gang per this many usable workers that holds reservations
@@ -413,6 +414,7 @@
         let estimate = time::Duration::from_millis(description.estimate_ms);
         let expected = worker.slowdown.of(run_times.typical(estimate));
         let long_running = description.long_running;
+        let measured_ms = speed::measured_ms(description);
         let quarantined = job.needs_quarantine(id);
         let customer = job.customer.clone();
         let spec = job.description.spec.clone();
@@ -429,6 +431,7 @@
         };
         let expires_clock_ms = worker.lease.clock_ms(now).unwrap_or(0) + expiry_ms;
         worker.lease.record_sent(expires_clock_ms);
+        let resumed = !task.checkpoint.is_empty();
         task.attempt = attempt;
         task.state = job::TaskState::Placed {
             worker: worker_id.clone(),
@@ -453,6 +456,7 @@
             stop_ordered: None,
             idle_since: None,
             quarantined,
+            speed: speed::RunSpeed::ordered(measured_ms, resumed),
         };
         worker.add_run((*id, attempt), run);
         self.actions.push(Action::Start {
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -9,6 +9,7 @@
 use super::action::LogEntry;
 use super::job;
 use super::scheduler;
+use super::speed;
 use super::worker;
 
 impl scheduler::Scheduler {
@@ -52,6 +53,7 @@
             self.lost_workers.retract(id);
         }
         worker.record_contact(report.clock_ms, now);
+        worker.speed.record_report(report.clock_ms);
         let replaced = worker.replaced;
         let first = !worker.reported;
         worker.reported = true;
@@ -81,6 +83,7 @@
         if !replaced && complete {
             self.remove_missing_runs(id, report);
         }
+        self.update_slowdown(id, now);
         let awaited = complete && self.not_yet_reported.swap_remove(id).is_some();
         if awaited || first {
             self.complete_recovery(now);
@@ -102,7 +105,10 @@
         worker.record_end(run.number, run.task.job);
         self.unacknowledged.insert(id.clone());
         let key = (run.task, run.attempt);
-        worker.remove_run(&key);
+        let removed = worker.remove_run(&key);
+        if let Some(removed) = removed.filter(|_| run.end == fleet::End::Done) {
+            self.learn_from_end(id, &key, removed, now);
+        }
         self.retract_loss(id, &key);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -231,6 +237,7 @@
                     let confirmed = run.confirmed_clock_ms.unwrap_or(0);
                     run.confirmed_clock_ms = Some(confirmed.max(report.clock_ms));
                     self.apply_progress(id, running, now);
+                    self.learn_from_progress(id, running, report.clock_ms, now);
                     self.check_outlived(&key);
                 }
                 None => self.adopt_run(id, running, report.clock_ms, now),
@@ -320,6 +327,7 @@
             stop_ordered: None,
             idle_since: None,
             quarantined,
+            speed: speed::RunSpeed::adopted(step.map_or(0, speed::measured_ms)),
         };
         let key = (running.task, running.attempt);
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -209,7 +209,7 @@
                 let recorded = self.recorded.contains(&id);
                 let mut worker = worker::Worker::new(entry);
                 worker.recorded = recorded;
-                worker.slowdown = self.speeds.slowdown(&id);
+                worker.set_speed(self.speeds.initial(&worker.entry));
                 if !recorded {
                     self.unrecorded.insert(id.clone());
                 }
@@ -311,6 +311,7 @@
         self.drop_old_late_orders(now);
         self.check_recovery(now);
         self.report_starvation(now);
+        self.review_speeds(now);
     }
 
     fn end_expired_leases(&mut self, now: time::Instant) {
--- /dev/null
+++ b/crates/figscale-core/src/fleet/speed/mod.rs
@@ -0,0 +1,314 @@
+//! Speed of workers, and how far the tasks of each queue differ from their
+//! estimates.
+//!
+//! Placement reads [`super::worker::Worker::slowdown`] and [`RunTimes`]. Both say
+//! nothing until there is evidence: then work takes as long as it is estimated to
+//! take, on every worker alike.
+//!
+//! The total time of a run, relative to its estimate, is the product of a ratio that
+//! its step has in common, the slowdown of its worker, and noise. All is computed in
+//! logarithms. The ratio of a step is estimated from its runs on all workers, beside
+//! the median of its queue. What remains of a run is evidence on its worker. Only
+//! products are observed, so the median worker of a service is taken as ordinary, and
+//! the queues' ratios absorb the rest. See `docs/design/worker-speed.md`.
+
+mod histogram;
+mod queue;
+mod run;
+mod service;
+mod step;
+mod worker;
+
+use std::time;
+
+use figscale_types::fleet;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+pub(crate) use run::Reading;
+pub(crate) use run::RunSpeed;
+pub(crate) use step::StepRatio;
+pub(crate) use worker::WorkerSpeed;
+
+use super::maps;
+
+/// A change of a run's speed by this factor (1.6), as a logarithm, is one of its
+/// worker's speed, if other runs there change likewise.
+const TURN: f64 = 0.47;
+/// How often what all workers have in common is computed again.
+const REVIEW_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+/// Standard deviation of normally distributed values in units of the median of their
+/// absolute deviations.
+const DEVIATION_OF_MEDIAN: f64 = 1.48;
+
+/// How long the tasks of a queue take on a worker of ordinary speed, in percent
+/// of their estimates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunTimes {
+    /// The median.
+    pub typical_percent: u32,
+    /// Nine of ten tasks take no longer.
+    pub cautious_percent: u32,
+}
+
+impl Default for RunTimes {
+    fn default() -> Self {
+        Self {
+            typical_percent: 100,
+            cautious_percent: 100,
+        }
+    }
+}
+
+impl RunTimes {
+    /// How long a task takes at the median.
+    pub fn typical(&self, estimate: time::Duration) -> time::Duration {
+        estimate.saturating_mul(self.typical_percent) / 100
+    }
+
+    /// How long a task takes that is among the slowest tenth.
+    pub fn cautious(&self, estimate: time::Duration) -> time::Duration {
+        estimate.saturating_mul(self.cautious_percent) / 100
+    }
+}
+
+/// What is known of the speed of workers and of the run times of queues.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Speeds {
+    /// Workers that are not of ordinary speed.
+    pub workers: Vec<(fleet::WorkerId, fleet::Slowdown)>,
+    /// Run times by the name of the queue.
+    pub queues: Vec<(String, RunTimes)>,
+}
+
+/// Estimates of the speed of workers and of the run times of queues.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SpeedEstimates {
+    /// Slowdowns by an earlier leader's record.
+    recorded: maps::WorkerMap<fleet::Slowdown>,
+    queues: IndexMap<String, queue::QueueSpeed>,
+    services: IndexMap<String, service::ServiceSpeed>,
+    reviewed_at: Option<time::Instant>,
+}
+
+/// One run as evidence, with what it is compared with.
+pub(crate) struct Observed<'a> {
+    pub(crate) task: fleet::TaskId,
+    pub(crate) queue: &'a fleet::Queue,
+    pub(crate) step: &'a mut StepRatio,
+    pub(crate) worker: &'a mut WorkerSpeed,
+    pub(crate) run: &'a mut RunSpeed,
+}
+
+/// Estimate of a step whose runs are evidence, otherwise zero. A long-running task
+/// ends only if it is stopped, and how long a filler takes depends on other work.
+pub(crate) fn measured_ms(step: &fleet::StepDescription) -> u64 {
+    match step.long_running || step.filler {
+        true => 0,
+        false => step.estimate_ms,
+    }
+}
+
+impl Observed<'_> {
+    /// The same run, borrowed for a shorter time.
+    pub(crate) fn reborrow(&mut self) -> Observed<'_> {
+        Observed {
+            task: self.task,
+            queue: self.queue,
+            step: self.step,
+            worker: self.worker,
+            run: self.run,
+        }
+    }
+}
+
+impl SpeedEstimates {
+    /// Takes over what an earlier leader knew.
+    pub(crate) fn load(&mut self, speeds: &Speeds) {
+        self.recorded = speeds.workers.iter().cloned().collect();
+        let queues = speeds.queues.iter();
+        let queues = queues.map(|(name, known)| (name.clone(), queue::QueueSpeed::known(*known)));
+        self.queues = queues.collect();
+    }
+
+    /// What is known of a worker without evidence of its own: what an earlier leader
+    /// recorded, or the speed of its kind.
+    pub(crate) fn initial(&self, entry: &fleet::WorkerEntry) -> WorkerSpeed {
+        let recorded = self.recorded.get(&entry.id).copied();
+        let of_kind = || {
+            let kinds = &self.services.get(&entry.service)?.kinds;
+            kinds.get(entry.labels.first()?).copied()
+        };
+        WorkerSpeed::known(recorded.or_else(of_kind).unwrap_or_default())
+    }
+
+    /// Run times of a queue's tasks.
+    pub(crate) fn run_times(&self, queue_name: &str) -> RunTimes {
+        let known = self.queues.get(queue_name);
+        known.map(|known| known.run_times).unwrap_or_default()
+    }
+
+    /// Run times of the queues whose tasks do not take as long as estimated.
+    pub(crate) fn known_run_times(&self) -> Vec<(String, RunTimes)> {
+        let known = self.queues.iter();
+        let known = known.map(|(name, known)| (name.clone(), known.run_times));
+        known
+            .filter(|(_, known)| *known != RunTimes::default())
+            .collect()
+    }
+
+    fn reference(&self, service: &str) -> worker::Reference {
+        let known = self.services.get(service);
+        known.map(|known| known.reference).unwrap_or_default()
+    }
+
+    fn queue(&mut self, queue: &fleet::Queue) -> &mut queue::QueueSpeed {
+        let name = queue.name.as_str();
+        if !self.queues.contains_key(name) {
+            self.queues.insert(name.to_owned(), Default::default());
+        }
+        let known = &mut self.queues[name];
+        if known.service.is_empty() {
+            known.service.clone_from(&queue.service);
+        }
+        known
+    }
+
+    /// Takes in what a run implies of its total time.
+    pub(crate) fn observe(&mut self, observed: Observed<'_>, reading: Reading, now: time::Instant) {
+        let Observed {
+            task,
+            queue,
+            step,
+            worker,
+            run,
+        } = observed;
+        let anchor = self.reference(&queue.service).anchor;
+        let queue = self.queue(queue);
+        let turn = *run.turn.get_or_insert(worker.turn());
+        if let Some(change) = reading.change {
+            worker.record_change(task, turn + change, now);
+            if change.abs() >= TURN {
+                return;
+            }
+        }
+        let own = reading.ratio - worker.lasting(anchor) - turn;
+        let known = queue.step_ratio(step.others(run.of_step));
+        step.record(&mut run.of_step, own);
+        if turn != 0.0 || worker.turn() != 0.0 {
+            return;
+        }
+        if let Some((mean, variance)) = known {
+            let evidence = (reading.ratio - mean, variance + reading.variance);
+            worker.record(run, task.job, evidence, now);
+        }
+    }
+
+    /// Takes in the total time of a run that has ended, one of `count` of its step,
+    /// and how far it is off from what its step and worker explain.
+    pub(crate) fn observe_end(
+        &mut self,
+        observed: &Observed<'_>,
+        (clock_ms, count): (u64, u32),
+        now: time::Instant,
+    ) {
+        let anchor = self.reference(&observed.queue.service).anchor;
+        let Some(whole) = observed.run.whole(clock_ms) else {
+            return;
+        };
+        if observed.worker.turn() != 0.0 || observed.run.has_turned() {
+            return;
+        }
+        let queue = self.queue(observed.queue);
+        let own = whole.ratio - observed.worker.lasting(anchor);
+        queue.record(own, count, now);
+        if let Some(others) = observed.step.others(observed.run.of_step) {
+            queue.record_within(own - others.median, now);
+        }
+    }
+
+    /// Takes in the total time of a gang, which runs at the pace of its slowest
+    /// member.
+    pub(crate) fn observe_gang(
+        &mut self,
+        queue: &fleet::Queue,
+        run: &RunSpeed,
+        (clock_ms, slowest): (u64, fleet::Slowdown),
+        now: time::Instant,
+    ) {
+        let anchor = self.reference(&queue.service).anchor;
+        let slowest = (f64::from(slowest.percent()) / 100.0).ln() + anchor;
+        if let Some(whole) = run.whole(clock_ms).filter(|_| !run.has_turned()) {
+            self.queue(queue).record(whole.ratio - slowest, 1, now);
+        }
+    }
+
+    /// Derives a worker's slowdown after a report; returns whether it has moved.
+    pub(crate) fn update(
+        &self,
+        service: &str,
+        worker: &mut WorkerSpeed,
+        now: time::Instant,
+    ) -> Option<fleet::Slowdown> {
+        let moved = worker.update(self.reference(service), now);
+        moved.then(|| worker.slowdown())
+    }
+
+    /// Whether a review is due.
+    pub(crate) fn review_is_due(&self, now: time::Instant) -> bool {
+        self.reviewed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= REVIEW_INTERVAL)
+    }
+
+    /// Renews what all workers and queues have in common.
+    pub(crate) fn review<'a>(
+        &mut self,
+        workers: impl Iterator<Item = (&'a fleet::WorkerEntry, &'a WorkerSpeed)>,
+        now: time::Instant,
+    ) {
+        self.reviewed_at = Some(now);
+        let mut estimates: IndexMap<&str, Vec<worker::Estimate>> = IndexMap::new();
+        let mut kinds: IndexMap<(&str, &str), Vec<fleet::Slowdown>> = IndexMap::new();
+        for (entry, speed) in workers {
+            let Some(estimate) = speed.estimate() else {
+                continue;
+            };
+            let service = entry.service.as_str();
+            estimates.entry(service).or_default().push(estimate);
+            if let Some(kind) = entry.labels.first() {
+                let kind = kinds.entry((service, kind)).or_default();
+                kind.push(speed.slowdown());
+            }
+        }
+        for (service, estimates) in estimates {
+            let known = self.services.entry(service.to_owned()).or_default();
+            known.review(estimates);
+        }
+        for ((service, kind), known) in kinds {
+            if let Some(of_service) = self.services.get_mut(service) {
+                of_service.review_kind(kind, known);
+            }
+        }
+        for queue in self.queues.values_mut() {
+            let of_service = self.services.get(&queue.service);
+            let anchor = of_service.map_or(0.0, |known| known.reference.anchor);
+            queue.review(anchor);
+        }
+    }
+}
+
+/// The median; of an even number of values the mean of the two in the middle.
+fn median(values: &mut [f64]) -> f64 {
+    let count = values.len();
+    let middle = count / 2;
+    if values.is_empty() {
+        return 0.0;
+    }
+    let (below, upper, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    let upper = *upper;
+    match below.len() * 2 + 1 == count {
+        false => (below.iter().copied().fold(f64::MIN, f64::max) + upper) / 2.0,
+        true => upper,
+    }
+}
--- a/crates/figscale-core/src/fleet/starts.rs
+++ b/crates/figscale-core/src/fleet/starts.rs
@@ -63,6 +63,7 @@
             if let Some(run) = worker.runs.get_mut(&key) {
                 let known = run.confirmed_clock_ms.unwrap_or(0);
                 run.confirmed_clock_ms = Some(known.max(clock_ms));
+                run.speed.confirmed(clock_ms);
             }
         }
         if let Some(job) = self.jobs.get_mut(&key.0.job) {
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -9,6 +9,7 @@
 use super::health;
 use super::job;
 use super::lease;
+use super::speed;
 
 /// How long a worker that is no longer listed, but still responds, gets new
 /// work. Entries that lapse while the store is unavailable are back within two
@@ -30,7 +31,7 @@
     /// Reading of the worker's clock at which it was known to have started.
     pub(crate) confirmed_clock_ms: Option<u64>,
     pub(crate) ordered_at: time::Instant,
-    /// From the time of its order and its step's estimate.
+    /// From the time of its order and its step's estimate, or from its progress.
     pub(crate) expected_end: time::Instant,
     /// Whether its step is long-running, so that it ends only if it is stopped.
     pub(crate) long_running: bool,
@@ -40,6 +41,7 @@
     pub(crate) idle_since: Option<time::Instant>,
     /// Whether nothing else may be started on its worker.
     pub(crate) quarantined: bool,
+    pub(crate) speed: speed::RunSpeed,
 }
 
 impl Run {
@@ -87,7 +89,9 @@
     pub(crate) may_have_foreign_lease: bool,
     pub(crate) lease: lease::Lease,
     pub(crate) health: health::Health,
+    /// How long work takes here, by the evidence in `speed`.
     pub(crate) slowdown: fleet::Slowdown,
+    pub(crate) speed: speed::WorkerSpeed,
     pub(crate) runs: IndexMap<RunKey, Run>,
     /// Highest number of a task's end that was applied.
     pub(crate) applied: u64,
@@ -138,6 +142,7 @@
             lease: lease::Lease::default(),
             health: health::Health::default(),
             slowdown: fleet::Slowdown::ORDINARY,
+            speed: speed::WorkerSpeed::default(),
             runs: IndexMap::new(),
             applied: 0,
             acknowledged: 0,
@@ -149,6 +154,11 @@
         }
     }
 
+    pub(crate) fn set_speed(&mut self, known: speed::WorkerSpeed) {
+        self.slowdown = known.slowdown();
+        self.speed = known;
+    }
+
     /// Records the end of a task of this job as applied.
     pub(crate) fn record_end(&mut self, number: u64, job: fleet::JobId) {
         self.applied = number;
