Placement and queries prefer workers on which a task ends in time

Of the workers with room those come first on which a step is predicted to end in time, the slower ones before others; if it ends in time on none, the fastest. Queries to the advisory service name workers by the same order. Slack, and the check against reservations, use predicted lengths. Workers of equal speed are chosen as before.

--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -45,6 +45,7 @@
 mod open_workers;
 mod pass;
 mod plan;
+mod predicted;
 mod query;
 mod records;
 mod recovery;
--- a/crates/figscale-core/src/fleet/open_workers.rs
+++ b/crates/figscale-core/src/fleet/open_workers.rs
@@ -4,9 +4,11 @@
 
 use figscale_types::fleet;
 
+use super::advice;
 use super::crashes;
 use super::job;
 use super::pass;
+use super::predicted;
 use super::scheduler;
 use super::worker;
 
@@ -14,7 +16,7 @@
 /// delays a gang by no more than the usual error of a run's estimate. A stream
 /// of them would delay it forever, so they are kept off the workers reserved
 /// for the step that is overdue longest.
-const SHORT_WORK_MS: u64 = 1_200;
+const SHORT_WORK: time::Duration = time::Duration::from_millis(1_200);
 
 /// Sort key of the workers for a task; the smallest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,7 +26,10 @@
     /// Runs that would be lost if the task crashed the worker; counted only for
     /// a task that needs quarantine.
     runs_at_risk: usize,
+    /// Whether it is predicted to end too late there.
+    late: bool,
     outside_data_rack: bool,
+    by_speed: u32,
     left_cpu_millis: u64,
 }
 
@@ -41,8 +46,7 @@
             return Vec::new();
         };
         let step = &job.rounds[task.occurrence as usize].steps[task.step as usize];
-        let ends = pass.now + time::Duration::from_millis(description.estimate_ms);
-        let is_short = rank.class == 0 && description.estimate_ms <= SHORT_WORK_MS;
+        let prediction = self.prediction(job, task, description);
         let need = job::occupied(description);
         // A gang is exempt: there are rarely enough workers for it at one time
         // that have no recently started runs.
@@ -57,10 +61,13 @@
             if !worker.suits(&job.queue, description) || !worker.free().holds(&need) {
                 continue;
             }
-            let may_use_reserved = is_short && !pass.is_closed_to_short_work(id);
+            let length = || prediction.length_on(worker.slowdown);
+            let is_short = || rank.class == 0 && length() <= SHORT_WORK;
+            let may_use_reserved = || is_short() && !pass.is_closed_to_short_work(id);
             let reserved_until = pass.reserved_for_others_until(task, id);
-            let reserved_until = reserved_until.filter(|_| !may_use_reserved);
-            if reserved_until.is_some_and(|until| ends > until) {
+            if reserved_until
+                .is_some_and(|until| pass.now + length() > until && !may_use_reserved())
+            {
                 continue;
             }
             let tasks_left = worker.tasks_left(task, description);
@@ -71,6 +78,7 @@
                 id,
                 free: worker.free(),
                 tasks_left,
+                slowdown: worker.slowdown,
                 rack: &worker.entry.rack,
                 proven: worker.health.is_proven(),
                 runs: worker.runs.len(),
@@ -79,6 +87,31 @@
         places
     }
 
+    /// Predicted length of a step, and when it has to end: at the objective of its
+    /// job less the later steps of its critical path and their queries.
+    pub(crate) fn prediction(
+        &self,
+        job: &job::Job,
+        task: &fleet::TaskId,
+        description: &fleet::StepDescription,
+    ) -> predicted::Prediction {
+        let run_times = self.run_times(&job.queue.name);
+        let policy = job.queue.advice.as_ref();
+        let query = policy.map_or(time::Duration::ZERO, |policy| advice::duration(policy, 1));
+        let length = |step: &fleet::StepDescription| {
+            query + run_times.typical(time::Duration::from_millis(step.estimate_ms))
+        };
+        let later = predicted::later_steps(&job.description, task.step as usize, length);
+        let due_at = job
+            .rounds
+            .get(task.occurrence as usize)
+            .and_then(|round| round.due_at);
+        let objective = job.objective_at.saturating_duration_since(job.submitted);
+        let objective_at = due_at.unwrap_or(job.submitted) + objective;
+        let ends_by = objective_at.checked_sub(later).unwrap_or(job.submitted);
+        predicted::Prediction::new(description, run_times, ends_by)
+    }
+
     /// Usable workers that the queue's policy allows for a step. At most a few
     /// dozen hold tickets, while a fleet has hundreds of workers, so the
     /// tickets are iterated and not the workers.
@@ -116,15 +149,21 @@
         let quarantined = job.needs_quarantine(id);
         let places = self.open_workers(id, description, rank, pass);
         let need = job::occupied(description);
-        let fit = |place: &OpenWorker| Fit {
-            failed_here: task.failed_on.as_ref() == Some(place.id),
-            unproven: !task.failed_attempts.is_empty() && !place.proven,
-            runs_at_risk: if quarantined { place.runs } else { 0 },
-            outside_data_rack: description
-                .data_rack
-                .as_ref()
-                .is_some_and(|rack| *rack != place.rack),
-            left_cpu_millis: place.free.minus(&need).cpu_millis,
+        let order = self.prediction(job, id, description).order_at(pass.now);
+        let fit = |place: &OpenWorker| {
+            let preference = order.preference(place.slowdown);
+            Fit {
+                failed_here: task.failed_on.as_ref() == Some(place.id),
+                unproven: !task.failed_attempts.is_empty() && !place.proven,
+                runs_at_risk: if quarantined { place.runs } else { 0 },
+                late: preference.late,
+                outside_data_rack: description
+                    .data_rack
+                    .as_ref()
+                    .is_some_and(|rack| *rack != place.rack),
+                by_speed: preference.by_speed,
+                left_cpu_millis: place.free.minus(&need).cpu_millis,
+            }
         };
         places
             .into_iter()
@@ -140,6 +179,7 @@
     free: fleet::Room,
     /// Number of further tasks of the step that may be placed there.
     tasks_left: u64,
+    slowdown: fleet::Slowdown,
     pub(crate) rack: &'a str,
     proven: bool,
     runs: usize,
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -10,7 +10,9 @@
 use super::customers;
 use super::job;
 use super::maps;
+use super::predicted;
 use super::reserve;
+use super::speed;
 
 /// A job that ends later than this multiple of its objective earns nothing.
 const EARNS_NOTHING_AFTER_OBJECTIVES: u32 = 3;
@@ -119,6 +121,10 @@
     /// The same with their free processors at the start of the pass, most first.
     /// Sorted when a step needs it, which most passes don't.
     most_free_first: cell::OnceCell<Vec<(u64, usize)>>,
+    /// The same by speed, grouped when a gang needs it.
+    most_free_by_speed: cell::OnceCell<Vec<predicted::SpeedGroup<(u64, usize)>>>,
+    /// Indices of the usable workers by speed, grouped when a step needs it.
+    usable_by_speed: cell::OnceCell<Vec<predicted::SpeedGroup<usize>>>,
     /// Workers in queries for gangs, with the number of these queries. Counted when a
     /// gang chooses workers to query, which most passes don't do.
     queried_for_gangs: cell::OnceCell<cell::RefCell<maps::WorkerMap<u32>>>,
@@ -151,6 +157,8 @@
             headroom,
             usable,
             most_free_first: cell::OnceCell::new(),
+            most_free_by_speed: cell::OnceCell::new(),
+            usable_by_speed: cell::OnceCell::new(),
             queried_for_gangs: cell::OnceCell::new(),
             reserved: maps::WorkerMap::default(),
             aging_gang: None,
@@ -218,6 +226,30 @@
         })
     }
 
+    /// [`Self::most_free_first`] by speed. `slowdown` is asked once in a pass.
+    pub(crate) fn most_free_by_speed(
+        &self,
+        free: impl Fn(usize) -> u64,
+        slowdown: impl Fn(usize) -> fleet::Slowdown,
+    ) -> &[predicted::SpeedGroup<(u64, usize)>] {
+        self.most_free_by_speed.get_or_init(|| {
+            let workers = self.most_free_first(free).iter();
+            predicted::group_by_speed(workers.map(|worker| (slowdown(worker.1), *worker)))
+        })
+    }
+
+    /// Indices of the usable workers by speed, in the order in which they are listed.
+    /// `slowdown` is asked once in a pass.
+    pub(crate) fn usable_by_speed(
+        &self,
+        slowdown: impl Fn(usize) -> fleet::Slowdown,
+    ) -> &[predicted::SpeedGroup<usize>] {
+        self.usable_by_speed.get_or_init(|| {
+            let workers = self.usable.iter();
+            predicted::group_by_speed(workers.map(|index| (slowdown(*index), *index)))
+        })
+    }
+
     /// Workers in queries for gangs, with the number of these queries. `in_flight` is
     /// asked once in a pass; queries sent in it are added.
     pub(crate) fn queried_for_gangs(
@@ -272,10 +304,12 @@
     job: &job::Job,
     round: &job::Round,
     over_share: bool,
+    run_times: speed::RunTimes,
     now: time::Instant,
 ) -> Rank {
     let since = round.due_at.unwrap_or(job.submitted);
-    let ends = now + time::Duration::from_millis(round.remaining_ms(&job.description));
+    let remaining = time::Duration::from_millis(round.remaining_ms(&job.description));
+    let ends = now + run_times.typical(remaining);
     let objective = job.objective_at.saturating_duration_since(job.submitted);
     let objective_at = since + objective;
     let earns_nothing_at = since + objective * EARNS_NOTHING_AFTER_OBJECTIVES;
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -4,6 +4,10 @@
 //! beside what runs there, and never for one that runs as many of them as it may. A
 //! gang first queries which workers are approved for it at all, and then for
 //! tickets of the workers reserved for it.
+//!
+//! Of the workers with room those come first on which the step is predicted to end
+//! in time, by the order of [`predicted::SpeedOrder`]. So work with little slack gets
+//! tickets for fast workers, and work with more leaves these to it.
 
 use std::cmp;
 use std::time;
@@ -14,6 +18,7 @@
 use super::job;
 use super::maps;
 use super::pass;
+use super::predicted;
 use super::reserve;
 use super::scheduler;
 use super::worker;
@@ -171,12 +176,13 @@
         };
         let max_members = reserve::max_members_per_worker(description);
         let limits = QueryLimits::after(step.advice.fruitless, &job.queue);
+        let order = self.order_after_query(candidate, job, description, limits, pass);
         let slots = |worker: &worker::Worker| worker.free_slots(&candidate.task, description);
         let is_full =
             |worker: &worker::Worker| worker.tasks_left(&candidate.task, description) == 0;
-        let mut workers: Vec<(u64, bool, &fleet::WorkerId)> = Vec::new();
+        let mut workers: Vec<(u64, bool, predicted::Preference, &fleet::WorkerId)> = Vec::new();
         let (mut ample, mut full) = (0, 0);
-        for (id, worker) in self.usable_workers(pass) {
+        for (id, worker) in self.usable_by_speed(order, pass) {
             let slots = slots(worker);
             // Enough of those without room are known.
             if slots == 0 && (full >= limits.most || is_full(worker))
@@ -185,7 +191,7 @@
             {
                 continue;
             }
-            workers.push((slots, false, id));
+            workers.push((slots, false, order.preference(worker.slowdown), id));
             ample += usize::from(slots >= max_members);
             full += usize::from(slots == 0);
             // None of the workers that follow would be preferred.
@@ -196,22 +202,40 @@
         for (id, worker) in self.approved_for_query(job, step, description, pass) {
             let slots = slots(worker);
             if slots > 0 || !is_full(worker) {
-                workers.push((slots, true, id));
+                workers.push((slots, true, order.preference(worker.slowdown), id));
             }
         }
         if workers.iter().all(|(slots, ..)| *slots == 0) {
             return Vec::new();
         }
+        let wanted_slots = step.waiting() as f64 * QUERY_FACTOR;
+        let approved_fraction = self.channels.approved_fraction(&job.queue.name);
+        // With this many on each, the largest query gives as many as are wanted. A
+        // preferred worker with fewer doesn't come before one that has them.
+        let sufficient = wanted_slots / (limits.most as f64 * approved_fraction).max(1.0);
         // Among equals those listed first, so that steps share the workers that they
         // use and leave others whole for wide gangs.
-        workers.sort_by_key(|(slots, approved, _)| cmp::Reverse((*slots > 0, *approved, *slots)));
-        let wanted_slots = step.waiting() as f64 * QUERY_FACTOR;
-        self.take_enough(workers, wanted_slots, limits, &job.queue)
+        workers.sort_by_key(|(slots, approved, preference, _)| {
+            let sufficient = *slots as f64 >= sufficient;
+            let room = cmp::Reverse((*approved, sufficient));
+            let no_room = *slots == 0;
+            let by_speed = preference.by_speed;
+            (
+                no_room,
+                preference.late,
+                room,
+                by_speed,
+                cmp::Reverse(*slots),
+            )
+        });
+        let workers = workers.into_iter();
+        let workers = workers.map(|(slots, approved, _, id)| (slots, approved, id));
+        self.take_enough(workers.collect(), wanted_slots, limits, &job.queue)
     }
 
     /// Workers to query for approval for a gang, as many as are likely to give it a
-    /// choice among approved ones. Those with room come first, and among them those
-    /// that are in the fewest queries for other gangs: the first gang with tickets
+    /// choice among approved ones. Those with room come first, among them those on
+    /// which it can end in time, and among these those that are in the fewest queries for other gangs: the first gang with tickets
     /// takes its workers, and those that queried the same ones have to query again.
     /// Among equals those with most free resources come first.
     fn choice_to_query(
@@ -251,12 +275,15 @@
             return Vec::new();
         }
         let need = job::occupied(description);
-        let ends = reserve::earliest_end(job, description, now);
+        let limits = QueryLimits::after(0, &job.queue);
+        let order = self.order_after_query(candidate, job, description, limits, pass);
+        let ends = self.earliest_ends(candidate, job, description, pass);
         let unknown = self
-            .queryable_workers(job, step, description, pass)
-            .filter(|(_, id, _)| {
-                let open = pass.is_open_until(&candidate.task, id, ends);
-                open && !step.advice.verdicts.contains_key(*id)
+            .most_free_by_speed(order, need.cpu_millis, pass)
+            .filter(|(_, id, worker)| {
+                let open = pass.is_open_until(&candidate.task, id, ends(worker));
+                let known = step.advice.verdicts.contains_key(*id);
+                open && !known && is_queryable(id, worker, job, step, description, now)
             });
         let queried = pass.queried_for_gangs(|| self.queried_for_gangs());
         let mut ranked = Vec::new();
@@ -267,10 +294,13 @@
             let fitting = free.count_fitting(&need, count);
             let others = queried.get(id).copied().unwrap_or(0);
             if slots > 0 {
+                let preference = order.preference(worker.slowdown);
+                let speed = (preference.late, others, preference.by_speed);
                 let room = cmp::Reverse((fitting, free.cpu_millis, slots));
-                ranked.push(((fitting == 0, others, room), id));
+                ranked.push(((fitting == 0, speed, room), id));
             }
-            // Those that follow have no more free and hold no more members.
+            // Those that follow are no better in speed, and of the same speed have
+            // no more free and hold no more members.
             let most = (free_millis / need.cpu_millis.max(1)).min(count);
             best += usize::from(slots > 0 && fitting >= most && others == 0);
             if best >= MAX_QUERIED || ranked.len() >= MAX_RANKED {
@@ -280,7 +310,6 @@
         ranked.sort_by_key(|(rank, _)| *rank);
         let ranked = ranked.into_iter();
         let workers = ranked.map(|((.., cmp::Reverse((.., slots))), id)| (slots, false, id));
-        let limits = QueryLimits::after(0, &job.queue);
         self.take_enough(workers.collect(), missing_slots, limits, &job.queue)
     }
 
@@ -316,8 +345,9 @@
         let approved_fraction = self.channels.approved_fraction(&job.queue.name);
         let with_room = self.most_free_workers(pass);
         let with_room = with_room.take_while(|(free_millis, ..)| *free_millis >= need.cpu_millis);
-        let ends = reserve::earliest_end(job, description, pass.now);
+        let ends = self.earliest_ends(candidate, job, description, pass);
         let open = with_room.filter(|(_, id, worker)| {
+            let ends = ends(worker);
             worker.suits(&job.queue, description) && pass.is_open_until(&candidate.task, id, ends)
         });
         let mut missing = f64::from(description.count);
@@ -342,21 +372,93 @@
         &'a self,
         pass: &'a pass::Pass,
     ) -> impl Iterator<Item = (u64, &'a fleet::WorkerId, &'a worker::Worker)> {
-        let indices = self.free_first(pass).iter();
-        indices.filter_map(move |(free_millis, index)| {
-            pass.count_scans(1);
-            let (id, worker) = self.workers.get_index(*index)?;
-            let usable = self.is_usable(worker, pass.now);
-            usable.then_some((*free_millis, id, worker))
-        })
+        let indices = pass.most_free_first(|index| self.free_cpu_at(index)).iter();
+        indices.filter_map(move |entry| self.usable_at(entry, pass))
+    }
+
+    /// When a step could end at the earliest on a worker if it has to query for
+    /// tickets first.
+    fn earliest_ends(
+        &self,
+        candidate: &pass::Candidate,
+        job: &job::Job,
+        description: &fleet::StepDescription,
+        pass: &pass::Pass,
+    ) -> impl Fn(&worker::Worker) -> time::Instant + use<> {
+        let policy = job.queue.advice.as_ref();
+        let response = policy.map(|policy| advice::duration(policy, 1));
+        let start = pass.now + response.unwrap_or_default();
+        let prediction = self.prediction(job, &candidate.task, description);
+        move |worker| start + prediction.length_on(worker.slowdown)
+    }
+
+    /// Usable workers with room for `cpu_millis` before others, and among these those
+    /// of the preferred speed first. Otherwise like [`Self::most_free_workers`].
+    fn most_free_by_speed<'a>(
+        &'a self,
+        order: predicted::SpeedOrder,
+        cpu_millis: u64,
+        pass: &'a pass::Pass,
+    ) -> impl Iterator<Item = (u64, &'a fleet::WorkerId, &'a worker::Worker)> {
+        let free = |index| self.free_cpu_at(index);
+        let groups = order.sorted(pass.most_free_by_speed(free, |index| self.slowdown_at(index)));
+        let split = groups.into_iter().map(move |group| {
+            let with_room = |(free_millis, _): &(u64, usize)| *free_millis >= cpu_millis;
+            let split = group.members.partition_point(with_room);
+            group.members.split_at(split)
+        });
+        let (with_room, without): (Vec<_>, Vec<_>) = split.unzip();
+        let indices = with_room.into_iter().chain(without).flatten();
+        indices.filter_map(move |entry| self.usable_at(entry, pass))
+    }
+
+    fn usable_at<'a>(
+        &'a self,
+        (free_millis, index): &(u64, usize),
+        pass: &pass::Pass,
+    ) -> Option<(u64, &'a fleet::WorkerId, &'a worker::Worker)> {
+        pass.count_scans(1);
+        let (id, worker) = self.workers.get_index(*index)?;
+        let usable = self.is_usable(worker, pass.now);
+        usable.then_some((*free_millis, id, worker))
+    }
+
+    fn free_cpu_at(&self, index: usize) -> u64 {
+        let worker = self.workers.get_index(index);
+        worker.map_or(0, |(_, worker)| worker.free().cpu_millis)
+    }
+
+    /// The order of workers by their speed for a step that starts after a query.
+    fn order_after_query(
+        &self,
+        candidate: &pass::Candidate,
+        job: &job::Job,
+        description: &fleet::StepDescription,
+        limits: QueryLimits,
+        pass: &pass::Pass,
+    ) -> predicted::SpeedOrder {
+        let policy = job.queue.advice.as_ref();
+        let response = policy.map(|policy| advice::duration(policy, limits.least));
+        let start = pass.now + response.unwrap_or_default();
+        self.prediction(job, &candidate.task, description)
+            .order_at(start)
+    }
+
+    fn slowdown_at(&self, index: usize) -> fleet::Slowdown {
+        let worker = self.workers.get_index(index);
+        worker.map_or(fleet::Slowdown::ORDINARY, |(_, worker)| worker.slowdown)
     }
 
-    /// Usable workers in the order in which they are listed.
-    fn usable_workers<'a>(
+    /// Usable workers, those of the preferred speed first, and among equals in the
+    /// order in which they are listed.
+    fn usable_by_speed<'a>(
         &'a self,
+        order: predicted::SpeedOrder,
         pass: &'a pass::Pass,
     ) -> impl Iterator<Item = (&'a fleet::WorkerId, &'a worker::Worker)> {
-        let indices = pass.usable.iter();
+        let groups = pass.usable_by_speed(|index| self.slowdown_at(index));
+        let sorted = order.sorted(groups).into_iter();
+        let indices = sorted.flat_map(|group| &group.members);
         indices.filter_map(move |index| {
             pass.count_scans(1);
             let (id, worker) = self.workers.get_index(*index)?;
@@ -364,14 +466,6 @@
         })
     }
 
-    /// Usable workers by their free processors; see [`pass::Pass::most_free_first`].
-    fn free_first<'a>(&self, pass: &'a pass::Pass) -> &'a [(u64, usize)] {
-        pass.most_free_first(|index| {
-            let worker = self.workers.get_index(index);
-            worker.map_or(0, |(_, worker)| worker.free().cpu_millis)
-        })
-    }
-
     /// Workers known to be approved for a step that could be queried again.
     fn approved_for_query<'a>(
         &'a self,
@@ -390,21 +484,6 @@
         })
     }
 
-    /// Usable workers that may be approved for a step and hold no valid ticket
-    /// for it, those with most free processors first.
-    fn queryable_workers<'a>(
-        &'a self,
-        job: &'a job::Job,
-        step: &'a job::Step,
-        description: &'a fleet::StepDescription,
-        pass: &'a pass::Pass,
-    ) -> impl Iterator<Item = (u64, &'a fleet::WorkerId, &'a worker::Worker)> {
-        let workers = self.most_free_workers(pass);
-        workers.filter(move |(_, id, worker)| {
-            is_queryable(id, worker, job, step, description, pass.now)
-        })
-    }
-
     /// The first of the given workers, as many as make the wanted number of
     /// approved slots likely. A worker known to be approved counts fully, others
     /// by the fraction learned for the queue.
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -163,17 +163,6 @@
     }
 }
 
-/// When a step could end at the earliest if it has to query for tickets first.
-pub(crate) fn earliest_end(
-    job: &job::Job,
-    description: &fleet::StepDescription,
-    now: time::Instant,
-) -> time::Instant {
-    let policy = job.queue.advice.as_ref();
-    let response = policy.map(|policy| advice::duration(policy, 1));
-    now + response.unwrap_or_default() + time::Duration::from_millis(description.estimate_ms)
-}
-
 /// When a step could have tickets for workers.
 struct TicketTimes<'a> {
     advice: &'a job::StepAdvice,
