fleet: log acknowledgements of ends and the writes that allow them

An end was acknowledged to its worker while the store was unavailable, and the next leader started its task again. No log line told which write allowed the acknowledgement, or which state of the store the next leader had read.

RECORDS_WRITTEN gives chain, number, revision and jobs of each write and how the leader knows of its execution; ENDS_ACKNOWLEDGED the write after which ends are acknowledged, or "none"; CALL_ACKNOWLEDGES the first call that carries a number (all debug). RECORDS_READ gives the revisions at which a candidate read the records, ELECTION_ENDED that of the latest head that its election expects.

No decision changes.

--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -58,6 +58,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordError(String);
 
+impl Records {
+    /// Jobs that the records belong to.
+    pub fn jobs(&self) -> &[fleet::JobId] {
+        &self.jobs
+    }
+}
+
 impl fmt::Display for RecordError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "unreadable record: {}", self.0)
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -110,6 +110,7 @@
 pub use speed::RunTimes;
 pub use speed::Speeds;
 pub use store_forwarders::StoreForwarders;
+pub use unsaved::Ends;
 pub use validation::MAX_TASKS;
 pub use validation::validation_error;
 pub use worker::ReportDue;
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -19,6 +19,7 @@
 use super::durable;
 use super::maps;
 use super::scheduler;
+use super::unsaved;
 use super::worker;
 
 impl scheduler::Scheduler {
@@ -139,8 +140,9 @@
         self.unacknowledged.contains(id)
     }
 
-    /// Confirms that all of `records` are in the store.
-    pub fn records_written(&mut self, records: &durable::Records) {
+    /// Confirms that all of `records` are in the store; returns the ends that are
+    /// acknowledged from now on.
+    pub fn records_written(&mut self, records: &durable::Records) -> unsaved::Ends {
         for id in &records.created {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.stored = true;
@@ -152,14 +154,19 @@
             self.workers_record_dirty = self.workers_record_differs();
         }
         self.unsaved.written(&records.jobs);
-        for (id, number) in self.unsaved.due() {
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.acknowledge(number);
-                if worker.applied == worker.acknowledged {
-                    self.unacknowledged.swap_remove(&id);
-                }
+        let mut acknowledged = self.unsaved.due();
+        acknowledged.retain(|(id, number)| {
+            let Some(worker) = self.workers.get_mut(id) else {
+                return false;
+            };
+            let is_new = *number > worker.acknowledged;
+            worker.acknowledge(*number);
+            if worker.applied == worker.acknowledged {
+                self.unacknowledged.swap_remove(id);
             }
-        }
+            is_new
+        });
+        acknowledged
     }
 
     /// Reports that none of `records` is in the store or ever will be. Jobs that
--- a/crates/figscale-core/src/fleet/unsaved.rs
+++ b/crates/figscale-core/src/fleet/unsaved.rs
@@ -29,7 +29,7 @@
 const NEW_JOB: u64 = u64::MAX;
 
 /// Workers, each with the number up to which its ends are included.
-pub(crate) type Ends = Vec<(fleet::WorkerId, u64)>;
+pub type Ends = Vec<(fleet::WorkerId, u64)>;
 
 /// Changes that are not known to be in the store.
 #[derive(Clone, Debug, Default)]
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -26,6 +26,7 @@
     6115 INSTANCE_WELL Info "This machine computes at its usual speed again.";
     6116 RELAY_LOST Warn "The stream to a relay, an instance that forwards calls to workers, has broken; the leader makes these calls itself meanwhile.";
     6117 RELAY_USED Info "Another instance forwards calls to workers for this leader.";
+    6118 RECORDS_READ Info "A candidate has read the records of earlier leaders; the log line gives the revision of the store at which each kind was read. The heads on which its election depends are no newer, or the election is lost.";
     6201 JOB_ACCEPTED Info "A job was accepted and stored.";
     6202 JOB_REFUSED Info "A job was refused and never runs; the caller was told when to retry.";
     6203 JOB_UNANSWERED Warn "A caller was told that it is unknown whether its job was accepted; it may retry with the same id.";
@@ -52,11 +53,14 @@
     6315 TASK_CRASHES_WORKERS Warn "A task of a job crashes the workers that run it; the job has failed.";
     6316 WORKER_RESTARTED Info "A worker has restarted under its name: its runs have ended, and the new incarnation is ordered to refuse orders that were sent to the earlier one.";
     6317 REPORT_UNREADABLE Warn "Rows of a worker's report could not be read; the others hold, and no run counts as missing.";
+    6318 CALL_ACKNOWLEDGES Debug "A call for a worker's report acknowledges more ends than the calls before it; the log line gives the highest number.";
     6401 RECORDS_NOT_WRITTEN Warn "The store accepted no records; callers with new jobs wait briefly or are refused, and the remaining writes are retried.";
     6402 RECORD_INVALID Error "A record in the store cannot be read; its job is not known to this instance.";
     6403 ADVICE_FAILED Warn "A query to the advisory service got no response; for one through a peer the log line gives the age of the connection and of its last response.";
     6405 ADVICE_GIVEN Info "The advisory service responded which workers may run a step.";
     6406 RECORDS_WRITTEN_LATE Warn "A write to the store took over 0.4 s; callers and workers waited for it.";
     6407 ADVICE_CHANNEL_EJECTED Warn "An instance did not answer queries to the advisory service; others are preferred for the time in the log line, which also gives its consecutive failures. Not logged while no query gets a response.";
+    6408 RECORDS_WRITTEN Debug "The store executed a write; the log line gives its chain and number, its revision, how the leader knows, and the first 32 jobs whose records it contains.";
+    6409 ENDS_ACKNOWLEDGED Debug "Ends of runs are acknowledged from now on, since their effects are in the store; the log line gives the write that was missing, and the highest number of each worker, 32 workers at most.";
     6404 LINES_DROPPED Warn "Log lines were dropped to bound the volume of the log; the log line gives their number.";
 }
--- a/crates/figscale/src/fleet/decision_log.rs
+++ b/crates/figscale/src/fleet/decision_log.rs
@@ -32,6 +32,21 @@
     }
 }
 
+/// Most values of a list that a log line contains.
+const MAX_LISTED: usize = 32;
+
+/// The first values of a list, for a field of a log line.
+pub(super) fn joined<T: ToString>(values: impl IntoIterator<Item = T>) -> String {
+    if !log::log_enabled!(target: "figscale", log::Level::Debug) {
+        return String::new();
+    }
+    let values = values.into_iter().take(MAX_LISTED);
+    values
+        .map(|value| value.to_string())
+        .collect::<Vec<_>>()
+        .join(" ")
+}
+
 /// Writes a decision of the scheduler to the log.
 pub(super) fn log(log_entry: &LogEntry) {
     match log_entry {
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -234,6 +234,7 @@
         writes: vec![(keys::LEAD.to_owned(), ledger::encode(&leader), Some(lease))],
         removals: Vec::new(),
     };
+    let heads_revision = known.revisions.iter().copied().max().unwrap_or(0);
     for (chain, revision) in known.revisions.into_iter().enumerate() {
         let key = keys::head(chain);
         transaction.expected.push((key.clone(), revision));
@@ -244,7 +245,8 @@
         events::fleet::ELECTION_ENDED,
         epoch = epoch,
         won = won.is_some(),
-        key_revision = key_revision
+        key_revision = key_revision,
+        heads_revision = heads_revision
     );
     match won {
         Some(heads_revision) => {
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -116,6 +116,15 @@
     }
 }
 
+/// How a transaction is known to have been executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Confirmation {
+    /// The store answered that it executed it.
+    Answered,
+    /// A later attempt found the head that it wrote.
+    FoundInHead,
+}
+
 /// Why records were not written.
 #[derive(Debug)]
 pub(super) enum WriteError {
@@ -161,6 +170,11 @@
         self.revision
     }
 
+    /// Number of the chain's last transaction in this term.
+    pub(super) fn sequence(&self) -> u64 {
+        self.head.sequence
+    }
+
     /// Writes records. `leader_key` is the value and lease for the leader's key if
     /// that is to be written too.
     pub(super) async fn write(
@@ -168,7 +182,7 @@
         records: &[Record],
         leader_key: Option<(Vec<u8>, store::LeaseId)>,
         clock: &figscale_types::clock::SharedClock,
-    ) -> Result<(), WriteError> {
+    ) -> Result<Confirmation, WriteError> {
         let next = Head {
             sequence: self.head.sequence + 1,
             ..self.head.clone()
@@ -179,7 +193,10 @@
         loop {
             let pause = tokio::time::sleep(RETRY_PAUSE);
             let error = match self.attempt(&transaction).await {
-                Ok(store::Committed::Done { revision }) => return self.advance(next, revision),
+                Ok(store::Committed::Done { revision }) => {
+                    self.advance(next, revision);
+                    return Ok(Confirmation::Answered);
+                }
                 Ok(store::Committed::Conflict { current }) => return self.resolve(next, &current),
                 Ok(store::Committed::LeaseEnded) if writes_leader_key(&transaction) => {
                     // The records matter more than the leader's key, which is
@@ -248,19 +265,17 @@
         answered.then(|| begun.elapsed())
     }
 
-    fn advance(&mut self, head: Head, revision: u64) -> Result<(), WriteError> {
+    fn advance(&mut self, head: Head, revision: u64) {
         self.head = head;
         self.revision = revision;
-        Ok(())
     }
 
     /// Handles a head that is not as expected: changed by an earlier attempt of
     /// this transaction, or by another leader.
-    fn resolve(&mut self, next: Head, current: &[store::Item]) -> Result<(), WriteError> {
-        match next.revision_in(self.number, current) {
-            Some(revision) => self.advance(next, revision),
-            None => Err(WriteError::Deposed),
-        }
+    fn resolve(&mut self, next: Head, current: &[store::Item]) -> Result<Confirmation, WriteError> {
+        let revision = next.revision_in(self.number, current);
+        self.advance(next, revision.ok_or(WriteError::Deposed)?);
+        Ok(Confirmation::FoundInHead)
     }
 
     fn transaction(
--- a/crates/figscale/src/fleet/message.rs
+++ b/crates/figscale/src/fleet/message.rs
@@ -50,7 +50,10 @@
     /// An entry instance could not be reached.
     MemberGone(ids::MemberId),
     /// A write has ended; returns its chain.
-    Written(Result<(), ledger::WriteError>, ledger::Chain),
+    Written(
+        Result<ledger::Confirmation, ledger::WriteError>,
+        ledger::Chain,
+    ),
     /// The leader's lease has expired at the store.
     LeaseEnded,
     /// The leader was granted a new lease.
--- a/crates/figscale/src/fleet/term/load.rs
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -84,6 +84,14 @@
         context.store.list(keys::PROGRESS),
         context.store.get(keys::WORKERS),
     )?;
+    crate::event!(
+        events::fleet::RECORDS_READ,
+        epoch = epoch,
+        jobs = jobs.items.len(),
+        jobs_revision = jobs.revision,
+        progress = progress.items.len(),
+        progress_revision = progress.revision
+    );
     let now = context.clock.now();
     let wall_ms = context.wall_ms();
     for item in &jobs.items {
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -7,6 +7,7 @@
 use std::mem;
 use std::time;
 
+use figscale_core::fleet::Ends;
 use figscale_core::fleet::Records;
 use figscale_platform::store;
 use figscale_types::fleet;
@@ -17,6 +18,7 @@
 use super::callers;
 use crate::events;
 use crate::fleet::calls::LeaderAnswer;
+use crate::fleet::decision_log;
 use crate::fleet::ledger;
 use crate::kernel;
 
@@ -94,8 +96,9 @@
         let lease = self.new_lease.take();
         if records.records.is_empty() && !self.store_unavailable && lease.is_none() {
             // Ends of runs that changed no record are acknowledged without a write.
-            self.scheduler.records_written(&records);
+            let ends = self.scheduler.records_written(&records);
             self.idle_chains.push(chain);
+            log_acknowledged(&ends, "none");
             self.answer_waiting_callers();
             return;
         }
@@ -152,10 +155,12 @@
 
     pub(super) fn on_written(
         &mut self,
-        result: Result<(), ledger::WriteError>,
+        result: Result<ledger::Confirmation, ledger::WriteError>,
         chain: ledger::Chain,
     ) {
         let write = self.pending_writes.swap_remove(&chain.number());
+        let number = format!("{}/{}", chain.number(), chain.sequence());
+        let revision = chain.revision();
         self.idle_chains.push(chain);
         let Some(write) = write else {
             return;
@@ -170,10 +175,19 @@
             );
         }
         match result {
-            Ok(()) => {
+            Ok(confirmation) => {
                 self.store_unavailable = false;
                 self.last_write_executed_at = self.now();
-                self.scheduler.records_written(&write.records);
+                crate::event!(
+                    events::fleet::RECORDS_WRITTEN,
+                    write = number,
+                    revision = revision,
+                    confirmation = format_args!("{confirmation:?}"),
+                    took_ms = took.as_millis(),
+                    jobs = decision_log::joined(write.records.jobs().iter().copied())
+                );
+                let ends = self.scheduler.records_written(&write.records);
+                log_acknowledged(&ends, &number);
                 self.answer_waiting_callers();
             }
             Err(ledger::WriteError::Deposed) => self.ended = Some(Ended::Deposed),
@@ -254,3 +268,16 @@
         }
     }
 }
+
+/// Logs ends that are acknowledged once `write` is in the store.
+fn log_acknowledged(ends: &Ends, write: &str) {
+    if ends.is_empty() {
+        return;
+    }
+    let ends = ends.iter().map(|(id, number)| format!("{id}:{number}"));
+    crate::event!(
+        events::fleet::ENDS_ACKNOWLEDGED,
+        write = write,
+        ends = decision_log::joined(ends)
+    );
+}
--- a/crates/figscale/src/fleet/workers/mod.rs
+++ b/crates/figscale/src/fleet/workers/mod.rs
@@ -52,6 +52,8 @@
     responsive: bool,
     /// Whether no call has ended yet.
     first_call: bool,
+    /// Highest number of an end that a call has acknowledged.
+    acknowledged: u64,
 }
 
 /// The links of one term.
@@ -107,6 +109,7 @@
             failure_domain: entry.failure_domain.clone(),
             responsive: true,
             first_call: true,
+            acknowledged: 0,
         };
         if !self.links.contains_key(&entry.id) {
             self.links.insert(entry.id.clone(), link);
@@ -137,6 +140,15 @@
         let Some(link) = self.links.get_mut(id) else {
             return;
         };
+        if due.acknowledged > link.acknowledged {
+            link.acknowledged = due.acknowledged;
+            crate::event!(
+                events::fleet::CALL_ACKNOWLEDGES,
+                worker = id,
+                epoch = self.epoch,
+                number = due.acknowledged
+            );
+        }
         let immediate = link.first_call || !link.responsive || scheduler.has_unacknowledged(id);
         let request = workers::ReportRequest {
             epoch: self.epoch,
