--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -317,7 +317,7 @@
                     return;
                 };
                 match written {
-                    WriteResult::Done => leader.scheduler.records_written(&records),
+                    WriteResult::Done => drop(leader.scheduler.records_written(&records)),
                     WriteResult::NotWritten => leader.scheduler.records_not_written(&records),
                     WriteResult::Deposed => leader.alive = false,
                 }
