fleet: a refused write's number is not used again

The next write of a chain got the number of the one that the store had refused. If that one was executed all the same, its head confirmed the next write, whose records were not in the store: the ends in it were acknowledged, and the next leader started their tasks again.

Each transaction now has a number of its own. If a refused one turns out to have been executed, the term ends, and the next leader reads what is there.

Writes in normal operation are unchanged.

--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -97,7 +97,8 @@
     /// The entry instance that made the last change as the leader, and its
     /// incarnation.
     pub(super) leader: ids::MemberKey,
-    /// Number of transactions of this chain in the term.
+    /// Number of transactions of this chain that the term has sent, with those that the
+    /// store refused.
     pub(super) sequence: u64,
     /// Processor capacity of the strongest instance known when the term was
     /// won, in thousandths of a core; absent from heads written by earlier
@@ -128,7 +129,8 @@
 /// Why records were not written.
 #[derive(Debug)]
 pub(super) enum WriteError {
-    /// Another leader has changed the heads, so this term is over.
+    /// Another leader has changed the heads, or a write that the store had refused has
+    /// changed this one. What the store holds is not known, so this term is over.
     Deposed,
     /// The store is unavailable; nothing was written and nothing will be.
     NotWritten(CallError),
@@ -139,6 +141,7 @@
 pub(super) struct Chain {
     number: usize,
     store: sync::Arc<access::Access>,
+    /// Identifies the last transaction that was sent.
     head: Head,
     /// Revision of the head's last change.
     revision: u64,
@@ -170,7 +173,7 @@
         self.revision
     }
 
-    /// Number of the chain's last transaction in this term.
+    /// Number of the last transaction that was sent in this term.
     pub(super) fn sequence(&self) -> u64 {
         self.head.sequence
     }
@@ -183,10 +186,10 @@
         leader_key: Option<(Vec<u8>, store::LeaseId)>,
         clock: &figscale_types::clock::SharedClock,
     ) -> Result<Confirmation, WriteError> {
-        let next = Head {
-            sequence: self.head.sequence + 1,
-            ..self.head.clone()
-        };
+        // A number is never used again, also after a transaction that was refused: if
+        // it was executed nevertheless, its head must not confirm another one.
+        self.head.sequence += 1;
+        let next = self.head.clone();
         let mut transaction = self.transaction(&next, records, leader_key);
         let started = clock.now();
         let mut in_doubt = false;
@@ -194,10 +197,10 @@
             let pause = tokio::time::sleep(RETRY_PAUSE);
             let error = match self.attempt(&transaction).await {
                 Ok(store::Committed::Done { revision }) => {
-                    self.advance(next, revision);
+                    self.revision = revision;
                     return Ok(Confirmation::Answered);
                 }
-                Ok(store::Committed::Conflict { current }) => return self.resolve(next, &current),
+                Ok(store::Committed::Conflict { current }) => return self.resolve(&current),
                 Ok(store::Committed::LeaseEnded) if writes_leader_key(&transaction) => {
                     // The records matter more than the leader's key, which is
                     // written again with the next lease. The head is the same,
@@ -265,16 +268,11 @@
         answered.then(|| begun.elapsed())
     }
 
-    fn advance(&mut self, head: Head, revision: u64) {
-        self.head = head;
-        self.revision = revision;
-    }
-
     /// Handles a head that is not as expected: changed by an earlier attempt of
-    /// this transaction, or by another leader.
-    fn resolve(&mut self, next: Head, current: &[store::Item]) -> Result<Confirmation, WriteError> {
-        let revision = next.revision_in(self.number, current);
-        self.advance(next, revision.ok_or(WriteError::Deposed)?);
+    /// this transaction, by one that the store had refused, or by another leader.
+    fn resolve(&mut self, current: &[store::Item]) -> Result<Confirmation, WriteError> {
+        let revision = self.head.revision_in(self.number, current);
+        self.revision = revision.ok_or(WriteError::Deposed)?;
         Ok(Confirmation::FoundInHead)
     }
 
--- a/crates/figscale/tests/fleet_writes.rs
+++ b/crates/figscale/tests/fleet_writes.rs
@@ -212,6 +212,41 @@
     fleet.assert_no_violations();
 }
 
+/// Guards against a write that counts as executed because the one before it in its
+/// chain was, although the store had refused that one: the ends in it would be
+/// acknowledged and lost, and their tasks started again by the next leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_is_not_taken_for_an_earlier_one_that_was_refused() {
+    let mut fleet = Fleet::start(1, 2, false).await;
+    let (first, second) = (0xb00, 0xb01);
+    fleet.submit_until_taken(0, first, 1, "1000").await;
+    fleet.submit_until_taken(0, second, 1, "4000").await;
+    tokio::time::sleep(NEW_LEASE / 5).await;
+    let set_refused = |refused| {
+        let store = &fleet.platform.store;
+        store.change_faults(|faults| faults.refused_after_execution = refused);
+    };
+    set_refused(true);
+    fleet.wait_for_event_of("JOB_ENDED", first).await;
+    fleet.wait_for_event_of("JOB_ENDED", second).await;
+    // The write that is under way then contains the second end.
+    let failed = || fleet.count_events("RECORDS_NOT_WRITTEN");
+    let before = failed();
+    fleet
+        .wait("two failed writes", || failed() >= before + 2)
+        .await;
+    set_refused(false);
+    let is_over = || fleet.count_events("CALL_ACKNOWLEDGES") + fleet.count_events("TERM_ENDED") > 0;
+    fleet
+        .wait("an acknowledgement or another term", is_over)
+        .await;
+    tokio::time::sleep(NEW_LEASE).await;
+    fleet.kill(0);
+    fleet.launch(0);
+    fleet.wait_for_state(0, second, "completed").await;
+    fleet.assert_no_violations();
+}
+
 /// Guards against a leader that stops writing because its lease ended while the write
 /// of the leader's key was not answered.
 #[tokio::test(flavor = "multi_thread")]
