Gangs and reservations take the speed of workers into account

A gang ends with its slowest member, and was placed on the fullest workers, fast and slow alike. Reservations took the slots that become free first, however long the gang would run there.

A gang now takes the fastest set that fits, with members of like speed. If it would be late there, and faster workers end it in time by their runs' expected ends, it reserves these and waits, until that no longer holds. Reservations take the slots on which the gang ends first. Expected ends of runs that a new leader finds use predicted lengths too.

--- a/crates/figscale-core/src/fleet/open_workers.rs
+++ b/crates/figscale-core/src/fleet/open_workers.rs
@@ -1,8 +1,10 @@
 //! Choice of workers for a step's tasks among those that could run them now.
 
+use std::cmp;
 use std::time;
 
 use figscale_types::fleet;
+use indexmap::IndexMap;
 
 use super::advice;
 use super::crashes;
@@ -180,27 +182,70 @@
     /// Number of further tasks of the step that may be placed there.
     tasks_left: u64,
     slowdown: fleet::Slowdown,
-    pub(crate) rack: &'a str,
+    rack: &'a str,
     proven: bool,
     runs: usize,
 }
 
-/// Assigns `count` tasks to the given workers, each to the fullest worker that has
-/// room for it. `None` if they do not all fit.
+/// Workers for all members of a gang.
+#[derive(Clone, Debug)]
+pub(crate) struct GangWorkers {
+    /// One for each member.
+    pub(crate) workers: Vec<fleet::WorkerId>,
+    /// Slowdown of the slowest of them.
+    pub(crate) slowest: fleet::Slowdown,
+}
+
+/// Assigns `count` tasks to the given workers, as a gang that is as fast as possible.
+/// Among the workers that it needs for that the slowest come first, so that its
+/// members are of like speed, and then the fullest. `None` if they do not all fit.
 pub(crate) fn assign_fullest_first(
     mut places: Vec<OpenWorker<'_>>,
     description: &fleet::StepDescription,
     count: u32,
-) -> Option<Vec<fleet::WorkerId>> {
+) -> Option<GangWorkers> {
     let need = job::occupied(description);
-    places.sort_by_key(|place| place.free.cpu_millis);
-    let mut chosen = Vec::new();
+    let slots = places.iter().map(|place| {
+        let fitting = place.free.count_fitting(&need, u64::from(count));
+        (place.slowdown, fitting.min(place.tasks_left))
+    });
+    let slowest = predicted::fastest_fit(slots, u64::from(count))?;
+    places.retain(|place| place.slowdown <= slowest);
+    places.sort_by_key(|place| (cmp::Reverse(place.slowdown), place.free.cpu_millis));
+    let mut workers = Vec::new();
     for place in &mut places {
-        while chosen.len() < count as usize && place.tasks_left > 0 && place.free.holds(&need) {
+        while workers.len() < count as usize && place.tasks_left > 0 && place.free.holds(&need) {
             place.free = place.free.minus(&need);
             place.tasks_left -= 1;
-            chosen.push(place.id.clone());
+            workers.push(place.id.clone());
+        }
+    }
+    (workers.len() == count as usize).then_some(GangWorkers { workers, slowest })
+}
+
+/// Like [`assign_fullest_first`] on the workers of one rack: the first on which the
+/// gang is as fast as on any.
+pub(crate) fn assign_in_one_rack(
+    places: &[OpenWorker<'_>],
+    description: &fleet::StepDescription,
+    count: u32,
+) -> Option<GangWorkers> {
+    let mut by_rack: IndexMap<&str, Vec<OpenWorker<'_>>> = IndexMap::new();
+    for place in places {
+        by_rack.entry(place.rack).or_default().push(place.clone());
+    }
+    let fastest = places.iter().map(|place| place.slowdown).min()?;
+    let mut best: Option<GangWorkers> = None;
+    for rack in by_rack.into_values() {
+        let found = assign_fullest_first(rack, description, count);
+        let better = |found: &GangWorkers| {
+            let best = best.as_ref();
+            best.is_none_or(|best| found.slowest < best.slowest)
+        };
+        best = found.filter(better).or(best);
+        if best.as_ref().is_some_and(|best| best.slowest == fastest) {
+            break;
         }
     }
-    (chosen.len() == count as usize).then_some(chosen)
+    best
 }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -14,7 +14,6 @@
 use std::time;
 
 use figscale_types::fleet;
-use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use super::action::Action;
@@ -291,10 +290,13 @@
         description: &fleet::StepDescription,
         pass: &mut pass::Pass,
     ) -> bool {
-        let Some(workers) = self.gang_workers(candidate, description, pass) else {
+        let Some(chosen) = self.gang_workers(candidate, description, pass) else {
             self.reserve_for_gang(candidate, description, pass);
             return false;
         };
+        if self.reserve_faster(candidate, description, chosen.slowest, pass) {
+            return false;
+        }
         let members = (0..description.count).map(|index| fleet::TaskId {
             index,
             ..candidate.task
@@ -311,7 +313,7 @@
         let customer = self.customer_of(&candidate.task);
         let room = job::occupied(description);
         let mut placed = Placed::default();
-        for (id, worker) in members.iter().zip(workers) {
+        for (id, worker) in members.iter().zip(chosen.workers) {
             self.start(id, &worker, attempt, pass.now);
             pass.headroom.record_start(customer.as_ref(), &room);
             placed.add(worker, attempt);
@@ -326,18 +328,12 @@
         candidate: &pass::Candidate,
         description: &fleet::StepDescription,
         pass: &pass::Pass,
-    ) -> Option<Vec<fleet::WorkerId>> {
+    ) -> Option<open_workers::GangWorkers> {
         let open = self.open_workers(&candidate.task, description, candidate.rank, pass);
         if !description.same_rack {
             return open_workers::assign_fullest_first(open, description, description.count);
         }
-        let mut by_rack: IndexMap<&str, Vec<open_workers::OpenWorker<'_>>> = IndexMap::new();
-        for place in &open {
-            by_rack.entry(place.rack).or_default().push(place.clone());
-        }
-        let in_one = by_rack.into_values().find_map(|rack| {
-            open_workers::assign_fullest_first(rack, description, description.count)
-        });
+        let in_one = open_workers::assign_in_one_rack(&open, description, description.count);
         in_one.or_else(|| open_workers::assign_fullest_first(open, description, description.count))
     }
 
@@ -353,9 +349,7 @@
         description: &fleet::StepDescription,
         pass: &mut pass::Pass,
     ) {
-        let max_reserving =
-            (pass.usable.len() / WORKERS_PER_RESERVING_GANG).max(MIN_RESERVING_GANGS);
-        let may_reserve = pass.reserving_gangs < max_reserving;
+        let may_reserve = may_reserve(pass);
         if !may_reserve && !self.may_query(&candidate.task, pass.now) {
             return;
         }
@@ -383,6 +377,41 @@
         });
     }
 
+    /// Reserves faster workers for a gang that would be late on those that have room
+    /// now, if it is predicted to end in time on them in spite of the wait. The wait
+    /// ends as soon as this no longer holds, and the gang takes what has room.
+    fn reserve_faster(
+        &self,
+        candidate: &mut pass::Candidate,
+        description: &fleet::StepDescription,
+        slowest: fleet::Slowdown,
+        pass: &mut pass::Pass,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&candidate.task.job) else {
+            return false;
+        };
+        let prediction = self.prediction(job, &candidate.task, description);
+        if prediction.order_at(pass.now).is_in_time(slowest) || !may_reserve(pass) {
+            return false;
+        }
+        let faster = |worker: &worker::Worker| worker.slowdown < slowest;
+        let reservation = self.reserve_on(&candidate.task, description, faster, pass);
+        let Some((mut reservation, slowest)) = reservation else {
+            return false;
+        };
+        if !prediction
+            .order_at(reservation.ready_at)
+            .is_in_time(slowest)
+        {
+            return false;
+        }
+        pass.reserve(candidate.task, &reservation);
+        pass.reserving_gangs += 1;
+        reservation.active = true;
+        candidate.reservation = Some(reservation);
+        true
+    }
+
     fn next_attempt(&self, id: &fleet::TaskId) -> u32 {
         let first = self.config.epoch.0.saturating_sub(1) * ATTEMPTS_PER_EPOCH + 1;
         let first = u32::try_from(first).unwrap_or(u32::MAX);
@@ -463,3 +492,9 @@
         });
     }
 }
+
+/// Whether one more gang may hold reservations while runs end.
+fn may_reserve(pass: &pass::Pass) -> bool {
+    let max_reserving = (pass.usable.len() / WORKERS_PER_RESERVING_GANG).max(MIN_RESERVING_GANGS);
+    pass.reserving_gangs < max_reserving
+}
--- a/crates/figscale-core/src/fleet/predicted.rs
+++ b/crates/figscale-core/src/fleet/predicted.rs
@@ -6,6 +6,10 @@
 //! which a step can end in time the slower ones are preferred, and where it can
 //! end in time on none the fastest. Workers of equal speed are all equal here:
 //! among them the order of the callers decides.
+//!
+//! A gang ends with its slowest member, so faster members than that gain nothing:
+//! of the gangs that fit the one with the fastest slowest member is chosen, and of
+//! its workers the slower ones are used first.
 
 use std::time;
 
@@ -92,6 +96,10 @@
         Preference { late, by_speed }
     }
 
+    pub(crate) fn is_in_time(&self, slowdown: fleet::Slowdown) -> bool {
+        !self.preference(slowdown).late
+    }
+
     /// The given groups of workers, those of the preferred speed first.
     pub(crate) fn sorted<'a, T>(&self, groups: &'a [SpeedGroup<T>]) -> Vec<&'a SpeedGroup<T>> {
         let mut sorted: Vec<&SpeedGroup<T>> = groups.iter().collect();
@@ -145,3 +153,51 @@
     }
     ends.into_iter().flatten().max().unwrap_or_default()
 }
+
+/// Slowdown of the slowest member of the fastest gang of `count` members that fits
+/// into these slots, each given with the slowdown of its worker. `None` if none fits.
+pub(crate) fn fastest_fit(
+    slots: impl Iterator<Item = (fleet::Slowdown, u64)>,
+    count: u64,
+) -> Option<fleet::Slowdown> {
+    let mut totals: Vec<(fleet::Slowdown, u64)> = Vec::new();
+    for (slowdown, slots) in slots {
+        match totals.iter_mut().find(|(known, _)| *known == slowdown) {
+            Some((_, total)) => *total = total.saturating_add(slots),
+            None => totals.push((slowdown, slots)),
+        }
+    }
+    totals.sort_unstable();
+    let mut found: u64 = 0;
+    let fits = |(_, slots): &(fleet::Slowdown, u64)| {
+        found = found.saturating_add(*slots);
+        found >= count
+    };
+    let slowest = totals.into_iter().find(fits);
+    slowest.map(|(slowdown, _)| slowdown)
+}
+
+/// Slowdown of the slowest member of the gang that ends first, on slots that become
+/// free at these times, sorted by time. The more members may be slow, the sooner a
+/// gang starts, and the longer it takes. `None` if there are too few slots.
+pub(crate) fn earliest_ending(
+    slots: impl Iterator<Item = (time::Instant, fleet::Slowdown)> + Clone,
+    count: u32,
+    prediction: &Prediction,
+) -> Option<fleet::Slowdown> {
+    let mut slowdowns: Vec<fleet::Slowdown> = Vec::new();
+    for (_, slowdown) in slots.clone() {
+        if !slowdowns.contains(&slowdown) {
+            slowdowns.push(slowdown);
+        }
+    }
+    slowdowns.sort_unstable();
+    let end = |slowest: &fleet::Slowdown| {
+        let mut open = slots.clone().filter(|(_, slowdown)| slowdown <= slowest);
+        let (ready_at, _) = open.nth((count as usize).checked_sub(1)?)?;
+        Some((ready_at + prediction.length_on(*slowest), *slowest))
+    };
+    let ends = slowdowns.iter().filter_map(end);
+    let first = ends.min_by_key(|(end, _)| *end);
+    first.map(|(_, slowest)| slowest)
+}
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -287,6 +287,10 @@
         // If the job is unknown, so is what the run occupies: it counts as the
         // whole worker, which gets no other work until the run has ended.
         let room = known_room.copied().or(all).unwrap_or_default();
+        let slowdown = self.workers.get(id).map(|worker| worker.slowdown);
+        let slowdown = slowdown.unwrap_or_default();
+        let queue = self.jobs.get(&running.task.job).map(|job| &job.queue);
+        let run_times = queue.map_or_else(Default::default, |queue| self.run_times(&queue.name));
         let job = self.jobs.get_mut(&running.task.job);
         let mut estimate = time::Duration::ZERO;
         if let Some(job) = job.filter(|job| job.is_open()) {
@@ -294,6 +298,7 @@
                 .step_description(&running.task)
                 .map(|step| step.estimate_ms);
             estimate = time::Duration::from_millis(estimate_ms.unwrap_or_default());
+            estimate = run_times.typical(estimate);
             job.started = true;
             if let Some(task) = job.task_mut(&running.task)
                 && task.is_waiting()
@@ -315,7 +320,7 @@
             expires_clock_ms: 0,
             confirmed_clock_ms: Some(clock_ms),
             ordered_at: now,
-            expected_end: now + estimate,
+            expected_end: now + slowdown.of(estimate),
             long_running: step.is_some_and(|step| step.long_running),
             stop_ordered: None,
             idle_since: None,
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -3,7 +3,8 @@
 //! On a full fleet a wide gang never fits by waiting, since smaller work takes
 //! whatever becomes free at once. So the slots that become free first on the
 //! workers that may run the gang are computed from the expected ends of current
-//! runs, until there are enough. Their workers are reserved: other work may use
+//! runs, until there are enough. Where workers differ in speed, those slots are
+//! taken on which the gang ends first. Their workers are reserved: other work may use
 //! them only if it ends before the gang is expected to start. Tickets are
 //! queried shortly before that time.
 //!
@@ -13,6 +14,7 @@
 //! that ends, the fetched tickets belong to the previous choice, and a gang
 //! keeps sending queries although there is room.
 
+use std::cmp;
 use std::time;
 
 use figscale_types::fleet;
@@ -20,6 +22,7 @@
 use super::advice;
 use super::job;
 use super::pass;
+use super::predicted;
 use super::scheduler;
 use super::worker;
 
@@ -42,6 +45,14 @@
     pub(crate) active: bool,
 }
 
+/// When a slot becomes free, how slow its worker is, and the worker; slots that are
+/// sorted have the slower workers first.
+type Slot<'a> = (
+    time::Instant,
+    cmp::Reverse<fleet::Slowdown>,
+    &'a fleet::WorkerId,
+);
+
 impl scheduler::Scheduler {
     /// The slots for a gang that become free first; `None` if the workers known
     /// to be approved can never hold it. Slots on workers reserved for others
@@ -52,39 +63,60 @@
         description: &fleet::StepDescription,
         pass: &pass::Pass,
     ) -> Option<Reservation> {
+        let reserved = self.reserve_on(task, description, |_| true, pass);
+        reserved.map(|(reservation, _)| reservation)
+    }
+
+    /// Like [`Self::reserve`] on the workers that `selects` selects, with the slowdown
+    /// of the slowest.
+    pub(crate) fn reserve_on(
+        &self,
+        task: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        selects: impl Fn(&worker::Worker) -> bool,
+        pass: &pass::Pass,
+    ) -> Option<(Reservation, fleet::Slowdown)> {
         let now = pass.now;
-        let length = time::Duration::from_millis(description.estimate_ms);
         let job = self.jobs.get(&task.job)?;
         let step = job.step(task)?;
         let advised = job.queue.advice.is_some();
         let tickets = TicketTimes::of(job, step, now);
-        let mut slots: Vec<(time::Instant, &fleet::WorkerId)> = Vec::new();
+        let prediction = self.prediction(job, task, description);
+        let mut slots: Vec<Slot<'_>> = Vec::new();
         for (id, worker) in self.approved_workers(step, advised, pass) {
-            let usable = self.is_usable(worker, now);
+            let usable = selects(worker) && self.is_usable(worker, now);
             if usable && worker.suits(&job.queue, description) {
                 let ticket_at = tickets.ready_at(id);
                 let reserved_until = pass.reserved_for_others_until(task, id);
                 let times = slot_times(worker, description, now).into_iter();
                 let times = times.map(|time| time.max(ticket_at));
+                let slowdown = worker.slowdown;
+                let length = prediction.length_on(slowdown);
                 let open =
                     times.filter(|at| reserved_until.is_none_or(|until| *at + length <= until));
-                slots.extend(open.map(|time| (time, id)));
+                slots.extend(open.map(|time| (time, cmp::Reverse(slowdown), id)));
             }
         }
         slots.sort();
-        let taken = slots.get(..description.count as usize)?;
+        let known = slots.iter().map(|(at, slowdown, _)| (*at, slowdown.0));
+        let slowest = predicted::earliest_ending(known, description.count, &prediction)?;
+        let fast = slots
+            .iter()
+            .filter(|(_, slowdown, _)| slowdown.0 <= slowest);
         let mut workers: Vec<fleet::WorkerId> = Vec::new();
-        for (_, id) in taken {
+        let mut ready_at = now;
+        for (at, _, id) in fast.take(description.count as usize) {
             if !workers.contains(id) {
                 workers.push((*id).clone());
             }
+            ready_at = *at;
         }
-        let ready_at = taken.last()?.0;
-        Some(Reservation {
+        let reservation = Reservation {
             workers,
             ready_at,
             active: false,
-        })
+        };
+        Some((reservation, slowest))
     }
 
     /// Number of members that the approved workers could hold, by the number that
--- a/crates/figscale-core/tests/fleet/worker_speed.rs
+++ b/crates/figscale-core/tests/fleet/worker_speed.rs
@@ -431,3 +431,146 @@
     assert!(plain.len() > 1_000, "{} decisions", plain.len());
     assert_eq!(plain, known);
 }
+
+fn gang_queue(target_latency_ms: u64) -> fleet::Queue {
+    fleet::Queue {
+        stretch: 1.0,
+        target_latency_ms,
+        ..helpers::queue(1)
+    }
+}
+
+/// A gang with a fast and a slow member ends with the slow one and holds both.
+#[rstest]
+#[case::on_the_fast_if_they_hold_it(6, vec![1, 1, 1, 3, 3, 3])]
+#[case::on_the_slow_if_the_fast_do_not(9, vec![0, 0, 0, 2, 2, 2, 4, 4, 4])]
+#[case::on_both_if_neither_holds_it(10, vec![0, 0, 0, 1, 2, 2, 2, 4, 4, 4])]
+fn members_of_a_gang_are_of_like_speed(#[case] count: u32, #[case] expected: Vec<usize>) {
+    let mut cluster = cluster(&[SLOW, FAST, SLOW, FAST, SLOW]);
+    cluster.run(1, &gang_queue(3_000), vec![helpers::gang(count, 9)]);
+    let mut hosts = hosts(&cluster, 1, count);
+    hosts.sort_unstable();
+    assert_eq!(hosts, expected);
+}
+
+/// A slow and a fast worker; something runs on the fast one for another 0.7 s.
+fn fast_worker_in_use() -> TestCluster {
+    let mut cluster = cluster(&[SLOW, FAST]);
+    let hopeless = fleet::Queue {
+        stretch: 0.1,
+        target_latency_ms: 0,
+        ..short_queue()
+    };
+    cluster.run(1, &hopeless, vec![helpers::step(1, 32)]);
+    assert_eq!(hosts(&cluster, 1, 1), [1]);
+    cluster
+}
+
+/// A gang started on slow workers and came late, though in a moment faster ones
+/// would have had room.
+#[test]
+fn a_gang_waits_for_faster_workers_if_only_they_end_it_in_time() {
+    let mut cluster = fast_worker_in_use();
+    cluster.run(2, &gang_queue(1_000), vec![two_seconds_gang()]);
+    assert!(hosts(&cluster, 2, 2).is_empty());
+    cluster.run(3, &wide_queue(), vec![helpers::step(2, 16)]);
+    assert_eq!(hosts(&cluster, 3, 2), [0, 0], "the slow worker idles");
+    cluster.advance(700);
+    cluster.end(helpers::task(1, 0, 0), fleet::End::Done);
+    assert_eq!(hosts(&cluster, 2, 2), [1, 1]);
+}
+
+fn two_seconds_gang() -> fleet::StepDescription {
+    helpers::with_estimate(helpers::gang(2, 12), 2_000)
+}
+
+/// A gang waited for faster workers without need, or though it came late on these
+/// too.
+#[rstest]
+#[case::in_time_on_slow_ones(2_000)]
+#[case::late_on_all(0)]
+fn a_gang_does_not_wait_for_faster_workers_in_vain(#[case] target_latency_ms: u64) {
+    let mut cluster = fast_worker_in_use();
+    let queue = gang_queue(target_latency_ms);
+    cluster.run(2, &queue, vec![two_seconds_gang()]);
+    assert_eq!(hosts(&cluster, 2, 2), [0, 0]);
+}
+
+/// A gang waited on for workers whose runs took longer than predicted.
+#[test]
+fn the_wait_for_faster_workers_ends_when_it_no_longer_helps() {
+    let mut cluster = fast_worker_in_use();
+    cluster.run(2, &gang_queue(1_000), vec![two_seconds_gang()]);
+    assert!(hosts(&cluster, 2, 2).is_empty());
+    cluster.advance(1_400);
+    assert_eq!(hosts(&cluster, 2, 2), [0, 0]);
+}
+
+/// Workers were reserved for a gang where room came first and not where it ended
+/// first, and other work was kept off them.
+#[test]
+fn a_gang_reserves_the_workers_on_which_it_ends_first() {
+    let mut cluster = cluster(&[SLOW, FAST, FAST]);
+    let soon = helpers::with_estimate(helpers::step(1, 32), 100);
+    cluster.run(1, &wide_queue(), vec![soon]);
+    cluster.run(2, &gang_queue(0), vec![helpers::step(1, 32)]);
+    assert_eq!(
+        (hosts(&cluster, 1, 1), hosts(&cluster, 2, 1)),
+        (vec![0], vec![1])
+    );
+    let gang = helpers::with_estimate(helpers::gang(2, 32), 2_000);
+    cluster.run(3, &gang_queue(1_000), vec![gang]);
+    let wide = helpers::with_estimate(helpers::step(1, 32), 1_500);
+    cluster.run(4, &wide_queue(), vec![wide]);
+    assert!(hosts(&cluster, 4, 1).is_empty());
+    cluster.end(helpers::task(1, 0, 0), fleet::End::Done);
+    assert_eq!(hosts(&cluster, 4, 1), [0]);
+    cluster.end(helpers::task(2, 0, 0), fleet::End::Done);
+    assert_eq!(hosts(&cluster, 3, 2), [1, 2]);
+}
+
+/// A gang with little slack queried for slow workers.
+#[test]
+fn a_gang_queries_for_workers_on_which_it_ends_in_time() {
+    let percents = mixed(30);
+    let mut cluster = cluster(&percents);
+    let gang = helpers::with_estimate(helpers::gang(6, 9), 2_000);
+    cluster.run(1, &advised(gang_queue(1_000), 100.0, 8.0), vec![gang]);
+    let named = queried(&cluster.queries[0]);
+    assert!(named.iter().all(|number| *number >= 10), "{named:?}");
+}
+
+/// Gangs on mixed workers were late for one slow member.
+#[rstest]
+#[case::without_advice(|queue: fleet::Queue| queue)]
+#[case::with_advice(|queue| advised(queue, 100.0, 8.0))]
+fn gangs_are_in_time_on_mixed_workers(#[case] advised: impl Fn(fleet::Queue) -> fleet::Queue) {
+    let percents = mixed(12);
+    let rough = RunTimes {
+        typical_percent: 100,
+        cautious_percent: 116,
+    };
+    let gangs = fleet::Queue {
+        stretch: 1.6,
+        target_latency_ms: 500,
+        ..helpers::queue(1)
+    };
+    let queues = vec![(gangs.name.clone(), rough), (wide_queue().name, rough)];
+    let mut load = Load::new(&percents, &speeds(&percents, queues));
+    let (gangs, wide) = (advised(gangs), advised(wide_queue()));
+    let gang = helpers::with_estimate(helpers::gang(8, 9), 2_000);
+    let mut jobs = Vec::new();
+    for step in 0..600 {
+        if load.random.next() < 0.8 * 0.02 {
+            jobs.push(load.submit(&gangs, &gang));
+        }
+        if step % 100 == 0 {
+            load.submit(&wide, &wide_step());
+        }
+        load.step();
+    }
+    (0..400).for_each(|_| load.step());
+    let (in_time, late) = load.in_time_and_late(&jobs);
+    assert_eq!(in_time + late, jobs.len());
+    assert!(late * 10 <= in_time, "{late} late, {in_time} in time");
+}
