Preemption: stop work that saves progress for work of a lower number that would be late

Wide gangs start seconds late behind a fleet that is full of work of a queue of higher number, although that work could be stopped and resumed. The scheduler now stops the cheapest such runs where the gain exceeds the cost, and reserves the workers until the step has started. It takes effect only with the new settings checkpoint_s and restore_ms.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -205,6 +205,33 @@
         /// Least time until it leaves.
         leaves_in: time::Duration,
     },
+    /// Runs are stopped so that a step of a queue of lower number starts in time.
+    RunsPreempted {
+        /// First task of the step that benefits.
+        task: fleet::TaskId,
+        /// Workers reserved for it.
+        workers: usize,
+        /// Processor time that the runs lose, in core-milliseconds.
+        lost_core_ms: u64,
+        /// Worth that their jobs lose by missing their objectives, in
+        /// core-milliseconds.
+        lost_worth: u64,
+        /// Time by which the step's job ends earlier, if its end without preemption
+        /// is known.
+        time_gained: Option<time::Duration>,
+        /// Time left at the predicted end of the step's job.
+        slack: time::Duration,
+        /// Tasks that are stopped, with their attempts.
+        victims: Vec<(fleet::TaskId, u32)>,
+    },
+    /// A step did not start although runs were stopped for it, and its workers are
+    /// no longer reserved.
+    PreemptionUnused {
+        /// First task of the step.
+        task: fleet::TaskId,
+        /// Workers that were reserved for it.
+        workers: usize,
+    },
     /// All runs of a worker have certainly ended without a report.
     WorkerLost {
         /// The worker.
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -42,6 +42,9 @@
     pub(crate) failed_on: Option<fleet::WorkerId>,
     /// Whether it may still run on a worker that has not reported in this term.
     pub(crate) suspect: bool,
+    /// Whether it was stopped for other work, or may have been in an earlier term,
+    /// and has made no progress since. It is not stopped again until it has.
+    pub(crate) must_progress: bool,
 }
 
 impl Task {
@@ -114,6 +117,9 @@
     pub(crate) gang_failed_attempts: Vec<u32>,
     /// Losses of its tasks, by index; a gang has the index 0.
     pub(crate) crashes: IndexMap<u32, crashes::History>,
+    /// Whether runs of other steps were stopped for it. That happens once, so that a
+    /// gang that fails again and again does not stop others each time.
+    pub(crate) had_preemption: bool,
 }
 
 impl Step {
@@ -165,6 +171,7 @@
     pub(crate) fn mark_suspect(&mut self) {
         for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
             task.suspect = !task.is_done();
+            task.must_progress = task.suspect;
         }
     }
 
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -13,7 +13,7 @@
 use super::reserve;
 
 /// A job that ends later than this multiple of its objective earns nothing.
-const EARNS_NOTHING_AFTER_OBJECTIVES: u32 = 3;
+pub(crate) const EARNS_NOTHING_AFTER_OBJECTIVES: u32 = 3;
 
 /// What a job can still earn, by its expected end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -129,10 +129,14 @@
     /// Short work is kept off these workers too, since a stream of it would
     /// delay such a step forever.
     pub(crate) reserved_overdue: Vec<fleet::TaskId>,
+    /// Steps for which runs were stopped.
+    reserved_alone: Vec<fleet::TaskId>,
     pub(crate) free_capacity: FreeCapacity,
     pub(crate) step_filter: StepFilter,
     pub(crate) reserving_gangs: usize,
     pub(crate) unplaced: Vec<Candidate>,
+    /// Steps that no worker has room for; left empty where there is no preemption.
+    pub(crate) without_room: Vec<Candidate>,
     /// Number of times that a worker was examined; the measure of a pass's
     /// cost.
     scans: cell::Cell<usize>,
@@ -155,10 +159,12 @@
             reserved: maps::WorkerMap::default(),
             aging_gang: None,
             reserved_overdue: Vec::new(),
+            reserved_alone: Vec::new(),
             free_capacity,
             step_filter,
             reserving_gangs: 0,
             unplaced: Vec::new(),
+            without_room: Vec::new(),
             scans: cell::Cell::new(0),
         }
     }
@@ -182,6 +188,21 @@
         }
     }
 
+    /// Reserves workers for a step for which runs were stopped there. No other work
+    /// may use them, however short: it would take what the stops have freed.
+    pub(crate) fn reserve_alone(
+        &mut self,
+        owner: fleet::TaskId,
+        reservation: &reserve::Reservation,
+    ) {
+        let from_now = reserve::Reservation {
+            ready_at: self.now,
+            ..reservation.clone()
+        };
+        self.reserve(owner, &from_now);
+        self.reserved_alone.push(owner);
+    }
+
     /// The time until which a worker is reserved for a step other than that of
     /// `task`. Work that ends by then may still use the worker.
     pub(crate) fn reserved_for_others_until(
@@ -245,7 +266,10 @@
     /// reserved workers.
     pub(crate) fn is_closed_to_short_work(&self, worker: &fleet::WorkerId) -> bool {
         let reservation = self.reserved.get(worker);
-        reservation.is_some_and(|reservation| self.reserved_overdue.contains(&reservation.owner))
+        reservation.is_some_and(|reservation| {
+            self.reserved_overdue.contains(&reservation.owner)
+                || self.reserved_alone.contains(&reservation.owner)
+        })
     }
 }
 
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -91,11 +91,18 @@
         let free_capacity = self.free_capacity(&usable);
         let mut pass = pass::Pass::new(now, headroom, usable, free_capacity, step_filter);
         pass.count_scans(self.workers.len());
+        self.reserve_for_beneficiaries(&candidates, &mut pass);
         self.reserve_awaiting_tickets(&candidates, &mut pass);
         self.reserve_for_aging(&candidates, &mut pass);
         for mut candidate in candidates {
             let held = self.startable_tasks(&candidate.task, &pass.headroom) == 0;
-            if held || !self.may_have_room(&candidate, &pass) {
+            if held {
+                continue;
+            }
+            if !self.may_have_room(&candidate, &pass) {
+                if self.config.preemption.is_some() {
+                    pass.without_room.push(candidate);
+                }
                 continue;
             }
             let whole = self.place_step(&mut candidate, &mut pass);
@@ -103,6 +110,7 @@
                 pass.unplaced.push(candidate);
             }
         }
+        self.preempt(&mut pass);
         self.send_queries(&pass);
         self.pass_scans = pass.scans();
     }
@@ -119,7 +127,11 @@
 
     /// How many tasks of a step its customer may start now. A gang may start
     /// whole or not at all.
-    fn startable_tasks(&self, task: &fleet::TaskId, headroom: &customers::Headroom) -> u64 {
+    pub(crate) fn startable_tasks(
+        &self,
+        task: &fleet::TaskId,
+        headroom: &customers::Headroom,
+    ) -> u64 {
         let Some(job) = self.jobs.get(&task.job) else {
             return 0;
         };
@@ -351,6 +363,10 @@
         description: &fleet::StepDescription,
         pass: &mut pass::Pass,
     ) {
+        candidate.reservation = self.beneficiary_reservation(&candidate.task);
+        if candidate.reservation.is_some() {
+            return;
+        }
         let max_reserving =
             (pass.usable.len() / WORKERS_PER_RESERVING_GANG).max(MIN_RESERVING_GANGS);
         let may_reserve = pass.reserving_gangs < max_reserving;
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -19,7 +19,7 @@
 use super::worker;
 
 /// Maximum number of workers in one query.
-const MAX_QUERIED: usize = 30;
+pub(crate) const MAX_QUERIED: usize = 30;
 /// Maximum number of workers among which a gang chooses those of a query. In a large
 /// fleet with many queries in flight it would otherwise examine most workers to find
 /// some that are in none.
@@ -301,7 +301,7 @@
 
     /// Whether a gang would fit now on workers that are not reserved for
     /// others before it ends, if the usual fraction of those not yet queried is approved.
-    fn may_fit_now(
+    pub(crate) fn may_fit_now(
         &self,
         candidate: &pass::Candidate,
         job: &job::Job,
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -251,6 +251,11 @@
         running: &fleet::RunningTask,
         now: time::Instant,
     ) {
+        let run = self
+            .workers
+            .get(id)
+            .and_then(|worker| worker.runs.get(&(running.task, running.attempt)));
+        let stopping = run.is_some_and(|run| run.stop_ordered.is_some());
         let Some(job) = self.jobs.get_mut(&running.task.job) else {
             return;
         };
@@ -262,6 +267,10 @@
             && let Some(task) = job.task_mut(&running.task)
             && task.is_current_run(id, running.attempt)
         {
+            // The first checkpoint that is known may be the one that the run resumed
+            // from. A run that is being stopped makes no use of its progress.
+            let known = task.checkpoint.is_empty() || task.checkpoint == running.checkpoint;
+            task.must_progress &= stopping || known;
             task.checkpoint.clone_from(&running.checkpoint);
         }
         if watched && let Some(used) = running.used_cpu_millis {
--- a/crates/figscale-core/src/fleet/reserve.rs
+++ b/crates/figscale-core/src/fleet/reserve.rs
@@ -226,7 +226,7 @@
     )
 }
 
-fn probable_end(run: &worker::Run, now: time::Instant) -> time::Instant {
+pub(crate) fn probable_end(run: &worker::Run, now: time::Instant) -> time::Instant {
     let over = now.saturating_duration_since(run.expected_end);
     run.expected_end.max(now + over.max(MIN_OVERRUN))
 }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -17,6 +17,8 @@
 use super::incarnations;
 use super::job;
 use super::maps;
+use super::preempt;
+use super::preemption;
 use super::speed;
 use super::starvation;
 use super::unsaved;
@@ -45,6 +47,9 @@
     /// A job that would take longer than this percentage of its latency objective
     /// is refused.
     pub max_percent_of_objective: u32,
+    /// What it takes to stop a task that saves its progress; `None` if that is not
+    /// known, and then no task is stopped for another.
+    pub preemption: Option<preemption::PreemptionCosts>,
 }
 
 impl Default for Config {
@@ -68,6 +73,7 @@
             // the effects of three times the usual traffic for 8 s last longer
             // (see `admission`).
             max_percent_of_objective: 200,
+            preemption: None,
         }
     }
 }
@@ -130,6 +136,7 @@
     pub(crate) suspects: IndexSet<fleet::TaskId>,
     /// What is known of the speed of workers.
     pub(crate) speeds: speed::SpeedEstimates,
+    pub(crate) preemptions: preempt::Preemptions,
     /// Starvation report: ready steps with tasks that wait for long.
     pub(crate) starvation: starvation::Starvation,
     /// Cost of the last placement pass; see [`Counts::pass_scans`].
@@ -160,6 +167,7 @@
             lost_workers: crash_evidence::LostWorkers::default(),
             suspects: IndexSet::new(),
             speeds: speed::SpeedEstimates::default(),
+            preemptions: preempt::Preemptions::default(),
             starvation: starvation::Starvation::default(),
             pass_scans: 0,
             actions: Vec::new(),
--- a/crates/figscale-core/tests/fleet/helpers.rs
+++ b/crates/figscale-core/tests/fleet/helpers.rs
@@ -171,6 +171,7 @@
     /// Number of workers ever added; the next one gets this number.
     pub(crate) added: usize,
     begun: time::Instant,
+    config: Config,
 }
 
 impl TestCluster {
@@ -186,7 +187,7 @@
     pub(crate) fn with_config(workers: usize, cores: u64, config: Config) -> Self {
         let now = time::Instant::now();
         let mut cluster = Self {
-            scheduler: Scheduler::new(config),
+            scheduler: Scheduler::new(config.clone()),
             now,
             wall_ms: WALL_MS,
             workers: IndexMap::new(),
@@ -198,6 +199,7 @@
             store_available: true,
             added: 0,
             begun: now,
+            config,
         };
         cluster.scheduler.member_joined(&"entry-1".parse().unwrap());
         for number in 0..workers {
@@ -541,7 +543,7 @@
     pub(crate) fn take_over(&mut self, epoch: u64) {
         let config = Config {
             epoch: fleet::Epoch(epoch),
-            ..Config::default()
+            ..self.config.clone()
         };
         let mut scheduler = Scheduler::new(config);
         for (key, bytes) in &self.store {
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -26,6 +26,7 @@
 mod no_capacity;
 mod pass_cost;
 mod placement;
+mod preemption;
 mod records;
 mod recovery;
 mod relay_choice;
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -35,6 +35,8 @@
     6207 CALL_REJECTED Info "A caller's request names no queue or is malformed.";
     6208 STEP_PLACED Info "Tasks of a step were assigned to workers; the log line gives how long the job had waited and how much time it has left.";
     6211 STEP_WAITS Warn "A step has been ready for long and has nothing running, or is a gang or long-running and has tasks that wait; the log line gives the free capacity, the workers approved by the advisory service, the tickets that it could use, how many queries in succession got no response, and what holds it back.";
+    6212 RUNS_PREEMPTED Info "Runs that save their progress are stopped so that a step of a queue of lower number starts in time; the log line gives what they lose, the time gained and the first of them.";
+    6213 PREEMPTION_UNUSED Warn "A step did not start although runs were stopped for it; its workers are no longer reserved.";
     6301 TASK_STARTED Debug "A worker confirmed the start of a task.";
     6302 START_REFUSED Info "A worker refused the start of a task.";
     6303 START_UNANSWERED Warn "A worker did not answer a start order; the resources of the task stay allocated until a report shows the outcome.";
--- a/crates/figscale/src/fleet/decision_log.rs
+++ b/crates/figscale/src/fleet/decision_log.rs
@@ -19,10 +19,16 @@
                 metrics.task_start_sent();
             }
         }
+        LogEntry::RunsPreempted { victims, .. } => metrics.runs_preempted(victims.len()),
+        LogEntry::PreemptionUnused { .. } => metrics.preemption_unused(),
         _ => (),
     }
 }
 
+/// Maximum number of victims that the log line of a preemption names. The end of each is
+/// logged too.
+const MAX_VICTIMS_LOGGED: usize = 8;
+
 fn state_label(state: fleet::JobState) -> &'static str {
     match state {
         fleet::JobState::Completed => "completed",
@@ -185,6 +191,35 @@
                 leaves_in_ms = leaves_in.as_millis()
             );
         }
+        LogEntry::RunsPreempted {
+            task,
+            workers,
+            lost_core_ms,
+            lost_worth,
+            time_gained,
+            slack,
+            victims,
+        } => {
+            let named = victims.iter().take(MAX_VICTIMS_LOGGED);
+            let named: Vec<String> = named.map(|(task, _)| task.to_string()).collect();
+            crate::event!(
+                events::RUNS_PREEMPTED,
+                task = task,
+                workers = workers,
+                runs = victims.len(),
+                lost_core_ms = lost_core_ms,
+                lost_worth_core_ms = lost_worth,
+                gained_ms = time_gained.map_or_else(
+                    || "unknown".to_owned(),
+                    |gained| gained.as_millis().to_string()
+                ),
+                slack_ms = slack.as_millis(),
+                victims = named.join(",")
+            );
+        }
+        LogEntry::PreemptionUnused { task, workers } => {
+            crate::event!(events::PREEMPTION_UNUSED, task = task, workers = workers);
+        }
         LogEntry::WorkerLost { worker, runs } => {
             crate::event!(events::WORKER_LOST, worker = worker, runs = runs);
         }
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -54,6 +54,8 @@
     claims_held: metrics::Gauge<u64>,
     tasks: metrics::Gauge<u64>,
     task_starts: metrics::Counter<u64>,
+    runs_preempted: metrics::Counter<u64>,
+    preemptions: metrics::Counter<u64>,
     catalogue_revision: metrics::Gauge<u64>,
     fleet_calls: metrics::Counter<u64>,
     fleet_call_time: metrics::Histogram<f64>,
@@ -94,6 +96,14 @@
             slots: gauge("figscale_slots", "Slots that this process hands out."),
             claims_held: gauge("figscale_claims_held", "Shards that this process holds."),
             tasks: gauge("figscale_tasks", "Tasks that this process looks after."),
+            runs_preempted: counter(
+                "figscale_runs_preempted",
+                "Runs stopped so that work of a queue of lower number starts in time.",
+            ),
+            preemptions: counter(
+                "figscale_preemptions",
+                "Steps for which runs were stopped, and those of them that did not start.",
+            ),
             task_starts: counter("figscale_task_starts", "Starts of tasks sent to workers."),
             catalogue_revision: gauge(
                 "figscale_catalogue_revision",
@@ -268,6 +278,18 @@
         self.task_starts.add(1, &[]);
     }
 
+    /// Counts a step for which runs are stopped.
+    pub fn runs_preempted(&self, runs: usize) {
+        self.runs_preempted.add(count(runs), &[]);
+        self.preemptions
+            .add(1, &[KeyValue::new("state", "ordered")]);
+    }
+
+    /// Counts a step that did not start although runs were stopped for it.
+    pub fn preemption_unused(&self) {
+        self.preemptions.add(1, &[KeyValue::new("state", "unused")]);
+    }
+
     /// Records the answer to a call of a fleet's caller.
     pub fn fleet_call_answered(&self, method: &str, status: u16, took: time::Duration) {
         let labels = [
--- a/crates/figscale/src/settings/fleet.rs
+++ b/crates/figscale/src/settings/fleet.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::time;
 
+use figscale_core::fleet::PreemptionCosts;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -23,6 +24,13 @@
     /// Maximum time that a worker takes to end a task. Default 400, 1 to 60,000.
     #[serde(default = "default_stop_limit_ms")]
     pub stop_limit_ms: u64,
+    /// Time between two checkpoints of a task that saves its progress, in seconds,
+    /// possibly with a fraction. Default none: not known. 0.01 to 3,600.
+    #[serde(default)]
+    pub checkpoint_s: Option<f64>,
+    /// Time for a task to resume from a checkpoint. Default none: not known. 0 to 600,000.
+    #[serde(default)]
+    pub restore_ms: Option<u64>,
     /// Maximum age of the last reading of a worker's entry for new work on it.
     /// Default 3,000, 1,000 to 600,000.
     #[serde(default = "default_max_entry_age_ms")]
@@ -86,10 +94,25 @@
         self.max_config_age_ms.map(time::Duration::from_millis)
     }
 
+    /// What it takes to stop a task for another; `None` if a part of it is not known.
+    pub fn preemption(&self) -> Option<PreemptionCosts> {
+        let checkpoint_s = self.checkpoint_s?;
+        Some(PreemptionCosts {
+            checkpoint_interval: time::Duration::try_from_secs_f64(checkpoint_s).ok()?,
+            restore: time::Duration::from_millis(self.restore_ms?),
+        })
+    }
+
     pub(super) fn check(&self, problems: &mut Problems) {
         let leases = self.max_worker_lease_ms;
         problems.bound("fleet.max_worker_lease_ms", leases, 1_000, 600_000);
         problems.bound("fleet.stop_limit_ms", self.stop_limit_ms, 1, 60_000);
+        if let Some(checkpoint_s) = self.checkpoint_s {
+            problems.bound("fleet.checkpoint_s", checkpoint_s, 0.01, 3_600.0);
+        }
+        if let Some(restore_ms) = self.restore_ms {
+            problems.bound("fleet.restore_ms", restore_ms, 0, 600_000);
+        }
         let age = self.max_entry_age_ms;
         problems.bound("fleet.max_entry_age_ms", age, 1_000, 600_000);
         if let Some(age) = self.max_config_age_ms {
