Admission by shares, memory and speed, with turns for refused callers

Admission divided processors only, whoever the customer was, and told all callers that were refused together the same time.

The wait is now that of the scarcest resource on usable workers of their measured speed, counts of each other customer's work no more than its weight admits, and includes the callers refused before. A ledger of turns gives Retry-After; a job that fits in free room that nothing earlier could use is accepted. Placement orders customers by how far they exceed their share, in their dominant resource.

--- a/crates/figscale-core/src/fleet/customers.rs
+++ b/crates/figscale-core/src/fleet/customers.rs
@@ -18,13 +18,37 @@
 use figscale_types::fleet;
 use figscale_types::fleet::CustomerName;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use super::job;
 use super::scheduler;
 
 /// A customer is over its share when it uses more than this percentage of it.
-const OVER_SHARE_PERCENT: u32 = 125;
+const OVER_SHARE_PERCENT: u128 = 125;
+
+/// How far a customer's use exceeds its weighted share: 0 up to 125 percent of it,
+/// and then one more for each doubling. Work of a customer far above its share
+/// comes after that of one just above it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Excess(u8);
+
+impl Excess {
+    const MAX: u8 = 8;
+
+    /// The excess of a use over a share, both in the same unit.
+    fn of(used: u128, share: u128) -> Self {
+        let exceeds = |excess: &u8| used * 100 > (share * OVER_SHARE_PERCENT) << *excess;
+        Self((0..Self::MAX).take_while(exceeds).count() as u8)
+    }
+}
+
+/// Customers above their share.
+pub(crate) type Excesses = IndexMap<CustomerName, Excess>;
+
+/// The excess of a customer; none for work without a customer.
+pub(crate) fn excess_of(customer: Option<&CustomerName>, excesses: &Excesses) -> Excess {
+    let excess = customer.and_then(|customer| excesses.get(customer));
+    excess.copied().unwrap_or_default()
+}
 
 /// The operators' limits and weights of customers, as far as known.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -113,38 +137,54 @@
         owner.is_none() || owner == customer
     }
 
-    /// Customers that use clearly more processor time than their weighted share
-    /// among the customers with open jobs. This affects the order of steps
-    /// only, so it changes nothing while there is room for all.
-    pub(crate) fn customers_over_share(&self) -> IndexSet<CustomerName> {
-        let Terms::Limited(customers) = &self.terms else {
-            return IndexSet::new();
-        };
-        let mut used: IndexMap<&CustomerName, u64> = IndexMap::new();
+    /// A customer's weight; `None` if it has none.
+    pub(crate) fn weight_millis(&self, customer: &CustomerName) -> Option<u64> {
+        match &self.terms {
+            Terms::Limited(customers) => customers.terms(customer).map(|terms| terms.weight_millis),
+            Terms::Unknown | Terms::Unlimited => None,
+        }
+    }
+
+    /// Customers that use clearly more than their weighted share among the customers
+    /// with open jobs. This affects the order of steps only, so it changes nothing
+    /// while there is room for all.
+    ///
+    /// Of the resources that a customer uses, the kind counts of which it uses the
+    /// largest part of the fleet. Otherwise a customer that fills the memory would be
+    /// below its share as long as it leaves processors idle.
+    pub(crate) fn customer_excesses(&self) -> Excesses {
+        if !matches!(self.terms, Terms::Limited(_)) {
+            return Excesses::new();
+        }
+        let mut used: IndexMap<&CustomerName, fleet::Room> = IndexMap::new();
         let open = self.open.iter().filter_map(|id| self.jobs.get(id));
         for customer in open.filter_map(|job| job.customer.as_ref()) {
             used.entry(customer).or_default();
         }
-        let runs = self
-            .workers
-            .values()
-            .flat_map(|worker| worker.runs.values());
-        for run in runs {
-            if let Some(customer) = &run.customer {
-                *used.entry(customer).or_default() += run.room.cpu_millis;
+        let mut total = fleet::Room::default();
+        for worker in self.workers.values() {
+            total = total.plus(&worker.entry.room);
+            for run in worker.runs.values() {
+                if let Some(customer) = &run.customer {
+                    let used = used.entry(customer).or_default();
+                    *used = used.plus(&run.room);
+                }
             }
         }
-        let weight =
-            |name: &CustomerName| customers.terms(name).map_or(0, |terms| terms.weight_millis);
-        let all_used: u64 = used.values().sum();
-        let all_weights: u64 = used.keys().map(|name| weight(name)).sum();
-        let is_over = |(name, used): &(&&CustomerName, &u64)| {
-            let part = u128::from(all_used) * u128::from(weight(name));
-            let used = u128::from(**used) * u128::from(all_weights);
-            used * 100 > part * u128::from(OVER_SHARE_PERCENT)
-        };
-        let over = used.iter().filter(is_over);
-        over.map(|(name, _)| (*name).clone()).collect()
+        let weight = |name: &CustomerName| u128::from(self.weight_millis(name).unwrap_or(0));
+        let parts = used
+            .iter()
+            .map(|(name, used)| (*name, largest_part(used, &total)));
+        let parts: Vec<(&CustomerName, u128)> = parts.collect();
+        let all_used: u128 = parts.iter().map(|(_, used)| used).sum();
+        let all_weights: u128 = parts.iter().map(|(name, _)| weight(name)).sum();
+        let excesses = parts.into_iter().map(|(name, used)| {
+            let excess = Excess::of(used * all_weights, all_used * weight(name));
+            (name.clone(), excess)
+        });
+        excesses
+            .filter(|(_, excess)| *excess > Excess::default())
+            .collect()
     }
 
     /// What each customer may start in a pass that begins now.
@@ -240,6 +280,14 @@
     accelerators: u64::MAX,
 };
 
+/// The largest part that `used` is of `total` in any kind of resource, in millionths.
+fn largest_part(used: &fleet::Room, total: &fleet::Room) -> u128 {
+    let part = |used: u64, total: u64| u128::from(used) * 1_000_000 / u128::from(total.max(1));
+    part(used.cpu_millis, total.cpu_millis)
+        .max(part(used.memory_mb, total.memory_mb))
+        .max(part(used.accelerators, total.accelerators))
+}
+
 /// Resources of the tasks of a loaded job that may be running but were not
 /// found on a worker.
 fn unfound_room(job: &job::Job) -> fleet::Room {
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -374,19 +374,6 @@
         self.description.steps.get(id.step as usize)
     }
 
-    /// Processor time of the tasks that are not done, in core milliseconds.
-    pub(crate) fn remaining_core_ms(&self) -> u64 {
-        let of_step = |(progress, step): (&Step, &fleet::StepDescription)| {
-            let left = progress.tasks.iter().filter(|task| !task.is_done()).count() as u64;
-            left * step.room.cpu_millis * step.estimate_ms / 1_000
-        };
-        let rounds = self.rounds.iter();
-        rounds
-            .flat_map(|round| round.steps.iter().zip(&self.description.steps))
-            .map(of_step)
-            .sum()
-    }
-
     /// Ends the job and drops its occurrences. The caller has to stop its runs.
     pub(crate) fn finish(&mut self, end: fleet::JobState) {
         self.end = Some(end);
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -31,8 +31,8 @@
 pub(crate) struct Rank {
     pub(crate) lateness: Lateness,
     pub(crate) class: u8,
-    /// Whether its customer uses more than its weighted share.
-    pub(crate) over_share: bool,
+    /// How far its customer's use exceeds its weighted share.
+    pub(crate) excess: customers::Excess,
     /// Time left until the step must start; negative once that time is past. It
     /// keeps falling while the step waits, so that of late work the step that
     /// has waited longest comes first. If it stopped at zero, a short gang
@@ -55,13 +55,30 @@
     pub(crate) reservation: Option<reserve::Reservation>,
 }
 
+impl Candidate {
+    pub(crate) fn new(task: fleet::TaskId, rank: Rank) -> Self {
+        Self {
+            task,
+            rank,
+            lost_workers: false,
+            may_query_early: false,
+            reservation: None,
+        }
+    }
+
+    /// Whether it comes before a newer step with this rank that lost no workers.
+    pub(crate) fn is_before(&self, rank: Rank) -> bool {
+        self.lost_workers || self.rank <= rank
+    }
+}
+
 /// A reservation of one worker.
 #[derive(Clone, Copy, Debug)]
-struct WorkerReservation {
+pub(crate) struct WorkerReservation {
     /// First task of the step that it is reserved for.
     owner: fleet::TaskId,
     /// When that step should start.
-    until: time::Instant,
+    pub(crate) until: time::Instant,
 }
 
 /// Free resources of the usable workers at the start of a pass: for each
@@ -182,6 +199,11 @@
         }
     }
 
+    /// The reserved workers, at the end of the pass.
+    pub(crate) fn into_reserved(self) -> maps::WorkerMap<WorkerReservation> {
+        self.reserved
+    }
+
     /// The time until which a worker is reserved for a step other than that of
     /// `task`. Work that ends by then may still use the worker.
     pub(crate) fn reserved_for_others_until(
@@ -271,7 +293,7 @@
 pub(crate) fn rank(
     job: &job::Job,
     round: &job::Round,
-    over_share: bool,
+    excess: customers::Excess,
     now: time::Instant,
 ) -> Rank {
     let since = round.due_at.unwrap_or(job.submitted);
@@ -291,7 +313,7 @@
     Rank {
         lateness,
         class: u8::from(job.queue.priority > 0),
-        over_share,
+        excess,
         slack_ms: signed_millis(ends, objective_at),
     }
 }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -4,7 +4,7 @@
 //! Steps are ranked by these keys, in this order: jobs that can still meet
 //! their objective, then late ones, then those past the point where they earn
 //! anything; queues of priority 0 before others; customers within their
-//! weighted share before those above it; and last the time left until the step
+//! weighted share before those above it, least excess first; and last the time left until the step
 //! must start, which is negative once that time is past.
 //!
 //! A task goes to the fullest worker that has the resources for it (best fit),
@@ -21,6 +21,7 @@
 use super::action::LogEntry;
 use super::customers;
 use super::job;
+use super::maps;
 use super::open_workers;
 use super::pass;
 use super::scheduler;
@@ -77,6 +78,7 @@
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
             self.pass_scans = 0;
+            self.admission.set_reserved(maps::WorkerMap::default());
             return;
         }
         let headroom = self.headroom();
@@ -105,6 +107,7 @@
         }
         self.send_queries(&pass);
         self.pass_scans = pass.scans();
+        self.admission.set_reserved(pass.into_reserved());
     }
 
     fn free_capacity(&self, usable: &[usize]) -> pass::FreeCapacity {
@@ -119,7 +122,11 @@
 
     /// How many tasks of a step its customer may start now. A gang may start
     /// whole or not at all.
-    fn startable_tasks(&self, task: &fleet::TaskId, headroom: &customers::Headroom) -> u64 {
+    pub(crate) fn startable_tasks(
+        &self,
+        task: &fleet::TaskId,
+        headroom: &customers::Headroom,
+    ) -> u64 {
         let Some(job) = self.jobs.get(&task.job) else {
             return 0;
         };
@@ -162,15 +169,14 @@
         }
     }
 
-    fn candidates(&self, now: time::Instant) -> Vec<pass::Candidate> {
+    pub(crate) fn candidates(&self, now: time::Instant) -> Vec<pass::Candidate> {
         let mut all = Vec::new();
-        let over_share = self.customers_over_share();
+        let excesses = self.customer_excesses();
         for id in &self.open {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            let customer = job.customer.as_ref();
-            let over_share = customer.is_some_and(|customer| over_share.contains(customer));
+            let excess = customers::excess_of(job.customer.as_ref(), &excesses);
             for (occurrence, round) in job.rounds.iter().enumerate() {
                 // The rank is computed on demand, since most jobs of a busy
                 // fleet have no step that is ready.
@@ -181,15 +187,12 @@
                         && round.is_ready(&job.description, step)
                         && !self.has_unsaved_losses(*id, progress)
                     {
-                        let rank = *known_rank
-                            .get_or_insert_with(|| pass::rank(job, round, over_share, now));
+                        let rank =
+                            *known_rank.get_or_insert_with(|| pass::rank(job, round, excess, now));
                         let task = pass::first_task(*id, occurrence, step);
                         all.push(pass::Candidate {
-                            task,
-                            rank,
                             lost_workers: !progress.crashes.is_empty(),
-                            may_query_early: false,
-                            reservation: None,
+                            ..pass::Candidate::new(task, rank)
                         });
                     }
                 }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -10,6 +10,7 @@
 
 use super::action::Action;
 use super::action::LogEntry;
+use super::admission;
 use super::channels;
 use super::crash_evidence;
 use super::customers;
@@ -128,6 +129,7 @@
     pub(crate) lost_workers: crash_evidence::LostWorkers,
     /// Tasks whose losses are to be judged.
     pub(crate) suspects: IndexSet<fleet::TaskId>,
+    pub(crate) admission: admission::AdmissionState,
     /// What is known of the speed of workers.
     pub(crate) speeds: speed::SpeedEstimates,
     /// Starvation report: ready steps with tasks that wait for long.
@@ -159,6 +161,7 @@
             unsaved: unsaved::Unsaved::default(),
             lost_workers: crash_evidence::LostWorkers::default(),
             suspects: IndexSet::new(),
+            admission: admission::AdmissionState::default(),
             speeds: speed::SpeedEstimates::default(),
             starvation: starvation::Starvation::default(),
             pass_scans: 0,
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -49,6 +49,7 @@
         if let Some(refused) = self.refusal(&job, now) {
             return refused;
         }
+        self.record_admitted(&job, now);
         self.open.insert(id);
         self.jobs.insert(id, job);
         self.unsaved.create(id);
@@ -70,6 +71,7 @@
     /// The state may be returned to the caller once the records taken next are
     /// written.
     pub fn cancel(&mut self, id: fleet::JobId, now: time::Instant) -> Option<fleet::JobState> {
+        self.admission.turns.remove(id);
         self.end_job(id, fleet::JobState::Cancelled, now);
         self.state(id)
     }
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -297,6 +297,13 @@
         up_to_date && open && self.admits(now)
     }
 
+    /// Whether it counts as capacity: it takes work now, or as soon as its report and
+    /// its entry are up to date again.
+    pub(crate) fn offers_capacity(&self, now: time::Instant) -> bool {
+        let present = self.unresponsive_since.is_none() && !self.replaced;
+        present && !self.entry.draining && !self.is_quarantined() && self.admits(now)
+    }
+
     /// Whether its health admits another task beside those that run here.
     pub(crate) fn admits(&self, now: time::Instant) -> bool {
         let on_trial = |run: &Run| !run.long_running || run.age_at(Some(now)) <= MAX_TRIAL;
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod admission;
 mod advice;
 mod backlog;
 mod begun_jobs;
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -17,6 +17,7 @@
 use crate::fleet::calls::LeaderCall;
 use crate::fleet::keys;
 use crate::kernel;
+use crate::metrics;
 
 /// Time after which a caller should retry when the store was unavailable: the
 /// shortest that `Retry-After` can express. Callers wait about 3 s in all, so a
@@ -36,7 +37,8 @@
     /// Answers that the store is unavailable: nothing was done for this call, and
     /// nothing will be. Correct only for a job that has no record in the store and
     /// no write of it in flight.
-    pub(super) fn refuse(self) {
+    pub(super) fn refuse(self, metrics: &metrics::Metrics) {
+        metrics.fleet_job_refused("store_unavailable");
         self.reply.send(LeaderAnswer::StoreAway {
             retry_after_ms: clock::millis(STORE_RETRY_AFTER),
         });
@@ -129,7 +131,7 @@
         // only the outcome of that write can answer this call.
         let known = self.scheduler.state(submission.job).is_some();
         if !known && self.store_is_unavailable() {
-            submission.refuse();
+            submission.refuse(&self.context.metrics);
             return;
         }
         let (now, wall_ms) = (self.now(), self.context.wall_ms());
@@ -149,14 +151,25 @@
             Admission::Accepted => self
                 .waiting_callers
                 .push(WaitingCaller::Submitted(submission)),
-            Admission::Refused { retry_after, wait } => {
+            Admission::Refused {
+                retry_after,
+                wait,
+                bound,
+                cause,
+                share,
+            } => {
                 let retry_after_ms = clock::millis(retry_after);
+                self.context.metrics.fleet_job_refused(cause.label());
                 crate::event!(
                     events::fleet::JOB_REFUSED,
                     job = submission.job,
                     queue = submission.queue.name,
                     cause = "the work in front of it would last too long",
+                    because_of = cause.label(),
                     wait_ms = wait.as_millis(),
+                    bound_ms = bound.as_millis(),
+                    share = share.map_or_else(String::new, |share| share.to_string()),
+                    turns = self.scheduler.turns(),
                     retry_after_ms = retry_after_ms
                 );
                 let refused = LeaderAnswer::Refused { retry_after_ms };
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -418,6 +418,7 @@
         metrics.fleet_state_changed("open_jobs", counts.open_jobs);
         metrics.fleet_state_changed("queued_jobs", counts.queued_jobs);
         metrics.fleet_state_changed("waiting_steps", counts.waiting_steps);
+        metrics.fleet_state_changed("turns", self.scheduler.turns());
         metrics.fleet_state_changed("pass_looks", counts.pass_scans);
         metrics.fleet_state_changed("runs", counts.runs);
         metrics.fleet_state_changed("usable_workers", counts.usable_workers);
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -245,7 +245,7 @@
                     if !self.scheduler.is_being_written(submission.job) =>
                 {
                     self.scheduler.withdraw(submission.job);
-                    submission.refuse();
+                    submission.refuse(&self.context.metrics);
                 }
                 WaitingCaller::Submitted(_) | WaitingCaller::Cancelled { .. } => {
                     self.waiting_callers.push(caller)
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -59,6 +59,7 @@
     fleet_call_time: metrics::Histogram<f64>,
     fleet_jobs: metrics::Counter<u64>,
     fleet_job_time: metrics::Histogram<f64>,
+    fleet_refusals: metrics::Counter<u64>,
     fleet_state: metrics::Gauge<u64>,
     fleet_store_time: metrics::Histogram<f64>,
 }
@@ -111,6 +112,10 @@
                 "Time from a job's submission to its end.",
                 &JOB_BOUNDS_S,
             ),
+            fleet_refusals: counter(
+                "figscale_fleet_refusals",
+                "Jobs that the leader refused, by cause.",
+            ),
             fleet_state: gauge(
                 "figscale_fleet_state",
                 "What the leader knows: jobs, runs, workers; nothing elsewhere.",
@@ -287,6 +292,11 @@
             .record(after.as_secs_f64(), &labels[..1]);
     }
 
+    /// Records that the leader refused a job.
+    pub fn fleet_job_refused(&self, cause: &'static str) {
+        self.fleet_refusals.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Sets the number of objects of a kind (jobs, runs, workers) known to the leader.
     pub fn fleet_state_changed(&self, kind: &'static str, number: usize) {
         self.fleet_state
