--- a/crates/figscale-core/examples/fleet_cost.rs
+++ b/crates/figscale-core/examples/fleet_cost.rs
@@ -14,6 +14,10 @@
 //! where no worker has processor left, and where workers have processor but no
 //! memory.
 //!
+//! The third table gives microseconds for the refusal of one of 200 submissions a
+//! second, beside a backlog of 1,200 of these jobs: with and without room for some
+//! of them.
+//!
 //! Run with `cargo run --release -p figscale-core --example fleet_cost`.
 
 use std::error;
@@ -73,6 +77,31 @@
             println!("{workers:7}  {advised:6}  {cores:10}  {pass:20.1}  {scanned:5}");
         }
     }
+    println!("\nworkers  free_room  refusal_us");
+    for workers in [50, 350, 1_000, 6_000] {
+        for (free_room, memory_mb) in [(false, 0), (true, MEMORY_MB)] {
+            let setup = BenchSetup {
+                memory_mb,
+                jobs: 0,
+                advised: false,
+                ..setup_of(workers, 16_000)
+            };
+            let mut bench = bench(&setup)?;
+            for job in 0..BACKLOG_JOBS {
+                submit(&mut bench.0, job, false, bench.1);
+            }
+            let mut next = BACKLOG_JOBS;
+            let refusal = micros(
+                &mut bench,
+                |bench| bench.1 += time::Duration::from_millis(5),
+                |bench| {
+                    submit_hopeless(&mut bench.0, next, bench.1);
+                    next += 1;
+                },
+            );
+            println!("{workers:7}  {free_room:9}  {refusal:10.1}");
+        }
+    }
     Ok(())
 }
 
@@ -187,6 +216,22 @@
 }
 
 fn submit(scheduler: &mut Scheduler, job: u64, advised: bool, now: time::Instant) {
+    let (queue, description) = quick_job(advised);
+    scheduler.submit(fleet::JobId(job), &queue, description, now, 0);
+}
+
+/// Submits a job that is refused if it has to wait at all.
+fn submit_hopeless(scheduler: &mut Scheduler, job: u64, now: time::Instant) {
+    let (queue, description) = quick_job(false);
+    let queue = fleet::Queue {
+        stretch: 0.0,
+        target_latency_ms: 0,
+        ..queue
+    };
+    scheduler.submit(fleet::JobId(job), &queue, description, now, 0);
+}
+
+fn quick_job(advised: bool) -> (fleet::Queue, fleet::JobDescription) {
     let step = fleet::StepDescription {
         count: TASKS,
         room: fleet::Room {
@@ -220,7 +265,7 @@
             valid_ms: 2_500,
         }),
     };
-    scheduler.submit(fleet::JobId(job), &queue, description, now, 0);
+    (queue, description)
 }
 
 /// Responds to each query that two workers in three may run the step.
