--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -10,6 +10,7 @@
 
 use super::action::Action;
 use super::action::LogEntry;
+use super::admission;
 use super::channels;
 use super::crash_evidence;
 use super::customers;
@@ -134,6 +135,7 @@
     pub(crate) lost_workers: crash_evidence::LostWorkers,
     /// Tasks whose losses are to be judged.
     pub(crate) suspects: IndexSet<fleet::TaskId>,
+    pub(crate) admission: admission::AdmissionState,
     /// What is known of the speed of workers.
     pub(crate) speeds: speed::SpeedEstimates,
     pub(crate) preemptions: preempt::Preemptions,
@@ -166,6 +168,7 @@
             unsaved: unsaved::Unsaved::default(),
             lost_workers: crash_evidence::LostWorkers::default(),
             suspects: IndexSet::new(),
+            admission: admission::AdmissionState::default(),
             speeds: speed::SpeedEstimates::default(),
             preemptions: preempt::Preemptions::default(),
             starvation: starvation::Starvation::default(),
