fleet::terms: outages, handovers, and a check of each acknowledgement

The search noticed a premature acknowledgement only if the task was started again, and had no outages of the store, planned handovers or workers that are cut off in masses.

Each call is now checked: a successful end that it acknowledges has to be in the store. ends_are_in_the_store_when_they_are_acknowledged_over_many_terms adds the faults.

--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -29,6 +29,9 @@
     pub(super) fn elect(&mut self) {
         let led = self.leaders.iter().any(|leader| leader.alive);
         let stays = self.calm || self.now_ms >= self.last_election_ms;
+        if self.now_ms < self.outage_until_ms {
+            return;
+        }
         if led && (stays || self.now_ms < self.next_election_ms) {
             return;
         }
@@ -74,6 +77,7 @@
             links: IndexMap::new(),
             writes: IndexMap::new(),
             wrote_ms: 0,
+            closing: false,
             listed_ms: 0,
             max_delay_ms,
             wall_lag_ms,
@@ -158,7 +162,9 @@
         self.change_members(number);
         let leader = &mut self.leaders[number];
         leader.scheduler.tick(now, wall_ms);
-        leader.scheduler.plan(now);
+        if !leader.closing {
+            leader.scheduler.plan(now);
+        }
         let actions = leader.scheduler.take_actions();
         for action in actions {
             match action {
@@ -225,6 +231,7 @@
             }
         }
         for (id, report) in calls {
+            self.check_acknowledgement(number, &id, report.acknowledged);
             let delay = self.delay();
             let event = Event::ReportArrives(number, id.clone(), report, self.now_ms);
             self.send(delay, event);
@@ -243,7 +250,11 @@
         let pause_ms = 20 + self.random(100);
         let leader = &mut self.leaders[number];
         let full = leader.writes.len() >= MAX_WRITES;
-        if full || self.now_ms < leader.wrote_ms + pause_ms || !leader.scheduler.has_records() {
+        if leader.closing
+            || full
+            || self.now_ms < leader.wrote_ms + pause_ms
+            || !leader.scheduler.has_records()
+        {
             return;
         }
         leader.wrote_ms = self.now_ms;
@@ -261,6 +272,7 @@
             false => 200,
         };
         let delay = self.delay() + self.random(longest_ms);
+        let delay = self.delay_over_outage(delay);
         match !self.calm && self.one_in(15) {
             true => self.send(
                 delay,
@@ -309,6 +321,7 @@
                     false => WriteResult::Deposed,
                 };
                 let delay = self.delay_to(leader);
+                let delay = self.delay_over_outage(delay);
                 self.send(delay, Event::WriteAnswered(leader, id, written));
             }
             Event::WriteAnswered(leader, id, written) => {
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -49,6 +49,7 @@
 mod gangs;
 mod leaders;
 mod mixed;
+mod outages;
 mod workers;
 
 const WALL_MS: u64 = 1_700_000_000_000;
@@ -94,6 +95,9 @@
     /// The simulation ends with a stretch without faults, after which all work has
     /// to be done.
     calm: bool,
+    /// Outages of the store, planned handovers, and workers that are cut off in
+    /// masses.
+    outages: bool,
 }
 
 /// The usual faults alone.
@@ -105,6 +109,7 @@
     keeps_names: false,
     mixed: false,
     calm: false,
+    outages: false,
 };
 
 type RunKey = (fleet::TaskId, u32);
@@ -169,6 +174,8 @@
     links: IndexMap<WorkerId, Link>,
     writes: IndexMap<u64, Records>,
     wrote_ms: u64,
+    /// It hands over: it begins no writes, and ends once those in flight are answered.
+    closing: bool,
     listed_ms: u64,
     /// Messages to this leader take up to this much longer.
     max_delay_ms: u64,
@@ -243,6 +250,8 @@
     limits: Vec<(u64, u64)>,
     /// Time until which the store is slow.
     slow_store_ms: u64,
+    /// Time until which the store answers nothing.
+    outage_until_ms: u64,
     /// Number of workers that crashed under each task.
     crashes: IndexMap<fleet::TaskId, usize>,
     violations: Vec<String>,
@@ -276,6 +285,7 @@
             next_election_ms: 0,
             limits: vec![(0, customers::FIRST_LIMIT_CORES)],
             slow_store_ms: 0,
+            outage_until_ms: 0,
             crashes: IndexMap::new(),
             violations: Vec::new(),
             starts: 0,
@@ -378,8 +388,13 @@
 fn simulate(faults: Faults, seeds: &[u64]) -> Vec<(u64, Vec<String>)> {
     const THREADS: usize = 4;
     // A leader of a few seconds can hardly bound what a customer uses while
-    // workers are unreachable, so it starts little.
-    let min_starts = if faults.customers { 10 } else { 100 };
+    // workers are unreachable, so it starts little. During outages of the store no
+    // job is accepted.
+    let min_starts = match (faults.customers, faults.outages) {
+        (true, _) => 10,
+        (_, true) => 30,
+        _ => 100,
+    };
     let part = move |seeds: Vec<u64>| {
         let simulations = seeds.into_iter().map(|seed| {
             let (violations, starts) = Simulation::new(seed * 7_919 + 1, faults).simulate();
@@ -431,6 +446,26 @@
     );
 }
 
+/// Guards against ends that are acknowledged while the write that has them is in
+/// flight, without an answer for seconds, and a leader that hands over or is lost
+/// meanwhile.
+#[test]
+fn ends_are_in_the_store_when_they_are_acknowledged_over_many_terms() {
+    for mixed in [false, true] {
+        let faults = Faults {
+            mixed,
+            outages: true,
+            ..USUAL_FAULTS
+        };
+        let violations = simulate(faults, &seeds(&[0, 1, 2, 3]));
+        assert!(
+            violations.is_empty(),
+            "mixed: {mixed}, {} seeds with violations: {violations:#?}",
+            violations.len()
+        );
+    }
+}
+
 /// Guards against messages for an earlier incarnation of a worker that take effect
 /// at a later one under the same name.
 #[test]
--- a/crates/figscale-core/tests/fleet/terms/workers.rs
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -190,6 +190,9 @@
         if self.faults.mixed {
             self.inject_mixed_faults();
         }
+        if self.faults.outages {
+            self.inject_outages();
+        }
         if self.one_in(100) && !self.leaders.is_empty() {
             let leader = self.random(self.leaders.len() as u64) as usize;
             let number = self.random(self.workers.len() as u64) as usize;
