Worker speed: record in the store, log, metrics and dump

A new leader reads figscale/speeds with the other records. It is written at most every 5 s, only if it differs, and in no write with new or cancelled jobs or new workers. WORKER_SPEED and RUN_DONE are logged; the gauge of workers by slowdown and the histogram of lengths relative to predictions are new. The estimator counts the runs of one job on one worker as one, compares a run with those of its step on other workers only, and uses progress once ends have shown that it is even.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -178,6 +178,20 @@
         /// How it ended.
         end: fleet::End,
     },
+    /// A run ended successfully.
+    RunDone {
+        /// The task.
+        task: fleet::TaskId,
+        /// Attempt of the task.
+        attempt: u32,
+        /// Worker that ran it.
+        worker: fleet::WorkerId,
+        /// Time from its start to its end.
+        length: time::Duration,
+        /// How long it was expected to take, by its step's estimate, its queue's run
+        /// times and its worker's speed.
+        predicted: time::Duration,
+    },
     /// A worker refused a start order.
     StartRefused {
         /// The task.
@@ -212,6 +226,19 @@
         /// Runs that are abandoned.
         runs: usize,
     },
+    /// Work takes longer or less long on a worker than before.
+    WorkerSpeedChanged {
+        /// The worker.
+        worker: fleet::WorkerId,
+        /// Its slowdown before.
+        previous: fleet::Slowdown,
+        /// Its slowdown now.
+        slowdown: fleet::Slowdown,
+        /// Its slowdown without what has changed in the last seconds.
+        lasting: fleet::Slowdown,
+        /// Number of runs that it is derived from.
+        runs: usize,
+    },
     /// A worker has restarted under its name.
     WorkerRestarted {
         /// The new incarnation.
--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -15,6 +15,7 @@
 
 use super::crashes;
 use super::maps;
+use super::speed;
 
 /// First byte of each record: the version of its layout, so that later layouts can
 /// be distinguished.
@@ -29,6 +30,8 @@
     Progress(fleet::JobId),
     /// The workers that may have runs.
     Workers,
+    /// The speed of workers and the run times of queues.
+    Speeds,
 }
 
 /// A record to be written or removed.
@@ -50,6 +53,8 @@
     /// Workers that may be used once the records are written; `None` if the
     /// record of workers is not among them.
     pub(crate) recorded: Option<maps::WorkerSet>,
+    /// Speeds, if their record is among the records.
+    pub(crate) speeds: Option<speed::Speeds>,
     /// Jobs that the records belong to.
     pub(crate) jobs: Vec<fleet::JobId>,
 }
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -42,6 +42,7 @@
             self.add_records(id, &mut records);
             records.jobs.push(id);
         }
+        self.add_speeds_record(&mut records, most);
         let ends = self.unacknowledged.iter().filter_map(|id| {
             let worker = self.workers.get(id)?;
             Some((id.clone(), worker.applied))
@@ -89,6 +90,29 @@
         records.recorded = Some(ids);
     }
 
+    /// Adds the record of speeds if it has to be written and no caller waits for the
+    /// others: for new jobs, cancelled ones, or workers that cannot be used before.
+    fn add_speeds_record(&mut self, records: &mut durable::Records, most: usize) {
+        let cancelled = |id: &fleet::JobId| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| job.end == Some(fleet::JobState::Cancelled))
+        };
+        let awaited = !records.created.is_empty()
+            || records.recorded.is_some()
+            || records.jobs.iter().any(cancelled);
+        if awaited || records.records.len() >= most {
+            return;
+        }
+        let Some(speeds) = self.speeds.record.take() else {
+            return;
+        };
+        records.records.push(durable::Record {
+            key: durable::RecordKey::Speeds,
+            bytes: Some(durable::encode(&speeds)),
+        });
+        records.speeds = Some(speeds);
+    }
+
     /// Sets the workers that are named by the record in the store.
     pub(crate) fn set_recorded(&mut self, recorded: maps::WorkerSet) {
         self.unrecorded.clear();
@@ -132,6 +156,7 @@
         self.unsaved.ready().next().is_some()
             || !self.unacknowledged.is_empty()
             || !self.workers_record_in_flight && self.workers_record_dirty
+            || self.speeds.record.is_due()
     }
 
     /// Whether a worker has ends that are not acknowledged yet.
@@ -151,6 +176,9 @@
             self.workers_record_in_flight = false;
             self.workers_record_dirty = self.workers_record_differs();
         }
+        if let Some(speeds) = &records.speeds {
+            self.speeds.record.written(speeds.clone());
+        }
         self.unsaved.written(&records.jobs);
         for (id, number) in self.unsaved.due() {
             if let Some(worker) = self.workers.get_mut(&id) {
@@ -171,6 +199,9 @@
             self.workers_record_outdated = true;
             self.workers_record_dirty = true;
         }
+        if records.speeds.is_some() {
+            self.speeds.record.not_written();
+        }
         self.unsaved.not_written(&records.jobs);
         for id in &records.created {
             self.withdraw(*id);
--- a/crates/figscale-core/src/fleet/speed/mod.rs
+++ b/crates/figscale-core/src/fleet/speed/mod.rs
@@ -14,6 +14,7 @@
 
 mod histogram;
 mod queue;
+mod record;
 mod run;
 mod service;
 mod step;
@@ -26,6 +27,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub(crate) use record::SpeedsRecord;
 pub(crate) use run::Reading;
 pub(crate) use run::RunSpeed;
 pub(crate) use step::StepRatio;
@@ -36,8 +38,17 @@
 /// A change of a run's speed by this factor (1.6), as a logarithm, is one of its
 /// worker's speed, if other runs there change likewise.
 const TURN: f64 = 0.47;
+/// A run that began during a turn shows by this decrease (a quarter) that it is over.
+const SPEEDUP: f64 = 0.3;
+/// A change of a run's speed counts if it is known to this variance.
+const MAX_CHANGE_VARIANCE: f64 = 0.1;
+/// It counts only in a queue whose progress is even. Where it comes in steps of a
+/// quarter the mean squared error is above this.
+const MAX_ERROR_FOR_CHANGE: f64 = 0.03;
 /// How often what all workers have in common is computed again.
 const REVIEW_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+/// Most changes of workers' speed that are logged between two reviews.
+const MAX_LOGGED_CHANGES: usize = 20;
 /// Standard deviation of normally distributed values in units of the median of their
 /// absolute deviations.
 const DEVIATION_OF_MEDIAN: f64 = 1.48;
@@ -90,6 +101,11 @@
     queues: IndexMap<String, queue::QueueSpeed>,
     services: IndexMap<String, service::ServiceSpeed>,
     reviewed_at: Option<time::Instant>,
+    pub(crate) record: SpeedsRecord,
+    /// Number of workers that were given one.
+    last_serial: u32,
+    /// Changes of workers' speed since the last review.
+    changes: usize,
 }
 
 /// One run as evidence, with what it is compared with.
@@ -126,6 +142,7 @@
 impl SpeedEstimates {
     /// Takes over what an earlier leader knew.
     pub(crate) fn load(&mut self, speeds: &Speeds) {
+        self.record.loaded(speeds.clone());
         self.recorded = speeds.workers.iter().cloned().collect();
         let queues = speeds.queues.iter();
         let queues = queues.map(|(name, known)| (name.clone(), queue::QueueSpeed::known(*known)));
@@ -134,13 +151,15 @@
 
     /// What is known of a worker without evidence of its own: what an earlier leader
     /// recorded, or the speed of its kind.
-    pub(crate) fn initial(&self, entry: &fleet::WorkerEntry) -> WorkerSpeed {
+    pub(crate) fn initial(&mut self, entry: &fleet::WorkerEntry) -> WorkerSpeed {
+        self.last_serial = self.last_serial.wrapping_add(1);
         let recorded = self.recorded.get(&entry.id).copied();
         let of_kind = || {
             let kinds = &self.services.get(&entry.service)?.kinds;
             kinds.get(entry.labels.first()?).copied()
         };
-        WorkerSpeed::known(recorded.or_else(of_kind).unwrap_or_default())
+        let known = recorded.or_else(of_kind).unwrap_or_default();
+        WorkerSpeed::known(self.last_serial, known)
     }
 
     /// Run times of a queue's tasks.
@@ -149,6 +168,12 @@
         known.map(|known| known.run_times).unwrap_or_default()
     }
 
+    /// Whether the progress of a queue's runs shows how long they take.
+    pub(crate) fn trusts_progress(&self, queue_name: &str) -> bool {
+        let known = self.queues.get(queue_name);
+        known.is_none_or(|known| !known.progress_is_useless())
+    }
+
     /// Run times of the queues whose tasks do not take as long as estimated.
     pub(crate) fn known_run_times(&self) -> Vec<(String, RunTimes)> {
         let known = self.queues.iter();
@@ -187,20 +212,39 @@
         let anchor = self.reference(&queue.service).anchor;
         let queue = self.queue(queue);
         let turn = *run.turn.get_or_insert(worker.turn());
-        if let Some(change) = reading.change {
-            worker.record_change(task, turn + change, now);
-            if change.abs() >= TURN {
-                return;
+        let progress_error = match reading.ended {
+            true => 0.0,
+            false => match queue.progress_error() {
+                Some(error) => error,
+                None => return,
+            },
+        };
+        run.turn_seen |= worker.turn() != 0.0;
+        let clear =
+            reading.variance <= MAX_CHANGE_VARIANCE && progress_error <= MAX_ERROR_FOR_CHANGE;
+        if let Some(change) = reading.change.filter(|_| clear) {
+            // A run that began during a turn may have been measured across its end, so
+            // it shows that the turn is over but not that it continues.
+            match turn == 0.0 {
+                true => worker.record_change(task, change.max(0.0), now),
+                false if change <= -SPEEDUP => worker.record_change(task, 0.0, now),
+                false => (),
             }
         }
+        if reading.change.is_some_and(|change| change.abs() >= TURN) {
+            return;
+        }
         let own = reading.ratio - worker.lasting(anchor) - turn;
-        let known = queue.step_ratio(step.others(run.of_step));
-        step.record(&mut run.of_step, own);
+        let known = queue.step_ratio(step.others(worker.serial));
+        step.record(&mut run.of_step, worker.serial, own);
         if turn != 0.0 || worker.turn() != 0.0 {
             return;
         }
         if let Some((mean, variance)) = known {
-            let evidence = (reading.ratio - mean, variance + reading.variance);
+            let evidence = (
+                reading.ratio - mean,
+                variance + reading.variance + progress_error,
+            );
             worker.record(run, task.job, evidence, now);
         }
     }
@@ -217,13 +261,16 @@
         let Some(whole) = observed.run.whole(clock_ms) else {
             return;
         };
+        let queue = self.queue(observed.queue);
+        if let Some(error) = observed.run.progress_error(&whole) {
+            queue.record_progress(error);
+        }
         if observed.worker.turn() != 0.0 || observed.run.has_turned() {
             return;
         }
-        let queue = self.queue(observed.queue);
         let own = whole.ratio - observed.worker.lasting(anchor);
         queue.record(own, count, now);
-        if let Some(others) = observed.step.others(observed.run.of_step) {
+        if let Some(others) = observed.step.others(observed.worker.serial) {
             queue.record_within(own - others.median, now);
         }
     }
@@ -239,8 +286,15 @@
     ) {
         let anchor = self.reference(&queue.service).anchor;
         let slowest = (f64::from(slowest.percent()) / 100.0).ln() + anchor;
-        if let Some(whole) = run.whole(clock_ms).filter(|_| !run.has_turned()) {
-            self.queue(queue).record(whole.ratio - slowest, 1, now);
+        let Some(whole) = run.whole(clock_ms) else {
+            return;
+        };
+        let queue = self.queue(queue);
+        if let Some(error) = run.progress_error(&whole) {
+            queue.record_progress(error);
+        }
+        if !run.has_turned() {
+            queue.record(whole.ratio - slowest, 1, now);
         }
     }
 
@@ -255,6 +309,12 @@
         moved.then(|| worker.slowdown())
     }
 
+    /// Whether another change of a worker's speed may be logged.
+    pub(crate) fn may_log_change(&mut self) -> bool {
+        self.changes += 1;
+        self.changes <= MAX_LOGGED_CHANGES
+    }
+
     /// Whether a review is due.
     pub(crate) fn review_is_due(&self, now: time::Instant) -> bool {
         self.reviewed_at
@@ -268,6 +328,7 @@
         now: time::Instant,
     ) {
         self.reviewed_at = Some(now);
+        self.changes = 0;
         let mut estimates: IndexMap<&str, Vec<worker::Estimate>> = IndexMap::new();
         let mut kinds: IndexMap<(&str, &str), Vec<fleet::Slowdown>> = IndexMap::new();
         for (entry, speed) in workers {
--- a/crates/figscale-core/src/fleet/speed/queue.rs
+++ b/crates/figscale-core/src/fleet/speed/queue.rs
@@ -14,6 +14,15 @@
 const INITIAL_BETWEEN_STEPS: f64 = 0.7;
 const INITIAL_WITHIN_STEP: f64 = 0.25;
 const MIN_WITHIN_STEP: f64 = 0.1;
+/// Mean squared error of progress, in logarithms: until runs have ended, up to which
+/// it is evidence on workers, from which on it is not used at all, and of one run at
+/// most.
+const INITIAL_PROGRESS_ERROR: f64 = 0.15;
+const GOOD_PROGRESS_ERROR: f64 = 0.1;
+const USELESS_PROGRESS_ERROR: f64 = 0.5;
+const MAX_PROGRESS_ERROR: f64 = 1.0;
+/// Weight of one more run in that mean.
+const PROGRESS_WEIGHT: f64 = 0.05;
 /// Run times are known in multiples of this percentage, and move by more than one
 /// and a half of it at a time.
 const PERCENT_STEP: u32 = 10;
@@ -32,6 +41,8 @@
     between_steps: f64,
     within_step: f64,
     pub(super) run_times: RunTimes,
+    /// Mean squared error of progress, in logarithms.
+    progress_error: f64,
 }
 
 impl Default for QueueSpeed {
@@ -44,6 +55,7 @@
             between_steps: INITIAL_BETWEEN_STEPS,
             within_step: INITIAL_WITHIN_STEP,
             run_times: RunTimes::default(),
+            progress_error: INITIAL_PROGRESS_ERROR,
         }
     }
 }
@@ -64,6 +76,22 @@
         self.ratios.add(ratio, 1.0 / f64::from(count.max(1)), now);
     }
 
+    /// Records the squared error of the progress of a run that has ended.
+    pub(super) fn record_progress(&mut self, squared_error: f64) {
+        let error = squared_error.min(MAX_PROGRESS_ERROR);
+        self.progress_error += PROGRESS_WEIGHT * (error - self.progress_error);
+    }
+
+    /// Squared error of progress, if that shows well how long runs take.
+    pub(super) fn progress_error(&self) -> Option<f64> {
+        Some(self.progress_error).filter(|error| *error <= GOOD_PROGRESS_ERROR)
+    }
+
+    /// Whether progress has been found not to show how long runs take.
+    pub(super) fn progress_is_useless(&self) -> bool {
+        self.progress_error > USELESS_PROGRESS_ERROR
+    }
+
     /// Records by how much a task differs from what its step and worker explain.
     pub(super) fn record_within(&mut self, deviation: f64, now: time::Instant) {
         self.within.add(deviation, 1.0, now);
--- a/crates/figscale-core/src/fleet/speed/run.rs
+++ b/crates/figscale-core/src/fleet/speed/run.rs
@@ -1,16 +1,21 @@
 //! How long one run takes in total, as its progress and its end imply.
 
+use std::time;
+
 use super::TURN;
 
 /// Least progress between two readings for which the time in between counts; the
 /// figure is a whole number.
 const MIN_PROGRESS_PERCENT: u32 = 5;
+/// The same for a run that may soon be as fast again as before.
+const MIN_PROGRESS_IF_TURNED_PERCENT: u32 = 2;
 /// Expected progress above which less than half of it counts as evidence, too.
 const MIN_EXPECTED_PERCENT: f64 = 6.0;
 /// Shortest time that counts.
 const MIN_TIME_MS: u64 = 40;
-/// A change of speed counts if it is known to this variance.
-const MAX_CHANGE_VARIANCE: f64 = 0.05;
+/// Squared error of progress that showed a change of speed where other runs of the
+/// worker showed none.
+const ERROR_IF_TURNED: f64 = 0.25;
 /// Error of a clock reading relative to the start, progress or end that it stands
 /// for.
 const CLOCK_ERROR_MS: f64 = 20.0;
@@ -23,6 +28,8 @@
     pub(crate) ratio: f64,
     /// Variance of the measurement.
     pub(crate) variance: f64,
+    /// Whether the run has ended.
+    pub(crate) ended: bool,
     /// By how much the run is now slower than before.
     pub(crate) change: Option<f64>,
 }
@@ -47,6 +54,8 @@
     /// Turn of its worker's speed at its first reading.
     pub(super) turn: Option<f64>,
     turned: bool,
+    /// Whether a turn of its worker's speed was seen while it ran.
+    pub(super) turn_seen: bool,
     /// Its number on its worker's list of evidence.
     pub(super) slot: Option<u64>,
     /// Its number among the runs of its step.
@@ -94,7 +103,11 @@
             return None;
         };
         let done = percent - last.1;
-        let enough = done >= MIN_PROGRESS_PERCENT || done > 0 && self.lags(last, clock_ms, done);
+        let least = match self.turned {
+            true => MIN_PROGRESS_IF_TURNED_PERCENT,
+            false => MIN_PROGRESS_PERCENT,
+        };
+        let enough = done >= least || done > 0 && self.lags(last, clock_ms, done);
         if !enough || clock_ms < last.0 + MIN_TIME_MS {
             return None;
         }
@@ -112,18 +125,36 @@
         expected >= MIN_EXPECTED_PERCENT && f64::from(done + 1) < expected / 2.0
     }
 
-    /// Records its end; returns what that implies.
+    /// Records its end; returns what that implies. A change of speed that only its
+    /// end shows does not count, since progress may not be even.
     pub(crate) fn ended(&mut self, clock_ms: u64) -> Option<Reading> {
-        if self.unusable {
-            let start = self.origin.filter(|(_, percent)| *percent == 0)?;
-            self.steady_since = Some(start);
-            return self.reading(start, (clock_ms, 100), None);
-        }
-        let done = 100 - self.last?.1;
-        if done < MIN_PROGRESS_PERCENT {
-            return self.reading(self.steady_since?, (clock_ms, 100), None);
+        let start = match self.unusable {
+            true => self.origin.filter(|(_, percent)| *percent == 0),
+            false => self.steady_since,
+        };
+        self.reading(start?, (clock_ms, 100), None)
+    }
+
+    /// Square of the distance, in logarithms, of its end from where its progress let
+    /// expect it; `None` if there was no progress.
+    pub(super) fn progress_error(&self, whole: &Reading) -> Option<f64> {
+        let implied = self.steady_ratio?;
+        match self.turned {
+            true if self.turn_seen => None,
+            true => Some(ERROR_IF_TURNED),
+            false => Some((implied - whole.ratio).powi(2)),
         }
-        self.advance((clock_ms, 100))
+    }
+
+    /// Time since its start; `None` if that is not known, or if it resumed.
+    pub(crate) fn length_ms(&self, clock_ms: u64) -> Option<u64> {
+        let (start_ms, _) = self.origin.filter(|(_, percent)| *percent == 0)?;
+        Some(clock_ms.saturating_sub(start_ms))
+    }
+
+    /// Its step's estimate; zero if the run is no evidence.
+    pub(crate) fn estimate(&self) -> time::Duration {
+        time::Duration::from_millis(self.estimate_ms)
     }
 
     /// Total time that its whole known course implies once it has ended.
@@ -141,9 +172,7 @@
         self.last = Some(at);
         let latest = self.reading(last, at, None);
         self.latest_ratio = latest.map(|latest| latest.ratio).or(self.latest_ratio);
-        // A difference of a few percent says little unless it should be far more.
-        let clear = |latest: &Reading| latest.variance <= MAX_CHANGE_VARIANCE;
-        let change = latest.filter(clear).zip(self.steady_ratio);
+        let change = latest.zip(self.steady_ratio);
         let change = change.map(|(latest, steady)| latest.ratio - steady);
         let turned = change.is_some_and(|change| change.abs() >= TURN);
         if turned {
@@ -155,6 +184,7 @@
                 .map(|(latest, steady)| Reading {
                     ratio: steady,
                     variance: latest.variance,
+                    ended: false,
                     change,
                 });
         }
@@ -178,6 +208,7 @@
         Some(Reading {
             ratio: (total_ms / self.estimate_ms as f64).ln(),
             variance: of_progress * of_progress + of_time * of_time,
+            ended: to.1 == 100,
             change,
         })
     }
--- a/crates/figscale-core/src/fleet/speed/step.rs
+++ b/crates/figscale-core/src/fleet/speed/step.rs
@@ -2,32 +2,46 @@
 
 /// Number of runs that are remembered; more tell little more.
 const MAX_RUNS: usize = 24;
-/// Fewest other runs whose median tells something; one task in thirty is an outlier.
+/// Fewest other runs, and their workers, whose median tells something; one task in
+/// thirty is an outlier, and a worker may have become slow.
 const MIN_OTHERS: usize = 3;
+const MIN_WORKERS: usize = 2;
 
 /// Total times of the runs of a step, beside the speed of their workers, in
 /// logarithms.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepRatio {
-    runs: Vec<f64>,
+    /// Each with the serial number of its worker.
+    runs: Vec<(u32, f64)>,
 }
 
-/// Median of other runs of the same step.
+/// Median of the runs of a step on other workers.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Others {
     pub(super) median: f64,
-    /// Its variance, as far as the runs show it.
+    /// Its variance, as far as the workers show it.
     pub(super) variance: f64,
+    /// Number of workers.
     pub(super) count: f64,
 }
 
 impl StepRatio {
-    /// The runs other than that at `own`; `None` if they are too few.
-    pub(super) fn others(&self, own: Option<usize>) -> Option<Others> {
-        let others = self.runs.iter().enumerate();
-        let others = others.filter(|(index, _)| Some(*index) != own);
-        let mut values: Vec<f64> = others.map(|(_, value)| *value).collect();
-        if values.len() < MIN_OTHERS {
+    /// The runs on workers other than this; `None` if they are too few. Each worker
+    /// counts once, since its runs have its speed in common.
+    pub(super) fn others(&self, worker: u32) -> Option<Others> {
+        let others = self.runs.iter().filter(|(other, _)| *other != worker);
+        let mut others: Vec<(u32, f64)> = others.copied().collect();
+        if others.len() < MIN_OTHERS {
+            return None;
+        }
+        others.sort_by_key(|(worker, _)| *worker);
+        let of_worker = |runs: &[(u32, f64)]| {
+            let mut values: Vec<f64> = runs.iter().map(|(_, value)| *value).collect();
+            super::median(&mut values)
+        };
+        let workers = others.chunk_by(|a, b| a.0 == b.0);
+        let mut values: Vec<f64> = workers.map(of_worker).collect();
+        if values.len() < MIN_WORKERS {
             return None;
         }
         let median = super::median(&mut values);
@@ -42,12 +56,12 @@
     }
 
     /// Records what a run says, in place of what it said before.
-    pub(super) fn record(&mut self, own: &mut Option<usize>, value: f64) {
+    pub(super) fn record(&mut self, own: &mut Option<usize>, worker: u32, value: f64) {
         match own {
-            Some(own) => self.runs[*own] = value,
+            Some(own) => self.runs[*own] = (worker, value),
             None if self.runs.len() < MAX_RUNS => {
                 *own = Some(self.runs.len());
-                self.runs.push(value);
+                self.runs.push((worker, value));
             }
             None => (),
         }
--- a/crates/figscale-core/src/fleet/speed/worker.rs
+++ b/crates/figscale-core/src/fleet/speed/worker.rs
@@ -18,7 +18,7 @@
 const CLIP_DEVIATIONS: f64 = 2.0;
 /// Runs and jobs from which on a worker's own evidence counts.
 pub(super) const MIN_RUNS: usize = 5;
-const MIN_JOBS: usize = 3;
+const MIN_JOBS: usize = 4;
 /// Ratio of two neighbouring slowdowns, as a logarithm (1.15).
 const STEP: f64 = 0.139_762;
 /// A slowdown is kept while the estimate is within this of it.
@@ -38,13 +38,13 @@
 /// Own runs after which the latter no longer counts.
 const PRIOR_RUNS: f64 = 12.0;
 /// Age up to which a change of a run's speed counts.
-const MAX_CHANGE_AGE: time::Duration = time::Duration::from_millis(1_500);
+const MAX_CHANGE_AGE: time::Duration = time::Duration::from_millis(1_300);
 /// Without new evidence a turn of speed is taken to be over after this time, since a
 /// worker that gets no work shows none.
-const MAX_TURN_AGE: time::Duration = time::Duration::from_millis(3_000);
+const MAX_TURN_AGE: time::Duration = time::Duration::from_millis(2_000);
 /// A turn that lasts for this time is taken as the worker's lasting speed.
 const MAX_TURN: time::Duration = time::Duration::from_secs(12);
-/// Fewest runs, of as many jobs, that show a turn.
+/// Fewest jobs whose runs show a turn.
 const MIN_TURNED: usize = 2;
 
 /// What one run says, in logarithms.
@@ -70,6 +70,7 @@
     pub(super) mean: f64,
     pub(super) variance: f64,
     pub(super) runs: usize,
+    pub(super) jobs: usize,
 }
 
 /// Ordinary speed among the workers of a service, in logarithms.
@@ -83,6 +84,8 @@
 /// Evidence on the speed of one worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerSpeed {
+    /// Tells workers apart.
+    pub(super) serial: u32,
     evidence: Vec<Evidence>,
     next_slot: u64,
     estimate: Option<Estimate>,
@@ -104,8 +107,9 @@
 
 impl WorkerSpeed {
     /// A worker of which nothing but this slowdown is known.
-    pub(super) fn known(slowdown: fleet::Slowdown) -> Self {
+    pub(super) fn known(serial: u32, slowdown: fleet::Slowdown) -> Self {
         Self {
+            serial,
             prior: (slowdown != fleet::Slowdown::ORDINARY).then_some(slowdown),
             lasting: slowdown,
             slowdown,
@@ -117,10 +121,20 @@
         self.slowdown
     }
 
+    /// The lasting slowdown, without a turn of speed.
+    pub(crate) fn lasting_slowdown(&self) -> fleet::Slowdown {
+        self.lasting
+    }
+
+    /// Number of runs that it is known from.
+    pub(crate) fn runs(&self) -> usize {
+        self.evidence.len()
+    }
+
     /// Its own evidence, if there is enough.
     pub(super) fn estimate(&self) -> Option<Estimate> {
         self.estimate
-            .filter(|estimate| estimate.runs >= MIN_RUNS && self.has_several_jobs())
+            .filter(|estimate| estimate.runs >= MIN_RUNS && estimate.jobs >= MIN_JOBS)
     }
 
     /// Its lasting slowdown as far as known, in logarithms.
@@ -241,10 +255,20 @@
     /// Mean of the evidence, with outliers clipped around the median.
     fn locate(&self) -> Option<Estimate> {
         let newest = self.evidence.iter().map(|evidence| evidence.at).max()?;
+        // The runs of one job have the error of their estimate in common.
+        let mut jobs: Vec<(fleet::JobId, f64)> = Vec::new();
+        for evidence in &self.evidence {
+            match jobs.iter_mut().find(|(job, _)| *job == evidence.job) {
+                Some((_, runs)) => *runs += 1.0,
+                None => jobs.push((evidence.job, 1.0)),
+            }
+        }
+        let runs_of = |job| jobs.iter().find(|(other, _)| *other == job);
         let weighted = self.evidence.iter().map(|evidence| {
             let age = newest.saturating_duration_since(evidence.at);
             let age = age.as_secs_f64() / HALF_LIFE.as_secs_f64();
-            (evidence, (-age).exp2() / evidence.variance)
+            let runs = runs_of(evidence.job).map_or(1.0, |(_, runs)| *runs);
+            (evidence, (-age).exp2() / (evidence.variance * runs))
         });
         let mut weighted: Vec<(&Evidence, f64)> = weighted.collect();
         weighted.sort_by(|a, b| a.0.residual.total_cmp(&b.0.residual));
@@ -265,34 +289,22 @@
             .map(|(evidence, _)| (evidence.residual - median).abs())
             .collect();
         let deviation = super::DEVIATION_OF_MEDIAN * super::median(&mut deviations);
-        let seen = deviation * deviation / weighted.len() as f64;
+        let seen = deviation * deviation / jobs.len() as f64;
         Some(Estimate {
             mean: median + sum / total,
             variance: seen.max(1.0 / total),
             runs: weighted.len(),
+            jobs: jobs.len(),
         })
     }
 
-    fn has_several_jobs(&self) -> bool {
-        let mut jobs: Vec<fleet::JobId> = Vec::with_capacity(MIN_JOBS);
-        for evidence in &self.evidence {
-            if !jobs.contains(&evidence.job) {
-                jobs.push(evidence.job);
-            }
-            if jobs.len() >= MIN_JOBS {
-                return true;
-            }
-        }
-        false
-    }
-
     fn update_turn(&mut self, now: time::Instant) {
         let old = |at: time::Instant, age| now.saturating_duration_since(at) > age;
         self.changes
             .retain(|change| !old(change.at, MAX_CHANGE_AGE));
         let mut factors: Vec<f64> = self.changes.iter().map(|change| change.factor).collect();
         factors.sort_by(f64::total_cmp);
-        let turned = |change: &&Change| change.factor.abs() >= TURN;
+        let turned = |change: &&Change| change.factor >= TURN;
         let mut jobs: Vec<fleet::JobId> = Vec::new();
         for change in self.changes.iter().filter(turned) {
             if !jobs.contains(&change.task.job) {
@@ -300,19 +312,13 @@
             }
         }
         // The lower of the two in the middle decides, so that half is not enough.
-        let slowest = factors.get(factors.len().saturating_sub(1) / 2);
-        let fastest = factors.get(factors.len() / 2);
-        let middle = match (slowest, fastest) {
-            (Some(low), _) if *low >= TURN => *low,
-            (_, Some(high)) if *high <= -TURN => *high,
-            (Some(low), Some(high)) => (low + high) / 2.0,
-            _ => 0.0,
-        };
-        let shows_turn = jobs.len() >= MIN_TURNED && middle.abs() >= TURN;
-        let shows_none = !factors.is_empty() && middle.abs() < TURN;
+        let middle = factors.get(factors.len().saturating_sub(1) / 2);
+        let middle = middle.copied().unwrap_or_default();
+        let shows_turn = jobs.len() >= MIN_TURNED && middle >= TURN;
+        let shows_none = !factors.is_empty() && middle < TURN;
         if shows_turn {
             self.turned_at = self.turned_at.or(Some(now));
-            self.turn_seen_at = Some(now);
+            self.turn_seen_at = self.changes.iter().map(|change| change.at).max();
             self.turn = middle;
         } else if shows_none || self.turn_seen_at.is_some_and(|at| old(at, MAX_TURN_AGE)) {
             self.end_turn();
--- a/crates/figscale-core/src/fleet/speed_evidence.rs
+++ b/crates/figscale-core/src/fleet/speed_evidence.rs
@@ -1,9 +1,13 @@
 //! Feeds the estimates of speed from reports, and passes them on to the workers.
 
+use std::mem;
 use std::time;
 
 use figscale_types::fleet;
 
+use super::action::Action;
+use super::action::LogEntry;
+use super::durable;
 use super::job;
 use super::scheduler;
 use super::speed;
@@ -21,17 +25,29 @@
     /// What is known of speeds: the workers that are not of ordinary speed, and the
     /// run times of queues that are not as estimated.
     pub fn known_speeds(&self) -> speed::Speeds {
-        let differs = |slowdown: fleet::Slowdown| slowdown != fleet::Slowdown::ORDINARY;
+        self.speeds_by(|worker| worker.slowdown)
+    }
+
+    fn speeds_by(&self, slowdown: impl Fn(&worker::Worker) -> fleet::Slowdown) -> speed::Speeds {
         let workers = self.workers.iter();
-        let workers = workers.filter(|(_, worker)| differs(worker.slowdown));
+        let workers = workers.map(|(id, worker)| (id, slowdown(worker)));
+        let workers = workers.filter(|(_, slowdown)| *slowdown != fleet::Slowdown::ORDINARY);
         speed::Speeds {
             workers: workers
-                .map(|(id, worker)| (id.clone(), worker.slowdown))
+                .map(|(id, slowdown)| (id.clone(), slowdown))
                 .collect(),
             queues: self.speeds.known_run_times(),
         }
     }
 
+    /// Takes over the record that an earlier leader wrote. One that is outdated does
+    /// little harm, since it counts no more after a few runs on each worker.
+    pub fn load_speeds(&mut self, bytes: &[u8]) -> Result<(), durable::RecordError> {
+        let speeds: speed::Speeds = durable::decode(bytes)?;
+        self.set_speeds(&speeds);
+        Ok(())
+    }
+
     /// Run times of a queue's tasks.
     pub(crate) fn run_times(&self, queue_name: &str) -> speed::RunTimes {
         self.speeds.run_times(queue_name)
@@ -56,12 +72,15 @@
         let Some(reading) = reading else {
             return;
         };
-        if let Some(remaining_ms) = run.speed.remaining_ms() {
-            run.expected_end = now + time::Duration::from_millis(remaining_ms);
-        }
         let Some(job) = self.jobs.get_mut(&running.task.job) else {
             return;
         };
+        let remaining_ms = run.speed.remaining_ms();
+        if let Some(remaining_ms) = remaining_ms
+            && self.speeds.trusts_progress(&job.queue.name)
+        {
+            run.expected_end = now + time::Duration::from_millis(remaining_ms);
+        }
         let observed = observed(job, &running.task, &mut worker.speed, &mut run.speed);
         if let Some(observed) = observed {
             self.speeds.observe(observed, reading, now);
@@ -87,12 +106,20 @@
         let Some(clock_ms) = worker.speed.prompt_report_ms() else {
             return;
         };
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
         let Some(count) = job.step_description(task).map(|step| step.count) else {
             return;
         };
+        let slowdown = worker.slowdown;
+        self.report_length(id, key, &run, (clock_ms, slowdown));
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         let Some(reading) = run.speed.ended(clock_ms) else {
             return;
         };
@@ -132,9 +159,36 @@
         let slowest = slowdowns.max().unwrap_or_default();
         let queue = job.queue.clone();
         let end = (clock_ms, slowest);
+        self.report_length(id, &(*task, *attempt), run, end);
         self.speeds.observe_gang(&queue, &run.speed, end, now);
     }
 
+    /// Logs how long a run took, and how long it was predicted to take.
+    fn report_length(
+        &mut self,
+        id: &fleet::WorkerId,
+        (task, attempt): &worker::RunKey,
+        run: &worker::Run,
+        (clock_ms, slowdown): (u64, fleet::Slowdown),
+    ) {
+        let estimate = run.speed.estimate();
+        let length_ms = run.speed.length_ms(clock_ms);
+        let (Some(length_ms), Some(job)) = (length_ms, self.jobs.get(&task.job)) else {
+            return;
+        };
+        if estimate.is_zero() {
+            return;
+        }
+        let run_times = self.run_times(&job.queue.name);
+        self.actions.push(Action::Log(LogEntry::RunDone {
+            task: *task,
+            attempt: *attempt,
+            worker: id.clone(),
+            length: time::Duration::from_millis(length_ms),
+            predicted: slowdown.of(run_times.typical(estimate)),
+        }));
+    }
+
     /// Derives the slowdown of a worker that has reported.
     pub(crate) fn update_slowdown(&mut self, id: &fleet::WorkerId, now: time::Instant) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -142,8 +196,18 @@
         };
         let service = &worker.entry.service;
         let moved = self.speeds.update(service, &mut worker.speed, now);
-        if let Some(slowdown) = moved {
-            worker.slowdown = slowdown;
+        let Some(slowdown) = moved else {
+            return;
+        };
+        let previous = mem::replace(&mut worker.slowdown, slowdown);
+        if self.speeds.may_log_change() {
+            self.actions.push(Action::Log(LogEntry::WorkerSpeedChanged {
+                worker: id.clone(),
+                previous,
+                slowdown,
+                lasting: worker.speed.lasting_slowdown(),
+                runs: worker.speed.runs(),
+            }));
         }
     }
 
@@ -155,6 +219,11 @@
         let workers = self.workers.values();
         let workers = workers.map(|worker| (&worker.entry, &worker.speed));
         self.speeds.review(workers, now);
+        let mut record = mem::take(&mut self.speeds.record);
+        // A turn of speed is over before it would be of use to another leader.
+        let lasting = || self.speeds_by(|worker| worker.speed.lasting_slowdown());
+        record.check(lasting, now);
+        self.speeds.record = record;
     }
 }
 
--- a/crates/figscale-core/tests/fleet/helpers.rs
+++ b/crates/figscale-core/tests/fleet/helpers.rs
@@ -556,6 +556,7 @@
             match key {
                 RecordKey::Progress(id) => scheduler.load_progress(*id, bytes).unwrap(),
                 RecordKey::Workers => recorded = Scheduler::recorded_workers(bytes).unwrap(),
+                RecordKey::Speeds => scheduler.load_speeds(bytes).unwrap(),
                 RecordKey::Job(_) => (),
             }
         }
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -52,6 +52,8 @@
     6315 TASK_CRASHES_WORKERS Warn "A task of a job crashes the workers that run it; the job has failed.";
     6316 WORKER_RESTARTED Info "A worker has restarted under its name: its runs have ended, and the new incarnation is ordered to refuse orders that were sent to the earlier one.";
     6317 REPORT_UNREADABLE Warn "Rows of a worker's report could not be read; the others hold, and no run counts as missing.";
+    6321 WORKER_SPEED Info "Work takes longer or less long on a worker than before; the log line gives its slowdown relative to the median worker of its service, before and now, and without the changes of the last seconds.";
+    6322 RUN_DONE Debug "A run of a task ended successfully; the log line gives how long it took and how long it was expected to take.";
     6401 RECORDS_NOT_WRITTEN Warn "The store accepted no records; callers with new jobs wait briefly or are refused, and the remaining writes are retried.";
     6402 RECORD_INVALID Error "A record in the store cannot be read; its job is not known to this instance.";
     6403 ADVICE_FAILED Warn "A query to the advisory service got no response; for one through a peer the log line gives the age of the connection and of its last response.";
--- a/crates/figscale/src/fleet/decision_log.rs
+++ b/crates/figscale/src/fleet/decision_log.rs
@@ -19,6 +19,9 @@
                 metrics.task_start_sent();
             }
         }
+        LogEntry::RunDone {
+            length, predicted, ..
+        } => metrics.fleet_run_done(*length, *predicted),
         _ => (),
     }
 }
@@ -156,6 +159,38 @@
                 end = format_args!("{end:?}")
             );
         }
+        LogEntry::RunDone {
+            task,
+            attempt,
+            worker,
+            length,
+            predicted,
+        } => {
+            crate::event!(
+                events::RUN_DONE,
+                task = task,
+                attempt = attempt,
+                worker = worker,
+                length_ms = length.as_millis(),
+                predicted_ms = predicted.as_millis()
+            );
+        }
+        LogEntry::WorkerSpeedChanged {
+            worker,
+            previous,
+            slowdown,
+            lasting,
+            runs,
+        } => {
+            crate::event!(
+                events::WORKER_SPEED,
+                worker = worker,
+                previous = previous,
+                slowdown = slowdown,
+                lasting = lasting,
+                runs = runs
+            );
+        }
         LogEntry::StartRefused {
             task,
             attempt,
--- a/crates/figscale/src/fleet/keys.rs
+++ b/crates/figscale/src/fleet/keys.rs
@@ -10,6 +10,8 @@
 pub(super) const HEADS: &str = "figscale/heads/";
 /// The workers that may be running tasks.
 pub(super) const WORKERS: &str = "figscale/workers";
+/// The speed of workers and the run times of queues.
+pub(super) const SPEEDS: &str = "figscale/speeds";
 /// Prefix of the job records.
 pub(super) const JOBS: &str = "figscale/jobs/";
 /// Prefix of the progress records, one for each job.
@@ -31,6 +33,7 @@
         RecordKey::Job(id) => format!("{JOBS}{id}"),
         RecordKey::Progress(id) => format!("{PROGRESS}{id}"),
         RecordKey::Workers => WORKERS.to_owned(),
+        RecordKey::Speeds => SPEEDS.to_owned(),
     }
 }
 
--- a/crates/figscale/src/fleet/term/load.rs
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -79,10 +79,12 @@
     let mut scheduler = Scheduler::new(config);
     // Concurrently: with a slow store each of these reads takes several round
     // trips of a quarter of a second, during which there is no leader.
-    let (jobs, progress, recorded) = tokio::try_join!(
+    let (jobs, progress, recorded, speeds) = tokio::try_join!(
         context.store.list(keys::JOBS),
         context.store.list(keys::PROGRESS),
         context.store.get(keys::WORKERS),
+        // What this read would tell is learned anew within seconds.
+        async { Ok(context.store.get(keys::SPEEDS).await.unwrap_or_default()) },
     )?;
     let now = context.clock.now();
     let wall_ms = context.wall_ms();
@@ -97,6 +99,9 @@
             log_invalid(&item.key, scheduler.load_progress(id, &item.value));
         }
     }
+    if let Some(item) = speeds {
+        log_invalid(&item.key, scheduler.load_speeds(&item.value));
+    }
     let ids = recorded
         .map(|item| Scheduler::recorded_workers(&item.value))
         .transpose();
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -21,6 +21,7 @@
 pub(super) mod load;
 mod members;
 mod messages;
+mod speeds;
 mod writes;
 
 pub(super) use members::Heartbeats;
@@ -122,6 +123,7 @@
     /// Version of the configuration from which the scheduler has the customers'
     /// limits; `None` while it has none.
     customers_version: Option<u64>,
+    shown_speeds: speeds::Shown,
     /// When the gauges were last updated.
     gauges_updated_at: time::Instant,
     /// The channel for results of calls.
@@ -285,6 +287,7 @@
             isolated_since: None,
             next_pass_at: now,
             customers_version: None,
+            shown_speeds: speeds::Shown::new(&context.kernel),
             gauges_updated_at: now,
             messages,
             begun: now,
@@ -423,5 +426,6 @@
         metrics.fleet_state_changed("usable_workers", counts.usable_workers);
         metrics.fleet_state_changed("workers", counts.workers);
         metrics.fleet_state_changed("members", self.members.len());
+        self.show_speeds(counts.workers);
     }
 }
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -33,6 +33,9 @@
 /// Bucket bounds of the histogram of job times, in seconds.
 const JOB_BOUNDS_S: [f64; 9] = [0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0];
 
+/// Bucket bounds of the histogram of run lengths relative to their predictions.
+const RATIO_BOUNDS: [f64; 10] = [0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0];
+
 /// Slots of the runners of a service that this process allocates.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Slots {
@@ -60,6 +63,8 @@
     fleet_jobs: metrics::Counter<u64>,
     fleet_job_time: metrics::Histogram<f64>,
     fleet_state: metrics::Gauge<u64>,
+    fleet_workers: metrics::Gauge<u64>,
+    fleet_prediction: metrics::Histogram<f64>,
     fleet_store_time: metrics::Histogram<f64>,
 }
 
@@ -115,6 +120,15 @@
                 "figscale_fleet_state",
                 "What the leader knows: jobs, runs, workers; nothing elsewhere.",
             ),
+            fleet_workers: gauge(
+                "figscale_fleet_workers",
+                "Workers by their slowdown, as the leader knows it; nothing elsewhere.",
+            ),
+            fleet_prediction: seconds(
+                "figscale_fleet_run_length_ratio",
+                "Length of a successful run, divided by its predicted length.",
+                &RATIO_BOUNDS,
+            ),
             fleet_store_time: seconds(
                 "figscale_fleet_store_seconds",
                 "Time from a call of the platform's store to its answer.",
@@ -293,6 +307,21 @@
             .record(count(number), &[KeyValue::new("kind", kind)]);
     }
 
+    /// Sets the number of workers with slowdowns in a range.
+    pub fn fleet_workers_by_slowdown(&self, range: &'static str, number: usize) {
+        let labels = [KeyValue::new("slowdown", range)];
+        self.fleet_workers.record(count(number), &labels);
+    }
+
+    /// Records how long a run took, and how long it was predicted to take.
+    pub fn fleet_run_done(&self, length: time::Duration, predicted: time::Duration) {
+        let predicted_s = predicted.as_secs_f64();
+        if predicted_s > 0.0 {
+            self.fleet_prediction
+                .record(length.as_secs_f64() / predicted_s, &[]);
+        }
+    }
+
     /// Records the response time of a call to the platform's store.
     pub fn fleet_store_answered(&self, took: time::Duration) {
         self.fleet_store_time.record(took.as_secs_f64(), &[]);
