Worker speed: tests of the loads, and of progress that is no use

Guard against noise taken for a difference, a slow third that stays unknown, a turn of speed that is followed too late, useless progress figures, and a leader that begins without the record. Changes that they led to: a run counts with the error that progress has shown in its queue; a turn must be shown by half of the worker's runs; where workers are known to differ, three runs of two jobs are enough.

--- a/crates/figscale-core/src/fleet/speed/mod.rs
+++ b/crates/figscale-core/src/fleet/speed/mod.rs
@@ -42,9 +42,6 @@
 const SPEEDUP: f64 = 0.3;
 /// A change of a run's speed counts if it is known to this variance.
 const MAX_CHANGE_VARIANCE: f64 = 0.1;
-/// It counts only in a queue whose progress is even. Where it comes in steps of a
-/// quarter the mean squared error is above this.
-const MAX_ERROR_FOR_CHANGE: f64 = 0.03;
 /// How often what all workers have in common is computed again.
 const REVIEW_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// Most changes of workers' speed that are logged between two reviews.
@@ -220,8 +217,7 @@
             },
         };
         run.turn_seen |= worker.turn() != 0.0;
-        let clear =
-            reading.variance <= MAX_CHANGE_VARIANCE && progress_error <= MAX_ERROR_FOR_CHANGE;
+        let clear = reading.variance <= MAX_CHANGE_VARIANCE;
         if let Some(change) = reading.change.filter(|_| clear) {
             // A run that began during a turn may have been measured across its end, so
             // it shows that the turn is over but not that it continues.
@@ -270,7 +266,10 @@
         }
         let own = whole.ratio - observed.worker.lasting(anchor);
         queue.record(own, count, now);
-        if let Some(others) = observed.step.others(observed.worker.serial) {
+        // The speed of a worker with little evidence would count as noise.
+        let known = observed.worker.estimate().is_some();
+        let others = observed.step.others(observed.worker.serial);
+        if let Some(others) = others.filter(|_| known) {
             queue.record_within(own - others.median, now);
         }
     }
@@ -303,9 +302,10 @@
         &self,
         service: &str,
         worker: &mut WorkerSpeed,
+        observed_runs: usize,
         now: time::Instant,
     ) -> Option<fleet::Slowdown> {
-        let moved = worker.update(self.reference(service), now);
+        let moved = worker.update(self.reference(service), observed_runs, now);
         moved.then(|| worker.slowdown())
     }
 
--- a/crates/figscale-core/src/fleet/speed/queue.rs
+++ b/crates/figscale-core/src/fleet/speed/queue.rs
@@ -18,11 +18,13 @@
 /// it is evidence on workers, from which on it is not used at all, and of one run at
 /// most.
 const INITIAL_PROGRESS_ERROR: f64 = 0.15;
-const GOOD_PROGRESS_ERROR: f64 = 0.1;
+const GOOD_PROGRESS_ERROR: f64 = 0.04;
 const USELESS_PROGRESS_ERROR: f64 = 0.5;
 const MAX_PROGRESS_ERROR: f64 = 1.0;
-/// Weight of one more run in that mean.
+/// Weight of one more run in that mean: at least this, and more of the first ones. The
+/// initial value weighs as much as so many.
 const PROGRESS_WEIGHT: f64 = 0.05;
+const INITIAL_PROGRESS_RUNS: f64 = 3.0;
 /// Run times are known in multiples of this percentage, and move by more than one
 /// and a half of it at a time.
 const PERCENT_STEP: u32 = 10;
@@ -43,6 +45,7 @@
     pub(super) run_times: RunTimes,
     /// Mean squared error of progress, in logarithms.
     progress_error: f64,
+    progress_runs: f64,
 }
 
 impl Default for QueueSpeed {
@@ -56,6 +59,7 @@
             within_step: INITIAL_WITHIN_STEP,
             run_times: RunTimes::default(),
             progress_error: INITIAL_PROGRESS_ERROR,
+            progress_runs: INITIAL_PROGRESS_RUNS,
         }
     }
 }
@@ -79,7 +83,9 @@
     /// Records the squared error of the progress of a run that has ended.
     pub(super) fn record_progress(&mut self, squared_error: f64) {
         let error = squared_error.min(MAX_PROGRESS_ERROR);
-        self.progress_error += PROGRESS_WEIGHT * (error - self.progress_error);
+        self.progress_runs += 1.0;
+        let weight = (1.0 / self.progress_runs).max(PROGRESS_WEIGHT);
+        self.progress_error += weight * (error - self.progress_error);
     }
 
     /// Squared error of progress, if that shows well how long runs take.
--- a/crates/figscale-core/src/fleet/speed/run.rs
+++ b/crates/figscale-core/src/fleet/speed/run.rs
@@ -128,7 +128,9 @@
     /// Records its end; returns what that implies. A change of speed that only its
     /// end shows does not count, since progress may not be even.
     pub(crate) fn ended(&mut self, clock_ms: u64) -> Option<Reading> {
-        let start = match self.unusable {
+        // A change of speed that no other run shares is an error of its progress.
+        let unconfirmed = self.turned && !self.turn_seen;
+        let start = match self.unusable || unconfirmed {
             true => self.origin.filter(|(_, percent)| *percent == 0),
             false => self.steady_since,
         };
@@ -162,9 +164,14 @@
         self.reading(self.origin?, (clock_ms, 100), None)
     }
 
+    /// Whether its progress has been evidence.
+    pub(crate) fn is_observed(&self) -> bool {
+        self.turn.is_some()
+    }
+
     /// Whether its speed has changed while it ran.
     pub(super) fn has_turned(&self) -> bool {
-        self.turned || self.turn.is_some_and(|turn| turn != 0.0)
+        self.turned && self.turn_seen || self.turn.is_some_and(|turn| turn != 0.0)
     }
 
     fn advance(&mut self, at: (u64, u32)) -> Option<Reading> {
--- a/crates/figscale-core/src/fleet/speed/worker.rs
+++ b/crates/figscale-core/src/fleet/speed/worker.rs
@@ -19,6 +19,9 @@
 /// Runs and jobs from which on a worker's own evidence counts.
 pub(super) const MIN_RUNS: usize = 5;
 const MIN_JOBS: usize = 4;
+/// The same where other workers of its service are known to differ.
+const MIN_RUNS_AMONG_DIFFERENT: usize = 3;
+const MIN_JOBS_AMONG_DIFFERENT: usize = 2;
 /// Ratio of two neighbouring slowdowns, as a logarithm (1.15).
 const STEP: f64 = 0.139_762;
 /// A slowdown is kept while the estimate is within this of it.
@@ -46,6 +49,8 @@
 const MAX_TURN: time::Duration = time::Duration::from_secs(12);
 /// Fewest jobs whose runs show a turn.
 const MIN_TURNED: usize = 2;
+/// Fewest runs of one job that show a turn, if all do that.
+const MIN_TURNED_OF_ONE_JOB: usize = 3;
 
 /// What one run says, in logarithms.
 #[derive(Clone, Copy, Debug)]
@@ -73,6 +78,12 @@
     pub(super) jobs: usize,
 }
 
+impl Estimate {
+    fn is_enough_among_different(&self) -> bool {
+        self.runs >= MIN_RUNS_AMONG_DIFFERENT && self.jobs >= MIN_JOBS_AMONG_DIFFERENT
+    }
+}
+
 /// Ordinary speed among the workers of a service, in logarithms.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Reference {
@@ -198,12 +209,17 @@
     }
 
     /// Derives the slowdown from the evidence; returns whether it has moved.
-    pub(super) fn update(&mut self, reference: Reference, now: time::Instant) -> bool {
+    pub(super) fn update(
+        &mut self,
+        reference: Reference,
+        observed_runs: usize,
+        now: time::Instant,
+    ) -> bool {
         if self.changed {
             self.changed = false;
             self.estimate = self.locate();
         }
-        self.update_turn(now);
+        self.update_turn(observed_runs, now);
         let (mean, precision) = self.combined(reference.anchor);
         let lasting = mean - reference.anchor;
         self.lasting = self.choose_lasting(lasting, precision, reference.differs);
@@ -221,7 +237,11 @@
             true => SIGNIFICANT_AMONG_DIFFERENT,
             false => SIGNIFICANT_AMONG_EQUAL,
         };
-        let shown = self.estimate().is_some() && lasting.abs() * precision.sqrt() >= significant;
+        let enough = match differs {
+            true => self.estimate.filter(Estimate::is_enough_among_different),
+            false => self.estimate(),
+        };
+        let shown = enough.is_some() && lasting.abs() * precision.sqrt() >= significant;
         match shown || self.lasting != fleet::Slowdown::ORDINARY {
             true => quantized(lasting),
             false => self.lasting,
@@ -298,7 +318,7 @@
         })
     }
 
-    fn update_turn(&mut self, now: time::Instant) {
+    fn update_turn(&mut self, observed_runs: usize, now: time::Instant) {
         let old = |at: time::Instant, age| now.saturating_duration_since(at) > age;
         self.changes
             .retain(|change| !old(change.at, MAX_CHANGE_AGE));
@@ -314,7 +334,10 @@
         // The lower of the two in the middle decides, so that half is not enough.
         let middle = factors.get(factors.len().saturating_sub(1) / 2);
         let middle = middle.copied().unwrap_or_default();
-        let shows_turn = jobs.len() >= MIN_TURNED && middle >= TURN;
+        let turned = self.changes.iter().filter(turned).count();
+        let of_one_job = turned >= MIN_TURNED_OF_ONE_JOB && turned == factors.len();
+        let enough = jobs.len() >= MIN_TURNED || of_one_job;
+        let shows_turn = enough && 2 * turned >= observed_runs && middle >= TURN;
         let shows_none = !factors.is_empty() && middle < TURN;
         if shows_turn {
             self.turned_at = self.turned_at.or(Some(now));
--- a/crates/figscale-core/src/fleet/speed_evidence.rs
+++ b/crates/figscale-core/src/fleet/speed_evidence.rs
@@ -195,7 +195,11 @@
             return;
         };
         let service = &worker.entry.service;
-        let moved = self.speeds.update(service, &mut worker.speed, now);
+        let runs = worker.runs.values();
+        let observed = runs.filter(|run| run.speed.is_observed()).count();
+        let moved = self
+            .speeds
+            .update(service, &mut worker.speed, observed, now);
         let Some(slowdown) = moved else {
             return;
         };
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -39,3 +39,4 @@
 mod terms;
 mod unresponsive_channels;
 mod worker_faults;
+mod worker_speed;
