Log and count placements that are predicted to be late, and gangs that wait

STEP_PLACED gives the slowdown of the slowest worker and whether a task is predicted to end too late there. GANG_AWAITS_FASTER (6212) is logged once for each gang that waits for faster workers. Counters: figscale_fleet_placed_late and figscale_fleet_awaits_faster.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -94,6 +94,22 @@
         after: time::Duration,
         /// Time left until the job misses its objective; `None` if it has.
         slack: Option<time::Duration>,
+        /// Slowdown of the slowest of the workers.
+        slowdown: fleet::Slowdown,
+        /// Whether a task there is predicted to end too late.
+        predicted_late: bool,
+    },
+    /// A gang has room, but waits for faster workers on which it is predicted to end
+    /// in time. Logged once for each gang.
+    GangAwaitsFaster {
+        /// First task of the step.
+        task: fleet::TaskId,
+        /// Slowdown of the slowest of the workers with room, on which it would be late.
+        slowdown_now: fleet::Slowdown,
+        /// Slowdown of the slowest of the workers that it waits for.
+        slowdown: fleet::Slowdown,
+        /// When these are expected to have room.
+        ready_in: time::Duration,
     },
     /// A step has been ready for long and has nothing running, or is a gang or
     /// long-running and has tasks that wait.
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -112,6 +112,8 @@
     pub(crate) advice: StepAdvice,
     /// Failed attempts of the step as a gang.
     pub(crate) gang_failed_attempts: Vec<u32>,
+    /// Whether it was logged that, as a gang, it waits for faster workers.
+    pub(crate) logged_wait_for_faster: bool,
     /// Losses of its tasks, by index; a gang has the index 0.
     pub(crate) crashes: IndexMap<u32, crashes::History>,
 }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -22,6 +22,7 @@
 use super::job;
 use super::open_workers;
 use super::pass;
+use super::reserve;
 use super::scheduler;
 use super::worker;
 
@@ -273,6 +274,14 @@
         let Some(job) = self.jobs.get(&task.job).filter(|_| placed.tasks > 0) else {
             return;
         };
+        let workers = placed.workers.iter();
+        let workers = workers.filter_map(|id| self.workers.get(id));
+        let slowest = workers.map(|worker| worker.slowdown).max();
+        let slowdown = slowest.unwrap_or_default();
+        let predicted_late = job.step_description(task).is_some_and(|description| {
+            let prediction = self.prediction(job, task, description);
+            !prediction.order_at(now).is_in_time(slowdown)
+        });
         let log_entry = LogEntry::StepPlaced {
             task: *task,
             tasks: placed.tasks,
@@ -280,6 +289,8 @@
             attempt: placed.attempt,
             after: now.saturating_duration_since(job.submitted),
             slack: job.objective_at.checked_duration_since(now),
+            slowdown,
+            predicted_late,
         };
         self.actions.push(Action::Log(log_entry));
     }
@@ -381,37 +392,55 @@
     /// now, if it is predicted to end in time on them in spite of the wait. The wait
     /// ends as soon as this no longer holds, and the gang takes what has room.
     fn reserve_faster(
-        &self,
+        &mut self,
         candidate: &mut pass::Candidate,
         description: &fleet::StepDescription,
-        slowest: fleet::Slowdown,
+        slowdown_now: fleet::Slowdown,
         pass: &mut pass::Pass,
     ) -> bool {
-        let Some(job) = self.jobs.get(&candidate.task.job) else {
+        let faster = self.faster_reservation(&candidate.task, description, slowdown_now, pass);
+        let Some((mut reservation, slowdown)) = faster else {
             return false;
         };
-        let prediction = self.prediction(job, &candidate.task, description);
-        if prediction.order_at(pass.now).is_in_time(slowest) || !may_reserve(pass) {
-            return false;
-        }
-        let faster = |worker: &worker::Worker| worker.slowdown < slowest;
-        let reservation = self.reserve_on(&candidate.task, description, faster, pass);
-        let Some((mut reservation, slowest)) = reservation else {
-            return false;
-        };
-        if !prediction
-            .order_at(reservation.ready_at)
-            .is_in_time(slowest)
-        {
-            return false;
-        }
         pass.reserve(candidate.task, &reservation);
         pass.reserving_gangs += 1;
         reservation.active = true;
+        let ready_at = reservation.ready_at;
         candidate.reservation = Some(reservation);
+        let job = self.jobs.get_mut(&candidate.task.job);
+        let step = job.and_then(|job| job.step_mut(&candidate.task));
+        if let Some(step) = step.filter(|step| !step.logged_wait_for_faster) {
+            step.logged_wait_for_faster = true;
+            self.actions.push(Action::Log(LogEntry::GangAwaitsFaster {
+                task: candidate.task,
+                slowdown_now,
+                slowdown,
+                ready_in: ready_at.saturating_duration_since(pass.now),
+            }));
+        }
         true
     }
 
+    fn faster_reservation(
+        &self,
+        task: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        slowdown_now: fleet::Slowdown,
+        pass: &pass::Pass,
+    ) -> Option<(reserve::Reservation, fleet::Slowdown)> {
+        let job = self.jobs.get(&task.job)?;
+        let prediction = self.prediction(job, task, description);
+        if prediction.order_at(pass.now).is_in_time(slowdown_now) || !may_reserve(pass) {
+            return None;
+        }
+        let faster = |worker: &worker::Worker| worker.slowdown < slowdown_now;
+        let reserved = self.reserve_on(task, description, faster, pass);
+        reserved.filter(|(reservation, slowdown)| {
+            let order = prediction.order_at(reservation.ready_at);
+            order.is_in_time(*slowdown)
+        })
+    }
+
     fn next_attempt(&self, id: &fleet::TaskId) -> u32 {
         let first = self.config.epoch.0.saturating_sub(1) * ATTEMPTS_PER_EPOCH + 1;
         let first = u32::try_from(first).unwrap_or(u32::MAX);
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -33,7 +33,8 @@
     6205 JOB_CANCELLED Info "A job was cancelled by a caller.";
     6206 CALL_FAILED Warn "A caller's request got no answer from a leader in time.";
     6207 CALL_REJECTED Info "A caller's request names no queue or is malformed.";
-    6208 STEP_PLACED Info "Tasks of a step were assigned to workers; the log line gives how long the job had waited and how much time it has left.";
+    6208 STEP_PLACED Info "Tasks of a step were assigned to workers; the log line gives how long the job had waited and how much time it has left, the slowdown of the slowest worker, and whether a task is predicted to end too late there.";
+    6212 GANG_AWAITS_FASTER Info "A gang has room, but waits for faster workers on which it is predicted to end in time; logged once for each gang.";
     6211 STEP_WAITS Warn "A step has been ready for long and has nothing running, or is a gang or long-running and has tasks that wait; the log line gives the free capacity, the workers approved by the advisory service, the tickets that it could use, how many queries in succession got no response, and what holds it back.";
     6301 TASK_STARTED Debug "A worker confirmed the start of a task.";
     6302 START_REFUSED Info "A worker refused the start of a task.";
--- a/crates/figscale/src/fleet/decision_log.rs
+++ b/crates/figscale/src/fleet/decision_log.rs
@@ -14,11 +14,19 @@
         } => {
             metrics.fleet_job_ended(state_label(*state), *late, *after);
         }
-        LogEntry::StepPlaced { tasks, .. } => {
+        LogEntry::StepPlaced {
+            tasks,
+            predicted_late,
+            ..
+        } => {
+            if *predicted_late {
+                metrics.fleet_step_placed_late();
+            }
             for _ in 0..*tasks {
                 metrics.task_start_sent();
             }
         }
+        LogEntry::GangAwaitsFaster { .. } => metrics.fleet_gang_awaits_faster(),
         _ => (),
     }
 }
@@ -56,6 +64,8 @@
             attempt,
             after,
             slack,
+            slowdown,
+            predicted_late,
         } => {
             crate::event!(
                 events::STEP_PLACED,
@@ -64,7 +74,23 @@
                 workers = workers,
                 attempt = attempt,
                 after_ms = after.as_millis(),
-                slack_ms = slack.map_or(0, |slack| slack.as_millis())
+                slack_ms = slack.map_or(0, |slack| slack.as_millis()),
+                slowdown = slowdown,
+                predicted_late = predicted_late
+            );
+        }
+        LogEntry::GangAwaitsFaster {
+            task,
+            slowdown_now,
+            slowdown,
+            ready_in,
+        } => {
+            crate::event!(
+                events::GANG_AWAITS_FASTER,
+                task = task,
+                slowdown_now = slowdown_now,
+                slowdown = slowdown,
+                ready_ms = ready_in.as_millis()
             );
         }
         LogEntry::StepStarved {
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -58,6 +58,8 @@
     fleet_calls: metrics::Counter<u64>,
     fleet_call_time: metrics::Histogram<f64>,
     fleet_jobs: metrics::Counter<u64>,
+    fleet_placed_late: metrics::Counter<u64>,
+    fleet_awaits_faster: metrics::Counter<u64>,
     fleet_job_time: metrics::Histogram<f64>,
     fleet_state: metrics::Gauge<u64>,
     fleet_store_time: metrics::Histogram<f64>,
@@ -106,6 +108,14 @@
                 &WAIT_BOUNDS_S,
             ),
             fleet_jobs: counter("figscale_fleet_jobs", "Jobs that reached their end here."),
+            fleet_placed_late: counter(
+                "figscale_fleet_placed_late",
+                "Steps placed where they were predicted to end too late.",
+            ),
+            fleet_awaits_faster: counter(
+                "figscale_fleet_awaits_faster",
+                "Gangs with room that waited for faster workers.",
+            ),
             fleet_job_time: seconds(
                 "figscale_fleet_job_seconds",
                 "Time from a job's submission to its end.",
@@ -268,6 +278,16 @@
         self.task_starts.add(1, &[]);
     }
 
+    /// Counts a step placed where it was predicted to end too late.
+    pub fn fleet_step_placed_late(&self) {
+        self.fleet_placed_late.add(1, &[]);
+    }
+
+    /// Counts a gang with room that waits for faster workers.
+    pub fn fleet_gang_awaits_faster(&self) {
+        self.fleet_awaits_faster.add(1, &[]);
+    }
+
     /// Records the answer to a call of a fleet's caller.
     pub fn fleet_call_answered(&self, method: &str, status: u16, took: time::Duration) {
         let labels = [
