--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -308,8 +308,9 @@
     now: time::Instant,
 ) -> Rank {
     let since = round.due_at.unwrap_or(job.submitted);
-    let remaining = time::Duration::from_millis(round.remaining_ms(&job.description));
-    let ends = now + run_times.typical(remaining);
+    let remaining_ms = round.remaining_ms(&job.description);
+    let typical_ms = remaining_ms.saturating_mul(u64::from(run_times.typical_percent)) / 100;
+    let ends = now + time::Duration::from_millis(typical_ms);
     let objective = job.objective_at.saturating_duration_since(job.submitted);
     let objective_at = since + objective;
     let earns_nothing_at = since + objective * EARNS_NOTHING_AFTER_OBJECTIVES;
