Test gangs on mixed workers with gangs that end with their slowest member

The first version of the load let each member end by itself, and the end of one member counts for all, so it passed without the change.

--- a/crates/figscale-core/tests/fleet/worker_speed.rs
+++ b/crates/figscale-core/tests/fleet/worker_speed.rs
@@ -9,6 +9,7 @@
 use figscale_core::fleet::Speeds;
 use figscale_types::fleet;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use rstest::rstest;
 
 use crate::helpers;
@@ -99,6 +100,7 @@
     random: helpers::Random,
     jobs: u64,
     lengths_ms: IndexMap<fleet::JobId, f64>,
+    gangs: IndexSet<fleet::JobId>,
     ends: IndexMap<(fleet::TaskId, u32), time::Instant>,
     responses: Vec<(time::Instant, AdviceQuery)>,
     decisions: Vec<String>,
@@ -115,6 +117,7 @@
             random: helpers::Random(7),
             jobs: 0,
             lengths_ms: IndexMap::new(),
+            gangs: IndexSet::new(),
             ends: IndexMap::new(),
             responses: Vec::new(),
             decisions: Vec::new(),
@@ -139,6 +142,9 @@
         let length_ms = step.estimate_ms as f64 * (0.8 + 0.4 * self.random.next());
         self.lengths_ms
             .insert(helpers::job_id(self.jobs), length_ms);
+        if step.gang {
+            self.gangs.insert(helpers::job_id(self.jobs));
+        }
         let description = helpers::job(vec![step.clone()]);
         self.cluster.submit(self.jobs, queue, description);
         helpers::job_id(self.jobs)
@@ -180,12 +186,24 @@
         }
     }
 
+    /// When a run ends; a gang ends with its slowest member.
+    fn end_of(&self, key: &(fleet::TaskId, u32)) -> time::Instant {
+        let is_gang = self.gangs.contains(&key.0.job);
+        let same = |other: &&(fleet::TaskId, u32)| {
+            *other == key || is_gang && other.0.job == key.0.job && other.1 == key.1
+        };
+        let ends = self.ends.keys().filter(same).map(|other| self.ends[other]);
+        ends.max().unwrap()
+    }
+
     fn end_due(&mut self) {
         let now = self.cluster.now;
+        let keys = self.ends.keys().copied();
+        let due: IndexSet<_> = keys.filter(|key| self.end_of(key) <= now).collect();
+        self.ends.retain(|key, _| !due.contains(key));
         for worker in self.cluster.workers.values_mut() {
-            let due = worker.running.keys().filter(|key| self.ends[*key] <= now);
-            for (task, attempt) in due.copied().collect::<Vec<_>>() {
-                worker.end(task, attempt, fleet::End::Done);
+            for (task, attempt) in &due {
+                worker.end(*task, *attempt, fleet::End::Done);
             }
         }
     }
@@ -564,10 +582,10 @@
     let gang = helpers::with_estimate(helpers::gang(8, 9), 2_000);
     let mut jobs = Vec::new();
     for step in 0..600 {
-        if load.random.next() < 0.8 * 0.02 {
+        if load.random.next() < 1.0 * 0.02 {
             jobs.push(load.submit(&gangs, &gang));
         }
-        if step % 100 == 0 {
+        if step % 250 == 0 {
             load.submit(&wide, &wide_step());
         }
         load.step();
