--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -23,6 +23,7 @@
 use super::Worker;
 use super::WriteResult;
 use super::customers;
+use super::preemption;
 use crate::helpers;
 
 impl Simulation {
@@ -41,6 +42,7 @@
         self.epoch = fleet::Epoch(self.epoch.0 + 1);
         let config = Config {
             epoch: self.epoch,
+            preemption: self.faults.preemption.then_some(preemption::COSTS),
             ..Config::default()
         };
         let mut scheduler = Scheduler::new(config);
@@ -124,6 +126,9 @@
         if self.faults.mixed {
             return self.mixed_job();
         }
+        if self.faults.preemption {
+            return self.preemption_job();
+        }
         let count = 1 + self.random(4) as u32;
         let first = fleet::StepDescription {
             gang: self.one_in(6),
@@ -179,6 +184,7 @@
                     self.check_permanent_failure(task, losses);
                 }
                 Action::QueryAdvice(query) => self.query_advice(number, query),
+                Action::Log(LogEntry::RunsPreempted { .. }) => self.preemptions += 1,
                 Action::Log(_) => (),
             }
         }
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -49,6 +49,7 @@
 mod gangs;
 mod leaders;
 mod mixed;
+mod preemption;
 mod workers;
 
 const WALL_MS: u64 = 1_700_000_000_000;
@@ -94,6 +95,9 @@
     /// The simulation ends with a stretch without faults, after which all work has
     /// to be done.
     calm: bool,
+    /// Tasks that save their progress and fill the fleet, and gangs of a queue of
+    /// lower number for which they are preempted.
+    preemption: bool,
 }
 
 /// The usual faults alone.
@@ -105,6 +109,7 @@
     keeps_names: false,
     mixed: false,
     calm: false,
+    preemption: false,
 };
 
 type RunKey = (fleet::TaskId, u32);
@@ -254,6 +259,7 @@
     /// Time until which the advisory service does not respond.
     advice_outage_ms: u64,
     gangs: gangs::Gangs,
+    preemptions: usize,
 }
 
 impl Simulation {
@@ -283,6 +289,7 @@
             last_election_ms: SIMULATED_MS,
             advice_outage_ms: 0,
             gangs: gangs::Gangs::default(),
+            preemptions: 0,
         };
         if faults.calm {
             simulation.last_election_ms = simulation.random(SIMULATED_MS);
@@ -352,6 +359,13 @@
         if self.faults.calm && self.violations.is_empty() {
             self.end_in_calm();
         }
+        if self.faults.preemption && self.preemptions == 0 {
+            self.violations.push("nothing was preempted".to_owned());
+        }
+        eprintln!(
+            "DBG {} preemptions {} starts",
+            self.preemptions, self.starts
+        );
         (self.violations, self.starts)
     }
 
@@ -566,3 +580,20 @@
         );
     }
 }
+
+/// Guards against runs that are stopped for other work and never ordered again, or
+/// run twice, over changes of leaders and lost stops.
+#[test]
+fn preempted_work_is_done_in_calm_over_many_terms() {
+    let faults = Faults {
+        preemption: true,
+        calm: true,
+        ..USUAL_FAULTS
+    };
+    let violations = simulate(faults, &seeds(&[0, 1, 2, 3]));
+    assert!(
+        violations.is_empty(),
+        "{} seeds with violations: {violations:#?}",
+        violations.len()
+    );
+}
