Preemption: the time of the next response is computed once for a step

It was computed for each approved worker, each time with a scan of the advice channels. A new test guards against victims that start elsewhere before their ends.

--- a/crates/figscale-core/src/fleet/preempt.rs
+++ b/crates/figscale-core/src/fleet/preempt.rs
@@ -83,6 +83,8 @@
     tail: time::Duration,
     /// When the runs that are stopped now have ended.
     stops_over: time::Instant,
+    /// When the response to a query that is sent as soon as possible arrives.
+    response_at: Option<time::Instant>,
 }
 
 impl Need<'_> {
@@ -225,15 +227,17 @@
             return None;
         }
         let estimate = time::Duration::from_millis(described.estimate_ms);
+        let stops_over = pass.now + self.config.stop_limit + STOP_MARGIN;
         let need = Need {
             task,
             job,
             step,
+            response_at: self.response_at(&task, job, &description, stops_over, pass.now),
             description,
             objective_at: worth(job, round).objective_at,
             length: self.run_times(&job.queue.name).cautious(estimate),
             tail: time_after(job, round, task.step as usize),
-            stops_over: pass.now + self.config.stop_limit + STOP_MARGIN,
+            stops_over,
         };
         Some(need)
     }
@@ -326,9 +330,9 @@
         id: &fleet::WorkerId,
         pass: &pass::Pass,
     ) -> Option<time::Instant> {
-        let Some(policy) = need.job.queue.advice.as_ref() else {
+        if need.job.queue.advice.is_none() {
             return Some(pass.now);
-        };
+        }
         let known = &need.step.advice;
         if known.verdicts.get(id) != Some(&true) {
             return None;
@@ -338,20 +342,33 @@
         if ticket.is_some_and(|ticket| ticket.valid_until > needed_until) {
             return Some(pass.now);
         }
+        need.response_at
+    }
+
+    /// When the response to a query about a step that is sent as soon as possible
+    /// arrives; `None` if no query can be expected to be answered.
+    fn response_at(
+        &self,
+        task: &fleet::TaskId,
+        job: &job::Job,
+        description: &fleet::StepDescription,
+        stops_over: time::Instant,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        let policy = job.queue.advice.as_ref()?;
+        let known = &job.step(task)?.advice;
         if self.channels.service_is_unavailable() {
             return None;
         }
-        let response = advice::duration(policy, need.description.count as usize);
         let in_flight = known.pending_query.as_ref();
-        let free_at = in_flight.map(|query| query.response_due_at.max(pass.now));
-        if !need.description.gang {
+        let free_at = in_flight.map(|query| query.response_due_at.max(now));
+        let free_at = match description.gang {
+            true => free_at.or_else(|| self.may_query(task, now).then_some(now))?,
             // Single tasks query for workers with room, after the stops.
-            return Some(need.stops_over.max(free_at.unwrap_or(pass.now)) + response);
-        }
-        let may_query = || self.may_query(&need.task, pass.now);
-        let free_at = free_at.or_else(|| may_query().then_some(pass.now))?;
-        let not_before = known.not_before.unwrap_or(pass.now);
-        Some(free_at.max(not_before) + response)
+            false => free_at.unwrap_or(now).max(stops_over),
+        };
+        let not_before = known.not_before.unwrap_or(now);
+        Some(free_at.max(not_before) + advice::duration(policy, description.count as usize))
     }
 
     /// The workers on which the step would end in time, with the runs that could be
--- a/crates/figscale-core/tests/fleet/preemption.rs
+++ b/crates/figscale-core/tests/fleet/preemption.rs
@@ -391,6 +391,31 @@
     assert_eq!((sim.runs(GANG), sim.runs(GANG + 1)), (0, 1));
 }
 
+/// Failure: a victim runs twice, since another worker has room for it before its stop
+/// has taken effect.
+#[test]
+fn victims_start_elsewhere_only_after_their_ends() {
+    let mut sim = Sim::full(config());
+    sim.cluster.add_worker(WORKERS, CORES);
+    for worker in sim.cluster.workers.values_mut() {
+        worker.stops_at_once = false;
+    }
+    let gang = fleet::StepDescription {
+        required_label: Some("r1-0".to_owned()),
+        ..gang()
+    };
+    sim.submit(GANG, &helpers::queue(1), gang);
+    sim.cluster.advance(300);
+    assert_eq!((sim.cluster.stops.len(), sim.cluster.starts()), (16, 32));
+    for (id, task, attempt) in sim.cluster.stops.clone() {
+        let worker = sim.cluster.workers.get_mut(&id).unwrap();
+        worker.end(task, attempt, End::Stopped);
+    }
+    // The added worker holds eight of them.
+    sim.cluster.settle();
+    assert_eq!((sim.runs(GANG), sim.runs(FILL)), (8, 24));
+}
+
 /// Load: short work, which may use workers that are reserved for a gang. It took
 /// the room as soon as the first runs had stopped.
 #[test]
