--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -50,6 +50,7 @@
 mod leaders;
 mod mixed;
 mod outages;
+mod preemption;
 mod workers;
 
 const WALL_MS: u64 = 1_700_000_000_000;
@@ -98,6 +99,9 @@
     /// Outages of the store, planned handovers, and workers that are cut off in
     /// masses.
     outages: bool,
+    /// Tasks that save their progress and fill the fleet, and gangs of a queue of
+    /// lower number for which they are preempted.
+    preemption: bool,
 }
 
 /// The usual faults alone.
@@ -110,6 +114,7 @@
     mixed: false,
     calm: false,
     outages: false,
+    preemption: false,
 };
 
 type RunKey = (fleet::TaskId, u32);
@@ -263,6 +268,7 @@
     /// Time until which the advisory service does not respond.
     advice_outage_ms: u64,
     gangs: gangs::Gangs,
+    preemptions: usize,
 }
 
 impl Simulation {
@@ -293,6 +299,7 @@
             last_election_ms: SIMULATED_MS,
             advice_outage_ms: 0,
             gangs: gangs::Gangs::default(),
+            preemptions: 0,
         };
         if faults.calm {
             simulation.last_election_ms = simulation.random(SIMULATED_MS);
@@ -362,6 +369,13 @@
         if self.faults.calm && self.violations.is_empty() {
             self.end_in_calm();
         }
+        if self.faults.preemption && self.preemptions == 0 {
+            self.violations.push("nothing was preempted".to_owned());
+        }
+        eprintln!(
+            "DBG {} preemptions {} starts",
+            self.preemptions, self.starts
+        );
         (self.violations, self.starts)
     }
 
@@ -601,3 +615,20 @@
         );
     }
 }
+
+/// Guards against runs that are stopped for other work and never ordered again, or
+/// run twice, over changes of leaders and lost stops.
+#[test]
+fn preempted_work_is_done_in_calm_over_many_terms() {
+    let faults = Faults {
+        preemption: true,
+        calm: true,
+        ..USUAL_FAULTS
+    };
+    let violations = simulate(faults, &seeds(&[0, 1, 2, 3]));
+    assert!(
+        violations.is_empty(),
+        "{} seeds with violations: {violations:#?}",
+        violations.len()
+    );
+}
