--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -94,6 +94,22 @@
         after: time::Duration,
         /// Time left until the job misses its objective; `None` if it has.
         slack: Option<time::Duration>,
+        /// Slowdown of the slowest of the workers.
+        slowdown: fleet::Slowdown,
+        /// Whether a task there is predicted to end too late.
+        predicted_late: bool,
+    },
+    /// A gang has room, but waits for faster workers on which it is predicted to end
+    /// in time. Logged once for each gang.
+    GangAwaitsFaster {
+        /// First task of the step.
+        task: fleet::TaskId,
+        /// Slowdown of the slowest of the workers with room, on which it would be late.
+        slowdown_now: fleet::Slowdown,
+        /// Slowdown of the slowest of the workers that it waits for.
+        slowdown: fleet::Slowdown,
+        /// When these are expected to have room.
+        ready_in: time::Duration,
     },
     /// A step has been ready for long and has nothing running, or is a gang or
     /// long-running and has tasks that wait.
@@ -178,6 +194,20 @@
         /// How it ended.
         end: fleet::End,
     },
+    /// A run ended successfully.
+    RunDone {
+        /// The task.
+        task: fleet::TaskId,
+        /// Attempt of the task.
+        attempt: u32,
+        /// Worker that ran it.
+        worker: fleet::WorkerId,
+        /// Time from its start to its end.
+        length: time::Duration,
+        /// How long it was expected to take, by its step's estimate, its queue's run
+        /// times and its worker's speed.
+        predicted: time::Duration,
+    },
     /// A worker refused a start order.
     StartRefused {
         /// The task.
@@ -239,6 +269,19 @@
         /// Runs that are abandoned.
         runs: usize,
     },
+    /// Work takes longer or less long on a worker than before.
+    WorkerSpeedChanged {
+        /// The worker.
+        worker: fleet::WorkerId,
+        /// Its slowdown before.
+        previous: fleet::Slowdown,
+        /// Its slowdown now.
+        slowdown: fleet::Slowdown,
+        /// Its slowdown without what has changed in the last seconds.
+        lasting: fleet::Slowdown,
+        /// Number of runs that it is derived from.
+        runs: usize,
+    },
     /// A worker has restarted under its name.
     WorkerRestarted {
         /// The new incarnation.
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -34,10 +34,11 @@
     6205 JOB_CANCELLED Info "A job was cancelled by a caller.";
     6206 CALL_FAILED Warn "A caller's request got no answer from a leader in time.";
     6207 CALL_REJECTED Info "A caller's request names no queue or is malformed.";
-    6208 STEP_PLACED Info "Tasks of a step were assigned to workers; the log line gives how long the job had waited and how much time it has left.";
+    6208 STEP_PLACED Info "Tasks of a step were assigned to workers; the log line gives how long the job had waited and how much time it has left, the slowdown of the slowest worker, and whether a task is predicted to end too late there.";
     6211 STEP_WAITS Warn "A step has been ready for long and has nothing running, or is a gang or long-running and has tasks that wait; the log line gives the free capacity, the workers approved by the advisory service, the tickets that it could use, how many queries in succession got no response, and what holds it back.";
     6212 RUNS_PREEMPTED Info "Runs that save their progress are stopped so that a step of a queue of lower number starts in time; the log line gives what they lose, the time gained and the first of them.";
     6213 PREEMPTION_UNUSED Warn "A step did not start although runs were stopped for it; its workers are no longer reserved.";
+    6214 GANG_AWAITS_FASTER Info "A gang has room, but waits for faster workers on which it is predicted to end in time; logged once for each gang.";
     6301 TASK_STARTED Debug "A worker confirmed the start of a task.";
     6302 START_REFUSED Info "A worker refused the start of a task.";
     6303 START_UNANSWERED Warn "A worker did not answer a start order; the resources of the task stay allocated until a report shows the outcome.";
@@ -56,6 +57,8 @@
     6316 WORKER_RESTARTED Info "A worker has restarted under its name: its runs have ended, and the new incarnation is ordered to refuse orders that were sent to the earlier one.";
     6317 REPORT_UNREADABLE Warn "Rows of a worker's report could not be read; the others hold, and no run counts as missing.";
     6318 CALL_ACKNOWLEDGES Debug "A call for a worker's report acknowledges more ends than the calls before it; the log line gives the highest number.";
+    6321 WORKER_SPEED Info "Work takes longer or less long on a worker than before; the log line gives its slowdown relative to the median worker of its service, before and now, and without the changes of the last seconds.";
+    6322 RUN_DONE Debug "A run of a task ended successfully; the log line gives how long it took and how long it was expected to take.";
     6401 RECORDS_NOT_WRITTEN Warn "The store accepted no records; callers with new jobs wait briefly or are refused, and the remaining writes are retried.";
     6402 RECORD_INVALID Error "A record in the store cannot be read; its job is not known to this instance.";
     6403 ADVICE_FAILED Warn "A query to the advisory service got no response; for one through a peer the log line gives the age of the connection and of its last response.";
--- a/crates/figscale/src/fleet/decision_log.rs
+++ b/crates/figscale/src/fleet/decision_log.rs
@@ -14,13 +14,24 @@
         } => {
             metrics.fleet_job_ended(state_label(*state), *late, *after);
         }
-        LogEntry::StepPlaced { tasks, .. } => {
+        LogEntry::StepPlaced {
+            tasks,
+            predicted_late,
+            ..
+        } => {
+            if *predicted_late {
+                metrics.fleet_step_placed_late();
+            }
             for _ in 0..*tasks {
                 metrics.task_start_sent();
             }
         }
         LogEntry::RunsPreempted { victims, .. } => metrics.runs_preempted(victims.len()),
         LogEntry::PreemptionUnused { .. } => metrics.preemption_unused(),
+        LogEntry::RunDone {
+            length, predicted, ..
+        } => metrics.fleet_run_done(*length, *predicted),
+        LogEntry::GangAwaitsFaster { .. } => metrics.fleet_gang_awaits_faster(),
         _ => (),
     }
 }
@@ -77,6 +88,8 @@
             attempt,
             after,
             slack,
+            slowdown,
+            predicted_late,
         } => {
             crate::event!(
                 events::STEP_PLACED,
@@ -85,7 +98,23 @@
                 workers = workers,
                 attempt = attempt,
                 after_ms = after.as_millis(),
-                slack_ms = slack.map_or(0, |slack| slack.as_millis())
+                slack_ms = slack.map_or(0, |slack| slack.as_millis()),
+                slowdown = slowdown,
+                predicted_late = predicted_late
+            );
+        }
+        LogEntry::GangAwaitsFaster {
+            task,
+            slowdown_now,
+            slowdown,
+            ready_in,
+        } => {
+            crate::event!(
+                events::GANG_AWAITS_FASTER,
+                task = task,
+                slowdown_now = slowdown_now,
+                slowdown = slowdown,
+                ready_ms = ready_in.as_millis()
             );
         }
         LogEntry::StepStarved {
@@ -177,6 +206,38 @@
                 end = format_args!("{end:?}")
             );
         }
+        LogEntry::RunDone {
+            task,
+            attempt,
+            worker,
+            length,
+            predicted,
+        } => {
+            crate::event!(
+                events::RUN_DONE,
+                task = task,
+                attempt = attempt,
+                worker = worker,
+                length_ms = length.as_millis(),
+                predicted_ms = predicted.as_millis()
+            );
+        }
+        LogEntry::WorkerSpeedChanged {
+            worker,
+            previous,
+            slowdown,
+            lasting,
+            runs,
+        } => {
+            crate::event!(
+                events::WORKER_SPEED,
+                worker = worker,
+                previous = previous,
+                slowdown = slowdown,
+                lasting = lasting,
+                runs = runs
+            );
+        }
         LogEntry::StartRefused {
             task,
             attempt,
