--- a/crates/figscale-core/src/fleet/demand.rs
+++ b/crates/figscale-core/src/fleet/demand.rs
@@ -128,15 +128,16 @@
         }
     }
 
-    /// The usable resources of a service. If no worker is usable, that is probably
-    /// the leader's own fault and will pass, so all listed workers count.
+    /// The usable resources of a service, but no less than half of those listed. If
+    /// most workers are out of reach at a time, that is probably the leader's own fault
+    /// and will pass. If no worker is usable, all listed ones count.
     pub(crate) fn of_service(&self, service: &str) -> fleet::Room {
         let Some(sums) = self.services.get(service) else {
             return fleet::Room::default();
         };
         match sums.usable == fleet::Room::default() {
             true => sums.listed,
-            false => sums.usable,
+            false => sums.usable.most(&sums.listed.halved()),
         }
     }
 }
--- a/crates/figscale-types/src/fleet/job.rs
+++ b/crates/figscale-types/src/fleet/job.rs
@@ -58,6 +58,15 @@
         }
     }
 
+    /// Half of it in every kind.
+    pub fn halved(&self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis / 2,
+            memory_mb: self.memory_mb / 2,
+            accelerators: self.accelerators / 2,
+        }
+    }
+
     /// How many times `need` fits, at most `most`.
     pub fn count_fitting(&self, need: &Self, most: u64) -> u64 {
         let fitting = |have: u64, need: u64| have.checked_div(need).unwrap_or(most);
