--- a/crates/figscale-core/tests/fleet/worker_speed/load.rs
+++ b/crates/figscale-core/tests/fleet/worker_speed/load.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use figscale_core::fleet::RecordKey;
+use figscale_core::fleet::Records;
 use figscale_core::fleet::RunTimes;
 use figscale_types::fleet;
 use indexmap::IndexMap;
@@ -85,6 +87,9 @@
     pub(super) elapsed_ms: u64,
     /// Time for which each worker had runs other than of gangs.
     pub(super) loaded_ms: Vec<u64>,
+    /// Times of the writes of the record of speeds.
+    pub(super) speeds_written_ms: Vec<u64>,
+    stored: IndexSet<RecordKey>,
 }
 
 impl Load {
@@ -100,6 +105,8 @@
             next_job: 1,
             elapsed_ms: 0,
             loaded_ms: vec![0; workers],
+            speeds_written_ms: Vec::new(),
+            stored: IndexSet::new(),
         }
     }
 
@@ -132,13 +139,25 @@
             }
         }
         while self.cluster.scheduler.has_records() {
-            self.cluster.write();
+            let records = self.cluster.write();
+            self.check_write(&records);
         }
         self.cluster.scheduler.plan(now);
         self.cluster.execute_actions();
         self.note_starts();
     }
 
+    /// Notes a write of the record of speeds; no caller may wait for it.
+    fn check_write(&mut self, records: &Records) {
+        let keys = records.records.iter().map(|record| record.key);
+        let jobs = keys.clone().filter(|key| matches!(key, RecordKey::Job(_)));
+        let new = jobs.filter(|key| self.stored.insert(*key)).count();
+        if keys.clone().any(|key| key == RecordKey::Speeds) {
+            assert_eq!(new, 0, "new jobs in a write of the record of speeds");
+            self.speeds_written_ms.push(self.elapsed_ms);
+        }
+    }
+
     fn submit_jobs(&mut self) {
         let workers = self.cluster.workers.len() as f64;
         for kind in self.kinds.clone() {
--- a/crates/figscale-core/tests/fleet/worker_speed/mod.rs
+++ b/crates/figscale-core/tests/fleet/worker_speed/mod.rs
@@ -156,6 +156,8 @@
     let known = load.slowdowns();
     let slow = known.iter().filter(|percent| **percent > 150).count();
     assert!(slow >= 10, "{known:?}");
+    let written = &load.speeds_written_ms;
+    assert!(written.windows(2).all(|times| times[1] >= times[0] + 5_000));
     load.cluster.take_over(2);
     let same = load
         .slowdowns()
