Review of worker speed: no drift, recovery without work, and a record under load

Cause (review, by reading): workers and queues were each compared with the other's absolute figure, so that any bias of the estimate of a worker, which outliers cause, accumulated in both; a worker taken for slow that got no work stayed slow; the record of speeds was left out of each write with a new job, which under load is each; a new leader replaced it before workers were listed.

Change: queues are compared by what is left beside a worker's relative slowdown; what is known of a worker loses weight within seconds without new evidence; the record goes in a write of its own while most chains are idle, and not before recovery is complete; slowdowns are bounded; a late gang looks for faster workers only if there are any.

Not mended: a worker that is slow for several seconds is taken for ordinary in between, when the runs that began before have ended.

--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -449,6 +449,10 @@
         if prediction.order_at(pass.now).is_in_time(slowdown_now) || !may_reserve(pass) {
             return None;
         }
+        let groups = pass.usable_by_speed(|index| self.slowdown_at(index));
+        if groups.iter().all(|group| group.slowdown >= slowdown_now) {
+            return None;
+        }
         let faster = |worker: &worker::Worker| worker.slowdown < slowdown_now;
         let reserved = self.reserve_on(task, description, faster, pass);
         reserved.filter(|(reservation, slowdown)| {
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -444,7 +444,7 @@
             .order_at(start)
     }
 
-    fn slowdown_at(&self, index: usize) -> fleet::Slowdown {
+    pub(crate) fn slowdown_at(&self, index: usize) -> fleet::Slowdown {
         let worker = self.workers.get_index(index);
         worker.map_or(fleet::Slowdown::ORDINARY, |(_, worker)| worker.slowdown)
     }
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -91,6 +91,14 @@
         records.recorded = Some(ids);
     }
 
+    /// Takes the record of speeds for a transaction of its own, if it has to be written.
+    /// Under load each of the other transactions has records that callers wait for.
+    pub fn take_speeds_record(&mut self) -> Option<durable::Records> {
+        let mut records = durable::Records::default();
+        self.add_speeds_record(&mut records, 1);
+        records.speeds.is_some().then_some(records)
+    }
+
     /// Adds the record of speeds if it has to be written and no caller waits for the
     /// others: for new jobs, cancelled ones, or workers that cannot be used before.
     fn add_speeds_record(&mut self, records: &mut durable::Records, most: usize) {
--- a/crates/figscale-core/src/fleet/speed/mod.rs
+++ b/crates/figscale-core/src/fleet/speed/mod.rs
@@ -190,11 +190,7 @@
         if !self.queues.contains_key(name) {
             self.queues.insert(name.to_owned(), Default::default());
         }
-        let known = &mut self.queues[name];
-        if known.service.is_empty() {
-            known.service.clone_from(&queue.service);
-        }
-        known
+        &mut self.queues[name]
     }
 
     /// Takes in what a run implies of its total time.
@@ -283,8 +279,7 @@
         (clock_ms, slowest): (u64, fleet::Slowdown),
         now: time::Instant,
     ) {
-        let anchor = self.reference(&queue.service).anchor;
-        let slowest = (f64::from(slowest.percent()) / 100.0).ln() + anchor;
+        let slowest = (f64::from(slowest.percent()) / 100.0).ln();
         let Some(whole) = run.whole(clock_ms) else {
             return;
         };
@@ -352,9 +347,7 @@
             }
         }
         for queue in self.queues.values_mut() {
-            let of_service = self.services.get(&queue.service);
-            let anchor = of_service.map_or(0.0, |known| known.reference.anchor);
-            queue.review(anchor);
+            queue.review();
         }
     }
 }
--- a/crates/figscale-core/src/fleet/speed/queue.rs
+++ b/crates/figscale-core/src/fleet/speed/queue.rs
@@ -32,8 +32,6 @@
 /// Estimates of one queue, in logarithms.
 #[derive(Clone, Debug)]
 pub(super) struct QueueSpeed {
-    /// Service whose workers run its tasks; empty until known.
-    pub(super) service: String,
     /// Total times beside those of the workers' speed; each step weighs one.
     ratios: histogram::Histogram,
     /// Deviations of tasks from what their steps and workers explain.
@@ -51,7 +49,6 @@
 impl Default for QueueSpeed {
     fn default() -> Self {
         Self {
-            service: String::new(),
             ratios: histogram::Histogram::new(HALF_LIFE),
             within: histogram::Histogram::new(HALF_LIFE),
             median: None,
@@ -119,9 +116,8 @@
         }
     }
 
-    /// Renews what is derived from the histograms. `anchor` is the slowdown of an
-    /// ordinary worker, in logarithms.
-    pub(super) fn review(&mut self, anchor: f64) {
+    /// Renews what is derived from the histograms.
+    pub(super) fn review(&mut self) {
         if self.within.weight() >= MIN_STEPS {
             self.within_step = self.within.deviation().max(MIN_WITHIN_STEP);
         }
@@ -131,7 +127,7 @@
         let median = self.ratios.quantile(0.5);
         self.median = Some(median);
         self.between_steps = self.ratios.deviation().max(self.within_step);
-        let percent = |ratio: f64| (ratio + anchor).exp() * 100.0;
+        let percent = |ratio: f64| ratio.exp() * 100.0;
         let known = &mut self.run_times;
         move_percent(&mut known.typical_percent, percent(median));
         let cautious = percent(self.ratios.quantile(0.9));
--- a/crates/figscale-core/src/fleet/speed/service.rs
+++ b/crates/figscale-core/src/fleet/speed/service.rs
@@ -23,7 +23,7 @@
 const MIN_OF_KIND: usize = 3;
 const AGREEING_PERCENT: usize = 80;
 /// Slowdowns agree if the higher is at most this percentage of the lower.
-const AGREES_PERCENT: u32 = 116;
+const AGREES_PERCENT: u64 = 116;
 
 /// What is known of the workers of one service.
 #[derive(Clone, Debug, Default)]
@@ -75,7 +75,7 @@
         known.sort();
         let agrees = |slowdown: &&fleet::Slowdown, middle: fleet::Slowdown| {
             let (low, high) = (middle.min(**slowdown), middle.max(**slowdown));
-            high.percent() * 100 <= low.percent() * AGREES_PERCENT
+            u64::from(high.percent()) * 100 <= u64::from(low.percent()) * AGREES_PERCENT
         };
         let middle = known.get(known.len() / 2).copied();
         let agreed = middle.filter(|middle| {
--- a/crates/figscale-core/src/fleet/speed/step.rs
+++ b/crates/figscale-core/src/fleet/speed/step.rs
@@ -58,7 +58,12 @@
     /// Records what a run says, in place of what it said before.
     pub(super) fn record(&mut self, own: &mut Option<usize>, worker: u32, value: f64) {
         match own {
-            Some(own) => self.runs[*own] = (worker, value),
+            // Not there if its job was submitted again meanwhile.
+            Some(own) => {
+                if let Some(run) = self.runs.get_mut(*own) {
+                    *run = (worker, value);
+                }
+            }
             None if self.runs.len() < MAX_RUNS => {
                 *own = Some(self.runs.len());
                 self.runs.push((worker, value));
--- a/crates/figscale-core/src/fleet/speed/worker.rs
+++ b/crates/figscale-core/src/fleet/speed/worker.rs
@@ -34,6 +34,12 @@
 /// The end of a run that a report tells of longer than this after the report before
 /// says little about the run's length. Reports come each second at least.
 const MAX_REPORT_GAP_MS: u64 = 1_300;
+/// Half-life of what is known of a worker without new evidence. A worker that is
+/// taken for slow may get no work, and would never show that it has recovered.
+const IDLE_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
+/// Bounds of a slowdown, in percent: clocks of workers may jump.
+const MIN_PERCENT: f64 = 10.0;
+const MAX_PERCENT: f64 = 2_000.0;
 /// Precision of what is known without evidence of its own: of a worker like any
 /// other, and of one that an earlier leader or its kind tells of.
 const PRECISION_OF_NOTHING: f64 = 4.0;
@@ -104,6 +110,10 @@
     turn: f64,
     turned_at: Option<time::Instant>,
     turn_seen_at: Option<time::Instant>,
+    /// Time of the latest evidence, or else of the first report.
+    evident_at: Option<time::Instant>,
+    /// Part of what is known that still counts at the latest report.
+    freshness: f64,
     /// Slowdown by an earlier leader's record, or of its kind.
     prior: Option<fleet::Slowdown>,
     /// The lasting slowdown.
@@ -124,6 +134,7 @@
             prior: (slowdown != fleet::Slowdown::ORDINARY).then_some(slowdown),
             lasting: slowdown,
             slowdown,
+            freshness: 1.0,
             ..Self::default()
         }
     }
@@ -148,9 +159,11 @@
             .filter(|estimate| estimate.runs >= MIN_RUNS && estimate.jobs >= MIN_JOBS)
     }
 
-    /// Its lasting slowdown as far as known, in logarithms.
+    /// Its lasting slowdown as far as known, relative to an ordinary worker, in
+    /// logarithms. Queues are compared by what is left beside this. Beside the absolute
+    /// figure, any bias of the estimate would accumulate in workers and queues.
     pub(super) fn lasting(&self, anchor: f64) -> f64 {
-        self.combined(anchor).0
+        self.combined(anchor).0 - anchor
     }
 
     /// Its present slowdown relative to the lasting one, in logarithms.
@@ -218,7 +231,10 @@
         if self.changed {
             self.changed = false;
             self.estimate = self.locate();
+            self.evident_at = Some(now);
         }
+        let idle = now.saturating_duration_since(*self.evident_at.get_or_insert(now));
+        self.freshness = (-idle.as_secs_f64() / IDLE_HALF_LIFE.as_secs_f64()).exp2();
         self.update_turn(observed_runs, now);
         let (mean, precision) = self.combined(reference.anchor);
         let lasting = mean - reference.anchor;
@@ -262,14 +278,23 @@
         let prior = self.prior.map(|prior| {
             let mean = logarithm(prior) + anchor;
             let left = (1.0 - runs / PRIOR_RUNS).max(0.0);
-            (mean, PRECISION_OF_PRIOR * left)
+            (mean, PRECISION_OF_PRIOR * left * self.freshness)
         });
-        let (mean, precision) = prior.unwrap_or((anchor, PRECISION_OF_NOTHING));
-        let Some(own) = self.estimate else {
-            return (mean, precision);
+        let own = self
+            .estimate
+            .map(|own| (own.mean, self.freshness / own.variance));
+        let nothing = (anchor, PRECISION_OF_NOTHING * (1.0 - self.freshness));
+        let known = match prior {
+            Some(prior) => [Some(prior), Some(nothing), own],
+            None => [Some((anchor, PRECISION_OF_NOTHING)), None, own],
         };
-        let sum = precision + 1.0 / own.variance;
-        ((mean * precision + own.mean / own.variance) / sum, sum)
+        let known = || known.iter().flatten();
+        let precision: f64 = known().map(|(_, precision)| precision).sum();
+        let sum: f64 = known().map(|(mean, precision)| mean * precision).sum();
+        match precision > 0.0 {
+            true => (sum / precision, precision),
+            false => (anchor, 0.0),
+        }
     }
 
     /// Mean of the evidence, with outliers clipped around the median.
@@ -373,7 +398,8 @@
 /// The nearest of the slowdowns that are told apart.
 fn quantized(ratio: f64) -> fleet::Slowdown {
     let ratio = (ratio / STEP).round() * STEP;
-    fleet::Slowdown::from_percent((ratio.exp() * 100.0).round() as u32)
+    let percent = (ratio.exp() * 100.0).clamp(MIN_PERCENT, MAX_PERCENT);
+    fleet::Slowdown::from_percent(percent.round() as u32)
 }
 
 fn logarithm(slowdown: fleet::Slowdown) -> f64 {
--- a/crates/figscale-core/src/fleet/speed_evidence.rs
+++ b/crates/figscale-core/src/fleet/speed_evidence.rs
@@ -223,6 +223,10 @@
         let workers = self.workers.values();
         let workers = workers.map(|worker| (&worker.entry, &worker.speed));
         self.speeds.review(workers, now);
+        // Workers that are not listed yet would be left out of it.
+        if self.recovering {
+            return;
+        }
         let mut record = mem::take(&mut self.speeds.record);
         // A turn of speed is over before it would be of use to another leader.
         let lasting = || self.speeds_by(|worker| worker.speed.lasting_slowdown());
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -34,6 +34,7 @@
 mod resized_workers;
 mod run_ends;
 mod slow_advisory;
+mod speed_placement;
 mod spread_steps;
 mod starvation;
 mod starvation_reports;
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -74,6 +74,7 @@
     /// Sends the next write if there is something to write, a chain is idle, and the
     /// pause after the last write is over.
     pub(super) fn write_if_due(&mut self, now: time::Instant) {
+        self.write_speeds_if_due(now);
         let urgent = self.has_urgent_records();
         let (pause, chains) = match urgent {
             // One write at a time probes whether the store is available again.
@@ -112,6 +113,28 @@
         self.pending_writes.insert(number, write);
     }
 
+    /// Sends the record of speeds if it is due and most chains are idle.
+    fn write_speeds_if_due(&mut self, now: time::Instant) {
+        if self.store_unavailable || self.idle_chains.len() <= ledger::CHAINS / 2 {
+            return;
+        }
+        let Some(records) = self.scheduler.take_speeds_record() else {
+            return;
+        };
+        let Some(chain) = self.idle_chains.pop() else {
+            self.scheduler.records_not_written(&records);
+            return;
+        };
+        let write = PendingWrite {
+            records,
+            lease: None,
+            started: now,
+        };
+        let number = chain.number();
+        self.spawn_write(chain, &write);
+        self.pending_writes.insert(number, write);
+    }
+
     /// Whether callers wait for a write that has not been sent, or workers that
     /// cannot be used before it.
     fn has_urgent_records(&self) -> bool {
