Test of a deployment without preemption: no queue of higher number at all

Its first case had short work of a lower number, which was not helped only because its gain was too small.

--- a/crates/figscale-core/tests/fleet/preemption.rs
+++ b/crates/figscale-core/tests/fleet/preemption.rs
@@ -468,7 +468,8 @@
             sim.submit(FILL, &fill_queue, fill_step.clone());
             sim.work(2_000);
             sim.submit(GANG, &helpers::queue(1), gang());
-            sim.submit(GANG + 1, &helpers::queue(0), helpers::step(4, 4));
+            let other = helpers::with_estimate(helpers::step(4, 4), 6_000);
+            sim.submit(GANG + 1, &helpers::queue(1), other);
             sim.work(20_000);
             sim.cluster.log_entries
         });
