Review: run times beside the objective, turns across an outage, plainer names

Cause: the cautious length of a queue had the error of its estimates in it, which objectives share, so that with rough estimates all gangs and wide steps were predicted late on every worker: they took the fastest, and no preemption could help a gang. An outage of the store erased the turns of refused callers. A bound of 4,000 examined workers made admission refuse beside free room. A slowdown from the record was rounded at the first report.

Change: the cautious length is the median and the spread within a step; turns last until callers that the store refused may retry; the bound is 20,000 again; a slowdown moves only with evidence; "turn of speed" is a transient slowdown, and the refusal's log key is refusal_cause. Two load tests of placement state slowdowns relative to the median worker, as learning does: with others the first evidence contradicted them. Their bounds are as they were.

--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -37,9 +37,9 @@
 /// Maximum age of the sum of capacity. Workers come and go less often than jobs, and
 /// there are thousands of them on a large site.
 const MAX_CAPACITY_AGE: time::Duration = time::Duration::from_millis(100);
-/// How many workers are examined at most to find out whether a job fits now. If
-/// that is not enough, so much work waits that it takes the room.
-const MAX_SCANS: usize = 4_000;
+/// How many workers are examined at most to find out whether a job fits now. Beyond
+/// that it counts as one that does not, which bounds the cost of a refusal.
+const MAX_SCANS: usize = 20_000;
 /// A customer is refused for its own excess when it has more than this percentage
 /// of its share of the work.
 const OVER_SHARE_PERCENT: u32 = 125;
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Records that a submission was refused because of the store, and its caller told
+    /// to retry at `retry_at`. The turns of earlier refusals stay until then.
+    pub fn refused_by_store(&mut self, retry_at: time::Instant) {
+        self.admission.turns.suspend(retry_at);
+    }
+
     /// Number of refused callers that may return.
     pub fn turns(&self) -> usize {
         self.admission.turns.len()
--- a/crates/figscale-core/src/fleet/speed/mod.rs
+++ b/crates/figscale-core/src/fleet/speed/mod.rs
@@ -37,8 +37,8 @@
 
 /// A change of a run's speed by this factor (1.6), as a logarithm, is one of its
 /// worker's speed, if other runs there change likewise.
-const TURN: f64 = 0.47;
-/// A run that began during a turn shows by this decrease (a quarter) that it is over.
+const TRANSIENT_THRESHOLD: f64 = 0.47;
+/// A run that began during a transient slowdown shows by this decrease (a quarter) that it is over.
 const SPEEDUP: f64 = 0.3;
 /// A change of a run's speed counts if it is known to this variance.
 const MAX_CHANGE_VARIANCE: f64 = 0.1;
@@ -52,11 +52,14 @@
 
 /// How long the tasks of a queue take on a worker of ordinary speed, in percent
 /// of their estimates.
+///
+/// The error that all tasks of a job have in common is left out of the spread: the
+/// objective of a job is a multiple of the same estimate, so both are off together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunTimes {
     /// The median.
     pub typical_percent: u32,
-    /// Nine of ten tasks take no longer.
+    /// Nine of ten tasks of a job that takes as long as the median take no longer.
     pub cautious_percent: u32,
 }
 
@@ -204,7 +207,7 @@
         } = observed;
         let anchor = self.reference(&queue.service).anchor;
         let queue = self.queue(queue);
-        let turn = *run.turn.get_or_insert(worker.turn());
+        let transient = *run.transient.get_or_insert(worker.transient());
         let progress_error = match reading.ended {
             true => 0.0,
             false => match queue.progress_error() {
@@ -212,24 +215,27 @@
                 None => return,
             },
         };
-        run.turn_seen |= worker.turn() != 0.0;
+        run.transient_seen |= worker.transient() != 0.0;
         let clear = reading.variance <= MAX_CHANGE_VARIANCE;
         if let Some(change) = reading.change.filter(|_| clear) {
-            // A run that began during a turn may have been measured across its end, so
-            // it shows that the turn is over but not that it continues.
-            match turn == 0.0 {
+            // A run that began during a transient slowdown may have been measured across its end, so
+            // it shows that the transient slowdown is over but not that it continues.
+            match transient == 0.0 {
                 true => worker.record_change(task, change.max(0.0), now),
                 false if change <= -SPEEDUP => worker.record_change(task, 0.0, now),
                 false => (),
             }
         }
-        if reading.change.is_some_and(|change| change.abs() >= TURN) {
+        if reading
+            .change
+            .is_some_and(|change| change.abs() >= TRANSIENT_THRESHOLD)
+        {
             return;
         }
-        let own = reading.ratio - worker.lasting(anchor) - turn;
+        let own = reading.ratio - worker.lasting(anchor) - transient;
         let known = queue.step_ratio(step.others(worker.serial));
         step.record(&mut run.of_step, worker.serial, own);
-        if turn != 0.0 || worker.turn() != 0.0 {
+        if transient != 0.0 || worker.transient() != 0.0 {
             return;
         }
         if let Some((mean, variance)) = known {
@@ -257,7 +263,7 @@
         if let Some(error) = observed.run.progress_error(&whole) {
             queue.record_progress(error);
         }
-        if observed.worker.turn() != 0.0 || observed.run.has_turned() {
+        if observed.worker.transient() != 0.0 || observed.run.spans_transient() {
             return;
         }
         let own = whole.ratio - observed.worker.lasting(anchor);
@@ -287,7 +293,7 @@
         if let Some(error) = run.progress_error(&whole) {
             queue.record_progress(error);
         }
-        if !run.has_turned() {
+        if !run.spans_transient() {
             queue.record(whole.ratio - slowest, 1, now);
         }
     }
--- a/crates/figscale-core/src/fleet/speed/queue.rs
+++ b/crates/figscale-core/src/fleet/speed/queue.rs
@@ -25,6 +25,8 @@
 /// initial value weighs as much as so many.
 const PROGRESS_WEIGHT: f64 = 0.05;
 const INITIAL_PROGRESS_RUNS: f64 = 3.0;
+/// Nine of ten normally distributed values are below this many standard deviations.
+const QUANTILE_OF_NORMAL: f64 = 1.28;
 /// Run times are known in multiples of this percentage, and move by more than one
 /// and a half of it at a time.
 const PERCENT_STEP: u32 = 10;
@@ -118,8 +120,10 @@
 
     /// Renews what is derived from the histograms.
     pub(super) fn review(&mut self) {
+        let mut slow_deviation = QUANTILE_OF_NORMAL * self.within_step;
         if self.within.weight() >= MIN_STEPS {
             self.within_step = self.within.deviation().max(MIN_WITHIN_STEP);
+            slow_deviation = self.within.quantile(0.9).max(0.0);
         }
         if self.ratios.weight() < MIN_STEPS {
             return;
@@ -130,7 +134,7 @@
         let percent = |ratio: f64| ratio.exp() * 100.0;
         let known = &mut self.run_times;
         move_percent(&mut known.typical_percent, percent(median));
-        let cautious = percent(self.ratios.quantile(0.9));
+        let cautious = percent(median + slow_deviation);
         move_percent(&mut known.cautious_percent, cautious);
     }
 }
--- a/crates/figscale-core/src/fleet/speed/run.rs
+++ b/crates/figscale-core/src/fleet/speed/run.rs
@@ -2,20 +2,20 @@
 
 use std::time;
 
-use super::TURN;
+use super::TRANSIENT_THRESHOLD;
 
 /// Least progress between two readings for which the time in between counts; the
 /// figure is a whole number.
 const MIN_PROGRESS_PERCENT: u32 = 5;
 /// The same for a run that may soon be as fast again as before.
-const MIN_PROGRESS_IF_TURNED_PERCENT: u32 = 2;
+const MIN_PROGRESS_IF_SLOWED_PERCENT: u32 = 2;
 /// Expected progress above which less than half of it counts as evidence, too.
 const MIN_EXPECTED_PERCENT: f64 = 6.0;
 /// Shortest time that counts.
 const MIN_TIME_MS: u64 = 40;
 /// Squared error of progress that showed a change of speed where other runs of the
 /// worker showed none.
-const ERROR_IF_TURNED: f64 = 0.25;
+const ERROR_IF_SLOWED: f64 = 0.25;
 /// Error of a clock reading relative to the start, progress or end that it stands
 /// for.
 const CLOCK_ERROR_MS: f64 = 20.0;
@@ -51,11 +51,11 @@
     steady_ratio: Option<f64>,
     /// Ratio of the last two readings alone.
     latest_ratio: Option<f64>,
-    /// Turn of its worker's speed at its first reading.
-    pub(super) turn: Option<f64>,
-    turned: bool,
-    /// Whether a turn of its worker's speed was seen while it ran.
-    pub(super) turn_seen: bool,
+    /// Transient slowdown of its worker at its first reading.
+    pub(super) transient: Option<f64>,
+    slowed: bool,
+    /// Whether a transient slowdown of its worker was seen while it ran.
+    pub(super) transient_seen: bool,
     /// Its number on its worker's list of evidence.
     pub(super) slot: Option<u64>,
     /// Its number among the runs of its step.
@@ -103,8 +103,8 @@
             return None;
         };
         let done = percent - last.1;
-        let least = match self.turned {
-            true => MIN_PROGRESS_IF_TURNED_PERCENT,
+        let least = match self.slowed {
+            true => MIN_PROGRESS_IF_SLOWED_PERCENT,
             false => MIN_PROGRESS_PERCENT,
         };
         let enough = done >= least || done > 0 && self.lags(last, clock_ms, done);
@@ -129,7 +129,7 @@
     /// end shows does not count, since progress may not be even.
     pub(crate) fn ended(&mut self, clock_ms: u64) -> Option<Reading> {
         // A change of speed that no other run shares is an error of its progress.
-        let unconfirmed = self.turned && !self.turn_seen;
+        let unconfirmed = self.slowed && !self.transient_seen;
         let start = match self.unusable || unconfirmed {
             true => self.origin.filter(|(_, percent)| *percent == 0),
             false => self.steady_since,
@@ -141,9 +141,9 @@
     /// expect it; `None` if there was no progress.
     pub(super) fn progress_error(&self, whole: &Reading) -> Option<f64> {
         let implied = self.steady_ratio?;
-        match self.turned {
-            true if self.turn_seen => None,
-            true => Some(ERROR_IF_TURNED),
+        match self.slowed {
+            true if self.transient_seen => None,
+            true => Some(ERROR_IF_SLOWED),
             false => Some((implied - whole.ratio).powi(2)),
         }
     }
@@ -166,12 +166,13 @@
 
     /// Whether its progress has been evidence.
     pub(crate) fn is_observed(&self) -> bool {
-        self.turn.is_some()
+        self.transient.is_some()
     }
 
     /// Whether its speed has changed while it ran.
-    pub(super) fn has_turned(&self) -> bool {
-        self.turned && self.turn_seen || self.turn.is_some_and(|turn| turn != 0.0)
+    pub(super) fn spans_transient(&self) -> bool {
+        self.slowed && self.transient_seen
+            || self.transient.is_some_and(|transient| transient != 0.0)
     }
 
     fn advance(&mut self, at: (u64, u32)) -> Option<Reading> {
@@ -181,11 +182,11 @@
         self.latest_ratio = latest.map(|latest| latest.ratio).or(self.latest_ratio);
         let change = latest.zip(self.steady_ratio);
         let change = change.map(|(latest, steady)| latest.ratio - steady);
-        let turned = change.is_some_and(|change| change.abs() >= TURN);
-        if turned {
+        let slowed = change.is_some_and(|change| change.abs() >= TRANSIENT_THRESHOLD);
+        if slowed {
             // The time at another speed says nothing about the worker's usual speed.
             self.steady_since = Some(at);
-            self.turned = true;
+            self.slowed = true;
             return latest
                 .zip(self.steady_ratio)
                 .map(|(latest, steady)| Reading {
--- a/crates/figscale-core/src/fleet/speed/worker.rs
+++ b/crates/figscale-core/src/fleet/speed/worker.rs
@@ -1,11 +1,11 @@
-//! How much slower than others a worker is: its lasting slowdown, and a turn of
+//! How much slower than others a worker is: its lasting slowdown, and a transient slowdown of
 //! speed that its runs show at the moment.
 
 use std::time;
 
 use figscale_types::fleet;
 
-use super::TURN;
+use super::TRANSIENT_THRESHOLD;
 use super::run;
 
 /// Number of runs that are remembered.
@@ -48,15 +48,15 @@
 const PRIOR_RUNS: f64 = 12.0;
 /// Age up to which a change of a run's speed counts.
 const MAX_CHANGE_AGE: time::Duration = time::Duration::from_millis(1_300);
-/// Without new evidence a turn of speed is taken to be over after this time, since a
+/// Without new evidence a transient slowdown is taken to be over after this time, since a
 /// worker that gets no work shows none.
-const MAX_TURN_AGE: time::Duration = time::Duration::from_millis(2_000);
-/// A turn that lasts for this time is taken as the worker's lasting speed.
-const MAX_TURN: time::Duration = time::Duration::from_secs(12);
-/// Fewest jobs whose runs show a turn.
-const MIN_TURNED: usize = 2;
-/// Fewest runs of one job that show a turn, if all do that.
-const MIN_TURNED_OF_ONE_JOB: usize = 3;
+const MAX_TRANSIENT_AGE: time::Duration = time::Duration::from_millis(2_000);
+/// A transient slowdown that lasts for this time is taken as the worker's lasting speed.
+const MAX_TRANSIENT: time::Duration = time::Duration::from_secs(12);
+/// Fewest jobs whose runs show a transient slowdown.
+const MIN_SLOWED_JOBS: usize = 2;
+/// Fewest runs of one job that show a transient slowdown, if all do that.
+const MIN_SLOWED_RUNS_OF_ONE_JOB: usize = 3;
 
 /// What one run says, in logarithms.
 #[derive(Clone, Copy, Debug)]
@@ -107,9 +107,9 @@
     next_slot: u64,
     estimate: Option<Estimate>,
     changes: Vec<Change>,
-    turn: f64,
-    turned_at: Option<time::Instant>,
-    turn_seen_at: Option<time::Instant>,
+    transient: f64,
+    transient_since: Option<time::Instant>,
+    transient_seen_at: Option<time::Instant>,
     /// Time of the latest evidence, or else of the first report.
     evident_at: Option<time::Instant>,
     /// Part of what is known that still counts at the latest report.
@@ -143,7 +143,7 @@
         self.slowdown
     }
 
-    /// The lasting slowdown, without a turn of speed.
+    /// The lasting slowdown, without a transient slowdown.
     pub(crate) fn lasting_slowdown(&self) -> fleet::Slowdown {
         self.lasting
     }
@@ -167,8 +167,8 @@
     }
 
     /// Its present slowdown relative to the lasting one, in logarithms.
-    pub(super) fn turn(&self) -> f64 {
-        self.turn
+    pub(super) fn transient(&self) -> f64 {
+        self.transient
     }
 
     /// Records the worker's clock at a report.
@@ -235,11 +235,11 @@
         }
         let idle = now.saturating_duration_since(*self.evident_at.get_or_insert(now));
         self.freshness = (-idle.as_secs_f64() / IDLE_HALF_LIFE.as_secs_f64()).exp2();
-        self.update_turn(observed_runs, now);
+        self.update_transient(observed_runs, now);
         let (mean, precision) = self.combined(reference.anchor);
         let lasting = mean - reference.anchor;
         self.lasting = self.choose_lasting(lasting, precision, reference.differs);
-        let slowdown = self.with_turn();
+        let slowdown = self.with_transient();
         let moved = slowdown != self.slowdown;
         self.slowdown = slowdown;
         moved
@@ -264,9 +264,12 @@
         }
     }
 
-    fn with_turn(&self) -> fleet::Slowdown {
-        let present = logarithm(self.lasting) + self.turn;
-        match self.turn != 0.0 && (present - logarithm(self.slowdown)).abs() <= KEEP {
+    fn with_transient(&self) -> fleet::Slowdown {
+        if self.transient == 0.0 {
+            return self.lasting;
+        }
+        let present = logarithm(self.lasting) + self.transient;
+        match (present - logarithm(self.slowdown)).abs() <= KEEP {
             true => self.slowdown,
             false => quantized(present),
         }
@@ -343,15 +346,15 @@
         })
     }
 
-    fn update_turn(&mut self, observed_runs: usize, now: time::Instant) {
+    fn update_transient(&mut self, observed_runs: usize, now: time::Instant) {
         let old = |at: time::Instant, age| now.saturating_duration_since(at) > age;
         self.changes
             .retain(|change| !old(change.at, MAX_CHANGE_AGE));
         let mut factors: Vec<f64> = self.changes.iter().map(|change| change.factor).collect();
         factors.sort_by(f64::total_cmp);
-        let turned = |change: &&Change| change.factor >= TURN;
+        let slowed = |change: &&Change| change.factor >= TRANSIENT_THRESHOLD;
         let mut jobs: Vec<fleet::JobId> = Vec::new();
-        for change in self.changes.iter().filter(turned) {
+        for change in self.changes.iter().filter(slowed) {
             if !jobs.contains(&change.task.job) {
                 jobs.push(change.task.job);
             }
@@ -359,31 +362,39 @@
         // The lower of the two in the middle decides, so that half is not enough.
         let middle = factors.get(factors.len().saturating_sub(1) / 2);
         let middle = middle.copied().unwrap_or_default();
-        let turned = self.changes.iter().filter(turned).count();
-        let of_one_job = turned >= MIN_TURNED_OF_ONE_JOB && turned == factors.len();
-        let enough = jobs.len() >= MIN_TURNED || of_one_job;
-        let shows_turn = enough && 2 * turned >= observed_runs && middle >= TURN;
-        let shows_none = !factors.is_empty() && middle < TURN;
-        if shows_turn {
-            self.turned_at = self.turned_at.or(Some(now));
-            self.turn_seen_at = self.changes.iter().map(|change| change.at).max();
-            self.turn = middle;
-        } else if shows_none || self.turn_seen_at.is_some_and(|at| old(at, MAX_TURN_AGE)) {
-            self.end_turn();
+        let slowed = self.changes.iter().filter(slowed).count();
+        let of_one_job = slowed >= MIN_SLOWED_RUNS_OF_ONE_JOB && slowed == factors.len();
+        let enough = jobs.len() >= MIN_SLOWED_JOBS || of_one_job;
+        let shows_transient =
+            enough && 2 * slowed >= observed_runs && middle >= TRANSIENT_THRESHOLD;
+        let shows_none = !factors.is_empty() && middle < TRANSIENT_THRESHOLD;
+        if shows_transient {
+            self.transient_since = self.transient_since.or(Some(now));
+            self.transient_seen_at = self.changes.iter().map(|change| change.at).max();
+            self.transient = middle;
+        } else if shows_none
+            || self
+                .transient_seen_at
+                .is_some_and(|at| old(at, MAX_TRANSIENT_AGE))
+        {
+            self.end_transient();
         }
-        if self.turned_at.is_some_and(|at| old(at, MAX_TURN)) {
-            self.accept_turn();
+        if self
+            .transient_since
+            .is_some_and(|at| old(at, MAX_TRANSIENT))
+        {
+            self.accept_transient();
         }
     }
 
-    fn end_turn(&mut self) {
-        self.turn = 0.0;
-        self.turned_at = None;
-        self.turn_seen_at = None;
+    fn end_transient(&mut self) {
+        self.transient = 0.0;
+        self.transient_since = None;
+        self.transient_seen_at = None;
     }
 
     /// Starts over from the present slowdown as the lasting one.
-    fn accept_turn(&mut self) {
+    fn accept_transient(&mut self) {
         self.prior = Some(self.slowdown);
         self.lasting = self.slowdown;
         self.evidence.clear();
@@ -391,7 +402,7 @@
         self.next_slot = (self.next_slot / SLOTS + 2) * SLOTS;
         self.estimate = None;
         self.changes.clear();
-        self.end_turn();
+        self.end_transient();
     }
 }
 
--- a/crates/figscale-core/src/fleet/speed_evidence.rs
+++ b/crates/figscale-core/src/fleet/speed_evidence.rs
@@ -228,7 +228,7 @@
             return;
         }
         let mut record = mem::take(&mut self.speeds.record);
-        // A turn of speed is over before it would be of use to another leader.
+        // A transient slowdown is over before it would be of use to another leader.
         let lasting = || self.speeds_by(|worker| worker.speed.lasting_slowdown());
         record.check(lasting, now);
         self.speeds.record = record;
--- a/crates/figscale-core/src/fleet/turns.rs
+++ b/crates/figscale-core/src/fleet/turns.rs
@@ -58,8 +58,11 @@
 }
 
 impl Turn {
-    fn is_expired(&self, now: time::Instant) -> bool {
-        now > self.returns_at + RETURN_GRACE
+    /// Whether it is over. While the store refuses callers, and until the last of them
+    /// may retry, no turn ends.
+    fn is_expired(&self, suspended_until: Option<time::Instant>, now: time::Instant) -> bool {
+        let until = suspended_until.map_or(self.returns_at, |until| until.max(self.returns_at));
+        now > until + RETURN_GRACE
     }
 }
 
@@ -68,6 +71,8 @@
 pub(crate) struct TurnLedger {
     turns: IndexMap<fleet::JobId, Turn>,
     next_number: u64,
+    /// When callers may retry that were refused last because of the store.
+    suspended_until: Option<time::Instant>,
     /// Fraction of the callers that returned, by the seconds that they were told.
     return_rates: [f64; MAX_RETRY_S as usize + 1],
 }
@@ -77,6 +82,7 @@
         Self {
             turns: IndexMap::new(),
             next_number: 0,
+            suspended_until: None,
             return_rates: [INITIAL_RETURN_RATE; MAX_RETRY_S as usize + 1],
         }
     }
@@ -99,7 +105,7 @@
             turn.number < number
                 && turn.queue.priority <= job.queue.priority
                 && turn.queue.service == job.queue.service
-                && !turn.is_expired(now)
+                && !turn.is_expired(self.suspended_until, now)
         });
         turns.map(|turn| {
             let rate = self.return_rates[turn.told_s as usize];
@@ -107,6 +113,12 @@
         })
     }
 
+    /// Records that callers are refused because of the store, and told to retry at
+    /// `retry_at`.
+    pub(crate) fn suspend(&mut self, retry_at: time::Instant) {
+        self.suspended_until = Some(retry_at);
+    }
+
     /// Records that a caller submits a job, perhaps again. A caller whose turn is
     /// over is a newcomer.
     pub(crate) fn submitted(&mut self, job: fleet::JobId, now: time::Instant) {
@@ -114,7 +126,7 @@
             return;
         };
         let told_s = turn.told_s;
-        let returned = !turn.is_expired(now);
+        let returned = !turn.is_expired(self.suspended_until, now);
         self.learn(told_s, returned);
         if !returned {
             self.turns.swap_remove(&job);
@@ -162,9 +174,11 @@
     /// Frees the turns that were not taken.
     pub(crate) fn expire(&mut self, now: time::Instant) {
         let mut untaken = Vec::new();
+        let suspended_until = self.suspended_until;
         self.turns.retain(|_, turn| {
-            let expired = turn.is_expired(now);
-            if expired {
+            let expired = turn.is_expired(suspended_until, now);
+            // Callers whose turn fell into an outage were told another time there.
+            if expired && suspended_until.is_none_or(|until| until < turn.returns_at) {
                 untaken.push(turn.told_s);
             }
             !expired
--- a/crates/figscale-core/tests/fleet/admission.rs
+++ b/crates/figscale-core/tests/fleet/admission.rs
@@ -388,6 +388,26 @@
     assert_eq!(cluster.scheduler.turns(), 1);
 }
 
+/// Guards against an outage of the store that erases the turns of refused callers: all
+/// would be newcomers after it.
+#[test]
+fn turns_outlast_an_outage_of_the_store() {
+    let mut cluster = TestCluster::with_cores(2, 32);
+    fill(&mut cluster, 0);
+    let job = || helpers::job(vec![helpers::step(1, 8)]);
+    let refused = cluster.submit(1_000, &queue(), job());
+    assert_eq!(retry_after(refused), Some(time::Duration::from_secs(1)));
+    let turns = cluster.scheduler.turns();
+    for _ in 0..40 {
+        cluster.advance(STEP_MS);
+        let retry_at = cluster.now + time::Duration::from_secs(1);
+        cluster.scheduler.refused_by_store(retry_at);
+    }
+    // Any submission drops the turns that are over.
+    cluster.submit(1_001, &lenient_queue(), job());
+    assert_eq!(cluster.scheduler.turns(), turns);
+}
+
 /// Guards against a job that is refused although there is room for it, since wide
 /// gangs wait that cannot use that room.
 #[test]
--- a/crates/figscale-core/tests/fleet/speed_placement.rs
+++ b/crates/figscale-core/tests/fleet/speed_placement.rs
@@ -26,6 +26,13 @@
     (0..workers).map(percent).collect()
 }
 
+/// The same slowdowns relative to the median worker, as a record holds them. Where
+/// learning goes on, others would contradict the first evidence.
+fn relative_to_median(percents: &[u32]) -> Vec<u32> {
+    let relative = |percent: &u32| percent * 100 / FAST;
+    percents.iter().map(relative).collect()
+}
+
 fn speeds(percents: &[u32], queues: Vec<(String, RunTimes)>) -> Speeds {
     let slowdown = |(number, percent): (usize, &u32)| {
         let slowdown = fleet::Slowdown::from_percent(*percent);
@@ -255,11 +262,11 @@
 ) {
     let percents = mixed(12);
     let rough = RunTimes {
-        typical_percent: 100,
-        cautious_percent: 116,
+        typical_percent: FAST,
+        cautious_percent: 116 * FAST / 100,
     };
     let queues = vec![(short.name.clone(), rough), (wide.name.clone(), rough)];
-    let mut load = Load::new(&percents, &speeds(&percents, queues));
+    let mut load = Load::new(&percents, &speeds(&relative_to_median(&percents), queues));
     let mut short_jobs = Vec::new();
     let mut wide_jobs = Vec::new();
     for step in 0..1_000 {
@@ -568,8 +575,8 @@
 fn gangs_are_in_time_on_mixed_workers(#[case] advised: impl Fn(fleet::Queue) -> fleet::Queue) {
     let percents = mixed(12);
     let rough = RunTimes {
-        typical_percent: 100,
-        cautious_percent: 116,
+        typical_percent: FAST,
+        cautious_percent: 116 * FAST / 100,
     };
     let gangs = fleet::Queue {
         stretch: 1.2,
@@ -577,7 +584,7 @@
         ..helpers::queue(1)
     };
     let queues = vec![(gangs.name.clone(), rough), (wide_queue().name, rough)];
-    let mut load = Load::new(&percents, &speeds(&percents, queues));
+    let mut load = Load::new(&percents, &speeds(&relative_to_median(&percents), queues));
     let (gangs, wide) = (advised(gangs), advised(wide_queue()));
     let gang = helpers::with_estimate(helpers::gang(8, 9), 2_000);
     let mut jobs = Vec::new();
--- a/crates/figscale-core/tests/fleet/worker_speed/mod.rs
+++ b/crates/figscale-core/tests/fleet/worker_speed/mod.rs
@@ -22,12 +22,12 @@
     if number.is_multiple_of(3) { 1.3 } else { 1.0 }
 }
 
-const TURNING: usize = 6;
+const SLOWED: usize = 6;
 
 /// The first workers take 4.5 times as long from 10 to 15 s.
-fn turning(number: usize, elapsed_ms: u64) -> f64 {
-    let turned = number < TURNING && (10_000..15_000).contains(&elapsed_ms);
-    if turned { 4.5 } else { 1.0 }
+fn with_transient_slowdowns(number: usize, elapsed_ms: u64) -> f64 {
+    let slowed = number < SLOWED && (10_000..15_000).contains(&elapsed_ms);
+    if slowed { 4.5 } else { 1.0 }
 }
 
 /// Number of workers whose slowdown is not within a fifth of `expected`, among those
@@ -84,19 +84,19 @@
 // Some workers take 4.5 times as long for 5 s. Guards against an estimate that follows
 // too late to be of use, or that takes others for slow.
 #[rstest]
-fn a_turn_of_speed_is_followed_both_ways(#[values(1, 2, 3)] seed: u64) {
-    let mut load = Load::new(WORKERS, turning, seed);
+fn a_transient_slowdown_is_followed_both_ways(#[values(1, 2, 3)] seed: u64) {
+    let mut load = Load::new(WORKERS, with_transient_slowdowns, seed);
     load.run_for(10);
     let before = load.loaded_ms.clone();
     load.run_for(3);
     let slowdowns = load.slowdowns();
-    let loaded = (0..TURNING).filter(|number| load.loaded_ms[*number] >= before[*number] + 2_500);
+    let loaded = (0..SLOWED).filter(|number| load.loaded_ms[*number] >= before[*number] + 2_500);
     let loaded: Vec<usize> = loaded.collect();
     assert!(loaded.len() >= 3, "only {loaded:?} had work");
     let followed = |number: &&usize| (300..=700).contains(&slowdowns[**number]);
     let known = loaded.iter().filter(followed).count();
     assert!(known * 3 >= loaded.len() * 2, "{known}: {slowdowns:?}");
-    assert!(slowdowns[TURNING..].iter().all(|percent| *percent == 100));
+    assert!(slowdowns[SLOWED..].iter().all(|percent| *percent == 100));
     load.run_for(5);
     let slowdowns = load.slowdowns();
     assert!(
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -131,6 +131,8 @@
         // only the outcome of that write can answer this call.
         let known = self.scheduler.state(submission.job).is_some();
         if !known && self.store_is_unavailable() {
+            self.scheduler
+                .refused_by_store(self.now() + STORE_RETRY_AFTER);
             submission.refuse(&self.context.metrics);
             return;
         }
@@ -165,7 +167,7 @@
                     job = submission.job,
                     queue = submission.queue.name,
                     cause = "the work in front of it would last too long",
-                    because_of = cause.label(),
+                    refusal_cause = cause.label(),
                     wait_ms = wait.as_millis(),
                     bound_ms = bound.as_millis(),
                     share = share.map_or_else(String::new, |share| share.to_string()),
