Objectives are compared with work in units of its estimates

Cause: the ratio of run times to estimates was learned and applied to the work of jobs, but not to their objectives, which are multiples of the same estimates.

Change: rank, admission and preemption compare by estimates; expected ends and reservations keep the learned run times.

--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -14,6 +14,9 @@
 //! and the others are not affected. Callers that were refused earlier come first.
 //! A job that fits in room that no earlier work waits for is never refused.
 //!
+//! Work is taken by its estimates, like the objectives that it is compared with: both
+//! are off together.
+//!
 //! Under load this is computed on each of hundreds of submissions a second, so
 //! it uses sums that are up to [`MAX_WORK_AGE`] old, with what was accepted since.
 
@@ -28,7 +31,6 @@
 use super::maps;
 use super::pass;
 use super::scheduler;
-use super::speed;
 use super::turns;
 
 /// Maximum age of the sums of open work. Within it no more work ends than the
@@ -118,7 +120,7 @@
 impl RoomView {
     /// Adds the first steps of an accepted job, unless it was accepted because they
     /// fit; then their room is taken already.
-    fn add_waiting(&mut self, job: &job::Job, run_times: speed::RunTimes, now: time::Instant) {
+    fn add_waiting(&mut self, job: &job::Job, now: time::Instant) {
         if self.placed.take() == Some(job.id) {
             return;
         }
@@ -127,7 +129,7 @@
         };
         let customer = job.customer.as_ref();
         let excess = customers::excess_of(customer, &self.excesses);
-        let rank = pass::rank(job, round, excess, run_times, now);
+        let rank = pass::rank(job, round, excess, now);
         let steps = job.description.steps.iter().enumerate();
         for (number, _) in steps.filter(|(_, step)| step.after.is_empty()) {
             let task = pass::first_task(job.id, 0, number);
@@ -208,12 +210,11 @@
     /// Takes an accepted job into the sums, and frees its turn.
     pub(crate) fn record_admitted(&mut self, job: &job::Job, now: time::Instant) {
         self.admission.turns.remove(job.id);
-        let run_times = self.run_times(&job.queue.name);
-        let work = demand::Work::remaining(job, run_times);
+        let work = demand::Work::remaining(job);
         if let Some(view) = &mut self.admission.work {
             view.demand.add(job, &work);
             if let Some(room) = &mut view.room {
-                room.add_waiting(job, run_times, now);
+                room.add_waiting(job, now);
             }
         }
     }
@@ -237,7 +238,6 @@
         let rounds = job.rounds.iter();
         let remaining = rounds.map(|round| round.remaining_ms(&job.description));
         let own = time::Duration::from_millis(remaining.max().unwrap_or(0));
-        let own = self.run_times(&job.queue.name).typical(own);
         end_by.saturating_duration_since(now).saturating_sub(own)
     }
 
@@ -274,15 +274,14 @@
     fn demand(&self) -> demand::Demand {
         let mut demand = demand::Demand::default();
         for job in self.open.iter().filter_map(|id| self.jobs.get(id)) {
-            let run_times = self.run_times(&job.queue.name);
-            demand.add(job, &demand::Work::remaining(job, run_times));
+            demand.add(job, &demand::Work::remaining(job));
         }
         demand
     }
 
     /// Time that the work queued ahead of a job takes on all usable workers.
     fn wait_estimate(&self, job: &job::Job, now: time::Instant) -> WaitEstimate {
-        let work = demand::Work::remaining(job, self.run_times(&job.queue.name));
+        let work = demand::Work::remaining(job);
         let mut estimate = WaitEstimate {
             work,
             wait: time::Duration::ZERO,
@@ -341,7 +340,6 @@
             job,
             round,
             customers::excess_of(job.customer.as_ref(), &room.excesses),
-            self.run_times(&job.queue.name),
             now,
         );
         let mut rooms = room.rooms.clone();
--- a/crates/figscale-core/src/fleet/demand.rs
+++ b/crates/figscale-core/src/fleet/demand.rs
@@ -13,7 +13,6 @@
 use indexmap::IndexMap;
 
 use super::job;
-use super::speed;
 
 /// Resources times the duration for which they are needed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -25,18 +24,17 @@
 
 impl Work {
     /// Work of the tasks of a job that are not done.
-    pub(crate) fn remaining(job: &job::Job, run_times: speed::RunTimes) -> Self {
+    pub(crate) fn remaining(job: &job::Job) -> Self {
         let rounds = job.rounds.iter();
         let steps = rounds.flat_map(|round| round.steps.iter().zip(&job.description.steps));
         steps.fold(Self::default(), |sum, (progress, step)| {
             let left = progress.tasks.iter().filter(|task| !task.is_done()).count();
-            sum.plus(&Self::of_tasks(left as u64, step, run_times))
+            sum.plus(&Self::of_tasks(left as u64, step))
         })
     }
 
-    fn of_tasks(count: u64, step: &fleet::StepDescription, run_times: speed::RunTimes) -> Self {
-        let length = run_times.typical(time::Duration::from_millis(step.estimate_ms));
-        let time_ms = count.saturating_mul(super::lease::millis(length));
+    fn of_tasks(count: u64, step: &fleet::StepDescription) -> Self {
+        let time_ms = count.saturating_mul(step.estimate_ms);
         Self {
             core_ms: time_ms.saturating_mul(step.room.cpu_millis) / 1_000,
             memory_mb_ms: time_ms.saturating_mul(step.room.memory_mb),
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -12,7 +12,6 @@
 use super::maps;
 use super::predicted;
 use super::reserve;
-use super::speed;
 
 /// A job that ends later than this multiple of its objective earns nothing.
 pub(crate) const EARNS_NOTHING_AFTER_OBJECTIVES: u32 = 3;
@@ -350,13 +349,11 @@
     job: &job::Job,
     round: &job::Round,
     excess: customers::Excess,
-    run_times: speed::RunTimes,
     now: time::Instant,
 ) -> Rank {
     let since = round.due_at.unwrap_or(job.submitted);
-    let remaining_ms = round.remaining_ms(&job.description);
-    let typical_ms = remaining_ms.saturating_mul(u64::from(run_times.typical_percent)) / 100;
-    let ends = now + time::Duration::from_millis(typical_ms);
+    // By the estimates, like the objective: both are off together.
+    let ends = now + time::Duration::from_millis(round.remaining_ms(&job.description));
     let objective = job.objective_at.saturating_duration_since(job.submitted);
     let objective_at = since + objective;
     let earns_nothing_at = since + objective * EARNS_NOTHING_AFTER_OBJECTIVES;
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -196,10 +196,8 @@
                         && round.is_ready(&job.description, step)
                         && !self.has_unsaved_losses(*id, progress)
                     {
-                        let rank = *known_rank.get_or_insert_with(|| {
-                            let run_times = self.run_times(&job.queue.name);
-                            pass::rank(job, round, excess, run_times, now)
-                        });
+                        let rank =
+                            *known_rank.get_or_insert_with(|| pass::rank(job, round, excess, now));
                         let task = pass::first_task(*id, occurrence, step);
                         all.push(pass::Candidate {
                             lost_workers: !progress.crashes.is_empty(),
--- a/crates/figscale-core/src/fleet/preempt.rs
+++ b/crates/figscale-core/src/fleet/preempt.rs
@@ -77,7 +77,7 @@
     /// With the number of tasks that wait.
     description: fleet::StepDescription,
     objective_at: time::Instant,
-    /// How long its tasks take on a worker of ordinary speed.
+    /// How long its tasks take on a worker of ordinary speed, by their estimates.
     length: time::Duration,
     /// How long the steps take that come after it.
     tail: time::Duration,
@@ -240,7 +240,9 @@
             response_at: self.response_at(&task, job, &description, stops_over, pass.now),
             description,
             objective_at: worth(job, round).objective_at,
-            length: self.run_times(&job.queue.name).cautious(estimate),
+            length: self
+                .run_times(&job.queue.name)
+                .cautious_by_objective(estimate),
             tail: time_after(job, round, task.step as usize),
             stops_over,
         };
--- a/crates/figscale-core/src/fleet/speed/mod.rs
+++ b/crates/figscale-core/src/fleet/speed/mod.rs
@@ -78,6 +78,14 @@
         estimate.saturating_mul(self.typical_percent) / 100
     }
 
+    /// How long a task that is among the slowest tenth takes in units of the estimate,
+    /// by which its job's objective is set.
+    pub(crate) fn cautious_by_objective(&self, estimate: time::Duration) -> time::Duration {
+        let spread =
+            u64::from(self.cautious_percent) * 100 / u64::from(self.typical_percent.max(1));
+        estimate.saturating_mul(u32::try_from(spread).unwrap_or(u32::MAX)) / 100
+    }
+
     /// How long a task takes that is among the slowest tenth.
     pub fn cautious(&self, estimate: time::Duration) -> time::Duration {
         estimate.saturating_mul(self.cautious_percent) / 100
