--- a/crates/figscale-core/src/fleet/preempt.rs
+++ b/crates/figscale-core/src/fleet/preempt.rs
@@ -149,7 +149,7 @@
         Some(beneficiary.reservation.clone())
     }
 
-    /// Stops runs for the first of the unplaced steps that needs and deserves it.
+    /// Stops runs for the first of the unplaced steps whose gain exceeds the cost.
     pub(crate) fn preempt(&mut self, pass: &mut pass::Pass) {
         let Some(costs) = self.config.preemption else {
             return;
--- a/crates/figscale-core/src/fleet/preemption.rs
+++ b/crates/figscale-core/src/fleet/preemption.rs
@@ -186,7 +186,7 @@
     bundles
 }
 
-/// Splits off the victims without which the others suffice, the dearest first.
+/// Splits off the victims without which the others suffice, the most costly first.
 fn split_needed<'a>(
     mut needed: Vec<&'a Victim>,
     suffice: impl Fn(&[&'a Victim]) -> bool,
