--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -59,6 +59,8 @@
         task: String,
         attempt: u64,
     },
+    /// The lease expired; it had none before the first.
+    Lapsed { at_ms: u64, runner: String },
     /// Ends up to the number were acknowledged.
     Seen {
         at_ms: u64,
@@ -93,6 +95,7 @@
     seen_upto: u64,
     heartbeats: u64,
     crashed: bool,
+    lapsed: bool,
 }
 
 #[derive(Clone)]
@@ -155,6 +158,14 @@
     fn advance(&self, state: &mut State) {
         let now = time::Instant::now();
         let lapsed = self.clock_ms() > state.lease_until_ms;
+        if lapsed && !state.lapsed {
+            self.record.line(format_args!("lapsed   {}", self.id));
+            self.events.lock().unwrap().push(Event::Lapsed {
+                at_ms: self.record.now_ms(),
+                runner: self.id.clone(),
+            });
+        }
+        state.lapsed = lapsed;
         let over = |run: &Run| match lapsed {
             true => Some("lapsed"),
             false => (now >= run.ends).then_some("done"),
