Log runs that a worker's report does not list

Cause: when a report lists neither the start nor the end of a run, the leader takes the run as ended without effect and starts its task again. Nothing in the log said so. A second start could not be told apart from one after a refused start, an expired lease or a lost record.

Change: RUNS_MISSING (6319), one line for a report, gives one of the runs, their number, and the lengths of both lists.

--- a/crates/figscale-core/src/fleet/action.rs
+++ b/crates/figscale-core/src/fleet/action.rs
@@ -297,6 +297,22 @@
         /// The worker.
         worker: fleet::WorkerId,
     },
+    /// Runs that a worker's report does not list are taken as ended without effect;
+    /// their tasks are started again.
+    RunsMissing {
+        /// The worker.
+        worker: fleet::WorkerId,
+        /// One of the runs: its task and attempt.
+        example: (fleet::TaskId, u32),
+        /// How many they are.
+        runs: usize,
+        /// Runs in progress that the report lists.
+        running: usize,
+        /// Finished runs that the report lists.
+        finished: usize,
+        /// Reading of the worker's clock in the report.
+        clock_ms: u64,
+    },
     /// An orphan run, which belongs to no open job or is not the current run of
     /// its task, is stopped.
     OrphanRun {
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -391,6 +391,16 @@
         for key in &keys {
             worker.remove_run(key);
         }
+        if let Some(example) = keys.first() {
+            self.actions.push(Action::Log(LogEntry::RunsMissing {
+                worker: id.clone(),
+                example: *example,
+                runs: keys.len(),
+                running: report.running.len(),
+                finished: report.finished.len(),
+                clock_ms: report.clock_ms,
+            }));
+        }
         for key in &keys {
             self.retract_loss(id, key);
             self.requeue_task(id, key);
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -57,6 +57,7 @@
     6316 WORKER_RESTARTED Info "A worker has restarted under its name: its runs have ended, and the new incarnation is ordered to refuse orders that were sent to the earlier one.";
     6317 REPORT_UNREADABLE Warn "Rows of a worker's report could not be read; the others hold, and no run counts as missing.";
     6318 CALL_ACKNOWLEDGES Debug "A call for a worker's report acknowledges more ends than the calls before it; the log line gives the highest number.";
+    6319 RUNS_MISSING Warn "A worker's report lists neither the start nor the end of runs, which are taken as ended without effect; the log line gives one of them, their number, and the lengths of both lists.";
     6321 WORKER_SPEED Info "Work takes longer or less long on a worker than before; the log line gives its slowdown relative to the median worker of its service, before and now, and without the changes of the last seconds.";
     6322 RUN_DONE Debug "A run of a task ended successfully; the log line gives how long it took and how long it was expected to take.";
     6401 RECORDS_NOT_WRITTEN Warn "The store accepted no records; callers with new jobs wait briefly or are refused, and the remaining writes are retried.";
--- a/crates/figscale/src/fleet/decision_log.rs
+++ b/crates/figscale/src/fleet/decision_log.rs
@@ -326,6 +326,25 @@
         LogEntry::WorkerNeverReported { worker } => {
             crate::event!(events::WORKER_UNHEARD, worker = worker);
         }
+        LogEntry::RunsMissing {
+            worker,
+            example: (task, attempt),
+            runs,
+            running,
+            finished,
+            clock_ms,
+        } => {
+            crate::event!(
+                events::RUNS_MISSING,
+                worker = worker,
+                task = task,
+                attempt = attempt,
+                runs = runs,
+                running = running,
+                finished = finished,
+                clock_ms = clock_ms
+            );
+        }
         LogEntry::Recovered { open_jobs, runs } => {
             crate::event!(events::RECOVERED, open_jobs = open_jobs, runs = runs);
         }
