Take only complete reports as proof that a run is missing

Cause: a worker lists at most 500 unacknowledged ends. With the store unavailable more gather, and the leader took the runs beyond the list as ended without effect.

Change: a report says whether its list may be truncated. Only a complete report shows that a run is missing, ends the wait of a new leader for a worker or for its earlier incarnation, or lets a leaving worker be forgotten. A new leader waits past the last lease while the worker responds with a truncated list.

Why it works: ends that are listed get acknowledged once they are in the store, and the next report lists the rest, so each run is accounted for by its own end.

--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -221,8 +221,9 @@
     /// lease is over: tasks that were not found certainly run nowhere then, and
     /// may be started.
     pub(crate) fn check_recovery(&mut self, now: time::Instant) {
-        let over =
-            |(id, until): (&fleet::WorkerId, &time::Instant)| (now >= *until).then(|| id.clone());
+        let over = |(id, until): (&fleet::WorkerId, &time::Instant)| {
+            (now >= *until && !self.has_unlisted_ends(id, now)).then(|| id.clone())
+        };
         let waited_for: Vec<fleet::WorkerId> =
             self.not_yet_reported.iter().filter_map(over).collect();
         for worker in waited_for {
@@ -233,6 +234,13 @@
         self.complete_recovery(now);
     }
 
+    /// Whether a worker may list further ends of an earlier term once those that it has
+    /// listed are acknowledged.
+    fn has_unlisted_ends(&self, id: &fleet::WorkerId, now: time::Instant) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.finished_truncated && !self.is_lease_over(worker, now))
+    }
+
     /// Completes recovery if no worker is waited for any more.
     pub(crate) fn complete_recovery(&mut self, now: time::Instant) {
         if !self.recovering || !self.not_yet_reported.is_empty() {
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -52,11 +52,15 @@
         if worker.unresponsive_since.is_some() {
             self.lost_workers.retract(id);
         }
+        worker.record_truncation(report);
         worker.record_contact(report.clock_ms, now);
         worker.speed.record_report(report.clock_ms);
         let replaced = worker.replaced;
+        let complete = report.is_complete();
         let first = !worker.reported;
+        let first_complete = complete && !worker.reported_completely;
         worker.reported = true;
+        worker.reported_completely |= complete;
         if first {
             // Runs of earlier terms may continue until the end of any lease that
             // was sent to the worker.
@@ -67,9 +71,9 @@
             let lease_ms = super::lease::millis(lease);
             worker.lease.record_sent(report.clock_ms + lease_ms);
         }
-        // A run of an earlier term may be in an unreadable row.
-        let complete = report.unreadable_rows == 0;
-        if first && complete {
+        // A run of an earlier term may be in an unreadable row, or beyond the limit of
+        // the list.
+        if first_complete {
             self.end_wait_for_predecessors(id);
         }
         for run in &report.finished {
@@ -79,7 +83,7 @@
         if !replaced {
             self.apply_running(id, report, now);
         }
-        // A run that is in no list may be in an unreadable row.
+        // The same holds for a run that this term has ordered.
         if !replaced && complete {
             self.remove_missing_runs(id, report);
         }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -337,7 +337,7 @@
         }
     }
 
-    fn is_lease_over(&self, worker: &worker::Worker, now: time::Instant) -> bool {
+    pub(crate) fn is_lease_over(&self, worker: &worker::Worker, now: time::Instant) -> bool {
         let grace = self.config.stop_limit;
         worker.lease.is_over(grace, now) || self.is_late_order_over(worker, now)
     }
--- a/crates/figscale-core/src/fleet/worker.rs
+++ b/crates/figscale-core/src/fleet/worker.rs
@@ -83,6 +83,10 @@
     pub(crate) recorded: bool,
     /// Whether it has reported in this term.
     pub(crate) reported: bool,
+    /// Whether one of its reports in this term was complete.
+    pub(crate) reported_completely: bool,
+    /// Whether the latest report may have left out finished runs.
+    pub(crate) finished_truncated: bool,
     /// Since when a call has failed or is overdue, without a report since.
     pub(crate) unresponsive_since: Option<time::Instant>,
     /// Whether a lease for an earlier incarnation, by another clock, may reach it.
@@ -137,6 +141,8 @@
             replaced: false,
             recorded: false,
             reported: false,
+            reported_completely: false,
+            finished_truncated: false,
             unresponsive_since: None,
             may_have_foreign_lease: false,
             lease: lease::Lease::default(),
@@ -279,6 +285,14 @@
         self.entry.id.born_ms().is_some() && self.unresponsive_since.is_some()
     }
 
+    /// Records whether a report leaves out finished runs, unless a later one is known.
+    pub(crate) fn record_truncation(&mut self, report: &fleet::WorkerReport) {
+        let latest_ms = self.lease.last_reading_ms();
+        if latest_ms.is_none_or(|latest_ms| report.clock_ms >= latest_ms) {
+            self.finished_truncated = report.finished_truncated;
+        }
+    }
+
     /// Records a report or response of the worker.
     pub(crate) fn record_contact(&mut self, clock_ms: u64, now: time::Instant) {
         self.lease.record_reading(clock_ms, now);
@@ -337,10 +351,9 @@
         self.entry.draining && self.reported && self.is_settled()
     }
 
-    /// Whether nothing is known to run here, and every end known is in the
-    /// store.
+    /// Whether nothing is known to run here, and every end is known and in the store.
     pub(crate) fn is_settled(&self) -> bool {
-        self.runs.is_empty() && self.applied == self.acknowledged
+        self.runs.is_empty() && self.applied == self.acknowledged && !self.finished_truncated
     }
 
     /// Number of further tasks of a step that fit beside what runs here. `task` is
--- a/crates/figscale-core/tests/fleet/helpers.rs
+++ b/crates/figscale-core/tests/fleet/helpers.rs
@@ -150,6 +150,8 @@
     pub(crate) refused: IndexSet<(fleet::TaskId, u32)>,
     /// Rows of its reports that cannot be read.
     pub(crate) unreadable_rows: usize,
+    /// Maximum number of ended runs in its reports.
+    pub(crate) max_ends_listed: usize,
     /// Reading of the cluster's clock at its start.
     begun_clock_ms: u64,
     ended: u64,
@@ -248,6 +250,7 @@
             stops_at_once: true,
             refused: IndexSet::new(),
             unreadable_rows: 0,
+            max_ends_listed: usize::MAX,
             begun_clock_ms,
             ended: 0,
         };
@@ -373,8 +376,9 @@
         let report = fleet::WorkerReport {
             clock_ms,
             running: worker.running.values().cloned().collect(),
-            finished: worker.finished.clone(),
+            finished: worker.listed_ends(),
             unreadable_rows: worker.unreadable_rows,
+            finished_truncated: worker.finished.len() >= worker.max_ends_listed,
         };
         self.scheduler.worker_reported(id, &report, self.now);
     }
@@ -583,6 +587,11 @@
         self.running.insert((order.task, order.attempt), running);
     }
 
+    fn listed_ends(&self) -> Vec<fleet::FinishedRun> {
+        let listed = self.finished.iter().take(self.max_ends_listed);
+        listed.cloned().collect()
+    }
+
     pub(crate) fn end(&mut self, task: fleet::TaskId, attempt: u32, end: fleet::End) {
         let Some(running) = self.running.swap_remove(&(task, attempt)) else {
             return;
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -40,6 +40,7 @@
 mod starvation_reports;
 mod store_forwarders;
 mod terms;
+mod truncated_reports;
 mod unresponsive_channels;
 mod worker_faults;
 mod worker_speed;
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -102,6 +102,8 @@
     /// Tasks that save their progress and fill the fleet, and gangs of a queue of
     /// lower number for which they are preempted.
     preemption: bool,
+    /// Maximum number of ends in a worker's report.
+    max_ends_listed: usize,
 }
 
 /// The usual faults alone.
@@ -115,6 +117,7 @@
     calm: false,
     outages: false,
     preemption: false,
+    max_ends_listed: usize::MAX,
 };
 
 type RunKey = (fleet::TaskId, u32);
@@ -159,6 +162,7 @@
     ended_attempts: IndexMap<fleet::TaskId, u32>,
     /// Time until which one row of its reports cannot be read.
     unreadable_until_ms: u64,
+    max_ends_listed: usize,
 }
 
 #[derive(Clone, Copy)]
@@ -476,6 +480,26 @@
     }
 }
 
+/// Guards against ends beyond a truncated list that count as runs without effect, in
+/// the term that started them and in later ones.
+#[test]
+fn no_task_runs_twice_while_lists_of_ends_are_truncated() {
+    for keeps_names in [false, true] {
+        let faults = Faults {
+            keeps_names,
+            outages: true,
+            max_ends_listed: 3,
+            ..USUAL_FAULTS
+        };
+        let violations = simulate(faults, &seeds(&[0, 1, 2, 3]));
+        assert!(
+            violations.is_empty(),
+            "keeps names: {keeps_names}, {} seeds with violations: {violations:#?}",
+            violations.len()
+        );
+    }
+}
+
 /// Guards against messages for an earlier incarnation of a worker that take effect
 /// at a later one under the same name.
 #[test]
--- a/crates/figscale-core/tests/fleet/terms/workers.rs
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -42,11 +42,13 @@
             usize::from(now_ms < self.unreadable_until_ms).min(self.running.len());
         let readable = self.running.len() - unreadable_rows;
         let running = self.running.values().take(readable);
+        let finished = self.finished.iter().take(self.max_ends_listed);
         fleet::WorkerReport {
             clock_ms: self.clock_ms(now_ms),
             running: running.map(|run| run.run.clone()).collect(),
-            finished: self.finished.iter().map(|end| end.run.clone()).collect(),
+            finished: finished.map(|end| end.run.clone()).collect(),
             unreadable_rows,
+            finished_truncated: self.finished.len() >= self.max_ends_listed,
         }
     }
 
@@ -145,6 +147,7 @@
             ended: 0,
             ended_attempts: IndexMap::new(),
             unreadable_until_ms: 0,
+            max_ends_listed: self.faults.max_ends_listed,
         };
         self.workers.insert(id, worker);
     }
--- a/crates/figscale-types/src/fleet/worker.rs
+++ b/crates/figscale-types/src/fleet/worker.rs
@@ -92,6 +92,17 @@
     /// Rows of both lists that could not be decoded; runs that are in neither list
     /// may be among them.
     pub unreadable_rows: usize,
+    /// Whether the worker may have finished runs that are not in `finished`: a report
+    /// lists the oldest of them, up to a limit.
+    pub finished_truncated: bool,
+}
+
+impl WorkerReport {
+    /// Whether a run that is in neither list is certainly not on the worker, nor has
+    /// it finished there without an acknowledgement.
+    pub fn is_complete(&self) -> bool {
+        self.unreadable_rows == 0 && !self.finished_truncated
+    }
 }
 
 /// Permission of the advisory service to run a step on a worker.
