Log the record that an answer with a final state rests on

Change: FINAL_STATE_ANSWERED (6215, debug) gives the job, the state and the revision at which the store has the record of the end, or `none`. The scheduler learns that revision with each write and each load.

--- a/crates/figscale-core/examples/fleet_cost.rs
+++ b/crates/figscale-core/examples/fleet_cost.rs
@@ -206,7 +206,7 @@
     }
     while scheduler.has_records() {
         let records = scheduler.take_records(29);
-        scheduler.records_written(&records);
+        scheduler.records_written(&records, 1);
     }
     for _ in 0..WAITING_JOBS {
         scheduler.plan(now);
--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -50,6 +50,8 @@
     pub records: Vec<Record>,
     /// New jobs, which are reported as accepted once the records are written.
     pub(crate) created: Vec<fleet::JobId>,
+    /// Jobs with the record of their end.
+    pub(crate) ended: Vec<fleet::JobId>,
     /// Workers that may be used once the records are written; `None` if the
     /// record of workers is not among them.
     pub(crate) recorded: Option<maps::WorkerSet>,
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -240,6 +240,9 @@
     /// Whether its record is in the store. Only then is it reported as accepted
     /// and may its tasks start.
     pub(crate) stored: bool,
+    /// Revision at which the store has the record of its end; `None` if it is not
+    /// known to have it.
+    pub(crate) end_revision: Option<u64>,
     /// Whether the store holds a record of its progress.
     pub(crate) progress_stored: bool,
     /// Whether an earlier leader accepted it. That leader may have started tasks
@@ -276,6 +279,7 @@
             started: false,
             end: None,
             stored: false,
+            end_revision: None,
             progress_stored: false,
             loaded: false,
         }
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -173,14 +173,19 @@
         self.unacknowledged.contains(id)
     }
 
-    /// Confirms that all of `records` are in the store; returns the ends that are
-    /// acknowledged from now on.
-    pub fn records_written(&mut self, records: &durable::Records) -> unsaved::Ends {
+    /// Confirms that all of `records` are in the store, as of `revision`; returns the
+    /// ends that are acknowledged from now on.
+    pub fn records_written(&mut self, records: &durable::Records, revision: u64) -> unsaved::Ends {
         for id in &records.created {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.stored = true;
             }
         }
+        for id in &records.ended {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.end_revision = Some(revision);
+            }
+        }
         if let Some(recorded) = &records.recorded {
             self.set_recorded(recorded.clone());
             self.workers_record_in_flight = false;
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -61,6 +61,9 @@
             key: RecordKey::Job(id),
             bytes,
         });
+        if !job.is_open() {
+            records.ended.push(id);
+        }
         if job.progress_stored && !job.is_open() {
             job.progress_stored = false;
             records.records.push(durable::Record {
@@ -82,11 +85,13 @@
         own.fold(fleet::Room::default(), |sum, (_, run)| sum.plus(&run.room))
     }
 
-    /// Loads the record of a job that an earlier leader wrote.
+    /// Loads the record of a job that an earlier leader wrote. The store has it at
+    /// `revision`.
     pub fn load_job(
         &mut self,
         id: fleet::JobId,
         bytes: &[u8],
+        revision: u64,
         now: time::Instant,
         wall_ms: u64,
     ) -> Result<(), durable::RecordError> {
@@ -126,6 +131,7 @@
                 let mut job =
                     job::Job::new(id, queue, customer, description, submitted_wall_ms, now);
                 job.finish(state);
+                job.end_revision = Some(revision);
                 job.left_running = left_running;
                 job.rooms = rooms;
                 job
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -86,6 +86,12 @@
         self.jobs.get(&id).is_some_and(|job| job.stored)
     }
 
+    /// Revision at which the store has the record of a job's end; `None` while it is
+    /// not known to have one.
+    pub fn end_revision(&self, id: fleet::JobId) -> Option<u64> {
+        self.jobs.get(&id).and_then(|job| job.end_revision)
+    }
+
     /// Whether a job has changes that are not known to be in the store.
     pub fn is_unsaved(&self, id: fleet::JobId) -> bool {
         self.unsaved.contains(id)
--- a/crates/figscale-core/tests/fleet/crashes.rs
+++ b/crates/figscale-core/tests/fleet/crashes.rs
@@ -313,7 +313,7 @@
     cluster.scheduler.tick(cluster.now, cluster.wall_ms);
     if let Some((records, _)) = write.take_if(|(_, ends_at)| cluster.now >= *ends_at) {
         cluster.apply_records(&records.records);
-        cluster.scheduler.records_written(&records);
+        cluster.scheduler.records_written(&records, 1);
     }
     cluster.report_all();
     let ids: Vec<fleet::WorkerId> = cluster.workers.keys().cloned().collect();
--- a/crates/figscale-core/tests/fleet/helpers.rs
+++ b/crates/figscale-core/tests/fleet/helpers.rs
@@ -308,7 +308,7 @@
     pub(crate) fn write(&mut self) -> Records {
         let records = self.scheduler.take_records(MAX_RECORDS);
         self.apply_records(&records.records);
-        self.scheduler.records_written(&records);
+        self.scheduler.records_written(&records, 1);
         records
     }
 
@@ -553,7 +553,7 @@
         for (key, bytes) in &self.store {
             if let RecordKey::Job(id) = key {
                 scheduler
-                    .load_job(*id, bytes, self.now, self.wall_ms)
+                    .load_job(*id, bytes, 1, self.now, self.wall_ms)
                     .unwrap();
             }
         }
--- a/crates/figscale-core/tests/fleet/records.rs
+++ b/crates/figscale-core/tests/fleet/records.rs
@@ -18,7 +18,7 @@
     }
     let records = cluster.scheduler.take_records(12);
     cluster.apply_records(&records.records);
-    cluster.scheduler.records_written(&records);
+    cluster.scheduler.records_written(&records, 1);
     let stored = |number: &u64| cluster.scheduler.is_stored(helpers::job_id(*number));
     let written = (1..=20).filter(stored).count();
     assert!(
@@ -97,7 +97,7 @@
     };
     let first = end(&mut cluster, 1);
     let second = end(&mut cluster, 2);
-    cluster.scheduler.records_written(&second);
+    cluster.scheduler.records_written(&second, 1);
     assert_eq!(acknowledged(&mut cluster), 0);
     cluster.scheduler.records_not_written(&first);
     assert_eq!(acknowledged(&mut cluster), 0);
@@ -121,11 +121,11 @@
     assert!(cluster.scheduler.is_being_written(helpers::job_id(1)));
     let next = cluster.scheduler.take_records(helpers::MAX_RECORDS);
     assert!(next.records.is_empty(), "{next:?}");
-    cluster.scheduler.records_written(&created);
+    cluster.scheduler.records_written(&created, 1);
     assert!(cluster.scheduler.is_unsaved(helpers::job_id(1)));
     let next = cluster.scheduler.take_records(helpers::MAX_RECORDS);
     assert_eq!(next.records.len(), 1);
-    cluster.scheduler.records_written(&next);
+    cluster.scheduler.records_written(&next, 1);
     assert!(!cluster.scheduler.is_unsaved(helpers::job_id(1)));
 }
 
@@ -143,7 +143,7 @@
     }
     cluster.report_all();
     let records = cluster.scheduler.take_records(10);
-    cluster.scheduler.records_written(&records);
+    cluster.scheduler.records_written(&records, 1);
     let due = cluster
         .scheduler
         .report_due(&helpers::worker_id(0))
--- a/crates/figscale-core/tests/fleet/recovery.rs
+++ b/crates/figscale-core/tests/fleet/recovery.rs
@@ -159,7 +159,7 @@
     let recorded = Scheduler::recorded_workers(&cluster.store[&RecordKey::Workers]).unwrap();
     assert!(recorded.contains(&host_worker), "{recorded:?}");
     cluster.apply_records(&outcome.records);
-    cluster.scheduler.records_written(&outcome);
+    cluster.scheduler.records_written(&outcome, 1);
     cluster.scheduler.tick(cluster.now, cluster.wall_ms);
     cluster.write();
     let recorded = Scheduler::recorded_workers(&cluster.store[&RecordKey::Workers]).unwrap();
--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -55,7 +55,7 @@
         let mut recorded = Vec::new();
         for (key, bytes) in &self.store {
             if let RecordKey::Job(id) = key {
-                scheduler.load_job(*id, bytes, now, wall_ms).unwrap();
+                scheduler.load_job(*id, bytes, 1, now, wall_ms).unwrap();
             }
         }
         for (key, bytes) in &self.store {
@@ -267,7 +267,7 @@
         leader.wrote_ms = self.now_ms;
         let records = leader.scheduler.take_records(6);
         if records.records.is_empty() {
-            leader.scheduler.records_written(&records);
+            leader.scheduler.records_written(&records, 1);
             return;
         }
         self.sent += 1;
@@ -337,7 +337,7 @@
                     return;
                 };
                 match written {
-                    WriteResult::Done => drop(leader.scheduler.records_written(&records)),
+                    WriteResult::Done => drop(leader.scheduler.records_written(&records, 1)),
                     WriteResult::NotWritten => leader.scheduler.records_not_written(&records),
                     WriteResult::Deposed => leader.alive = false,
                 }
--- a/crates/figscale-core/tests/fleet/terms/outages.rs
+++ b/crates/figscale-core/tests/fleet/terms/outages.rs
@@ -80,7 +80,7 @@
         let Some(job) = self.store.get(&RecordKey::Job(task.job)) else {
             return false;
         };
-        let loaded = scheduler.load_job(task.job, job, self.begun, WALL_MS);
+        let loaded = scheduler.load_job(task.job, job, 1, self.begun, WALL_MS);
         loaded.unwrap();
         if let Some(progress) = self.store.get(&RecordKey::Progress(task.job)) {
             scheduler.load_progress(task.job, progress).unwrap();
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -39,6 +39,7 @@
     6212 RUNS_PREEMPTED Info "Runs that save their progress are stopped so that a step of a queue of lower number starts in time; the log line gives what they lose, the time gained and the first of them.";
     6213 PREEMPTION_UNUSED Warn "A step did not start although runs were stopped for it; its workers are no longer reserved.";
     6214 GANG_AWAITS_FASTER Info "A gang has room, but waits for faster workers on which it is predicted to end in time; logged once for each gang.";
+    6215 FINAL_STATE_ANSWERED Debug "A caller was told a job's final state; the log line gives the revision at which the store has the record of it, or `none`.";
     6301 TASK_STARTED Debug "A worker confirmed the start of a task.";
     6302 START_REFUSED Info "A worker refused the start of a task.";
     6303 START_UNANSWERED Warn "A worker did not answer a start order; the resources of the task stay allocated until a report shows the outcome.";
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -76,11 +76,14 @@
                 reply.send(LeaderAnswer::State(None));
             }
             LeaderCall::State { job, .. } => match self.confirmed_state(job) {
-                Some(state) => reply.send(LeaderAnswer::State(Some(state))),
+                Some(state) => self.reply_with_state(job, state, reply),
                 None => self.reply_from_store(job, reply),
             },
             LeaderCall::Show { job } => match self.scheduler.view(job) {
-                Some(view) => reply.send(LeaderAnswer::Shown(view)),
+                Some(view) => {
+                    self.log_final_state(job, view.state);
+                    reply.send(LeaderAnswer::Shown(view));
+                }
                 None => self.reply_from_store(job, reply),
             },
             LeaderCall::ListOpen => {
@@ -112,6 +115,32 @@
             .filter(|_| self.scheduler.is_stored(job))
     }
 
+    /// Answers with a job's state.
+    pub(super) fn reply_with_state(
+        &self,
+        job: fleet::JobId,
+        state: fleet::JobState,
+        reply: kernel::Reply<LeaderAnswer>,
+    ) {
+        self.log_final_state(job, state);
+        reply.send(LeaderAnswer::State(Some(state)));
+    }
+
+    /// Logs what an answer with a final state rests on.
+    fn log_final_state(&self, job: fleet::JobId, state: fleet::JobState) {
+        if !state.is_final() {
+            return;
+        }
+        let revision = self.scheduler.end_revision(job);
+        let revision = revision.map_or_else(|| "none".to_owned(), |known| known.to_string());
+        crate::event!(
+            events::fleet::FINAL_STATE_ANSWERED,
+            job = job,
+            state = format_args!("{state:?}"),
+            revision = revision
+        );
+    }
+
     /// Answers for a job that this leader does not know. A later leader may have
     /// accepted it without this one having noticed, so only the store can show that
     /// there is no such job.
--- a/crates/figscale/src/fleet/term/load.rs
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -99,7 +99,7 @@
     let wall_ms = context.wall_ms();
     for item in &jobs.items {
         if let Some(id) = keys::job_of(&item.key, keys::JOBS) {
-            let loaded = scheduler.load_job(id, &item.value, now, wall_ms);
+            let loaded = scheduler.load_job(id, &item.value, item.revision, now, wall_ms);
             log_invalid(&item.key, loaded);
         }
     }
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -97,7 +97,7 @@
         let lease = self.new_lease.take();
         if records.records.is_empty() && !self.store_unavailable && lease.is_none() {
             // Ends of runs that changed no record are acknowledged without a write.
-            let ends = self.scheduler.records_written(&records);
+            let ends = self.scheduler.records_written(&records, chain.revision());
             self.idle_chains.push(chain);
             log_acknowledged(&ends, "none");
             self.answer_waiting_callers();
@@ -209,7 +209,7 @@
                     took_ms = took.as_millis(),
                     jobs = decision_log::joined(write.records.jobs().iter().copied())
                 );
-                let ends = self.scheduler.records_written(&write.records);
+                let ends = self.scheduler.records_written(&write.records, revision);
                 log_acknowledged(&ends, &number);
                 self.answer_waiting_callers();
             }
@@ -237,7 +237,7 @@
                 WaitingCaller::Cancelled { job, state, reply }
                     if !self.scheduler.is_unsaved(job) =>
                 {
-                    reply.send(LeaderAnswer::State(Some(state)));
+                    self.reply_with_state(job, state, reply);
                 }
                 WaitingCaller::Submitted(_) | WaitingCaller::Cancelled { .. } => {
                     self.waiting_callers.push(caller)
