Tell final states only once they are in the store

Cause: a job's end is set in the leader's memory, and queries were answered from there. The end is lost if the leader stops or is lost before the write and the workers that know it have left.

Change: callers and operators are told a final state once the write of its record is confirmed. A write that was begun before the end does not count. A query between an end and its write waits for the write, half a second at most, and makes it urgent; with the store unavailable it is answered with `running` at once. Cancelling a job that is over no longer waits for the next write.

Why it works: whatever is told is read by each later leader from the store, however the one that told it ended.

--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -293,6 +293,16 @@
         }
     }
 
+    /// Its state as the next leader would know it: the end counts once its record is
+    /// in the store.
+    pub(crate) fn durable_state(&self) -> fleet::JobState {
+        match self.end.filter(|_| self.end_revision.is_some()) {
+            Some(end) => end,
+            None if self.started => fleet::JobState::Running,
+            None => fleet::JobState::Queued,
+        }
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         self.end.is_none()
     }
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -76,7 +76,16 @@
         self.state(id)
     }
 
-    /// Returns the state of a job; `None` if there is no such job.
+    /// Returns the state of a job that callers may be told: a final state only once
+    /// its record is in the store, so that every later leader tells it too. `None`
+    /// unless the job's own record is there.
+    pub fn durable_state(&self, id: fleet::JobId) -> Option<fleet::JobState> {
+        let stored = self.jobs.get(&id).filter(|job| job.stored);
+        stored.map(job::Job::durable_state)
+    }
+
+    /// Returns the state of a job as this leader knows it; `None` if there is no such
+    /// job.
     pub fn state(&self, id: fleet::JobId) -> Option<fleet::JobState> {
         self.jobs.get(&id).map(job::Job::state)
     }
@@ -92,6 +101,12 @@
         self.jobs.get(&id).and_then(|job| job.end_revision)
     }
 
+    /// Whether a job has ended and the store does not have the record of that yet.
+    pub fn has_unwritten_end(&self, id: fleet::JobId) -> bool {
+        let ended = self.jobs.get(&id).filter(|job| !job.is_open());
+        ended.is_some_and(|job| job.end_revision.is_none())
+    }
+
     /// Whether a job has changes that are not known to be in the store.
     pub fn is_unsaved(&self, id: fleet::JobId) -> bool {
         self.unsaved.contains(id)
--- a/crates/figscale-core/src/fleet/view.rs
+++ b/crates/figscale-core/src/fleet/view.rs
@@ -32,7 +32,7 @@
         id: job.id,
         queue: job.queue.name.clone(),
         service: job.queue.service.clone(),
-        state: job.state(),
+        state: job.durable_state(),
         tasks: Vec::new(),
     }
 }
--- a/crates/figscale-core/tests/fleet/caller_responses.rs
+++ b/crates/figscale-core/tests/fleet/caller_responses.rs
@@ -2,6 +2,8 @@
 
 use figscale_core::fleet::Admission;
 use figscale_core::fleet::validation_error;
+use figscale_types::fleet;
+use figscale_types::fleet::End;
 use figscale_types::fleet::JobState;
 use figscale_types::fleet::StepDescription;
 use rstest::rstest;
@@ -46,7 +48,7 @@
     assert_eq!(cluster.state(1), Some(JobState::Running));
     assert_eq!(cluster.state(2), Some(JobState::Queued));
     assert_eq!(cluster.scheduler.pending("queue-1"), 1);
-    cluster.end(helpers::task(1, 0, 0), figscale_types::fleet::End::Done);
+    cluster.end(helpers::task(1, 0, 0), End::Done);
     assert_eq!(cluster.state(1), Some(JobState::Completed));
     assert_eq!(cluster.state(2), Some(JobState::Running));
     assert_eq!(cluster.state(3), None);
@@ -72,7 +74,7 @@
 fn a_completed_job_is_not_cancelled() {
     let mut cluster = TestCluster::new(1);
     cluster.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
-    cluster.end(helpers::task(1, 0, 0), figscale_types::fleet::End::Done);
+    cluster.end(helpers::task(1, 0, 0), End::Done);
     assert_eq!(
         cluster.scheduler.cancel(helpers::job_id(1), cluster.now),
         Some(JobState::Completed)
@@ -102,7 +104,7 @@
 fn an_outcome_is_dropped_after_its_retention_time() {
     let mut cluster = TestCluster::new(1);
     cluster.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
-    cluster.end(helpers::task(1, 0, 0), figscale_types::fleet::End::Done);
+    cluster.end(helpers::task(1, 0, 0), End::Done);
     cluster.advance(140_000);
     assert_eq!(cluster.state(1), Some(JobState::Completed));
     cluster.advance(15_000);
@@ -146,3 +148,62 @@
         ..helpers::step(1, 1)
     }
 }
+
+/// Guards against an end that a caller is told of and that is lost with the leader,
+/// since it is not in the store and its worker has left.
+#[rstest]
+#[case::completed(End::Done, JobState::Completed)]
+#[case::failed(End::Failed, JobState::Failed)]
+fn an_end_is_told_once_it_is_in_the_store(#[case] end: End, #[case] state: JobState) {
+    let mut cluster = TestCluster::new(1);
+    let queue = fleet::Queue {
+        max_attempts: 1,
+        ..helpers::queue(1)
+    };
+    cluster.run(1, &queue, vec![helpers::step(1, 1)]);
+    let id = helpers::job_id(1);
+    cluster.store_available = false;
+    cluster.end(helpers::task(1, 0, 0), end);
+    assert!(cluster.scheduler.has_unwritten_end(id));
+    let told = |cluster: &TestCluster| cluster.scheduler.durable_state(id);
+    let viewed = |cluster: &TestCluster| cluster.scheduler.view(id).unwrap().state;
+    assert_eq!(told(&cluster), Some(JobState::Running));
+    assert_eq!(viewed(&cluster), JobState::Running);
+    cluster.store_available = true;
+    cluster.settle();
+    assert_eq!(told(&cluster), Some(state));
+    assert_eq!(viewed(&cluster), state);
+    cluster.take_over(2);
+    assert_eq!(told(&cluster), Some(state));
+}
+
+/// Guards against a write begun before the end of a job that is taken for the record
+/// of its end.
+#[test]
+fn a_write_from_before_an_end_does_not_confirm_it() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(1, &helpers::queue(1), vec![helpers::step(2, 1)]);
+    cluster.store_available = false;
+    cluster.end(helpers::task(1, 0, 0), End::Done);
+    let records = cluster.scheduler.take_records(helpers::MAX_RECORDS);
+    assert!(records.jobs().contains(&helpers::job_id(1)));
+    cluster.end(helpers::task(1, 0, 1), End::Done);
+    cluster.scheduler.records_written(&records, 1);
+    let told = |cluster: &TestCluster| cluster.scheduler.durable_state(helpers::job_id(1));
+    assert_eq!(told(&cluster), Some(JobState::Running));
+    cluster.write();
+    assert_eq!(told(&cluster), Some(JobState::Completed));
+}
+
+/// Guards against a cancelled job that is told as cancelled before that is in the store.
+#[test]
+fn a_cancelled_job_is_told_as_cancelled_once_that_is_in_the_store() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
+    let id = helpers::job_id(1);
+    cluster.scheduler.cancel(id, cluster.now);
+    assert_eq!(cluster.scheduler.durable_state(id), Some(JobState::Running));
+    cluster.write();
+    let told = cluster.scheduler.durable_state(id);
+    assert_eq!(told, Some(JobState::Cancelled));
+}
--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -175,6 +175,7 @@
         for action in actions {
             match action {
                 Action::Start { worker, order } => {
+                    self.check_order(number, order.task);
                     let delay = self.delay();
                     self.send(delay, Event::StartArrives(number, worker, order));
                 }
@@ -197,6 +198,7 @@
         }
         self.check_consistency(number);
         self.check_begun(number);
+        self.check_told(number);
         self.send_listing(number);
         self.call(number);
         self.write(number);
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -9,6 +9,8 @@
 //! An end does not count if the worker's lease ran out before the end was
 //! acknowledged.
 //!
+//! A final state that a caller was told is told by all later leaders.
+//!
 //! A leader shows a job as running, and does not count it as pending, if and only
 //! if a worker or a record told it that a run of the job began.
 //!
@@ -51,6 +53,7 @@
 mod mixed;
 mod outages;
 mod preemption;
+mod told;
 mod workers;
 
 const WALL_MS: u64 = 1_700_000_000_000;
@@ -104,6 +107,8 @@
     preemption: bool,
     /// Maximum number of ends in a worker's report.
     max_ends_listed: usize,
+    /// Callers cancel jobs.
+    cancels: bool,
 }
 
 /// The usual faults alone.
@@ -118,6 +123,7 @@
     outages: false,
     preemption: false,
     max_ends_listed: usize::MAX,
+    cancels: false,
 };
 
 type RunKey = (fleet::TaskId, u32);
@@ -273,6 +279,7 @@
     advice_outage_ms: u64,
     gangs: gangs::Gangs,
     preemptions: usize,
+    told: told::Told,
 }
 
 impl Simulation {
@@ -304,6 +311,7 @@
             advice_outage_ms: 0,
             gangs: gangs::Gangs::default(),
             preemptions: 0,
+            told: told::Told::default(),
         };
         if faults.calm {
             simulation.last_election_ms = simulation.random(SIMULATED_MS);
@@ -368,6 +376,7 @@
             self.change_limits();
             self.elect();
             self.submit();
+            self.cancel();
             self.step();
         }
         if self.faults.calm && self.violations.is_empty() {
@@ -500,6 +509,26 @@
     }
 }
 
+/// Guards against a job that callers are told is over before its end is in the store,
+/// and that the next leader runs again.
+#[test]
+fn final_states_are_told_by_all_later_leaders() {
+    for mixed in [false, true] {
+        let faults = Faults {
+            mixed,
+            outages: true,
+            cancels: true,
+            ..USUAL_FAULTS
+        };
+        let violations = simulate(faults, &seeds(&[0, 1, 2, 3]));
+        assert!(
+            violations.is_empty(),
+            "mixed: {mixed}, {} seeds with violations: {violations:#?}",
+            violations.len()
+        );
+    }
+}
+
 /// Guards against messages for an earlier incarnation of a worker that take effect
 /// at a later one under the same name.
 #[test]
--- /dev/null
+++ b/crates/figscale-core/tests/fleet/terms/told.rs
@@ -0,0 +1,65 @@
+//! Checks that a final state, once a caller was told it, is told by the same leader
+//! and all later ones, and that no task of its job is ordered to start after it.
+//!
+//! Callers ask for the state of each job at each moment, and cancel some jobs.
+
+use figscale_types::fleet;
+use indexmap::IndexMap;
+
+use super::Simulation;
+use crate::helpers;
+
+/// Final states that callers were told, each with the epoch of the leader.
+pub(super) type Told = IndexMap<fleet::JobId, (fleet::JobState, fleet::Epoch)>;
+
+impl Simulation {
+    /// Asks a leader for the state of all jobs.
+    pub(super) fn check_told(&mut self, number: usize) {
+        let leader = &self.leaders[number];
+        for (job, _) in &self.jobs {
+            let id = helpers::job_id(*job);
+            let state = leader.scheduler.durable_state(id);
+            let told = self.told.get(&id).filter(|told| told.1 <= leader.epoch);
+            let now_ms = self.now_ms;
+            if let Some((known, epoch)) = told
+                && state != Some(*known)
+            {
+                let violation = format!(
+                    "{now_ms}: {id} is {state:?} for leader {number}, but {known:?} in epoch {epoch:?}"
+                );
+                self.violations.push(violation);
+            }
+            if let Some(state) = state.filter(|state| state.is_final()) {
+                self.told.entry(id).or_insert((state, leader.epoch));
+            }
+        }
+    }
+
+    /// Checks that a leader orders no start of a job that callers know to be over.
+    pub(super) fn check_order(&mut self, number: usize, task: fleet::TaskId) {
+        let epoch = self.leaders[number].epoch;
+        let told = self.told.get(&task.job);
+        if told.is_some_and(|told| told.1 <= epoch) {
+            let violation = format!(
+                "{}: leader {number} starts {task}, told as {told:?}",
+                self.now_ms
+            );
+            self.violations.push(violation);
+        }
+    }
+
+    /// Cancels a job, at times.
+    pub(super) fn cancel(&mut self) {
+        if !self.faults.cancels || !self.one_in(60) {
+            return;
+        }
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let job = helpers::job_id(1 + self.random(self.jobs.len() as u64));
+        let leader = self.leaders.iter_mut().rfind(|leader| {
+            leader.alive && leader.recorded.is_none() && now_ms >= leader.begins_ms
+        });
+        if let Some(leader) = leader.filter(|leader| !leader.closing) {
+            leader.scheduler.cancel(job, now);
+        }
+    }
+}
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -24,6 +24,10 @@
 /// longer time would leave them fewer attempts.
 const STORE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// Longest time for which a query waits for the record of a job's end. A write takes
+/// up to 0.48 s with a slow store.
+const MAX_WAIT_FOR_END: time::Duration = time::Duration::from_millis(500);
+
 /// A job submitted by a caller, with the channel for the answer.
 pub(super) struct Submission {
     pub(super) job: fleet::JobId,
@@ -75,10 +79,7 @@
             LeaderCall::Cancel { job, caller } if self.is_hidden(job, &caller) => {
                 reply.send(LeaderAnswer::State(None));
             }
-            LeaderCall::State { job, .. } => match self.confirmed_state(job) {
-                Some(state) => self.reply_with_state(job, state, reply),
-                None => self.reply_from_store(job, reply),
-            },
+            LeaderCall::State { job, .. } => self.on_state(job, reply),
             LeaderCall::Show { job } => match self.scheduler.view(job) {
                 Some(view) => {
                     self.log_final_state(job, view.state);
@@ -107,12 +108,29 @@
         }
     }
 
-    /// A job's state once its record is in the store; before that the job may still
-    /// be refused.
-    fn confirmed_state(&self, job: fleet::JobId) -> Option<fleet::JobState> {
-        self.scheduler
-            .state(job)
-            .filter(|_| self.scheduler.is_stored(job))
+    /// Answers with the state of a job. If its end is not in the store yet, the answer
+    /// waits for that, unless the store is unavailable.
+    fn on_state(&mut self, job: fleet::JobId, reply: kernel::Reply<LeaderAnswer>) {
+        match self.scheduler.has_unwritten_end(job) && !self.store_is_unavailable() {
+            true => {
+                let until = self.now() + MAX_WAIT_FOR_END;
+                let caller = WaitingCaller::State { job, until, reply };
+                self.waiting_callers.push(caller);
+            }
+            false => self.reply_with_durable_state(job, reply),
+        }
+    }
+
+    /// Answers with the state of a job that the store has.
+    pub(super) fn reply_with_durable_state(
+        &self,
+        job: fleet::JobId,
+        reply: kernel::Reply<LeaderAnswer>,
+    ) {
+        match self.scheduler.durable_state(job) {
+            Some(state) => self.reply_with_state(job, state, reply),
+            None => self.reply_from_store(job, reply),
+        }
     }
 
     /// Answers with a job's state.
@@ -219,8 +237,12 @@
                     job = job,
                     state = format_args!("{state:?}")
                 );
-                self.waiting_callers
-                    .push(WaitingCaller::Cancelled { job, state, reply });
+                match self.scheduler.has_unwritten_end(job) {
+                    true => self
+                        .waiting_callers
+                        .push(WaitingCaller::Cancelled { job, reply }),
+                    false => self.reply_with_durable_state(job, reply),
+                }
             }
         }
     }
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -393,6 +393,7 @@
         self.scheduler.tick(now, wall_ms);
         self.apply_heartbeats();
         self.drop_unresponsive_members(now);
+        self.answer_waiting_callers();
         if now >= self.gauges_updated_at + GAUGES_PAUSE {
             self.gauges_updated_at = now;
             self.update_gauges(now);
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -44,7 +44,12 @@
     /// Waits for the record of a job's outcome, which is the answer.
     Cancelled {
         job: fleet::JobId,
-        state: fleet::JobState,
+        reply: kernel::Reply<LeaderAnswer>,
+    },
+    /// Waits for the record of a job's end, until some time, to be told of it.
+    State {
+        job: fleet::JobId,
+        until: time::Instant,
         reply: kernel::Reply<LeaderAnswer>,
     },
 }
@@ -140,7 +145,7 @@
     fn has_urgent_records(&self) -> bool {
         let unsent = |caller: &WaitingCaller| match caller {
             WaitingCaller::Submitted(_) => false,
-            WaitingCaller::Cancelled { job, .. } => {
+            WaitingCaller::Cancelled { job, .. } | WaitingCaller::State { job, .. } => {
                 self.scheduler.is_unsaved(*job) && !self.scheduler.is_being_written(*job)
             }
         };
@@ -225,23 +230,28 @@
         }
     }
 
-    /// Answers the waiting callers whose records are in the store.
+    /// Answers the waiting callers whose records are in the store, and queries that
+    /// have waited for as long as they may.
     pub(super) fn answer_waiting_callers(&mut self) {
+        let now = self.now();
         for caller in mem::take(&mut self.waiting_callers) {
             match caller {
+                WaitingCaller::State { job, until, reply }
+                    if now >= until || !self.scheduler.has_unwritten_end(job) =>
+                {
+                    self.reply_with_durable_state(job, reply);
+                }
                 WaitingCaller::Submitted(submission)
                     if self.scheduler.is_stored(submission.job) =>
                 {
                     submission.reply.send(LeaderAnswer::Accepted);
                 }
-                WaitingCaller::Cancelled { job, state, reply }
-                    if !self.scheduler.is_unsaved(job) =>
+                WaitingCaller::Cancelled { job, reply }
+                    if !self.scheduler.has_unwritten_end(job) =>
                 {
-                    self.reply_with_state(job, state, reply);
-                }
-                WaitingCaller::Submitted(_) | WaitingCaller::Cancelled { .. } => {
-                    self.waiting_callers.push(caller)
+                    self.reply_with_durable_state(job, reply);
                 }
+                _ => self.waiting_callers.push(caller),
             }
         }
     }
@@ -262,14 +272,17 @@
                     self.scheduler.withdraw(submission.job);
                     submission.reply.send(LeaderAnswer::NotLeader);
                 }
-                WaitingCaller::Cancelled { reply, .. } => reply.send(LeaderAnswer::NotLeader),
+                WaitingCaller::Cancelled { reply, .. } | WaitingCaller::State { reply, .. } => {
+                    reply.send(LeaderAnswer::NotLeader);
+                }
             }
         }
     }
 
     /// Withdraws all new jobs that are neither in the store nor part of a write in
     /// flight, whether or not they were part of the write that failed, and refuses
-    /// their callers. Cancellations are written later.
+    /// their callers. Cancellations are written later. Queries are answered with what
+    /// is in the store.
     fn refuse_unsent(&mut self) {
         for caller in mem::take(&mut self.waiting_callers) {
             match caller {
@@ -284,6 +297,9 @@
                     self.scheduler.withdraw(submission.job);
                     submission.refuse(&self.context.metrics);
                 }
+                WaitingCaller::State { job, reply, .. } => {
+                    self.reply_with_durable_state(job, reply);
+                }
                 WaitingCaller::Submitted(_) | WaitingCaller::Cancelled { .. } => {
                     self.waiting_callers.push(caller)
                 }
