Reserve a worker for a task that waits for one to itself

Cause: a task that needs quarantine takes no worker with runs younger than 0.5 s, and a stream of short work leaves none.

Change: three seconds after its last loss the worker whose youngest run is oldest is reserved for the task, one usable worker in eight at most.

Why it works: without new runs the youngest one there is soon older than 0.5 s, and the worker is then open to the task.

--- a/crates/figscale-core/src/fleet/crashes.rs
+++ b/crates/figscale-core/src/fleet/crashes.rs
@@ -270,8 +270,12 @@
 
     /// Whether the task has to be tried again, whatever else is being lost.
     fn is_hold_over(&self, now: time::Instant) -> bool {
-        let last = self.last_lost_at;
-        last.is_none_or(|at| now >= at + crash_evidence::MAX_HOLD)
+        self.has_waited(crash_evidence::MAX_HOLD, now)
+    }
+
+    /// Whether this much time has passed since the last loss.
+    pub(crate) fn has_waited(&self, time: time::Duration, now: time::Instant) -> bool {
+        self.last_lost_at.is_none_or(|at| now >= at + time)
     }
 
     fn update_chances(&mut self, known: &crash_evidence::LostWorkers, fleet: usize) {
--- a/crates/figscale-core/src/fleet/open_workers.rs
+++ b/crates/figscale-core/src/fleet/open_workers.rs
@@ -11,6 +11,7 @@
 use super::job;
 use super::pass;
 use super::predicted;
+use super::reserve;
 use super::scheduler;
 use super::worker;
 
@@ -20,6 +21,15 @@
 /// for the step that is overdue longest.
 const SHORT_WORK: time::Duration = time::Duration::from_millis(1_200);
 
+/// Time after its last loss for which a task that needs quarantine waits for a worker
+/// without young runs before one is reserved for it. While workers are lost in masses
+/// an earlier start shows less.
+const QUARANTINE_WAIT: time::Duration = time::Duration::from_secs(3);
+
+/// One usable worker of this many may be reserved for tasks in quarantine, so that
+/// mass crashes don't keep other work off the fleet.
+const WORKERS_PER_QUARANTINE: usize = 8;
+
 /// Sort key of the workers for a task; the smallest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
@@ -98,6 +108,57 @@
         places
     }
 
+    /// Reserves a worker for a task that needs quarantine and finds none without young
+    /// runs: the one whose youngest run is oldest. Without other work that run is soon
+    /// old enough; beside a stream of short work it would never be.
+    pub(crate) fn reserve_for_quarantine(
+        &self,
+        task: &fleet::TaskId,
+        description: &fleet::StepDescription,
+        pass: &mut pass::Pass,
+    ) {
+        let most = (pass.usable.len() / WORKERS_PER_QUARANTINE).max(1);
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let step = &job.rounds[task.occurrence as usize].steps[task.step as usize];
+        let history = job.crashes(task);
+        let has_waited = |history: &crashes::History| {
+            history.needs_quarantine() && history.has_waited(QUARANTINE_WAIT, pass.now)
+        };
+        if !history.is_some_and(has_waited) || pass.reserved_for_quarantine >= most {
+            return;
+        }
+        let need = job::occupied(description);
+        let suitable = |(id, worker): &(&fleet::WorkerId, &worker::Worker)| {
+            !worker.is_quarantined()
+                && worker.suits(&job.queue, description)
+                && worker.free().holds(&need)
+                && worker.tasks_left(task, description) > 0
+                && worker.admits(pass.now)
+                && !self.avoids_machine(history, worker, pass.now)
+                && pass.reserved_for_others_until(task, id).is_none()
+        };
+        let youngest = |worker: &worker::Worker| {
+            let orders = worker.runs.values().map(|run| run.ordered_at);
+            orders.max()
+        };
+        let workers = self.allowed_workers(job, step, pass).into_iter();
+        let chosen = workers
+            .filter(suitable)
+            .min_by_key(|(_, worker)| youngest(worker));
+        let Some((id, _)) = chosen else {
+            return;
+        };
+        let reservation = reserve::Reservation {
+            workers: vec![id.clone()],
+            ready_at: pass.now,
+            active: true,
+        };
+        pass.reserve_alone(fleet::TaskId { index: 0, ..*task }, &reservation);
+        pass.reserved_for_quarantine += 1;
+    }
+
     /// Predicted length of a step, and when it has to end: at the objective of its
     /// job less the later steps of its critical path and their queries.
     pub(crate) fn prediction(
--- a/crates/figscale-core/src/fleet/pass.rs
+++ b/crates/figscale-core/src/fleet/pass.rs
@@ -156,6 +156,8 @@
     pub(crate) free_capacity: FreeCapacity,
     pub(crate) step_filter: StepFilter,
     pub(crate) reserving_gangs: usize,
+    /// Workers that are reserved for tasks in quarantine.
+    pub(crate) reserved_for_quarantine: usize,
     pub(crate) unplaced: Vec<Candidate>,
     /// Steps that no worker has room for; left empty where there is no preemption.
     pub(crate) without_room: Vec<Candidate>,
@@ -187,6 +189,7 @@
             free_capacity,
             step_filter,
             reserving_gangs: 0,
+            reserved_for_quarantine: 0,
             unplaced: Vec::new(),
             without_room: Vec::new(),
             scans: cell::Cell::new(0),
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -261,6 +261,7 @@
                 break;
             }
             let Some(worker) = self.best_worker(&id, description, candidate.rank, pass) else {
+                self.reserve_for_quarantine(&id, description, pass);
                 self.report_placed(&candidate.task, &placed, pass.now);
                 return false;
             };
