Keep outcomes from the end of their jobs, and drop them in that order

Cause: outcomes were kept for 150 s from the submission, and only the first eight jobs, by submission, were examined: eight open jobs at the front kept all others for ever. Named by the review by reading only; the tests show both.

Change: the end of a job is dated, also in its record, and ended jobs are dropped in the order of their ends, 64 a tick at most. Records of earlier versions count from when they are loaded.

Result: failed before: the_outcome_of_a_long_job_is_kept_from_its_end under one leader and under the next, outcomes_behind_open_jobs_are_ dropped (300 of 300 outcomes known after 160 s, now none, and 20 records of jobs for 20 open ones).

--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -150,19 +150,8 @@
     decode_first(body).map(|(record, _)| record)
 }
 
-/// Decodes a record and the value that later versions append to it; the latter is
-/// the default for a record of an earlier version.
-pub(crate) fn decode_both<T, M>(bytes: &[u8]) -> Result<(T, M), RecordError>
-where
-    T: serde::de::DeserializeOwned,
-    M: serde::de::DeserializeOwned + Default,
-{
-    let (record, more, ..) = decode_five::<T, M, (), (), ()>(bytes)?;
-    Ok((record, more))
-}
-
-/// Like [`decode_both`], with three values that still later versions append, one after
-/// the other.
+/// Decodes a record and the values that later versions append to it, one after the
+/// other. Those that an earlier version does not append are defaults.
 pub(crate) fn decode_five<T, M, N, O, P>(bytes: &[u8]) -> Result<(T, M, N, O, P), RecordError>
 where
     T: serde::de::DeserializeOwned,
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -231,6 +231,8 @@
     /// announcement in the store, is no confirmation.
     pub(crate) started: bool,
     pub(crate) end: Option<fleet::JobState>,
+    /// Unix time of the end; part of its record.
+    pub(crate) ended_wall_ms: u64,
     /// Resources that a task of each step occupies. Kept after the job's end,
     /// since runs that are being stopped still occupy them.
     pub(crate) rooms: Vec<fleet::Room>,
@@ -278,6 +280,7 @@
             rounds,
             started: false,
             end: None,
+            ended_wall_ms: 0,
             stored: false,
             end_revision: None,
             progress_stored: false,
@@ -401,8 +404,10 @@
     }
 
     /// Ends the job and drops its occurrences. The caller has to stop its runs.
-    pub(crate) fn finish(&mut self, end: fleet::JobState) {
+    /// Ends the job at a Unix time.
+    pub(crate) fn finish(&mut self, end: fleet::JobState, wall_ms: u64) {
         self.end = Some(end);
+        self.ended_wall_ms = wall_ms;
         self.rounds = Vec::new();
         self.description = sync::Arc::default();
     }
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -58,7 +58,11 @@
             customer: job.customer.clone(),
             left_running,
         };
-        let bytes = Some(durable::encode(&(job_record(job), added)));
+        let record = job_record(job);
+        let bytes = Some(match job.is_open() {
+            true => durable::encode(&(record, added)),
+            false => durable::encode(&(record, added, Some(job.ended_wall_ms))),
+        });
         records.records.push(durable::Record {
             key: RecordKey::Job(id),
             bytes,
@@ -97,7 +101,9 @@
         now: time::Instant,
         wall_ms: u64,
     ) -> Result<(), durable::RecordError> {
-        let (record, added): (_, durable::CustomerRecord) = durable::decode_both(bytes)?;
+        let (record, added, ended_wall_ms, (), ()) = durable::decode_five(bytes)?;
+        let added: durable::CustomerRecord = added;
+        let ended_wall_ms: Option<u64> = ended_wall_ms;
         let durable::CustomerRecord {
             customer,
             left_running,
@@ -132,15 +138,17 @@
                 let description = fleet::JobDescription::default().into();
                 let mut job =
                     job::Job::new(id, queue, customer, description, submitted_wall_ms, now);
-                job.finish(state);
+                // Earlier versions don't record when the job ended.
+                job.finish(state, ended_wall_ms.unwrap_or(wall_ms));
                 job.end_revision = Some(revision);
                 job.left_running = left_running;
                 job.rooms = rooms;
                 job
             }
         };
-        if job.is_open() {
-            self.open.insert(id);
+        match job.is_open() {
+            true => drop(self.open.insert(id)),
+            false => self.ended.push_back(id),
         }
         self.jobs.insert(
             id,
@@ -212,6 +220,10 @@
         self.set_recorded(workers.iter().cloned().collect());
         self.not_yet_reported = workers.into_iter().map(|worker| (worker, until)).collect();
         self.recovering = true;
+        let ended_wall_ms = |id: &fleet::JobId| self.jobs.get(id).map(|job| job.ended_wall_ms);
+        self.ended
+            .make_contiguous()
+            .sort_by_cached_key(ended_wall_ms);
         for id in &self.open {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state and configuration, the workers that it knows, and the
 //! work that is due with time.
 
+use std::collections::VecDeque;
 use std::mem;
 use std::time;
 
@@ -26,6 +27,10 @@
 use super::unsaved;
 use super::worker;
 
+/// Maximum number of outcomes that a tick drops. More jobs end in a tick's time only
+/// at 2,560 a second.
+const MAX_OUTCOMES_DROPPED: usize = 64;
+
 /// Configuration of a scheduler; the platform's bounds come from settings.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -44,7 +49,7 @@
     /// Longest time since a worker's entry was last read for it to get new work,
     /// since its resources may have shrunk.
     pub max_entry_age: time::Duration,
-    /// How long after its submission the outcome of a job is kept.
+    /// How long after its end the outcome of a job is kept.
     pub outcome_retention: time::Duration,
     /// A job that would take longer than this percentage of its latency objective
     /// is refused.
@@ -108,6 +113,8 @@
     pub(crate) jobs: IndexMap<fleet::JobId, job::Job>,
     /// Jobs in progress, oldest first.
     pub(crate) open: IndexSet<fleet::JobId>,
+    /// Ended jobs whose outcome is kept, in the order of their ends.
+    pub(crate) ended: VecDeque<fleet::JobId>,
     pub(crate) workers: maps::WorkerMap<worker::Worker>,
     pub(crate) incarnations: incarnations::Incarnations,
     pub(crate) channels: channels::AdviceChannels,
@@ -155,6 +162,7 @@
             config,
             jobs: IndexMap::new(),
             open: IndexSet::new(),
+            ended: VecDeque::new(),
             workers: maps::WorkerMap::default(),
             incarnations: incarnations::Incarnations::default(),
             channels: channels::AdviceChannels::default(),
@@ -426,7 +434,9 @@
         if !job.is_open() {
             return;
         }
-        job.finish(state);
+        let after_ms = super::lease::millis(now.saturating_duration_since(job.submitted));
+        job.finish(state, job.submitted_wall_ms.saturating_add(after_ms));
+        self.ended.push_back(id);
         let log_entry = LogEntry::JobEnded {
             job: id,
             state,
@@ -473,16 +483,24 @@
 
     fn drop_old_outcomes(&mut self, wall_ms: u64) {
         let keep_ms = super::lease::millis(self.config.outcome_retention);
-        // Checks only a few jobs at the front at a time; ended jobs gather there.
-        let old = |job: &job::Job| {
-            let age_ms = wall_ms.saturating_sub(job.submitted_wall_ms);
-            !job.is_open() && age_ms > keep_ms && job.stored
+        let may_be_dropped = |job: &job::Job| {
+            wall_ms.saturating_sub(job.ended_wall_ms) > keep_ms && job.end_revision.is_some()
         };
-        let front = self.jobs.values().take(8);
-        let ids: Vec<fleet::JobId> = front.filter(|job| old(job)).map(|job| job.id).collect();
-        for id in ids {
-            self.jobs.shift_remove(&id);
-            self.unsaved.change(id);
+        for _ in 0..MAX_OUTCOMES_DROPPED {
+            let Some(id) = self.ended.front().copied() else {
+                return;
+            };
+            // A job that ended and was withdrawn may have been submitted again.
+            match self.jobs.get(&id) {
+                Some(job) if job.is_open() => (),
+                Some(job) if !may_be_dropped(job) => return,
+                Some(_) => {
+                    self.jobs.swap_remove(&id);
+                    self.unsaved.change(id);
+                }
+                None => (),
+            }
+            self.ended.pop_front();
         }
     }
 
--- a/crates/figscale-core/tests/fleet/caller_responses.rs
+++ b/crates/figscale-core/tests/fleet/caller_responses.rs
@@ -1,6 +1,7 @@
 //! Responses to callers: admission, job states, refusals.
 
 use figscale_core::fleet::Admission;
+use figscale_core::fleet::RecordKey;
 use figscale_core::fleet::validation_error;
 use figscale_types::fleet;
 use figscale_types::fleet::End;
@@ -116,6 +117,49 @@
     );
 }
 
+/// Guards against the outcome of a long job that is dropped as soon as it has ended, by
+/// the leader that saw the end or the next one.
+#[rstest]
+#[case::same_leader(false)]
+#[case::next_leader(true)]
+fn the_outcome_of_a_long_job_is_kept_from_its_end(#[case] takes_over: bool) {
+    let mut cluster = TestCluster::new(1);
+    let step = helpers::with_estimate(helpers::step(1, 1), 300_000);
+    cluster.run(1, &helpers::queue(1), vec![step]);
+    cluster.advance(300_000);
+    cluster.end(helpers::task(1, 0, 0), End::Done);
+    if takes_over {
+        cluster.take_over(2);
+    }
+    cluster.advance(140_000);
+    assert_eq!(cluster.state(1), Some(JobState::Completed));
+    cluster.advance(15_000);
+    assert_eq!(cluster.state(1), None);
+}
+
+/// Guards against outcomes that are kept for ever behind jobs that stay open.
+#[test]
+fn outcomes_behind_open_jobs_are_dropped() {
+    let mut cluster = TestCluster::new(1);
+    let lasting = fleet::StepDescription {
+        long_running: true,
+        ..helpers::step(1, 1)
+    };
+    for number in 1..=20 {
+        cluster.run(number, &helpers::queue(1), vec![lasting.clone()]);
+    }
+    for number in 101..=400 {
+        cluster.run(number, &helpers::queue(1), vec![helpers::step(1, 1)]);
+        cluster.end(helpers::task(number, 0, 0), End::Done);
+    }
+    cluster.advance(160_000);
+    let known = |number: &u64| cluster.state(*number).is_some();
+    assert_eq!((101..=400).filter(known).count(), 0);
+    assert_eq!((1..=20).filter(known).count(), 20);
+    let is_job = |key: &&RecordKey| matches!(key, RecordKey::Job(_));
+    assert_eq!(cluster.store.keys().filter(is_job).count(), 20);
+}
+
 #[rstest]
 #[case::no_steps(vec![], "0 steps")]
 #[case::no_tasks(vec![helpers::step(0, 1)], "no tasks")]
