Keep a run whose start was refused as old until a report

What callers would see: a task runs twice, after its first run ended `done`.

Cause: a worker refuses an attempt as old if it has seen it. When an order arrives twice, the first may have been executed and its run may have ended; the refusal was taken to say that nothing ran, and the task was started again before the report with its end. An order is repeated directly when the stream to a relay breaks.

Change: such a refusal leaves the run recorded, like an order without an answer, until a report shows its end or, past the order's expiry, its absence.

That a broken stream leads here was read; no test with processes forces it.

--- a/crates/figscale-core/src/fleet/starts.rs
+++ b/crates/figscale-core/src/fleet/starts.rs
@@ -90,6 +90,11 @@
             worker: id.clone(),
             refusal,
         }));
+        if refusal == fleet::StartRefusal::OldAttempt {
+            // The same order may have arrived before, and its run may have ended well:
+            // a report shows that.
+            return;
+        }
         if let Some(worker) = self.workers.get_mut(id) {
             if worker.runs.get(&key).is_some_and(worker::Run::is_confirmed) {
                 return;
--- a/crates/figscale-core/tests/fleet/lost_calls.rs
+++ b/crates/figscale-core/tests/fleet/lost_calls.rs
@@ -10,7 +10,9 @@
 
 use std::time;
 
+use figscale_core::fleet::Action;
 use figscale_core::fleet::LostAnswers;
+use figscale_types::fleet;
 
 use crate::helpers;
 use crate::helpers::TestCluster;
@@ -54,3 +56,46 @@
     cluster.run(2, &queue, vec![helpers::step(4, 1)]);
     assert_eq!(cluster.worker(0).running.len(), 4);
 }
+
+/// Guards against a task that is started again because its order, which had arrived
+/// before, was refused as old: the run may have ended well.
+#[test]
+fn a_start_refused_as_old_is_not_repeated_before_a_report() {
+    let mut cluster = TestCluster::new(2);
+    let job = helpers::job(vec![helpers::step(1, 1)]);
+    cluster.submit(1, &helpers::queue(1), job);
+    while cluster.scheduler.has_records() {
+        cluster.write();
+    }
+    cluster.scheduler.plan(cluster.now);
+    let actions = cluster.scheduler.take_actions();
+    let mut orders = actions.into_iter().filter_map(|action| match action {
+        Action::Start { worker, order } => Some((worker, order)),
+        _ => None,
+    });
+    let (id, order) = orders.next().unwrap();
+    let worker = cluster.workers.get_mut(&id).unwrap();
+    worker.start_run(&order);
+    worker.end(order.task, order.attempt, fleet::End::Done);
+    let refused = fleet::StartOutcome::Refused(fleet::StartRefusal::OldAttempt);
+    let scheduler = &mut cluster.scheduler;
+    scheduler.start_answered(&id, order.task, order.attempt, refused, cluster.now);
+    cluster.scheduler.plan(cluster.now);
+    cluster.execute_actions();
+    cluster.settle();
+    assert_eq!(cluster.starts(), 0);
+    assert_eq!(cluster.state(1), Some(fleet::JobState::Completed));
+}
+
+/// Guards against a task that waits for ever after its start was refused as old and
+/// nothing of it is on the worker.
+#[test]
+fn a_start_refused_as_old_is_repeated_after_a_report() {
+    let mut cluster = TestCluster::new(1);
+    let refused = fleet::StartOutcome::Refused(fleet::StartRefusal::OldAttempt);
+    cluster.worker(0).start_outcome = Some(refused);
+    cluster.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
+    cluster.worker(0).start_outcome = None;
+    cluster.advance(2_500);
+    assert_eq!(cluster.placed(helpers::task(1, 0, 0)).len(), 1);
+}
