Wait for the log line in the tests of the catalogue's paths

The line is written by the log's own thread, after the revision is in force, which is what the tests wait for.

Change: the tests wait up to 5 s for the line. What they compare is as before; a missing line still fails them.

--- a/crates/figscale/tests/catalogue_follow.rs
+++ b/crates/figscale/tests/catalogue_follow.rs
@@ -5,6 +5,8 @@
 
 mod harness;
 
+use std::time;
+
 use figscale_types::catalogue;
 use figscale_types::ids;
 use figscale_types::operator;
@@ -33,8 +35,23 @@
     cell
 }
 
+/// Longest time from a revision's coming into force to its line in the log, which a
+/// thread of its own writes.
+const LOG_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// The path by which a revision came into force at an entry instance, from its log.
-fn source(cell: &harness::Cell, index: usize, revision: u64) -> String {
+async fn source(cell: &harness::Cell, index: usize, revision: u64) -> String {
+    let begun = time::Instant::now();
+    loop {
+        let source = logged_source(cell, index, revision);
+        if !source.is_empty() || begun.elapsed() > LOG_TIMEOUT {
+            return source;
+        }
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
+
+fn logged_source(cell: &harness::Cell, index: usize, revision: u64) -> String {
     let wanted = revision.to_string();
     let log = cell.log(index);
     let mut lines = log.lines().filter_map(|line| {
@@ -66,7 +83,7 @@
     cell.cut_peers(0, 1, true);
     cell.operator(0).apply(&change(1, 2)).await.unwrap();
     cell.wait_for_revision(&[1], 2).await;
-    assert_eq!(source(&cell, 1, 2), "watch");
+    assert_eq!(source(&cell, 1, 2).await, "watch");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -75,7 +92,7 @@
     cell.cut_store(1, true);
     cell.operator(0).apply(&change(1, 2)).await.unwrap();
     cell.wait_for_revision(&[1], 2).await;
-    assert_eq!(source(&cell, 1, 2), "peer");
+    assert_eq!(source(&cell, 1, 2).await, "peer");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -86,7 +103,7 @@
         .change_faults(|faults| faults.deaf_watches = true);
     cell.operator(0).apply(&change(1, 2)).await.unwrap();
     cell.wait_for_revision(&[1], 2).await;
-    assert_eq!(source(&cell, 1, 2), "poll");
+    assert_eq!(source(&cell, 1, 2).await, "poll");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -98,7 +115,7 @@
     push.change_faults(|faults| faults.to_target.cut = true);
     cell.operator(0).apply(&change(1, 2)).await.unwrap();
     cell.wait_for_revision(&[1], 2).await;
-    assert_eq!(source(&cell, 1, 2), "peer");
+    assert_eq!(source(&cell, 1, 2).await, "peer");
 }
 
 #[tokio::test(flavor = "multi_thread")]
