Soak of a fleet of processes, with a record of what callers are told

Change: the ledger of the stand-in records the first final state that a caller is told of each job, and reports another answer, or a start of the job's tasks, after it.

--- /dev/null
+++ b/crates/figscale/tests/fleet_support/caller.rs
@@ -0,0 +1,59 @@
+//! A caller of a fleet that keeps its connections open and goes on while instances
+//! come and go.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use figscale_platform_standin::ledger;
+use figscale_standin::client;
+
+/// Time limit of a call.
+const TIME_LIMIT: time::Duration = time::Duration::from_secs(3);
+
+/// A caller; clones share the connections.
+#[derive(Clone)]
+pub(crate) struct Caller {
+    pub(super) instances: Vec<net::SocketAddr>,
+    pub(super) client: client::Client,
+    pub(super) ledger: sync::Arc<ledger::Ledger>,
+}
+
+impl Caller {
+    /// Makes a call; `None` if there is no answer within the time limit.
+    async fn send(&self, call: client::Call) -> Option<client::Answer> {
+        let call = super::with_host_and_limit(call, TIME_LIMIT);
+        let answer = tokio::time::timeout(TIME_LIMIT, self.client.send(call)).await;
+        answer.ok()?.ok()
+    }
+
+    /// Submits a job; returns the status of the answer, if there is one.
+    pub(crate) async fn submit(
+        &self,
+        instance: usize,
+        job: u64,
+        tasks: u32,
+        spec: &str,
+    ) -> Option<u16> {
+        let (path, body) = super::job_call(job, tasks, spec);
+        let call = client::Call::post(self.instances[instance], &path).body(body);
+        Some(self.send(call).await?.status.as_u16())
+    }
+
+    /// Cancels a job; returns the status of the answer, if there is one.
+    pub(crate) async fn cancel(&self, instance: usize, job: u64) -> Option<u16> {
+        let call = client::Call::delete(self.instances[instance], super::path_of(job));
+        Some(self.send(call).await?.status.as_u16())
+    }
+
+    /// Asks for the state of a job, and records the answer; `None` if there is no
+    /// state in it.
+    pub(crate) async fn state(&self, instance: usize, job: u64) -> Option<String> {
+        let asked_at = time::Instant::now();
+        let call = client::Call::get(self.instances[instance], super::path_of(job));
+        let answer = self.send(call).await?;
+        super::record_state(&self.ledger, &format!("{job:016x}"), &answer, asked_at);
+        let body: serde_json::Value = answer.json().ok()?;
+        body["state"].as_str().map(str::to_owned)
+    }
+}
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it, one uses all")]
 
+pub(crate) mod caller;
 pub(crate) mod stopwatch;
 
 use std::fs;
@@ -21,10 +22,14 @@
 const CONDITION_TIMEOUT: time::Duration = time::Duration::from_secs(40);
 /// Long enough for a leader to detect that its lease has ended and to get another.
 pub(crate) const NEW_LEASE: time::Duration = time::Duration::from_millis(1_500);
+/// Timeout of a call for the state of a process, which may be paused.
+const DUMP_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(40);
 /// Texts of errors with which the store refused a write, as opposed to not answering.
 const REFUSALS: [&str; 2] = ["the store answered ", "the lease has ended"];
 const HOST: &str = "jobs.example";
+/// Path of the jobs of the queue.
+const PREFIX: &str = "/jobs/";
 
 /// How the instances of a fleet are set up.
 #[derive(Clone, Copy)]
@@ -158,7 +163,7 @@
     }
 
     async fn start_with(platform: standin::Platform, instances: usize, setup: Setup) -> Self {
-        platform.configure(10, "pool", "/jobs/", setup.advised);
+        platform.configure(10, "pool", PREFIX, setup.advised);
         let mut fleet = Self {
             platform,
             store_proxies: Vec::new(),
@@ -441,9 +446,7 @@
 
     /// Adds the headers of a caller to a call.
     fn with_caller_headers(&self, call: client::Call, wait: time::Duration) -> client::Call {
-        let call = call
-            .header("host", HOST)
-            .header(ingress::DEADLINE_HEADER, wait.as_millis());
+        let call = with_host_and_limit(call, wait);
         match self.key.as_str() {
             "" => call,
             key => call.header("authorization", format!("Token {key}")),
@@ -451,8 +454,23 @@
     }
 
     pub(crate) async fn get(&self, number: usize, path: &str) -> client::Answer {
-        self.send(client::Call::get(self.instances[number].caller, path))
-            .await
+        self.try_get(number, path).await.unwrap()
+    }
+
+    /// Like [`Self::get`]; an error if there is no answer.
+    async fn try_get(
+        &self,
+        number: usize,
+        path: &str,
+    ) -> Result<client::Answer, client::CallError> {
+        let call = client::Call::get(self.instances[number].caller, path);
+        let call = self.with_caller_headers(call, time::Duration::from_secs(3));
+        let asked_at = time::Instant::now();
+        let answer = self.client.send(call).await?;
+        if let Some(job) = path.strip_prefix(PREFIX).filter(|job| !job.is_empty()) {
+            record_state(&self.platform.ledger, job, &answer, asked_at);
+        }
+        Ok(answer)
     }
 
     pub(crate) async fn post(&self, number: usize, path: &str, body: &str) -> client::Answer {
@@ -514,8 +532,7 @@
     }
 
     pub(crate) async fn cancel(&self, number: usize, job: u64) -> u16 {
-        let path = format!("/jobs/{job:016x}");
-        let call = client::Call::delete(self.instances[number].caller, path);
+        let call = client::Call::delete(self.instances[number].caller, path_of(job));
         self.send(call).await.status.as_u16()
     }
 
@@ -532,14 +549,12 @@
 
     pub(crate) async fn wait_for_state(&self, number: usize, job: u64, state: &str) {
         let begun = time::Instant::now();
-        let path = format!("/jobs/{job:016x}");
+        let path = path_of(job);
         let expected = json!({"state": state}).to_string();
         let mut last = String::new();
         while begun.elapsed() < CONDITION_TIMEOUT {
-            let call = client::Call::get(self.instances[number].caller, path.clone());
-            let call = self.with_caller_headers(call, time::Duration::from_secs(3));
             // A process that has just started does not listen yet.
-            if let Ok(answer) = self.client.send(call).await {
+            if let Ok(answer) = self.try_get(number, &path).await {
                 assert_ne!(answer.status, 410, "job {job:x} is not known");
                 last = answer.text();
             }
@@ -588,6 +603,37 @@
         dump["leading"] == true
     }
 
+    /// A caller that can go on while instances come and go.
+    pub(crate) fn caller(&self) -> caller::Caller {
+        caller::Caller {
+            instances: self.instances.iter().map(|each| each.caller).collect(),
+            client: self.client.clone(),
+            ledger: self.platform.ledger.clone(),
+        }
+    }
+
+    /// The instance that says that it leads; `None` if no responsive one does.
+    pub(crate) async fn leader_now(&self) -> Option<usize> {
+        for (number, instance) in self.instances.iter().enumerate() {
+            let call = client::Call::get(instance.operator, "/v1/dump");
+            let answer = tokio::time::timeout(DUMP_TIMEOUT, self.client.send(call)).await;
+            let Ok(Ok(answer)) = answer else {
+                continue;
+            };
+            let dump: serde_json::Value = answer.json().unwrap();
+            if dump["leading"] == true {
+                return Some(number);
+            }
+        }
+        None
+    }
+
+    /// Whether the process of an instance has ended, or was not started.
+    pub(crate) fn has_ended(&mut self, number: usize) -> bool {
+        let child = self.instances[number].child.as_mut();
+        child.is_none_or(|child| child.try_wait().unwrap().is_some())
+    }
+
     /// Checks that no worker saw a violation of the guarantees, such as a task that ran
     /// twice.
     pub(crate) fn assert_no_violations(&self) {
@@ -659,9 +705,37 @@
     }
 }
 
+/// Records what an answer to a query says of a job, if it says anything.
+pub(crate) fn record_state(
+    ledger: &standin::ledger::Ledger,
+    job: &str,
+    answer: &client::Answer,
+    asked_at: time::Instant,
+) {
+    match answer.status.as_u16() {
+        200 => {
+            let body: serde_json::Value = answer.json().unwrap();
+            ledger.record_answer(job, body["state"].as_str(), asked_at);
+        }
+        410 => ledger.record_answer(job, None, asked_at),
+        _ => (),
+    }
+}
+
 /// Path and body of the submission of a job with one step.
 fn job_call(job: u64, tasks: u32, spec: &str) -> (String, String) {
     let step = json!({"count": tasks, "cpu": 1_000, "mem_mb": 64, "estimate_ms": 200});
     let body = json!({"spec": spec, "phases": [step]});
-    (format!("/jobs/{job:016x}"), body.to_string())
+    (path_of(job), body.to_string())
+}
+
+/// Path of a job.
+fn path_of(job: u64) -> String {
+    format!("{PREFIX}{job:016x}")
+}
+
+/// Adds the headers that all calls of callers have.
+fn with_host_and_limit(call: client::Call, wait: time::Duration) -> client::Call {
+    call.header("host", HOST)
+        .header(ingress::DEADLINE_HEADER, wait.as_millis())
 }
