Answer calls after a pause only once no later leader is known

Cause: a process that was paused as the leader answers calls from its memory until a write or a worker shows it that it is deposed.

Change: a gap of 0.2 s in the term's loop, or the end of its lease, puts leadership in doubt. Calls then wait for one read of a head, 0.1 s at most; a later term there ends this one. Without an answer from the store calls are answered as before.

--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -309,6 +309,11 @@
     transaction.writes.iter().any(|(key, ..)| key == keys::LEAD)
 }
 
+/// The epoch in a chain head; `None` if it cannot be read.
+pub(super) fn epoch_of(item: &store::Item) -> Option<fleet::Epoch> {
+    decode_head(item).map(|head| head.epoch)
+}
+
 fn decode_head(item: &store::Item) -> Option<Head> {
     serde_json::from_slice(&item.value).ok()
 }
--- a/crates/figscale/src/fleet/message.rs
+++ b/crates/figscale/src/fleet/message.rs
@@ -54,6 +54,8 @@
         Result<ledger::Confirmation, ledger::WriteError>,
         ledger::Chain,
     ),
+    /// The epoch of the latest term according to a head; `None` if it was not read.
+    HeadRead(Option<fleet::Epoch>),
     /// The leader's lease has expired at the store.
     LeaseEnded,
     /// The leader was granted a new lease.
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -51,8 +51,15 @@
 
 impl Term {
     pub(super) fn on_call(&mut self, message: LeaderMessage) {
+        if let Some(message) = self.admit(message) {
+            self.answer(message);
+        }
+    }
+
+    /// Answers a call, at once or after a write.
+    pub(super) fn answer(&mut self, message: LeaderMessage) {
         let LeaderMessage { call, reply } = message;
-        if self.closing {
+        if self.closing || self.ended.is_some() {
             // Nothing was done: the entry instance calls the next leader.
             reply.send(LeaderAnswer::NotLeader);
             return;
--- a/crates/figscale/src/fleet/term/messages.rs
+++ b/crates/figscale/src/fleet/term/messages.rs
@@ -42,7 +42,9 @@
             }
             Message::MemberGone(member) => self.drop_member(&member),
             Message::Written(result, ledger) => self.on_written(result, ledger),
+            Message::HeadRead(epoch) => self.on_head_read(epoch),
             Message::LeaseEnded => {
+                self.proof.doubt();
                 crate::event!(events::fleet::LEASE_RENEWED_LATE, epoch = self.leader.epoch);
             }
             Message::LeaseGranted(lease) => {
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -21,6 +21,7 @@
 pub(super) mod load;
 mod members;
 mod messages;
+mod proof;
 mod speeds;
 mod writes;
 
@@ -111,6 +112,8 @@
     new_lease: Option<store::LeaseId>,
     /// The leader's current lease.
     lease: store::LeaseId,
+    /// Proof that no other instance leads.
+    proof: proof::Proof,
     workers: workers::Links,
     /// Instances that send heartbeats; this one is not included.
     members: IndexMap<ids::MemberId, members::Member>,
@@ -282,6 +285,7 @@
             store_unavailable: false,
             new_lease: None,
             lease: won.lease,
+            proof: proof::Proof::new(context.clock.since_boot()),
             members: IndexMap::new(),
             most_members: 0,
             isolated_since: None,
@@ -318,6 +322,7 @@
             }
             self.advance();
             if let Some(ended) = self.ended {
+                self.redirect_unproven_calls();
                 return ended;
             }
         }
@@ -388,6 +393,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.detect_pause();
         let now = self.now();
         let wall_ms = self.context.wall_ms();
         self.scheduler.tick(now, wall_ms);
