Show tasks as done to operators once that is in the store

Cause: views of jobs showed a task as done as soon as its end was in the leader's memory. If that end is lost with the leader, the task runs again.

Change: a task that is done keeps the generation of that change, and is shown as running until no change of that generation is unsaved. Generations advance with each write.

--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -11,6 +11,7 @@
 use super::maps;
 use super::reserve;
 use super::speed;
+use super::unsaved;
 
 /// State of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -24,7 +25,10 @@
         attempt: u32,
     },
     /// It ended successfully.
-    Done,
+    Done {
+        /// Generation of this change; `None` if the store had it when the term began.
+        since: Option<unsaved::Generation>,
+    },
 }
 
 /// State of one task of a step.
@@ -53,8 +57,15 @@
         self.state == TaskState::Waiting
     }
 
+    /// Marks it as done by a change of this generation, unless it is done already.
+    pub(crate) fn mark_done(&mut self, since: unsaved::Generation) {
+        if !self.is_done() {
+            self.state = TaskState::Done { since: Some(since) };
+        }
+    }
+
     pub(crate) fn is_done(&self) -> bool {
-        self.state == TaskState::Done
+        matches!(self.state, TaskState::Done { .. })
     }
 
     /// Whether this run is the current one of the task.
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -411,7 +411,7 @@
         task.failed_attempts = known.failed_attempts;
         task.checkpoint = known.checkpoint;
         if known.done {
-            task.state = job::TaskState::Done;
+            task.state = job::TaskState::Done { since: None };
         }
     }
 }
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -187,10 +187,11 @@
             // run counts.
             return;
         }
-        task.state = job::TaskState::Done;
+        let since = self.unsaved.generation();
+        task.mark_done(since);
         if is_gang && let Some(step) = job.step_mut(&run.task) {
             for member in &mut step.tasks {
-                member.state = job::TaskState::Done;
+                member.mark_done(since);
             }
         }
         if job.all_done() {
--- a/crates/figscale-core/src/fleet/unsaved.rs
+++ b/crates/figscale-core/src/fleet/unsaved.rs
@@ -31,6 +31,10 @@
 /// Workers, each with the number up to which its ends are included.
 pub type Ends = Vec<(fleet::WorkerId, u64)>;
 
+/// Number that orders changes by time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Generation(u64);
+
 /// Changes that are not known to be in the store.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Unsaved {
@@ -47,7 +51,7 @@
     /// Batches of ends with the generation in which they were applied, oldest
     /// first.
     pending_ends: VecDeque<(u64, Ends)>,
-    /// Generation of changes made now; incremented with each batch.
+    /// Generation of changes made now; incremented with each write.
     generation: u64,
 }
 
@@ -85,6 +89,20 @@
         self.waiting.contains_key(&id) || self.writing.contains_key(&id)
     }
 
+    /// The generation of changes made now.
+    pub(crate) fn generation(&self) -> Generation {
+        Generation(self.generation)
+    }
+
+    /// Whether a change that a job had in this generation may not be in the store.
+    pub(crate) fn may_include(&self, id: fleet::JobId, change: Generation) -> bool {
+        let oldest = [self.waiting.get(&id), self.writing.get(&id)];
+        oldest
+            .into_iter()
+            .flatten()
+            .any(|oldest| *oldest <= change.0)
+    }
+
     /// Whether a job is in a write in flight.
     pub(crate) fn is_writing(&self, id: fleet::JobId) -> bool {
         self.writing.contains_key(&id)
@@ -127,13 +145,13 @@
         }
     }
 
-    /// Adds a batch of ends whose effects are among the changes up to now. Beyond
-    /// `MAX_PENDING_ENDS` batches it is dropped; its ends are part of a later one.
+    /// Adds a batch of ends whose effects are among the changes up to now, and begins
+    /// the next generation. Beyond `MAX_PENDING_ENDS` batches it is dropped; its ends
+    /// are part of a later one.
     pub(crate) fn add_ends(&mut self, ends: Ends) {
-        if ends.is_empty() || self.pending_ends.len() >= MAX_PENDING_ENDS {
-            return;
+        if !ends.is_empty() && self.pending_ends.len() < MAX_PENDING_ENDS {
+            self.pending_ends.push_back((self.generation, ends));
         }
-        self.pending_ends.push_back((self.generation, ends));
         self.generation += 1;
     }
 
--- a/crates/figscale-core/tests/fleet/caller_responses.rs
+++ b/crates/figscale-core/tests/fleet/caller_responses.rs
@@ -251,3 +251,28 @@
     let told = cluster.scheduler.durable_state(id);
     assert_eq!(told, Some(JobState::Cancelled));
 }
+
+/// Guards against a task that operators are shown as done and that runs again, since
+/// its end is lost with the leader before it is in the store.
+#[test]
+fn a_task_is_shown_as_done_once_that_is_in_the_store() {
+    let mut cluster = TestCluster::new(1);
+    cluster.run(1, &helpers::queue(1), vec![helpers::step(3, 1)]);
+    let shown = |cluster: &TestCluster| {
+        let view = cluster.scheduler.view(helpers::job_id(1)).unwrap();
+        let done = |task: &fleet::TaskView| task.progress == fleet::TaskProgress::Done;
+        view.tasks.iter().map(done).collect::<Vec<bool>>()
+    };
+    cluster.store_available = false;
+    cluster.end(helpers::task(1, 0, 0), End::Done);
+    assert_eq!(shown(&cluster), [false, false, false]);
+    let records = cluster.scheduler.take_records(helpers::MAX_RECORDS);
+    assert_eq!(shown(&cluster), [false, false, false]);
+    cluster.end(helpers::task(1, 0, 1), End::Done);
+    cluster.scheduler.records_written(&records, 1);
+    assert_eq!(shown(&cluster), [true, false, false]);
+    cluster.write();
+    assert_eq!(shown(&cluster), [true, true, false]);
+    cluster.take_over(2);
+    assert_eq!(shown(&cluster), [true, true, false]);
+}
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -280,6 +280,7 @@
     gangs: gangs::Gangs,
     preemptions: usize,
     told: told::Told,
+    shown_done: told::ShownDone,
 }
 
 impl Simulation {
@@ -312,6 +313,7 @@
             gangs: gangs::Gangs::default(),
             preemptions: 0,
             told: told::Told::default(),
+            shown_done: told::ShownDone::default(),
         };
         if faults.calm {
             simulation.last_election_ms = simulation.random(SIMULATED_MS);
--- a/crates/figscale-core/tests/fleet/terms/told.rs
+++ b/crates/figscale-core/tests/fleet/terms/told.rs
@@ -1,7 +1,8 @@
 //! Checks that a final state, once a caller was told it, is told by the same leader
-//! and all later ones, and that no task of its job is ordered to start after it.
+//! and all later ones, and that no task of its job is ordered to start after it. The
+//! same holds for tasks that operators are shown as done.
 //!
-//! Callers ask for the state of each job at each moment, and cancel some jobs.
+//! Callers and operators ask for each job at each moment, and callers cancel some jobs.
 
 use figscale_types::fleet;
 use indexmap::IndexMap;
@@ -12,9 +13,13 @@
 /// Final states that callers were told, each with the epoch of the leader.
 pub(super) type Told = IndexMap<fleet::JobId, (fleet::JobState, fleet::Epoch)>;
 
+/// Tasks that operators were shown as done, each with the epoch of the leader.
+pub(super) type ShownDone = IndexMap<fleet::TaskId, fleet::Epoch>;
+
 impl Simulation {
     /// Asks a leader for the state of all jobs.
     pub(super) fn check_told(&mut self, number: usize) {
+        self.check_shown(number);
         let leader = &self.leaders[number];
         for (job, _) in &self.jobs {
             let id = helpers::job_id(*job);
@@ -35,9 +40,42 @@
         }
     }
 
-    /// Checks that a leader orders no start of a job that callers know to be over.
+    /// Asks a leader for the tasks of all jobs.
+    fn check_shown(&mut self, number: usize) {
+        let leader = &self.leaders[number];
+        let views = self.jobs.iter().filter_map(|(job, _)| {
+            let view = leader.scheduler.view(helpers::job_id(*job))?;
+            Some(view).filter(|view| !view.state.is_final())
+        });
+        for task in views.flat_map(|view| view.tasks) {
+            let is_done = task.progress == fleet::TaskProgress::Done;
+            let shown = self.shown_done.get(&task.task);
+            let shown = shown.filter(|epoch| **epoch <= leader.epoch);
+            if let Some(epoch) = shown
+                && !is_done
+            {
+                let (now_ms, task) = (self.now_ms, task.task);
+                let violation = format!(
+                    "{now_ms}: {task} is not done for leader {number}, but was in epoch {epoch:?}"
+                );
+                self.violations.push(violation);
+            }
+            if is_done {
+                self.shown_done.entry(task.task).or_insert(leader.epoch);
+            }
+        }
+    }
+
+    /// Checks that a leader orders no start of a job that callers know to be over, or
+    /// of a task that operators were shown as done.
     pub(super) fn check_order(&mut self, number: usize, task: fleet::TaskId) {
         let epoch = self.leaders[number].epoch;
+        let shown = self.shown_done.get(&task);
+        if shown.is_some_and(|shown| *shown <= epoch) {
+            let now_ms = self.now_ms;
+            let violation = format!("{now_ms}: leader {number} starts {task}, shown as done");
+            self.violations.push(violation);
+        }
         let told = self.told.get(&task.job);
         if told.is_some_and(|told| told.1 <= epoch) {
             let violation = format!(
