Keep leading when the other instances were removed

Cause: a leader that loses contact with most peers gives up for 4 s, also when they were stopped as planned or nobody else can lead.

Change: instances that could not lead when they were last heard of do not count once they are gone, and the pause after giving up ends when there has been no leader's key for 1.2 s. The decision moves to the core.

--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -18,6 +18,7 @@
 mod gangs;
 mod helpers;
 mod incarnations;
+mod isolation;
 mod leader_loss;
 mod leaving_workers;
 mod load_peaks;
--- a/crates/figscale/src/fleet/leadership.rs
+++ b/crates/figscale/src/fleet/leadership.rs
@@ -109,7 +109,9 @@
 
 /// Whether this instance may run for leader when there is none.
 pub(super) fn may_run_for_leader(context: &Context) -> bool {
-    let no_candidacy_until = context.leadership.borrow().no_candidacy_until;
-    let paused = no_candidacy_until.is_some_and(|until| context.clock.now() < until);
-    !paused && !*context.leaving.borrow()
+    let now = context.clock.now();
+    let known = context.leadership.borrow();
+    let paused = known.no_candidacy_until.is_some_and(|until| now < until);
+    let may_run = !paused || scheduling::may_return(known.vacant_since, now);
+    may_run && !*context.leaving.borrow()
 }
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -27,10 +27,6 @@
 use crate::fleet::calls::LeaderCall;
 use crate::fleet::machine_health;
 
-/// A leader that most of its peers cannot reach gives up leadership after this
-/// time.
-const MAX_ISOLATION: time::Duration = time::Duration::from_millis(900);
-
 /// Shortest duration of a term before it may be handed over to a stronger
 /// instance; it bounds how often leadership changes if the stronger one cannot
 /// win.
@@ -41,7 +37,8 @@
     pub(super) address: net::SocketAddr,
     /// When its last heartbeat arrived.
     pub(super) heartbeat_at: time::Instant,
-    /// Processor capacity that it could lead with, in thousandths of a core.
+    /// Processor capacity that it could lead with, in thousandths of a core; 0 if it
+    /// could not.
     pub(super) cpu_millis: u64,
 }
 
@@ -172,7 +169,9 @@
     /// Removes an instance until its next heartbeat; until then no advisory queries
     /// or calls of workers are sent through it.
     pub(super) fn drop_member(&mut self, id: &ids::MemberId) {
-        self.members.swap_remove(id);
+        if let Some(member) = self.members.swap_remove(id) {
+            self.isolation.member_left(member.cpu_millis > 0);
+        }
         self.workers.relays.remove(id);
         self.scheduler.member_left(id);
     }
@@ -191,14 +190,7 @@
         for id in lost {
             self.drop_member(&id);
         }
-        self.most_members = self.most_members.max(self.members.len());
-        let enough = self.members.len() * 2 >= self.most_members;
-        if enough {
-            self.isolated_since = None;
-            return;
-        }
-        let since = *self.isolated_since.get_or_insert(now);
-        if self.most_members > 1 && now > since + MAX_ISOLATION {
+        if self.isolation.is_over(self.members.len(), now) {
             self.ended = Some(Ended::OutOfReach);
         }
     }
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -8,6 +8,7 @@
 
 use std::time;
 
+use figscale_core::fleet as scheduling;
 use figscale_core::fleet::Action;
 use figscale_core::fleet::Scheduler;
 use figscale_platform::store;
@@ -117,10 +118,8 @@
     workers: workers::Links,
     /// Instances that send heartbeats; this one is not included.
     members: IndexMap<ids::MemberId, members::Member>,
-    /// Largest number of members so far.
-    most_members: usize,
-    /// Since when fewer than half of that number are members.
-    isolated_since: Option<time::Instant>,
+    /// Whether it has lost contact with most of them.
+    isolation: scheduling::Isolation,
     /// Earliest time of the next placement pass.
     next_pass_at: time::Instant,
     /// Version of the configuration from which the scheduler has the customers'
@@ -287,8 +286,7 @@
             lease: won.lease,
             proof: proof::Proof::new(context.clock.since_boot()),
             members: IndexMap::new(),
-            most_members: 0,
-            isolated_since: None,
+            isolation: scheduling::Isolation::default(),
             next_pass_at: now,
             customers_version: None,
             shown_speeds: speeds::Shown::new(&context.kernel),
--- a/crates/figscale/tests/fleet_leaders.rs
+++ b/crates/figscale/tests/fleet_leaders.rs
@@ -16,6 +16,10 @@
 use fleet_support::NEW_LEASE;
 use fleet_support::stopwatch::Stopwatch;
 
+/// Bound of the time without a leader after one gave up, if no other can lead: others
+/// get 1.2 s to go first, and an election takes half a second at most.
+const MAX_WITHOUT_LEADER: time::Duration = time::Duration::from_millis(2_500);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn work_goes_on_after_the_leader_was_killed() {
     let mut fleet = Fleet::start(3, 3, true).await;
@@ -391,3 +395,50 @@
     assert_eq!(fleet.exit_code(leader), Some(0));
     fleet.assert_no_violations();
 }
+
+/// Guards against a leader that gives up, with nobody to follow it, because the other
+/// instances were removed as planned.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_goes_on_when_all_others_are_removed() {
+    let mut fleet = Fleet::start(4, 2, false).await;
+    let leader = fleet.leader().await;
+    fleet.wait_for_all_heartbeats(leader).await;
+    let others = (0..4).filter(|number| *number != leader);
+    for number in others.clone() {
+        fleet.signal(number, "TERM");
+    }
+    for number in others {
+        assert_eq!(fleet.exit_code(number), Some(0));
+    }
+    // Longer than until members without heartbeats are dropped and a leader gives up.
+    tokio::time::sleep(time::Duration::from_secs(4)).await;
+    assert_eq!(fleet.count_events("TERM_ENDED"), 0);
+    fleet.submit_until_taken(leader, 0x5a1, 1, "20").await;
+    fleet.wait_for_state(leader, 0x5a1, "completed").await;
+    fleet.assert_no_violations();
+}
+
+/// Guards against a leader that has lost its peers for good and leads again only after
+/// the whole pause that lets others go first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_gave_up_leads_again_while_nobody_else_does() {
+    let mut fleet = Fleet::start(4, 2, false).await;
+    let leader = fleet.leader().await;
+    fleet.wait_for_all_heartbeats(leader).await;
+    for number in (0..4).filter(|number| *number != leader) {
+        fleet.kill(number);
+    }
+    fleet
+        .wait("the leader to give up", || {
+            fleet.count_events("TERM_ENDED") > 0
+        })
+        .await;
+    let begun = Stopwatch::start();
+    fleet
+        .wait("its next term", || fleet.count_events("TERM_BEGUN") > 1)
+        .await;
+    let without_leader = begun.elapsed();
+    assert!(without_leader < MAX_WITHOUT_LEADER, "{without_leader:?}");
+    fleet.submit_until_taken(leader, 0x5a2, 1, "20").await;
+    fleet.assert_no_violations();
+}
