Start all members of a gang with one checkpoint

Cause: members that are lost with their workers resume from the values that each had reported itself.

Change: before a gang starts, all members take the checkpoint of the first that has one.

Result: gangs::members_of_a_gang_resume_from_one_checkpoint failed before (of-0 and of-1) and passes.

--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -143,6 +143,19 @@
         self.tasks.iter().all(Task::is_done)
     }
 
+    /// Gives all members of a gang the checkpoint of the first that has one. That of any
+    /// member is valid for the gang, and all must resume from the same one.
+    pub(crate) fn share_checkpoint(&mut self) {
+        let mut checkpoints = self.tasks.iter().map(|task| &task.checkpoint);
+        let saved = checkpoints.find(|checkpoint| !checkpoint.is_empty());
+        let Some(saved) = saved.cloned() else {
+            return;
+        };
+        for task in &mut self.tasks {
+            task.checkpoint.clone_from(&saved);
+        }
+    }
+
     pub(crate) fn waiting(&self) -> usize {
         self.tasks.iter().filter(|task| task.is_waiting()).count()
     }
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -332,6 +332,10 @@
         if !self.announce_start(&candidate.task, attempt, pass.now) {
             return true;
         }
+        let job = self.jobs.get_mut(&candidate.task.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(&candidate.task)) {
+            step.share_checkpoint();
+        }
         let customer = self.customer_of(&candidate.task);
         let room = job::occupied(description);
         let mut placed = Placed::default();
--- a/crates/figscale-core/tests/fleet/gangs.rs
+++ b/crates/figscale-core/tests/fleet/gangs.rs
@@ -139,3 +139,32 @@
         "a gang without a working member was not stopped"
     );
 }
+
+/// Guards against members that resume from values of their own: the value of any member
+/// is valid for the gang, and all must start with the same one.
+#[test]
+fn members_of_a_gang_resume_from_one_checkpoint() {
+    let mut cluster = TestCluster::with_cores(2, 8);
+    let step = fleet::StepDescription {
+        saves_progress: true,
+        ..helpers::gang(2, 8)
+    };
+    cluster.run(1, &helpers::queue(1), vec![step]);
+    for index in 0..2 {
+        let task = helpers::task(1, 0, index);
+        let (worker, attempt) = cluster.placed(task)[0].clone();
+        let running = &mut cluster.workers[&worker].running;
+        running.get_mut(&(task, attempt)).unwrap().checkpoint = format!("of-{index}");
+    }
+    cluster.advance(200);
+    for number in 0..2 {
+        cluster.crash(&helpers::worker_id(number));
+    }
+    for number in 2..4 {
+        cluster.add_worker(number, 8);
+    }
+    cluster.advance(12_000);
+    let orders = (2..4).flat_map(|number| cluster.worker(number).orders.clone());
+    let checkpoints: Vec<String> = orders.map(|order| order.checkpoint).collect();
+    assert_eq!(checkpoints, ["of-0", "of-0"]);
+}
