Do not take a refusal after a broken stream for the outcome of a start

Cause: if a relay does not answer, the leader repeats the order directly, and took a refusal of that for the outcome. The first order may still be executed, and the task then runs twice at a time.

Change: a call through a relay says whether it may have been made; if so, only a confirmation of the direct order is final.

--- a/crates/figscale/src/fleet/relay/link.rs
+++ b/crates/figscale/src/fleet/relay/link.rs
@@ -15,6 +15,7 @@
 use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::mutex;
+use figscale_types::verdict::Verdict;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -83,21 +84,25 @@
         self.address
     }
 
-    /// Sends an order to the relay; `None` if there is no answer, since the queue is
-    /// full or the stream broke.
-    pub(in crate::fleet) async fn call(&self, order: orders::Order) -> Option<orders::Answer> {
+    /// Sends an order to the relay. It was not sent if the queue is full, and may have
+    /// been executed if the stream broke.
+    pub(in crate::fleet) async fn call(
+        &self,
+        order: orders::Order,
+    ) -> Result<orders::Answer, Verdict> {
         let due_at = self.clock.now() + order.call.wait();
         let (answer, answered) = oneshot::channel();
         let queued = Queued { order, answer };
-        self.orders.try_send(queued).ok()?;
+        let sent = self.orders.try_send(queued);
+        sent.map_err(|_| Verdict::NotRun)?;
         let mut wait = Wait {
             link: self,
             due_at,
             ended: false,
         };
-        let answer = answered.await.ok();
+        let answer = answered.await;
         wait.ended = true;
-        answer
+        answer.map_err(|_| Verdict::MayHaveRun)
     }
 
     /// Ejects the relay, which did not answer, or later than a direct call.
--- a/crates/figscale/src/fleet/workers/paths.rs
+++ b/crates/figscale/src/fleet/workers/paths.rs
@@ -7,6 +7,7 @@
 use figscale_platform::workers;
 use figscale_types::clock;
 use figscale_types::fleet;
+use figscale_types::verdict::Verdict;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
@@ -37,12 +38,15 @@
     ) -> Result<workers::ReportOutcome, CallError> {
         let call = || relay::Call::Report(request);
         match self.call_through_relay(worker, call, request.wait).await {
-            Some(relay::Answer::Report(answer)) => answer,
+            Ok(relay::Answer::Report(answer)) => answer,
             _ => self.direct.report(worker, request).await,
         }
     }
 
     /// Orders a start, through the relay if there is one.
+    ///
+    /// If the relay does not answer, it may still pass on its order. The refusal of the
+    /// direct order after that does not show that the task will not run.
     pub(super) async fn start(
         &self,
         worker: &workers::WorkerAddress,
@@ -53,12 +57,20 @@
             epoch,
             order: order.clone(),
         };
-        match self
-            .call_through_relay(worker, call, time::Duration::ZERO)
-            .await
-        {
-            Some(relay::Answer::Start(answer)) => answer,
-            _ => self.direct.start(worker, epoch, order).await,
+        let relayed = self.call_through_relay(worker, call, time::Duration::ZERO);
+        let relayed = relayed.await;
+        if let Ok(relay::Answer::Start(answer)) = relayed {
+            return answer;
+        }
+        let outcome = self.direct.start(worker, epoch, order).await;
+        match (relayed, outcome) {
+            (Err(Verdict::NotRun), outcome) => outcome,
+            (_, started @ Ok(fleet::StartOutcome::Started { .. })) => started,
+            (_, Ok(refused)) => {
+                let cause = format!("a relay did not answer, and after that: {refused:?}");
+                Err(CallError::may_have_run(cause))
+            }
+            (_, Err(error)) => Err(CallError::may_have_run(error.cause)),
         }
     }
 
@@ -71,22 +83,23 @@
         second_calls.clone().try_acquire_owned().ok().map(Some)
     }
 
-    /// The answer through the relay. If there is none in time, the relay is ejected.
+    /// The answer through the relay; without one, whether the call may have been made.
+    /// If there is none in time, the relay is ejected.
     async fn call_through_relay(
         &self,
         worker: &workers::WorkerAddress,
         call: impl FnOnce() -> relay::Call,
         wait: time::Duration,
-    ) -> Option<relay::Answer> {
-        let relay = self.relay.as_ref()?;
+    ) -> Result<relay::Answer, Verdict> {
+        let relay = self.relay.as_ref().ok_or(Verdict::NotRun)?;
         let order = relay::Order {
             worker: worker.clone(),
             call: call(),
         };
         let limit = wait + CALL_TIMEOUT + RELAY_SLACK;
         let answer = tokio::time::timeout(limit, relay.call(order)).await;
-        let answer = answer.ok().flatten();
-        if answer.is_none() {
+        let answer = answer.unwrap_or(Err(Verdict::MayHaveRun));
+        if answer.is_err() {
             relay.eject(self.clock.now());
         }
         answer
--- a/crates/figscale/tests/fleet_relays.rs
+++ b/crates/figscale/tests/fleet_relays.rs
@@ -10,12 +10,18 @@
 
 use std::time;
 
+use figscale_platform_standin as standin;
 use fleet_support::Fleet;
 use fleet_support::stopwatch::Stopwatch;
 
 const JOBS: u64 = 12;
 /// Longest time for which a task may wait beside free room.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(3);
+/// Delay of a start that a worker executes late: longer than a refusal takes, shorter
+/// than the order is valid.
+const LATE_BY: time::Duration = time::Duration::from_millis(700);
+/// Interval at which a test looks for a start that has arrived.
+const ARRIVAL_POLL: time::Duration = time::Duration::from_millis(1);
 /// Timeout for a relay to be used again, in wall-clock time on a machine that may be
 /// busy.
 const REUSE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
@@ -153,3 +159,33 @@
     assert!(fleet.is_leader(leader).await);
     fleet.assert_no_violations();
 }
+
+/// Guards against a start that is taken as refused although the same order may still be
+/// executed: it went through a relay whose stream broke, and the worker refused only
+/// the direct order after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_after_a_broken_stream_does_not_show_that_a_task_does_not_run() {
+    let fleet = Fleet::start_relayed_with_peer_proxies(3, 6).await;
+    let leader = wait_for_relays(&fleet).await;
+    submit_all(&fleet, leader, "50").await;
+    wait_for_all(&fleet, leader).await;
+    let workers = &fleet.platform.workers;
+    for worker in workers {
+        worker.change_faults(|faults| {
+            faults.late_next = 1;
+            faults.late_by = LATE_BY;
+            faults.unhealthy_next = 1;
+        });
+    }
+    assert_eq!(fleet.submit(leader, 0x7b00, 1, "2000").await, 200);
+    let has_arrived = || workers.iter().any(|worker| worker.faults().late_next == 0);
+    while !has_arrived() {
+        tokio::time::sleep(ARRIVAL_POLL).await;
+    }
+    fleet.reset_peer_connections_of(leader);
+    for worker in workers.iter().filter(|each| each.faults().late_next > 0) {
+        worker.change_faults(|faults| *faults = standin::worker::Faults::default());
+    }
+    fleet.wait_for_state(leader, 0x7b00, "completed").await;
+    fleet.assert_no_violations();
+}
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -251,6 +251,12 @@
         proxies.filter_map(move |((from, _), proxy)| (*from == number).then_some(proxy))
     }
 
+    /// Resets the connections that an instance has open to the others.
+    pub(crate) fn reset_peer_connections_of(&self, number: usize) {
+        self.peer_proxies_of(number)
+            .for_each(proxy::Handle::reset_connections);
+    }
+
     /// Silences the connections that an instance has open to the others.
     pub(crate) fn silence_peer_connections_of(&self, number: usize) {
         self.peer_proxies_of(number)
