Count all instances again whose heartbeats stop

Cause: an instance without a direct path to the store says that it could not lead, as one that is being stopped does. A leader out of reach of most of these would go on without callers.

--- a/crates/figscale-core/src/fleet/isolation.rs
+++ b/crates/figscale-core/src/fleet/isolation.rs
@@ -2,9 +2,7 @@
 //! should lead.
 //!
 //! The others serve callers without this leader, even though its lease at the store is
-//! still renewed. An instance that could not lead when it was last heard of, as one
-//! that is being stopped, does not count: its absence is expected, and nobody gains by
-//! a leader that gives up for it.
+//! still renewed. If nobody takes its place, nobody can, and it may lead again.
 
 use std::time;
 
@@ -17,21 +15,13 @@
 /// The instances that a leader had contact with.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Isolation {
-    /// Largest number of them so far, without those that left as expected.
+    /// Largest number of them so far.
     most: usize,
     /// Since when fewer than half of that number are left.
     since: Option<time::Instant>,
 }
 
 impl Isolation {
-    /// Records that an instance is gone that could lead, or could not, when it was last
-    /// heard of.
-    pub fn member_left(&mut self, could_lead: bool) {
-        if !could_lead {
-            self.most = self.most.saturating_sub(1);
-        }
-    }
-
     /// Whether the leader should give up while it has contact with this many instances.
     pub fn is_over(&mut self, members: usize, now: time::Instant) -> bool {
         self.most = self.most.max(members);
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -169,9 +169,7 @@
     /// Removes an instance until its next heartbeat; until then no advisory queries
     /// or calls of workers are sent through it.
     pub(super) fn drop_member(&mut self, id: &ids::MemberId) {
-        if let Some(member) = self.members.swap_remove(id) {
-            self.isolation.member_left(member.cpu_millis > 0);
-        }
+        self.members.swap_remove(id);
         self.workers.relays.remove(id);
         self.scheduler.member_left(id);
     }
