Take a gap of 0.4 s as a pause of a leader

Cause: a leader with much work takes over 0.2 s for an iteration, and calls that wait for a proof add to its load.

Change: the bound is the time after which peers may elect another leader.

--- a/crates/figscale/src/fleet/term/proof.rs
+++ b/crates/figscale/src/fleet/term/proof.rs
@@ -12,6 +12,7 @@
 use std::mem;
 use std::time;
 
+use figscale_core::fleet as scheduling;
 use figscale_types::fleet;
 
 use super::Ended;
@@ -23,9 +24,10 @@
 use crate::fleet::keys;
 use crate::fleet::ledger;
 
-/// Time without an iteration of the term's loop that counts as a pause. It is half of
-/// the time without a response after which peers may elect another leader.
-const MIN_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// Time without an iteration of the term's loop that counts as a pause: peers may elect
+/// another leader after this time without a response. A leader with much work takes
+/// shorter times for an iteration, and calls that wait for a proof would add to it.
+const MIN_PAUSE: time::Duration = scheduling::UNRESPONSIVE_AFTER;
 /// Timeout of the read of a head.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 /// Time between reads of a head while the store does not answer them.
