Refuse jobs whose queries the entry instances left cannot carry

Cause: jobs were accepted by the room in the fleet alone.

Change: while most channels are in use, a job is refused at once if the queries ahead of it last over 8 s, and longer than its wait for room. The cause advice_backlog is logged and counted.

Result: fleet::few_channels failed before and passes.

--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -14,6 +14,9 @@
 //! and the others are not affected. Callers that were refused earlier come first.
 //! A job that fits in room that no earlier work waits for is never refused.
 //!
+//! Where queries to the advisory service are scarcer than room, a job is refused as well
+//! if the queries ahead of it last too long; see [`advice_backlog`].
+//!
 //! Work is taken by its estimates, like the objectives that it is compared with: both
 //! are off together.
 //!
@@ -24,6 +27,7 @@
 
 use figscale_types::fleet;
 
+use super::advice_backlog;
 use super::customers;
 use super::demand;
 use super::free_rooms;
@@ -55,6 +59,8 @@
     OverShare,
     /// With the work of callers that were refused before it.
     EarlierRefusals,
+    /// The queries to the advisory service ahead of it last too long.
+    AdviceBacklog,
 }
 
 impl RefusalCause {
@@ -64,6 +70,7 @@
             Self::Backlog => "backlog",
             Self::OverShare => "over_share",
             Self::EarlierRefusals => "earlier_refusals",
+            Self::AdviceBacklog => "advice_backlog",
         }
     }
 }
@@ -103,6 +110,8 @@
     maxima: Option<pass::FreeCapacity>,
     /// Computed for the first such job for whose tasks a worker has room.
     room: Option<RoomView>,
+    /// Computed for the first job that comes while the channels are busy.
+    advice: Option<advice_backlog::AdviceBacklog>,
 }
 
 /// Free room and the steps that wait for it.
@@ -184,6 +193,18 @@
         self.admission.turns.submitted(job.id, now);
         let estimate = self.wait_estimate(job, now);
         let bound = self.max_queueing_time(job, now);
+        let advice_wait = self.advice_wait_beyond(bound, job, now);
+        if let Some(wait) = advice_wait.filter(|wait| *wait > estimate.wait_for_open) {
+            let bound = bound.min(advice_backlog::MAX_ADVICE_WAIT);
+            let turns = &mut self.admission.turns;
+            return Some(Admission::Refused {
+                retry_after: turns.refuse(job, estimate.work, wait - bound, now),
+                wait,
+                bound,
+                cause: RefusalCause::AdviceBacklog,
+                share: estimate.share,
+            });
+        }
         if estimate.wait <= bound || self.fits_now(job, now) {
             return None;
         }
@@ -207,6 +228,24 @@
         })
     }
 
+    /// Time that the queries ahead of a job last, if that is longer than it may wait.
+    fn advice_wait_beyond(
+        &mut self,
+        bound: time::Duration,
+        job: &job::Job,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        let applies = job.queue.advice.is_some() && self.channels.are_busy(now);
+        if !applies || self.channels.service_is_unavailable() {
+            return None;
+        }
+        let mut view = self.admission.work.take()?;
+        let backlog = *view.advice.get_or_insert_with(|| self.advice_backlog(now));
+        self.admission.work = Some(view);
+        let wait = self.advice_wait(job, &backlog, now);
+        (wait > bound.min(advice_backlog::MAX_ADVICE_WAIT)).then_some(wait)
+    }
+
     /// Takes an accepted job into the sums, and frees its turn.
     pub(crate) fn record_admitted(&mut self, job: &job::Job, now: time::Instant) {
         self.admission.turns.remove(job.id);
@@ -216,6 +255,9 @@
             if let Some(room) = &mut view.room {
                 room.add_waiting(job, now);
             }
+            if let Some(backlog) = &mut view.advice {
+                backlog.add_first_queries(job);
+            }
         }
     }
 
@@ -256,6 +298,7 @@
                 demand: self.demand(),
                 maxima: None,
                 room: None,
+                advice: None,
             });
         }
     }
--- a/crates/figscale-core/src/fleet/advice.rs
+++ b/crates/figscale-core/src/fleet/advice.rs
@@ -31,6 +31,9 @@
 /// A gang's reservation is dropped if its tickets are later than expected by
 /// more than this, which also covers the time to place the gang.
 const RESPONSE_SLACK: time::Duration = time::Duration::from_millis(300);
+/// Time of a query beyond that of the service: the way there and back, and the pass
+/// after it.
+pub(crate) const QUERY_OVERHEAD: time::Duration = time::Duration::from_millis(8);
 /// An overdue step waits for the only channel for at most this many times the
 /// expected duration of its query.
 const MAX_CHANNEL_WAIT: u32 = 4;
@@ -207,14 +210,25 @@
             && let Some(query) = self.next_query(candidate, breadth, pass)
             && let Some(member) = self.channel_for(&candidate.task, query.expected, pass.now)
         {
-            let member = member.clone();
+            let (member, expected) = (member.clone(), query.expected);
             if self.is_gang(&candidate.task) {
                 pass.record_query_for_gang(&query.workers);
             }
             self.send_query(candidate.task, query, member, pass.now);
+            if breadth == Breadth::Needed {
+                self.record_use(&candidate.task, expected, pass.now);
+            }
         }
     }
 
+    /// Records the use of a channel for a query that its step needs.
+    fn record_use(&mut self, task: &fleet::TaskId, expected: time::Duration, now: time::Instant) {
+        let job = self.jobs.get(&task.job);
+        let is_first_class = job.is_some_and(|job| job.queue.priority == 0);
+        let time = expected + QUERY_OVERHEAD;
+        self.channels.record_use(is_first_class, time, now);
+    }
+
     fn send_query_round(&mut self, pass: &pass::Pass, breadth: Breadth) {
         let first_short = channels::QueryKind {
             long: false,
--- a/crates/figscale-core/src/fleet/channels.rs
+++ b/crates/figscale-core/src/fleet/channels.rs
@@ -35,6 +35,12 @@
 /// average).
 const LEARNING_WEIGHT: f64 = 0.1;
 
+/// Part of the channels from which on they count as busy. A channel is idle between
+/// two queries, so one moment shows nothing.
+const BUSY_PART: f64 = 0.6;
+/// Period of the moving average of the channels in use.
+const USE_PERIOD: time::Duration = time::Duration::from_secs(2);
+
 /// Number of consecutive queries without a response after which the service
 /// counts as unavailable. One or two may be lost when an instance leaves.
 const UNAVAILABLE_AFTER: usize = 3;
@@ -86,6 +92,26 @@
     pub(crate) duration: time::Duration,
 }
 
+/// Moving average of the number of channels in use.
+#[derive(Clone, Copy, Debug, Default)]
+struct ChannelUse {
+    average: f64,
+    at: Option<time::Instant>,
+}
+
+impl ChannelUse {
+    fn now(&self, now: time::Instant) -> f64 {
+        let passed = self.at.map(|at| now.saturating_duration_since(at));
+        let passed = passed.unwrap_or_default().as_secs_f64();
+        self.average * (-passed / USE_PERIOD.as_secs_f64()).exp()
+    }
+
+    fn record(&mut self, time: time::Duration, now: time::Instant) {
+        self.average = self.now(now) + time.as_secs_f64() / USE_PERIOD.as_secs_f64();
+        self.at = Some(now);
+    }
+}
+
 /// All channels to the service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AdviceChannels {
@@ -100,6 +126,9 @@
     without_response: usize,
     /// When a query last got a response, through whichever channel.
     responded_at: Option<time::Instant>,
+    /// Use for queries that steps need, all and those of the first class of queues.
+    total_use: ChannelUse,
+    first_class_use: ChannelUse,
 }
 
 impl AdviceChannels {
@@ -215,6 +244,29 @@
         }
     }
 
+    /// Records a query that its step needs, by its expected duration.
+    pub(crate) fn record_use(
+        &mut self,
+        is_first_class: bool,
+        time: time::Duration,
+        now: time::Instant,
+    ) {
+        self.total_use.record(time, now);
+        if is_first_class {
+            self.first_class_use.record(time, now);
+        }
+    }
+
+    /// Whether most channels have lately been in use.
+    pub(crate) fn are_busy(&self, now: time::Instant) -> bool {
+        self.total_use.now(now) >= self.by_member.len() as f64 * BUSY_PART
+    }
+
+    /// Number of channels lately in use for the first class of queues.
+    pub(crate) fn first_class_use(&self, now: time::Instant) -> f64 {
+        self.first_class_use.now(now)
+    }
+
     /// Whether any channel is free, ejected or not.
     pub(crate) fn any_free(&self) -> bool {
         let mut channels = self.by_member.values();
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod action;
 mod admission;
 mod advice;
+mod advice_backlog;
 mod aging;
 mod call_schedule;
 mod candidacy;
--- a/crates/figscale-core/src/fleet/query.rs
+++ b/crates/figscale-core/src/fleet/query.rs
@@ -548,7 +548,7 @@
 
 /// Number of workers that a query may name at little more than its base
 /// duration.
-fn cheap_workers(policy: &fleet::AdvicePolicy) -> usize {
+pub(crate) fn cheap_workers(policy: &fleet::AdvicePolicy) -> usize {
     let workers = policy.base_ms * CHEAP_FRACTION / policy.per_worker_ms.max(f64::MIN_POSITIVE);
     (workers as usize).clamp(MIN_QUERIED, MAX_QUERIED)
 }
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod config_proof;
 mod crashes;
 mod customers;
+mod few_channels;
 mod gang_contention;
 mod gang_limits;
 mod gangs;
