--- a/crates/figscale/src/fleet/term/proof.rs
+++ b/crates/figscale/src/fleet/term/proof.rs
@@ -5,9 +5,9 @@
 //! answers would be out of date: it would show a job as running that its successor has
 //! told as completed, or refuse one that its successor has accepted.
 //!
-//! So after a pause, or after the end of its lease, calls wait until a head was read or
-//! a write was executed. If the store does not answer the read, they are answered
-//! nevertheless, since callers need the states of their jobs during an outage too.
+//! So after a pause, or after the end of its lease, calls wait until a head was read. If
+//! the store does not answer, they are answered nevertheless, since callers need the
+//! states of their jobs during an outage too.
 
 use std::mem;
 use std::time;
