Keep the ids of jobs that are cancelled before they are submitted

The submission had lain in the socket of a paused instance.

Cause: the cancel of a job that the leader does not know was answered from the store and left nothing behind, so a submission that arrived later was a new job. Evidence: fleet_cancels::case_1_nothing pauses no instance; a cancel answered with 410 and then the submission, which was accepted with 200. The pause only widens the window.

Change: the id is written under figscale/cancelled/N before the cancel is acknowledged, and a submission with it is answered with 410, by this leader and all later ones, for as long as an outcome is kept. Ids are kept by customer, in batches, and bounded; beyond the bound the cancel is refused with 503. A job that is dropped since its first write failed leaves its id behind if it was cancelled.

It works because a leader decides on cancels and submissions of an id in one order, the record is conditional on the heads as all others, and the next leader reads it before its term begins.

--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -84,6 +84,8 @@
     Known,
     /// Its id belongs to a job of another customer.
     IdTaken,
+    /// Its id was cancelled before it was submitted. It is not accepted and never runs.
+    Cancelled,
     /// One of its gangs needs more resources than its customer may ever use.
     TooLarge,
     /// It is not accepted and never runs.
--- a/crates/figscale-core/src/fleet/durable.rs
+++ b/crates/figscale-core/src/fleet/durable.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::cancelled_ids;
 use super::crashes;
 use super::maps;
 use super::speed;
@@ -32,6 +33,8 @@
     Workers,
     /// The speed of workers and the run times of queues.
     Speeds,
+    /// A batch of ids that were cancelled while no job with them was known.
+    CancelledIds(u64),
 }
 
 /// A record to be written or removed.
@@ -57,6 +60,8 @@
     pub(crate) recorded: Option<maps::WorkerSet>,
     /// Speeds, if their record is among the records.
     pub(crate) speeds: Option<speed::Speeds>,
+    /// Change of a record of cancelled ids, if it is among the records.
+    pub(crate) cancelled_ids: Option<cancelled_ids::BatchChange>,
     /// Jobs that the records belong to.
     pub(crate) jobs: Vec<fleet::JobId>,
 }
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -29,6 +29,7 @@
     pub fn take_records(&mut self, most: usize) -> durable::Records {
         let mut records = durable::Records::default();
         self.add_workers_record(&mut records);
+        self.add_cancelled_ids(&mut records);
         let is_new = |id: &fleet::JobId| self.jobs.get(id).is_some_and(|job| !job.stored);
         let (new, mut changed): (Vec<fleet::JobId>, Vec<fleet::JobId>) =
             self.unsaved.ready().partition(is_new);
@@ -91,6 +92,16 @@
         records.recorded = Some(ids);
     }
 
+    /// Adds the record of cancelled ids that has to be written or removed, if there is
+    /// one.
+    fn add_cancelled_ids(&mut self, records: &mut durable::Records) {
+        if let Some((number, bytes, change)) = self.cancelled_ids.take() {
+            let key = durable::RecordKey::CancelledIds(number);
+            records.records.push(durable::Record { key, bytes });
+            records.cancelled_ids = Some(change);
+        }
+    }
+
     /// Takes the record of speeds for a transaction of its own, if it has to be written.
     /// Under load each of the other transactions has records that callers wait for.
     pub fn take_speeds_record(&mut self) -> Option<durable::Records> {
@@ -108,6 +119,7 @@
         };
         let awaited = !records.created.is_empty()
             || records.recorded.is_some()
+            || records.cancelled_ids.is_some()
             || records.jobs.iter().any(cancelled);
         if awaited || records.records.len() >= most {
             return;
@@ -152,18 +164,20 @@
         workers.into_iter().any(|worker| !worker.is_retired())
     }
 
-    /// Whether there are urgent records: of new jobs, whose callers wait, or of
-    /// workers that cannot be used before.
+    /// Whether there are urgent records: of new jobs or cancelled ids, whose callers
+    /// wait, or of workers that cannot be used before.
     pub fn has_urgent_records(&self) -> bool {
         let unstored = |id: &fleet::JobId| self.jobs.get(id).is_some_and(|job| !job.stored);
         let new = self.unsaved.ready().any(|id| unstored(&id));
-        new || !self.workers_record_in_flight && self.has_unrecorded_workers()
+        new || self.cancelled_ids.is_awaited()
+            || !self.workers_record_in_flight && self.has_unrecorded_workers()
     }
 
     /// Whether there are records to be written or ends to be acknowledged.
     pub fn has_records(&self) -> bool {
         self.unsaved.ready().next().is_some()
             || !self.unacknowledged.is_empty()
+            || self.cancelled_ids.is_due()
             || !self.workers_record_in_flight && self.workers_record_dirty
             || self.speeds.record.is_due()
     }
@@ -194,6 +208,9 @@
         if let Some(speeds) = &records.speeds {
             self.speeds.record.written(speeds.clone());
         }
+        if let Some(change) = &records.cancelled_ids {
+            self.cancelled_ids.written(change);
+        }
         self.unsaved.written(&records.jobs);
         let mut acknowledged = self.unsaved.due();
         acknowledged.retain(|(id, number)| {
@@ -222,6 +239,9 @@
         if records.speeds.is_some() {
             self.speeds.record.not_written();
         }
+        if let Some(change) = &records.cancelled_ids {
+            self.cancelled_ids.not_written(change);
+        }
         self.unsaved.not_written(&records.jobs);
         for id in &records.created {
             self.withdraw(*id);
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -205,6 +205,15 @@
         Ok(())
     }
 
+    /// Loads a record of cancelled ids.
+    pub fn load_cancelled_ids(
+        &mut self,
+        batch: u64,
+        bytes: &[u8],
+    ) -> Result<(), durable::RecordError> {
+        self.cancelled_ids.load(batch, bytes)
+    }
+
     /// Decodes the record of workers that may have runs.
     pub fn recorded_workers(bytes: &[u8]) -> Result<Vec<fleet::WorkerId>, durable::RecordError> {
         durable::decode(bytes)
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -12,6 +12,7 @@
 use super::action::Action;
 use super::action::LogEntry;
 use super::admission;
+use super::cancelled_ids;
 use super::channels;
 use super::crash_evidence;
 use super::customers;
@@ -49,7 +50,8 @@
     /// Longest time since a worker's entry was last read for it to get new work,
     /// since its resources may have shrunk.
     pub max_entry_age: time::Duration,
-    /// How long after its end the outcome of a job is kept.
+    /// How long after its end the outcome of a job is kept, and after its cancel the id
+    /// of a job that was not known.
     pub outcome_retention: time::Duration,
     /// A job that would take longer than this percentage of its latency objective
     /// is refused.
@@ -104,6 +106,8 @@
     pub usable_workers: usize,
     /// All known workers.
     pub workers: usize,
+    /// Cancelled ids of jobs that were not known.
+    pub cancelled_ids: usize,
 }
 
 /// Schedules all workers of a fleet during one term.
@@ -140,6 +144,8 @@
     pub(crate) workers_record_dirty: bool,
     /// Changes that are not known to be in the store.
     pub(crate) unsaved: unsaved::Unsaved,
+    /// Ids that were cancelled while no job with them was known.
+    pub(crate) cancelled_ids: cancelled_ids::CancelledIds,
     pub(crate) lost_workers: crash_evidence::LostWorkers,
     pub(crate) unsettled_machines: lost_machines::UnsettledMachines,
     /// Tasks whose losses are to be judged.
@@ -176,6 +182,7 @@
             workers_record_outdated: false,
             workers_record_dirty: false,
             unsaved: unsaved::Unsaved::default(),
+            cancelled_ids: cancelled_ids::CancelledIds::default(),
             lost_workers: crash_evidence::LostWorkers::default(),
             unsettled_machines: lost_machines::UnsettledMachines::default(),
             suspects: IndexSet::new(),
@@ -205,6 +212,7 @@
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
             usable_workers: self.workers.values().filter(usable).count(),
             workers: self.workers.len(),
+            cancelled_ids: self.cancelled_ids.len(),
         }
     }
 
@@ -329,6 +337,8 @@
         self.workers_record_dirty = self.workers_record_differs();
         self.add_due_rounds(now, wall_ms);
         self.drop_old_outcomes(wall_ms);
+        self.cancelled_ids
+            .drop_expired(wall_ms, self.config.outcome_retention);
         self.judge_suspects(now);
         self.drop_old_late_orders(now);
         self.check_recovery(now);
--- a/crates/figscale-core/src/fleet/submit.rs
+++ b/crates/figscale-core/src/fleet/submit.rs
@@ -6,6 +6,7 @@
 use figscale_types::fleet;
 
 use super::admission;
+use super::cancelled_ids;
 use super::job;
 use super::scheduler;
 
@@ -41,6 +42,9 @@
                 false => admission::Admission::Accepted,
             };
         }
+        if self.cancelled_ids.contains(id, customer.as_ref()) {
+            return admission::Admission::Cancelled;
+        }
         let queue = sync::Arc::new(queue.clone());
         let job = job::Job::new(id, queue, customer, description.into(), wall_ms, now);
         if self.is_beyond_limit(&job) {
@@ -56,12 +60,20 @@
         admission::Admission::Accepted
     }
 
-    /// Drops a job whose record was certainly never sent to the store.
+    /// Drops a job whose record was certainly never sent to the store. If it was
+    /// cancelled, its id stays so: another submission with it may follow.
     pub fn withdraw(&mut self, id: fleet::JobId) {
-        if self.jobs.get(&id).is_some_and(|job| !job.stored) {
-            self.jobs.shift_remove(&id);
-            self.open.shift_remove(&id);
-            self.unsaved.forget(id);
+        if self.jobs.get(&id).is_none_or(|job| job.stored) {
+            return;
+        }
+        self.open.shift_remove(&id);
+        self.unsaved.forget(id);
+        let job = self.jobs.shift_remove(&id);
+        let cancelled = job.filter(|job| job.end == Some(fleet::JobState::Cancelled));
+        if let Some(job) = cancelled {
+            let customer = job.customer;
+            let id = cancelled_ids::CancelledId { job: id, customer };
+            self.cancelled_ids.insert(id, job.ended_wall_ms);
         }
     }
 
@@ -76,6 +88,42 @@
         self.state(id)
     }
 
+    /// Cancels the id of a job that is not known: submissions of it by the same customer
+    /// are rejected, also by later leaders. `None` stands for all customers.
+    ///
+    /// The cancel may be acknowledged once [`Self::is_cancelled_id`] holds.
+    pub fn cancel_id(
+        &mut self,
+        id: fleet::JobId,
+        customer: Option<fleet::CustomerName>,
+        wall_ms: u64,
+    ) -> cancelled_ids::IdCancel {
+        let id = cancelled_ids::CancelledId { job: id, customer };
+        let retention = self.config.outcome_retention;
+        self.cancelled_ids.cancel(id, wall_ms, retention)
+    }
+
+    /// Whether the store has the record that a customer cancelled an id of which no job
+    /// was known.
+    pub fn is_cancelled_id(
+        &self,
+        id: fleet::JobId,
+        customer: Option<&fleet::CustomerName>,
+    ) -> bool {
+        let ids = &self.cancelled_ids;
+        ids.contains(id, customer) && !ids.is_unwritten(id, customer)
+    }
+
+    /// Whether the record of a cancel, of a job or of an id without one, has still to be
+    /// written.
+    pub fn has_unwritten_cancel(
+        &self,
+        id: fleet::JobId,
+        customer: Option<&fleet::CustomerName>,
+    ) -> bool {
+        self.has_unwritten_end(id) || self.cancelled_ids.is_unwritten(id, customer)
+    }
+
     /// Returns the state of a job that callers may be told: a final state only once
     /// its record is in the store, so that every later leader tells it too. `None`
     /// unless the job's own record is there.
--- a/crates/figscale-core/tests/fleet/helpers.rs
+++ b/crates/figscale-core/tests/fleet/helpers.rs
@@ -570,6 +570,9 @@
                 RecordKey::Progress(id) => scheduler.load_progress(*id, bytes).unwrap(),
                 RecordKey::Workers => recorded = Scheduler::recorded_workers(bytes).unwrap(),
                 RecordKey::Speeds => scheduler.load_speeds(bytes).unwrap(),
+                RecordKey::CancelledIds(batch) => {
+                    scheduler.load_cancelled_ids(*batch, bytes).unwrap();
+                }
                 RecordKey::Job(_) => (),
             }
         }
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod begun_jobs;
 mod call_schedule;
 mod caller_responses;
+mod cancelled_ids;
 mod candidacy;
 mod config_proof;
 mod crashes;
--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -63,6 +63,9 @@
                 RecordKey::Progress(id) => scheduler.load_progress(*id, bytes).unwrap(),
                 RecordKey::Workers => recorded = Scheduler::recorded_workers(bytes).unwrap(),
                 RecordKey::Speeds => scheduler.load_speeds(bytes).unwrap(),
+                RecordKey::CancelledIds(batch) => {
+                    scheduler.load_cancelled_ids(*batch, bytes).unwrap();
+                }
                 RecordKey::Job(_) => (),
             }
         }
@@ -176,6 +179,7 @@
             match action {
                 Action::Start { worker, order } => {
                     self.check_order(number, order.task);
+                    self.check_cancelled_early(number, order.task);
                     let delay = self.delay();
                     self.send(delay, Event::StartArrives(number, worker, order));
                 }
@@ -199,6 +203,7 @@
         self.check_consistency(number);
         self.check_begun(number);
         self.check_told(number);
+        self.acknowledge_early_cancels(number);
         self.send_listing(number);
         self.call(number);
         self.write(number);
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -48,6 +48,7 @@
 mod begun;
 mod calm;
 mod customers;
+mod early_cancels;
 mod gangs;
 mod leaders;
 mod mixed;
@@ -109,6 +110,8 @@
     max_ends_listed: usize,
     /// Callers cancel jobs.
     cancels: bool,
+    /// Callers cancel jobs whose submission arrives later.
+    early_cancels: bool,
 }
 
 /// The usual faults alone.
@@ -124,6 +127,7 @@
     preemption: false,
     max_ends_listed: usize::MAX,
     cancels: false,
+    early_cancels: false,
 };
 
 type RunKey = (fleet::TaskId, u32);
@@ -280,6 +284,7 @@
     gangs: gangs::Gangs,
     preemptions: usize,
     told: told::Told,
+    early_cancels: early_cancels::EarlyCancels,
     shown_done: told::ShownDone,
 }
 
@@ -313,6 +318,7 @@
             gangs: gangs::Gangs::default(),
             preemptions: 0,
             told: told::Told::default(),
+            early_cancels: early_cancels::EarlyCancels::default(),
             shown_done: told::ShownDone::default(),
         };
         if faults.calm {
@@ -379,6 +385,7 @@
             self.elect();
             self.submit();
             self.cancel();
+            self.cancel_early();
             self.step();
         }
         if self.faults.calm && self.violations.is_empty() {
@@ -531,6 +538,27 @@
     }
 }
 
+/// Guards against a job that runs although its cancel was acknowledged before its
+/// submission arrived, at the same leader or a later one.
+#[test]
+fn jobs_cancelled_before_their_submission_never_start_over_many_terms() {
+    for mixed in [false, true] {
+        let faults = Faults {
+            mixed,
+            outages: true,
+            cancels: true,
+            early_cancels: true,
+            ..USUAL_FAULTS
+        };
+        let violations = simulate(faults, &seeds(&[0, 1, 2, 3]));
+        assert!(
+            violations.is_empty(),
+            "mixed: {mixed}, {} seeds with violations: {violations:#?}",
+            violations.len()
+        );
+    }
+}
+
 /// Guards against messages for an earlier incarnation of a worker that take effect
 /// at a later one under the same name.
 #[test]
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -41,6 +41,8 @@
     6213 PREEMPTION_UNUSED Warn "A step did not start although runs were stopped for it; its workers are no longer reserved.";
     6214 GANG_AWAITS_FASTER Info "A gang has room, but waits for faster workers on which it is predicted to end in time; logged once for each gang.";
     6215 FINAL_STATE_ANSWERED Debug "A caller was told a job's final state; the log line gives the revision at which the store has the record of it, or `none`.";
+    6216 ID_CANCELLED Info "A caller cancelled a job that is not known; its submission is rejected if it arrives later. `refused`: too many such ids are kept, and the caller was told when to retry.";
+    6217 SUBMISSION_CANCELLED Info "A submission was rejected, since its job was cancelled before.";
     6301 TASK_STARTED Debug "A worker confirmed the start of a task.";
     6302 START_REFUSED Info "A worker refused the start of a task.";
     6303 START_UNANSWERED Warn "A worker did not answer a start order; the resources of the task stay allocated until a report shows the outcome.";
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -133,4 +133,9 @@
         /// Proof that the configuration known to the leader is in force.
         config: Option<scheduling::ProofStamp>,
     },
+    /// The job's id was cancelled before its submission arrived; the job is not accepted
+    /// and never runs.
+    Cancelled,
+    /// Too many cancelled ids are kept; the cancel had no effect.
+    CancelRefused { retry_after_ms: u64 },
 }
--- a/crates/figscale/src/fleet/entry/dispatch.rs
+++ b/crates/figscale/src/fleet/entry/dispatch.rs
@@ -97,6 +97,9 @@
             reply::json(http::StatusCode::OK, ingress::encode_state(state))
         }
         Some(LeaderAnswer::State(None)) => http::StatusCode::GONE.into_response(),
+        Some(LeaderAnswer::CancelRefused { retry_after_ms }) => {
+            reply::refuse_cancel(call, retry_after_ms)
+        }
         _ => reply::unanswered(call),
     }
 }
--- a/crates/figscale/src/fleet/entry/reply.rs
+++ b/crates/figscale/src/fleet/entry/reply.rs
@@ -57,6 +57,15 @@
     refuse_with_retry(status, retry_after_ms, text)
 }
 
+/// Answers that a job was not cancelled, since it is not known and no more ids of such
+/// jobs can be kept.
+pub(super) fn refuse_cancel(call: &call::Call, retry_after_ms: u64) -> response::Response {
+    let cause = "too many jobs were cancelled that are not known";
+    log_rejected(call, cause);
+    let text = format!("{cause}; this one was not cancelled");
+    refuse_with_retry(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms, text)
+}
+
 /// An answer with a `Retry-After` header.
 fn refuse_with_retry(
     status: http::StatusCode,
--- a/crates/figscale/src/fleet/entry/submit.rs
+++ b/crates/figscale/src/fleet/entry/submit.rs
@@ -63,6 +63,10 @@
         Some(LeaderAnswer::IdTaken) => {
             return reply::rejected(call, http::StatusCode::CONFLICT, "the id is taken");
         }
+        Some(LeaderAnswer::Cancelled) => {
+            let cause = "the job was cancelled before it was submitted, and never runs";
+            return reply::rejected(call, http::StatusCode::GONE, cause);
+        }
         Some(LeaderAnswer::TooLarge) => {
             let cause = "a gang needs more than its customer may ever have running";
             return reply::rejected(call, http::StatusCode::BAD_REQUEST, cause);
--- a/crates/figscale/src/fleet/keys.rs
+++ b/crates/figscale/src/fleet/keys.rs
@@ -12,6 +12,8 @@
 pub(super) const WORKERS: &str = "figscale/workers";
 /// The speed of workers and the run times of queues.
 pub(super) const SPEEDS: &str = "figscale/speeds";
+/// Prefix of the records of cancelled ids.
+pub(super) const CANCELLED_IDS: &str = "figscale/cancelled/";
 /// Prefix of the job records.
 pub(super) const JOBS: &str = "figscale/jobs/";
 /// Prefix of the progress records, one for each job.
@@ -34,9 +36,15 @@
         RecordKey::Progress(id) => format!("{PROGRESS}{id}"),
         RecordKey::Workers => WORKERS.to_owned(),
         RecordKey::Speeds => SPEEDS.to_owned(),
+        RecordKey::CancelledIds(batch) => format!("{CANCELLED_IDS}{batch}"),
     }
 }
 
+/// The number of the batch of cancelled ids whose record is under a key.
+pub(super) fn batch_of(key: &str) -> Option<u64> {
+    key.strip_prefix(CANCELLED_IDS)?.parse().ok()
+}
+
 /// The job whose record is under a key.
 pub(super) fn job_of(key: &str, prefix: &str) -> Option<fleet::JobId> {
     key.strip_prefix(prefix)?.parse().ok()
--- a/crates/figscale/src/fleet/operators/jobs.rs
+++ b/crates/figscale/src/fleet/operators/jobs.rs
@@ -137,6 +137,11 @@
         (Some(LeaderAnswer::StoreAway { retry_after_ms }), Verdict::NotRun) => {
             Err(retry_later("the store is away; it was not taken", retry_after_ms).into())
         }
+        (Some(LeaderAnswer::Cancelled), _) => {
+            let text = format!("the id {job} was cancelled before; use another one");
+            let error = operator::OperatorError::new(operator::ErrorKind::Conflict, text);
+            Err(error.into())
+        }
         // An earlier attempt may have been accepted, so this is never reported as
         // "not taken".
         _ => Err(unanswered(Verdict::MayHaveRun).into()),
--- a/crates/figscale/src/fleet/term/callers.rs
+++ b/crates/figscale/src/fleet/term/callers.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use figscale_core::fleet::Admission;
+use figscale_core::fleet::IdCancel;
 use figscale_core::fleet::RecordKey;
 use figscale_types::clock;
 use figscale_types::fleet;
@@ -97,7 +98,7 @@
             LeaderCall::ListOpen => {
                 reply.send(LeaderAnswer::Listed(self.scheduler.open_views()));
             }
-            LeaderCall::Cancel { job, .. } => self.on_cancel(job, reply),
+            LeaderCall::Cancel { job, caller } => self.on_cancel(job, caller, reply),
             LeaderCall::Pending { queue } => {
                 reply.send(LeaderAnswer::Pending(self.scheduler.pending(&queue)));
             }
@@ -204,6 +205,15 @@
             Admission::Known => submission.reply.send(LeaderAnswer::Accepted),
             Admission::IdTaken => submission.reply.send(LeaderAnswer::IdTaken),
             Admission::TooLarge => submission.reply.send(LeaderAnswer::TooLarge),
+            Admission::Cancelled => {
+                self.context.metrics.fleet_job_refused("cancelled");
+                crate::event!(
+                    events::fleet::SUBMISSION_CANCELLED,
+                    job = submission.job,
+                    queue = submission.queue.name
+                );
+                submission.reply.send(LeaderAnswer::Cancelled);
+            }
             Admission::Accepted => self
                 .waiting_callers
                 .push(WaitingCaller::Submitted(submission)),
@@ -234,23 +244,79 @@
         }
     }
 
-    fn on_cancel(&mut self, job: fleet::JobId, reply: kernel::Reply<LeaderAnswer>) {
+    fn on_cancel(&mut self, job: fleet::JobId, caller: Caller, reply: kernel::Reply<LeaderAnswer>) {
         let now = self.now();
-        match self.scheduler.cancel(job, now) {
-            None => self.reply_from_store(job, reply),
-            Some(state) => {
-                crate::event!(
-                    events::fleet::JOB_CANCELLED,
-                    job = job,
-                    state = format_args!("{state:?}")
-                );
-                match self.scheduler.has_unwritten_end(job) {
-                    true => self
-                        .waiting_callers
-                        .push(WaitingCaller::Cancelled { job, reply }),
-                    false => self.reply_with_durable_state(job, reply),
-                }
+        let Some(state) = self.scheduler.cancel(job, now) else {
+            return match caller {
+                // Operators are told that the cancel failed.
+                Caller::Operator => self.reply_from_store(job, reply),
+                Caller::Customer(customer) => self.cancel_id(job, customer, reply),
+            };
+        };
+        crate::event!(
+            events::fleet::JOB_CANCELLED,
+            job = job,
+            state = format_args!("{state:?}")
+        );
+        let customer = match caller {
+            Caller::Operator => None,
+            Caller::Customer(customer) => customer,
+        };
+        self.reply_once_cancel_is_written(job, customer, reply);
+    }
+
+    /// Cancels the id of a job that this leader does not know.
+    fn cancel_id(
+        &mut self,
+        job: fleet::JobId,
+        customer: Option<fleet::CustomerName>,
+        reply: kernel::Reply<LeaderAnswer>,
+    ) {
+        let wall_ms = self.context.wall_ms();
+        match self.scheduler.cancel_id(job, customer.clone(), wall_ms) {
+            IdCancel::Recorded => {
+                crate::event!(events::fleet::ID_CANCELLED, job = job, outcome = "recorded");
+                self.reply_once_cancel_is_written(job, customer, reply);
+            }
+            IdCancel::Refused(retry_after) => {
+                crate::event!(events::fleet::ID_CANCELLED, job = job, outcome = "refused");
+                let retry_after_ms = clock::millis(retry_after);
+                reply.send(LeaderAnswer::CancelRefused { retry_after_ms });
+            }
+        }
+    }
+
+    fn reply_once_cancel_is_written(
+        &mut self,
+        job: fleet::JobId,
+        customer: Option<fleet::CustomerName>,
+        reply: kernel::Reply<LeaderAnswer>,
+    ) {
+        match self.scheduler.has_unwritten_cancel(job, customer.as_ref()) {
+            true => self.waiting_callers.push(WaitingCaller::Cancelled {
+                job,
+                customer,
+                reply,
+            }),
+            false => self.reply_to_cancel(job, customer.as_ref(), reply),
+        }
+    }
+
+    /// Answers a cancel whose record is in the store.
+    pub(super) fn reply_to_cancel(
+        &self,
+        job: fleet::JobId,
+        customer: Option<&fleet::CustomerName>,
+        reply: kernel::Reply<LeaderAnswer>,
+    ) {
+        match self.scheduler.durable_state(job) {
+            Some(state) => self.reply_with_state(job, state, reply),
+            // No later leader can have accepted it: the record could not have been
+            // written then.
+            None if self.scheduler.is_cancelled_id(job, customer) => {
+                reply.send(LeaderAnswer::State(None));
             }
+            None => self.reply_from_store(job, reply),
         }
     }
 }
--- a/crates/figscale/src/fleet/term/load.rs
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -80,9 +80,10 @@
     let mut scheduler = Scheduler::new(config);
     // Concurrently: with a slow store each of these reads takes several round
     // trips of a quarter of a second, during which there is no leader.
-    let (jobs, progress, recorded, speeds) = tokio::try_join!(
+    let (jobs, progress, cancelled, recorded, speeds) = tokio::try_join!(
         context.store.list(keys::JOBS),
         context.store.list(keys::PROGRESS),
+        context.store.list(keys::CANCELLED_IDS),
         context.store.get(keys::WORKERS),
         // What this read would tell is learned anew within seconds.
         async { Ok(context.store.get(keys::SPEEDS).await.unwrap_or_default()) },
@@ -108,6 +109,11 @@
             log_invalid(&item.key, scheduler.load_progress(id, &item.value));
         }
     }
+    for item in &cancelled.items {
+        if let Some(batch) = keys::batch_of(&item.key) {
+            log_invalid(&item.key, scheduler.load_cancelled_ids(batch, &item.value));
+        }
+    }
     if let Some(item) = speeds {
         log_invalid(&item.key, scheduler.load_speeds(&item.value));
     }
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -432,6 +432,7 @@
         metrics.fleet_state_changed("usable_workers", counts.usable_workers);
         metrics.fleet_state_changed("workers", counts.workers);
         metrics.fleet_state_changed("members", self.members.len());
+        metrics.fleet_state_changed("cancelled_ids", counts.cancelled_ids);
         self.show_speeds(counts.workers);
     }
 }
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -41,9 +41,11 @@
 pub(super) enum WaitingCaller {
     /// Waits for the record of a new job.
     Submitted(callers::Submission),
-    /// Waits for the record of a job's outcome, which is the answer.
+    /// Waits for the record of a job's outcome, which is the answer, or for that of the
+    /// id of a job that is not known.
     Cancelled {
         job: fleet::JobId,
+        customer: Option<fleet::CustomerName>,
         reply: kernel::Reply<LeaderAnswer>,
     },
     /// Waits for the record of a job's end, until some time, to be told of it.
@@ -246,10 +248,12 @@
                 {
                     submission.reply.send(LeaderAnswer::Accepted);
                 }
-                WaitingCaller::Cancelled { job, reply }
-                    if !self.scheduler.has_unwritten_end(job) =>
-                {
-                    self.reply_with_durable_state(job, reply);
+                WaitingCaller::Cancelled {
+                    job,
+                    customer,
+                    reply,
+                } if !self.scheduler.has_unwritten_cancel(job, customer.as_ref()) => {
+                    self.reply_to_cancel(job, customer.as_ref(), reply);
                 }
                 _ => self.waiting_callers.push(caller),
             }
--- a/crates/figscale/tests/fleet_soak.rs
+++ b/crates/figscale/tests/fleet_soak.rs
@@ -4,8 +4,9 @@
 //!
 //! The ledger of the stand-in checks the guarantees independently of the scheduler:
 //! no task runs twice at a time or after its end was acknowledged, and what a caller
-//! was told as final stays so, with no further start of its tasks. In the end all
-//! accepted work is done.
+//! was told as final stays so, with no further start of its tasks. Nor does a job start
+//! whose cancel was acknowledged; some callers cancel before their submission was
+//! answered. In the end all accepted work is done.
 //!
 //! `FIGSCALE_SEEDS=N` runs N seeds, from `FIGSCALE_FIRST_SEED` on, and
 //! `FIGSCALE_INSTANCES=N` and `FIGSCALE_WORKERS=N` set the size.
@@ -54,6 +55,8 @@
 struct Client {
     caller: caller::Caller,
     random: rngs::StdRng,
+    /// Decides which submissions the caller leaves.
+    leaving: rngs::StdRng,
     next_job: u64,
     instances: usize,
     stop: sync::Arc<atomic::AtomicBool>,
@@ -90,6 +93,23 @@
         false
     }
 
+    /// Submits a job, leaves before it is answered, and cancels it until that is
+    /// acknowledged, or the soak ends.
+    async fn leave(&mut self, job: u64) {
+        let patience = random_ms(&mut self.leaving, 1..1_500);
+        let instance = self.instance();
+        let submission = self.caller.submit(instance, job, 1, "500");
+        let _ = tokio::time::timeout(patience, submission).await;
+        while !self.is_stopped() {
+            let instance = self.instance();
+            let answer = self.caller.cancel(instance, job).await;
+            if matches!(answer, Some(200 | 410)) {
+                return;
+            }
+            self.pause(20..120).await;
+        }
+    }
+
     /// Asks for the state of a job until it is final, or the soak ends.
     async fn follow(&mut self, job: u64) {
         while !self.is_stopped() {
@@ -108,6 +128,10 @@
         while !self.is_stopped() {
             let job = self.next_job;
             self.next_job += 1;
+            if self.leaving.random_range(0..8) == 0 {
+                self.leave(job).await;
+                continue;
+            }
             if !self.submit(job).await {
                 break;
             }
@@ -311,6 +335,7 @@
         let client = Client {
             caller: fleet.caller(),
             random: rngs::StdRng::seed_from_u64(seed * 1_000 + number),
+            leaving: rngs::StdRng::seed_from_u64(seed * 1_000 + number + 500),
             next_job: (number + 1) << 32,
             instances,
             stop: stop.clone(),
