Drop submissions whose callers have closed their connection

Callers saw: after a pause of an instance, jobs run whose callers had left at their deadline, while the calls lay in the instance's sockets.

Cause: a call was forwarded in the poll in which it was read, and its connection notices its end only when it is polled again.

Change: a submission lets its connection be polled twice before it has an effect. This narrows what a late submission can do; that a cancelled job does not run rests on the record of its cancel alone.

--- a/crates/figscale/src/fleet/entry/submit.rs
+++ b/crates/figscale/src/fleet/entry/submit.rs
@@ -7,6 +7,7 @@
 use figscale_types::clock;
 use figscale_types::fleet;
 use figscale_types::verdict::Verdict;
+use tokio::task;
 
 use super::call;
 use super::reply;
@@ -16,6 +17,10 @@
 use crate::fleet::calls::LeaderCall;
 use crate::fleet::leader_client;
 
+/// Polls of a connection after which it has noticed that its peer has closed it. The
+/// first one takes in the end of the call's body.
+const CONNECTION_POLLS: usize = 2;
+
 /// Sends a job to the leader, and returns the outcome to its caller.
 pub(super) async fn submit(
     context: &Context,
@@ -32,6 +37,7 @@
             return (http::StatusCode::BAD_REQUEST, fault).into_response();
         }
     };
+    let_connection_end().await;
     let queue_name = queue.name.clone();
     let shape = shape(&description);
     let started = context.clock.now();
@@ -93,6 +99,15 @@
     response
 }
 
+/// Lets the caller's connection notice that the caller has closed it, as callers do at
+/// their deadline. The call is dropped then, with this future, before it has an effect.
+/// Many calls are read after their caller has left when the process was paused.
+async fn let_connection_end() {
+    for _ in 0..CONNECTION_POLLS {
+        task::yield_now().await;
+    }
+}
+
 /// Why it is unknown whether a job was accepted. Even if this attempt had no
 /// effect, an earlier one through another instance may have had one, and only a
 /// leader knows all jobs.
--- a/crates/figscale/tests/fleet_cancels.rs
+++ b/crates/figscale/tests/fleet_cancels.rs
@@ -12,6 +12,8 @@
 const JOB: u64 = 0xc1;
 /// Another job, which shows that the fleet goes on.
 const NEXT_JOB: u64 = 0xc2;
+/// Jobs whose callers do not wait for the answer.
+const LEFT_JOBS: [u64; 8] = [0xd1, 0xd2, 0xd3, 0xd4, 0xd5, 0xd6, 0xd7, 0xd8];
 /// Time for a call to reach the socket of a paused process.
 const ARRIVAL: time::Duration = time::Duration::from_millis(300);
 /// Time in which a job that was accepted would start.
@@ -107,3 +109,24 @@
     tokio::time::sleep(START).await;
     assert_eq!(runs(&fleet, JOB), 0);
 }
+
+/// Guards against work that is taken from a caller that has left: its submission lay in
+/// the socket of a paused instance, and it closed the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_of_a_caller_that_has_left_is_not_forwarded() {
+    let mut fleet = Fleet::start(3, 2, false).await;
+    let leader = fleet.leader().await;
+    let (paused, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    fleet.signal(paused, "STOP");
+    let caller = fleet.caller();
+    for job in LEFT_JOBS {
+        caller.submit_and_leave(paused, job, ARRIVAL / 10).await;
+    }
+    fleet.signal(paused, "CONT");
+    fleet.submit_until_taken(paused, NEXT_JOB, 1, "50").await;
+    tokio::time::sleep(START).await;
+    for job in LEFT_JOBS {
+        let path = fleet_support::path_of(job);
+        assert_eq!(fleet.get(other, &path).await.status, 410, "job {job:x}");
+    }
+}
--- a/crates/figscale/tests/fleet_support/caller.rs
+++ b/crates/figscale/tests/fleet_support/caller.rs
@@ -7,6 +7,7 @@
 
 use figscale_platform_standin::ledger;
 use figscale_standin::client;
+use tokio::io::AsyncWriteExt as _;
 
 /// Time limit of a call.
 const TIME_LIMIT: time::Duration = time::Duration::from_secs(3);
@@ -40,6 +41,22 @@
         Some(self.send(call).await?.status.as_u16())
     }
 
+    /// Sends a submission on a connection of its own and closes that after a while,
+    /// without reading an answer.
+    pub(crate) async fn submit_and_leave(&self, instance: usize, job: u64, wait: time::Duration) {
+        let (path, body) = super::job_call(job, 1, "50");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {}\r\n{}: 3000\r\ncontent-length: {}\r\n\r\n",
+            super::HOST,
+            super::ingress::DEADLINE_HEADER,
+            body.len()
+        );
+        let socket = tokio::net::TcpStream::connect(self.instances[instance]).await;
+        let mut socket = socket.unwrap();
+        socket.write_all((head + &body).as_bytes()).await.unwrap();
+        tokio::time::sleep(wait).await;
+    }
+
     /// Cancels a job, and records an acknowledgement; returns the status of the answer,
     /// if there is one.
     pub(crate) async fn cancel(&self, instance: usize, job: u64) -> Option<u16> {
