--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -11,6 +11,8 @@
     6007 STORE_BACK Info "The store accepts calls from this instance again.";
     6008 STORE_SLOW Warn "Three consecutive answers of the store took over 0.08 s each; each new job waits for one.";
     6009 STORE_QUICK Info "The store answers at its usual speed again.";
+    6010 ROWS_LEFT_OUT Warn "A listing of the store left out rows that cannot be read or that others wrote under its prefix; logged when their number changes.";
+    6011 WORKERS_NOT_LISTED Warn "The workers' entries could not be listed; those known stay. Logged once until they are listed again.";
     6101 LEADER_KNOWN Info "Another entry instance, or this one, leads a new term.";
     6102 LEADER_ENDED Warn "The leader ended its term in order, its process ended, or most peers lost contact with it; other instances run for leader at once.";
     6105 ELECTION_ENDED Info "This instance ran for leader; the log line tells whether it won.";
--- a/crates/figscale/src/fleet/access.rs
+++ b/crates/figscale/src/fleet/access.rs
@@ -25,12 +25,15 @@
 use figscale_types::fleet;
 use figscale_types::mutex;
 use figscale_types::verdict::Verdict;
+use indexmap::IndexMap;
 use rand::seq::SliceRandom as _;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::calls;
 use super::direct_store;
+use super::keys;
+use crate::events;
 use crate::metrics;
 use crate::peer;
 
@@ -42,6 +45,9 @@
 /// instances, so all three fail about one time in thirty.
 const MAX_RELAYS: usize = 3;
 
+/// Pause after a watch that returned long before its time with nothing new.
+const EARLY_WATCH_PAUSE: time::Duration = time::Duration::from_millis(50);
+
 /// A call to the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Call {
@@ -103,6 +109,9 @@
     /// All entry instances known.
     roster: sync::Mutex<Vec<net::SocketAddr>>,
     forwarders: sync::Mutex<scheduling::StoreForwarders>,
+    /// Number of rows left out of the last listing of each prefix, if there were any.
+    left_out: sync::Mutex<IndexMap<String, u64>>,
+    metrics: sync::Arc<metrics::Metrics>,
     clock: clock::SharedClock,
 }
 
@@ -115,11 +124,16 @@
         clock: clock::SharedClock,
     ) -> Self {
         Self {
-            direct_store: sync::Arc::new(direct_store::DirectStore::new(direct_store, metrics)),
+            direct_store: sync::Arc::new(direct_store::DirectStore::new(
+                direct_store,
+                metrics.clone(),
+            )),
             peers,
             own_address,
             roster: sync::Mutex::default(),
             forwarders: sync::Mutex::default(),
+            left_out: sync::Mutex::default(),
+            metrics,
             clock,
         }
     }
@@ -177,11 +191,26 @@
     /// Reads all keys of a prefix.
     pub(super) async fn list(&self, prefix: &str) -> Result<store::Listing, CallError> {
         match self.call(Call::List(prefix.to_owned())).await? {
-            Answer::Listing(listing) => Ok(listing),
+            Answer::Listing(listing) => {
+                self.record_left_out(prefix, listing.left_out);
+                Ok(listing)
+            }
             other => Err(unexpected(&other)),
         }
     }
 
+    /// Logs how many rows a listing left out, if that has changed.
+    fn record_left_out(&self, prefix: &str, rows: u64) {
+        let mut known = mutex::lock(&self.left_out);
+        if known.get(prefix).copied().unwrap_or(0) == rows {
+            return;
+        }
+        known.insert(prefix.to_owned(), rows);
+        let all = known.values().sum();
+        self.metrics.fleet_rows_left_out(all);
+        crate::event!(events::fleet::ROWS_LEFT_OUT, prefix = prefix, rows = rows);
+    }
+
     /// Executes a transaction, which must be safe to send twice.
     pub(super) async fn commit(
         &self,
@@ -236,10 +265,24 @@
         mut on_change: impl FnMut(Option<&store::Item>),
     ) -> Result<(), CallError> {
         let listing = self.list(key).await?;
-        on_change(listing.items.iter().find(|item| item.key == key));
+        let item = listing.items.iter().find(|item| item.key == key);
+        if item.is_none() && listing.left_out > 0 {
+            // One of the rows left out may be the key's.
+            return Err(CallError::not_run(format!("{key}: a row cannot be read")));
+        }
+        on_change(item);
         let mut revision = listing.revision;
         loop {
-            match self.watch(key, revision, wait()).await? {
+            let wait = wait();
+            let begun = self.clock.now();
+            let watched = self.watch(key, revision, wait).await?;
+            let took = self.clock.now().saturating_duration_since(begun);
+            if !watched.is_after(revision) && took < wait / 2 {
+                // Without a pause, a store that returns at once would be called again
+                // and again.
+                tokio::time::sleep(EARLY_WATCH_PAUSE).await;
+            }
+            match watched {
                 store::WatchResult::Compacted => return Ok(()),
                 store::WatchResult::Events {
                     events,
@@ -365,7 +408,10 @@
 async fn execute(store: &store::Store, call: &Call) -> Result<Answer, CallError> {
     match call {
         Call::Get(key) => store.get(key).await.map(Answer::Item),
-        Call::List(prefix) => store.list(prefix).await.map(Answer::Listing),
+        Call::List(prefix) => {
+            let listing = store.list_if(prefix, keys::filter_of(prefix)).await;
+            listing.map(Answer::Listing)
+        }
         Call::Commit(transaction) => store.commit(transaction).await.map(Answer::Committed),
         Call::Grant(ttl) => store.grant(*ttl).await.map(Answer::Lease),
         Call::Renew(lease) => store.renew(*lease).await.map(Answer::Renewed),
--- a/crates/figscale/src/fleet/keys.rs
+++ b/crates/figscale/src/fleet/keys.rs
@@ -1,6 +1,8 @@
 //! Keys under which the scheduler's state is kept in the store.
 
 use figscale_core::fleet::RecordKey;
+use figscale_platform::store;
+use figscale_platform::workers;
 use figscale_types::fleet;
 
 /// The leader; bound to the leader's lease.
@@ -45,6 +47,19 @@
     key.strip_prefix(CANCELLED_IDS)?.parse().ok()
 }
 
+/// Which items of a listing with this prefix are needed. Others may write under the
+/// prefix, and what they write must not fill the memory.
+pub(super) fn filter_of(prefix: &str) -> fn(&store::Item) -> bool {
+    match prefix {
+        workers::PREFIX => workers::may_be_entry,
+        HEADS => |item| chain_of(&item.key).is_some(),
+        JOBS => |item| job_of(&item.key, JOBS).is_some(),
+        PROGRESS => |item| job_of(&item.key, PROGRESS).is_some(),
+        CANCELLED_IDS => |item| batch_of(&item.key).is_some(),
+        _ => |_| true,
+    }
+}
+
 /// The job whose record is under a key.
 pub(super) fn job_of(key: &str, prefix: &str) -> Option<fleet::JobId> {
     key.strip_prefix(prefix)?.parse().ok()
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -353,6 +353,12 @@
         self.fleet_refusals.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Sets the number of rows that the last listings of the store left out.
+    pub fn fleet_rows_left_out(&self, rows: u64) {
+        self.fleet_state
+            .record(rows, &[KeyValue::new("kind", "rows_left_out")]);
+    }
+
     /// Sets the number of objects of a kind (jobs, runs, workers) known to the leader.
     pub fn fleet_state_changed(&self, kind: &'static str, number: usize) {
         self.fleet_state
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -691,6 +691,11 @@
         self.wait(name, logged).await;
     }
 
+    /// Waits until any instance has logged this event.
+    pub(crate) async fn wait_for_event(&self, name: &str) {
+        self.wait(name, || self.count_events(name) > 0).await;
+    }
+
     /// Number of lines of an event logged so far.
     pub(crate) fn count_events(&self, name: &str) -> usize {
         let lines = self.log_lines();
