Let the module of cancelled ids import no records

Cause: durable.rs and cancelled_ids.rs imported each other. The batches are now encoded and decoded where the other records are, in records.rs and recovery.rs. No change of behaviour: the tests of cancelled ids and of terms with early cancels pass.

--- a/crates/figscale-core/src/fleet/cancelled_ids.rs
+++ b/crates/figscale-core/src/fleet/cancelled_ids.rs
@@ -19,7 +19,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::durable;
 use super::lease;
 
 /// Most ids known at a time.
@@ -48,7 +47,7 @@
 
 /// Ids that share a record.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Batch {
+pub(crate) struct Batch {
     ids: Vec<CancelledId>,
     /// Unix time at which the first id was added.
     begun_wall_ms: u64,
@@ -185,9 +184,9 @@
         !self.in_flight && !self.waiting.is_empty()
     }
 
-    /// Takes the next change of a record, with its batch's number and the record's new
-    /// value. [`Self::written`] or [`Self::not_written`] has to follow.
-    pub(crate) fn take(&mut self) -> Option<(BatchNumber, Option<Vec<u8>>, BatchChange)> {
+    /// Takes the next change of a record, with its batch's number and the batch, `None`
+    /// to remove the record. [`Self::written`] or [`Self::not_written`] has to follow.
+    pub(crate) fn take(&mut self) -> Option<(BatchNumber, Option<&Batch>, BatchChange)> {
         if !self.is_due() {
             return None;
         }
@@ -209,8 +208,7 @@
             batch.ids.push(id.clone());
             added.push(id);
         }
-        let bytes = durable::encode(batch);
-        Some((number, Some(bytes), BatchChange::Written(added)))
+        Some((number, Some(batch), BatchChange::Written(added)))
     }
 
     /// The batch to which an id that was cancelled at a Unix time is added.
@@ -295,20 +293,13 @@
         }
     }
 
-    /// Loads the record of a batch that an earlier leader wrote. Batches may be loaded
-    /// in any order.
-    pub(crate) fn load(
-        &mut self,
-        number: BatchNumber,
-        bytes: &[u8],
-    ) -> Result<(), durable::RecordError> {
-        let batch: Batch = durable::decode(bytes)?;
+    /// Adds a batch that an earlier leader wrote. Batches may be loaded in any order.
+    pub(crate) fn load(&mut self, number: BatchNumber, batch: Batch) {
         for id in &batch.ids {
             if self.ids.insert(id.clone(), true).is_none() {
                 self.count(id);
             }
         }
         self.batches.insert_sorted(number, batch);
-        Ok(())
     }
 }
--- a/crates/figscale-core/src/fleet/records.rs
+++ b/crates/figscale-core/src/fleet/records.rs
@@ -95,8 +95,9 @@
     /// Adds the record of cancelled ids that has to be written or removed, if there is
     /// one.
     fn add_cancelled_ids(&mut self, records: &mut durable::Records) {
-        if let Some((number, bytes, change)) = self.cancelled_ids.take() {
+        if let Some((number, batch, change)) = self.cancelled_ids.take() {
             let key = durable::RecordKey::CancelledIds(number);
+            let bytes = batch.map(durable::encode);
             records.records.push(durable::Record { key, bytes });
             records.cancelled_ids = Some(change);
         }
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -211,7 +211,8 @@
         batch: u64,
         bytes: &[u8],
     ) -> Result<(), durable::RecordError> {
-        self.cancelled_ids.load(batch, bytes)
+        self.cancelled_ids.load(batch, durable::decode(bytes)?);
+        Ok(())
     }
 
     /// Decodes the record of workers that may have runs.
