Test that no task runs twice while a leader is cut off

A leader without its peers or the store goes on until it learns that it is deposed, as one after a pause does. The new cases cut calls of its peers to it, its calls to them and its path to the store, while its successor cannot reach the worker that runs all tasks.

--- a/crates/figscale/tests/fleet_deposed_leaders.rs
+++ b/crates/figscale/tests/fleet_deposed_leaders.rs
@@ -1,4 +1,4 @@
-//! Former leaders that go on after a pause while their successor cannot reach a worker.
+//! Former leaders that go on while their successor cannot reach a worker.
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
@@ -6,6 +6,7 @@
 
 use std::time;
 
+use figscale_platform_standin::worker;
 use fleet_support::Fleet;
 use rstest::rstest;
 
@@ -17,7 +18,7 @@
 /// Time for the peers of a leader to exchange heartbeats, so that they can agree at once
 /// that they have lost it.
 const SETTLE: time::Duration = time::Duration::from_secs(1);
-/// Time from the start of the pause until the successor reaches the worker again.
+/// Time from the start of the pause or cut until the successor reaches the worker again.
 const CUT: time::Duration = time::Duration::from_secs(12);
 
 /// Guards against a former leader that renews leases after a pause, so that its
@@ -31,6 +32,39 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_task_runs_twice_at_once_after_a_pause(#[case] pause_ms: u64) {
     let mut fleet = Fleet::start(3, 3, false).await;
+    let (leader, worker) = run_tasks_out_of_reach_of_later_leaders(&fleet).await;
+    let paused_at = tokio::time::Instant::now();
+    fleet.signal(leader, "STOP");
+    tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+    fleet.signal(leader, "CONT");
+    tokio::time::sleep_until(paused_at + CUT).await;
+    end_job(&fleet, leader, &worker).await;
+}
+
+/// Guards against a former leader that renews leases while it is cut off, so that its
+/// successor starts tasks that still run on a worker it cannot reach.
+#[rstest]
+#[case::of_calls_to_it(false, false)]
+#[case::of_calls_to_it_and_the_store(false, true)]
+#[case::of_calls_from_and_to_it(true, false)]
+#[case::of_all_calls_but_to_workers(true, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_at_once_after_a_cut(#[case] both_ways: bool, #[case] store: bool) {
+    let fleet = Fleet::start_with_peer_proxies(3, 3, false).await;
+    let (leader, worker) = run_tasks_out_of_reach_of_later_leaders(&fleet).await;
+    fleet.store_proxies[leader].set_blocked(store);
+    fleet.cut_paths_to(leader);
+    if both_ways {
+        fleet.cut_paths_from(leader);
+    }
+    tokio::time::sleep(CUT).await;
+    fleet.store_proxies[leader].set_blocked(false);
+    end_job(&fleet, leader, &worker).await;
+}
+
+/// Starts the job's tasks, and makes a worker that runs some of them unreachable for
+/// later leaders; returns the leader and the worker.
+async fn run_tasks_out_of_reach_of_later_leaders(fleet: &Fleet) -> (usize, worker::Handle) {
     fleet.wait_for_all_heartbeats(fleet.leader().await).await;
     tokio::time::sleep(SETTLE).await;
     fleet
@@ -43,19 +77,19 @@
     let worker_id = fleet.platform.ledger.runs()[0].worker.clone();
     let mut workers = fleet.platform.workers.iter();
     let worker = workers.find(|worker| worker.plan.id == worker_id).unwrap();
-    let worker = worker.clone();
     let epoch = worker.fence();
     worker.change_faults(|faults| faults.max_epoch = Some(epoch));
+    (leader, worker.clone())
+}
 
-    let paused_at = tokio::time::Instant::now();
-    fleet.signal(leader, "STOP");
-    tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
-    fleet.signal(leader, "CONT");
-    tokio::time::sleep_until(paused_at + CUT).await;
+/// Makes the worker reachable for the successor of `leader`, and waits for the end of
+/// the job.
+async fn end_job(fleet: &Fleet, leader: usize, worker: &worker::Handle) {
     assert!(fleet.count_events("TERM_BEGUN") > 1, "no successor");
-    assert_eq!(worker.fence(), epoch, "the successor reached the worker");
+    let max_epoch = worker.faults().max_epoch;
+    assert_eq!(Some(worker.fence()), max_epoch, "the worker was reached");
     worker.change_faults(|faults| faults.max_epoch = None);
-
-    fleet.wait_for_state(0, JOB, "completed").await;
+    let other = (leader + 1) % 3;
+    fleet.wait_for_state(other, JOB, "completed").await;
     fleet.assert_no_violations();
 }
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -271,6 +271,13 @@
         }
     }
 
+    /// Cuts the paths of this instance to all others, for good.
+    pub(crate) fn cut_paths_from(&self, number: usize) {
+        for proxy in self.peer_proxies_of(number) {
+            proxy.change_faults(|faults| faults.cut_both(true));
+        }
+    }
+
     /// Number of connections that an instance has opened so far to each of the others.
     pub(crate) fn peer_connections_of(&self, number: usize) -> Vec<u64> {
         let traffic = self.peer_proxies_of(number).map(proxy::Handle::traffic);
