Count leases and orders from the last proof of leadership

Cause: peers elect another leader after 0.4 s without a response, and the former one goes on until it learns of that. Until then it extended leases at each worker that had not received the later fencing token, counted from now. Its successor waited for one lease from the beginning of its own term. So a leader that was paused for 2 to 4 s, and one worker that its successor could not reach, gave two runs of each task there. The wait was not too short: no wait covers a pause of any length.

Change: a lease, and the expiry of a start, end at most one lease after the last time for which the leader has a proof, by the worker's clock of that time. The proof is a call to the store (write, or read of a head), by when it was sent, or heartbeats of a majority of the instances that return a stamp of the leader, for at most 15 s beyond the store's proof. A leader takes a lease to be over only with a later proof, since its successor may extend it. A successor counts the last lease from when so many instances follow it that its predecessor can't have a majority, or after those 15 s, unless the predecessor has announced its end. A leader that knows of a later one ends its term before it sends anything.

--- a/crates/figscale-core/src/fleet/incarnations.rs
+++ b/crates/figscale-core/src/fleet/incarnations.rs
@@ -155,7 +155,7 @@
     /// has no runs. Its only runs are orders to an earlier incarnation, which gave it
     /// the longest lease at most when they arrived.
     pub(crate) fn is_late_order_over(&self, worker: &worker::Worker, now: time::Instant) -> bool {
-        let lease = self.config.max_lease * 11 / 10 + self.config.stop_limit;
+        let lease = super::lease::time_to_expire(self.config.max_lease, self.config.stop_limit);
         let is_over = |run: &worker::Run| now > run.ordered_at + LATE_ORDER_WINDOW + lease;
         worker.lease.read_at().is_none() && worker.runs.values().all(is_over)
     }
--- a/crates/figscale-core/src/fleet/isolation.rs
+++ b/crates/figscale-core/src/fleet/isolation.rs
@@ -22,6 +22,11 @@
 }
 
 impl Isolation {
+    /// Largest number of instances that it had contact with.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     /// Whether the leader should give up while it has contact with this many instances.
     pub fn is_over(&mut self, members: usize, now: time::Instant) -> bool {
         self.most = self.most.max(members);
--- a/crates/figscale-core/src/fleet/lease.rs
+++ b/crates/figscale-core/src/fleet/lease.rs
@@ -12,6 +12,11 @@
 /// platform guarantees a deviation of 2 % at most; one more percent allows for the
 /// leader's own clock.
 const SLOWEST_RATE_PERCENT: u64 = 97;
+/// Fastest rate, with the same allowance.
+const FASTEST_RATE_PERCENT: u64 = 103;
+/// A lease that was granted for this time, by the clock of the worker, is over after this
+/// percentage of it by any other.
+const EXPIRY_PERCENT: u32 = 110;
 
 /// Last reading of a worker's clock, and the end of its lease by that clock.
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,6 +45,27 @@
         Some(reading_ms + passed * SLOWEST_RATE_PERCENT / 100)
     }
 
+    /// Lower bound of the worker's clock at `at`, no later than the last reading.
+    fn clock_ms_by(&self, at: time::Instant) -> Option<u64> {
+        let (reading_ms, read_at) = self.reading?;
+        let since_ms = millis(read_at.saturating_duration_since(at));
+        let since_ms = (since_ms * FASTEST_RATE_PERCENT).div_ceil(100);
+        Some(reading_ms.saturating_sub(since_ms))
+    }
+
+    /// Latest end, by the worker's clock, of a lease of this length that a leader may
+    /// grant which has proven its leadership for `proven_at`.
+    pub(crate) fn latest_end_ms(
+        &self,
+        lease: time::Duration,
+        proven_at: Option<time::Instant>,
+    ) -> Option<u64> {
+        let (reading_ms, read_at) = self.reading?;
+        let proven_at = proven_at.unwrap_or(read_at);
+        let begin_ms = self.clock_ms_by(proven_at).unwrap_or(reading_ms);
+        Some(begin_ms + millis(lease))
+    }
+
     /// Last reading of the worker's clock.
     pub(crate) fn last_reading_ms(&self) -> Option<u64> {
         self.reading.map(|(reading_ms, _)| reading_ms)
@@ -63,4 +89,10 @@
     }
 }
 
+/// How long after the last proof of its leadership a leader's leases of this length, and
+/// the stops that follow, may last.
+pub(crate) fn time_to_expire(lease: time::Duration, stop_limit: time::Duration) -> time::Duration {
+    lease * EXPIRY_PERCENT / 100 + stop_limit
+}
+
 pub(crate) use figscale_types::clock::millis;
--- a/crates/figscale-core/src/fleet/plan.rs
+++ b/crates/figscale-core/src/fleet/plan.rs
@@ -479,6 +479,7 @@
         now: time::Instant,
     ) {
         let expiry_ms = super::lease::millis(self.config.start_expiry);
+        let (lease, proven_at) = (self.config.lease, self.proven_at);
         let Some(queue_name) = self.jobs.get(&id.job).map(|job| &job.queue.name) else {
             return;
         };
@@ -512,6 +513,8 @@
             return;
         };
         let expires_clock_ms = worker.lease.clock_ms(now).unwrap_or(0) + expiry_ms;
+        let latest_ms = worker.lease.latest_end_ms(lease, proven_at);
+        let expires_clock_ms = latest_ms.map_or(0, |latest_ms| latest_ms.min(expires_clock_ms));
         worker.lease.record_sent(expires_clock_ms);
         let resumed = !task.checkpoint.is_empty();
         task.attempt = attempt;
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -224,9 +224,7 @@
     /// may run on any of `workers`, each until its lease of the last term is
     /// over.
     pub fn begin_recovery(&mut self, workers: Vec<fleet::WorkerId>, now: time::Instant) {
-        // A lease sent at the very end of the last term, on a slow clock, and
-        // the time that the worker then takes to end its tasks.
-        let until = now + self.config.lease * 11 / 10 + self.config.stop_limit;
+        let until = now + super::lease::time_to_expire(self.config.lease, self.config.stop_limit);
         self.set_recorded(workers.iter().cloned().collect());
         self.not_yet_reported = workers.into_iter().map(|worker| (worker, until)).collect();
         self.recovering = true;
@@ -251,6 +249,15 @@
         }
     }
 
+    /// Postpones the end of the recovery: the last leader may have proven its leadership
+    /// until `now`, and have extended leases at workers that have not reported.
+    pub fn extend_recovery(&mut self, now: time::Instant) {
+        let until = now + super::lease::time_to_expire(self.config.lease, self.config.stop_limit);
+        for known in self.not_yet_reported.values_mut() {
+            *known = until.max(*known);
+        }
+    }
+
     /// Completes recovery once each worker of the last term has reported or its
     /// lease is over: tasks that were not found certainly run nowhere then, and
     /// may be started.
--- a/crates/figscale-core/src/fleet/report.rs
+++ b/crates/figscale-core/src/fleet/report.rs
@@ -16,11 +16,12 @@
     /// Returns what the next call for a worker's report has to carry; `None` if
     /// the worker is unknown or replaced. The lease counts as sent from then on.
     ///
-    /// The lease starts at the last reading of the worker's clock and not now.
-    /// So the lease of an unresponsive worker is not extended by calls that might
-    /// still reach it, and its runs can be abandoned in the end.
+    /// The lease starts at the last reading of the worker's clock and not now, or at the
+    /// last proof of leadership if that is earlier. So the lease of an unresponsive
+    /// worker is not extended by calls that might still reach it, and its runs can be
+    /// abandoned in the end, by this leader or the next one.
     pub fn report_due(&mut self, id: &fleet::WorkerId) -> Option<worker::ReportDue> {
-        let lease_ms = super::lease::millis(self.config.lease);
+        let (lease, proven_at) = (self.config.lease, self.proven_at);
         let worker = self.workers.get_mut(id)?;
         if worker.replaced {
             return None;
@@ -28,8 +29,7 @@
         if worker.may_have_restarted() {
             return Some(worker::ReportDue::without_effect());
         }
-        let reading_ms = worker.lease.last_reading_ms();
-        let lease_until_clock_ms = reading_ms.map(|clock_ms| clock_ms + lease_ms);
+        let lease_until_clock_ms = worker.lease.latest_end_ms(lease, proven_at);
         if let Some(until) = lease_until_clock_ms {
             worker.lease.record_sent(until);
         }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -128,6 +128,9 @@
     /// the time until which it may still have runs.
     pub(crate) not_yet_reported: maps::WorkerMap<time::Instant>,
     pub(crate) recovering: bool,
+    /// Latest time for which this term's leadership is proven; `None` if its owner
+    /// doesn't track that.
+    pub(crate) proven_at: Option<time::Instant>,
     /// Workers that the record in the store names as those that may have runs.
     pub(crate) recorded: maps::WorkerSet,
     /// Workers that are not named there.
@@ -175,6 +178,7 @@
             terms: customers::Terms::default(),
             not_yet_reported: maps::WorkerMap::default(),
             recovering: false,
+            proven_at: None,
             recorded: maps::WorkerSet::default(),
             unrecorded: maps::WorkerSet::default(),
             unacknowledged: maps::WorkerSet::default(),
@@ -260,10 +264,24 @@
         }
     }
 
+    /// Records the latest time for which this term's leadership is proven.
+    pub fn set_proven(&mut self, at: time::Instant) {
+        self.proven_at = Some(at);
+    }
+
+    /// Whether the proof of leadership allows orders that live for as long as usual.
+    pub(crate) fn may_order(&self, now: time::Instant) -> bool {
+        let config = &self.config;
+        let latest = config.lease.saturating_sub(config.start_expiry);
+        self.proven_at.is_none_or(|at| now <= at + latest)
+    }
+
     /// Whether new work may be sent to a worker.
     pub(crate) fn is_usable(&self, worker: &worker::Worker, now: time::Instant) -> bool {
         let config = &self.config;
-        worker.recorded && worker.is_usable(config.max_contact_age, config.max_entry_age, now)
+        worker.recorded
+            && self.may_order(now)
+            && worker.is_usable(config.max_contact_age, config.max_entry_age, now)
     }
 
     /// Workers that the platform lists, as of the last update.
@@ -358,7 +376,10 @@
         }
     }
 
+    /// Whether a worker's lease is certainly over. A later leader may have extended it
+    /// since the last proof of leadership, so that has to be later than the end.
     pub(crate) fn is_lease_over(&self, worker: &worker::Worker, now: time::Instant) -> bool {
+        let now = self.proven_at.map_or(now, |proven_at| proven_at.min(now));
         let grace = self.config.stop_limit;
         worker.lease.is_over(grace, now) || self.is_late_order_over(worker, now)
     }
--- a/crates/figscale-core/tests/fleet/main.rs
+++ b/crates/figscale-core/tests/fleet/main.rs
@@ -22,6 +22,7 @@
 mod incarnations;
 mod isolation;
 mod leader_loss;
+mod leadership_proof;
 mod leaving_workers;
 mod load_peaks;
 mod lost_calls;
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -72,6 +72,9 @@
         cpu_millis: u64,
         /// Fingerprint of the instances known to the sender.
         roster: RosterHash,
+        /// Stamp of the last answer by this leader; `None` if the sender knows a later
+        /// leader or can't rule one out.
+        stamp_ms: Option<u64>,
     },
 }
 
@@ -132,6 +135,9 @@
         strongest_millis: u64,
         /// Proof that the configuration known to the leader is in force.
         config: Option<scheduling::ProofStamp>,
+        /// Time of the answer since the leader's machine started, which the next
+        /// heartbeat returns, in milliseconds.
+        stamp_ms: u64,
     },
     /// The job's id was cancelled before its submission arrived; the job is not accepted
     /// and never runs.
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -210,7 +210,8 @@
     key_revision: u64,
 ) -> Result<Option<(term::Won, Loading)>, CallError> {
     let lease = AbortOnDrop(tokio::spawn(grant(context.clone())));
-    let known = last_heads(context).await?;
+    let (known, announced) = last_heads(context).await?;
+    let instances = context.store.roster().len() + 1;
     wait_for_stronger_candidates(context, &known).await;
     let epoch = fleet::Epoch(known.epoch.0 + 1);
     // The records are read during the election: with a store that takes 0.2 s
@@ -240,6 +241,7 @@
         transaction.expected.push((key.clone(), revision));
         transaction.writes.push((key, ledger::encode(&head), None));
     }
+    let elected_after = context.clock.since_boot();
     let won = commit(context, &transaction, &head).await?;
     crate::event!(
         events::fleet::ELECTION_ENDED,
@@ -255,6 +257,9 @@
                 heads_revision,
                 lease,
                 leader,
+                elected_after,
+                predecessor: known.leader.filter(|_| !announced),
+                instances,
             };
             Ok(Some((won, loading)))
         }
@@ -318,16 +323,16 @@
 }
 
 /// The current heads: as the last leader announced them at its end, or as read
-/// from the store.
-async fn last_heads(context: &Context) -> Result<ledger::Heads, CallError> {
+/// from the store. Returns whether they were announced.
+async fn last_heads(context: &Context) -> Result<(ledger::Heads, bool), CallError> {
     let mut announced = None;
     // Used once: if they are out of date, the next attempt reads the store.
     leadership::update_silently(context, |known| announced = known.last_heads.take());
     if let Some(heads) = announced {
-        return Ok(heads);
+        return Ok((heads, true));
     }
     let listing = context.store.list(keys::HEADS).await?;
-    Ok(ledger::Heads::read(&listing.items))
+    Ok((ledger::Heads::read(&listing.items), false))
 }
 
 /// Reads the leader's key again, so that after a lost election this instance does
--- a/crates/figscale/src/fleet/heartbeat.rs
+++ b/crates/figscale/src/fleet/heartbeat.rs
@@ -276,6 +276,7 @@
             false => 0,
         },
         roster: context.store.roster_hash(),
+        stamp_ms: leadership::stamp_of(&context, &leader),
     };
     // The connection may break while the leader has the call, so a call that fails
     // quickly is retried once.
@@ -290,6 +291,9 @@
         let took = context.clock.now().saturating_duration_since(begun);
         match answer {
             Ok(answer) => {
+                if let calls::LeaderAnswer::Welcome { stamp_ms, .. } = &answer {
+                    leadership::record_stamp(&context, &leader, *stamp_ms);
+                }
                 mutex::lock(&answer_times).record_response(took);
                 apply_config_proof(&context, &answer, asked_at);
                 return apply_answer(&context, &leader, answer, took);
--- a/crates/figscale/src/fleet/leadership.rs
+++ b/crates/figscale/src/fleet/leadership.rs
@@ -55,6 +55,8 @@
     /// Most processor capacity that an instance could lead with, as the last
     /// leader reported it, in thousandths of a core.
     pub(crate) strongest_millis: u64,
+    /// Stamp of the last answer of this leader to a heartbeat.
+    pub(super) stamp_ms: Option<u64>,
     /// This instance does not run for leader before that time.
     pub(crate) no_candidacy_until: Option<time::Instant>,
 }
@@ -79,9 +81,27 @@
     known.leader_known_at = Some(now);
     known.answered_as_leader_at = None;
     known.last_contact_at = None;
+    known.stamp_ms = None;
     true
 }
 
+/// Records the stamp in an answer of a leader to a heartbeat.
+pub(super) fn record_stamp(context: &Context, leader: &Leader, stamp_ms: u64) {
+    update_silently(context, |known| {
+        if known.leader.as_ref() == Some(leader) {
+            known.stamp_ms = known.stamp_ms.max(Some(stamp_ms));
+        }
+    });
+}
+
+/// The last stamp of a leader, if this instance knows of no later leader. An instance that
+/// has not read the leader's key since it started may have known of one before.
+pub(super) fn stamp_of(context: &Context, leader: &Leader) -> Option<u64> {
+    let known = context.leadership.borrow();
+    let latest = known.key_known && known.leader.as_ref() == Some(leader);
+    known.stamp_ms.filter(|_| latest)
+}
+
 /// How long this instance has been without contact with the leader; `None` if it
 /// leads itself, or if a new leader may still be about to respond.
 pub(super) fn time_without_contact(
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -58,6 +58,8 @@
 pub(super) struct Heads {
     /// Latest term of leadership.
     pub(super) epoch: fleet::Epoch,
+    /// The instance that led it; `None` if there was none.
+    pub(super) leader: Option<ids::MemberId>,
     /// Revision of each chain's head; 0 where there is no head.
     pub(super) revisions: Vec<u64>,
     /// Processor capacity of the strongest instance known when the latest term was
@@ -70,6 +72,7 @@
     pub(super) fn read(items: &[store::Item]) -> Self {
         let mut heads = Self {
             epoch: fleet::Epoch(0),
+            leader: None,
             revisions: vec![0; CHAINS],
             strongest_millis: 0,
         };
@@ -82,6 +85,7 @@
                 && head.epoch >= heads.epoch
             {
                 heads.epoch = head.epoch;
+                heads.leader = Some(head.leader.id);
                 heads.strongest_millis = head.strongest_millis;
             }
         }
--- a/crates/figscale/src/fleet/message.rs
+++ b/crates/figscale/src/fleet/message.rs
@@ -56,6 +56,9 @@
     ),
     /// The epoch of the latest term according to a head; `None` if it was not read.
     HeadRead(Option<fleet::Epoch>),
+    /// The same for a read that renews the proof of leadership, sent at this time since
+    /// the machine started.
+    ProofRead(Option<fleet::Epoch>, time::Duration),
     /// The leader's lease has expired at the store.
     LeaseEnded,
     /// The leader was granted a new lease.
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -14,6 +14,7 @@
 use std::time;
 
 use figscale_core::fleet;
+use figscale_types::clock;
 use figscale_types::ids;
 use figscale_types::mutex;
 use indexmap::IndexMap;
@@ -48,6 +49,7 @@
     failure_domain: ids::FailureDomain,
     cpu_millis: u64,
     heartbeat_at: time::Instant,
+    stamp: Option<time::Duration>,
 }
 
 /// State shared between a term and the handler that answers heartbeats.
@@ -70,6 +72,7 @@
         failure_domain,
         cpu_millis,
         roster,
+        stamp_ms,
         ..
     } = call
     else {
@@ -81,6 +84,7 @@
         failure_domain,
         cpu_millis,
         heartbeat_at: context.clock.now(),
+        stamp: stamp_ms.map(time::Duration::from_millis),
     };
     heartbeats.pending.insert(member, heartbeat);
     LeaderAnswer::Welcome {
@@ -90,6 +94,7 @@
             .config_proof
             .proof()
             .stamp(context.clock.since_boot()),
+        stamp_ms: clock::millis(context.clock.since_boot()),
     }
 }
 
@@ -120,7 +125,12 @@
             failure_domain,
             cpu_millis,
             heartbeat_at,
+            stamp,
         } = heartbeat;
+        if let Some(stamp) = stamp {
+            self.proof.leadership.record_stamp(&id, stamp);
+        }
+        self.record_follower(&id);
         self.workers
             .relays
             .add_or_update(&id, address, failure_domain);
--- a/crates/figscale/src/fleet/term/messages.rs
+++ b/crates/figscale/src/fleet/term/messages.rs
@@ -43,6 +43,7 @@
             Message::MemberGone(member) => self.drop_member(&member),
             Message::Written(result, ledger) => self.on_written(result, ledger),
             Message::HeadRead(epoch) => self.on_head_read(epoch),
+            Message::ProofRead(epoch, sent_at) => self.on_proof_read(epoch, sent_at),
             Message::LeaseEnded => {
                 self.proof.doubt();
                 crate::event!(events::fleet::LEASE_RENEWED_LATE, epoch = self.leader.epoch);
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -89,6 +89,12 @@
     pub(in crate::fleet) heads_revision: u64,
     pub(in crate::fleet) lease: store::LeaseId,
     pub(in crate::fleet) leader: leadership::Leader,
+    /// When the election was sent to the store, since the machine started.
+    pub(in crate::fleet) elected_after: time::Duration,
+    /// The leader of the term before, unless it has announced its end.
+    pub(in crate::fleet) predecessor: Option<ids::MemberId>,
+    /// Number of instances before the election.
+    pub(in crate::fleet) instances: usize,
 }
 
 /// A term in progress.
@@ -266,6 +272,7 @@
         messages: mpsc::Sender<Message>,
     ) -> Self {
         let now = context.clock.now();
+        let proof = proof::Proof::new(&won, context);
         let chain = |number| {
             let store = context.store.clone();
             let head = won.head.clone();
@@ -284,7 +291,7 @@
             store_unavailable: false,
             new_lease: None,
             lease: won.lease,
-            proof: proof::Proof::new(context.clock.since_boot()),
+            proof,
             members: IndexMap::new(),
             isolation: scheduling::Isolation::default(),
             next_pass_at: now,
@@ -355,6 +362,9 @@
     /// sends writes.
     fn advance(&mut self) {
         let now = self.now();
+        if !self.apply_proof(now) {
+            return;
+        }
         self.update_customers();
         if now >= self.next_pass_at && !self.closing {
             self.scheduler.plan(now);
@@ -394,9 +404,11 @@
         self.detect_pause();
         let now = self.now();
         let wall_ms = self.context.wall_ms();
+        self.allow_for_predecessor(now);
         self.scheduler.tick(now, wall_ms);
         self.apply_heartbeats();
         self.drop_unresponsive_members(now);
+        self.renew_proof_if_due();
         self.answer_waiting_callers();
         if now >= self.gauges_updated_at + GAUGES_PAUSE {
             self.gauges_updated_at = now;
--- a/crates/figscale/src/fleet/term/proof.rs
+++ b/crates/figscale/src/fleet/term/proof.rs
@@ -14,12 +14,15 @@
 
 use figscale_core::fleet as scheduling;
 use figscale_types::fleet;
+use figscale_types::ids;
 
 use super::Ended;
 use super::LeaderMessage;
 use super::Message;
 use super::Term;
+use super::Won;
 use crate::events;
+use crate::fleet::Context;
 use crate::fleet::calls::LeaderAnswer;
 use crate::fleet::keys;
 use crate::fleet::ledger;
@@ -32,6 +35,8 @@
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 /// Time between reads of a head while the store does not answer them.
 const UNANSWERED_PAUSE: time::Duration = time::Duration::from_secs(1);
+/// Shortest time between reads of a head that renew the proof of leadership.
+const RENEWAL_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// What is known of other leaders, and the calls that wait for a proof. Times are since
 /// the machine started, as suspensions count.
@@ -45,16 +50,36 @@
     /// Whether a read of a head is in flight.
     reading: bool,
     waiting: Vec<LeaderMessage>,
+    /// What leases and orders are based on.
+    pub(super) leadership: scheduling::LeadershipProof,
+    predecessor: scheduling::Predecessor,
+    /// Number of other instances that were known before the election.
+    others_before: usize,
+    /// Whether the predecessor was ruled out at the last check.
+    ruled_out: bool,
+    /// When the last read that renews the proof was sent.
+    renewal: Option<time::Duration>,
+    /// Whether such a read is in flight.
+    renewing: bool,
 }
 
 impl Proof {
-    pub(super) fn new(now: time::Duration) -> Self {
+    pub(super) fn new(won: &Won, context: &Context) -> Self {
+        let now = context.clock.since_boot();
+        let predecessor = won.predecessor.clone();
+        let own = &context.own_member.id;
         Self {
             in_doubt: false,
             ran_at: now,
             unanswered_at: None,
             reading: false,
             waiting: Vec::new(),
+            leadership: scheduling::LeadershipProof::new(won.elected_after),
+            predecessor: scheduling::Predecessor::new(predecessor, own, won.instances, now),
+            others_before: won.instances.saturating_sub(1),
+            ruled_out: false,
+            renewal: None,
+            renewing: false,
         }
     }
 
@@ -123,6 +148,89 @@
         }
     }
 
+    /// Passes the latest proof of leadership to the scheduler; false if a later leader is
+    /// known, and the term is over.
+    pub(super) fn apply_proof(&mut self, now: time::Instant) -> bool {
+        let known = self.context.leadership.borrow().leader.clone();
+        if known.is_some_and(|known| known.epoch > self.leader.epoch) {
+            self.ended = Some(Ended::Deposed);
+            return false;
+        }
+        let since_boot = self.context.clock.since_boot();
+        let proven_at = self
+            .proof
+            .leadership
+            .proven_at(self.other_instances(), since_boot);
+        if let Some(at) = now.checked_sub(since_boot.saturating_sub(proven_at)) {
+            self.scheduler.set_proven(at);
+        }
+        true
+    }
+
+    /// Largest number of other instances that this leader knows to have been there.
+    fn other_instances(&self) -> usize {
+        self.isolation.most().max(self.proof.others_before)
+    }
+
+    /// Reads a head if the proof of leadership is too old.
+    pub(super) fn renew_proof_if_due(&mut self) {
+        let now = self.context.clock.since_boot();
+        let lately = self
+            .proof
+            .renewal
+            .is_some_and(|at| now < at + RENEWAL_PAUSE);
+        let due = self
+            .proof
+            .leadership
+            .is_renewal_due(self.other_instances(), now);
+        if !due || lately || self.proof.renewing {
+            return;
+        }
+        self.proof.renewing = true;
+        self.proof.renewal = Some(now);
+        let store = self.context.store.clone();
+        let messages = self.messages.clone();
+        tokio::spawn(async move {
+            let key = keys::head(0);
+            let item = store.get(&key).await.ok().flatten();
+            let epoch = item.as_ref().and_then(ledger::epoch_of);
+            let _ = messages.send(Message::ProofRead(epoch, now)).await;
+        });
+    }
+
+    /// Handles the epoch in a head that was read, by a call sent at `sent_at`, to renew
+    /// the proof of leadership.
+    pub(super) fn on_proof_read(&mut self, epoch: Option<fleet::Epoch>, sent_at: time::Duration) {
+        self.proof.renewing = false;
+        match epoch {
+            Some(epoch) if epoch > self.leader.epoch => self.ended = Some(Ended::Deposed),
+            Some(_) => self.proof.leadership.record_store_call(sent_at),
+            None => (),
+        }
+    }
+
+    /// Postpones the end of the recovery while the predecessor may prove its leadership.
+    pub(super) fn allow_for_predecessor(&mut self, now: time::Instant) {
+        if self.proof.ruled_out {
+            return;
+        }
+        self.scheduler.extend_recovery(now);
+        let since_boot = self.context.clock.since_boot();
+        if !self.proof.predecessor.may_lead(since_boot) {
+            self.proof.ruled_out = true;
+            crate::event!(
+                events::fleet::PREDECESSOR_RULED_OUT,
+                epoch = self.leader.epoch,
+                after_ms = now.saturating_duration_since(self.begun).as_millis()
+            );
+        }
+    }
+
+    /// Records an instance that knows this term.
+    pub(super) fn record_follower(&mut self, id: &ids::MemberId) {
+        self.proof.predecessor.record_follower(id);
+    }
+
     /// Redirects the calls that wait for a proof to the next leader; nothing was done
     /// for them.
     pub(super) fn redirect_unproven_calls(&mut self) {
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -62,6 +62,8 @@
     /// The lease with which it also writes the leader's key.
     lease: Option<store::LeaseId>,
     started: time::Instant,
+    /// The same time since the machine started.
+    started_since_boot: time::Duration,
 }
 
 impl Term {
@@ -114,6 +116,7 @@
             records,
             lease,
             started: now,
+            started_since_boot: self.context.clock.since_boot(),
         };
         let number = chain.number();
         self.spawn_write(chain, &write);
@@ -136,6 +139,7 @@
             records,
             lease: None,
             started: now,
+            started_since_boot: self.context.clock.since_boot(),
         };
         let number = chain.number();
         self.spawn_write(chain, &write);
@@ -165,6 +169,7 @@
         }
         Some(ledger::Heads {
             epoch: self.leader.epoch,
+            leader: Some(self.leader.member.id.clone()),
             revisions,
             strongest_millis: self.strongest_millis(),
         })
@@ -208,6 +213,9 @@
             Ok(confirmation) => {
                 self.store_unavailable = false;
                 self.last_write_executed_at = self.now();
+                self.proof
+                    .leadership
+                    .record_store_call(write.started_since_boot);
                 crate::event!(
                     events::fleet::RECORDS_WRITTEN,
                     write = number,
