Reproduce two runs at once in a partition

Cause: a leader that is cut off together with a worker goes on for 2.5 s from its start and renews that worker's lease. Its successor begins its term after 0.7 s and starts the tasks again 5.35 s later, while the leases last longer.

The new cases cut a leader and a worker off from all else, with and without the path to the store.

--- a/crates/figscale/tests/fleet_deposed_leaders.rs
+++ b/crates/figscale/tests/fleet_deposed_leaders.rs
@@ -62,6 +62,28 @@
     end_job(&fleet, leader, &worker).await;
 }
 
+/// Guards against a former leader that renews leases while it is cut off together with
+/// a worker, so that its successor starts tasks that still run there.
+#[rstest]
+#[case::that_has_the_store(false)]
+#[case::without_the_store(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_at_once_in_a_partition(#[case] store_cut: bool) {
+    let fleet = Fleet::start_with_peer_proxies(3, 3, false).await;
+    let (leader, worker) = run_tasks_out_of_reach_of_later_leaders(&fleet).await;
+    let workers = fleet.platform.workers.iter();
+    let others = workers.filter(|other| other.plan.id != worker.plan.id);
+    for other in others {
+        other.change_faults(|faults| faults.min_epoch = worker.fence() + 1);
+    }
+    fleet.store_proxies[leader].set_blocked(store_cut);
+    fleet.cut_paths_to(leader);
+    fleet.cut_paths_from(leader);
+    tokio::time::sleep(CUT).await;
+    fleet.store_proxies[leader].set_blocked(false);
+    end_job(&fleet, leader, &worker).await;
+}
+
 /// Starts the job's tasks, and makes a worker that runs some of them unreachable for
 /// later leaders; returns the leader and the worker.
 async fn run_tasks_out_of_reach_of_later_leaders(fleet: &Fleet) -> (usize, worker::Handle) {
