Carry what is known of earlier leaders from term to term

Cause: the wait for a predecessor ended with a term, and what ended it was not tied to that term. A leader that was paused at the end of its wait took runs for ended that a later leader had adopted. A leader that was re-elected, or whose predecessor had announced its end, forgot that an earlier one had not been ruled out. One that had just started knew of no other instance, and proved its leadership alone. Heartbeats of an earlier term of the same process, and instances that had just joined, counted as followers.

Change: recovery completes only with a proof later than the wait. Heads say how many instances the winner knew of, and whether all earlier leaders are ruled out, which costs one write a term; without that the next leader waits as well. Heartbeats name the term, and followers are counted among the instances that were there before the election. The read that renews the proof has a time limit.

The cases were not shown with processes.

--- a/crates/figscale-core/src/fleet/leadership_proof.rs
+++ b/crates/figscale-core/src/fleet/leadership_proof.rs
@@ -92,48 +92,57 @@
     }
 }
 
-/// What a new leader knows of its predecessor, which may go on until it learns of the
+/// What a new leader knows of its predecessors, which may go on until they learn of the
 /// new term.
 #[derive(Clone, Debug)]
-pub struct Predecessor {
-    /// `None` if there was none, or it has certainly ended its term.
-    leader: Option<ids::MemberId>,
+pub struct Predecessors {
+    /// The last one; `None` if there was none, or it has certainly ended its term.
+    last: Option<ids::MemberId>,
+    /// Whether earlier ones may lead as well.
+    earlier: bool,
     /// Number of instances before the election, the predecessor included.
     instances: usize,
-    /// Instances that know the new term.
+    /// Instances that were there before the election and know the new term.
     followers: IndexSet<ids::MemberId>,
     elected_at: time::Duration,
 }
 
-impl Predecessor {
-    /// Creates the state of a new leader, `own`, that was elected at this time.
+impl Predecessors {
+    /// Creates the state of a new leader, `own`, that was elected at this time. `settled`
+    /// says whether the last one had ruled out all before it.
     pub fn new(
-        leader: Option<ids::MemberId>,
+        last: Option<ids::MemberId>,
+        settled: bool,
         own: &ids::MemberId,
         instances: usize,
         elected_at: time::Duration,
     ) -> Self {
         Self {
             // An earlier term of its own is over.
-            leader: leader.filter(|leader| leader != own),
+            last: last.filter(|last| last != own),
+            earlier: !settled,
             instances,
             followers: IndexSet::from([own.clone()]),
             elected_at,
         }
     }
 
-    /// Records a heartbeat of an instance that knows the new term.
-    pub fn record_follower(&mut self, member: &ids::MemberId) {
-        if self.leader.as_ref() == Some(member) {
-            self.leader = None;
+    /// Records a heartbeat of an instance that knows the new term. `was_there` says whether
+    /// it is one of those before the election.
+    pub fn record_follower(&mut self, member: &ids::MemberId, was_there: bool) {
+        if self.last.as_ref() == Some(member) {
+            self.last = None;
+        }
+        if was_there {
+            self.followers.insert(member.clone());
         }
-        self.followers.insert(member.clone());
     }
 
-    /// Whether the predecessor may still prove its leadership at `now`.
+    /// Whether one of them may still prove its leadership at `now`.
     pub fn may_lead(&self, now: time::Duration) -> bool {
         let enough = self.instances.div_ceil(2).max(MIN_FOLLOWERS);
         let ruled_out = self.instances > 1 && self.followers.len() >= enough;
-        self.leader.is_some() && !ruled_out && now < self.elected_at + MAX_TIME_WITHOUT_STORE
+        let any = self.last.is_some() || self.earlier;
+        any && !ruled_out && now < self.elected_at + MAX_TIME_WITHOUT_STORE
     }
 }
--- a/crates/figscale-core/src/fleet/mod.rs
+++ b/crates/figscale-core/src/fleet/mod.rs
@@ -117,7 +117,7 @@
 pub use leader_loss::time_without_contact;
 pub use leadership_proof::LeadershipProof;
 pub use leadership_proof::MAX_TIME_WITHOUT_STORE;
-pub use leadership_proof::Predecessor;
+pub use leadership_proof::Predecessors;
 pub use lost_answers::LostAnswers;
 pub use machine_health::HandoverLag;
 pub use machine_health::MachineHealth;
--- a/crates/figscale-core/src/fleet/recovery.rs
+++ b/crates/figscale-core/src/fleet/recovery.rs
@@ -261,7 +261,11 @@
     /// Completes recovery once each worker of the last term has reported or its
     /// lease is over: tasks that were not found certainly run nowhere then, and
     /// may be started.
+    ///
+    /// A later leader may have extended the leases since the last proof of leadership, so
+    /// that has to be later than their end.
     pub(crate) fn check_recovery(&mut self, now: time::Instant) {
+        let now = self.proven_at.map_or(now, |proven_at| proven_at.min(now));
         let over = |(id, until): (&fleet::WorkerId, &time::Instant)| {
             (now >= *until && !self.has_unlisted_ends(id, now)).then(|| id.clone())
         };
--- a/crates/figscale-core/tests/fleet/leadership_proof.rs
+++ b/crates/figscale-core/tests/fleet/leadership_proof.rs
@@ -4,7 +4,7 @@
 
 use figscale_core::fleet::LeadershipProof;
 use figscale_core::fleet::MAX_TIME_WITHOUT_STORE;
-use figscale_core::fleet::Predecessor;
+use figscale_core::fleet::Predecessors;
 use figscale_types::ids;
 use rstest::rstest;
 
@@ -69,20 +69,45 @@
     #[case] may_lead: bool,
 ) {
     let own = member(0);
-    let mut predecessor = Predecessor::new(Some(member(9)), &own, instances, ELECTED);
+    let mut predecessors = Predecessors::new(Some(member(9)), true, &own, instances, ELECTED);
     for number in followers {
-        predecessor.record_follower(&member(*number));
+        predecessors.record_follower(&member(*number), true);
     }
-    assert_eq!(predecessor.may_lead(at_ms(100)), may_lead);
-    assert!(!predecessor.may_lead(ELECTED + MAX_TIME_WITHOUT_STORE));
+    assert_eq!(predecessors.may_lead(at_ms(100)), may_lead);
+    assert!(!predecessors.may_lead(ELECTED + MAX_TIME_WITHOUT_STORE));
 }
 
 /// Guards against a successor that waits although no other leader may be left.
 #[test]
 fn an_earlier_term_of_its_own_is_over() {
     let own = member(0);
-    assert!(!Predecessor::new(Some(own.clone()), &own, 6, ELECTED).may_lead(ELECTED));
-    assert!(!Predecessor::new(None, &own, 6, ELECTED).may_lead(ELECTED));
+    assert!(!Predecessors::new(Some(own.clone()), true, &own, 6, ELECTED).may_lead(ELECTED));
+    assert!(!Predecessors::new(None, true, &own, 6, ELECTED).may_lead(ELECTED));
+}
+
+/// Guards against a leader that forgets, with a restart or an announced end, that its
+/// predecessor had not ruled out an earlier leader.
+#[test]
+fn a_wait_that_was_not_over_is_inherited() {
+    let own = member(0);
+    for last in [Some(own.clone()), None] {
+        let mut predecessors = Predecessors::new(last, false, &own, 3, ELECTED);
+        assert!(predecessors.may_lead(at_ms(100)));
+        predecessors.record_follower(&member(1), true);
+        assert!(!predecessors.may_lead(at_ms(100)));
+    }
+}
+
+/// Guards against new instances that are counted in place of those that may follow the
+/// predecessor.
+#[test]
+fn instances_that_were_not_there_rule_nobody_out() {
+    let own = member(0);
+    let mut predecessors = Predecessors::new(Some(member(9)), true, &own, 3, ELECTED);
+    predecessors.record_follower(&member(4), false);
+    assert!(predecessors.may_lead(at_ms(100)));
+    predecessors.record_follower(&member(9), false);
+    assert!(!predecessors.may_lead(at_ms(100)));
 }
 
 /// Guards against a leader that extends leases after a pause, although another one may
@@ -151,3 +176,21 @@
     cluster.advance(500);
     assert_eq!(cluster.starts(), 2);
 }
+
+/// Guards against a successor that was paused at the end of its wait, and takes runs for
+/// ended that a later leader keeps running.
+#[test]
+fn recovery_completes_only_with_a_later_proof() {
+    let mut cluster = TestCluster::new(3);
+    cluster.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
+    let (host, _) = cluster.placed(helpers::task(1, 0, 0))[0].clone();
+    cluster.workers.get_mut(&host).unwrap().reachable = false;
+    cluster.take_over(2);
+    cluster.advance(3_000);
+    cluster.scheduler.set_proven(cluster.now);
+    cluster.advance(2_600);
+    assert_eq!(cluster.starts(), 1);
+    cluster.scheduler.set_proven(cluster.now);
+    cluster.advance(500);
+    assert_eq!(cluster.starts(), 2);
+}
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -63,6 +63,8 @@
     Hello {
         /// The incarnation that the sender takes for the leader.
         leader: ids::MemberKey,
+        /// The latest term that the sender knows.
+        epoch: fleet::Epoch,
         member: ids::MemberId,
         address: net::SocketAddr,
         /// Failure domain of the sender, which relays calls of workers in it.
--- a/crates/figscale/src/fleet/election.rs
+++ b/crates/figscale/src/fleet/election.rs
@@ -211,7 +211,13 @@
 ) -> Result<Option<(term::Won, Loading)>, CallError> {
     let lease = AbortOnDrop(tokio::spawn(grant(context.clone())));
     let (known, announced) = last_heads(context).await?;
-    let instances = context.store.roster().len() + 1;
+    let roster = context.store.roster();
+    // One that has just started knows of no other instance, and a term that was not
+    // settled leaves its predecessor's instances to count.
+    let instances = match roster.is_empty() || !known.settled {
+        true => known.instances.max(roster.len() + 1),
+        false => roster.len() + 1,
+    };
     wait_for_stronger_candidates(context, &known).await;
     let epoch = fleet::Epoch(known.epoch.0 + 1);
     // The records are read during the election: with a store that takes 0.2 s
@@ -224,6 +230,8 @@
         leader: context.own_member.clone(),
         sequence: 0,
         strongest_millis: strongest_known(context),
+        instances,
+        settled: false,
     };
     let leader = leadership::Leader {
         member: context.own_member.clone(),
@@ -259,6 +267,8 @@
                 leader,
                 elected_after,
                 predecessor: known.leader.filter(|_| !announced),
+                settled: known.settled,
+                roster,
                 instances,
             };
             Ok(Some((won, loading)))
--- a/crates/figscale/src/fleet/heartbeat.rs
+++ b/crates/figscale/src/fleet/heartbeat.rs
@@ -266,6 +266,7 @@
 ) -> Outcome {
     let call = calls::LeaderCall::Hello {
         leader: leader.member.clone(),
+        epoch: leader.epoch,
         member: context.own_member.id.clone(),
         address: context.settings.peer_address,
         failure_domain: context.settings.failure_domain.clone(),
--- a/crates/figscale/src/fleet/ledger.rs
+++ b/crates/figscale/src/fleet/ledger.rs
@@ -65,6 +65,10 @@
     /// Processor capacity of the strongest instance known when the latest term was
     /// won, in thousandths of a core.
     pub(super) strongest_millis: u64,
+    /// Number of instances known when it was won.
+    pub(super) instances: usize,
+    /// Whether a leader of an earlier term than that can't lead any more.
+    pub(super) settled: bool,
 }
 
 impl Heads {
@@ -75,6 +79,8 @@
             leader: None,
             revisions: vec![0; CHAINS],
             strongest_millis: 0,
+            instances: 0,
+            settled: true,
         };
         for item in items {
             let chain = keys::chain_of(&item.key);
@@ -84,7 +90,9 @@
             if let Some(head) = decode_head(item)
                 && head.epoch >= heads.epoch
             {
+                heads.settled = head.settled || (heads.settled && heads.epoch == head.epoch);
                 heads.epoch = head.epoch;
+                heads.instances = head.instances;
                 heads.leader = Some(head.leader.id);
                 heads.strongest_millis = head.strongest_millis;
             }
@@ -109,6 +117,12 @@
     /// versions.
     #[serde(default)]
     pub(super) strongest_millis: u64,
+    /// Number of instances that the winner knew of; absent likewise.
+    #[serde(default)]
+    pub(super) instances: usize,
+    /// Whether no leader of an earlier term can lead any more; absent likewise.
+    #[serde(default)]
+    pub(super) settled: bool,
 }
 
 impl Head {
@@ -172,6 +186,11 @@
         self.number
     }
 
+    /// Records that no leader of an earlier term can lead any more, for the next write.
+    pub(super) fn settle(&mut self) {
+        self.head.settled = true;
+    }
+
     /// Revision of the chain's head.
     pub(super) fn revision(&self) -> u64 {
         self.revision
--- a/crates/figscale/src/fleet/term/members.rs
+++ b/crates/figscale/src/fleet/term/members.rs
@@ -15,6 +15,7 @@
 
 use figscale_core::fleet;
 use figscale_types::clock;
+use figscale_types::fleet as types;
 use figscale_types::ids;
 use figscale_types::mutex;
 use indexmap::IndexMap;
@@ -50,6 +51,7 @@
     cpu_millis: u64,
     heartbeat_at: time::Instant,
     stamp: Option<time::Duration>,
+    epoch: types::Epoch,
 }
 
 /// State shared between a term and the handler that answers heartbeats.
@@ -73,6 +75,7 @@
         cpu_millis,
         roster,
         stamp_ms,
+        epoch,
         ..
     } = call
     else {
@@ -85,6 +88,7 @@
         cpu_millis,
         heartbeat_at: context.clock.now(),
         stamp: stamp_ms.map(time::Duration::from_millis),
+        epoch,
     };
     heartbeats.pending.insert(member, heartbeat);
     LeaderAnswer::Welcome {
@@ -126,11 +130,15 @@
             cpu_millis,
             heartbeat_at,
             stamp,
+            epoch,
         } = heartbeat;
-        if let Some(stamp) = stamp {
-            self.proof.leadership.record_stamp(&id, stamp);
+        // One of an earlier term of this instance shows nothing about this term.
+        if epoch == self.leader.epoch {
+            if let Some(stamp) = stamp {
+                self.proof.leadership.record_stamp(&id, stamp);
+            }
+            self.record_follower(&id, address);
         }
-        self.record_follower(&id);
         self.workers
             .relays
             .add_or_update(&id, address, failure_domain);
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -6,6 +6,7 @@
 //! never blocks on a call. After each batch of messages the scheduler plans once,
 //! and its actions are executed.
 
+use std::net;
 use std::time;
 
 use figscale_core::fleet as scheduling;
@@ -93,6 +94,10 @@
     pub(in crate::fleet) elected_after: time::Duration,
     /// The leader of the term before, unless it has announced its end.
     pub(in crate::fleet) predecessor: Option<ids::MemberId>,
+    /// Whether that leader had ruled out all before it.
+    pub(in crate::fleet) settled: bool,
+    /// Addresses of the other instances before the election, if they were known.
+    pub(in crate::fleet) roster: Vec<net::SocketAddr>,
     /// Number of instances before the election.
     pub(in crate::fleet) instances: usize,
 }
--- a/crates/figscale/src/fleet/term/proof.rs
+++ b/crates/figscale/src/fleet/term/proof.rs
@@ -10,6 +10,7 @@
 //! states of their jobs during an outage too.
 
 use std::mem;
+use std::net;
 use std::time;
 
 use figscale_core::fleet as scheduling;
@@ -37,6 +38,8 @@
 const UNANSWERED_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// Shortest time between reads of a head that renew the proof of leadership.
 const RENEWAL_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Timeout of such a read, which takes several times as long with a slow store.
+const RENEWAL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// What is known of other leaders, and the calls that wait for a proof. Times are since
 /// the machine started, as suspensions count.
@@ -52,11 +55,15 @@
     waiting: Vec<LeaderMessage>,
     /// What leases and orders are based on.
     pub(super) leadership: scheduling::LeadershipProof,
-    predecessor: scheduling::Predecessor,
+    predecessors: scheduling::Predecessors,
+    /// Addresses of the other instances before the election; empty if none was known.
+    roster: Vec<net::SocketAddr>,
     /// Number of other instances that were known before the election.
     others_before: usize,
-    /// Whether the predecessor was ruled out at the last check.
+    /// Whether the predecessors were ruled out at the last check.
     ruled_out: bool,
+    /// Whether the store has that.
+    settled_in_store: bool,
     /// When the last read that renews the proof was sent.
     renewal: Option<time::Duration>,
     /// Whether such a read is in flight.
@@ -66,7 +73,7 @@
 impl Proof {
     pub(super) fn new(won: &Won, context: &Context) -> Self {
         let now = context.clock.since_boot();
-        let predecessor = won.predecessor.clone();
+        let last = won.predecessor.clone();
         let own = &context.own_member.id;
         Self {
             in_doubt: false,
@@ -75,14 +82,31 @@
             reading: false,
             waiting: Vec::new(),
             leadership: scheduling::LeadershipProof::new(won.elected_after),
-            predecessor: scheduling::Predecessor::new(predecessor, own, won.instances, now),
+            predecessors: scheduling::Predecessors::new(last, won.settled, own, won.instances, now),
+            roster: won.roster.clone(),
             others_before: won.instances.saturating_sub(1),
             ruled_out: false,
+            settled_in_store: false,
             renewal: None,
             renewing: false,
         }
     }
 
+    /// Whether no leader of an earlier term can lead any more.
+    pub(super) fn is_settled(&self) -> bool {
+        self.ruled_out
+    }
+
+    /// Whether the store does not say so yet.
+    pub(super) fn is_unsettled_in_store(&self) -> bool {
+        self.ruled_out && !self.settled_in_store
+    }
+
+    /// Records a write that was executed, and whether it says so.
+    pub(super) fn record_settled(&mut self, settles: bool) {
+        self.settled_in_store |= settles;
+    }
+
     /// Records that another instance may have been elected.
     pub(super) fn doubt(&mut self) {
         self.in_doubt = true;
@@ -168,7 +192,7 @@
     }
 
     /// Largest number of other instances that this leader knows to have been there.
-    fn other_instances(&self) -> usize {
+    pub(super) fn other_instances(&self) -> usize {
         self.isolation.most().max(self.proof.others_before)
     }
 
@@ -192,7 +216,8 @@
         let messages = self.messages.clone();
         tokio::spawn(async move {
             let key = keys::head(0);
-            let item = store.get(&key).await.ok().flatten();
+            let read = tokio::time::timeout(RENEWAL_TIMEOUT, store.get(&key)).await;
+            let item = read.ok().and_then(Result::ok).flatten();
             let epoch = item.as_ref().and_then(ledger::epoch_of);
             let _ = messages.send(Message::ProofRead(epoch, now)).await;
         });
@@ -209,14 +234,14 @@
         }
     }
 
-    /// Postpones the end of the recovery while the predecessor may prove its leadership.
+    /// Postpones the end of the recovery while a predecessor may prove its leadership.
     pub(super) fn allow_for_predecessor(&mut self, now: time::Instant) {
         if self.proof.ruled_out {
             return;
         }
         self.scheduler.extend_recovery(now);
         let since_boot = self.context.clock.since_boot();
-        if !self.proof.predecessor.may_lead(since_boot) {
+        if !self.proof.predecessors.may_lead(since_boot) {
             self.proof.ruled_out = true;
             crate::event!(
                 events::fleet::PREDECESSOR_RULED_OUT,
@@ -227,8 +252,10 @@
     }
 
     /// Records an instance that knows this term.
-    pub(super) fn record_follower(&mut self, id: &ids::MemberId) {
-        self.proof.predecessor.record_follower(id);
+    pub(super) fn record_follower(&mut self, id: &ids::MemberId, address: net::SocketAddr) {
+        let roster = &self.proof.roster;
+        let was_there = roster.is_empty() || roster.contains(&address);
+        self.proof.predecessors.record_follower(id, was_there);
     }
 
     /// Redirects the calls that wait for a proof to the next leader; nothing was done
--- a/crates/figscale/src/fleet/term/writes.rs
+++ b/crates/figscale/src/fleet/term/writes.rs
@@ -64,6 +64,8 @@
     started: time::Instant,
     /// The same time since the machine started.
     started_since_boot: time::Duration,
+    /// Whether its head says that no earlier leader can lead any more.
+    settles: bool,
 }
 
 impl Term {
@@ -94,6 +96,7 @@
         let wanted = urgent
             || self.store_unavailable
             || self.new_lease.is_some()
+            || self.proof.is_unsettled_in_store()
             || self.scheduler.has_records();
         if !wanted || self.pending_writes.len() >= chains || now < self.last_write_sent_at + pause {
             return;
@@ -104,7 +107,8 @@
         self.last_write_sent_at = now;
         let records = self.scheduler.take_records(ledger::MAX_RECORDS);
         let lease = self.new_lease.take();
-        if records.records.is_empty() && !self.store_unavailable && lease.is_none() {
+        let settles = self.proof.is_unsettled_in_store();
+        if records.records.is_empty() && !self.store_unavailable && lease.is_none() && !settles {
             // Ends of runs that changed no record are acknowledged without a write.
             let ends = self.scheduler.records_written(&records, chain.revision());
             self.idle_chains.push(chain);
@@ -117,6 +121,7 @@
             lease,
             started: now,
             started_since_boot: self.context.clock.since_boot(),
+            settles: self.proof.is_settled(),
         };
         let number = chain.number();
         self.spawn_write(chain, &write);
@@ -140,6 +145,7 @@
             lease: None,
             started: now,
             started_since_boot: self.context.clock.since_boot(),
+            settles: self.proof.is_settled(),
         };
         let number = chain.number();
         self.spawn_write(chain, &write);
@@ -172,10 +178,15 @@
             leader: Some(self.leader.member.id.clone()),
             revisions,
             strongest_millis: self.strongest_millis(),
+            instances: self.other_instances() + 1,
+            settled: self.proof.is_settled(),
         })
     }
 
     fn spawn_write(&self, mut chain: ledger::Chain, write: &PendingWrite) {
+        if write.settles {
+            chain.settle();
+        }
         let leader_key = write
             .lease
             .map(|lease| (ledger::encode(&self.leader), lease));
@@ -216,6 +227,7 @@
                 self.proof
                     .leadership
                     .record_store_call(write.started_since_boot);
+                self.proof.record_settled(write.settles);
                 crate::event!(
                     events::fleet::RECORDS_WRITTEN,
                     write = number,
