Examine stamps once for each batch of heartbeats; show the proof's age

Cause: the majority's time was found by sorting the stamps of all instances after each batch of messages, and each heartbeat searched the list of instances. Both grow with instances at the leader, whose processor binds. Stamps of instances that had left were kept. No metric or log line gave the age of the proof behind a lease, and no test ran the wait of a successor against the bound of a former leader with clocks that are off.

Change: stamps count once a tick, by selection; old ones are dropped; followers are recorded until the predecessors are ruled out. figscale_fleet_state{kind="leadership_proof_age_ms"}, LEADERSHIP_UNPROVEN and LEADERSHIP_PROVEN.

What it saves was not measured.

--- a/crates/figscale-core/src/fleet/leadership_proof.rs
+++ b/crates/figscale-core/src/fleet/leadership_proof.rs
@@ -23,7 +23,7 @@
 use indexmap::IndexSet;
 
 /// How long instances may prove leadership after the last proof by the store. Longer
-/// outages of the store let leases end; a successor that can't rule out a predecessor
+/// outages of the store let leases end; a successor that cannot rule out a predecessor
 /// waits for this time.
 pub const MAX_TIME_WITHOUT_STORE: time::Duration = time::Duration::from_secs(15);
 /// Age of the proof from which the store is asked for another.
@@ -31,7 +31,7 @@
 /// Age of the store's own proof from which it is asked for another.
 const STORE_RENEWAL_AGE: time::Duration = time::Duration::from_secs(3);
 /// Fewest instances, the new leader included, that rule out a predecessor. One alone may
-/// be the only one that the predecessor doesn't reach.
+/// be the only one that the predecessor does not reach.
 const MIN_FOLLOWERS: usize = 2;
 
 /// The times for which a leader can prove that no later term had begun. Times are since
@@ -41,6 +41,16 @@
     store_proven_at: time::Duration,
     /// The latest stamp that each instance has returned.
     stamps: IndexMap<ids::MemberId, time::Duration>,
+    majority: Majority,
+}
+
+/// For which time a majority of all instances, the leader included, has shown that it
+/// knew of no later leader.
+#[derive(Clone, Copy, Debug)]
+enum Majority {
+    /// The leader is the only instance.
+    Alone,
+    At(time::Duration),
 }
 
 impl LeadershipProof {
@@ -49,6 +59,7 @@
         Self {
             store_proven_at: elected_after,
             stamps: IndexMap::new(),
+            majority: Majority::At(elected_after),
         }
     }
 
@@ -58,36 +69,50 @@
         self.store_proven_at = self.store_proven_at.max(sent_at);
     }
 
-    /// Records a stamp that an instance has returned with a heartbeat.
+    /// Records a stamp that an instance has returned with a heartbeat. It counts from the
+    /// next call of [`Self::count_stamps`].
     pub fn record_stamp(&mut self, member: &ids::MemberId, stamp: time::Duration) {
         let known = self.stamps.entry(member.clone()).or_insert(stamp);
         *known = (*known).max(stamp);
     }
 
-    /// The latest time for which leadership is proven, at `now`. `others` is the largest
-    /// number of other instances that this leader had contact with.
-    pub fn proven_at(&self, others: usize, now: time::Duration) -> time::Duration {
-        let by_instances = self
-            .majority_at(others, now)
-            .min(self.store_proven_at + MAX_TIME_WITHOUT_STORE);
-        self.store_proven_at.max(by_instances)
-    }
-
-    /// The latest time for which a majority of all instances, this one included, has
-    /// shown that it knew of no later leader.
-    fn majority_at(&self, others: usize, now: time::Duration) -> time::Duration {
+    /// Finds the time that a majority proves. `others` is the largest number of other
+    /// instances that this leader had contact with. This examines all stamps, so it is
+    /// called once for each batch of heartbeats.
+    pub fn count_stamps(&mut self, others: usize) {
+        let latest = self.stamps.values().max().copied().unwrap_or_default();
+        self.stamps
+            .retain(|_, stamp| *stamp + MAX_TIME_WITHOUT_STORE >= latest);
         // With this one these are more than half of all.
         let Some(last) = others.div_ceil(2).checked_sub(1) else {
-            return now;
+            self.majority = Majority::Alone;
+            return;
         };
         let mut stamps: Vec<time::Duration> = self.stamps.values().copied().collect();
-        stamps.sort_unstable_by(|one, other| other.cmp(one));
-        stamps.get(last).copied().unwrap_or_default()
+        let proven_at = match last < stamps.len() {
+            true => {
+                *stamps
+                    .select_nth_unstable_by(last, |one, other| other.cmp(one))
+                    .1
+            }
+            false => time::Duration::ZERO,
+        };
+        self.majority = Majority::At(proven_at);
+    }
+
+    /// The latest time for which leadership is proven, at `now`.
+    pub fn proven_at(&self, now: time::Duration) -> time::Duration {
+        let by_instances = match self.majority {
+            Majority::Alone => now,
+            Majority::At(proven_at) => proven_at,
+        };
+        let by_instances = by_instances.min(self.store_proven_at + MAX_TIME_WITHOUT_STORE);
+        self.store_proven_at.max(by_instances)
     }
 
     /// Whether the store should be asked for a new proof.
-    pub fn is_renewal_due(&self, others: usize, now: time::Duration) -> bool {
-        now.saturating_sub(self.proven_at(others, now)) > RENEWAL_AGE
+    pub fn is_renewal_due(&self, now: time::Duration) -> bool {
+        now.saturating_sub(self.proven_at(now)) > RENEWAL_AGE
             || now.saturating_sub(self.store_proven_at) > STORE_RENEWAL_AGE
     }
 }
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -270,7 +270,7 @@
     }
 
     /// Whether the proof of leadership allows orders that live for as long as usual.
-    pub(crate) fn may_order(&self, now: time::Instant) -> bool {
+    pub fn may_order(&self, now: time::Instant) -> bool {
         let config = &self.config;
         let latest = config.lease.saturating_sub(config.start_expiry);
         self.proven_at.is_none_or(|at| now <= at + latest)
--- a/crates/figscale-core/tests/fleet/leadership_proof.rs
+++ b/crates/figscale-core/tests/fleet/leadership_proof.rs
@@ -39,7 +39,8 @@
     for number in 0..stamped {
         proof.record_stamp(&member(number), at_ms(4_000 + number as u64));
     }
-    assert_eq!(proof.proven_at(others, at_ms(5_000)), at_ms(proven_ms));
+    proof.count_stamps(others);
+    assert_eq!(proof.proven_at(at_ms(5_000)), at_ms(proven_ms));
 }
 
 /// Guards against a leader that goes on for longer without the store than its successor
@@ -49,10 +50,41 @@
     let mut proof = LeadershipProof::new(ELECTED);
     proof.record_stamp(&member(0), at_ms(40_000));
     let limit = ELECTED + MAX_TIME_WITHOUT_STORE;
-    assert_eq!(proof.proven_at(2, at_ms(40_000)), limit);
-    assert_eq!(proof.proven_at(0, at_ms(40_000)), limit);
+    for others in [0, 2] {
+        proof.count_stamps(others);
+        assert_eq!(proof.proven_at(at_ms(40_000)), limit);
+    }
     proof.record_store_call(at_ms(39_000));
-    assert_eq!(proof.proven_at(2, at_ms(40_000)), at_ms(40_000));
+    assert_eq!(proof.proven_at(at_ms(40_000)), at_ms(40_000));
+}
+
+/// Guards against a leader that examines the stamps of all instances after each message:
+/// they count once for each batch of heartbeats.
+#[test]
+fn stamps_count_once_for_a_batch_of_heartbeats() {
+    const INSTANCES: usize = 1_000;
+    let mut proof = LeadershipProof::new(ELECTED);
+    for number in 0..INSTANCES {
+        proof.record_stamp(&member(number), at_ms(1_000 + number as u64));
+        assert_eq!(proof.proven_at(at_ms(5_000)), ELECTED);
+    }
+    proof.count_stamps(INSTANCES);
+    assert_eq!(proof.proven_at(at_ms(5_000)), at_ms(1_500));
+}
+
+/// Guards against stamps that are kept for each instance that was ever there, and against
+/// ones of instances that have long left.
+#[test]
+fn stamps_of_instances_that_left_are_dropped() {
+    let mut proof = LeadershipProof::new(ELECTED);
+    for number in 0..3 {
+        proof.record_stamp(&member(number), at_ms(1_000));
+    }
+    let late_ms = 1_001 + MAX_TIME_WITHOUT_STORE.as_millis() as u64;
+    proof.record_store_call(at_ms(500));
+    proof.record_stamp(&member(3), at_ms(late_ms));
+    proof.count_stamps(4);
+    assert_eq!(proof.proven_at(at_ms(late_ms)), at_ms(500));
 }
 
 /// Guards against a successor that rules out its predecessor while that may have a
@@ -194,3 +226,36 @@
     cluster.advance(500);
     assert_eq!(cluster.starts(), 2);
 }
+
+/// Guards against a wait that is shorter than what a former leader may grant, with both
+/// clocks 2 % off: the former leader extends the lease at the last moment for which it has
+/// a proof, and its worker's clock is slow.
+#[rstest]
+#[case::all_clocks_right(1_000, 1_000)]
+#[case::a_slow_worker(980, 1_000)]
+#[case::a_slow_worker_and_a_fast_successor(980, 1_020)]
+#[case::a_fast_worker_and_a_slow_successor(1_020, 980)]
+fn the_wait_of_the_successor_covers_the_last_lease(
+    #[case] worker_permille: u64,
+    #[case] successor_permille: u64,
+) {
+    let mut former = TestCluster::new(1);
+    former.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
+    former.scheduler.set_proven(former.now);
+    let proven_clock_ms = former.clock_ms();
+    former.advance(2_900);
+    let due = former.scheduler.report_due(&helpers::worker_id(0)).unwrap();
+    let lease_ms = due.lease_until_clock_ms.unwrap() - proven_clock_ms;
+    let stop_limit_ms = 400;
+    let over_ms = (lease_ms + stop_limit_ms) * 1_000 / worker_permille;
+
+    let mut successor = TestCluster::new(3);
+    successor.run(1, &helpers::queue(1), vec![helpers::step(1, 1)]);
+    let (host, _) = successor.placed(helpers::task(1, 0, 0))[0].clone();
+    successor.workers.get_mut(&host).unwrap().reachable = false;
+    successor.take_over(2);
+    successor.advance(over_ms * successor_permille / 1_000);
+    assert_eq!(successor.starts(), 1, "the lease lasts for {over_ms} ms");
+    successor.advance(1_000);
+    assert_eq!(successor.starts(), 2);
+}
--- a/crates/figscale/src/events/fleet.rs
+++ b/crates/figscale/src/events/fleet.rs
@@ -31,6 +31,8 @@
     6118 RECORDS_READ Info "A candidate has read the records of earlier leaders; the log line gives the revision of the store at which each kind was read. The heads on which its election depends are no newer, or the election is lost.";
     6119 LEADERSHIP_CHECKED Info "This leader was paused, or its lease has ended, so another one may have been elected; the log line gives the epoch in a head, or `none` if the store did not answer, and how many calls waited for it.";
     6120 PREDECESSOR_RULED_OUT Info "This leader counts the leases of workers that have not reported from now on: so many instances follow it that the leader of the term before cannot have led since, or the time is over for which that could be.";
+    6121 LEADERSHIP_UNPROVEN Warn "The proof that this instance leads is too old: it sends no starts, and leases of workers end, until it has a later one; the log line gives its age, how many instances send heartbeats, and how many others there were.";
+    6122 LEADERSHIP_PROVEN Info "This leader has a new proof that it leads, and sends orders again; the log line gives its age.";
     6201 JOB_ACCEPTED Info "A job was accepted and stored.";
     6202 JOB_REFUSED Info "A job was refused and never runs; the caller was told when to retry.";
     6203 JOB_UNANSWERED Warn "A caller was told that it is unknown whether its job was accepted; it may retry with the same id.";
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -413,6 +413,7 @@
         self.scheduler.tick(now, wall_ms);
         self.apply_heartbeats();
         self.drop_unresponsive_members(now);
+        self.count_stamps();
         self.renew_proof_if_due();
         self.answer_waiting_callers();
         if now >= self.gauges_updated_at + GAUGES_PAUSE {
@@ -450,6 +451,9 @@
         metrics.fleet_state_changed("workers", counts.workers);
         metrics.fleet_state_changed("members", self.members.len());
         metrics.fleet_state_changed("cancelled_ids", counts.cancelled_ids);
+        let proof_age_ms = usize::try_from(self.proof_age().as_millis());
+        let proof_age_ms = proof_age_ms.unwrap_or(usize::MAX);
+        metrics.fleet_state_changed("leadership_proof_age_ms", proof_age_ms);
         self.show_speeds(counts.workers);
     }
 }
--- a/crates/figscale/src/fleet/term/proof.rs
+++ b/crates/figscale/src/fleet/term/proof.rs
@@ -8,6 +8,11 @@
 //! So after a pause, or after the end of its lease, calls wait until a head was read. If
 //! the store does not answer, they are answered nevertheless, since callers need the
 //! states of their jobs during an outage too.
+//!
+//! Leases and orders for workers are stricter, since a worker that its successor has not
+//! called yet does not refuse them: they end with the last proof of leadership, which is
+//! kept here (see [`scheduling::LeadershipProof`]). For as long as its predecessor may
+//! have such a proof, a new leader does not take workers that have not reported for idle.
 
 use std::mem;
 use std::net;
@@ -16,6 +21,7 @@
 use figscale_core::fleet as scheduling;
 use figscale_types::fleet;
 use figscale_types::ids;
+use indexmap::IndexSet;
 
 use super::Ended;
 use super::LeaderMessage;
@@ -57,7 +63,7 @@
     pub(super) leadership: scheduling::LeadershipProof,
     predecessors: scheduling::Predecessors,
     /// Addresses of the other instances before the election; empty if none was known.
-    roster: Vec<net::SocketAddr>,
+    roster: IndexSet<net::SocketAddr>,
     /// Number of other instances that were known before the election.
     others_before: usize,
     /// Whether the predecessors were ruled out at the last check.
@@ -68,6 +74,8 @@
     renewal: Option<time::Duration>,
     /// Whether such a read is in flight.
     renewing: bool,
+    /// Whether the proof was new enough for orders when that was last checked.
+    may_order: bool,
 }
 
 impl Proof {
@@ -83,12 +91,13 @@
             waiting: Vec::new(),
             leadership: scheduling::LeadershipProof::new(won.elected_after),
             predecessors: scheduling::Predecessors::new(last, won.settled, own, won.instances, now),
-            roster: won.roster.clone(),
+            roster: won.roster.iter().copied().collect(),
             others_before: won.instances.saturating_sub(1),
             ruled_out: false,
             settled_in_store: false,
             renewal: None,
             renewing: false,
+            may_order: true,
         }
     }
 
@@ -181,16 +190,51 @@
             return false;
         }
         let since_boot = self.context.clock.since_boot();
-        let proven_at = self
-            .proof
-            .leadership
-            .proven_at(self.other_instances(), since_boot);
-        if let Some(at) = now.checked_sub(since_boot.saturating_sub(proven_at)) {
+        let proven_at = self.proof.leadership.proven_at(since_boot);
+        let age = since_boot.saturating_sub(proven_at);
+        if let Some(at) = now.checked_sub(age) {
             self.scheduler.set_proven(at);
         }
+        self.log_proof_change(now, age);
         true
     }
 
+    /// Logs that the proof of leadership has become too old for orders, or is new enough
+    /// again.
+    fn log_proof_change(&mut self, now: time::Instant, age: time::Duration) {
+        let may_order = self.scheduler.may_order(now);
+        if may_order == mem::replace(&mut self.proof.may_order, may_order) {
+            return;
+        }
+        let (epoch, age_ms) = (self.leader.epoch, age.as_millis());
+        match may_order {
+            true => crate::event!(
+                events::fleet::LEADERSHIP_PROVEN,
+                epoch = epoch,
+                age_ms = age_ms
+            ),
+            false => crate::event!(
+                events::fleet::LEADERSHIP_UNPROVEN,
+                epoch = epoch,
+                age_ms = age_ms,
+                members = self.members.len(),
+                others = self.other_instances()
+            ),
+        }
+    }
+
+    /// Age of the proof of leadership, for a gauge.
+    pub(super) fn proof_age(&self) -> time::Duration {
+        let now = self.context.clock.since_boot();
+        now.saturating_sub(self.proof.leadership.proven_at(now))
+    }
+
+    /// Finds what the heartbeats applied last prove.
+    pub(super) fn count_stamps(&mut self) {
+        let others = self.other_instances();
+        self.proof.leadership.count_stamps(others);
+    }
+
     /// Largest number of other instances that this leader knows to have been there.
     pub(super) fn other_instances(&self) -> usize {
         self.isolation.most().max(self.proof.others_before)
@@ -203,10 +247,7 @@
             .proof
             .renewal
             .is_some_and(|at| now < at + RENEWAL_PAUSE);
-        let due = self
-            .proof
-            .leadership
-            .is_renewal_due(self.other_instances(), now);
+        let due = self.proof.leadership.is_renewal_due(now);
         if !due || lately || self.proof.renewing {
             return;
         }
@@ -253,6 +294,9 @@
 
     /// Records an instance that knows this term.
     pub(super) fn record_follower(&mut self, id: &ids::MemberId, address: net::SocketAddr) {
+        if self.proof.ruled_out {
+            return;
+        }
         let roster = &self.proof.roster;
         let was_there = roster.is_empty() || roster.contains(&address);
         self.proof.predecessors.record_follower(id, was_there);
