--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -31,14 +31,8 @@
 use std::thread;
 use std::time;
 
-use figscale_core::fleet::AdviceQuery;
-use figscale_core::fleet::Record;
 use figscale_core::fleet::RecordKey;
-use figscale_core::fleet::Records;
-use figscale_core::fleet::ReportDue;
-use figscale_core::fleet::Scheduler;
 use figscale_types::fleet;
-use figscale_types::fleet::StartOutcome;
 use figscale_types::fleet::WorkerId;
 use indexmap::IndexMap;
 
@@ -54,9 +48,23 @@
 mod mixed;
 mod outages;
 mod preemption;
+mod state;
 mod told;
 mod workers;
 
+use state::CallResult;
+use state::Event;
+use state::Faults;
+use state::Finished;
+use state::Leader;
+use state::Link;
+use state::RunKey;
+use state::Running;
+use state::TaskHistory;
+use state::USUAL_FAULTS;
+use state::Worker;
+use state::WriteResult;
+
 const WALL_MS: u64 = 1_700_000_000_000;
 const STEP_MS: u64 = 10;
 const SIMULATED_MS: u64 = 40_000;
@@ -81,172 +89,6 @@
 /// crash.
 const TOO_MANY_STARTS: usize = 6;
 
-/// Faults and features of a simulated run beside the usual ones.
-#[derive(Clone, Copy)]
-struct Faults {
-    /// Jobs with several occurrences.
-    occurrences: bool,
-    /// Greatest difference between the wall clocks of leaders.
-    max_clock_lag_ms: u64,
-    /// Tasks that crash each worker that starts them.
-    crashing: bool,
-    /// Customers with limits that change.
-    customers: bool,
-    /// Workers restart under their names.
-    keeps_names: bool,
-    /// More workers, an advisory service, wide gangs, steps that last or spread,
-    /// and reports with rows that cannot be read.
-    mixed: bool,
-    /// The simulation ends with a stretch without faults, after which all work has
-    /// to be done.
-    calm: bool,
-    /// Outages of the store, planned handovers, and workers that are cut off in
-    /// masses.
-    outages: bool,
-    /// Tasks that save their progress and fill the fleet, and gangs of a queue of
-    /// lower number for which they are preempted.
-    preemption: bool,
-    /// Maximum number of ends in a worker's report.
-    max_ends_listed: usize,
-    /// Callers cancel jobs.
-    cancels: bool,
-    /// Callers cancel jobs whose submission arrives later.
-    early_cancels: bool,
-}
-
-/// The usual faults alone.
-const USUAL_FAULTS: Faults = Faults {
-    occurrences: false,
-    max_clock_lag_ms: 0,
-    crashing: false,
-    customers: false,
-    keeps_names: false,
-    mixed: false,
-    calm: false,
-    outages: false,
-    preemption: false,
-    max_ends_listed: usize::MAX,
-    cancels: false,
-    early_cancels: false,
-};
-
-type RunKey = (fleet::TaskId, u32);
-
-#[derive(Clone)]
-struct Running {
-    run: fleet::RunningTask,
-    started_ms: u64,
-    ends_ms: u64,
-    ends_as: fleet::End,
-    /// The worker crashes instead of ending the run.
-    crashes: bool,
-    /// Number of members, if it is one of a gang whose members depend on each other.
-    gang: Option<u32>,
-}
-
-/// An end that is not yet acknowledged, with its time.
-#[derive(Clone)]
-struct Finished {
-    run: fleet::FinishedRun,
-    at_ms: u64,
-}
-
-struct Worker {
-    entry: fleet::WorkerEntry,
-    listed: bool,
-    up: bool,
-    /// Another incarnation responds at its address.
-    replaced: bool,
-    /// When it leaves, once it has given notice.
-    leaves_ms: Option<u64>,
-    unlisted_until_ms: u64,
-    clock_offset_ms: u64,
-    clock_percent: u64,
-    fence: fleet::Epoch,
-    lease_until_clock_ms: u64,
-    lapsed_ms: Option<u64>,
-    running: IndexMap<RunKey, Running>,
-    finished: Vec<Finished>,
-    ended: u64,
-    /// Highest attempt of each task that ended or was stopped here.
-    ended_attempts: IndexMap<fleet::TaskId, u32>,
-    /// Time until which one row of its reports cannot be read.
-    unreadable_until_ms: u64,
-    max_ends_listed: usize,
-}
-
-#[derive(Clone, Copy)]
-struct Link {
-    calling: bool,
-    at_ms: u64,
-    /// The next call is due once all ends are acknowledged, or at `at_ms`.
-    unacknowledged: bool,
-}
-
-struct Leader {
-    scheduler: Scheduler,
-    epoch: fleet::Epoch,
-    alive: bool,
-    begins_ms: u64,
-    /// Workers recorded in the last term, until this term begins.
-    recorded: Option<Vec<WorkerId>>,
-    links: IndexMap<WorkerId, Link>,
-    writes: IndexMap<u64, Records>,
-    wrote_ms: u64,
-    /// It hands over: it begins no writes, and ends once those in flight are answered.
-    closing: bool,
-    listed_ms: u64,
-    /// Messages to this leader take up to this much longer.
-    max_delay_ms: u64,
-    wall_lag_ms: u64,
-    /// When it last received the limits of customers.
-    limits_known_ms: Option<u64>,
-    /// Workers that it cannot reach, with the end of the interruption.
-    cut_off: IndexMap<WorkerId, u64>,
-    /// Jobs that it may and has to show as running.
-    begun: begun::BegunJobs,
-    /// Entry instances that have left, with the time of their return.
-    absent: IndexMap<usize, u64>,
-}
-
-#[derive(Clone)]
-enum CallResult {
-    Report(fleet::WorkerReport),
-    StaleEpoch,
-    OtherIncarnation,
-    Nothing,
-}
-
-enum Event {
-    /// With the time at which it was sent.
-    ReportArrives(usize, WorkerId, ReportDue, u64),
-    ReportAnswered(usize, WorkerId, CallResult),
-    StartArrives(usize, WorkerId, fleet::StartOrder),
-    StartAnswered(usize, WorkerId, fleet::TaskId, u32, StartOutcome),
-    StopArrives(usize, WorkerId, fleet::TaskId, u32),
-    StopAnswered(usize, WorkerId, fleet::TaskId, u32, u64),
-    /// With the jobs that the leader knew to have begun.
-    WriteArrives(usize, u64, Vec<Record>, begun::BegunJobs),
-    WriteAnswered(usize, u64, WriteResult),
-    Listed(usize, Vec<fleet::WorkerEntry>),
-    AdviceAnswered(usize, AdviceQuery, Option<Vec<fleet::Ticket>>),
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum WriteResult {
-    Done,
-    NotWritten,
-    Deposed,
-}
-
-/// Starts and successful ends of one task as they happened on the workers.
-#[derive(Clone, Default)]
-struct TaskHistory {
-    starts_ms: Vec<u64>,
-    /// Times of successful ends that were acknowledged.
-    acknowledged_ms: Vec<u64>,
-}
-
 struct Simulation {
     begun: time::Instant,
     now_ms: u64,
