Search for former leaders at workers that later leaders cannot reach

Change: a new fault, unreachable_workers. At two of three elections the former leader goes on, paused at times, without the other workers and the store at times, and one worker that it knows is out of reach of later leaders for 3 to 14 s. Leaders are paused at other times as well, a third of the runs last 3 to 12 s, clocks of workers and leaders run at 98 to 102 %, and workers take 400 ms to stop runs whose lease is over. Leaders pass the proofs of their leadership to the scheduler. Without the fault nothing draws another random number and set_proven is not called. The checks are the existing ones.

--- a/crates/figscale-core/tests/fleet/terms/early_cancels.rs
+++ b/crates/figscale-core/tests/fleet/terms/early_cancels.rs
@@ -31,13 +31,13 @@
         let number = self.random(self.leaders.len() as u64) as usize;
         let leads = |simulation: &Self| {
             let leader = simulation.leaders.get(number)?;
-            let begun = leader.recorded.is_none() && simulation.now_ms >= leader.begins_ms;
-            Some(leader.alive && begun && !leader.closing)
+            let begun = leader.recorded.is_none();
+            Some(simulation.leads(number) && begun && !leader.closing)
         };
         if leads(self) != Some(true) {
             return;
         }
-        let (now, wall_ms) = (self.now(), self.wall_ms(number));
+        let (now, wall_ms) = (self.now(number), self.wall_ms(number));
         let scheduler = &mut self.leaders[number].scheduler;
         if scheduler.cancel(job, now).is_none() {
             let answer = scheduler.cancel_id(job, None, wall_ms);
--- a/crates/figscale-core/tests/fleet/terms/leaders.rs
+++ b/crates/figscale-core/tests/fleet/terms/leaders.rs
@@ -37,7 +37,9 @@
             return;
         }
         self.next_election_ms = self.now_ms + 300 + self.random(7_000);
-        if self.one_in(2)
+        let former_goes_on = self.former_leader_goes_on();
+        if !former_goes_on
+            && self.one_in(2)
             && let Some(last) = self.leaders.last_mut()
         {
             last.alive = false;
@@ -51,7 +53,8 @@
         let mut scheduler = Scheduler::new(config);
         let wall_lag_ms = self.random(self.faults.max_clock_lag_ms + 1);
         let wall_ms = WALL_MS + self.now_ms - wall_lag_ms;
-        let now = self.now();
+        let process = self.new_process();
+        let now = self.begun + helpers::ms(process.clock_ms(self.now_ms));
         let mut recorded = Vec::new();
         for (key, bytes) in &self.store {
             if let RecordKey::Job(id) = key {
@@ -91,7 +94,12 @@
             cut_off: IndexMap::new(),
             begun: self.recorded_begun.clone(),
             absent: IndexMap::new(),
+            process,
         });
+        if former_goes_on {
+            self.isolate_worker_with_former_leader();
+        }
+        self.cut_off_unreachable();
         self.check_begun(self.leaders.len() - 1);
     }
 
@@ -113,16 +121,12 @@
             }
         };
         let mut alive: Vec<usize> = (0..self.leaders.len()).collect();
-        let now_ms = self.now_ms;
-        alive.retain(|leader| {
-            let leader = &self.leaders[*leader];
-            leader.alive && leader.recorded.is_none() && now_ms >= leader.begins_ms
-        });
+        alive.retain(|leader| self.leads(*leader) && self.leaders[*leader].recorded.is_none());
         if alive.is_empty() {
             return;
         }
         let leader = alive[self.random(alive.len() as u64) as usize];
-        let (now, wall_ms) = (self.now(), self.wall_ms(leader));
+        let (now, wall_ms) = (self.now(leader), self.wall_ms(leader));
         let queue = self.queue_of(number);
         let scheduler = &mut self.leaders[leader].scheduler;
         let id = helpers::job_id(number);
@@ -161,7 +165,7 @@
 
     /// One iteration of a leader's loop.
     pub(super) fn run_leader(&mut self, number: usize) {
-        let (now, wall_ms) = (self.now(), self.wall_ms(number));
+        let (now, wall_ms) = (self.now(number), self.wall_ms(number));
         let leader = &mut self.leaders[number];
         if let Some(recorded) = leader.recorded.take() {
             leader.scheduler.begin_recovery(recorded, now);
@@ -169,6 +173,7 @@
             self.join_members(number);
         }
         self.change_members(number);
+        self.apply_proof(number);
         let leader = &mut self.leaders[number];
         leader.scheduler.tick(now, wall_ms);
         if !leader.closing {
@@ -207,6 +212,7 @@
         self.send_listing(number);
         self.call(number);
         self.write(number);
+        self.send_proof_call(number);
     }
 
     pub(super) fn send_listing(&mut self, number: usize) {
@@ -287,6 +293,7 @@
         };
         let delay = self.delay() + self.random(longest_ms);
         let delay = self.delay_over_outage(delay);
+        let delay = self.delay_over_isolation(number, delay);
         match !self.calm && self.one_in(15) {
             true => self.send(
                 delay,
@@ -309,7 +316,7 @@
             }
             Event::StartArrives(leader, id, order) => self.start(leader, &id, &order),
             Event::StartAnswered(leader, id, task, attempt, outcome) => {
-                let now = self.now();
+                let now = self.now(leader);
                 let leader = &mut self.leaders[leader];
                 if leader.alive {
                     leader.begun.start_answered(&id, task, outcome);
@@ -336,6 +343,7 @@
                 };
                 let delay = self.delay_to(leader);
                 let delay = self.delay_over_outage(delay);
+                let delay = self.delay_over_isolation(leader, delay);
                 self.send(delay, Event::WriteAnswered(leader, id, written));
             }
             Event::WriteAnswered(leader, id, written) => {
@@ -351,12 +359,16 @@
             }
             Event::Listed(leader, entries) => self.listed(leader, entries),
             Event::AdviceAnswered(leader, query, good) => {
-                let now = self.now();
+                let now = self.now(leader);
                 let leader = &mut self.leaders[leader];
                 if leader.alive {
                     leader.scheduler.advice_answered(&query, good, now);
                 }
             }
+            Event::ProofCallArrives(leader, sent_ms) => self.prove(leader, sent_ms),
+            Event::ProofAnswered(leader, sent_ms, by_store) => {
+                self.record_proof(leader, sent_ms, by_store);
+            }
         }
     }
 
@@ -374,7 +386,7 @@
     }
 
     pub(super) fn listed(&mut self, number: usize, entries: Vec<fleet::WorkerEntry>) {
-        let (now, now_ms) = (self.now(), self.now_ms);
+        let (now, now_ms) = (self.now(number), self.now_ms);
         let leader = &mut self.leaders[number];
         if !leader.alive {
             return;
@@ -405,7 +417,7 @@
     }
 
     pub(super) fn answer(&mut self, number: usize, id: &WorkerId, call_result: &CallResult) {
-        let (now, now_ms) = (self.now(), self.now_ms);
+        let (now, now_ms) = (self.now(number), self.now_ms);
         let leader = &mut self.leaders[number];
         if !leader.alive {
             return;
--- a/crates/figscale-core/tests/fleet/terms/mod.rs
+++ b/crates/figscale-core/tests/fleet/terms/mod.rs
@@ -43,6 +43,7 @@
 mod calm;
 mod customers;
 mod early_cancels;
+mod former_leaders;
 mod gangs;
 mod leaders;
 mod mixed;
@@ -128,6 +129,8 @@
     told: told::Told,
     early_cancels: early_cancels::EarlyCancels,
     shown_done: told::ShownDone,
+    /// Workers out of reach of leaders that are elected now, with the end of that.
+    unreachable: Vec<(WorkerId, u64)>,
 }
 
 impl Simulation {
@@ -162,6 +165,7 @@
             told: told::Told::default(),
             early_cancels: early_cancels::EarlyCancels::default(),
             shown_done: told::ShownDone::default(),
+            unreachable: Vec::new(),
         };
         if faults.calm {
             simulation.last_election_ms = simulation.random(SIMULATED_MS);
@@ -188,8 +192,17 @@
         self.random(times) == 0
     }
 
-    fn now(&self) -> time::Instant {
-        self.begun + helpers::ms(self.now_ms)
+    /// The time by a leader's clock.
+    fn now(&self, leader: usize) -> time::Instant {
+        let process = &self.leaders[leader].process;
+        self.begun + helpers::ms(process.clock_ms(self.now_ms))
+    }
+
+    /// Whether a leader runs and makes decisions.
+    fn leads(&self, leader: usize) -> bool {
+        let leader = &self.leaders[leader];
+        let begun = self.now_ms >= leader.begins_ms;
+        leader.alive && begun && !leader.process.is_paused(self.now_ms)
     }
 
     fn wall_ms(&self, leader: usize) -> u64 {
@@ -223,6 +236,7 @@
         while self.now_ms < SIMULATED_MS && self.violations.is_empty() {
             self.now_ms += STEP_MS;
             self.inject_faults();
+            self.pause_leader();
             self.change_limits();
             self.elect();
             self.submit();
@@ -246,11 +260,19 @@
             if entry.key().0 > self.now_ms {
                 break;
             }
-            let event = entry.remove();
-            self.handle(event);
+            let ((_, number), event) = entry.remove_entry();
+            let receiver = event.receiving_leader();
+            let process = receiver.map(|leader| self.leaders[leader].process);
+            match process.filter(|process| process.is_paused(self.now_ms)) {
+                Some(process) => {
+                    let at_ms = process.paused_until_ms();
+                    self.events.insert((at_ms, number), event);
+                }
+                None => self.handle(event),
+            }
         }
         for leader in 0..self.leaders.len() {
-            if self.leaders[leader].alive && self.now_ms >= self.leaders[leader].begins_ms {
+            if self.leads(leader) {
                 self.run_leader(leader);
             }
         }
@@ -263,9 +285,10 @@
     const THREADS: usize = 4;
     // A leader of a few seconds can hardly bound what a customer uses while
     // workers are unreachable, so it starts little. During outages of the store no
-    // job is accepted.
+    // job is accepted, and fewer run while leaders are paused besides.
     let min_starts = match (faults.customers, faults.outages) {
         (true, _) => 10,
+        (_, true) if faults.unreachable_workers => 10,
         (_, true) => 30,
         _ => 100,
     };
@@ -553,3 +576,24 @@
         violations.len()
     );
 }
+
+/// Guards against a former leader that goes on, and extends the lease of a worker that
+/// its successors cannot reach beyond the time for which they wait.
+#[test]
+fn workers_out_of_reach_of_later_leaders() {
+    let cases: [(bool, &[u64]); 2] = [(false, &[4, 12, 16, 22, 30, 37]), (true, &[0, 31])];
+    for (with_outages, standard) in cases {
+        let faults = Faults {
+            keeps_names: with_outages,
+            outages: with_outages,
+            unreachable_workers: true,
+            ..USUAL_FAULTS
+        };
+        let violations = simulate(faults, &seeds(standard));
+        assert!(
+            violations.is_empty(),
+            "outages: {with_outages}, {} seeds with violations: {violations:#?}",
+            violations.len()
+        );
+    }
+}
--- a/crates/figscale-core/tests/fleet/terms/state.rs
+++ b/crates/figscale-core/tests/fleet/terms/state.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use super::begun;
+use super::former_leaders;
 
 /// Faults and features of a simulated run beside the usual ones.
 #[derive(Clone, Copy)]
@@ -43,6 +44,9 @@
     pub(super) cancels: bool,
     /// Callers cancel jobs whose submission arrives later.
     pub(super) early_cancels: bool,
+    /// Former leaders that go on at a worker that later leaders cannot reach, pauses of
+    /// leaders, long runs, and clocks that deviate by 2 % at most.
+    pub(super) unreachable_workers: bool,
 }
 
 /// The usual faults alone.
@@ -59,6 +63,7 @@
     max_ends_listed: usize::MAX,
     cancels: false,
     early_cancels: false,
+    unreachable_workers: false,
 };
 
 pub(super) type RunKey = (fleet::TaskId, u32);
@@ -138,6 +143,7 @@
     pub(super) begun: begun::BegunJobs,
     /// Entry instances that have left, with the time of their return.
     pub(super) absent: IndexMap<usize, u64>,
+    pub(super) process: former_leaders::Process,
 }
 
 #[derive(Clone)]
@@ -161,6 +167,30 @@
     WriteAnswered(usize, u64, WriteResult),
     Listed(usize, Vec<fleet::WorkerEntry>),
     AdviceAnswered(usize, AdviceQuery, Option<Vec<fleet::Ticket>>),
+    /// With the time at which it was sent.
+    ProofCallArrives(usize, u64),
+    /// With the time at which the call was sent, and whether the store answers.
+    ProofAnswered(usize, u64, bool),
+}
+
+impl Event {
+    /// The leader that the message is sent to, if it is one.
+    pub(super) fn receiving_leader(&self) -> Option<usize> {
+        match self {
+            Self::ReportAnswered(leader, ..)
+            | Self::StartAnswered(leader, ..)
+            | Self::StopAnswered(leader, ..)
+            | Self::WriteAnswered(leader, ..)
+            | Self::Listed(leader, ..)
+            | Self::AdviceAnswered(leader, ..)
+            | Self::ProofAnswered(leader, ..) => Some(*leader),
+            Self::ReportArrives(..)
+            | Self::StartArrives(..)
+            | Self::StopArrives(..)
+            | Self::WriteArrives(..)
+            | Self::ProofCallArrives(..) => None,
+        }
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
--- a/crates/figscale-core/tests/fleet/terms/told.rs
+++ b/crates/figscale-core/tests/fleet/terms/told.rs
@@ -91,12 +91,15 @@
         if !self.faults.cancels || !self.one_in(60) {
             return;
         }
-        let (now, now_ms) = (self.now(), self.now_ms);
         let job = helpers::job_id(1 + self.random(self.jobs.len() as u64));
-        let leader = self.leaders.iter_mut().rfind(|leader| {
-            leader.alive && leader.recorded.is_none() && now_ms >= leader.begins_ms
-        });
-        if let Some(leader) = leader.filter(|leader| !leader.closing) {
+        let leads =
+            |leader: &usize| self.leads(*leader) && self.leaders[*leader].recorded.is_none();
+        let Some(number) = (0..self.leaders.len()).rfind(leads) else {
+            return;
+        };
+        let now = self.now(number);
+        let leader = &mut self.leaders[number];
+        if !leader.closing {
             leader.scheduler.cancel(job, now);
         }
     }
--- a/crates/figscale-core/tests/fleet/terms/workers.rs
+++ b/crates/figscale-core/tests/fleet/terms/workers.rs
@@ -22,6 +22,7 @@
 use super::Simulation;
 use super::TOO_MANY_STARTS;
 use super::Worker;
+use super::former_leaders::STOP_MS;
 use crate::helpers;
 
 impl Worker {
@@ -69,6 +70,16 @@
         self.finished.push(Finished { run, at_ms: now_ms });
     }
 
+    /// Stops all runs, which end at this time.
+    fn stop_all(&mut self, ends_ms: u64) {
+        let stopping = |run: &&mut Running| run.ends_as != fleet::End::LeaseExpired;
+        for run in self.running.values_mut().filter(stopping) {
+            run.ends_ms = ends_ms;
+            run.ends_as = fleet::End::LeaseExpired;
+            run.gang = None;
+        }
+    }
+
     /// Ends the worker with everything that runs there; returns the tasks.
     pub(super) fn shut_down(&mut self) -> Vec<fleet::TaskId> {
         self.up = false;
@@ -108,8 +119,8 @@
 
     fn add_incarnation(&mut self, id: WorkerId) {
         let number: usize = id.name()[2..].parse().unwrap();
-        let (mut clock_offset_ms, clock_percent) =
-            (1_000 + self.random(100_000), 98 + self.random(4));
+        let mut clock_offset_ms = 1_000 + self.random(100_000);
+        let clock_percent = self.worker_clock_percent();
         if id.born_ms() > Some(0) {
             // The clock of a restarted worker starts anew.
             clock_offset_ms = 0;
@@ -241,6 +252,10 @@
             }
             if worker.clock_ms(now_ms) > worker.lease_until_clock_ms {
                 worker.lapsed_ms = Some(now_ms);
+                if self.faults.unreachable_workers {
+                    worker.stop_all(now_ms + STOP_MS);
+                    continue;
+                }
                 let keys: Vec<RunKey> = worker.running.keys().copied().collect();
                 for key in keys {
                     worker.end(key, fleet::End::LeaseExpired, now_ms);
@@ -345,6 +360,7 @@
         let answered = self.reaches(number, id);
         let key = (order.task, order.attempt);
         let (mut length_ms, failure_draw) = (50 + self.random(2_000), self.random(20));
+        length_ms = self.lengthen_run(length_ms);
         let step = self.step_of(order.task);
         let gang = step.gang.then_some(step.count);
         let gang = gang.filter(|_| self.faults.mixed);
