Test restarts, two instances and outages with a worker out of reach

Cause: no test with processes covers a leader that restarts, or one of two instances, while later leaders cannot reach a worker, nor leases in an outage longer than they last. Change: tests for a restart (at once, after 2 s), for a pause of 3.5 s with two instances, and for an outage of 9 s (refused calls, no connection) with tasks of 12 s.

--- a/crates/figscale/tests/fleet_deposed_leaders.rs
+++ b/crates/figscale/tests/fleet_deposed_leaders.rs
@@ -31,13 +31,30 @@
 #[case::of_8_seconds(8_000)]
 #[tokio::test(flavor = "multi_thread")]
 async fn no_task_runs_twice_at_once_after_a_pause(#[case] pause_ms: u64) {
+    pause_leader(Fleet::start(3, 3, false).await, pause_ms).await;
+}
+
+/// Guards against a successor that takes itself for a majority of two instances, and
+/// starts tasks that a former leader keeps running after a pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_at_once_after_a_pause_of_one_of_two_instances() {
+    pause_leader(Fleet::start(2, 3, false).await, 3_500).await;
+}
+
+/// Guards against a leader that restarts and takes leases of its earlier life for ended,
+/// or never ends its wait for a worker that later leaders cannot reach.
+#[rstest]
+#[case::at_once(0)]
+#[case::after_2_seconds(2_000)]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_at_once_after_a_restart(#[case] down_ms: u64) {
     let mut fleet = Fleet::start(3, 3, false).await;
     let (leader, worker) = run_tasks_out_of_reach_of_later_leaders(&fleet).await;
-    let paused_at = tokio::time::Instant::now();
-    fleet.signal(leader, "STOP");
-    tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
-    fleet.signal(leader, "CONT");
-    tokio::time::sleep_until(paused_at + CUT).await;
+    let killed_at = tokio::time::Instant::now();
+    fleet.kill(leader);
+    tokio::time::sleep(time::Duration::from_millis(down_ms)).await;
+    fleet.launch(leader);
+    tokio::time::sleep_until(killed_at + CUT).await;
     end_job(&fleet, leader, &worker).await;
 }
 
@@ -84,6 +101,17 @@
     end_job(&fleet, leader, &worker).await;
 }
 
+/// Pauses the leader while a worker is out of reach of its successor.
+async fn pause_leader(mut fleet: Fleet, pause_ms: u64) {
+    let (leader, worker) = run_tasks_out_of_reach_of_later_leaders(&fleet).await;
+    let paused_at = tokio::time::Instant::now();
+    fleet.signal(leader, "STOP");
+    tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+    fleet.signal(leader, "CONT");
+    tokio::time::sleep_until(paused_at + CUT).await;
+    end_job(&fleet, leader, &worker).await;
+}
+
 /// Starts the job's tasks, and makes a worker that runs some of them unreachable for
 /// later leaders; returns the leader and the worker.
 async fn run_tasks_out_of_reach_of_later_leaders(fleet: &Fleet) -> (usize, worker::Handle) {
@@ -111,7 +139,7 @@
     let max_epoch = worker.faults().max_epoch;
     assert_eq!(Some(worker.fence()), max_epoch, "the worker was reached");
     worker.change_faults(|faults| faults.max_epoch = None);
-    let other = (leader + 1) % 3;
+    let other = (leader + 1) % fleet.store_proxies.len();
     fleet.wait_for_state(other, JOB, "completed").await;
     fleet.assert_no_violations();
 }
--- a/crates/figscale/tests/fleet_store_away.rs
+++ b/crates/figscale/tests/fleet_store_away.rs
@@ -12,6 +12,7 @@
 
 use fleet_support::Fleet;
 use fleet_support::stopwatch::Stopwatch;
+use rstest::rstest;
 
 /// A refusal takes two messages and does not wait for the store to recover.
 const MAX_REFUSAL_TIME: time::Duration = time::Duration::from_millis(200);
@@ -20,6 +21,11 @@
 /// A write begins every 20 ms, so some jobs are in none when the first one fails.
 const SUBMIT_INTERVAL: time::Duration = time::Duration::from_millis(4);
 
+/// Longer than a worker's lease, for which the store proves that its leader leads.
+const LONG_OUTAGE: time::Duration = time::Duration::from_secs(9);
+/// Time for instances to exchange heartbeats before an outage.
+const SETTLE: time::Duration = time::Duration::from_secs(1);
+
 /// Whether a job was ever started.
 fn ran(fleet: &Fleet, job: u64) -> bool {
     runs_of(fleet, job) > 0
@@ -215,3 +221,34 @@
     assert!(!ran(&fleet, 0x161), "it was refused and cancelled");
     fleet.assert_no_violations();
 }
+
+/// Guards against leases that end in an outage of the store, although heartbeats prove
+/// that the leader still leads: their tasks would be started a second time.
+#[rstest]
+#[case::that_refuses_calls(false)]
+#[case::that_cannot_be_reached(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_go_on_in_an_outage_longer_than_their_leases(#[case] blocked: bool) {
+    let fleet = Fleet::start(3, 3, false).await;
+    fleet.wait_for_all_heartbeats(fleet.leader().await).await;
+    let (job, tasks) = (0x170, 4);
+    fleet.submit_until_taken(0, job, tasks, "12000").await;
+    let started = || runs_of(&fleet, job) == tasks as usize;
+    fleet.wait("all tasks to start", started).await;
+    tokio::time::sleep(SETTLE).await;
+    let set_away = |away| {
+        let proxies = fleet.store_proxies.iter().filter(|_| blocked);
+        proxies.for_each(|proxy| proxy.set_blocked(away));
+        let busy = away && !blocked;
+        let store = &fleet.platform.store;
+        store.change_faults(|faults| faults.busy = busy);
+    };
+    set_away(true);
+    tokio::time::sleep(LONG_OUTAGE).await;
+    let runs = fleet.platform.ledger.runs();
+    assert!(runs.iter().all(|run| run.end.is_none()), "{runs:#?}");
+    set_away(false);
+    fleet.wait_for_state(1, job, "completed").await;
+    assert_eq!(runs_of(&fleet, job), tasks as usize);
+    fleet.assert_no_violations();
+}
