Depose leaders with a worker out of reach in the soak

Cause: the soak paused leaders but cut no worker from their successors, so it could not show two runs after a takeover. Change: a worker that runs tasks becomes unreachable for later leaders for 6 to 10 s, and within 0.3 s the leader is stopped for 2 to 5 s; further callers have tasks of 8 to 10.5 s. The 14 s of other faults are as before.

--- a/crates/figscale/tests/fleet_soak.rs
+++ b/crates/figscale/tests/fleet_soak.rs
@@ -1,6 +1,7 @@
 //! Soak of a fleet of processes: callers submit jobs, ask for their states and cancel
 //! some, on connections that stay open, while the store, workers and instances fail,
-//! in series that overlap.
+//! in series that overlap. Meanwhile leaders are paused whose successors cannot reach a
+//! worker, as some callers' tasks take long enough for it to matter.
 //!
 //! The ledger of the stand-in checks the guarantees independently of the scheduler:
 //! no task runs twice at a time or after its end was acknowledged, and what a caller
@@ -19,6 +20,7 @@
 use std::sync::atomic;
 use std::time;
 
+use figscale_platform_standin::worker;
 use fleet_support::Fleet;
 use fleet_support::caller;
 use indexmap::IndexMap;
@@ -32,6 +34,21 @@
 const WORKERS: usize = 10;
 /// Callers, each with one job at a time.
 const CALLERS: usize = 48;
+/// Further callers, whose tasks take longer than a leader waits for the leases of its
+/// predecessor.
+const PATIENT_CALLERS: usize = 12;
+const SHORT_TASKS_MS: std::ops::Range<u64> = 20..900;
+const LONG_TASKS_MS: std::ops::Range<u64> = 8_000..10_500;
+/// Time during which long tasks are submitted, so that they end before the faults do.
+const LONG_SUBMITTED: time::Duration = time::Duration::from_secs(2);
+/// Time until the first leader is deposed, and from its end until the next one.
+const DEPOSED_AFTER_MS: std::ops::Range<u64> = 800..1_200;
+/// Time until short tasks and the other faults begin: longer than the first leader's
+/// successor waits for a worker. The other faults keep the store away most of the time,
+/// and then no task is started; a busy former leader often ends before it extends leases.
+const UNDISTURBED_MS: std::ops::Range<u64> = 7_500..8_500;
+/// Interval at which the pauses of leaders are begun and ended.
+const STEP: time::Duration = time::Duration::from_millis(20);
 /// Time during which things fail.
 const DISTURBED: time::Duration = time::Duration::from_secs(14);
 /// Time from a signal to stop until a process is killed.
@@ -58,6 +75,12 @@
     /// Decides which submissions the caller leaves.
     leaving: rngs::StdRng,
     next_job: u64,
+    /// Lengths of its tasks.
+    tasks_ms: std::ops::Range<u64>,
+    /// When it begins to submit.
+    submits_from: time::Instant,
+    /// When it stops to submit, if it does so before the end of the soak.
+    submits_until: Option<time::Instant>,
     instances: usize,
     stop: sync::Arc<atomic::AtomicBool>,
 }
@@ -82,7 +105,7 @@
     /// Submits a job until it is accepted; `false` if the soak ends before.
     async fn submit(&mut self, job: u64) -> bool {
         let tasks = self.random.random_range(1..4);
-        let spec = self.random.random_range(20..900).to_string();
+        let spec = self.random.random_range(self.tasks_ms.clone()).to_string();
         while !self.is_stopped() {
             let instance = self.instance();
             if self.caller.submit(instance, job, tasks, &spec).await == Some(200) {
@@ -122,10 +145,16 @@
         }
     }
 
+    fn is_over(&self) -> bool {
+        let is_past = |until| time::Instant::now() >= until;
+        self.is_stopped() || self.submits_until.is_some_and(is_past)
+    }
+
     /// Submits one job after the other; returns the accepted ones.
     async fn run(mut self) -> Accepted {
         let mut accepted = Accepted::new();
-        while !self.is_stopped() {
+        tokio::time::sleep_until(self.submits_from.into()).await;
+        while !self.is_over() {
             let job = self.next_job;
             self.next_job += 1;
             if self.leaving.random_range(0..8) == 0 {
@@ -166,6 +195,116 @@
     Silence(usize),
 }
 
+/// A leader that is paused while later leaders cannot reach a worker.
+struct Deposition {
+    leader: usize,
+    worker: worker::Handle,
+    pause_at: time::Instant,
+    resume_at: time::Instant,
+    /// When later leaders reach the worker again.
+    reach_at: time::Instant,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    BeforePause,
+    Paused,
+    Resumed,
+}
+
+/// The leaders that are deposed in one soak, one after the other.
+struct Depositions {
+    random: rngs::StdRng,
+    next_at: time::Instant,
+    current: Option<Deposition>,
+    /// Number of leaders deposed so far.
+    begun: usize,
+}
+
+impl Depositions {
+    fn new(seed: u64) -> Self {
+        let mut random = rngs::StdRng::seed_from_u64(seed);
+        let next_at = time::Instant::now() + random_ms(&mut random, DEPOSED_AFTER_MS);
+        Self {
+            random,
+            next_at,
+            current: None,
+            begun: 0,
+        }
+    }
+
+    /// Does what is due. `away` has the instances that are paused, stopping or down.
+    async fn step(&mut self, fleet: &mut Fleet, away: &mut Vec<usize>) {
+        if self.current.is_none() && time::Instant::now() >= self.next_at {
+            self.begin(fleet, away).await;
+        }
+        self.proceed(fleet, away, time::Instant::now());
+    }
+
+    /// Makes a worker that runs tasks unreachable for the leaders after the present one.
+    async fn begin(&mut self, fleet: &Fleet, away: &mut Vec<usize>) {
+        let Some(leader) = fleet.leader_now().await else {
+            return;
+        };
+        if away.contains(&leader) || away.len() + 1 >= fleet.store_proxies.len() {
+            return;
+        }
+        let Some(worker) = busiest_worker(fleet) else {
+            return;
+        };
+        away.push(leader);
+        let epoch = worker.fence();
+        worker.change_faults(|faults| faults.max_epoch = Some(epoch));
+        let now = time::Instant::now();
+        let pause_at = now + random_ms(&mut self.random, 0..300);
+        self.begun += 1;
+        self.current = Some(Deposition {
+            leader,
+            worker,
+            pause_at,
+            resume_at: pause_at + random_ms(&mut self.random, 2_000..5_000),
+            reach_at: now + random_ms(&mut self.random, 6_000..10_000),
+            stage: Stage::BeforePause,
+        });
+    }
+
+    /// Goes on with the current deposition as far as it is due at a time.
+    fn proceed(&mut self, fleet: &mut Fleet, away: &mut Vec<usize>, at: time::Instant) {
+        let Some(current) = &mut self.current else {
+            return;
+        };
+        if current.stage == Stage::BeforePause && at >= current.pause_at {
+            fleet.signal(current.leader, "STOP");
+            current.stage = Stage::Paused;
+        }
+        if current.stage == Stage::Paused && at >= current.resume_at {
+            fleet.signal(current.leader, "CONT");
+            away.retain(|number| *number != current.leader);
+            current.stage = Stage::Resumed;
+        }
+        if current.stage == Stage::Resumed && at >= current.reach_at {
+            let worker = &current.worker;
+            worker.change_faults(|faults| faults.max_epoch = None);
+            self.next_at = at + random_ms(&mut self.random, DEPOSED_AFTER_MS);
+            self.current = None;
+        }
+    }
+}
+
+/// The worker that runs the most tasks.
+fn busiest_worker(fleet: &Fleet) -> Option<worker::Handle> {
+    let runs = fleet.platform.ledger.runs();
+    let running = |worker: &worker::Handle| {
+        let running = runs.iter().filter(|run| run.end.is_none());
+        running.filter(|run| run.worker == worker.plan.id).count()
+    };
+    let workers = fleet.platform.workers.iter();
+    let workers = workers.map(worker::Handle::current);
+    let busy = workers.filter(|worker| running(worker) > 0);
+    busy.max_by_key(running)
+}
+
 /// The faults of one soak.
 struct Faults {
     random: rngs::StdRng,
@@ -173,6 +312,7 @@
     ends: Vec<(time::Instant, End)>,
     /// Instances that are paused, stopping or down.
     away: Vec<usize>,
+    depositions: Depositions,
 }
 
 impl Faults {
@@ -180,14 +320,19 @@
         self.ends.push((time::Instant::now() + time, end));
     }
 
-    /// Injects faults until `until`, and ends them all.
-    async fn inject(&mut self, fleet: &mut Fleet, until: time::Instant) {
+    /// Injects faults for [`DISTURBED`] from `from` on, and ends them all.
+    async fn inject(&mut self, fleet: &mut Fleet, from: time::Instant) {
+        let undisturbed = from.saturating_duration_since(time::Instant::now());
+        self.pass(fleet, undisturbed).await;
+        let until = time::Instant::now() + DISTURBED;
         while time::Instant::now() < until {
             self.next(fleet).await;
             let pause = random_ms(&mut self.random, 100..1_300);
-            tokio::time::sleep(pause).await;
+            self.pass(fleet, pause).await;
             self.end_due(fleet, time::Instant::now());
         }
+        self.depositions
+            .proceed(fleet, &mut self.away, until + GRACE * 2);
         self.end_due(fleet, until + GRACE * 2);
         let numbers = 0..self.instances;
         for number in numbers {
@@ -195,6 +340,16 @@
         }
     }
 
+    /// Lets time pass, in which leaders are deposed.
+    async fn pass(&mut self, fleet: &mut Fleet, length: time::Duration) {
+        let until = time::Instant::now() + length;
+        while time::Instant::now() < until {
+            self.depositions.step(fleet, &mut self.away).await;
+            let left = until.saturating_duration_since(time::Instant::now());
+            tokio::time::sleep(left.min(STEP)).await;
+        }
+    }
+
     async fn next(&mut self, fleet: &mut Fleet) {
         match self.random.random_range(0..12) {
             0..2 => self.disturb_store(fleet),
@@ -228,7 +383,7 @@
             }
         }
         let before = random_ms(&mut self.random, 0..3_500);
-        tokio::time::sleep(before).await;
+        self.pass(fleet, before).await;
         if let Some(leader) = fleet.leader_now().await {
             self.disturb_instance(fleet, leader);
         }
@@ -331,12 +486,22 @@
         _ => Fleet::start_relayed(instances, workers).await,
     };
     let stop = sync::Arc::new(atomic::AtomicBool::new(false));
-    let clients = (0..CALLERS as u64).map(|number| {
+    let begun = time::Instant::now();
+    let mut depositions = Depositions::new(seed * 1_000 + 900);
+    let disturbed_from = begun + random_ms(&mut depositions.random, UNDISTURBED_MS);
+    let clients = (0..(CALLERS + PATIENT_CALLERS) as u64).map(|number| {
+        let (tasks_ms, submits_from, submits_until) = match number < CALLERS as u64 {
+            true => (SHORT_TASKS_MS, disturbed_from, None),
+            false => (LONG_TASKS_MS, begun, Some(begun + LONG_SUBMITTED)),
+        };
         let client = Client {
             caller: fleet.caller(),
             random: rngs::StdRng::seed_from_u64(seed * 1_000 + number),
             leaving: rngs::StdRng::seed_from_u64(seed * 1_000 + number + 500),
             next_job: (number + 1) << 32,
+            tasks_ms,
+            submits_from,
+            submits_until,
             instances,
             stop: stop.clone(),
         };
@@ -348,9 +513,9 @@
         instances,
         ends: Vec::new(),
         away: Vec::new(),
+        depositions,
     };
-    let until = time::Instant::now() + DISTURBED;
-    faults.inject(&mut fleet, until).await;
+    faults.inject(&mut fleet, disturbed_from).await;
     stop.store(true, atomic::Ordering::Relaxed);
     let mut accepted = 0;
     for client in clients {
@@ -364,6 +529,7 @@
     let told = fleet.platform.ledger.told();
     let terms = fleet.count_events("TERM_BEGUN");
     println!("seed {seed}: {accepted} accepted, {told} told as final, {terms} terms");
+    println!("seed {seed}: {} leaders deposed", faults.depositions.begun);
     fleet.assert_no_violations();
     assert!(told >= MIN_TOLD, "only {told} jobs ended");
 }
