--- a/crates/figscale/tests/fleet_deposed_leaders.rs
+++ b/crates/figscale/tests/fleet_deposed_leaders.rs
@@ -107,6 +107,7 @@
     let paused_at = tokio::time::Instant::now();
     fleet.signal(leader, "STOP");
     tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+    assert!(fleet.is_stopped(leader), "something else has resumed it");
     fleet.signal(leader, "CONT");
     tokio::time::sleep_until(paused_at + CUT).await;
     end_job(&fleet, leader, &worker).await;
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -306,6 +306,14 @@
         assert!(status.success());
     }
 
+    /// Whether the process of an instance is stopped by a signal.
+    pub(crate) fn is_stopped(&self, number: usize) -> bool {
+        let child = self.instances[number].child.as_ref().unwrap();
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+        let mut lines = status.lines();
+        lines.any(|line| line.starts_with("State:") && line.contains("T (stopped)"))
+    }
+
     /// Waits for the end of an instance.
     pub(crate) fn exit_code(&mut self, number: usize) -> Option<i32> {
         let mut child = self.instances[number].child.take().unwrap();
