Test crowds of clients that misuse an instance

Cause: nothing tests an instance beside clients that send heads, bodies or connections without end.

Change: scripts of fourteen kinds of misuse, at a follower and at the leader, beside a caller that behaves; the same silence and endless heads at the addresses for the balancer, operators and peers; a planned stop beside a crowd; the largest job that the pages allow. The bounds are the smallest machine of the users' deployments (120 MB, 3,075 descriptors of which files need 200), the callers' deadline of 3 s, and the grace period of 6 s.

--- /dev/null
+++ b/crates/figscale/tests/fleet_crowds.rs
@@ -0,0 +1,421 @@
+//! Crowds of callers that misuse an instance, beside callers that behave.
+//!
+//! Each crowd guards against an instance that keeps all that it is sent: it would
+//! exceed the memory of its machine and be killed, or run out of descriptors and lose
+//! the store. The bounds are the smallest machine's memory and descriptors, and the
+//! callers' own deadline.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet_support;
+
+use std::sync::atomic;
+use std::time;
+
+use fleet_support::Fleet;
+use fleet_support::crowd::Crowd;
+use fleet_support::crowd::Script;
+use fleet_support::stopwatch::Stopwatch;
+use rstest::rstest;
+use tokio::sync::Mutex;
+
+/// Memory of the smallest machine, in KiB.
+const MACHINE_MEMORY_KIB: u64 = 120 * 1_024;
+/// Descriptors of the smallest machine that files do not need.
+const MACHINE_DESCRIPTORS: usize = 3_075 - 200;
+/// How long callers wait for an answer.
+const CALLER_DEADLINE: time::Duration = time::Duration::from_secs(3);
+/// How long a crowd lasts.
+const CROWD_TIME: time::Duration = time::Duration::from_secs(4);
+const CALL_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Smallest share of the calls beside a crowd that are accepted, in percent.
+const MIN_ACCEPTED_PERCENT: usize = 90;
+/// The platform kills a process so long after its request to stop.
+const GRACE_PERIOD: time::Duration = time::Duration::from_secs(6);
+/// Clients of a crowd that sends as fast as it can.
+const SENDERS: usize = 1_000;
+/// Clients of a crowd that holds connections.
+const HOLDERS: usize = 4_000;
+
+/// One test at a time: each uses what the machine has.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
+/// What the clients of a crowd send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Misuse {
+    /// One header of a megabyte.
+    LongHead,
+    /// Headers without end.
+    EndlessHead,
+    /// Empty lines in place of a request.
+    EmptyLines,
+    /// A head that grows by a byte each second.
+    SlowHead,
+    /// A body of a quarter of a megabyte of which the last byte is missing.
+    WholeBody,
+    /// The same in chunks of a kilobyte.
+    BodyInPieces,
+    /// A chunk of a gigabyte.
+    LargeChunk,
+    /// Chunks of one byte, without end.
+    ByteChunks,
+    /// A body that grows by a byte each second.
+    SlowBody,
+    /// Complete jobs with a specification over the limit.
+    LargeSpecs,
+    /// Complete jobs of many empty steps.
+    ManySteps,
+    /// Nothing at all.
+    Silence,
+    /// Calls whose answers are not read.
+    UnreadAnswers,
+    /// A new connection for each call, which is then left open.
+    ConnectionPerCall,
+}
+
+impl Misuse {
+    fn clients(self) -> usize {
+        match self {
+            Self::SlowHead | Self::SlowBody | Self::Silence | Self::ConnectionPerCall => HOLDERS,
+            _ => SENDERS,
+        }
+    }
+
+    fn script(self) -> Script {
+        let post = "POST /jobs/00000000000000aa HTTP/1.1\r\nhost: jobs.example\r\n";
+        let with_length = |length: usize| format!("{post}content-length: {length}\r\n\r\n");
+        let chunked = format!("{post}transfer-encoding: chunked\r\n\r\n");
+        let quarter = 256 * 1_024;
+        let second = time::Duration::from_secs(1);
+        let script = |start: String, part: String, parts: usize| Script {
+            start: start.into_bytes(),
+            part: part.into_bytes(),
+            parts,
+            pause: time::Duration::ZERO,
+            reads: true,
+        };
+        let kilobyte = "x".repeat(1_024);
+        match self {
+            Self::LongHead => script(format!("{post}x-long: "), kilobyte, 1_024),
+            Self::EndlessHead => script(post.to_owned(), "x-more: and more\r\n".repeat(64), 1_024),
+            Self::EmptyLines => script(String::new(), "\r\n".repeat(512), 1_024),
+            Self::SlowHead => Script {
+                pause: second,
+                ..script(format!("{post}x-slow: "), "x".to_owned(), 600)
+            },
+            Self::WholeBody => script(with_length(quarter), "x".repeat(quarter - 1), 1),
+            Self::BodyInPieces => script(
+                chunked,
+                format!("400\r\n{kilobyte}\r\n"),
+                quarter / 1_024 - 1,
+            ),
+            Self::LargeChunk => script(format!("{chunked}40000000\r\n"), kilobyte, 1_024),
+            Self::ByteChunks => script(chunked, "1\r\nx\r\n".repeat(1_024), 1_024),
+            Self::SlowBody => Script {
+                pause: second,
+                ..script(with_length(quarter), "x".to_owned(), 600)
+            },
+            Self::LargeSpecs => {
+                let spec = "x".repeat(250_000);
+                let body = format!(r#"{{"spec":"{spec}","phases":[{{"count":1,"cpu":1}}]}}"#);
+                script(String::new(), with_length(body.len()) + &body, 4)
+            }
+            Self::ManySteps => {
+                let steps = vec!["{}"; 80_000].join(",");
+                let body = format!(r#"{{"phases":[{steps}]}}"#);
+                script(String::new(), with_length(body.len()) + &body, 4)
+            }
+            Self::Silence => script(String::new(), String::new(), 0),
+            Self::UnreadAnswers => Script {
+                reads: false,
+                ..script(
+                    String::new(),
+                    "GET /jobs/ HTTP/1.1\r\nhost: jobs.example\r\n\r\n".repeat(64),
+                    1_024,
+                )
+            },
+            Self::ConnectionPerCall => script(
+                "GET /jobs/ HTTP/1.1\r\nhost: jobs.example\r\n\r\n".to_owned(),
+                String::new(),
+                0,
+            ),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    Follower,
+    Leader,
+}
+
+/// The answers to the calls of a caller that behaves.
+#[derive(Default)]
+struct Answers {
+    /// Jobs by status; 0 stands for no complete answer in time.
+    jobs: Vec<(u64, u16)>,
+}
+
+impl Answers {
+    fn with_status(&self, wanted: &[u16]) -> Vec<u64> {
+        let jobs = self.jobs.iter();
+        let wanted = jobs.filter(|(_, status)| wanted.contains(status));
+        wanted.map(|(job, _)| *job).collect()
+    }
+}
+
+/// Submits a small job every now and then, on a new connection and on one that stays
+/// open in turn, and samples descriptors meanwhile; returns the answers and the most
+/// descriptors that any instance had.
+async fn submit_beside_crowd(fleet: &Fleet, number: usize, first: u64) -> (Answers, usize) {
+    let begun = time::Instant::now();
+    let mut answers = Answers::default();
+    let mut most_descriptors = 0;
+    let mut job = first;
+    let kept = fleet.caller();
+    while begun.elapsed() < CROWD_TIME {
+        let caller = match job % 2 {
+            0 => kept.clone(),
+            _ => kept.with_new_connections(),
+        };
+        let waited = Stopwatch::start();
+        let status = caller.submit(number, job, 1, "20").await;
+        let in_time = waited.elapsed() <= CALLER_DEADLINE;
+        answers
+            .jobs
+            .push((job, status.filter(|_| in_time).unwrap_or_default()));
+        job += 1;
+        most_descriptors = most_descriptors.max(fleet.most_descriptors());
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+    (answers, most_descriptors)
+}
+
+/// Checks what the callers beside a crowd were answered.
+async fn check_answers(fleet: &Fleet, number: usize, answers: &Answers) {
+    let unanswered = answers.with_status(&[0]);
+    assert!(unanswered.is_empty(), "no answer for jobs {unanswered:x?}");
+    let accepted = answers.with_status(&[200]);
+    let all = answers.jobs.len();
+    assert!(
+        accepted.len() * 100 >= all * MIN_ACCEPTED_PERCENT,
+        "{} of {all} calls were accepted: {:x?}",
+        accepted.len(),
+        answers.jobs
+    );
+    for job in accepted {
+        fleet.wait_for_state(number, job, "completed").await;
+    }
+    for refused in answers.with_status(&[429, 503]) {
+        let prefix = format!("{refused:016x}.");
+        let runs = fleet.platform.ledger.runs();
+        let ran = runs.iter().any(|run| run.task.starts_with(&prefix));
+        assert!(!ran, "job {refused:x} was refused and ran");
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_beside_a_crowd(
+    #[values(
+        Misuse::LongHead,
+        Misuse::EndlessHead,
+        Misuse::EmptyLines,
+        Misuse::SlowHead,
+        Misuse::WholeBody,
+        Misuse::BodyInPieces,
+        Misuse::LargeChunk,
+        Misuse::ByteChunks,
+        Misuse::SlowBody,
+        Misuse::LargeSpecs,
+        Misuse::ManySteps,
+        Misuse::Silence,
+        Misuse::UnreadAnswers,
+        Misuse::ConnectionPerCall
+    )]
+    misuse: Misuse,
+    #[values(At::Follower, At::Leader)] at: At,
+) {
+    let _alone = ALONE.lock().await;
+    let mut fleet = Fleet::start_with_descriptors(2, 2, MACHINE_DESCRIPTORS).await;
+    let leader = fleet.leader().await;
+    let number = match at {
+        At::Leader => leader,
+        At::Follower => 1 - leader,
+    };
+    let terms = fleet.count_events("TERM_BEGUN");
+    let crowd = Crowd::start(
+        fleet.caller_address(number),
+        misuse.clients(),
+        misuse.script(),
+    );
+    let (answers, descriptors) = submit_beside_crowd(&fleet, number, 0xc000).await;
+    println!(
+        "{misuse:?} at the {at:?}: {:?}; {} of {} calls accepted; {descriptors} descriptors; {:?} KiB",
+        crowd.counts,
+        answers.with_status(&[200]).len(),
+        answers.jobs.len(),
+        [0, 1].map(|each| fleet.peak_memory_kib(each)),
+    );
+    assert!(crowd.counts.opened.load(atomic::Ordering::Relaxed) >= misuse.clients() / 2);
+    drop(crowd);
+    for each in 0..2 {
+        assert!(!fleet.has_ended(each), "entry-{each} ended");
+        let peak_kib = fleet.peak_memory_kib(each);
+        assert!(
+            peak_kib <= MACHINE_MEMORY_KIB,
+            "entry-{each}: {peak_kib} KiB"
+        );
+    }
+    assert!(
+        descriptors <= MACHINE_DESCRIPTORS,
+        "{descriptors} descriptors"
+    );
+    assert_eq!(
+        fleet.count_events("TERM_BEGUN"),
+        terms,
+        "the leader changed"
+    );
+    check_answers(&fleet, number, &answers).await;
+    fleet.assert_no_violations();
+}
+
+/// Guards against bodies that are kept as one buffer for each chunk: a chunk of one byte
+/// then takes many times its size.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_one_byte_take_little_memory(
+    #[values(At::Follower, At::Leader)] at: At,
+) {
+    let _alone = ALONE.lock().await;
+    let mut fleet = Fleet::start(2, 2, false).await;
+    let leader = fleet.leader().await;
+    let number = match at {
+        At::Leader => leader,
+        At::Follower => 1 - leader,
+    };
+    let script = Script {
+        parts: 250,
+        ..Misuse::ByteChunks.script()
+    };
+    let crowd = Crowd::start(fleet.caller_address(number), 16, script);
+    fleet
+        .wait_until_idle(number, time::Duration::from_secs(1))
+        .await;
+    println!("{:?}: {} KiB", crowd.counts, fleet.peak_memory_kib(number));
+    assert!(!fleet.has_ended(number));
+    let peak_kib = fleet.peak_memory_kib(number);
+    assert!(peak_kib <= MACHINE_MEMORY_KIB, "{peak_kib} KiB");
+}
+
+/// Guards against connections to any address of an instance that use up the descriptors
+/// with which it reaches the store and the workers.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_beside_a_crowd_at_another_address(
+    #[values(Misuse::Silence, Misuse::EndlessHead)] misuse: Misuse,
+    #[values("ready", "operator", "peer")] address: &str,
+) {
+    let _alone = ALONE.lock().await;
+    let mut fleet = Fleet::start_with_descriptors(2, 2, MACHINE_DESCRIPTORS).await;
+    let number = fleet.leader().await;
+    let terms = fleet.count_events("TERM_BEGUN");
+    let target = fleet.address(number, address);
+    let crowd = Crowd::start(target, misuse.clients(), misuse.script());
+    let (answers, descriptors) = submit_beside_crowd(&fleet, number, 0xc000).await;
+    println!(
+        "{misuse:?} at {address}: {:?}; {} of {} calls accepted; {descriptors} descriptors; {} KiB",
+        crowd.counts,
+        answers.with_status(&[200]).len(),
+        answers.jobs.len(),
+        fleet.peak_memory_kib(number),
+    );
+    drop(crowd);
+    assert!(!fleet.has_ended(number));
+    let peak_kib = fleet.peak_memory_kib(number);
+    assert!(peak_kib <= MACHINE_MEMORY_KIB, "{peak_kib} KiB");
+    assert!(descriptors < MACHINE_DESCRIPTORS, "no descriptor is left");
+    assert_eq!(
+        fleet.count_events("TERM_BEGUN"),
+        terms,
+        "the leader changed"
+    );
+    check_answers(&fleet, number, &answers).await;
+    fleet.assert_no_violations();
+}
+
+/// Guards against a limit that a client within the documented limits meets: the largest
+/// job is taken, whole and in chunks of one byte.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_job_is_served(
+    #[values(At::Follower, At::Leader)] at: At,
+    #[values(false, true)] in_byte_chunks: bool,
+) {
+    let _alone = ALONE.lock().await;
+    let fleet = Fleet::start(2, 2, false).await;
+    let leader = fleet.leader().await;
+    let number = match at {
+        At::Leader => leader,
+        At::Follower => 1 - leader,
+    };
+    // Each byte of the specification takes six in JSON.
+    let spec = "\\u0031".repeat(4_000);
+    let steps = (0..64).map(|step| {
+        let after: Vec<String> = (0..step).map(|earlier: u32| earlier.to_string()).collect();
+        format!(
+            r#"{{"count":1,"cpu":100,"mem_mb":16,"gpu":0,"estimate_ms":20,"after":[{}],"saves_progress":true}}"#,
+            after.join(",")
+        )
+    });
+    let steps = steps.collect::<Vec<String>>().join(",");
+    let body = format!(r#"{{"spec":"{spec}","phases":[{steps}]}}"#);
+    let status = fleet
+        .post_raw(number, 0xa0, body.as_bytes(), in_byte_chunks)
+        .await;
+    assert_eq!(status, 200, "{} bytes", body.len());
+}
+
+/// Guards against a planned stop that waits for clients that never end their requests,
+/// or that cuts off callers which behave.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_beside_a_crowd_is_in_order(
+    #[values(
+        Misuse::SlowBody,
+        Misuse::Silence,
+        Misuse::EndlessHead,
+        Misuse::UnreadAnswers
+    )]
+    misuse: Misuse,
+    #[values(At::Follower, At::Leader)] at: At,
+) {
+    let _alone = ALONE.lock().await;
+    let mut fleet = Fleet::start_with_descriptors(2, 2, MACHINE_DESCRIPTORS).await;
+    let leader = fleet.leader().await;
+    let number = match at {
+        At::Leader => leader,
+        At::Follower => 1 - leader,
+    };
+    let address = fleet.caller_address(number);
+    let crowd = Crowd::start(address, misuse.clients() / 4, misuse.script());
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let caller = fleet.caller();
+    assert_eq!(caller.submit(number, 0xd0, 1, "20").await, Some(200));
+    let waited = Stopwatch::start();
+    fleet.signal(number, "TERM");
+    // Callers go on for as long as the balancer still sends some.
+    for job in 0xd1..0xd8 {
+        let status = caller.submit(number, job, 1, "20").await;
+        assert!(
+            matches!(status, Some(200 | 429 | 503 | 504)),
+            "job {job:x}: {status:?}"
+        );
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+    assert_eq!(fleet.exit_code(number), Some(0));
+    let took = waited.elapsed();
+    assert!(took <= GRACE_PERIOD, "the stop took {took:?}");
+    drop(crowd);
+    fleet.assert_no_violations();
+}
--- a/crates/figscale/tests/fleet_support/caller.rs
+++ b/crates/figscale/tests/fleet_support/caller.rs
@@ -21,6 +21,14 @@
 }
 
 impl Caller {
+    /// The same caller with connections of its own.
+    pub(crate) fn with_new_connections(&self) -> Self {
+        Self {
+            client: client::Client::default(),
+            ..self.clone()
+        }
+    }
+
     /// Makes a call; `None` if there is no answer within the time limit.
     async fn send(&self, call: client::Call) -> Option<client::Answer> {
         let call = super::with_host_and_limit(call, TIME_LIMIT);
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of it, one uses all")]
 
 pub(crate) mod caller;
+pub(crate) mod crowd;
 mod paths;
 pub(crate) mod stopwatch;
 
@@ -18,6 +19,8 @@
 use figscale_standin::proxy;
 use indexmap::IndexMap;
 use serde_json::json;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 
 /// Timeout for a condition, in wall-clock time on a machine that may be busy.
 const CONDITION_TIMEOUT: time::Duration = time::Duration::from_secs(40);
@@ -42,6 +45,8 @@
     max_config_age: Option<time::Duration>,
     /// Whether instances reach each other through proxies.
     peer_proxies: bool,
+    /// Most descriptors that a process may have open; the limit of the test if `None`.
+    max_descriptors: Option<usize>,
 }
 
 impl Default for Setup {
@@ -51,6 +56,7 @@
             own_workers: 64,
             max_config_age: None,
             peer_proxies: false,
+            max_descriptors: None,
         }
     }
 }
@@ -126,6 +132,20 @@
         Self::start_with(platform, instances, setup).await
     }
 
+    /// Like [`Self::start`], with a limit on the descriptors of each process.
+    pub(crate) async fn start_with_descriptors(
+        instances: usize,
+        workers: usize,
+        max_descriptors: usize,
+    ) -> Self {
+        let platform = standin::Platform::start(workers, "pool").await.unwrap();
+        let setup = Setup {
+            max_descriptors: Some(max_descriptors),
+            ..Setup::default()
+        };
+        Self::start_with(platform, instances, setup).await
+    }
+
     /// Like [`Self::start`], with all calls to workers relayed by the other instances.
     pub(crate) async fn start_relayed(instances: usize, workers: usize) -> Self {
         let platform = standin::Platform::start(workers, "pool").await.unwrap();
@@ -264,7 +284,19 @@
             .append(true)
             .open(&instance.log)
             .unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_figscale"))
+        let mut command = match self.setup.max_descriptors {
+            None => process::Command::new(env!("CARGO_BIN_EXE_figscale")),
+            // The shell becomes the process, so that its id is the child's.
+            Some(limit) => {
+                let mut shell = process::Command::new("sh");
+                shell
+                    .arg("-c")
+                    .arg(format!("ulimit -n {limit}; exec \"$0\" \"$@\""));
+                shell.arg(env!("CARGO_BIN_EXE_figscale"));
+                shell
+            }
+        };
+        let child = command
             .arg("serve")
             .arg("--settings")
             .arg(&instance.settings)
@@ -314,6 +346,105 @@
         lines.any(|line| line.starts_with("State:") && line.contains("T (stopped)"))
     }
 
+    /// Peak resident memory of an instance, in KiB.
+    pub(crate) fn peak_memory_kib(&self, number: usize) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process_id(number)));
+        let status = status.unwrap();
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
+    /// The most descriptors that any instance has open.
+    pub(crate) fn most_descriptors(&self) -> usize {
+        let numbers = 0..self.instances.len();
+        let open = numbers.map(|number| {
+            let directory = format!("/proc/{}/fd", self.process_id(number));
+            fs::read_dir(directory).unwrap().count()
+        });
+        open.max().unwrap()
+    }
+
+    fn process_id(&self, number: usize) -> u32 {
+        self.instances[number].child.as_ref().unwrap().id()
+    }
+
+    /// The address of an instance for callers.
+    pub(crate) fn caller_address(&self, number: usize) -> net::SocketAddr {
+        self.instances[number].caller
+    }
+
+    /// An address of an instance by its name in the settings.
+    pub(crate) fn address(&self, number: usize, name: &str) -> net::SocketAddr {
+        let instance = &self.instances[number];
+        match name {
+            "ready" => instance.ready,
+            "operator" => instance.operator,
+            "peer" => instance.peer,
+            _ => panic!("no address {name}"),
+        }
+    }
+
+    /// Waits until an instance has used little processor time for a while.
+    pub(crate) async fn wait_until_idle(&self, number: usize, quiet: time::Duration) {
+        let begun = time::Instant::now();
+        let mut used = self.processor_ticks(number);
+        while begun.elapsed() < CONDITION_TIMEOUT {
+            tokio::time::sleep(quiet).await;
+            let now = self.processor_ticks(number);
+            // A tick is 10 ms.
+            if time::Duration::from_millis(10) * (now - used) < quiet / 4 {
+                return;
+            }
+            used = now;
+        }
+        panic!("entry-{number} never became idle");
+    }
+
+    /// Processor time that an instance has used, in ticks of 10 ms.
+    fn processor_ticks(&self, number: usize) -> u32 {
+        let status = fs::read_to_string(format!("/proc/{}/stat", self.process_id(number)));
+        let status = status.unwrap();
+        let after_name = status.rsplit(')').next().unwrap();
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let ticks = |field: usize| fields[field].parse::<u32>().unwrap();
+        ticks(11) + ticks(12)
+    }
+
+    /// Submits a body for a job, whole or in chunks of one byte, on a connection of its
+    /// own; returns the status of the answer.
+    pub(crate) async fn post_raw(
+        &self,
+        number: usize,
+        job: u64,
+        body: &[u8],
+        in_byte_chunks: bool,
+    ) -> u16 {
+        let (length, body) = match in_byte_chunks {
+            false => (format!("content-length: {}", body.len()), body.to_vec()),
+            true => {
+                let chunks = body
+                    .iter()
+                    .flat_map(|byte| [b'1', b'\r', b'\n', *byte, b'\r', b'\n']);
+                let body = chunks.chain(*b"0\r\n\r\n").collect();
+                ("transfer-encoding: chunked".to_owned(), body)
+            }
+        };
+        let path = path_of(job);
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n{length}\r\n\r\n"
+        );
+        let mut socket = tokio::net::TcpStream::connect(self.caller_address(number))
+            .await
+            .unwrap();
+        socket.write_all(head.as_bytes()).await.unwrap();
+        socket.write_all(&body).await.unwrap();
+        let mut answer = String::new();
+        socket.read_to_string(&mut answer).await.unwrap();
+        let status = answer.split(' ').nth(1).unwrap();
+        status.parse().unwrap()
+    }
+
     /// Waits for the end of an instance.
     pub(crate) fn exit_code(&mut self, number: usize) -> Option<i32> {
         let mut child = self.instances[number].child.take().unwrap();
