Bound what clients hold on every listener

Callers saw: beside clients that never end what they send, an instance grew until the machine's memory was used, or had no descriptor left for its store, and answered nobody.

Cause: the fleet's front, the readiness address and the operators' were served by the library's server with its defaults: 400 KB of buffer for each head, up to 256 KiB of body kept as a list of its parts, no bound on connections or on all bodies together, no timeout. A part of a body keeps the buffer that it came in, so a body in chunks of one byte took 36 times its size.

Change: inbound, one module that all bytes from outside pass, below the listeners of callers, the balancer, operators, and peers until they have shown the token. Limits follow from the settings and the size of the machine (new section machine). At the bound of connections the one that has waited longest for its client is closed, never one with a complete request; bodies share one amount of memory, counted by the capacity of their buffers, and the oldest incomplete one gives way. That closes the connection: a 429 or 503 would promise that the job never runs, which the instance cannot know. A body that is too slow gets 408 and a broken one 400; both were 413.

--- a/crates/figscale/src/fleet/entry/call.rs
+++ b/crates/figscale/src/fleet/entry/call.rs
@@ -6,8 +6,8 @@
 use figscale_platform::ingress;
 use figscale_types::fleet;
 
-/// Largest accepted body; the platform's jobs are a tenth of it.
-pub(super) const MAX_BODY_BYTES: usize = 256 * 1_024;
+use crate::inbound;
+
 /// Time limit assumed for a caller that sends none.
 const DEFAULT_TIME_LIMIT: time::Duration = time::Duration::from_secs(3);
 /// Largest part of a caller's time limit that is reserved for returning the
@@ -30,16 +30,13 @@
     pub(super) key: Option<fleet::KeyDigest>,
     /// Latest time to send the answer.
     pub(super) deadline: time::Instant,
-    pub(super) body: bytes::Bytes,
+    /// The body, once it has been read.
+    pub(super) body: Option<inbound::body::Body>,
 }
 
 impl Call {
-    /// A call that arrived at the given time.
-    pub(super) fn new(
-        head: &http::request::Parts,
-        body: bytes::Bytes,
-        arrived: time::Instant,
-    ) -> Self {
+    /// A call whose head arrived at the given time.
+    pub(super) fn new(head: &http::request::Parts, arrived: time::Instant) -> Self {
         let time_limit = time_limit_of(&head.headers);
         let margin = MAX_REPLY_MARGIN.min(time_limit / REPLY_MARGIN_DIVISOR);
         Self {
@@ -48,9 +45,14 @@
             path: head.uri.path().to_owned(),
             key: config::key_of(head.headers.get(http::header::AUTHORIZATION)),
             deadline: arrived + time_limit.saturating_sub(margin),
-            body,
+            body: None,
         }
     }
+
+    /// The bytes of the body; none before it has been read.
+    pub(super) fn body_bytes(&self) -> &[u8] {
+        self.body.as_ref().map_or(&[], |body| body.bytes())
+    }
 }
 
 /// How long the caller waits for the answer.
--- a/crates/figscale/src/fleet/entry/dispatch.rs
+++ b/crates/figscale/src/fleet/entry/dispatch.rs
@@ -1,11 +1,13 @@
 //! Routes a call to its queue and operation, and answers it.
 
-use axum::body;
-use axum::extract;
+use std::sync;
+
 use axum::response;
 use axum::response::IntoResponse as _;
 use figscale_platform::ingress;
 use figscale_types::fleet;
+use http::Request;
+use hyper::body;
 
 use super::authorize;
 use super::call;
@@ -16,19 +18,26 @@
 use crate::fleet::calls::LeaderAnswer;
 use crate::fleet::calls::LeaderCall;
 use crate::fleet::leader_client;
+use crate::inbound;
 
 /// Handles any call of a caller.
 pub(super) async fn answer(
-    extract::State(context): extract::State<Context>,
-    request: extract::Request,
+    context: Context,
+    connection: sync::Arc<inbound::Connection>,
+    request: Request<body::Incoming>,
 ) -> response::Response {
     let arrived = context.clock.now();
     let (head, body) = request.into_parts();
-    let Ok(body) = body::to_bytes(body, call::MAX_BODY_BYTES).await else {
-        return http::StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    let mut call = call::Call::new(&head, arrived);
+    let max_bytes = context.fleet.max_body_bytes;
+    let time_left = call.deadline.saturating_duration_since(arrived);
+    let answer = match inbound::body::read(&connection, body, max_bytes, time_left).await {
+        Ok(body) => {
+            call.body = Some(body);
+            dispatch(&context, &call).await
+        }
+        Err(error) => reply::unread(&call, error),
     };
-    let call = call::Call::new(&head, body, arrived);
-    let answer = dispatch(&context, &call).await;
     let took = context.clock.now().saturating_duration_since(arrived);
     let status = answer.status().as_u16();
     let method = method_label(&call.method);
--- a/crates/figscale/src/fleet/entry/mod.rs
+++ b/crates/figscale/src/fleet/entry/mod.rs
@@ -13,8 +13,6 @@
 mod reply;
 mod submit;
 
-use std::future::IntoFuture as _;
-
 use axum::Router;
 use axum::extract;
 use axum::response;
@@ -27,6 +25,7 @@
 
 use super::Context;
 use super::readiness;
+use crate::inbound;
 
 /// The listeners for callers and for the load balancer.
 pub(super) struct Server {
@@ -50,29 +49,26 @@
 
 /// Serves callers, and the readiness checks of the load balancer.
 pub(super) fn start(context: &Context, callers: TcpListener, ready: TcpListener) -> Server {
+    let callers = context.listener(callers, inbound::Limits::callers(&context.settings));
+    let ready = context.listener(ready, inbound::Limits::balancer(&context.settings));
     let (stop, stopped) = watch::channel(false);
-    let calls = Router::new()
-        .fallback(dispatch::answer)
-        .layer(extract::DefaultBodyLimit::max(call::MAX_BODY_BYTES))
-        .with_state(context.clone());
     let balancer = Router::new()
         .route(ingress::READY_PATH, routing::get(is_ready))
         .with_state(context.clone());
     let served = vec![
-        tokio::spawn(serve(callers, calls, stopped.clone())),
-        tokio::spawn(serve(ready, balancer, stopped)),
+        tokio::spawn(serve_callers(context.clone(), callers, stopped.clone())),
+        tokio::spawn(inbound::server::serve_router(ready, stopped, balancer, 0)),
     ];
     Server { stop, served }
 }
 
-async fn serve(listener: TcpListener, app: Router, mut stopped: watch::Receiver<bool>) {
-    let until = async move {
-        let _ = stopped.wait_for(|stop| *stop).await;
-    };
-    let _ = axum::serve(listener, app)
-        .with_graceful_shutdown(until)
-        .into_future()
-        .await;
+async fn serve_callers(
+    context: Context,
+    callers: inbound::Listener,
+    stopped: watch::Receiver<bool>,
+) {
+    let answer = move |connection, request| dispatch::answer(context.clone(), connection, request);
+    inbound::server::serve(callers, stopped, answer).await;
 }
 
 async fn is_ready(extract::State(context): extract::State<Context>) -> response::Response {
--- a/crates/figscale/src/fleet/entry/reply.rs
+++ b/crates/figscale/src/fleet/entry/reply.rs
@@ -6,6 +6,7 @@
 use super::authorize;
 use super::call;
 use crate::events;
+use crate::inbound;
 
 /// When to retry while there is no leader.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 1_000;
@@ -24,6 +25,13 @@
     (status, cause).into_response()
 }
 
+/// Answers a call whose body was not read; the call had no effect.
+pub(super) fn unread(call: &call::Call, error: inbound::body::BodyError) -> response::Response {
+    let cause = error.to_string();
+    log_rejected(call, &cause);
+    (error.status(), cause).into_response()
+}
+
 /// Answers a call without a valid key; the call had no effect.
 pub(super) fn unauthorized(call: &call::Call, refusal: authorize::Refusal) -> response::Response {
     if refusal == authorize::Refusal::UnknownKey {
@@ -37,7 +45,7 @@
     refuse_with_retry(status, UNAVAILABLE_RETRY_AFTER_MS, text)
 }
 
-fn log_rejected(call: &call::Call, cause: &'static str) {
+fn log_rejected(call: &call::Call, cause: &str) {
     crate::event!(
         events::fleet::CALL_REJECTED,
         host = call.host,
--- a/crates/figscale/src/fleet/entry/submit.rs
+++ b/crates/figscale/src/fleet/entry/submit.rs
@@ -29,8 +29,9 @@
     queue: fleet::Queue,
     customer: Option<fleet::CustomerName>,
 ) -> response::Response {
-    let decoded = ingress::decode_job(&call.body);
-    let description = match decoded.and_then(validated) {
+    let decoded = ingress::decode_job(call.body_bytes());
+    let max_spec_bytes = context.fleet.max_spec_bytes;
+    let description = match decoded.and_then(|job| validated(job, max_spec_bytes)) {
         Ok(description) => description,
         Err(fault) => {
             crate::event!(events::fleet::CALL_REJECTED, job = job, cause = fault);
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -38,6 +38,7 @@
 mod term;
 mod workers;
 
+use std::net;
 use std::sync;
 use std::time;
 
@@ -52,6 +53,7 @@
 use tokio::sync::watch;
 
 use crate::events;
+use crate::inbound;
 use crate::kernel;
 use crate::metrics;
 use crate::peer;
@@ -96,6 +98,11 @@
 }
 
 impl Context {
+    /// A listener with limits on what its clients may hold.
+    fn listener(&self, listener: TcpListener, limits: inbound::Limits) -> inbound::Listener {
+        inbound::Listener::new(listener, limits, self.clock.clone(), self.metrics.clone())
+    }
+
     /// Milliseconds since 1970, for times recorded in the store.
     pub(crate) fn wall_ms(&self) -> u64 {
         let since = self.clock.wall().duration_since(time::UNIX_EPOCH);
@@ -125,10 +132,23 @@
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
     let mut hangup = unix::signal(unix::SignalKind::hangup())?;
-    let callers = bind("caller_address", settings.caller_address).await?;
-    let ready = bind("fleet.ready_address", fleet.ready_address).await?;
-    let peers = bind("peer_address", settings.peer_address).await?;
-    let operators = bind("operator_address", settings.operator_address).await?;
+    let buffer_bytes = settings.traffic.receive_buffer_bytes;
+    let callers = listen(
+        "caller_address",
+        settings.caller_address,
+        Some(buffer_bytes),
+    )?;
+    let ready = listen(
+        "fleet.ready_address",
+        fleet.ready_address,
+        Some(buffer_bytes),
+    )?;
+    let peers = listen("peer_address", settings.peer_address, None)?;
+    let operators = listen(
+        "operator_address",
+        settings.operator_address,
+        Some(buffer_bytes),
+    )?;
     let context = context(settings, fleet, clock, runtime);
 
     let mut handlers = peer::Handlers::default();
@@ -139,11 +159,10 @@
     election::start(&context, &mut handlers);
     machine_health::start(&context);
     config_watch::start(&context);
-    tokio::spawn(peer::listen(
-        peers,
-        context.settings.peer_token.clone(),
-        handlers,
-    ));
+    let peers = context.listener(peers, inbound::Limits::peers(&context.settings.machine));
+    let token = context.settings.peer_token.clone();
+    let limits = peer::Limits::default();
+    tokio::spawn(peer::serve(peers, token, handlers, limits));
     let mut served = entry::start(&context, callers, ready);
     operators::start(&context, operators);
     crate::event!(
@@ -172,9 +191,14 @@
     Ok(())
 }
 
-async fn bind(field: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    bound.wrap_err_with(|| format!("{field}: cannot listen on {address}"))
+fn listen(
+    field: &str,
+    address: net::SocketAddr,
+    receive_buffer_bytes: Option<u64>,
+) -> eyre::Result<TcpListener> {
+    let listener = inbound::listener::bind(address, receive_buffer_bytes)
+        .and_then(|socket| socket.listen(inbound::listener::BACKLOG));
+    listener.wrap_err_with(|| format!("{field}: cannot listen on {address}"))
 }
 
 fn context(
--- a/crates/figscale/src/fleet/operators/mod.rs
+++ b/crates/figscale/src/fleet/operators/mod.rs
@@ -4,8 +4,6 @@
 mod catalogue;
 mod jobs;
 
-use std::future::IntoFuture as _;
-
 use axum::Json;
 use axum::Router;
 use axum::extract;
@@ -14,9 +12,11 @@
 use axum::routing;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::Context;
 use super::readiness;
+use crate::inbound;
 use crate::operator;
 
 /// Serves the operators' API until the process ends.
@@ -32,7 +32,11 @@
         .method_not_allowed_fallback(operator::no_such_method)
         .layer(extract::DefaultBodyLimit::max(operator::MAX_BODY_BYTES))
         .with_state(context.clone());
-    tokio::spawn(axum::serve(listener, app).into_future());
+    let listener = context.listener(listener, inbound::Limits::operators(&context.settings));
+    tokio::spawn(async move {
+        let (_stop, stopped) = watch::channel(false);
+        inbound::server::serve_router(listener, stopped, app, operator::MAX_BODY_BYTES).await;
+    });
 }
 
 async fn metrics(extract::State(context): extract::State<Context>) -> String {
--- a/crates/figscale/src/lib.rs
+++ b/crates/figscale/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cli;
 pub mod events;
 pub mod fleet;
+mod inbound;
 pub mod jobs;
 pub mod kernel;
 pub mod logs;
--- a/crates/figscale/src/metrics.rs
+++ b/crates/figscale/src/metrics.rs
@@ -60,6 +60,8 @@
     runs_preempted: metrics::Counter<u64>,
     preemptions: metrics::Counter<u64>,
     catalogue_revision: metrics::Gauge<u64>,
+    inbound_open: metrics::Gauge<u64>,
+    inbound_closed: metrics::Counter<u64>,
     fleet_calls: metrics::Counter<u64>,
     fleet_call_time: metrics::Histogram<f64>,
     fleet_jobs: metrics::Counter<u64>,
@@ -117,6 +119,14 @@
                 "figscale_catalogue_revision",
                 "Catalogue revision in force here.",
             ),
+            inbound_open: gauge(
+                "figscale_inbound_connections",
+                "Connections from outside, by listener.",
+            ),
+            inbound_closed: counter(
+                "figscale_inbound_closed",
+                "Connections from outside closed at a limit, by listener and cause.",
+            ),
             fleet_calls: counter("figscale_fleet_calls", "Callers' requests answered."),
             fleet_call_time: seconds(
                 "figscale_fleet_call_seconds",
@@ -329,6 +339,21 @@
         self.fleet_awaits_faster.add(1, &[]);
     }
 
+    /// Sets the number of open connections of a listener.
+    pub fn inbound_open(&self, listener: &'static str, connections: usize) {
+        let labels = [KeyValue::new("listener", listener)];
+        self.inbound_open.record(count(connections), &labels);
+    }
+
+    /// Counts a connection of a listener that was closed at a limit.
+    pub fn inbound_closed(&self, listener: &'static str, cause: &'static str) {
+        let labels = [
+            KeyValue::new("listener", listener),
+            KeyValue::new("cause", cause),
+        ];
+        self.inbound_closed.add(1, &labels);
+    }
+
     /// Records the answer to a call of a fleet's caller.
     pub fn fleet_call_answered(&self, method: &str, status: u16, took: time::Duration) {
         let labels = [
--- a/crates/figscale/src/operator/mod.rs
+++ b/crates/figscale/src/operator/mod.rs
@@ -12,7 +12,6 @@
 mod process;
 pub(crate) mod query;
 
-use std::future::IntoFuture as _;
 use std::time;
 
 use axum::Router;
@@ -25,6 +24,7 @@
 use tokio::sync::watch;
 use tokio::task;
 
+use crate::inbound;
 use crate::state;
 
 pub use answer::RETRY_AFTER_MS;
@@ -50,15 +50,12 @@
 pub fn start(context: &state::Context, listener: TcpListener) -> Server {
     process::register_dump(context);
     let app = router(context);
-    let (stop, mut stopped) = watch::channel(false);
-    let until = async move {
-        let _ = stopped.wait_for(|stop| *stop).await;
-    };
+    let (stop, stopped) = watch::channel(false);
+    let limits = inbound::Limits::operators(&context.settings);
+    let (clock, metrics) = (context.clock.clone(), context.metrics.clone());
     let served = context.traffic.spawn(async move {
-        let _ = axum::serve(listener, app)
-            .with_graceful_shutdown(until)
-            .into_future()
-            .await;
+        let listener = inbound::Listener::new(listener, limits, clock, metrics);
+        inbound::server::serve_router(listener, stopped, app, MAX_BODY_BYTES).await;
     });
     Server { stop, served }
 }
--- a/crates/figscale/src/peer/mod.rs
+++ b/crates/figscale/src/peer/mod.rs
@@ -45,6 +45,7 @@
 pub use server::Limits;
 pub use server::listen;
 pub use server::listen_within;
+pub(crate) use server::serve;
 
 /// Header with the shared token.
 const TOKEN: &str = "x-peer-token";
--- a/crates/figscale/src/peer/server.rs
+++ b/crates/figscale/src/peer/server.rs
@@ -7,17 +7,26 @@
 use std::time;
 
 use bytes::Bytes;
+use figscale_types::clock;
 use figscale_types::ids;
 use h2::server;
 use indexmap::IndexMap;
 use serde::Serialize;
 use serde::de;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 
 use super::client;
 use super::codec;
+use crate::inbound;
 use crate::kernel;
+use crate::settings;
+
+/// Flow-control window of a connection before its peer has shown the token.
+const STRANGER_WINDOW_BYTES: u32 = 1 << 16;
+/// Flow-control window of a connection of a peer.
+const PEER_WINDOW_BYTES: u32 = 8 << 20;
+/// Largest list of headers of a stream.
+const MAX_HEADER_LIST_BYTES: u32 = 16_384;
 
 /// Why a call failed; its text is sent to the peer.
 pub type CallError = eyre::Report;
@@ -116,39 +125,51 @@
     token: String,
     handlers: Handlers,
     limits: Limits,
+) {
+    let on_connections = inbound::Limits::peers(&settings::MachineSettings::default());
+    let clock = sync::Arc::new(clock::SystemClock);
+    let listener = inbound::Listener::new(listener, on_connections, clock, sync::Arc::default());
+    serve(listener, token, handlers, limits).await;
+}
+
+/// Serves peers until the process ends.
+pub(crate) async fn serve(
+    mut listener: inbound::Listener,
+    token: String,
+    handlers: Handlers,
+    limits: Limits,
 ) {
     let handlers = sync::Arc::new(handlers);
     loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            // Most likely out of file descriptors: wait for some to be closed.
-            tokio::time::sleep(time::Duration::from_millis(50)).await;
-            continue;
-        };
+        let accepted = listener.accept().await;
+        let registered = accepted.connection.clone();
         let handlers = handlers.clone();
         let token = token.clone();
-        tokio::spawn(async move {
-            let _ = serve_connection(socket, token, handlers, limits).await;
+        let task = tokio::spawn(async move {
+            let _ = serve_connection(accepted, token, handlers, limits).await;
         });
+        registered.set_task(task.abort_handle());
     }
 }
 
 async fn serve_connection(
-    socket: TcpStream,
+    accepted: inbound::listener::Accepted,
     token: String,
     handlers: sync::Arc<Handlers>,
     limits: Limits,
 ) -> eyre::Result<()> {
-    let peer = socket.peer_addr()?;
-    socket.set_nodelay(true)?;
+    let peer = accepted.socket.peer_addr()?;
+    let registered = accepted.connection.clone();
     let handshake = server::Builder::new()
         .initial_window_size(1 << 20)
-        .initial_connection_window_size(8 << 20)
+        .initial_connection_window_size(STRANGER_WINDOW_BYTES)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .max_concurrent_streams(4_096)
-        .handshake(socket);
+        .handshake(accepted.into_stream());
     let mut connection = tokio::time::timeout(limits.handshake_timeout, handshake).await??;
     let ping_pong = connection.ping_pong();
     tokio::select! {
-        served = serve_streams(&mut connection, peer, &token, &handlers) => served?,
+        served = serve_streams(&mut connection, &registered, peer, &token, &handlers) => served?,
         () = unanswered_ping(ping_pong, limits) => {
             crate::event!(crate::events::process::PEER_GONE, address = peer);
         }
@@ -174,7 +195,8 @@
 }
 
 async fn serve_streams(
-    connection: &mut server::Connection<TcpStream, Bytes>,
+    connection: &mut server::Connection<inbound::Stream, Bytes>,
+    registered: &inbound::Connection,
     peer: net::SocketAddr,
     token: &str,
     handlers: &sync::Arc<Handlers>,
@@ -186,6 +208,9 @@
             refuse(respond, http::StatusCode::FORBIDDEN);
             continue;
         };
+        // From now on the connection is not closed in favour of another.
+        registered.complete_request();
+        connection.set_target_window_size(PEER_WINDOW_BYTES);
         tokio::spawn(dispatch(request, respond, from, handlers.clone()));
     }
     Ok(())
--- a/crates/figscale/src/serve.rs
+++ b/crates/figscale/src/serve.rs
@@ -5,7 +5,6 @@
 //! anything else, so that a wrong address makes the start fail rather than
 //! the first request.
 
-use std::io;
 use std::net;
 use std::sync;
 use std::thread;
@@ -21,6 +20,7 @@
 use crate::catalogue;
 use crate::claims;
 use crate::events;
+use crate::inbound;
 use crate::jobs;
 use crate::kernel;
 use crate::metrics;
@@ -101,8 +101,9 @@
             .wrap_err_with(|| format!("{field}: cannot listen on {address}"))
     }
     let caller = settings.caller_address;
-    let bound =
-        bind_only(caller).wrap_err_with(|| format!("caller_address: cannot listen on {caller}"));
+    let buffer_bytes = settings.traffic.receive_buffer_bytes;
+    let bound = inbound::listener::bind(caller, Some(buffer_bytes))
+        .wrap_err_with(|| format!("caller_address: cannot listen on {caller}"));
     Ok(Listeners {
         caller: bound?,
         peer: one("peer_address", settings.peer_address).await?,
@@ -110,18 +111,6 @@
     })
 }
 
-/// Binds a socket to an address without listening on it.
-fn bind_only(address: net::SocketAddr) -> io::Result<TcpSocket> {
-    let socket = match address {
-        net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    // `TcpListener::bind` sets it too: a new process can bind the address at once.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    Ok(socket)
-}
-
 fn control_thread(
     settings: settings::Settings,
     clock: clock::SharedClock,
@@ -191,9 +180,12 @@
     traffic::start(&context, &mut handlers, listeners.caller);
     let operators = operator::start(&context, listeners.operator);
     let token = context.settings.peer_token.clone();
-    context
-        .traffic
-        .spawn(peer::listen(listeners.peer, token, handlers));
+    let limits = inbound::Limits::peers(&context.settings.machine);
+    let (clock, metrics) = (context.clock.clone(), context.metrics.clone());
+    context.traffic.spawn(async move {
+        let peers = inbound::Listener::new(listeners.peer, limits, clock, metrics);
+        peer::serve(peers, token, handlers, peer::Limits::default()).await;
+    });
     crate::event!(events::process::PROCESS_STARTED, member = context.me());
 
     // A dropped handle also requests a stop.
--- a/crates/figscale/src/settings/fleet.rs
+++ b/crates/figscale/src/settings/fleet.rs
@@ -50,6 +50,9 @@
     /// Share of each core that this instance may use. Default 1.0, 0.01 to 1.0.
     #[serde(default = "default_cpu_share")]
     pub cpu_share: f64,
+    /// Maximum size of a caller's request body. Default 262,144 bytes, 65,536 to 4,194,304.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: u64,
     /// Number of cores that it may use to that share. Default 1, 1 to 1,024.
     #[serde(default = "default_cores")]
     pub cores: u64,
@@ -75,6 +78,10 @@
     64
 }
 
+fn default_max_body_bytes() -> u64 {
+    262_144
+}
+
 fn default_cpu_share() -> f64 {
     1.0
 }
@@ -120,6 +127,8 @@
         }
         problems.bound("fleet.leader_lease_ms", self.leader_lease_ms, 1_000, 60_000);
         problems.bound("fleet.own_workers", self.own_workers, 0, 100_000);
+        let body = self.max_body_bytes;
+        problems.bound("fleet.max_body_bytes", body, 65_536, 4 << 20);
         problems.bound("fleet.cpu_share", self.cpu_share, 0.01, 1.0);
         problems.bound("fleet.cores", self.cores, 1, 1_024);
     }
--- a/crates/figscale/src/settings/mod.rs
+++ b/crates/figscale/src/settings/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod jobs;
 mod log;
+mod machine;
 mod operator;
 mod traffic;
 
@@ -28,6 +29,7 @@
 pub use log::LogLevel;
 pub use log::LogSettings;
 pub use log::LogTarget;
+pub use machine::MachineSettings;
 pub use operator::OperatorSettings;
 pub use traffic::TrafficSettings;
 
@@ -55,6 +57,9 @@
     /// Maximum duration of a planned stop. Default 30,000, 100 to 600,000.
     #[serde(default = "default_shutdown_ms")]
     pub shutdown_ms: u64,
+    /// The machine.
+    #[serde(default)]
+    pub machine: MachineSettings,
     /// Use of the store.
     #[serde(default)]
     pub store: StoreSettings,
@@ -143,6 +148,7 @@
         problems.bound("shutdown_ms", self.shutdown_ms, 100, 600_000);
         self.check_token(&mut problems);
         self.check_addresses(&mut problems);
+        self.machine.check(&mut problems);
         self.store.check(&mut problems);
         self.claims.check(&mut problems);
         self.catalogue.check(&mut problems);
--- a/crates/figscale/src/settings/traffic.rs
+++ b/crates/figscale/src/settings/traffic.rs
@@ -17,9 +17,15 @@
     pub head_timeout_ms: u64,
     /// Timeout for receiving the body of a request. Default 15,000, 50 to 600,000.
     pub body_timeout_ms: u64,
-    /// Maximum total size of the request bodies in memory. Default 134,217,728 bytes, 1 MiB to 16 GiB.
+    /// Timeout for a client to accept any part of a response. Default 10,000, 50 to 600,000.
+    pub write_timeout_ms: u64,
+    /// Receive buffer of a connection. Default 16,384 bytes, 4,096 to 16,777,216.
+    pub receive_buffer_bytes: u64,
+    /// Maximum total size of the request bodies in memory; an eighth of the machine's
+    /// memory at most. Default 134,217,728 bytes, 1 MiB to 16 GiB.
     pub body_memory_bytes: u64,
-    /// Maximum number of connections of callers. Default 4,096, 1 to 1,000,000.
+    /// Maximum number of connections of callers; their buffers take a fifth of the
+    /// machine's memory at most, and they a third of its descriptors. Default 4,096, 1 to 1,000,000.
     pub max_connections: usize,
     /// Answers up to this size are buffered until they are complete. Default 262,144
     /// bytes, 0 to 16,777,216.
@@ -54,6 +60,8 @@
             max_headers: 64,
             head_timeout_ms: 5_000,
             body_timeout_ms: 15_000,
+            write_timeout_ms: 10_000,
+            receive_buffer_bytes: 16_384,
             body_memory_bytes: 128 << 20,
             max_connections: 4_096,
             hold_bytes: 262_144,
@@ -86,6 +94,10 @@
     fn check_front(&self, problems: &mut Problems) {
         let head = self.max_head_bytes;
         problems.bound("traffic.max_head_bytes", head, 8_192, 1 << 20);
+        let write = self.write_timeout_ms;
+        problems.bound("traffic.write_timeout_ms", write, 50, 600_000);
+        let buffer = self.receive_buffer_bytes;
+        problems.bound("traffic.receive_buffer_bytes", buffer, 4_096, 16 << 20);
         problems.bound("traffic.max_headers", self.max_headers, 16, 1_000);
         problems.bound("traffic.head_timeout_ms", self.head_timeout_ms, 50, 60_000);
         problems.bound("traffic.body_timeout_ms", self.body_timeout_ms, 50, 600_000);
