Serve requests through the limits of all listeners

Callers saw: with all places taken by silent connections, heads without end or stalled bodies, no request was served until their timeouts; one stalled chunked body held the memory for all bodies, since it reserved its largest size at once.

Cause: the front of requests had limits of its own. It stopped accepting at its bound, and counted bodies by what they might become.

Change: it uses inbound like the other listeners; its own limits are gone.

--- a/crates/figscale/src/traffic/call.rs
+++ b/crates/figscale/src/traffic/call.rs
@@ -1,24 +1,18 @@
 //! Parsing and validation of a caller's request.
 
-use std::sync;
 use std::time;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use figscale_types::headers;
 use figscale_types::ids;
 use http::HeaderMap;
 use http::request;
-use http_body_util::BodyExt as _;
 use hyper::body;
-use tokio::sync::OwnedSemaphorePermit;
 
-use super::Traffic;
 use super::answer;
 use super::answer::BadRequest;
+use crate::inbound;
 
-/// Unit in which memory for bodies is counted.
-pub(super) const BODY_UNIT_BYTES: u64 = 1_024;
 /// Path prefix of requests; the catalogue entry follows.
 const RUN_PATH: &str = "/v1/run/";
 /// Largest time budget that a caller may set for a request.
@@ -131,60 +125,17 @@
     pub(super) deadline: time::Instant,
 }
 
-/// A whole body with the memory reserved for it.
-pub(super) struct WholeBody {
-    pub(super) bytes: Bytes,
-    pub(super) memory: Option<OwnedSemaphorePermit>,
-}
-
 /// Reads a whole body, within the size limit of the entry and the body time-out.
 pub(super) async fn read_body(
-    traffic: &sync::Arc<Traffic>,
+    connection: &inbound::Connection,
     body: body::Incoming,
     limit_bytes: u64,
-) -> Result<WholeBody, BadRequest> {
-    use hyper::body::Body as _;
-
-    let hint = body.size_hint();
-    if hint.lower() > limit_bytes {
-        return Err(BadRequest::TooLarge(limit_bytes));
-    }
-    if body.is_end_stream() {
-        let bytes = Bytes::new();
-        return Ok(WholeBody {
-            bytes,
-            memory: None,
-        });
-    }
-    let timeout = time::Duration::from_millis(traffic.settings().body_timeout_ms);
-    let expected_bytes = hint.upper().unwrap_or(limit_bytes).min(limit_bytes);
-    let reading = async {
-        let units = u32::try_from(expected_bytes.div_ceil(BODY_UNIT_BYTES)).unwrap_or(u32::MAX);
-        let memory = traffic.bodies.clone().acquire_many_owned(units).await;
-        let memory = memory.map_err(|_| BadRequest::Body)?;
-        let bytes = collect(body, limit_bytes).await?;
-        Ok(WholeBody {
-            bytes,
-            memory: Some(memory),
-        })
-    };
-    match tokio::time::timeout(timeout, reading).await {
-        Ok(result) => result,
-        Err(_) => Err(BadRequest::TooSlow),
-    }
-}
-
-async fn collect(mut body: body::Incoming, limit_bytes: u64) -> Result<Bytes, BadRequest> {
-    let mut all = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BadRequest::Body)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if (all.len() + data.len()) as u64 > limit_bytes {
-            return Err(BadRequest::TooLarge(limit_bytes));
-        }
-        all.extend_from_slice(&data);
-    }
-    Ok(all.freeze())
+) -> Result<inbound::body::Body, BadRequest> {
+    let timeout = connection.limits().body_timeout;
+    let body = inbound::body::read(connection, body, limit_bytes, timeout).await;
+    body.map_err(|error| match error {
+        inbound::body::BodyError::TooLarge(limit_bytes) => BadRequest::TooLarge(limit_bytes),
+        inbound::body::BodyError::TooSlow => BadRequest::TooSlow,
+        inbound::body::BodyError::Broken => BadRequest::Body,
+    })
 }
--- a/crates/figscale/src/traffic/front.rs
+++ b/crates/figscale/src/traffic/front.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 server for callers.
 //!
-//! Heads, headers, bodies, connections and the time for each are limited. A
-//! request is read whole before it is processed, and the request to the runner
+//! Heads, headers, bodies, connections and the time for each are limited by
+//! [`crate::inbound`]. A request is read whole before it is processed, and the request to the runner
 //! is built from its parsed form. The message framing of a caller therefore
 //! reaches no other process, which prevents request smuggling.
 
@@ -22,14 +22,9 @@
 use http::StatusCode;
 use http::header;
 use hyper::body;
-use hyper::server::conn::http1;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
-use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 
 use super::InProgress;
@@ -42,15 +37,11 @@
 use super::answer::TruncatedBody;
 use super::call;
 use super::route;
+use crate::inbound;
 use crate::kernel;
 
 /// Readiness check of the load balancer.
 const READY_PATH: &str = "/v1/ready";
-/// Delay after an accept that failed, most likely for lack of file descriptors.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
-
-/// Length of the listen queue: connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
 /// Time to wait at a stop for each further connection from the listen queue.
 const LAST_ACCEPT_TIMEOUT: time::Duration = time::Duration::from_millis(5);
 /// Longest time that idle connections are left open at a stop.
@@ -129,8 +120,8 @@
         () = wait_for_initial_state(traffic) => {}
         message = inbox.recv() => return message,
     }
-    let listener = match socket.listen(BACKLOG) {
-        Ok(listener) => listener,
+    let mut listener = match socket.listen(inbound::listener::BACKLOG) {
+        Ok(listener) => traffic.limited(listener),
         Err(error) => {
             crate::event!(crate::events::requests::LISTEN_FAILED, error = error);
             return inbox.recv().await;
@@ -139,14 +130,10 @@
     let callers = Callers {
         traffic,
         shutdown: graceful::GracefulShutdown::new(),
-        permits: sync::Arc::new(Semaphore::new(traffic.settings().max_connections)),
     };
     let message = loop {
         tokio::select! {
-            accepted = callers.accept(&listener) => match accepted {
-                Some(accepted) => callers.begin(accepted),
-                None => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-            },
+            accepted = listener.accept() => callers.begin(accepted),
             message = inbox.recv() => break message,
         }
     };
@@ -164,29 +151,32 @@
     let _ = catalogue.wait_for(|now| now.revision != unread).await;
 }
 
-type Accepted = (TcpStream, tokio::sync::OwnedSemaphorePermit);
+impl Traffic {
+    /// A listener with limits on what callers may hold.
+    fn limited(&self, listener: TcpListener) -> inbound::Listener {
+        let context = &self.context;
+        let limits = inbound::Limits::callers(&context.settings);
+        let (clock, metrics) = (context.clock.clone(), context.metrics.clone());
+        inbound::Listener::new(listener, limits, clock, metrics)
+    }
+}
 
 /// The connections of callers.
 struct Callers<'a> {
     traffic: &'a sync::Arc<Traffic>,
     shutdown: graceful::GracefulShutdown,
-    permits: sync::Arc<Semaphore>,
 }
 
 impl Callers<'_> {
-    async fn accept(&self, listener: &TcpListener) -> Option<Accepted> {
-        let permit = self.permits.clone().acquire_owned().await.ok()?;
-        let (socket, _) = listener.accept().await.ok()?;
-        let _ = socket.set_nodelay(true);
-        Some((socket, permit))
-    }
-
-    fn begin(&self, (socket, permit): Accepted) {
-        let connection = self.shutdown.watch(connection(self.traffic, socket));
-        tokio::spawn(async move {
-            let _ = connection.await;
-            drop(permit);
-        });
+    fn begin(&self, accepted: inbound::listener::Accepted) {
+        let traffic = self.traffic.clone();
+        let omitted = inbound::server::DateHeader::Omitted;
+        inbound::server::spawn(
+            accepted,
+            &self.shutdown,
+            omitted,
+            move |connection, request| answer(traffic.clone(), connection, request),
+        );
     }
 
     /// Stops accepting connections, and closes the open ones.
@@ -195,10 +185,10 @@
     /// it would cut off. The next request of each connection is therefore served
     /// as usual, and its answer closes the connection. Only connections that
     /// remain idle are closed by this side.
-    async fn end(self, listener: TcpListener) {
-        for _ in 0..BACKLOG {
-            let last = tokio::time::timeout(LAST_ACCEPT_TIMEOUT, self.accept(&listener)).await;
-            let Ok(Some(accepted)) = last else {
+    async fn end(self, mut listener: inbound::Listener) {
+        for _ in 0..inbound::listener::BACKLOG {
+            let last = tokio::time::timeout(LAST_ACCEPT_TIMEOUT, listener.accept()).await;
+            let Ok(accepted) = last else {
                 break;
             };
             self.begin(accepted);
@@ -222,29 +212,9 @@
     let _ = in_progress.wait_for(|count| *count == 0).await;
 }
 
-fn connection(
-    traffic: &sync::Arc<Traffic>,
-    socket: TcpStream,
-) -> impl graceful::GracefulConnection<Error = hyper::Error> + Send + use<> {
-    let settings = traffic.settings();
-    let head_timeout = time::Duration::from_millis(settings.head_timeout_ms);
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .max_buf_size(settings.max_head_bytes)
-        .max_headers(settings.max_headers)
-        .auto_date_header(false);
-    let traffic = traffic.clone();
-    let service = hyper::service::service_fn(move |request| {
-        let traffic = traffic.clone();
-        async move { Ok::<_, std::convert::Infallible>(answer(traffic, request).await) }
-    });
-    builder.serve_connection(TokioIo::new(socket), service)
-}
-
 async fn answer(
     traffic: sync::Arc<Traffic>,
+    connection: sync::Arc<inbound::Connection>,
     request: Request<body::Incoming>,
 ) -> Response<ResponseBody> {
     let counted = traffic.begin();
@@ -254,7 +224,7 @@
     // A body with two conflicting lengths can be parsed in two ways; close the
     // connection, so that bytes after a chunked body are not read as a request.
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut response = answer_call(traffic, request, counted).await;
+    let mut response = answer_call(traffic, &connection, request, counted).await;
     if chunked {
         close_after(&mut response);
     }
@@ -263,6 +233,7 @@
 
 async fn answer_call(
     traffic: sync::Arc<Traffic>,
+    connection: &inbound::Connection,
     request: Request<body::Incoming>,
     counted: InProgress,
 ) -> Response<ResponseBody> {
@@ -277,7 +248,9 @@
     let attempt = traffic.new_attempt_id();
     let result = match traffic.admit(&head) {
         Ok(admitted) => {
-            let result = traffic.run(&head, attempt, &admitted, body).await;
+            let result = traffic
+                .run(&head, attempt, &admitted, connection, body)
+                .await;
             result.map(|answer| (answer, admitted))
         }
         Err(refused) => Err(refused),
--- a/crates/figscale/src/traffic/mod.rs
+++ b/crates/figscale/src/traffic/mod.rs
@@ -124,7 +124,6 @@
     changed: Notify,
     /// Number of requests of callers and peers in progress.
     in_progress: watch::Sender<usize>,
-    bodies: sync::Arc<tokio::sync::Semaphore>,
     /// Dispatches that were not written because this process no longer held the
     /// shard or had no authority.
     fenced: atomic::AtomicU64,
@@ -134,7 +133,6 @@
     fn new(context: &state::Context) -> Self {
         let settings = &context.settings.traffic;
         let seed = context.me().incarnation.0;
-        let units = settings.body_memory_bytes / call::BODY_UNIT_BYTES;
         Self {
             context: context.clone(),
             decisions: sync::Mutex::new(Decisions::new(settings, seed)),
@@ -142,7 +140,6 @@
             homes: homes::Homes::new(settings),
             changed: Notify::new(),
             in_progress: watch::Sender::new(0),
-            bodies: sync::Arc::new(tokio::sync::Semaphore::new(units as usize)),
             fenced: atomic::AtomicU64::new(0),
         }
     }
--- a/crates/figscale/src/traffic/route.rs
+++ b/crates/figscale/src/traffic/route.rs
@@ -22,6 +22,7 @@
 use super::call;
 use super::call::Call;
 use super::progress::Progress;
+use crate::inbound;
 
 /// Counts a request towards the limits of its owner until dropped.
 pub(super) struct Admitted {
@@ -117,21 +118,21 @@
         head: &call::Head,
         attempt: dedup::AttemptId,
         admitted: &Admitted,
+        connection: &inbound::Connection,
         body: body::Incoming,
     ) -> Result<Answer, RequestError> {
         let default = time::Duration::from_millis(admitted.policy.budget_ms);
         let deadline = self.now() + head.budget.unwrap_or(default);
         let remembered = head.is_remembered();
-        let body = call::read_body(self, body, admitted.policy.max_body_bytes);
+        let body = call::read_body(connection, body, admitted.policy.max_body_bytes);
         let body = body.await.map_err(RequestError::Bad)?;
-        let _memory = body.memory;
         let call = sync::Arc::new(Call {
             entry: head.entry.clone(),
             owner: head.owner.clone(),
             id: head.id,
             idempotent: head.idempotent,
             headers: head.headers.clone(),
-            body: body.bytes,
+            body: body.bytes().clone(),
             deadline,
         });
         let progress = sync::Arc::new(Progress::default());
--- a/crates/figscale/tests/requests_front.rs
+++ b/crates/figscale/tests/requests_front.rs
@@ -198,3 +198,61 @@
     tokio::time::sleep(time::Duration::from_millis(50)).await;
     still_serves(&cell).await;
 }
+
+/// A cell whose clients may take their time, so that only limits on what they hold
+/// protect others.
+async fn patient_cell() -> Cell {
+    let mut shape = Shape {
+        runners: 1,
+        ..Shape::default()
+    };
+    shape.traffic.head_timeout_ms = 60_000;
+    shape.traffic.body_timeout_ms = 600_000;
+    shape.traffic.max_connections = 32;
+    shape.traffic.body_memory_bytes = 1 << 20;
+    Cell::start(shape).await
+}
+
+/// Opens connections that send some bytes and then nothing.
+async fn open_connections(cell: &Cell, number: usize, bytes: &[u8]) -> Vec<TcpStream> {
+    let mut open = Vec::new();
+    for _ in 0..number {
+        let mut caller = TcpStream::connect(cell.entries[0].caller).await.unwrap();
+        let _ = caller.write_all(bytes).await;
+        open.push(caller);
+    }
+    open
+}
+
+/// Guards against callers that are shut out by connections or bodies of others that never
+/// end their requests.
+#[rstest]
+#[case::silence("")]
+#[case::heads("POST /v1/run/hullrate/quote HTTP/1.1\r\nhost: x\r\nx-slow: ")]
+#[case::bodies(&format!("{}12345", head("content-length: 60000\r\n")))]
+#[case::chunks(&format!("{}5\r\n12345\r\n", head("transfer-encoding: chunked\r\n")))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_beside_stalled_ones(#[case] bytes: &str) {
+    let cell = patient_cell().await;
+    let stalled = open_connections(&cell, 40, bytes.as_bytes()).await;
+    let call = cell.call(0, QUOTE).body("x".repeat(8_000));
+    let answer = cell.client.send_within(requests_cell::LONG, call).await;
+    assert_eq!(answer.unwrap().status, 200);
+    drop(stalled);
+}
+
+/// Guards against callers that are shut out while the memory for bodies is held by bodies
+/// that never end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_beside_large_stalled_bodies() {
+    let cell = patient_cell().await;
+    let part = "x".repeat(200_000);
+    let bytes = format!("{}{part}", head("content-length: 262144\r\n"));
+    let stalled = open_connections(&cell, 20, bytes.as_bytes()).await;
+    for body_bytes in [8_000, 100_000] {
+        let call = cell.call(0, QUOTE).body("x".repeat(body_bytes));
+        let answer = cell.client.send_within(requests_cell::LONG, call).await;
+        assert_eq!(answer.unwrap().status, 200, "{body_bytes} bytes");
+    }
+    drop(stalled);
+}
