--- a/crates/figscale-core/src/fleet/validation.rs
+++ b/crates/figscale-core/src/fleet/validation.rs
@@ -6,8 +6,6 @@
 
 use figscale_types::fleet;
 
-/// Most steps of a job; the jobs of the users have four at most.
-const MAX_STEPS: usize = 64;
 /// Most tasks of a job, over all occurrences. An entry takes about 200 bytes, so
 /// one job takes 4 MB at most.
 pub const MAX_TASKS: u32 = 20_000;
@@ -15,9 +13,9 @@
 /// Returns a message about the first fault of a job description, for its caller;
 /// `None` if it is valid.
 pub fn validation_error(job: &fleet::JobDescription) -> Option<String> {
-    if job.steps.is_empty() || job.steps.len() > MAX_STEPS {
+    if job.steps.is_empty() || job.steps.len() > fleet::MAX_STEPS {
         let steps = job.steps.len();
-        return Some(format!("{steps} steps: expected 1 to {MAX_STEPS}"));
+        return Some(format!("{steps} steps: expected 1 to {}", fleet::MAX_STEPS));
     }
     let numbered_steps = job.steps.iter().enumerate();
     let of_step = numbered_steps
--- a/crates/figscale-types/src/fleet/job.rs
+++ b/crates/figscale-types/src/fleet/job.rs
@@ -107,6 +107,9 @@
     pub filler: bool,
 }
 
+/// Most steps of a job.
+pub const MAX_STEPS: usize = 64;
+
 /// A job as its caller describes it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobDescription {
--- a/crates/figscale-types/src/fleet/mod.rs
+++ b/crates/figscale-types/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub use ids::WorkerId;
 pub use job::JobDescription;
 pub use job::JobState;
+pub use job::MAX_STEPS;
 pub use job::Room;
 pub use job::StepDescription;
 pub use queue::AdvicePolicy;
