Reject specifications over the documented length

Change: a longer specification is answered with 400 and the limit, before the leader is called; new setting fleet.max_spec_bytes.

Test: fleet_crowds, a_specification_over_the_limit_is_rejected, failed on (200) and passes.

--- a/crates/figscale/src/fleet/entry/submit.rs
+++ b/crates/figscale/src/fleet/entry/submit.rs
@@ -122,7 +122,15 @@
 }
 
 /// The job itself if it is valid, or else the fault.
-fn validated(job: fleet::JobDescription) -> Result<fleet::JobDescription, String> {
+fn validated(
+    job: fleet::JobDescription,
+    max_spec_bytes: usize,
+) -> Result<fleet::JobDescription, String> {
+    let spec_bytes = job.spec.len();
+    if spec_bytes > max_spec_bytes {
+        let limit = format!("expected {max_spec_bytes} at most");
+        return Err(format!("a specification of {spec_bytes} bytes: {limit}"));
+    }
     match scheduling::validation_error(&job) {
         Some(fault) => Err(fault),
         None => Ok(job),
--- a/crates/figscale/src/settings/fleet.rs
+++ b/crates/figscale/src/settings/fleet.rs
@@ -53,6 +53,9 @@
     /// Maximum size of a caller's request body. Default 262,144 bytes, 65,536 to 4,194,304.
     #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: u64,
+    /// Maximum size of a job's specification. Default 4,000 bytes, 1 to 262,144.
+    #[serde(default = "default_max_spec_bytes")]
+    pub max_spec_bytes: usize,
     /// Number of cores that it may use to that share. Default 1, 1 to 1,024.
     #[serde(default = "default_cores")]
     pub cores: u64,
@@ -82,6 +85,10 @@
     262_144
 }
 
+fn default_max_spec_bytes() -> usize {
+    4_000
+}
+
 fn default_cpu_share() -> f64 {
     1.0
 }
@@ -129,6 +136,8 @@
         problems.bound("fleet.own_workers", self.own_workers, 0, 100_000);
         let body = self.max_body_bytes;
         problems.bound("fleet.max_body_bytes", body, 65_536, 4 << 20);
+        let spec = self.max_spec_bytes;
+        problems.bound("fleet.max_spec_bytes", spec, 1, 262_144);
         problems.bound("fleet.cpu_share", self.cpu_share, 0.01, 1.0);
         problems.bound("fleet.cores", self.cores, 1, 1_024);
     }
--- a/crates/figscale/tests/fleet_crowds.rs
+++ b/crates/figscale/tests/fleet_crowds.rs
@@ -328,6 +328,18 @@
     fleet.assert_no_violations();
 }
 
+/// Guards against specifications over the documented limit, which a leader would keep
+/// until the end of their jobs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_specification_over_the_limit_is_rejected() {
+    let _alone = ALONE.lock().await;
+    let fleet = Fleet::start(2, 2, false).await;
+    let rejected = fleet.submit_answer(0, 0xb0, 1, &"1".repeat(4_001)).await;
+    assert_eq!(rejected.status, 400, "{}", rejected.text());
+    assert!(rejected.text().contains("4000"), "{}", rejected.text());
+    assert_eq!(fleet.get(0, "/jobs/00000000000000b0").await.status, 410);
+}
+
 /// Guards against a limit that a client within the documented limits meets: the largest
 /// job is taken, whole and in chunks of one byte.
 #[rstest]
