End connections with their answers while places are short

Callers saw: with requests on all connections all the time, as clients have that pipeline without end, a new connection was closed at once, again and again.

Cause: a connection with a request in progress is never closed for another, and one that always has the next request never waits.

Change: while less than an eighth of the places is free, each answer ends its connection, so that all have a turn; a new connection waits for a place for a second before it is closed.

--- a/crates/figscale/src/inbound/registry.rs
+++ b/crates/figscale/src/inbound/registry.rs
@@ -22,6 +22,13 @@
 /// Part of the memory for bodies that is kept for their starts.
 const START_MEMORY_DIVISOR: usize = 4;
 
+/// A listener is crowded when less than one in this number of places is left.
+const CROWDED_DIVISOR: usize = 8;
+/// Longest time that a new connection waits for one with a request in progress to end.
+const BUSY_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time between two attempts to find a place for it.
+const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -154,6 +161,14 @@
 }
 
 impl Connection {
+    /// Whether few places are left, so that connections should end with their answers
+    /// and let others have a turn.
+    pub(super) fn is_crowded(&self) -> bool {
+        let max = self.registry.limits.max_connections;
+        let open = mutex::lock(&self.registry.connections).open.len();
+        open >= max - max / CROWDED_DIVISOR
+    }
+
     /// The limits of its listener.
     pub(crate) fn limits(&self) -> &Limits {
         &self.registry.limits
@@ -359,8 +374,9 @@
     }
 
     /// Registers a connection. At the bound another one is closed for it; `None` if all
-    /// have a complete request in progress.
+    /// have requests in progress for long.
     pub(super) async fn admit(self: &sync::Arc<Self>) -> Option<sync::Arc<Connection>> {
+        let begun = self.clock.now();
         loop {
             if let Some(connection) = self.try_admit() {
                 return Some(connection);
@@ -369,11 +385,15 @@
                 Ok(()) => self.record_closed(Cause::Connections),
                 Err(NoneClosed::Closing) => (),
                 Err(NoneClosed::Busy) => {
-                    self.record_closed(Cause::Busy);
-                    return None;
+                    self.close_overdue();
+                    let waited = self.clock.now().saturating_duration_since(begun);
+                    if waited >= BUSY_TIMEOUT {
+                        self.record_closed(Cause::Busy);
+                        return None;
+                    }
                 }
             }
-            self.ended.notified().await;
+            let _ = tokio::time::timeout(BUSY_INTERVAL, self.ended.notified()).await;
         }
     }
 
--- a/crates/figscale/src/inbound/server.rs
+++ b/crates/figscale/src/inbound/server.rs
@@ -9,8 +9,10 @@
 
 use axum::Router;
 use axum::response::IntoResponse as _;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -97,6 +99,7 @@
         let connection = on_connection.clone();
         let begun = connection.begin_request(!request.body().is_end_stream());
         let guard = RequestGuard(connection.clone());
+        let crowded = connection.clone();
         let answer = begun.then(|| handler(connection, request));
         async move {
             let answer = match answer {
@@ -104,10 +107,15 @@
                 // The connection is being closed; the request has no effect.
                 None => future::pending().await,
             };
-            Ok::<_, convert::Infallible>(answer.map(|body| AnswerBody {
+            let mut answer = answer.map(|body| AnswerBody {
                 body,
                 _guard: guard,
-            }))
+            });
+            if crowded.is_crowded() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, convert::Infallible>(answer)
         }
     });
     let served = shutdown.watch(builder.serve_connection(stream, service));
--- a/crates/figscale/tests/requests_front.rs
+++ b/crates/figscale/tests/requests_front.rs
@@ -256,3 +256,50 @@
     }
     drop(stalled);
 }
+
+/// Guards against callers that are shut out by connections on which there is always a
+/// request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_beside_endless_pipelines() {
+    let mut shape = Shape {
+        runners: 1,
+        ..Shape::default()
+    };
+    shape.traffic.max_connections = 8;
+    let cell = Cell::start(shape).await;
+    let address = cell.entries[0].caller;
+    let requests = head("content-length: 0\r\n").repeat(64);
+    let pipelines: Vec<_> = (0..16)
+        .map(|_| {
+            let requests = requests.clone();
+            tokio::spawn(async move {
+                loop {
+                    let Ok(caller) = TcpStream::connect(address).await else {
+                        continue;
+                    };
+                    let (mut reader, mut writer) = caller.into_split();
+                    let mut answers = [0; 4_096];
+                    let write =
+                        async { while writer.write_all(requests.as_bytes()).await.is_ok() {} };
+                    let read =
+                        async { while matches!(reader.read(&mut answers).await, Ok(1..)) {} };
+                    tokio::select! {
+                        () = write => (),
+                        () = read => (),
+                    }
+                }
+            })
+        })
+        .collect();
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    requests_cell::wait_for("an answer", || async {
+        // A connection that is closed before its request was read may be opened again.
+        let call = cell.call(0, QUOTE);
+        let answer = cell.client.send_within(requests_cell::LONG, call).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    for pipeline in pipelines {
+        pipeline.abort();
+    }
+}
