Bound the memory of submissions and open jobs at the leader

Callers saw: nothing yet. With a leader accepts jobs of many occurrences whatever it holds; one job may have 20,000 tasks, and a thousand submissions may wait for it.

Cause: such jobs are never refused for the work in front of them, and the mailbox of the leader bounds the number of messages, not their size.

Change: the leader refuses a job for which there is no memory beside the open ones (429 with Retry-After, cause job_memory); the tasks of occurrences that are due within a minute of the submission count. New setting fleet.job_memory_bytes, a quarter of the machine's memory at most. Submissions in progress have a sixteenth of it; beyond, the leader answers that it is overloaded, and the caller gets 504 as before.

--- a/crates/figscale-core/src/fleet/admission.rs
+++ b/crates/figscale-core/src/fleet/admission.rs
@@ -50,6 +50,10 @@
 /// of its share of the work.
 const OVER_SHARE_PERCENT: u32 = 125;
 
+/// Time after which a job may be submitted again for which there was no memory. The jobs
+/// that take so much end late.
+const JOB_MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_secs(5);
+
 /// Why a job was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RefusalCause {
@@ -61,6 +65,8 @@
     EarlierRefusals,
     /// The queries to the advisory service ahead of it last too long.
     AdviceBacklog,
+    /// There is no memory for it beside the open jobs.
+    JobMemory,
 }
 
 impl RefusalCause {
@@ -71,6 +77,7 @@
             Self::OverShare => "over_share",
             Self::EarlierRefusals => "earlier_refusals",
             Self::AdviceBacklog => "advice_backlog",
+            Self::JobMemory => "job_memory",
         }
     }
 }
@@ -182,16 +189,25 @@
 }
 
 impl scheduler::Scheduler {
-    /// Returns the refusal of a job that would end too late, `None` if it is to
-    /// be accepted. Jobs with occurrences or long-running steps are never
-    /// refused.
+    /// Returns the refusal of a job that would end too late, or for which there is no
+    /// memory; `None` if it is to be accepted. Jobs with occurrences or
+    /// long-running steps never end too late.
     pub(crate) fn refusal(&mut self, job: &job::Job, now: time::Instant) -> Option<Admission> {
+        self.refresh_admission(now);
+        if self.exceeds_memory(job) {
+            return Some(Admission::Refused {
+                retry_after: JOB_MEMORY_RETRY_AFTER,
+                wait: time::Duration::ZERO,
+                bound: time::Duration::ZERO,
+                cause: RefusalCause::JobMemory,
+                share: None,
+            });
+        }
         if job.description.occurrences > 0
             || job.description.steps.iter().any(|step| step.long_running)
         {
             return None;
         }
-        self.refresh_admission(now);
         self.admission.turns.submitted(job.id, now);
         let estimate = self.wait_estimate(job, now);
         let bound = self.max_queueing_time(job, now);
@@ -230,6 +246,12 @@
         })
     }
 
+    fn exceeds_memory(&self, job: &job::Job) -> bool {
+        let view = self.admission.work.as_ref();
+        let open_bytes = view.map_or(0, |view| view.demand.memory_bytes());
+        open_bytes.saturating_add(job.memory_bytes()) > self.config.job_memory_bytes
+    }
+
     /// Time that the queries ahead of a job last, if that is longer than it may wait.
     fn advice_wait_beyond(
         &mut self,
--- a/crates/figscale-core/src/fleet/demand.rs
+++ b/crates/figscale-core/src/fleet/demand.rs
@@ -152,10 +152,12 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Demand {
     open: Vec<OpenWork>,
+    memory_bytes: u64,
 }
 
 impl Demand {
     pub(crate) fn add(&mut self, job: &job::Job, work: &Work) {
+        self.memory_bytes = self.memory_bytes.saturating_add(job.memory_bytes());
         let queue = &job.queue;
         let same =
             |open: &OpenWork| open.priority == queue.priority && open.service == queue.service;
@@ -177,6 +179,11 @@
         }
     }
 
+    /// Approximate memory that all open jobs take.
+    pub(crate) fn memory_bytes(&self) -> u64 {
+        self.memory_bytes
+    }
+
     /// Work that comes before a job's in a queue, by customer: that of its service
     /// with the same or a higher priority, in the kinds of resource that the job
     /// needs.
--- a/crates/figscale-core/src/fleet/job.rs
+++ b/crates/figscale-core/src/fleet/job.rs
@@ -31,6 +31,11 @@
     },
 }
 
+/// Memory of a task.
+const TASK_BYTES: u64 = 200;
+/// Occurrences that fall due within this time of a submission count as due.
+const SOON_DUE_MS: u64 = 60_000;
+
 /// State of one task of a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
@@ -312,6 +317,17 @@
         }
     }
 
+    /// Approximate memory that it takes, with the tasks of its occurrences so far and of
+    /// those that were due soon after its submission.
+    pub(crate) fn memory_bytes(&self) -> u64 {
+        let soon_ms = self.submitted_wall_ms.saturating_add(SOON_DUE_MS);
+        let soon_due = u64::from(self.description.occurrences_due_by(soon_ms));
+        let rounds = soon_due.max(self.rounds.len() as u64).max(1);
+        let tasks = rounds.saturating_mul(self.description.tasks());
+        let tasks_bytes = tasks.saturating_mul(TASK_BYTES);
+        tasks_bytes.saturating_add(self.description.description_bytes())
+    }
+
     pub(crate) fn state(&self) -> fleet::JobState {
         match self.end {
             Some(end) => end,
--- a/crates/figscale-core/src/fleet/scheduler.rs
+++ b/crates/figscale-core/src/fleet/scheduler.rs
@@ -56,6 +56,8 @@
     /// A job that would take longer than this percentage of its latency objective
     /// is refused.
     pub max_percent_of_objective: u32,
+    /// Memory for all open jobs and their tasks; a job beyond it is refused.
+    pub job_memory_bytes: u64,
     /// What it takes to stop a task that saves its progress; `None` if that is not
     /// known, and then no task is stopped for another.
     pub preemption: Option<preemption::PreemptionCosts>,
@@ -82,6 +84,7 @@
             // the effects of three times the usual traffic for 8 s last longer
             // (see `admission`).
             max_percent_of_objective: 200,
+            job_memory_bytes: 64 << 20,
             preemption: None,
         }
     }
--- a/crates/figscale-core/src/fleet/validation.rs
+++ b/crates/figscale-core/src/fleet/validation.rs
@@ -42,7 +42,7 @@
 }
 
 fn too_many_tasks(job: &fleet::JobDescription) -> Option<String> {
-    let once: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
-    let tasks = once.saturating_mul(u64::from(job.occurrences.max(1)));
+    let occurrences = u64::from(job.occurrences.max(1));
+    let tasks = job.tasks().saturating_mul(occurrences);
     (tasks > u64::from(MAX_TASKS)).then(|| format!("{tasks} tasks: expected {MAX_TASKS} at most"))
 }
--- a/crates/figscale-core/tests/fleet/admission.rs
+++ b/crates/figscale-core/tests/fleet/admission.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use figscale_core::fleet::Admission;
+use figscale_core::fleet::Config;
 use figscale_core::fleet::RefusalCause;
 use figscale_core::fleet::Speeds;
 use figscale_types::fleet;
@@ -36,6 +37,47 @@
     }
 }
 
+/// Guards against accepted jobs without a bound: those of many occurrences are never
+/// refused for the work in front of them.
+#[test]
+fn jobs_are_refused_when_open_ones_take_all_memory() {
+    let config = Config {
+        job_memory_bytes: 20_000,
+        ..Config::default()
+    };
+    let mut cluster = TestCluster::with_config(1, 64, config);
+    let description = fleet::JobDescription {
+        occurrences: 10,
+        first_due_ms: cluster.wall_ms + 10_000,
+        interval_ms: 1_000,
+        ..helpers::job(vec![helpers::step(4, 10)])
+    };
+    let submit = |id: u64, cluster: &mut TestCluster| {
+        let (now, wall_ms) = (cluster.now, cluster.wall_ms);
+        let job = description.clone();
+        cluster
+            .scheduler
+            .submit(fleet::JobId(id), &queue(), job, now, wall_ms)
+    };
+    assert_eq!(submit(1, &mut cluster), Admission::Accepted);
+    assert_eq!(submit(2, &mut cluster), Admission::Accepted);
+    let refused = submit(3, &mut cluster);
+    assert!(
+        matches!(
+            refused,
+            Admission::Refused {
+                cause: RefusalCause::JobMemory,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+    assert_eq!(submit(2, &mut cluster), Admission::Accepted, "a repeat");
+    cluster.scheduler.cancel(fleet::JobId(1), cluster.now);
+    cluster.now += time::Duration::from_secs(1);
+    assert_eq!(submit(3, &mut cluster), Admission::Accepted);
+}
+
 fn name(number: usize) -> fleet::CustomerName {
     format!("c-{number}").parse().unwrap()
 }
--- a/crates/figscale-types/src/fleet/job.rs
+++ b/crates/figscale-types/src/fleet/job.rs
@@ -1,5 +1,7 @@
 //! Jobs as callers describe them.
 
+use std::mem;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -126,6 +128,36 @@
     pub interval_ms: u64,
 }
 
+impl JobDescription {
+    /// Number of tasks of one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Number of occurrences that are due by a time, in milliseconds since 1970.
+    pub fn occurrences_due_by(&self, wall_ms: u64) -> u32 {
+        let Some(passed_ms) = wall_ms.checked_sub(self.first_due_ms) else {
+            return 0;
+        };
+        let due = passed_ms.checked_div(self.interval_ms);
+        let due = due.and_then(|later| u32::try_from(later).ok());
+        let due = due.map_or(u32::MAX, |later| later.saturating_add(1));
+        due.min(self.occurrences)
+    }
+
+    /// Approximate memory that the description takes.
+    pub fn description_bytes(&self) -> u64 {
+        let text_bytes = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let steps = self.steps.iter().map(|step| {
+            mem::size_of::<StepDescription>()
+                + mem::size_of_val(step.after.as_slice())
+                + text_bytes(&step.required_label)
+                + text_bytes(&step.data_rack)
+        });
+        (self.spec.len() + steps.sum::<usize>()) as u64
+    }
+}
+
 /// State of a job as reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobState {
--- a/crates/figscale/src/fleet/calls.rs
+++ b/crates/figscale/src/fleet/calls.rs
@@ -80,7 +80,24 @@
     },
 }
 
+/// Unit in which the memory of calls in progress is counted.
+const MEMORY_UNIT_BYTES: u64 = 1_024;
+
+/// Memory of calls in progress, in units, where they may take this many bytes.
+pub(super) fn memory_units(bytes: u64) -> usize {
+    usize::try_from(bytes / MEMORY_UNIT_BYTES).unwrap_or(usize::MAX)
+}
+
 impl LeaderCall {
+    /// Approximate memory that a submission takes until it is answered, in units.
+    pub(super) fn memory_units(&self) -> u32 {
+        let Self::Submit { description, .. } = self else {
+            return 0;
+        };
+        let bytes = description.description_bytes();
+        u32::try_from(bytes.div_ceil(MEMORY_UNIT_BYTES)).unwrap_or(u32::MAX)
+    }
+
     /// The job that the call is about.
     pub(super) fn job(&self) -> Option<fleet::JobId> {
         match self {
--- a/crates/figscale/src/fleet/mod.rs
+++ b/crates/figscale/src/fleet/mod.rs
@@ -50,6 +50,7 @@
 use figscale_types::ids;
 use tokio::net::TcpListener;
 use tokio::signal::unix;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
 use crate::events;
@@ -69,6 +70,9 @@
 /// process 6 s after its request to stop.
 const STOP_LIMIT: time::Duration = time::Duration::from_millis(2_600);
 
+/// Share of the machine's memory for submissions that wait for the leader's answer.
+const SUBMISSION_MEMORY_DIVISOR: u64 = 16;
+
 /// State shared by all services of this process.
 #[derive(Clone)]
 pub(crate) struct Context {
@@ -93,6 +97,8 @@
     pub(crate) machine_health: machine_health::Shared,
     /// Whether this process is shutting down.
     pub(crate) leaving: sync::Arc<watch::Sender<bool>>,
+    /// Memory for submissions that this instance answers while it leads.
+    submissions: sync::Arc<Semaphore>,
     /// Heartbeats received while this instance leads.
     heartbeats: sync::Arc<sync::Mutex<term::Heartbeats>>,
 }
@@ -239,6 +245,8 @@
             ("connections", counts.connections),
         ]
     });
+    let submission_bytes = settings.machine.memory_bytes() / SUBMISSION_MEMORY_DIVISOR;
+    let submission_units = calls::memory_units(submission_bytes).min(Semaphore::MAX_PERMITS);
     Context {
         started: clock.now(),
         settings: sync::Arc::new(settings),
@@ -255,6 +263,7 @@
         leadership: sync::Arc::new(watch::Sender::new(leadership::Leadership::default())),
         machine_health: machine_health::Shared::default(),
         leaving: sync::Arc::new(watch::Sender::new(false)),
+        submissions: sync::Arc::new(Semaphore::new(submission_units)),
         heartbeats: sync::Arc::default(),
     }
 }
--- a/crates/figscale/src/fleet/term/load.rs
+++ b/crates/figscale/src/fleet/term/load.rs
@@ -74,6 +74,7 @@
         max_lease,
         stop_limit: time::Duration::from_millis(context.fleet.stop_limit_ms),
         max_entry_age: entry_age.saturating_sub(ORDER_SLACK),
+        job_memory_bytes: context.settings.job_memory_bytes(&context.fleet),
         preemption: context.fleet.preemption(),
         ..standard
     };
--- a/crates/figscale/src/fleet/term/mod.rs
+++ b/crates/figscale/src/fleet/term/mod.rs
@@ -13,6 +13,7 @@
 use figscale_core::fleet::Action;
 use figscale_core::fleet::Scheduler;
 use figscale_platform::store;
+use figscale_types::fleet;
 use figscale_types::ids;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
@@ -181,22 +182,27 @@
         return LeaderAnswer::NotLeader;
     };
     let job = call.job();
+    let Ok(_memory) = context.submissions.try_acquire_many(call.memory_units()) else {
+        return overloaded(job);
+    };
     match address.call(|reply| LeaderMessage { call, reply }).await {
         Ok(answer) => answer,
         Err(kernel::Unavailable::Gone(_)) => LeaderAnswer::Unknown,
-        Err(kernel::Unavailable::Full(_)) => {
-            let job = job.map_or_else(String::new, |job| job.to_string());
-            crate::event!(
-                events::fleet::CALL_REJECTED,
-                job = job,
-                cause = "the leader is overloaded"
-            );
-            LeaderAnswer::Overloaded
-        }
+        Err(kernel::Unavailable::Full(_)) => overloaded(job),
         Err(kernel::Unavailable::Unknown(_)) => LeaderAnswer::NotLeader,
     }
 }
 
+fn overloaded(job: Option<fleet::JobId>) -> LeaderAnswer {
+    let job = job.map_or_else(String::new, |job| job.to_string());
+    crate::event!(
+        events::fleet::CALL_REJECTED,
+        job = job,
+        cause = "the leader is overloaded"
+    );
+    LeaderAnswer::Overloaded
+}
+
 /// Leads until the term is over.
 pub(super) async fn lead(context: &Context, won: Won, loading: election::Loading) -> Ended {
     let epoch = won.leader.epoch;
--- a/crates/figscale/src/settings/fleet.rs
+++ b/crates/figscale/src/settings/fleet.rs
@@ -56,6 +56,10 @@
     /// Maximum size of a job's specification. Default 4,000 bytes, 1 to 262,144.
     #[serde(default = "default_max_spec_bytes")]
     pub max_spec_bytes: usize,
+    /// Maximum memory that the leader uses for open jobs; a quarter of the machine's memory
+    /// at most. Default 67,108,864 bytes, 8 MiB to 64 GiB.
+    #[serde(default = "default_job_memory_bytes")]
+    pub job_memory_bytes: u64,
     /// Number of cores that it may use to that share. Default 1, 1 to 1,024.
     #[serde(default = "default_cores")]
     pub cores: u64,
@@ -89,6 +93,10 @@
     4_000
 }
 
+fn default_job_memory_bytes() -> u64 {
+    64 << 20
+}
+
 fn default_cpu_share() -> f64 {
     1.0
 }
@@ -138,6 +146,8 @@
         problems.bound("fleet.max_body_bytes", body, 65_536, 4 << 20);
         let spec = self.max_spec_bytes;
         problems.bound("fleet.max_spec_bytes", spec, 1, 262_144);
+        let jobs = self.job_memory_bytes;
+        problems.bound("fleet.job_memory_bytes", jobs, 8 << 20, 64 << 30);
         problems.bound("fleet.cpu_share", self.cpu_share, 0.01, 1.0);
         problems.bound("fleet.cores", self.cores, 1, 1_024);
     }
--- a/crates/figscale/src/settings/mod.rs
+++ b/crates/figscale/src/settings/mod.rs
@@ -89,6 +89,9 @@
 /// Minimum length of the peer token, in bytes.
 const MIN_PEER_TOKEN_LEN: usize = 16;
 
+/// Share of the machine's memory for open jobs.
+const JOB_MEMORY_DIVISOR: u64 = 4;
+
 fn default_traffic_threads() -> usize {
     2
 }
@@ -202,6 +205,12 @@
         }
     }
 
+    /// Memory that the leader uses for open jobs, in bytes.
+    pub fn job_memory_bytes(&self, fleet: &FleetSettings) -> u64 {
+        let share = self.machine.memory_bytes() / JOB_MEMORY_DIVISOR;
+        fleet.job_memory_bytes.min(share)
+    }
+
     /// The settings as shown in a dump, without the secret.
     pub fn without_secrets(&self) -> Self {
         Self {
--- a/crates/figscale/tests/fleet_crowds.rs
+++ b/crates/figscale/tests/fleet_crowds.rs
@@ -342,6 +342,45 @@
     assert_eq!(fleet.get(0, "/jobs/00000000000000b0").await.status, 410);
 }
 
+/// Guards against accepted jobs that take all memory of the leader. Jobs of many
+/// occurrences, and those that no worker fits, are never refused for the work in front of
+/// them.
+#[rstest]
+#[case::tasks(64, r#"{"spec":"20","phases":[{"count":10,"cpu":1000,"estimate_ms":10}],
+    "repeats":2000,"start_at_ms":1,"interval_ms":1}"#.to_owned())]
+#[case::labels(600, format!(r#"{{"spec":"20","phases":[{{"count":1,"cpu":1000,"constraints":"{}"}}],
+    "repeats":2,"start_at_ms":4102444800000,"interval_ms":60000}}"#, "x".repeat(250_000)))]
+#[tokio::test(flavor = "multi_thread")]
+async fn open_jobs_are_bounded(#[case] jobs: u64, #[case] body: String) {
+    let _alone = ALONE.lock().await;
+    let mut fleet = Fleet::start_on_machines(2, 2, MACHINE_MEMORY_MB, MACHINE_DESCRIPTORS).await;
+    let leader = fleet.leader().await;
+    let mut accepted = Vec::new();
+    let mut refused = 0;
+    for job in 0x1000..0x1000 + jobs {
+        match fleet.post_raw(leader, job, body.as_bytes(), false).await {
+            200 => accepted.push(job),
+            429 => refused += 1,
+            status => assert!(matches!(status, 503 | 504), "job {job:x}: {status}"),
+        }
+    }
+    let peak_kib = fleet.peak_memory_kib(leader);
+    println!(
+        "{} accepted, {refused} refused: {peak_kib} KiB",
+        accepted.len()
+    );
+    assert!(!fleet.has_ended(leader));
+    assert!(peak_kib <= MACHINE_MEMORY_KIB, "{peak_kib} KiB");
+    assert!(refused > 0, "no job was refused");
+    // What is cancelled makes room.
+    for job in accepted {
+        fleet.cancel_until_answered(leader, job).await;
+    }
+    fleet.submit_until_taken(leader, 0xe000, 1, "20").await;
+    fleet.wait_for_state(leader, 0xe000, "completed").await;
+    fleet.assert_no_violations();
+}
+
 /// Guards against a limit that a client within the documented limits meets: the largest
 /// job is taken, whole and in chunks of one byte.
 #[rstest]
