--- a/crates/figscale/src/inbound/limits.rs
+++ b/crates/figscale/src/inbound/limits.rs
@@ -22,7 +22,7 @@
 /// Most connections of the balancer, whose checks take turns.
 const MAX_BALANCER_CONNECTIONS: usize = 32;
 /// Most connections of operators.
-const MAX_OPERATOR_CONNECTIONS: usize = 32;
+const MAX_OPERATOR_CONNECTIONS: usize = 128;
 /// Memory for the bodies of operators' requests.
 const OPERATOR_BODY_MEMORY_BYTES: u64 = 4 << 20;
 
--- a/crates/figscale/tests/fleet_support/mod.rs
+++ b/crates/figscale/tests/fleet_support/mod.rs
@@ -429,6 +429,18 @@
         ticks(11) + ticks(12)
     }
 
+    /// Sends bytes on a connection of its own; returns the status of the answer.
+    pub(crate) async fn exchange_raw(&self, number: usize, bytes: &[u8]) -> u16 {
+        let socket = tokio::net::TcpStream::connect(self.caller_address(number)).await;
+        let mut socket = socket.unwrap();
+        socket.write_all(bytes).await.unwrap();
+        let mut answer = [0; 1_024];
+        let read = tokio::time::timeout(CONDITION_TIMEOUT, socket.read(&mut answer)).await;
+        let length = read.expect("an answer in time").unwrap();
+        let answer = String::from_utf8_lossy(&answer[..length]);
+        answer.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+
     /// Submits a body for a job, whole or in chunks of one byte, on a connection of its
     /// own; returns the status of the answer.
     pub(crate) async fn post_raw(
--- a/crates/figscale/tests/requests_front.rs
+++ b/crates/figscale/tests/requests_front.rs
@@ -14,6 +14,7 @@
 use rstest::rstest;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 async fn cell() -> Cell {
@@ -303,3 +304,24 @@
         pipeline.abort();
     }
 }
+
+/// Guards against a connection that stays open, with what is buffered for it, for as long
+/// as its caller reads no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_reads_no_answer_is_closed() {
+    let mut shape = Shape {
+        runners: 1,
+        ..Shape::default()
+    };
+    shape.traffic.write_timeout_ms = 300;
+    let cell = Cell::start(shape).await;
+    // Small, so that few answers fill it.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut caller = socket.connect(cell.entries[0].caller).await.unwrap();
+    let requests = "GET /v1/ready HTTP/1.1\r\nhost: x\r\n\r\n".repeat(64);
+    let writing = async { while caller.write_all(requests.as_bytes()).await.is_ok() {} };
+    let closed = tokio::time::timeout(requests_cell::LONG, writing).await;
+    closed.expect("closed in time");
+    still_serves(&cell).await;
+}
