--- a/crates/figscale/src/fleet/entry/mod.rs
+++ b/crates/figscale/src/fleet/entry/mod.rs
@@ -57,7 +57,13 @@
         .with_state(context.clone());
     let served = vec![
         tokio::spawn(serve_callers(context.clone(), callers, stopped.clone())),
-        tokio::spawn(inbound::server::serve_router(ready, stopped, balancer, 0)),
+        tokio::spawn(inbound::server::serve_router(
+            ready,
+            stopped,
+            balancer,
+            0,
+            |error| error.status().into_response(),
+        )),
     ];
     Server { stop, served }
 }
--- a/crates/figscale/src/fleet/operators/mod.rs
+++ b/crates/figscale/src/fleet/operators/mod.rs
@@ -35,7 +35,9 @@
     let listener = context.listener(listener, inbound::Limits::operators(&context.settings));
     tokio::spawn(async move {
         let (_stop, stopped) = watch::channel(false);
-        inbound::server::serve_router(listener, stopped, app, operator::MAX_BODY_BYTES).await;
+        let max_bytes = operator::MAX_BODY_BYTES;
+        let refuse = operator::answer::refuse_unread;
+        inbound::server::serve_router(listener, stopped, app, max_bytes, refuse).await;
     });
 }
 
--- a/crates/figscale/src/inbound/body.rs
+++ b/crates/figscale/src/inbound/body.rs
@@ -43,7 +43,7 @@
 impl fmt::Display for BodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::TooLarge(limit) => write!(f, "the body has more than {limit} bytes"),
+            Self::TooLarge(limit) => write!(f, "the body is larger than {limit} bytes"),
             Self::TooSlow => f.write_str("the body did not arrive in time"),
             Self::Broken => f.write_str("the body is truncated or malformed"),
         }
--- a/crates/figscale/src/inbound/server.rs
+++ b/crates/figscale/src/inbound/server.rs
@@ -8,7 +8,6 @@
 use std::task;
 
 use axum::Router;
-use axum::response::IntoResponse as _;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -159,12 +158,14 @@
     shutdown.shutdown().await;
 }
 
-/// Like [`serve`], with a router and a limit on the bodies that it is given.
+/// Like [`serve`], with a router and a limit on the bodies that it is given. A body that
+/// cannot be read is answered with `refuse`.
 pub(crate) async fn serve_router(
     listener: Listener,
     stopped: watch::Receiver<bool>,
     router: Router,
     max_body_bytes: usize,
+    refuse: fn(body::BodyError) -> axum::response::Response,
 ) {
     let handler = move |connection: sync::Arc<Connection>, request: Request<Incoming>| {
         let router = TowerToHyperService::new(router.clone());
@@ -174,7 +175,7 @@
             let body = body::read(&connection, body, max_body_bytes as u64, timeout).await;
             let body = match body {
                 Ok(body) => body,
-                Err(error) => return (error.status(), error.to_string()).into_response(),
+                Err(error) => return refuse(error),
             };
             let bytes = axum::body::Body::from(body.bytes().clone());
             match router.call(Request::from_parts(head, bytes)).await {
--- a/crates/figscale/src/operator/answer.rs
+++ b/crates/figscale/src/operator/answer.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use serde::de;
 
+use crate::inbound;
 use crate::kernel;
 use crate::settings::document;
 
@@ -96,6 +97,12 @@
     answer
 }
 
+/// Answers a call whose body was not read.
+pub(crate) fn refuse_unread(error: inbound::body::BodyError) -> response::Response {
+    let text = format!("{error}; nothing was done");
+    (error.status(), Json(invalid(text))).into_response()
+}
+
 /// Returns the body, or an error if it is too large or incomplete.
 pub(crate) fn body(body: Result<Bytes, rejection::BytesRejection>) -> Result<Bytes, BodyRefusal> {
     body.map_err(|rejection| BodyRefusal {
--- a/crates/figscale/src/operator/mod.rs
+++ b/crates/figscale/src/operator/mod.rs
@@ -55,7 +55,8 @@
     let (clock, metrics) = (context.clock.clone(), context.metrics.clone());
     let served = context.traffic.spawn(async move {
         let listener = inbound::Listener::new(listener, limits, clock, metrics);
-        inbound::server::serve_router(listener, stopped, app, MAX_BODY_BYTES).await;
+        let refuse = answer::refuse_unread;
+        inbound::server::serve_router(listener, stopped, app, MAX_BODY_BYTES, refuse).await;
     });
     Server { stop, served }
 }
--- a/crates/figscale/tests/operator_api.rs
+++ b/crates/figscale/tests/operator_api.rs
@@ -206,6 +206,7 @@
 /// Metrics of the services are rendered in the Prometheus text format.
 #[test]
 fn metrics_are_rendered() {
+    const CONNECTIONS: &str = "figscale_inbound_connections";
     let entry = entry::Entry::start();
     entry::report_everything(&entry.context.metrics);
     let accepted = figscale_types::catalogue::Accepted {
@@ -220,10 +221,13 @@
         .body
         .lines()
         .filter(|line| line.starts_with("figscale_"))
+        // It depends on the time since the connections were last checked.
+        .filter(|line| !line.starts_with(CONNECTIONS))
         .map(|line| format!("{line}\n"))
         .collect();
     insta::assert_snapshot!(own);
     for name in [
+        &format!("{CONNECTIONS}{{listener=\"operators\"}} "),
         "process_cpu_seconds_total ",
         "process_resident_memory_bytes ",
     ] {
